--- /dev/null
+++ b/packages/benchmarks/src/lib/demo-run.ts
@@ -0,0 +1,241 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The demo's script: 3 availability zones, 2 entries and 4 endpoints in each; version 1, a burst, version 2 in its
+ * middle, and faults.
+ */
+import { setTimeout as pause } from 'node:timers/promises'
+import { formatPairs, type LogFields } from 'drumdrift'
+import type { Configuration } from '@drumdrift/core'
+import { generateVersion, type GeneratedVersion } from '@drumdrift/stand-ins'
+import { makeCall, type Call, type CallRecord } from './callers.js'
+import { Fleet, organisations, type EndpointPlan, type Member } from './fleet.js'
+
+const POOL = 'drafting'
+const CHUNK_BYTES = 256 * 1024
+const CHUNKS = 128
+const BURST_SECONDS = 14
+const CALLS_PER_SECOND = 60
+const PATIENCE = 20_000
+const WEIGHTS = { 'hall-1': 4, 'hall-2': 4, 'hall-3': 1, 'hall-4': 1, 'house-1': 2, 'house-2': 2 }
+
+const zonePlans: Readonly<Record<string, readonly (readonly [string, 'model' | 'plain'])[]>> = {
+  bagmati: [[POOL, 'model'], [POOL, 'model'], [POOL, 'model'], ['booking', 'plain']],
+  gandaki: [[POOL, 'model'], [POOL, 'model'], [POOL, 'model'], ['booking', 'plain']],
+  koshi: [[POOL, 'model'], [POOL, 'model'], ['booking', 'plain'], ['membership', 'plain']]
+}
+
+/** What the demo ends with. */
+export type DemoSummary = LogFields & { readonly result: 'pass' | 'fail' }
+
+/** One run of the demo. */
+export class DemoRun {
+  private readonly _records: CallRecord[] = []
+  private readonly _repeats: CallRecord[] = []
+  private readonly _startedAt = performance.now()
+  private readonly _versions: readonly GeneratedVersion[]
+  private _killedAt = 0
+  private _timeToReplicas = -1
+
+  private constructor (private readonly _fleet: Fleet) {
+    const common = { model: 'chat', chunks: CHUNKS, chunkBytes: CHUNK_BYTES, seed: 7, shared: 0.25 }
+    this._versions = [generateVersion({ ...common, version: 'v1' }), generateVersion({ ...common, version: 'v2' })]
+  }
+
+  static async prepare (): Promise<DemoRun> {
+    const endpoints: EndpointPlan[] = Object.entries(zonePlans).flatMap(([availabilityZone, plans]) => plans.map(([name, kind]) => ({ name, kind, availabilityZone })))
+    const fleet = await Fleet.prepare({
+      availabilityZones: Object.keys(zonePlans),
+      entriesPerZone: 2,
+      endpoints,
+      linkMegabytesPerSecond: 16,
+      originMegabytesPerSecond: 32,
+      relays: true,
+      hosts: 2,
+      settings: [['requests', 'repeat-window-seconds', '4'], ['requests', 'first-answer-seconds', '2'], ['requests', 'silence-seconds', '2']]
+    })
+    return new DemoRun(fleet)
+  }
+
+  /** Plays the script. */
+  async play (): Promise<DemoSummary> {
+    const fleet = this._fleet
+    for (const version of this._versions) fleet.addVersion(version)
+    fleet.publish(this._configuration('v1'))
+    fleet.publishInstances()
+    await fleet.startAll()
+    this._say('started', { processes: fleet.members.length, up: await fleet.untilUp(PATIENCE) })
+    const first = await this._serving(0, this._models(), PATIENCE)
+    this._say('version-1', { serving: first, origin_copies: this._originCopies() })
+    // Keepers vouch once they have been listed for the repeat window.
+    await pause(2_500)
+    const burst = this._burst()
+    await pause(2_000)
+    await this._faults()
+    await burst
+    await this._repeatSome()
+    const summary = await this._judge()
+    return summary
+  }
+
+  private async _faults (): Promise<void> {
+    const fleet = this._fleet
+    const models = this._models()
+    const [killed, frozen, drained, corrupt] = [models[1], models[4], models[6], models[2]] as [Member, Member, Member, Member]
+    corrupt.relay?.set('corrupt', 3)
+    const rolloutAt = performance.now()
+    fleet.publish(this._configuration('v2'))
+    this._say('rollout', { to: 'v2' })
+    await pause(700)
+    this._killedAt = Date.now()
+    fleet.signal(killed, 'SIGKILL')
+    killed.state = 'gone'
+    this._say('killed', { instance: killed.instance })
+    await pause(300)
+    fleet.signal(frozen, 'SIGSTOP')
+    this._say('frozen', { instance: frozen.instance })
+    fleet.publishInstances()
+    await pause(1_000)
+    const status = await fleet.status(drained)
+    await fleet.ask(drained, { type: 'leave', incarnation: status?.incarnation ?? '', lifecycle: 'draining', operator: 'demo' })
+    this._say('drained', { instance: drained.instance })
+    fleet.configuration.behaviour = 'down'
+    this._say('configuration-service', { behaviour: 'down' })
+    await pause(3_000)
+    await fleet.start(killed)
+    this._say('restarted', { instance: killed.instance, while_service_is: 'down' })
+    await pause(700)
+    fleet.signal(frozen, 'SIGCONT')
+    this._say('thawed', { instance: frozen.instance })
+    fleet.configuration.behaviour = 'normal'
+    fleet.publishInstances()
+    this._say('configuration-service', { behaviour: 'normal' })
+    const serving = await this._serving(1, models, PATIENCE)
+    this._timeToReplicas = Math.round(performance.now() - rolloutAt)
+    this._say('version-2', { serving, origin_copies: this._originCopies(), corrupted: corrupt.relay?.corrupted })
+  }
+
+  private _models (): Member[] {
+    return this._fleet.agents.filter(member => member.kind === 'model')
+  }
+
+  /** How many engines serve a version, waiting until all do. */
+  private async _serving (version: number, members: readonly Member[], patience: number): Promise<number> {
+    let serving = 0
+    await this._fleet.until(async () => {
+      serving = await this._count(version, members)
+      return serving === members.length
+    }, patience)
+    return serving
+  }
+
+  private async _count (version: number, members: readonly Member[]): Promise<number> {
+    const ports = new Set(members.map(member => member.endpointPort))
+    const { engines } = await this._fleet.journals()
+    return engines.filter(engine => ports.has(engine.port) && engine.version === this._versions[version]?.digest).length
+  }
+
+  /** Open-loop arrivals: each call is due at its time, whatever became of the ones before. */
+  private async _burst (): Promise<void> {
+    const calls: Promise<unknown>[] = []
+    const startedAt = performance.now()
+    for (let index = 0; index < BURST_SECONDS * CALLS_PER_SECOND; index += 1) {
+      const due = startedAt + index * 1000 / CALLS_PER_SECOND
+      const wait = due - performance.now()
+      if (wait > 0) await pause(wait)
+      calls.push(makeCall({ ...this._call(index), due }).then(record => this._records.push(record)))
+    }
+    await Promise.all(calls)
+  }
+
+  private _call (index: number): Call {
+    const { entries } = this._fleet
+    const names = Object.keys(WEIGHTS)
+    const common = {
+      id: `request-${index}`,
+      organisation: names[index % names.length] ?? '',
+      address: entries[index % entries.length]?.httpAddress ?? '',
+      versions: this._versions.map(version => version.digest)
+    }
+    if (index % 5 === 3) return { ...common, plain: { service: 'booking', method: 'POST', path: '/notices', body: `{"notice":${index}}` }, neverRepeat: true }
+    if (index % 10 === 4) return { ...common, plain: { service: 'membership', method: 'GET', path: `/members/${index}`, body: '' } }
+    return { ...common, chat: { pool: POOL, prompt: `Plan rehearsal ${index % 40} for hall ${index % 7}`, tokens: 24, streamed: index % 2 === 0 } }
+  }
+
+  /** Callers ask again with the same id, through another entry. */
+  private async _repeatSome (): Promise<void> {
+    const asked = this._records.filter(record => record.neverRepeat).slice(0, 60)
+    for (const [index, record] of asked.entries()) {
+      const number = Number(record.id.replace('request-', ''))
+      const other = this._fleet.entries[(number + 1 + index) % this._fleet.entries.length]
+      this._repeats.push(await makeCall({ ...this._call(number), address: other?.httpAddress ?? '' }))
+    }
+    this._say('repeated-by-callers', { asked: asked.length, run_again: 0 })
+  }
+
+  private async _judge (): Promise<DemoSummary> {
+    const models = this._models()
+    const serving = await this._count(1, models)
+    const { engines, plains } = await this._fleet.journals()
+    const originCopies = this._originCopies()
+    const runs = new Map<string, number>()
+    for (const plain of plains) for (const [id, count] of Object.entries(plain.runs)) runs.set(id, (runs.get(id) ?? 0) + count)
+    const count = (result: CallRecord['result']): number => this._records.filter(record => record.result === result).length
+    const neverRepeat = new Set(this._records.filter(record => record.neverRepeat).map(record => record.id))
+    const repeated = [...neverRepeat].filter(id => (runs.get(id) ?? 0) > 1).length
+    const untrue = [...this._records, ...this._repeats].filter(record => record.kind === 'plain' && record.result === 'refused' && this._records.every(other => other.id !== record.id || other === record || other.result === 'refused') && (runs.get(record.id) ?? 0) > 0).length
+    const partial = engines.reduce((sum, engine) => sum + engine.journal.partialLoads, 0)
+    const orphans = await this._fleet.stop()
+    this._explain()
+    const good = serving === models.length && repeated === 0 && untrue === 0 && count('mixed') === 0 && count('wrong') === 0 && partial === 0 && orphans === 0 && count('cut') === 0 && count('whole') > 0
+    return {
+      result: good ? 'pass' : 'fail',
+      replicas: serving,
+      of: models.length,
+      time_to_replicas_milliseconds: this._timeToReplicas,
+      origin_copies: originCopies.toFixed(2),
+      answers_asked: this._records.length,
+      answers_whole: count('whole'),
+      answers_refused: count('refused'),
+      answers_unknown: count('unknown'),
+      answers_cut: count('cut'),
+      answers_wrong: count('wrong'),
+      not_run_untrue: untrue,
+      repeated,
+      mixed_versions: count('mixed'),
+      partial_loads: partial,
+      orphans,
+      seconds: Math.round((performance.now() - this._startedAt) / 1000)
+    }
+  }
+
+  /** Says why calls did not get an answer, by code. */
+  private _explain (): void {
+    const codes = new Map<string, number>()
+    for (const record of [...this._records, ...this._repeats]) {
+      if (record.code !== '') codes.set(record.code, (codes.get(record.code) ?? 0) + 1)
+    }
+    for (const [code, calls] of codes) this._say('code', { code, calls })
+  }
+
+  private _originCopies (): number {
+    return (this._fleet.origin.bytes + this._fleet.store.bytes) / (CHUNKS * CHUNK_BYTES)
+  }
+
+  private _configuration (version: string): Partial<Configuration> {
+    const [first, second] = this._versions
+    return {
+      models: { chat: { versions: { v1: first?.digest ?? '', v2: second?.digest ?? '' } } },
+      pools: { [POOL]: { model: 'chat', version, switchFraction: 0.34, slots: 16, originCopies: 1 } },
+      services: { booking: { slots: 32, neverRepeat: [{ method: 'POST', pathPrefix: '/notices' }] }, membership: { slots: 32, neverRepeat: [] } },
+      organisations: organisations(WEIGHTS)
+    }
+  }
+
+  private _say (event: string, fields: LogFields): void {
+    process.stdout.write(`${formatPairs({ event, at_milliseconds: Math.round(performance.now() - this._startedAt), ...fields })}\n`)
+  }
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,31 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The decisions of drumdrift, without input or output.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/admission.js'
+export * from './lib/answer-stream.js'
+export * from './lib/choice.js'
+export * from './lib/chunk-tree.js'
+export * from './lib/claims.js'
+export * from './lib/concurrency-limit.js'
+export * from './lib/documents.js'
+export * from './lib/ejection.js'
+export * from './lib/failure.js'
+export * from './lib/fair-queue.js'
+export * from './lib/lifecycle.js'
+export * from './lib/messages.js'
+export * from './lib/once-attempt.js'
+export * from './lib/rendezvous.js'
+export * from './lib/retry-budget.js'
+export * from './lib/revision-ledger.js'
+export * from './lib/rollout.js'
+export * from './lib/spread.js'
+export * from './lib/token-bucket.js'
+export * from './lib/transfer.js'
+export * from './lib/link-pacer.js'
--- /dev/null
+++ b/packages/core/src/lib/failure.ts
@@ -0,0 +1,94 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Every failure that leaves a module is one of these tagged values, so that a caller can match on `type` and an
+ * operator can search for the stable `code` that a log line or an HTTP answer carries.
+ */
+
+/** What is known about a request that did not end with a whole answer. */
+export type Outcome = 'not-run' | 'unknown' | 'cut'
+
+/** Stable codes towards callers; see docs/PROTOCOLS.md. */
+export type RefusalCode =
+  | 'overloaded' | 'deadline-passed' | 'unknown-model' | 'unknown-service' | 'unknown-organisation'
+  | 'bad-request' | 'body-too-large' | 'no-endpoint' | 'already-claimed' | 'history-unknown' | 'id-conflict'
+  | 'outcome-unknown' | 'answer-cut' | 'leaving' | 'not-allowed' | 'engine-failed' | 'no-configuration' | 'records-full'
+
+/** A refusal or failure of one request, as the caller sees it. */
+export interface RequestFailure {
+  readonly type: 'request-failure'
+  readonly code: RefusalCode
+  readonly outcome: Outcome
+  /** Milliseconds after which asking again makes sense; 0 where it does not. */
+  readonly retryAfter: number
+  readonly detail: string
+}
+
+/** Why a published document was not taken. */
+export interface DocumentFailure {
+  readonly type: 'document-failure'
+  readonly reason: 'invalid' | 'wrong-source' | 'older'
+  readonly detail: string
+}
+
+/** Why weights could not be taken. */
+export interface WeightsFailure {
+  readonly type: 'weights-failure'
+  readonly reason: 'bad-manifest' | 'digest-mismatch' | 'wrong-length' | 'unavailable' | 'too-large'
+  readonly detail: string
+}
+
+/** Why a peer's message or connection was refused. */
+export interface PeerFailure {
+  readonly type: 'peer-failure'
+  readonly reason: 'malformed' | 'oversized' | 'protocol-version' | 'wrong-key' | 'connection-lost' | 'timed-out' | 'refused'
+  readonly detail: string
+}
+
+/** Why a settings file was refused. */
+export interface SettingsFailure {
+  readonly type: 'settings-failure'
+  readonly file: string
+  readonly section: string
+  readonly key: string
+  readonly expected: string
+}
+
+/** Any failure of the system. */
+export type Failure = RequestFailure | DocumentFailure | WeightsFailure | PeerFailure | SettingsFailure
+
+/** An `Error` that carries a typed failure through promise chains. */
+export class DrumdriftError extends Error {
+  readonly failure: Failure
+
+  constructor (failure: Failure) {
+    super('detail' in failure ? failure.detail : failure.expected)
+    this.name = 'DrumdriftError'
+    this.failure = failure
+  }
+}
+
+/**
+ * Builds a request failure.
+ *
+ * @example
+ * requestFailure('overloaded', 'not-run', 'queue is full', 2_000)
+ */
+export function requestFailure (code: RefusalCode, outcome: Outcome, detail: string, retryAfter = 0): RequestFailure {
+  return { type: 'request-failure', code, outcome, retryAfter, detail }
+}
+
+/**
+ * Reads the failure out of anything thrown; foreign errors become a lost connection, the most careful reading.
+ *
+ * @example
+ * try { await call() } catch (error) { const failure = failureOf(error) }
+ */
+export function failureOf (error: unknown): Failure {
+  if (error instanceof DrumdriftError) return error.failure
+  const detail = error instanceof Error ? error.message : 'unknown error'
+  return { type: 'peer-failure', reason: 'connection-lost', detail }
+}
--- /dev/null
+++ b/packages/core/src/lib/messages.ts
@@ -0,0 +1,104 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The typed messages between the system's processes. Each call has one request and one reply, but for `run` and `go`,
+ * whose reply is followed by the parts of the answer and its end (docs/PROTOCOLS.md).
+ */
+import type { Admission, AdmissionRefusal, CancelReply, OfferReply } from './admission.js'
+import type { ClaimReply } from './claims.js'
+import type { EndpointStatus } from './choice.js'
+import type { Lifecycle } from './lifecycle.js'
+import type { SwitchProgress } from './rollout.js'
+import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
+
+/** Raised when a change to the messages would be misread by older processes. */
+export const PROTOCOL_VERSION = 1
+
+/** A caller's request as it goes to an agent, without its body. */
+export interface ForwardedRequest {
+  readonly id: string
+  readonly organisation: string
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly priority: number
+  /** Events of this answer that the caller has already; the endpoint goes on after them. 0 for a new answer. */
+  readonly resumeAfter: number
+  /** The only version that may answer; empty for any. Set when an answer is resumed. */
+  readonly version: string
+  /** Milliseconds that are left to it; a duration, since clocks differ. */
+  readonly remaining: number
+}
+
+/** The head of an answer. */
+export interface AnswerHead {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  /** The manifest digest that made the answer; empty for plain services. */
+  readonly version: string
+}
+
+/** Asked of a peer. `run` and `go` carry the body as the frame's payload. */
+export type PeerRequest =
+  | { readonly type: 'hello', readonly protocol: number, readonly instance: string, readonly key: string }
+  | { readonly type: 'compare', readonly note: SpreadNote, readonly address: string }
+  | { readonly type: 'push', readonly documents: SpreadDocuments }
+  | { readonly type: 'chunk', readonly digest: string, readonly wait: number }
+  | { readonly type: 'manifest', readonly digest: string }
+  | { readonly type: 'offer', readonly endpoint: string }
+  | { readonly type: 'claim', readonly organisation: string, readonly id: string, readonly attempt: string, readonly bodyDigest: string }
+  | { readonly type: 'release', readonly organisation: string, readonly id: string, readonly attempt: string }
+  | { readonly type: 'run', readonly endpoint: string, readonly request: ForwardedRequest }
+  | { readonly type: 'go', readonly ticket: string, readonly request: ForwardedRequest }
+  | { readonly type: 'cancel', readonly ticket: string }
+  /** Stops a stream of this connection; answered by its end. */
+  | { readonly type: 'hang-up', readonly call: number }
+  | { readonly type: 'progress', readonly digest: string }
+  | { readonly type: 'status' }
+  | { readonly type: 'leave', readonly incarnation: string, readonly lifecycle: Lifecycle, readonly operator: string }
+
+/** A process's own account of itself, for operators. */
+export interface ProcessStatus {
+  readonly instance: string
+  readonly availabilityZone: string
+  readonly role: 'entry' | 'agent'
+  readonly endpoint: string
+  readonly incarnation: string
+  readonly lifecycle: Lifecycle
+  readonly revisions: Readonly<Record<Topic, number>>
+  readonly ages: Readonly<Record<Topic, number>>
+  readonly wanted: string
+  readonly version: string
+  readonly state: 'serving' | 'fetching' | 'whole' | 'switching' | 'halted' | 'failed' | 'empty'
+  /** Share of the wanted version held, 0 to 1. */
+  readonly progress: number
+  readonly running: number
+  readonly slots: number
+  readonly detail: string
+}
+
+/** A peer's reply. A `chunk` or `manifest` reply carries the bytes as the frame's payload. */
+export type PeerReply =
+  | { readonly type: 'welcome', readonly instance: string }
+  | { readonly type: 'documents', readonly documents: SpreadDocuments, readonly note: SpreadNote }
+  | { readonly type: 'done' }
+  | { readonly type: 'chunk', readonly digest: string }
+  | { readonly type: 'manifest', readonly digest: string }
+  | { readonly type: 'no-chunk', readonly reason: 'not-yet' | 'not-held' | 'busy' }
+  | { readonly type: 'offered', readonly reply: OfferReply, readonly status: EndpointStatus }
+  | { readonly type: 'claimed', readonly reply: ClaimReply }
+  | { readonly type: 'admitted', readonly admission: Admission, readonly status: EndpointStatus }
+  | { readonly type: 'cancelled', readonly reply: CancelReply }
+  | { readonly type: 'progress', readonly progress: SwitchProgress }
+  | { readonly type: 'status', readonly status: ProcessStatus }
+  | { readonly type: 'left', readonly lifecycle: Lifecycle }
+  /** Parts of an answer, numbered from 0; the payload is the data. */
+  | { readonly type: 'head', readonly head: AnswerHead }
+  | { readonly type: 'part', readonly sequence: number, readonly events: number }
+  | { readonly type: 'end', readonly count: number, readonly status: EndpointStatus }
+  /** No end will come. `notRun` is the agent's word that the endpoint was never reached. */
+  | { readonly type: 'broken', readonly detail: string, readonly notRun: boolean, readonly status: EndpointStatus }
+  | { readonly type: 'refused', readonly reason: 'malformed' | 'protocol-version' | 'wrong-key' | 'wrong-incarnation' | 'not-supported' | AdmissionRefusal, readonly detail: string }
--- /dev/null
+++ b/packages/core/src/lib/transfer.ts
@@ -0,0 +1,272 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Decides, for one member, which chunk to ask of whom and when: the window of chunks in flight, the ladder of
+ * ancestors when a parent is dead, slow or corrupt, the staggered way to the store and the origin, and the end of a
+ * transfer whose version changed in mid-copy. It moves no bytes: effects say what the shell is to do.
+ */
+import { ChunkTree, type ChunkMember, type ChunkSource, type SpreadStrategy } from './chunk-tree.js'
+import type { Manifest } from './documents.js'
+
+/** What the shell is to do. */
+export type TransferEffect =
+  | { readonly type: 'fetch', readonly attempt: number, readonly index: number, readonly digest: string, readonly bytes: number, readonly source: ChunkSource, readonly timeout: number }
+  | { readonly type: 'abandon', readonly attempt: number }
+  | { readonly type: 'whole', readonly manifestDigest: string }
+
+/** Why an attempt gave no chunk. */
+export type FetchProblem = 'corrupt' | 'timed-out' | 'unreachable' | 'not-yet' | 'not-held'
+
+/** Bounds of a transfer; times in milliseconds. */
+export interface TransferPolicy {
+  /** Chunks in flight at once: bounds the memory that a transfer takes. */
+  readonly window: number
+  readonly strategy: SpreadStrategy
+  /** Members that read each chunk from the origin when nothing fails. */
+  readonly originCopies: number
+  /** Added wait, for each rank in the zone, before a member may turn to the store or origin. */
+  readonly originStagger: number
+  /** How long a peer that failed is passed over. */
+  readonly penalty: number
+  /** The least time that an attempt gets. */
+  readonly leastTimeout: number
+}
+
+/** The policy that the daemons use unless the settings say otherwise. */
+export const defaultTransferPolicy: TransferPolicy = {
+  window: 12,
+  strategy: 'rotation',
+  originCopies: 1,
+  originStagger: 400,
+  penalty: 5_000,
+  leastTimeout: 1_500
+}
+
+interface Flight {
+  readonly index: number
+  readonly attempt: number
+  readonly source: ChunkSource
+  readonly startedAt: number
+  readonly deadline: number
+}
+
+interface Want {
+  readonly since: number
+  /** Sources that gave nothing for this chunk, with how often. */
+  readonly tried: Map<string, number>
+  notBefore: number
+}
+
+const NOT_YET_PATIENCE = 3
+const TIMEOUT_FACTOR = 6
+const SMOOTHING = 0.2
+const ORIGIN_FIRST_WAIT = 1_000
+const RETRY_PAUSE = 150
+
+/** The transfer of one version to one member. */
+export class Transfer {
+  private readonly _manifest: Manifest
+  private readonly _digest: string
+  private readonly _policy: TransferPolicy
+  private readonly _self: ChunkMember
+  private _tree: ChunkTree
+  private readonly _missing = new Set<number>()
+  private readonly _wants = new Map<number, Want>()
+  private readonly _flights = new Map<number, Flight>()
+  private readonly _penalties = new Map<string, number>()
+  private _nextAttempt = 1
+  private _observed = 0
+  private _whole = false
+
+  /**
+   * @param held Digests that are held already, from an earlier version or an earlier start: not fetched again.
+   */
+  constructor (self: ChunkMember, members: readonly ChunkMember[], manifestDigest: string, manifest: Manifest, held: ReadonlySet<string>, policy: TransferPolicy = defaultTransferPolicy) {
+    this._self = self
+    this._manifest = manifest
+    this._digest = manifestDigest
+    this._policy = policy
+    this._tree = new ChunkTree(self, members, policy.originCopies, policy.strategy)
+    manifest.chunks.forEach((chunk, index) => { if (!held.has(chunk.digest)) this._missing.add(index) })
+  }
+
+  /** The share of chunks that are held, 0 to 1. */
+  get progress (): number { return 1 - this._missing.size / this._manifest.chunks.length }
+
+  /** Whether every chunk is held and verified. */
+  get whole (): boolean { return this._whole }
+
+  /** Takes a new member list; flights under way go on. */
+  setMembers (members: readonly ChunkMember[]): void {
+    this._tree = new ChunkTree(this._self, members, this._policy.originCopies, this._policy.strategy)
+  }
+
+  /**
+   * Fills the window and times out what takes too long. Call it after each event and every 50 ms or so.
+   *
+   * @example
+   * for (const effect of transfer.tick(now)) carryOut(effect)
+   */
+  tick (now: number): TransferEffect[] {
+    if (this._whole) return []
+    if (this._missing.size === 0) {
+      this._whole = true
+      return [{ type: 'whole', manifestDigest: this._digest }]
+    }
+    const effects = this._expire(now)
+    for (const index of this._missing) {
+      if (this._flights.size >= this._policy.window) break
+      const fetch = this._start(index, now)
+      if (fetch !== undefined) effects.push(fetch)
+    }
+    return effects
+  }
+
+  /** A verified chunk has been kept. Several indexes may share its digest. */
+  arrived (attempt: number, now: number): TransferEffect[] {
+    const flight = this._flights.get(attempt)
+    if (flight !== undefined) this._observe(now - flight.startedAt)
+    if (flight === undefined) return []
+    this._flights.delete(attempt)
+    const digest = this._manifest.chunks[flight.index]?.digest
+    const effects: TransferEffect[] = []
+    for (const index of [...this._missing]) {
+      if (this._manifest.chunks[index]?.digest !== digest) continue
+      this._missing.delete(index)
+      this._wants.delete(index)
+      effects.push(...this._abandonIndex(index))
+    }
+    return [...effects, ...this.tick(now)]
+  }
+
+  /** An attempt gave nothing. A peer that is dead or corrupt is passed over for a while, with all its flights. */
+  failed (attempt: number, problem: FetchProblem, now: number): TransferEffect[] {
+    const flight = this._flights.get(attempt)
+    if (flight === undefined) return []
+    this._flights.delete(attempt)
+    this._note(flight, problem, now)
+    const effects: TransferEffect[] = []
+    const blamed = problem === 'corrupt' || problem === 'unreachable' || problem === 'timed-out'
+    if (blamed && flight.source.kind === 'peer') effects.push(...this._penalise(flight.source.instance, now))
+    return [...effects, ...this.tick(now)]
+  }
+
+  /** Ends the transfer, for a version that is no longer wanted. */
+  cancel (): TransferEffect[] {
+    const effects = [...this._flights.keys()].map(attempt => ({ type: 'abandon', attempt }) as const)
+    this._flights.clear()
+    this._missing.clear()
+    this._whole = true
+    return effects
+  }
+
+  private _start (index: number, now: number): TransferEffect | undefined {
+    const chunk = this._manifest.chunks[index]
+    if (chunk === undefined || this._inFlight(index)) return undefined
+    const want = this._want(index, now)
+    if (now < want.notBefore) return undefined
+    const source = this._source(index, chunk.digest, want, now)
+    if (source === undefined) return undefined
+    const attempt = this._nextAttempt++
+    const timeout = this._timeout(source)
+    this._flights.set(attempt, { index, attempt, source, startedAt: now, deadline: now + timeout })
+    return { type: 'fetch', attempt, index, digest: chunk.digest, bytes: chunk.bytes, source, timeout }
+  }
+
+  private _source (index: number, digest: string, want: Want, now: number): ChunkSource | undefined {
+    const place = this._tree.place(index, digest)
+    if (place.ancestors.length === 0) return this._upstream(want)
+    for (const instance of place.ancestors) {
+      if (this._usable(instance, want, now)) return { kind: 'peer', instance }
+    }
+    if (now - want.since >= ORIGIN_FIRST_WAIT + place.rank * this._policy.originStagger) return this._upstream(want)
+    for (const instance of this._tree.neighbours()) {
+      if (this._usable(instance, want, now)) return { kind: 'peer', instance }
+    }
+    want.tried.clear()
+    want.notBefore = now + RETRY_PAUSE
+    return undefined
+  }
+
+  /** The store goes first; the origin takes what the store refused. */
+  private _upstream (want: Want): ChunkSource {
+    const store = want.tried.get('store') ?? 0
+    const origin = want.tried.get('origin') ?? 0
+    return origin <= store ? { kind: 'origin' } : { kind: 'store' }
+  }
+
+  private _usable (instance: string, want: Want, now: number): boolean {
+    if ((this._penalties.get(instance) ?? 0) > now) return false
+    return (want.tried.get(instance) ?? 0) < NOT_YET_PATIENCE
+  }
+
+  private _want (index: number, now: number): Want {
+    const known = this._wants.get(index)
+    if (known !== undefined) return known
+    const want: Want = { since: now, tried: new Map(), notBefore: now }
+    this._wants.set(index, want)
+    return want
+  }
+
+  private _note (flight: Flight, problem: FetchProblem, now: number): void {
+    const want = this._want(flight.index, now)
+    const name = flight.source.kind === 'peer' ? flight.source.instance : flight.source.kind
+    const count = (want.tried.get(name) ?? 0) + 1
+    const patient = problem === 'not-yet' || problem === 'not-held'
+    want.tried.set(name, patient ? count : Math.max(count, NOT_YET_PATIENCE))
+    // A peer that holds nothing yet may not have heard of the version: settings reach peers within milliseconds.
+    if (flight.source.kind !== 'peer' || problem === 'not-held') want.notBefore = now + RETRY_PAUSE
+  }
+
+  private _penalise (instance: string, now: number): TransferEffect[] {
+    this._penalties.set(instance, now + this._policy.penalty)
+    const effects: TransferEffect[] = []
+    for (const flight of [...this._flights.values()]) {
+      if (flight.source.kind !== 'peer' || flight.source.instance !== instance) continue
+      this._flights.delete(flight.attempt)
+      effects.push({ type: 'abandon', attempt: flight.attempt })
+    }
+    return effects
+  }
+
+  private _expire (now: number): TransferEffect[] {
+    const late = [...this._flights.values()].filter(flight => flight.deadline <= now)
+    const effects: TransferEffect[] = []
+    for (const flight of late) {
+      if (!this._flights.delete(flight.attempt)) continue
+      effects.push({ type: 'abandon', attempt: flight.attempt })
+      this._note(flight, 'timed-out', now)
+      if (flight.source.kind === 'peer') effects.push(...this._penalise(flight.source.instance, now))
+    }
+    return effects
+  }
+
+  private _abandonIndex (index: number): TransferEffect[] {
+    const effects: TransferEffect[] = []
+    for (const flight of [...this._flights.values()]) {
+      if (flight.index !== index) continue
+      this._flights.delete(flight.attempt)
+      effects.push({ type: 'abandon', attempt: flight.attempt })
+    }
+    return effects
+  }
+
+  private _inFlight (index: number): boolean {
+    for (const flight of this._flights.values()) if (flight.index === index) return true
+    return false
+  }
+
+  private _observe (took: number): void {
+    this._observed = this._observed === 0 ? took : this._observed + SMOOTHING * (took - this._observed)
+  }
+
+  /** The origin is limited by its link, not by a fault, so it gets more time. */
+  private _timeout (source: ChunkSource): number {
+    const observed = TIMEOUT_FACTOR * this._observed
+    const least = source.kind === 'peer' ? this._policy.leastTimeout : this._policy.leastTimeout * TIMEOUT_FACTOR
+    return Math.max(least, observed)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/agent/agent.ts
@@ -0,0 +1,257 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The agent: one small process beside each endpoint. It brings the wanted version to its engine, serves chunks to
+ * peers, admits and runs requests, and keeps records of ids that may not repeat.
+ */
+import { randomBytes } from 'node:crypto'
+import {
+  AdmissionDoor, ClaimKeeper, defaultTransferPolicy, LinkPacer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
+  type ProcessStatus, type SpreadStrategy
+} from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import { Histograms } from '../observe/histograms.js'
+import { Counters } from '../observe/metrics.js'
+import { MetricsServer } from '../observe/metrics-server.js'
+import { PeerPool } from '../peer/pool.js'
+import { PeerServer } from '../peer/server.js'
+import { HttpPlatform } from '../platform/platform-client.js'
+import type { Settings } from '../settings/settings.js'
+import { SpreadRunner } from '../spread-runner.js'
+import { spreadSelf } from '../spread-self.js'
+import { AgentRequests } from './agent-requests.js'
+import { ChunkServer } from './chunk-server.js'
+import { ChunkStore } from './chunk-store.js'
+import { HttpEngine } from './engine-client.js'
+import { RequestRunner } from './request-runner.js'
+import { Switcher, type SwitchTarget } from './switcher.js'
+import { WeightsKeeper } from './weights-keeper.js'
+
+const MEBIBYTE = 1024 * 1024
+const GIBIBYTE = 1024 * MEBIBYTE
+const DEFAULT_SLOTS = 8
+/** Time for the last frames to leave before the process ends, in milliseconds. */
+const FLUSH_PAUSE = 100
+
+/** An agent process. */
+export class AgentProcess {
+  readonly incarnation: string
+  private readonly _name: string
+  private readonly _endpoint: string
+  private readonly _model: boolean
+  private readonly _self: ChunkMember
+  private readonly _counters = new Counters()
+  private readonly _histograms = new Histograms()
+  private readonly _pacer: LinkPacer
+  private readonly _door: AdmissionDoor
+  private readonly _keeper: ClaimKeeper
+  private readonly _pool: PeerPool
+  private readonly _server: PeerServer
+  private readonly _spread: SpreadRunner
+  private readonly _store: ChunkStore
+  private readonly _weights: WeightsKeeper
+  private readonly _switcher: Switcher
+  private readonly _runner: RequestRunner
+  private readonly _metrics: MetricsServer | undefined
+  private _members: readonly InstanceRecord[] = []
+  private _addresses: ReadonlyMap<string, string> = new Map()
+  private _wantedSince = performance.now()
+
+  constructor (private readonly _settings: Settings, private readonly _log: Log) {
+    const text = (section: string, key: string): string => _settings.text(section, key)
+    const number = (section: string, key: string): number => _settings.number(section, key)
+    this._name = text('process', 'instance')
+    this.incarnation = `${this._name}.${randomBytes(6).toString('hex')}`
+    this._endpoint = text('endpoint', 'name')
+    this._model = text('endpoint', 'kind') === 'model'
+    this._self = { instance: this._name, availabilityZone: text('process', 'availability-zone') }
+    this._pacer = new LinkPacer(number('weights', 'link-megabytes-per-second') * MEBIBYTE, performance.now())
+    const readPacer = { received: (bytes: number): number => this._pacer.received(bytes, performance.now()) }
+    this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS)
+    this._door.setServing(!this._model)
+    this._keeper = new ClaimKeeper({ repeatWindow: number('requests', 'repeat-window-seconds') * 1000, recordsPerOrganisation: number('requests', 'records-per-organisation') })
+    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, readPacer)
+    const platform = new HttpPlatform({
+      configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: text('platform', 'store'), origin: text('platform', 'origin')
+    }, readPacer)
+    const engine = new HttpEngine(text('endpoint', 'address'))
+    this._store = new ChunkStore(engine, number('weights', 'memory-megabytes') * MEBIBYTE)
+    this._spread = new SpreadRunner({
+      self: spreadSelf(_settings), platform, pool: this._pool, log: _log, counters: this._counters, onAdopted: () => this._apply()
+    })
+    this._weights = new WeightsKeeper({
+      self: this._self,
+      policy: { ...defaultTransferPolicy, window: number('weights', 'window'), strategy: text('weights', 'strategy') as SpreadStrategy },
+      largestBytes: number('weights', 'largest-gigabytes') * GIBIBYTE,
+      platform,
+      pool: this._pool,
+      engine,
+      store: this._store,
+      log: _log,
+      counters: this._counters,
+      members: () => this._members,
+      addressOf: instance => this._addresses.get(instance),
+      onWhole: () => {
+        this._recordSince('transfer')
+        this._switcher.poll()
+      }
+    })
+    this._switcher = new Switcher({
+      instance: this._name,
+      engine,
+      door: this._door,
+      pool: this._pool,
+      log: _log,
+      members: () => this._members,
+      knownDigests: () => this._knownDigests(),
+      target: () => this._target(),
+      wholeDigest: () => this._weights.wholeDigest,
+      onServing: () => {
+        this._recordSince('time-to-serve')
+        this._weights.dropOthers()
+      }
+    })
+    if (!this._model) this._switcher.close()
+    this._runner = new RequestRunner({
+      endpointAddress: text('endpoint', 'address'), door: this._door, pacer: this._pacer, counters: this._counters, status: () => this._endpointStatus()
+    })
+    const requests = new AgentRequests({
+      endpoint: this._endpoint,
+      door: this._door,
+      keeper: this._keeper,
+      spread: this._spread,
+      chunks: new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest)),
+      weights: this._weights,
+      switcher: this._switcher,
+      runner: this._runner,
+      log: _log,
+      endpointStatus: () => this._endpointStatus(),
+      processStatus: () => this.status()
+    })
+    this._server = new PeerServer({
+      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, onRequest: (request, payload, responder) => requests.handle(request, payload, responder)
+    })
+    const metricsAddress = text('process', 'metrics-address')
+    this._metrics = metricsAddress === '' ? undefined : new MetricsServer(metricsAddress, this._counters, this._histograms)
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<void> {
+    if (this._model) await this._store.recover()
+    await this._server.listen()
+    await this._metrics?.listen()
+    this._log.info('agent-started', { incarnation: this.incarnation, endpoint: this._endpoint, staged: this._store.staged.size })
+  }
+
+  /**
+   * Takes nothing new, lets what runs end, then stops.
+   *
+   * @returns Requests that were cut off because the patience of the settings ran out.
+   */
+  async stop (): Promise<number> {
+    this._door.leave('draining')
+    this._log.info('agent-draining', { running: this._door.running })
+    const patience = this._settings.number('process', 'stop-patience-seconds') * 1000
+    await Promise.race([this._runner.idle(), new Promise(resolve => setTimeout(resolve, patience).unref())])
+    const cut = this._door.running
+    this._door.leave('stopped')
+    await new Promise(resolve => setTimeout(resolve, FLUSH_PAUSE))
+    this._close()
+    this._log.info('agent-stopped', { cut })
+    return cut
+  }
+
+  /** This agent's account of itself. */
+  status (): ProcessStatus {
+    const now = performance.now()
+    const { spread } = this._spread
+    const { revisions, ages } = spread.note(now)
+    return {
+      instance: this._name,
+      availabilityZone: this._self.availabilityZone,
+      role: 'agent',
+      endpoint: this._endpoint,
+      incarnation: this.incarnation,
+      lifecycle: this._door.lifecycle,
+      revisions,
+      ages,
+      wanted: this._weights.wanted,
+      version: this._switcher.engine?.version ?? '',
+      state: this._stateWord(),
+      progress: this._weights.progress,
+      running: this._door.running,
+      slots: this._door.slots,
+      detail: this._weights.problem?.detail ?? ''
+    }
+  }
+
+  private _close (): void {
+    this._spread.close()
+    this._weights.close()
+    this._switcher.close()
+    this._server.close()
+    this._pool.close()
+    this._metrics?.close()
+  }
+
+  /** A new revision is in force: everything that depends on it follows at once. */
+  private _apply (): void {
+    const { configuration, instances } = this._spread.spread
+    this._addresses = new Map(instances.map(record => [record.instance, record.address]))
+    this._members = instances.filter(record => record.role === 'agent' && record.endpoint === this._endpoint && record.state === 'live')
+    const listed = instances.find(record => record.instance === this._name)
+    if (listed !== undefined) this._keeper.listed(performance.now())
+    const leaving = listed?.state === 'leaving' || configuration?.draining.includes(this._name) === true
+    if (leaving && this._door.leave('draining')) this._log.info('agent-draining', { running: this._door.running })
+    if (configuration === undefined) return
+    const slots = configuration.pools[this._endpoint]?.slots ?? configuration.services[this._endpoint]?.slots ?? DEFAULT_SLOTS
+    this._door.setSlots(slots)
+    this._want()
+  }
+
+  private _want (): void {
+    const { configuration, instances } = this._spread.spread
+    const digest = configuration === undefined ? undefined : wantedDigest(configuration, this._endpoint)
+    if (digest === undefined || instances.length === 0 || !this._model) return
+    if (digest !== this._weights.wanted) this._wantedSince = performance.now()
+    this._weights.want(digest, configuration?.pools[this._endpoint]?.originCopies ?? 1)
+  }
+
+  private _target (): SwitchTarget | undefined {
+    const { spread } = this._spread
+    const pool = spread.configuration?.pools[this._endpoint]
+    const manifestDigest = this._weights.wanted
+    if (pool === undefined || manifestDigest === '') return undefined
+    return { manifestDigest, fence: spread.revision('configuration'), switchFraction: pool.switchFraction }
+  }
+
+  private _knownDigests (): ReadonlySet<string> {
+    const { configuration } = this._spread.spread
+    const model = configuration?.pools[this._endpoint]?.model
+    return new Set(Object.values(configuration?.models[model ?? '']?.versions ?? {}))
+  }
+
+  private _endpointStatus (): EndpointStatus {
+    const version = this._switcher.engine?.version ?? ''
+    const { lifecycle, running, slots, serving, switching } = this._door
+    return { incarnation: this.incarnation, lifecycle, version, serving: serving && !switching, running, slots }
+  }
+
+  private _stateWord (): ProcessStatus['state'] {
+    if (this._switcher.failed !== '' && this._switcher.failed === this._weights.wanted) return 'failed'
+    if (this._switcher.halted) return 'halted'
+    if (this._door.switching) return 'switching'
+    if (!this._model) return 'serving'
+    const version = this._switcher.engine?.version ?? ''
+    if (version !== '' && version === this._weights.wanted) return 'serving'
+    if (this._weights.wholeDigest !== '') return 'whole'
+    return this._weights.wanted === '' ? 'empty' : 'fetching'
+  }
+
+  private _recordSince (measure: 'transfer' | 'time-to-serve'): void {
+    this._histograms.record({ measure, organisation: 'all', requestClass: this._endpoint }, performance.now() - this._wantedSince)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -0,0 +1,101 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Where chunks stand while peers still need them. The engine's staging memory holds all chunks of the wanted version,
+ * as it must to load it; this process keeps only the latest, up to a limit, and reads older ones back.
+ */
+import type { Engine } from './engine-client.js'
+
+/** Chunks of one agent. */
+export class ChunkStore {
+  private readonly _recent = new Map<string, Buffer>()
+  private readonly _staged = new Set<string>()
+  private readonly _waiters = new Map<string, Set<() => void>>()
+  private _bytes = 0
+
+  /**
+   * @param _limit Bytes kept in this process.
+   */
+  constructor (private readonly _engine: Engine, private readonly _limit: number) {}
+
+  /** Digests that the engine holds. */
+  get staged (): ReadonlySet<string> { return this._staged }
+
+  /** Learns what the engine holds from an earlier agent. */
+  async recover (): Promise<void> {
+    for (const digest of await this._engine.staged()) this._staged.add(digest)
+  }
+
+  /**
+   * Keeps a verified chunk: peers that wait for it are served at once, the engine gets it next.
+   *
+   * @returns Whether the engine took it.
+   */
+  async keep (digest: string, bytes: Buffer): Promise<boolean> {
+    this._remember(digest, bytes)
+    this._wake(digest)
+    const staged = await this._engine.stage('chunks', digest, bytes)
+    if (staged) this._staged.add(digest)
+    return staged
+  }
+
+  /** A chunk for a peer, or nothing when it is not held. */
+  async get (digest: string): Promise<Buffer | undefined> {
+    const recent = this._recent.get(digest)
+    if (recent !== undefined) return recent
+    if (!this._staged.has(digest)) return undefined
+    const bytes = await this._engine.readBack('chunks', digest)
+    if (bytes === undefined) this._staged.delete(digest)
+    else this._remember(digest, bytes)
+    return bytes
+  }
+
+  has (digest: string): boolean {
+    return this._recent.has(digest) || this._staged.has(digest)
+  }
+
+  /** Waits until a chunk is held, for `wait` milliseconds at most. Returns whether it is. */
+  async waitFor (digest: string, wait: number): Promise<boolean> {
+    if (this.has(digest)) return true
+    await new Promise<void>(resolve => {
+      const waiters = this._waiters.get(digest) ?? new Set()
+      this._waiters.set(digest, waiters)
+      const done = (): void => {
+        clearTimeout(timer)
+        waiters.delete(done)
+        if (waiters.size === 0) this._waiters.delete(digest)
+        resolve()
+      }
+      const timer = setTimeout(done, wait)
+      waiters.add(done)
+    })
+    return this.has(digest)
+  }
+
+  /** Drops staged chunks that no wanted version lists. */
+  async dropExcept (wanted: ReadonlySet<string>): Promise<void> {
+    for (const digest of [...this._staged]) {
+      if (wanted.has(digest)) continue
+      this._staged.delete(digest)
+      await this._engine.drop(digest)
+    }
+  }
+
+  private _remember (digest: string, bytes: Buffer): void {
+    if (this._recent.has(digest)) return
+    this._recent.set(digest, bytes)
+    this._bytes += bytes.length
+    for (const [oldest, held] of this._recent) {
+      if (this._bytes <= this._limit) break
+      this._recent.delete(oldest)
+      this._bytes -= held.length
+    }
+  }
+
+  private _wake (digest: string): void {
+    for (const done of [...this._waiters.get(digest) ?? []]) done()
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -0,0 +1,100 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Speaks to the model engine beside the agent: staging of chunks, fenced load orders and the engine's own account of
+ * its state (docs/PROTOCOLS.md). The agent is the only one that gives this engine orders.
+ */
+import { askHttp } from '../platform/http-client.js'
+
+/** What the engine says of itself. */
+export interface EngineState {
+  /** The manifest digest that is served; empty for none. */
+  readonly version: string
+  /** The manifest digest being loaded; empty for none. */
+  readonly loading: string
+  /** The manifest digest whose load failed last; empty for none. */
+  readonly failed: string
+  readonly fence: number
+  readonly running: number
+}
+
+/** An engine as the agent sees it. */
+export interface Engine {
+  state (): Promise<EngineState | undefined>
+  /** Digests of the chunks that the engine's staging memory holds. */
+  staged (): Promise<ReadonlySet<string>>
+  stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean>
+  readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined>
+  drop (digest: string): Promise<void>
+  /** Orders a load; the fence must not be below any earlier one. */
+  load (manifestDigest: string, fence: number): Promise<'ordered' | 'stale-fence' | 'refused' | 'unreachable'>
+}
+
+const TIMEOUT = 5_000
+
+/** An engine over HTTP. */
+export class HttpEngine implements Engine {
+  constructor (private readonly _address: string) {}
+
+  async state (): Promise<EngineState | undefined> {
+    try {
+      const answer = await askHttp(this._address, { path: '/state', timeout: 1_000 })
+      const value: unknown = JSON.parse(answer.body.toString('utf8'))
+      return isEngineState(value) ? value : undefined
+    } catch {
+      return undefined
+    }
+  }
+
+  async staged (): Promise<ReadonlySet<string>> {
+    try {
+      const answer = await askHttp(this._address, { path: '/staging', timeout: TIMEOUT })
+      const value: unknown = JSON.parse(answer.body.toString('utf8'))
+      return new Set(Array.isArray(value) ? value.map(String) : [])
+    } catch {
+      return new Set()
+    }
+  }
+
+  async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
+    return await this._status({ method: 'PUT', path: `/staging/${kind}/${digest}`, body: bytes }) === 204
+  }
+
+  async readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined> {
+    try {
+      const answer = await askHttp(this._address, { path: `/staging/${kind}/${digest}`, timeout: TIMEOUT })
+      return answer.status === 200 ? answer.body : undefined
+    } catch {
+      return undefined
+    }
+  }
+
+  async drop (digest: string): Promise<void> {
+    await this._status({ method: 'DELETE', path: `/staging/chunks/${digest}` })
+  }
+
+  async load (manifestDigest: string, fence: number): Promise<'ordered' | 'stale-fence' | 'refused' | 'unreachable'> {
+    const status = await this._status({ method: 'POST', path: '/load', body: JSON.stringify({ manifest: manifestDigest, fence }) })
+    if (status === 202) return 'ordered'
+    if (status === 409) return 'stale-fence'
+    return status === undefined ? 'unreachable' : 'refused'
+  }
+
+  private async _status (question: { method: string, path: string, body?: Buffer | string }): Promise<number | undefined> {
+    try {
+      return (await askHttp(this._address, { ...question, timeout: TIMEOUT })).status
+    } catch {
+      return undefined
+    }
+  }
+}
+
+function isEngineState (value: unknown): value is EngineState {
+  if (typeof value !== 'object' || value === null) return false
+  const { version, loading, failed, fence, running } = value as Record<string, unknown>
+  const texts = [version, loading, failed].every(text => typeof text === 'string')
+  return texts && typeof fence === 'number' && typeof running === 'number'
+}
--- /dev/null
+++ b/packages/node/src/lib/agent/request-runner.ts
@@ -0,0 +1,150 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Runs admitted requests on the endpoint beside the agent and sends the answer back in numbered parts. Event streams
+ * are cut only between whole events, so that an answer can be resumed elsewhere at an event's edge.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { AdmissionDoor, EndpointStatus, ForwardedRequest, LinkPacer } from '@drumdrift/core'
+import { failureOf } from '@drumdrift/core'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerConnection, Responder } from '../peer/connection.js'
+import { openHttp } from '../platform/http-client.js'
+
+/** What the runner works with. */
+export interface RequestRunnerParts {
+  readonly endpointAddress: string
+  readonly door: AdmissionDoor
+  readonly pacer: LinkPacer
+  readonly counters: Counters
+  readonly status: () => EndpointStatus
+}
+
+/** Bytes of answers that may wait to be sent before transfers are told to yield. */
+const CONGESTED_BACKLOG = 65_536
+const END_OF_EVENT = Buffer.from('\n\n')
+
+/** Headers that belong to one hop. */
+const hopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'host', 'content-length', 'upgrade', 'te', 'trailer', 'authorization', 'expect'])
+
+/** Runs requests for one agent. */
+export class RequestRunner {
+  private readonly _runs = new WeakMap<PeerConnection, Map<number, AbortController>>()
+  private readonly _idle = new Set<() => void>()
+
+  constructor (private readonly _parts: RequestRunnerParts) {}
+
+  /** Starts an admitted request. */
+  start (run: number, request: ForwardedRequest, body: Buffer, responder: Responder): void {
+    const abort = new AbortController()
+    const calls = this._callsOf(responder.connection)
+    calls.set(responder.call, abort)
+    const stopListening = responder.connection.onEnd(() => abort.abort())
+    const timer = setTimeout(() => abort.abort(), Math.max(0, request.remaining))
+    this._carry(request, body, responder, abort.signal).finally(() => {
+      clearTimeout(timer)
+      stopListening()
+      calls.delete(responder.call)
+      this._parts.door.finished(run)
+      if (this._parts.door.running === 0) for (const listener of this._idle) listener()
+    })
+  }
+
+  /** The caller of a stream has hung up: the endpoint is told by the end of its connection. */
+  hangUp (connection: PeerConnection, call: number): void {
+    this._callsOf(connection).get(call)?.abort()
+  }
+
+  /** Waits until nothing runs. */
+  async idle (): Promise<void> {
+    if (this._parts.door.running === 0) return
+    await new Promise<void>(resolve => this._idle.add(resolve))
+  }
+
+  private async _carry (request: ForwardedRequest, body: Buffer, responder: Responder, signal: AbortSignal): Promise<void> {
+    const { status } = this._parts
+    try {
+      const response = await openHttp(this._parts.endpointAddress, {
+        method: request.method, path: request.path, headers: outgoingHeaders(request, body), body, signal, timeout: Math.max(1, request.remaining)
+      })
+      responder.send({ type: 'head', head: { status: response.statusCode ?? 502, headers: incomingHeaders(response), version: versionOf(response) } })
+      const count = await this._stream(response, responder)
+      this._parts.counters.add('answers_whole')
+      responder.send({ type: 'end', count, status: status() })
+    } catch (error) {
+      const failure = failureOf(error)
+      this._parts.counters.add(signal.aborted ? 'answers_cancelled' : 'answers_broken')
+      responder.send({ type: 'broken', detail: 'detail' in failure ? failure.detail : failure.type, notRun: neverReached(error), status: status() })
+    }
+  }
+
+  private async _stream (response: IncomingMessage, responder: Responder): Promise<number> {
+    const events = String(response.headers['content-type'] ?? '').startsWith('text/event-stream')
+    let sequence = 0
+    let held: Buffer = Buffer.alloc(0)
+    const send = (bytes: Buffer): void => {
+      if (bytes.length === 0) return
+      this._account(bytes.length, responder)
+      responder.send({ type: 'part', sequence: sequence++, events: events ? countEvents(bytes) : 0 }, bytes)
+    }
+    for await (const piece of response) {
+      const bytes = held.length > 0 ? Buffer.concat([held, piece as Buffer]) : piece as Buffer
+      const edge = events ? bytes.lastIndexOf(END_OF_EVENT) : bytes.length - END_OF_EVENT.length
+      const cut = events && edge < 0 ? 0 : edge + END_OF_EVENT.length
+      send(bytes.subarray(0, cut))
+      held = bytes.subarray(cut)
+    }
+    if (!response.complete) throw new Error('answer of the endpoint was cut off')
+    send(held)
+    return sequence
+  }
+
+  private _account (bytes: number, responder: Responder): void {
+    const now = performance.now()
+    this._parts.pacer.live(bytes, now)
+    this._parts.pacer.adapt(responder.connection.backlog > CONGESTED_BACKLOG, now)
+  }
+
+  private _callsOf (connection: PeerConnection): Map<number, AbortController> {
+    const calls = this._runs.get(connection) ?? new Map<number, AbortController>()
+    this._runs.set(connection, calls)
+    return calls
+  }
+}
+
+function outgoingHeaders (request: ForwardedRequest, body: Buffer): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(request.headers)) if (!hopHeaders.has(name)) headers[name] = value
+  headers['content-length'] = String(body.length)
+  headers['x-request-id'] = request.id
+  headers['x-priority'] = String(request.priority)
+  if (request.resumeAfter > 0) headers['x-resume-after'] = String(request.resumeAfter)
+  return headers
+}
+
+function incomingHeaders (response: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(response.headers)) {
+    if (value !== undefined && !hopHeaders.has(name)) headers[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return headers
+}
+
+function versionOf (response: IncomingMessage): string {
+  return String(response.headers['x-model-version'] ?? '')
+}
+
+/** The endpoint's port refused the connection, so nothing can have run there. */
+function neverReached (error: unknown): boolean {
+  const failure = failureOf(error)
+  return failure.type === 'peer-failure' && failure.detail.includes('ECONNREFUSED')
+}
+
+function countEvents (bytes: Buffer): number {
+  let count = 0
+  for (let at = bytes.indexOf(END_OF_EVENT); at >= 0; at = bytes.indexOf(END_OF_EVENT, at + END_OF_EVENT.length)) count += 1
+  return count
+}
--- /dev/null
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -0,0 +1,263 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Brings the wanted version to this instance: carries out what the transfer decides, verifies every byte before it is
+ * kept or passed on, and says when the version is whole.
+ */
+import {
+  checkManifest, failureOf, rendezvousOrder, Transfer, type ChunkMember, type Manifest, type TransferEffect, type TransferPolicy, type WeightsFailure
+} from '@drumdrift/core'
+import { setTimeout as pause } from 'node:timers/promises'
+import type { Log } from '../observe/log.js'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerPool } from '../peer/pool.js'
+import type { Platform } from '../platform/platform-client.js'
+import type { ChunkStore } from './chunk-store.js'
+import { digestOf, digestOfText } from './digest.js'
+import type { Engine } from './engine-client.js'
+
+type Fetch = Extract<TransferEffect, { type: 'fetch' }>
+
+/** What the keeper works with. */
+export interface WeightsKeeperParts {
+  readonly self: ChunkMember
+  readonly policy: TransferPolicy
+  readonly largestBytes: number
+  readonly platform: Platform
+  readonly pool: PeerPool
+  readonly engine: Engine
+  readonly store: ChunkStore
+  readonly log: Log
+  readonly counters: Counters
+  /** Members of the same pool. */
+  readonly members: () => readonly ChunkMember[]
+  readonly addressOf: (instance: string) => string | undefined
+  readonly onWhole: (manifestDigest: string) => void
+}
+
+const TICK = 50
+const PEER_WAIT = 1_000
+const MANIFEST_FAN_OUT = 8
+const MANIFEST_PAUSE = 200
+/** Added wait, for each rank, before the platform is asked for a manifest that peers did not have. */
+const MANIFEST_STAGGER = 100
+const LONGEST_MANIFEST_STAGGER = 5_000
+
+/** The weights of one agent. */
+export class WeightsKeeper {
+  private _wanted = ''
+  private _originCopies = 1
+  private _manifest: Manifest | undefined
+  private _transfer: Transfer | undefined
+  private _wholeDigest = ''
+  /** The list that the transfer works with; compared by identity, since a new revision makes a new list. */
+  private _members: readonly ChunkMember[] = []
+  private _problem: WeightsFailure | undefined
+  private _wantedDigests: ReadonlySet<string> = new Set()
+  private readonly _fetches = new Map<number, AbortController>()
+  private readonly _manifests = new Map<string, Buffer>()
+  private readonly _ticker: NodeJS.Timeout
+
+  constructor (private readonly _parts: WeightsKeeperParts) {
+    this._ticker = setInterval(() => this._tick(), TICK)
+  }
+
+  /** The manifest digest that is wanted; empty for none. */
+  get wanted (): string { return this._wanted }
+  /** The manifest digest that is held whole and verified; empty for none. */
+  get wholeDigest (): string { return this._wholeDigest }
+  /** The share of the wanted version that is held. */
+  get progress (): number { return this._transfer?.progress ?? 0 }
+  /** What keeps the wanted version away, if anything. */
+  get problem (): WeightsFailure | undefined { return this._problem }
+
+  close (): void {
+    clearInterval(this._ticker)
+    for (const fetch of this._fetches.values()) fetch.abort()
+  }
+
+  /** Whether a chunk belongs to the version being fetched. */
+  expects (digest: string): boolean { return this._wantedDigests.has(digest) }
+
+  /** A manifest for a peer. */
+  async manifest (digest: string): Promise<Buffer | undefined> {
+    return this._manifests.get(digest) ?? await this._parts.engine.readBack('manifests', digest)
+  }
+
+  /**
+   * Sets the wanted version. A transfer of another one ends at once; chunks that both share stay.
+   */
+  want (manifestDigest: string, originCopies: number): void {
+    this._originCopies = originCopies
+    if (manifestDigest === this._wanted) return
+    this._parts.log.info('version-wanted', { manifest: manifestDigest })
+    this._wanted = manifestDigest
+    this._wholeDigest = ''
+    this._problem = undefined
+    this._carryOut(this._transfer?.cancel() ?? [])
+    this._transfer = undefined
+    this._manifest = undefined
+    this._wantedDigests = new Set()
+    this._begin(manifestDigest)
+  }
+
+  /** Drops chunks that the wanted version does not list; call it once that version is served. */
+  async dropOthers (): Promise<void> {
+    if (this._manifest !== undefined) await this._parts.store.dropExcept(this._wantedDigests)
+  }
+
+  private async _begin (manifestDigest: string): Promise<void> {
+    const startedAt = performance.now()
+    while (this._wanted === manifestDigest) {
+      const bytes = await this._fetchManifest(manifestDigest, performance.now() - startedAt)
+      if (this._wanted !== manifestDigest) return
+      if (bytes !== undefined && this._adoptManifest(manifestDigest, bytes)) return
+      await pause(MANIFEST_PAUSE)
+    }
+  }
+
+  private _adoptManifest (manifestDigest: string, bytes: Buffer): boolean {
+    const checked = checkManifest(parseJson(bytes), this._parts.largestBytes)
+    if ('failure' in checked) {
+      this._fail(checked.failure)
+      return false
+    }
+    this._problem = undefined
+    this._manifest = checked.value
+    this._manifests.clear()
+    this._manifests.set(manifestDigest, bytes)
+    this._wantedDigests = new Set(checked.value.chunks.map(chunk => chunk.digest))
+    const policy = { ...this._parts.policy, originCopies: this._originCopies }
+    this._members = this._parts.members()
+    this._transfer = new Transfer(this._parts.self, this._members, manifestDigest, checked.value, this._parts.store.staged, policy)
+    this._parts.engine.stage('manifests', manifestDigest, bytes)
+    this._tick()
+    return true
+  }
+
+  /** Parents in a tree over the members first, then, staggered by rank, the platform. */
+  private async _fetchManifest (digest: string, waited: number): Promise<Buffer | undefined> {
+    const held = await this.manifest(digest)
+    if (held !== undefined && digestOfText(held) === digest) return held
+    const names = [...new Set([this._parts.self.instance, ...this._parts.members().map(member => member.instance)])]
+    const order = rendezvousOrder(names, digest)
+    const rank = order.indexOf(this._parts.self.instance)
+    const parent = rank > 0 ? order[Math.floor((rank - 1) / MANIFEST_FAN_OUT)] : undefined
+    const fromPeer = parent === undefined ? undefined : await this._manifestFromPeer(parent, digest)
+    if (fromPeer !== undefined) return fromPeer
+    if (waited < Math.min(LONGEST_MANIFEST_STAGGER, rank * MANIFEST_STAGGER)) return undefined
+    return await this._manifestFromPlatform(digest)
+  }
+
+  private async _manifestFromPeer (instance: string, digest: string): Promise<Buffer | undefined> {
+    const address = this._parts.addressOf(instance)
+    if (address === undefined) return undefined
+    try {
+      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest }, { timeout: PEER_WAIT })
+      return reply.type === 'manifest' && digestOfText(payload) === digest ? payload : undefined
+    } catch {
+      return undefined
+    }
+  }
+
+  private async _manifestFromPlatform (digest: string): Promise<Buffer | undefined> {
+    for (const upstream of ['origin', 'store'] as const) {
+      const bytes = await this._parts.platform.weights(upstream, 'manifests', digest, PEER_WAIT)
+      if (bytes !== undefined && digestOfText(bytes) === digest) return bytes
+      if (bytes !== undefined) this._fail({ type: 'weights-failure', reason: 'digest-mismatch', detail: `manifest from ${upstream}` })
+    }
+    this._problem ??= { type: 'weights-failure', reason: 'unavailable', detail: `no one has manifest ${digest.slice(0, 12)}` }
+    return undefined
+  }
+
+  private _tick (): void {
+    const transfer = this._transfer
+    if (transfer === undefined) return
+    const members = this._parts.members()
+    if (members !== this._members) transfer.setMembers(members)
+    this._members = members
+    this._carryOut(transfer.tick(performance.now()))
+  }
+
+  private _carryOut (effects: readonly TransferEffect[]): void {
+    for (const effect of effects) this._handlers[effect.type](effect as never)
+  }
+
+  private readonly _handlers: { readonly [Type in TransferEffect['type']]: (effect: Extract<TransferEffect, { type: Type }>) => void } = {
+    fetch: effect => { this._fetch(effect) },
+    abandon: ({ attempt }) => {
+      this._fetches.get(attempt)?.abort()
+      this._fetches.delete(attempt)
+    },
+    whole: ({ manifestDigest }) => {
+      this._wholeDigest = manifestDigest
+      this._parts.log.info('version-whole', { manifest: manifestDigest, chunks: this._manifest?.chunks.length })
+      this._parts.onWhole(manifestDigest)
+    }
+  }
+
+  private async _fetch (effect: Fetch): Promise<void> {
+    const transfer = this._transfer
+    if (transfer === undefined) return
+    const abort = new AbortController()
+    this._fetches.set(effect.attempt, abort)
+    const problem = await this._fetchVerified(effect, abort.signal)
+    if (!this._fetches.delete(effect.attempt) || transfer !== this._transfer) return
+    const now = performance.now()
+    if (problem !== undefined) this._parts.log.debug('chunk-failed', { problem, source: nameOf(effect) })
+    this._carryOut(problem === undefined ? transfer.arrived(effect.attempt, now) : transfer.failed(effect.attempt, problem, now))
+  }
+
+  /** Fetches, checks and keeps one chunk. Returns what went wrong, if anything. */
+  private async _fetchVerified (effect: Fetch, signal: AbortSignal): Promise<'corrupt' | 'unreachable' | 'not-yet' | 'not-held' | 'timed-out' | undefined> {
+    const fetched = await this._bytes(effect, signal)
+    if (typeof fetched === 'string') return fetched
+    const sound = fetched.length === effect.bytes && await digestOf(fetched) === effect.digest
+    if (!sound) {
+      this._parts.counters.add('chunks_corrupt')
+      this._parts.log.warn('chunk-corrupt', { source: nameOf(effect), bytes: fetched.length })
+      return 'corrupt'
+    }
+    if (signal.aborted) return 'timed-out'
+    this._parts.counters.add(`chunk_bytes_from_${effect.source.kind}`, fetched.length)
+    const staged = await this._parts.store.keep(effect.digest, fetched)
+    return staged ? undefined : 'not-yet'
+  }
+
+  private async _bytes (effect: Fetch, signal: AbortSignal): Promise<Buffer | 'unreachable' | 'not-yet' | 'not-held' | 'timed-out'> {
+    if (effect.source.kind !== 'peer') {
+      return await this._parts.platform.weights(effect.source.kind, 'chunks', effect.digest, effect.timeout, signal) ?? 'not-held'
+    }
+    const address = this._parts.addressOf(effect.source.instance)
+    if (address === undefined) return 'unreachable'
+    try {
+      const wait = Math.min(PEER_WAIT, effect.timeout / 2)
+      const { reply, payload } = await this._parts.pool.call(address, { type: 'chunk', digest: effect.digest, wait }, { timeout: effect.timeout, purpose: 'bulk' })
+      if (reply.type === 'chunk') return payload
+      return reply.type === 'no-chunk' && reply.reason === 'not-held' ? 'not-held' : 'not-yet'
+    } catch (error) {
+      const failure = failureOf(error)
+      return failure.type === 'peer-failure' && failure.reason === 'timed-out' ? 'timed-out' : 'unreachable'
+    }
+  }
+
+  private _fail (problem: WeightsFailure): void {
+    this._problem = problem
+    this._parts.log.warn('weights-refused', { reason: problem.reason, detail: problem.detail })
+  }
+}
+
+function nameOf (effect: Fetch): string {
+  return effect.source.kind === 'peer' ? effect.source.instance : effect.source.kind
+}
+
+function parseJson (bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/command-line.ts
@@ -0,0 +1,96 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The `drumdrift` command.
+ */
+import { readFileSync } from 'node:fs'
+import { Command } from 'commander'
+import { DrumdriftError, type SettingsFailure } from '@drumdrift/core'
+import { formatPairs } from './observe/log.js'
+import { askHttp } from './platform/http-client.js'
+import { settingsPage } from './settings/page.js'
+import type { Role } from './settings/schema.js'
+import { guessRole, readSettings } from './settings/settings.js'
+
+/** Exit code for a wrong settings file or a wrong command. */
+const EXIT_WRONG_INPUT = 2
+const ASK_TIMEOUT = 10_000
+
+/**
+ * Builds the command.
+ *
+ * @example
+ * await commandLine().parseAsync(process.argv)
+ */
+export function commandLine (): Command {
+  const program = new Command('drumdrift').description('Weight distribution and request routing for bursts').version('0.1.0')
+  for (const role of ['entry', 'agent'] as const) {
+    program.command(role).description(`runs the ${role} daemon`).argument('<file>', 'settings in INI').action(async file => await start(file, role))
+  }
+  program.command('check').description('checks a settings file without starting').argument('<file>').action(check)
+  program.command('settings').description('lists every setting with unit, default, range and meaning').action(() => { process.stdout.write(settingsPage()) })
+  program.command('ask').description('asks an entry, or gives it an order').argument('<text>', 'for instance "show agents where zone = bagmati"')
+    .requiredOption('--entry <address>', 'an entry\'s HTTP address')
+    .requiredOption('--key-file <file>', 'a file with the operator\'s key')
+    .option('--format <form>', 'table, pairs or json', 'table')
+    .action(ask)
+  program.command('report').description('merges the histograms of entries into percentiles and a plot')
+    .requiredOption('--entries <addresses>', 'HTTP addresses, separated by commas')
+    .requiredOption('--key-file <file>', 'a file with the operator\'s key')
+    .option('--plot <file>', 'writes an SVG plot')
+    .action(async options => {
+      const { report } = await import('./operator/report.js')
+      await report(options)
+    })
+  program.command('watch').description('follows a rollout until every live agent of a pool serves the wanted version')
+    .argument('<pool>')
+    .requiredOption('--entry <address>', 'an entry\'s HTTP address')
+    .requiredOption('--key-file <file>', 'a file with the operator\'s key')
+    .option('--seconds <number>', 'gives up after so long', '600')
+    .action(async (pool, options) => {
+      const { watchRollout } = await import('./operator/watch.js')
+      process.exitCode = await watchRollout(pool, options)
+    })
+  return program
+}
+
+async function start (file: string, role: Role): Promise<void> {
+  const settings = orExit(() => readSettings(file, role))
+  const { runDaemon } = await import('./run-daemon.js')
+  await runDaemon(settings)
+}
+
+function check (file: string): void {
+  const settings = orExit(() => readSettings(file, guessRole(file)))
+  process.stdout.write(`${formatPairs({ event: 'settings-good', file, role: settings.role })}\n`)
+}
+
+async function ask (text: string, options: { entry: string, keyFile: string, format: string }): Promise<void> {
+  const key = readFileSync(options.keyFile, 'utf8').trim()
+  const path = `/operator/ask?format=${encodeURIComponent(options.format)}`
+  try {
+    const answer = await askHttp(options.entry, { method: 'POST', path, body: text, headers: { authorization: `Bearer ${key}` }, timeout: ASK_TIMEOUT })
+    process.stdout.write(answer.body.toString('utf8').replace(/\n?$/, '\n'))
+    process.exitCode = answer.status === 200 ? 0 : answer.status === 400 ? EXIT_WRONG_INPUT : 1
+  } catch (error) {
+    process.stdout.write(`${formatPairs({ event: 'failed', detail: error instanceof Error ? error.message : 'no answer' })}\n`)
+    process.exitCode = 1
+  }
+}
+
+function orExit<Value> (read: () => Value): Value {
+  try {
+    return read()
+  } catch (error) {
+    if (!(error instanceof DrumdriftError) || error.failure.type !== 'settings-failure') throw error
+    process.stderr.write(`${settingsLine(error.failure)}\n`)
+    process.exit(EXIT_WRONG_INPUT)
+  }
+}
+
+function settingsLine ({ file, section, key, expected }: SettingsFailure): string {
+  return formatPairs({ event: 'settings-wrong', file, section, key, expected })
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/caller-request.ts
@@ -0,0 +1,175 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Turns an HTTP request of a caller into a checked request, or says why not. What callers may say is listed in
+ * docs/PROTOCOLS.md.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { requestFailure, type Configuration, type RequestClass, type RequestFailure } from '@drumdrift/core'
+import { randomUUID } from 'node:crypto'
+import { digestOfText } from '../agent/digest.js'
+
+/** A checked request of a caller. */
+export interface CallerRequest {
+  readonly id: string
+  readonly organisation: string
+  readonly requestClass: RequestClass
+  /** The pool or service that is to answer. */
+  readonly group: string
+  readonly kind: 'pool' | 'service'
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  readonly bodyDigest: string
+  readonly neverRepeat: boolean
+  /** Whether the answer comes as an event stream, which can be resumed. */
+  readonly streamed: boolean
+  /** The start of the prompt, for affinity; empty for none. */
+  readonly prefix: string
+  /** By this process's clock, in milliseconds. */
+  readonly receivedAt: number
+  readonly deadline: number
+}
+
+/** The raw parts of an HTTP request. */
+export interface RawRequest {
+  readonly method: string
+  readonly url: string
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+const CHAT_PATH = '/v1/chat/completions'
+const SERVICE_PATH = /^\/services\/([^/?]+)(\/.*)?$/
+const ID_PATTERN = /^[\x21-\x7e]{1,128}$/
+const PREFIX_CHARACTERS = 256
+const RETRY_AFTER_SETTINGS = 1_000
+
+type Parsed = CallerRequest | RequestFailure
+
+/** Whether a parse result is a failure. */
+export function isFailure (parsed: Parsed): parsed is RequestFailure {
+  return 'type' in parsed && parsed.type === 'request-failure'
+}
+
+/**
+ * Checks a caller's request against the configuration in force.
+ *
+ * @param organisations Organisations by the digest of their callers' keys.
+ * @param longest The default and the longest time to the deadline, in milliseconds.
+ *
+ * @example
+ * const parsed = parseCallerRequest(raw, configuration, organisations, 120_000, performance.now())
+ * if (isFailure(parsed)) refuse(parsed)
+ */
+export function parseCallerRequest (
+  raw: RawRequest, configuration: Configuration | undefined, organisations: ReadonlyMap<string, string>, longest: number, now: number
+): Parsed {
+  if (configuration === undefined) return requestFailure('no-configuration', 'not-run', 'no configuration is known yet', RETRY_AFTER_SETTINGS)
+  const organisation = organisations.get(digestOfText(bearer(raw.headers)))
+  if (organisation === undefined) return requestFailure('unknown-organisation', 'not-run', 'the key belongs to no organisation')
+  const common = parseCommon(raw, longest, now)
+  if ('type' in common) return common
+  if (raw.url === CHAT_PATH) return parseChat(raw, configuration, { ...common, organisation })
+  const service = SERVICE_PATH.exec(raw.url)
+  if (service !== null) return parseService(raw, configuration, { ...common, organisation }, service[1] ?? '', service[2] ?? '/')
+  return requestFailure('bad-request', 'not-run', `nothing is served at ${raw.url.slice(0, 100)}`)
+}
+
+interface Common {
+  readonly id: string
+  readonly requestClass: RequestClass
+  readonly deadline: number
+  readonly receivedAt: number
+  readonly neverRepeatAsked: boolean
+  readonly organisation?: string
+}
+
+function parseCommon (raw: RawRequest, longest: number, now: number): Common | RequestFailure {
+  const id = header(raw, 'x-request-id') ?? header(raw, 'idempotency-key') ?? randomUUID()
+  if (!ID_PATTERN.test(id)) return requestFailure('bad-request', 'not-run', 'x-request-id: 1 to 128 printable characters are expected')
+  const requestClass = header(raw, 'x-request-class') ?? 'interactive'
+  if (requestClass !== 'interactive' && requestClass !== 'batch') return requestFailure('bad-request', 'not-run', 'x-request-class: interactive or batch is expected')
+  const given = header(raw, 'x-deadline-milliseconds')
+  const remaining = given === undefined ? longest : Number(given)
+  if (!Number.isFinite(remaining)) return requestFailure('bad-request', 'not-run', 'x-deadline-milliseconds: a number is expected')
+  if (remaining <= 0) return requestFailure('deadline-passed', 'not-run', 'the deadline has passed already')
+  const repeat = header(raw, 'x-repeat') ?? 'allowed'
+  if (repeat !== 'allowed' && repeat !== 'never') return requestFailure('bad-request', 'not-run', 'x-repeat: allowed or never is expected')
+  return { id, requestClass, deadline: now + Math.min(remaining, longest), receivedAt: now, neverRepeatAsked: repeat === 'never' }
+}
+
+function parseChat (raw: RawRequest, configuration: Configuration, common: Common & { organisation: string }): Parsed {
+  if (raw.method !== 'POST') return requestFailure('bad-request', 'not-run', 'POST is expected')
+  const body = parseChatBody(raw.body)
+  if (body === undefined) return requestFailure('bad-request', 'not-run', 'a JSON object with model and messages is expected')
+  if (!Object.hasOwn(configuration.pools, body.model)) return requestFailure('unknown-model', 'not-run', `no pool is named ${body.model.slice(0, 64)}`)
+  return {
+    ...common,
+    group: body.model,
+    kind: 'pool',
+    method: 'POST',
+    path: CHAT_PATH,
+    headers: forwarded(raw),
+    body: raw.body,
+    bodyDigest: digestOfText(raw.body),
+    neverRepeat: common.neverRepeatAsked,
+    streamed: body.stream,
+    prefix: body.prefix
+  }
+}
+
+function parseService (raw: RawRequest, configuration: Configuration, common: Common & { organisation: string }, service: string, path: string): Parsed {
+  if (!Object.hasOwn(configuration.services, service)) return requestFailure('unknown-service', 'not-run', `no service is named ${service.slice(0, 64)}`)
+  const patterns = configuration.services[service]?.neverRepeat ?? []
+  const declared = patterns.some(pattern => pattern.method === raw.method && path.startsWith(pattern.pathPrefix))
+  return {
+    ...common,
+    group: service,
+    kind: 'service',
+    method: raw.method,
+    path,
+    headers: forwarded(raw),
+    body: raw.body,
+    bodyDigest: digestOfText(Buffer.concat([Buffer.from(`${raw.method} ${path}\n`), raw.body])),
+    neverRepeat: declared || common.neverRepeatAsked,
+    streamed: false,
+    prefix: ''
+  }
+}
+
+function parseChatBody (body: Buffer): { model: string, stream: boolean, prefix: string } | undefined {
+  let value: unknown
+  try {
+    value = JSON.parse(body.toString('utf8'))
+  } catch {
+    return undefined
+  }
+  if (typeof value !== 'object' || value === null) return undefined
+  const { model, messages, stream } = value as Record<string, unknown>
+  if (typeof model !== 'string' || !Array.isArray(messages) || messages.length === 0) return undefined
+  return { model, stream: stream === true, prefix: JSON.stringify(messages).slice(0, PREFIX_CHARACTERS) }
+}
+
+function bearer (headers: IncomingHttpHeaders): string {
+  return /^Bearer (.+)$/i.exec(headers.authorization ?? '')?.[1] ?? ''
+}
+
+function header (raw: RawRequest, name: string): string | undefined {
+  const value = raw.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+/** Headers that reach the endpoint: the caller's key and hop headers do not. */
+function forwarded (raw: RawRequest): Record<string, string> {
+  const kept: Record<string, string> = {}
+  for (const name of ['content-type', 'accept', 'accept-language', 'user-agent']) {
+    const value = header(raw, name)
+    if (value !== undefined) kept[name] = value
+  }
+  return kept
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/carrier.ts
@@ -0,0 +1,203 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Carries one started request to its end: chooses endpoints, tries again where that is allowed, and goes on with a
+ * broken event stream on another endpoint of the same version.
+ */
+import { requestFailure, type AdmissionRefusal, type ForwardedRequest, type InstanceRecord, type PeerRequest, type RequestClass, type RequestFailure } from '@drumdrift/core'
+import { match } from 'ts-pattern'
+import { setTimeout as pause } from 'node:timers/promises'
+import type { Histograms, Measure } from '../observe/histograms.js'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerPool } from '../peer/pool.js'
+import { AgentCall, type CallEnd, type CallPatience } from './agent-call.js'
+import type { CallerRequest } from './caller-request.js'
+import type { Job } from './dispatcher.js'
+import type { Group } from './group.js'
+import { OnceCarrier, type OnceOutcome } from './once-carrier.js'
+
+/** What the carrier works with. */
+export interface CarrierParts {
+  readonly pool: PeerPool
+  readonly once: OnceCarrier
+  readonly patience: CallPatience
+  readonly histograms: Histograms
+  readonly counters: Counters
+}
+
+const priorities: Record<RequestClass, number> = { interactive: 0, batch: 10 }
+/** Pause before endpoints that all refused are asked again, in milliseconds. */
+const REFUSED_PAUSE = 30
+/** Refusals are cheap and prove that nothing ran, but their number is bounded too. */
+const MOST_REFUSALS = 40
+const RETRY_AFTER_TROUBLE = 1_000
+
+/** The progress of one request over its attempts. */
+interface Course {
+  readonly job: Job
+  readonly group: Group<Job>
+  readonly tried: Set<string>
+  version: string
+  events: number
+  refusals: number
+  /** Whether an attempt may have run. */
+  sent: boolean
+  lastPieceAt: number
+}
+
+/** What follows from the end of one attempt. */
+type Next = 'done' | 'again' | { readonly failure: RequestFailure }
+
+/** Carries requests for one entry. */
+export class RequestCarrier {
+  constructor (private readonly _parts: CarrierParts) {}
+
+  /**
+   * Carries a request. Returns the failure to tell the caller, or nothing when it has its whole answer or is gone.
+   */
+  async carry (job: Job, group: Group<Job>): Promise<RequestFailure | undefined> {
+    const course: Course = { job, group, tried: new Set(), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0 }
+    group.budget.attempted()
+    for (;;) {
+      const next = await this._attempt(course)
+      if (next === 'done') return undefined
+      if (next !== 'again') return next.failure
+      const stopped = this._stopped(course)
+      if (stopped !== undefined) return stopped
+    }
+  }
+
+  private async _attempt (course: Course): Promise<Next> {
+    const { job, group } = course
+    if (job.sink.gone) return 'done'
+    const now = performance.now()
+    const record = group.choose(job.request.prefix, course.tried, course.version, now)
+    if (record === undefined) return await this._noEndpoint(course)
+    group.sent(record.instance)
+    if (job.request.neverRepeat) return this._afterOnce(course, record, await this._parts.once.attempt(job, group, record))
+    const end = await this._call(course, record)
+    return this._after(course, record, end)
+  }
+
+  /** Every candidate was tried or is avoided: the ones that only refused may be asked again. */
+  private async _noEndpoint (course: Course): Promise<Next> {
+    course.refusals += 1
+    if (course.events > 0) return { failure: requestFailure('answer-cut', 'cut', 'the answer broke off and no endpoint of its version could go on with it') }
+    if (course.refusals > MOST_REFUSALS || !course.group.listed) return { failure: this._unserved(course, 'no endpoint takes work') }
+    await pause(REFUSED_PAUSE)
+    return 'again'
+  }
+
+  private async _call (course: Course, record: InstanceRecord): Promise<CallEnd> {
+    const { job, group } = course
+    const { request, sink } = job
+    let connection
+    try {
+      connection = await this._parts.pool.connection(record.address)
+    } catch {
+      return { type: 'refused', reason: 'not-serving' }
+    }
+    const message: PeerRequest = { type: 'run', endpoint: request.group, request: forwardedRequest(request, course.events, course.version) }
+    const call = new AgentCall(connection, this._parts.patience, {
+      status: status => group.heard(record.instance, status),
+      admitted: () => { course.sent = true },
+      head: head => {
+        course.version = head.version
+        sink.head(head, record.instance)
+      },
+      pieces: pieces => pieces.every(piece => {
+        this._measure(course)
+        course.events += piece.events
+        return sink.part(piece.bytes)
+      })
+    })
+    sink.onGone(() => call.stop())
+    return await call.send(message, request.body)
+  }
+
+  private _after (course: Course, record: InstanceRecord, end: CallEnd): Next {
+    const { group, job } = course
+    const now = performance.now()
+    const health = end.type === 'whole' ? 'good' : end.type === 'refused' || end.type === 'stopped' ? 'unclear' : 'bad'
+    group.finished(record.instance, health, now)
+    return match<CallEnd, Next>(end)
+      .with({ type: 'whole' }, () => {
+        group.limit.succeeded(group.running)
+        job.sink.end()
+        return 'done'
+      })
+      .with({ type: 'stopped' }, () => job.sink.gone ? 'done' : { failure: requestFailure('answer-cut', 'cut', 'the caller reads too slowly') })
+      .with({ type: 'refused' }, ({ reason }) => this._refused(course, record, reason, now))
+      .with({ type: 'silent', admitted: false }, () => this._failed(course, record, 'the endpoint does not answer'))
+      .otherwise(() => this._failed(course, record, 'the answer broke off'))
+  }
+
+  private _refused (course: Course, record: InstanceRecord, reason: AdmissionRefusal, now: number): Next {
+    const { group } = course
+    group.choice.refused(record.instance, now)
+    this._parts.counters.add(`refusals_${reason.replaceAll('-', '_')}`)
+    if (reason === 'busy') group.limit.refused(now)
+    course.refusals += 1
+    return course.refusals > MOST_REFUSALS ? { failure: this._unserved(course, 'endpoints are busy') } : 'again'
+  }
+
+  private _failed (course: Course, record: InstanceRecord, detail: string): Next {
+    const { group, job } = course
+    course.tried.add(record.instance)
+    course.sent = true
+    const resumable = !job.sink.begun || (job.request.streamed && course.version !== '')
+    if (!resumable) return { failure: requestFailure('answer-cut', 'cut', detail) }
+    if (!group.budget.trySpend()) return { failure: this._unserved(course, `${detail}, and the budget for retries is spent`) }
+    this._parts.counters.add(course.events > 0 ? 'answers_resumed' : 'requests_retried')
+    return 'again'
+  }
+
+  private _afterOnce (course: Course, record: InstanceRecord, outcome: OnceOutcome): Next {
+    const now = performance.now()
+    course.group.finished(record.instance, outcome.health, now)
+    if (outcome.type === 'answered') {
+      course.job.sink.end()
+      return 'done'
+    }
+    if (outcome.type === 'failed') return { failure: outcome.failure }
+    if (outcome.reason === 'unreachable') course.tried.add(record.instance)
+    return this._refused(course, record, outcome.reason === 'unreachable' ? 'not-serving' : outcome.reason, now)
+  }
+
+  private _stopped (course: Course): RequestFailure | undefined {
+    const { request } = course.job
+    if (performance.now() < request.deadline) return undefined
+    if (course.events > 0) return requestFailure('answer-cut', 'cut', 'the deadline passed')
+    return requestFailure('deadline-passed', course.sent ? 'unknown' : 'not-run', 'the deadline passed')
+  }
+
+  private _unserved (course: Course, detail: string): RequestFailure {
+    if (course.events > 0) return requestFailure('answer-cut', 'cut', detail)
+    if (course.sent) return requestFailure('outcome-unknown', 'unknown', detail, RETRY_AFTER_TROUBLE)
+    return requestFailure('overloaded', 'not-run', detail, RETRY_AFTER_TROUBLE)
+  }
+
+  private _measure (course: Course): void {
+    const now = performance.now()
+    const { organisation, requestClass, receivedAt } = course.job.request
+    const first = course.lastPieceAt === 0
+    const measure: Measure = first ? 'first-token' : 'between-tokens'
+    this._parts.histograms.record({ measure, organisation, requestClass }, now - (first ? receivedAt : course.lastPieceAt))
+    course.lastPieceAt = now
+  }
+}
+
+/**
+ * A caller's request as it goes to an agent.
+ *
+ * @example
+ * forwardedRequest(request, 0, '')
+ */
+export function forwardedRequest (request: CallerRequest, resumeAfter: number, version: string): ForwardedRequest {
+  const { id, organisation, method, path, headers } = request
+  const remaining = Math.max(0, request.deadline - performance.now())
+  return { id, organisation, method, path, headers, priority: priorities[request.requestClass], resumeAfter, version, remaining }
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/dispatcher.ts
@@ -0,0 +1,176 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Decides which waiting request starts next, and gives up at once on what cannot start in time, with a word on when
+ * to come back.
+ */
+import { requestFailure, type Candidate, type ChoicePolicy, type Configuration, type InstanceRecord, type RequestFailure, type Waiting } from '@drumdrift/core'
+import type { Histograms } from '../observe/histograms.js'
+import type { Counters } from '../observe/metrics.js'
+import type { AnswerSink } from './answer-sink.js'
+import type { CallerRequest } from './caller-request.js'
+import { Group } from './group.js'
+
+/** A request with the place that its answer goes to. */
+export interface Job {
+  readonly request: CallerRequest
+  readonly sink: AnswerSink
+}
+
+/** Carries one started request to its end. */
+export type Carrier = (job: Job, group: Group<Job>) => Promise<RequestFailure | undefined>
+
+/** Bounds; times in milliseconds. */
+export interface DispatcherPolicy {
+  readonly queueLength: number
+  readonly longestWait: number
+  readonly choice: ChoicePolicy
+}
+
+const SWEEP = 25
+const DEFAULT_WEIGHT = 1
+const RETRY_WHEN_FULL = 1_000
+const LEAST_RETRY = 500
+
+/** The queues of one entry. */
+export class Dispatcher {
+  private readonly _groups = new Map<string, Group<Job>>()
+  private readonly _timer: NodeJS.Timeout
+  private readonly _idle = new Set<() => void>()
+  private _configuration: Configuration | undefined
+  private _accepted = 0
+
+  constructor (
+    private readonly _self: Candidate,
+    private readonly _policy: DispatcherPolicy,
+    private readonly _carry: Carrier,
+    private readonly _histograms: Histograms,
+    private readonly _counters: Counters
+  ) {
+    this._timer = setInterval(() => this._sweep(), SWEEP)
+  }
+
+  /** Requests accepted and not yet answered. */
+  get inProgress (): number { return this._accepted }
+
+  close (): void { clearInterval(this._timer) }
+
+  /** Takes what the platform publishes. */
+  apply (configuration: Configuration, instances: readonly InstanceRecord[]): void {
+    this._configuration = configuration
+    const draining = new Set(configuration.draining)
+    const usable = instances.filter(record => record.role === 'agent' && record.state === 'live' && !draining.has(record.instance))
+    for (const name of [...Object.keys(configuration.pools), ...Object.keys(configuration.services)]) {
+      const group = this._groups.get(name) ?? new Group<Job>(name, this._self, this._policy.choice, Math.random)
+      this._groups.set(name, group)
+      group.setEndpoints(usable.filter(record => record.endpoint === name))
+    }
+  }
+
+  /** The state of a group, for operators. */
+  group (name: string): Group<Job> | undefined { return this._groups.get(name) }
+
+  /**
+   * Takes a request: it starts, waits, or is refused at once.
+   *
+   * @example
+   * dispatcher.submit({ request, sink })
+   */
+  submit (job: Job): void {
+    const { request, sink } = job
+    const group = this._groups.get(request.group)
+    const refusal = group === undefined ? requestFailure('no-endpoint', 'not-run', 'nothing serves this yet', RETRY_WHEN_FULL) : this._refusal(request, group)
+    if (group === undefined || refusal !== undefined) {
+      this._finish(job, refusal)
+      return
+    }
+    this._accepted += 1
+    const deadline = Math.min(request.deadline, request.receivedAt + this._policy.longestWait)
+    const place = { organisation: request.organisation, requestClass: request.requestClass, weight: this._weight(request.organisation), now: request.receivedAt, deadline }
+    const waiting = group.queue.add(job, place)
+    sink.onGone(() => { if (group.queue.remove(waiting)) this._release() })
+    this._pump(group)
+  }
+
+  /** Waits until every accepted request is answered. */
+  async idle (): Promise<void> {
+    if (this._accepted === 0) return
+    await new Promise<void>(resolve => this._idle.add(resolve))
+  }
+
+  private _refusal (request: CallerRequest, group: Group<Job>): RequestFailure | undefined {
+    if (!group.listed) return requestFailure('no-endpoint', 'not-run', 'no endpoint is listed', RETRY_WHEN_FULL)
+    const wait = group.expectedWait(request.organisation, organisation => this._weight(organisation))
+    if (group.queue.size >= this._policy.queueLength) return requestFailure('overloaded', 'not-run', 'the queue is full', Math.max(RETRY_WHEN_FULL, wait))
+    const allowed = Math.min(this._policy.longestWait, request.deadline - request.receivedAt)
+    if (wait <= allowed) return undefined
+    return requestFailure('overloaded', 'not-run', `a start is expected in ${Math.round(wait)} ms only`, Math.max(LEAST_RETRY, wait))
+  }
+
+  private _pump (group: Group<Job>): void {
+    while (group.running < group.limit.limit) {
+      const waiting = group.queue.take(organisation => this._mayStart(group, organisation))
+      if (waiting === undefined) return
+      this._start(waiting, group)
+    }
+  }
+
+  private _mayStart (group: Group<Job>, organisation: string): boolean {
+    const most = this._configuration?.organisations[organisation]?.inProgress
+    return most === undefined || (group.inProgress.get(organisation) ?? 0) < most
+  }
+
+  private async _start (waiting: Waiting<Job>, group: Group<Job>): Promise<void> {
+    const { request } = waiting.item
+    const startedAt = performance.now()
+    this._histograms.record({ measure: 'queueing', organisation: request.organisation, requestClass: request.requestClass }, startedAt - waiting.enqueuedAt)
+    group.started(request.organisation)
+    const failure = await this._carry(waiting.item, group)
+    group.ended(request.organisation, performance.now() - startedAt)
+    this._finish(waiting.item, failure)
+    this._release()
+    this._pump(group)
+  }
+
+  private _finish ({ request, sink }: Job, failure: RequestFailure | undefined): void {
+    const { organisation, requestClass } = request
+    const took = performance.now() - request.receivedAt
+    if (failure === undefined) {
+      this._counters.add(sink.gone ? 'answers_abandoned' : 'answers_whole')
+      this._histograms.record({ measure: 'whole-answer', organisation, requestClass }, took)
+      return
+    }
+    this._counters.add(`answers_${failure.code.replaceAll('-', '_')}`)
+    this._histograms.record({ measure: 'refusal', organisation, requestClass }, took)
+    sink.fail(failure)
+  }
+
+  private _release (): void {
+    this._accepted -= 1
+    if (this._accepted === 0) for (const listener of this._idle) listener()
+  }
+
+  private _sweep (): void {
+    const now = performance.now()
+    for (const group of this._groups.values()) {
+      for (const waiting of group.queue.expire(now)) {
+        this._finish(waiting.item, this._tooLate(waiting, group, now))
+        this._release()
+      }
+      this._pump(group)
+    }
+  }
+
+  private _tooLate (waiting: Waiting<Job>, group: Group<Job>, now: number): RequestFailure {
+    if (waiting.item.request.deadline <= now) return requestFailure('deadline-passed', 'not-run', 'the deadline passed before a start')
+    const wait = group.expectedWait(waiting.organisation, organisation => this._weight(organisation))
+    return requestFailure('overloaded', 'not-run', 'no start in time', Math.max(LEAST_RETRY, wait))
+  }
+
+  private _weight (organisation: string): number {
+    return this._configuration?.organisations[organisation]?.weight ?? DEFAULT_WEIGHT
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/entry.ts
@@ -0,0 +1,165 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The entry: takes callers' requests over HTTP, shares them out over the endpoints, and answers operators.
+ */
+import { randomBytes } from 'node:crypto'
+import type { ChoicePolicy, PeerRequest, ProcessStatus } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import { Histograms } from '../observe/histograms.js'
+import { Counters } from '../observe/metrics.js'
+import { OperatorDesk } from '../operator/desk.js'
+import type { Responder } from '../peer/connection.js'
+import { PeerPool } from '../peer/pool.js'
+import { PeerServer } from '../peer/server.js'
+import { HttpPlatform } from '../platform/platform-client.js'
+import type { Settings } from '../settings/settings.js'
+import { SpreadRunner } from '../spread-runner.js'
+import { spreadSelf } from '../spread-self.js'
+import { RequestCarrier } from './carrier.js'
+import { Dispatcher } from './dispatcher.js'
+import { HttpFront } from './http-front.js'
+import { OnceCarrier } from './once-carrier.js'
+
+const KIBIBYTE = 1024
+const ADMISSION_PATIENCE = 1_000
+const FLUSH_PAUSE = 100
+
+/** An entry process. */
+export class EntryProcess {
+  readonly incarnation: string
+  private readonly _name: string
+  private readonly _counters = new Counters()
+  private readonly _histograms = new Histograms()
+  private readonly _pool: PeerPool
+  private readonly _server: PeerServer
+  private readonly _spread: SpreadRunner
+  private readonly _dispatcher: Dispatcher
+  private readonly _front: HttpFront
+  private _organisations: ReadonlyMap<string, string> = new Map()
+  private _leaving = false
+
+  constructor (private readonly _settings: Settings, private readonly _log: Log) {
+    const text = (section: string, key: string): string => _settings.text(section, key)
+    const milliseconds = (key: string): number => _settings.number('requests', key) * 1000
+    this._name = text('process', 'instance')
+    this.incarnation = `${this._name}.${randomBytes(6).toString('hex')}`
+    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') })
+    const platform = new HttpPlatform({ configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: '', origin: '' })
+    this._spread = new SpreadRunner({
+      self: spreadSelf(_settings), platform, pool: this._pool, log: _log, counters: this._counters, onAdopted: () => this._apply()
+    })
+    const patience = { admission: ADMISSION_PATIENCE, firstAnswer: milliseconds('first-answer-seconds'), silence: milliseconds('silence-seconds') }
+    const once = new OnceCarrier({
+      incarnation: this.incarnation, pool: this._pool, patience, agents: () => this._spread.spread.instances.filter(record => record.role === 'agent')
+    })
+    const carrier = new RequestCarrier({ pool: this._pool, once, patience, histograms: this._histograms, counters: this._counters })
+    const policy = { queueLength: _settings.number('requests', 'queue-length'), longestWait: milliseconds('queue-seconds'), choice: text('requests', 'choice') as ChoicePolicy }
+    const self = { instance: this._name, availabilityZone: text('process', 'availability-zone') }
+    this._dispatcher = new Dispatcher(self, policy, (job, group) => carrier.carry(job, group), this._histograms, this._counters)
+    const desk = new OperatorDesk({
+      keys: _settings.list('operators', 'keys'), spread: this._spread.spread, pool: this._pool, log: _log, counters: this._counters, histograms: this._histograms, self: () => this.status()
+    })
+    this._front = new HttpFront({
+      address: text('process', 'http-address'),
+      largestBody: _settings.number('requests', 'largest-body-kilobytes') * KIBIBYTE,
+      longestDeadline: milliseconds('deadline-seconds'),
+      dispatcher: this._dispatcher,
+      configuration: () => this._spread.spread.configuration,
+      organisations: () => this._organisations,
+      operator: (request, body) => desk.answer(request, body),
+      log: _log,
+      counters: this._counters,
+      histograms: this._histograms
+    })
+    this._server = new PeerServer({
+      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, onRequest: (request, _payload, responder) => this._answer(request, responder)
+    })
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<void> {
+    await this._server.listen()
+    await this._front.listen()
+    this._log.info('entry-started', { incarnation: this.incarnation })
+  }
+
+  /**
+   * Takes nothing new, lets requests in progress end, then stops.
+   *
+   * @returns Requests that were cut off because the patience of the settings ran out.
+   */
+  async stop (): Promise<number> {
+    this._leave()
+    const patience = this._settings.number('process', 'stop-patience-seconds') * 1000
+    await Promise.race([this._dispatcher.idle(), new Promise(resolve => setTimeout(resolve, patience).unref())])
+    const cut = this._dispatcher.inProgress
+    await new Promise(resolve => setTimeout(resolve, FLUSH_PAUSE))
+    this._front.close()
+    this._dispatcher.close()
+    this._spread.close()
+    this._server.close()
+    this._pool.close()
+    this._log.info('entry-stopped', { cut })
+    return cut
+  }
+
+  /** This entry's account of itself. */
+  status (): ProcessStatus {
+    const { revisions, ages } = this._spread.spread.note(performance.now())
+    return {
+      instance: this._name,
+      availabilityZone: this._settings.text('process', 'availability-zone'),
+      role: 'entry',
+      endpoint: '',
+      incarnation: this.incarnation,
+      lifecycle: this._leaving ? 'draining' : 'serving',
+      revisions,
+      ages,
+      wanted: '',
+      version: '',
+      state: 'serving',
+      progress: 1,
+      running: this._dispatcher.inProgress,
+      slots: 0,
+      detail: ''
+    }
+  }
+
+  private _leave (): void {
+    if (this._leaving) return
+    this._leaving = true
+    this._front.leave()
+    this._log.info('entry-draining', { running: this._dispatcher.inProgress })
+  }
+
+  private _apply (): void {
+    const { configuration, instances } = this._spread.spread
+    if (configuration === undefined) return
+    this._organisations = new Map(Object.entries(configuration.organisations).flatMap(([organisation, { keyDigests }]) => keyDigests.map(digest => [digest, organisation] as const)))
+    this._dispatcher.apply(configuration, instances)
+    const listed = instances.find(record => record.instance === this._name)
+    if (listed?.state === 'leaving' || configuration.draining.includes(this._name)) this._leave()
+  }
+
+  private _answer (request: PeerRequest, responder: Responder): void {
+    if (request.type === 'compare') this._spread.compared(request, responder)
+    else if (request.type === 'push') this._spread.pushed(request, responder)
+    else if (request.type === 'status') responder.send({ type: 'status', status: this.status() })
+    else if (request.type === 'leave') this._ordered(request, responder)
+    else responder.send({ type: 'refused', reason: 'not-supported', detail: 'an entry does not answer this' })
+  }
+
+  private _ordered (request: Extract<PeerRequest, { type: 'leave' }>, responder: Responder): void {
+    if (request.incarnation !== this.incarnation) {
+      responder.send({ type: 'refused', reason: 'wrong-incarnation', detail: `this is ${this.incarnation}` })
+      return
+    }
+    this._leave()
+    this._log.info('leave-ordered', { operator: request.operator, lifecycle: request.lifecycle })
+    responder.send({ type: 'left', lifecycle: 'draining' })
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/group.ts
@@ -0,0 +1,111 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * What an entry holds for one pool or service: the queue, the limit, and what is known of its endpoints.
+ */
+import {
+  ConcurrencyLimit, Ejection, EndpointChoice, FairQueue, RetryBudget, type Candidate, type ChoicePolicy, type EndpointStatus, type InstanceRecord
+} from '@drumdrift/core'
+
+/** Slots that an endpoint is taken to have until it is heard of. */
+const ASSUMED_SLOTS = 8
+const LEAST_LIMIT = 1
+/** Weight of the newest sample in the mean duration of requests. */
+const SMOOTHING = 0.1
+/** The mean duration until one is measured, in milliseconds. */
+const FIRST_DURATION = 300
+
+/** The state of one group at one entry. */
+export class Group<Item> {
+  readonly queue = new FairQueue<Item>()
+  readonly budget = new RetryBudget()
+  readonly choice: EndpointChoice
+  readonly limit = new ConcurrencyLimit(LEAST_LIMIT, ASSUMED_SLOTS)
+  readonly inProgress = new Map<string, number>()
+  private readonly _ejection = new Ejection()
+  private _records: readonly InstanceRecord[] = []
+  private _running = 0
+  private _meanDuration = FIRST_DURATION
+
+  constructor (readonly name: string, self: Candidate, policy: ChoicePolicy, random: () => number) {
+    this.choice = new EndpointChoice(self, random, policy)
+  }
+
+  get running (): number { return this._running }
+  /** Whether any endpoint is listed. */
+  get listed (): boolean { return this._records.length > 0 }
+
+  /** Takes the endpoints that are listed as live and not draining. */
+  setEndpoints (records: readonly InstanceRecord[]): void {
+    this._records = records
+    const names = new Set(records.map(record => record.instance))
+    this.choice.retain(names)
+    this._ejection.retain(names)
+    this._resize()
+  }
+
+  /** Chooses an endpoint, but none of `tried`. */
+  choose (prefix: string, tried: ReadonlySet<string>, version: string, now: number): InstanceRecord | undefined {
+    const fresh = this._records.filter(record => !tried.has(record.instance) && this._hasVersion(record.instance, version))
+    const usable = new Set(this._ejection.usable(fresh.map(record => record.instance), now))
+    const instance = this.choice.choose(fresh.filter(record => usable.has(record.instance)), prefix, now)
+    return this._records.find(record => record.instance === instance)
+  }
+
+  /** A request starts for an organisation. */
+  started (organisation: string): void {
+    this._running += 1
+    this.inProgress.set(organisation, (this.inProgress.get(organisation) ?? 0) + 1)
+  }
+
+  /**
+   * A request of an organisation has ended.
+   *
+   * @param duration Milliseconds since its start.
+   */
+  ended (organisation: string, duration: number): void {
+    this._running -= 1
+    this._meanDuration += SMOOTHING * (duration - this._meanDuration)
+    const left = (this.inProgress.get(organisation) ?? 1) - 1
+    if (left > 0) this.inProgress.set(organisation, left)
+    else this.inProgress.delete(organisation)
+  }
+
+  /** Milliseconds that a new request of an organisation would wait for its start, if things go on as they do. */
+  expectedWait (organisation: string, weightOf: (organisation: string) => number): number {
+    if (this._running < this.limit.limit && this.queue.size === 0) return 0
+    const own = weightOf(organisation)
+    const others = this.queue.waitingWeight(weightOf) - (this.queue.sizeOf(organisation) > 0 ? own : 0)
+    const ahead = Math.min(this.queue.size, this.queue.sizeOf(organisation) * (own + others) / own)
+    return (ahead + 1) * this._meanDuration / this.limit.limit
+  }
+
+  sent (instance: string): void {
+    this.choice.sent(instance)
+    this._ejection.chosen(instance)
+  }
+
+  heard (instance: string, status: EndpointStatus): void {
+    this.choice.heard(instance, status)
+    this._resize()
+  }
+
+  /** A call to an instance has ended. */
+  finished (instance: string, health: 'good' | 'bad' | 'unclear', now: number): void {
+    this.choice.ended(instance)
+    if (health === 'good') this._ejection.succeeded(instance)
+    else if (health === 'bad') this._ejection.failed(instance, now)
+    else this._ejection.ended(instance)
+  }
+
+  private _hasVersion (instance: string, version: string): boolean {
+    return version === '' || this.choice.status(instance)?.version === version
+  }
+
+  private _resize (): void {
+    this.limit.setMost(this.choice.slots(this._records.map(record => record.instance), ASSUMED_SLOTS))
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/http-front.ts
@@ -0,0 +1,147 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The entry's HTTP side: callers' requests, health, metrics and the operators' interface.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { requestFailure, type Configuration, type RequestFailure } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import type { Histograms } from '../observe/histograms.js'
+import { metricsText, type Counters } from '../observe/metrics.js'
+import { parseAddress } from '../settings/address.js'
+import { failureBody, HttpAnswerSink, statusOf } from './answer-sink.js'
+import { isFailure, parseCallerRequest } from './caller-request.js'
+import type { Dispatcher } from './dispatcher.js'
+
+/** Answers an operator's request. */
+export type OperatorHandler = (request: IncomingMessage, body: Buffer) => Promise<{ readonly status: number, readonly type: string, readonly body: string }>
+
+/** What the front works with. */
+export interface HttpFrontParts {
+  readonly address: string
+  readonly largestBody: number
+  /** The default and the longest time to a deadline, in milliseconds. */
+  readonly longestDeadline: number
+  readonly dispatcher: Dispatcher
+  readonly configuration: () => Configuration | undefined
+  /** Organisations by the digest of their callers' keys. */
+  readonly organisations: () => ReadonlyMap<string, string>
+  readonly operator: OperatorHandler
+  readonly log: Log
+  readonly counters: Counters
+  readonly histograms: Histograms
+}
+
+type Route = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>
+
+const LARGEST_HEADERS = 16 * 1024
+const MOST_CONNECTIONS = 8_192
+const REQUEST_PATIENCE = 30_000
+const RETRY_WHEN_LEAVING = 1_000
+
+/** The HTTP server of one entry. */
+export class HttpFront {
+  private readonly _server: Server
+  private _leaving = false
+
+  constructor (private readonly _parts: HttpFrontParts) {
+    this._server = createServer({ maxHeaderSize: LARGEST_HEADERS, requestTimeout: REQUEST_PATIENCE }, (request, response) => {
+      this._route(request, response)
+    })
+    this._server.maxConnections = MOST_CONNECTIONS
+  }
+
+  listen (): Promise<void> {
+    const { host, port } = parseAddress(this._parts.address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => resolve())
+    })
+  }
+
+  /** From now on new requests are refused as "not run"; those accepted go on. */
+  leave (): void {
+    this._leaving = true
+  }
+
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  private readonly _routes: Readonly<Record<string, Route>> = {
+    '/health': (_request, response) => { response.writeHead(this._leaving ? 503 : 200).end() },
+    '/metrics': async (_request, response) => { response.end(await metricsText(this._parts.counters, this._parts.histograms)) },
+    '/v1/models': (_request, response) => { this._models(response) },
+    '/operator/ask': async (request, response) => { await this._operator(request, response) },
+    '/operator/histograms': async (request, response) => { await this._operator(request, response) }
+  }
+
+  private async _route (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = (request.url ?? '/').split('?')[0] ?? '/'
+    const route = Object.hasOwn(this._routes, path) ? this._routes[path] : undefined
+    try {
+      if (route === undefined) await this._caller(request, response)
+      else await route(request, response)
+    } catch (error) {
+      this._parts.log.error('request-failed', { path: path.slice(0, 100), detail: error instanceof Error ? error.message : '' })
+      if (!response.headersSent) refuse(response, requestFailure('bad-request', 'not-run', 'the request could not be read'))
+    }
+  }
+
+  private async _caller (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const now = performance.now()
+    if (this._leaving) {
+      response.setHeader('connection', 'close')
+      refuse(response, requestFailure('leaving', 'not-run', 'this entry is stopping', RETRY_WHEN_LEAVING))
+      return
+    }
+    const body = await readBody(request, this._parts.largestBody)
+    if (body === undefined) {
+      response.setHeader('connection', 'close')
+      refuse(response, requestFailure('body-too-large', 'not-run', `a body of ${this._parts.largestBody} bytes at most is taken`))
+      return
+    }
+    const raw = { method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body }
+    const parsed = parseCallerRequest(raw, this._parts.configuration(), this._parts.organisations(), this._parts.longestDeadline, now)
+    if (isFailure(parsed)) {
+      this._parts.counters.add(`answers_${parsed.code.replaceAll('-', '_')}`)
+      refuse(response, parsed)
+      return
+    }
+    this._parts.dispatcher.submit({ request: parsed, sink: new HttpAnswerSink(response, parsed.id) })
+  }
+
+  private _models (response: ServerResponse): void {
+    const pools = Object.keys(this._parts.configuration()?.pools ?? {})
+    response.writeHead(200, { 'content-type': 'application/json' })
+    response.end(JSON.stringify({ object: 'list', data: pools.map(id => ({ id, object: 'model', owned_by: 'drumdrift' })) }))
+  }
+
+  private async _operator (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request, this._parts.largestBody)
+    const answer = await this._parts.operator(request, body ?? Buffer.alloc(0))
+    response.writeHead(answer.status, { 'content-type': answer.type }).end(answer.body)
+  }
+}
+
+function refuse (response: ServerResponse, failure: RequestFailure): void {
+  if (failure.retryAfter > 0) response.setHeader('retry-after', String(Math.ceil(failure.retryAfter / 1000)))
+  response.writeHead(statusOf(failure), { 'content-type': 'application/json', 'x-outcome': failure.outcome })
+  response.end(failureBody(failure))
+}
+
+/** Reads a body, or nothing when it is larger than allowed. */
+async function readBody (request: IncomingMessage, largest: number): Promise<Buffer | undefined> {
+  const pieces: Buffer[] = []
+  let length = 0
+  for await (const piece of request) {
+    length += (piece as Buffer).length
+    if (length > largest) return undefined
+    pieces.push(piece as Buffer)
+  }
+  return Buffer.concat(pieces, length)
+}
--- /dev/null
+++ b/packages/node/src/lib/entry/once-carrier.ts
@@ -0,0 +1,149 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Carries out one attempt of a request that may not repeat: the sockets round `OnceAttempt`, which decides.
+ */
+import {
+  keepersOf, OnceAttempt, type AdmissionRefusal, type CancelReply, type ClaimReply, type InstanceRecord, type OfferReply, type OnceEffect, type PeerRequest, type RequestFailure,
+  requestFailure
+} from '@drumdrift/core'
+import type { Reply } from '../peer/connection.js'
+import type { PeerPool } from '../peer/pool.js'
+import { AgentCall, type CallEnd, type CallPatience } from './agent-call.js'
+import { forwardedRequest } from './carrier.js'
+import type { Job } from './dispatcher.js'
+import type { Group } from './group.js'
+
+/** How an attempt ended. */
+export type OnceOutcome =
+  | { readonly type: 'answered', readonly health: 'good' }
+  | { readonly type: 'elsewhere', readonly health: 'unclear' | 'bad', readonly reason: AdmissionRefusal | 'unreachable' }
+  | { readonly type: 'failed', readonly health: 'unclear' | 'bad', readonly failure: RequestFailure }
+
+/** What the carrier works with. */
+export interface OnceCarrierParts {
+  readonly incarnation: string
+  readonly pool: PeerPool
+  readonly patience: CallPatience
+  /** All agents listed, live or leaving: the keepers of ids are chosen among them. */
+  readonly agents: () => readonly InstanceRecord[]
+}
+
+const STEP_TIMEOUT = 800
+const CANCEL_TIMEOUT = 1_000
+
+interface Attempt {
+  readonly job: Job
+  readonly group: Group<Job>
+  readonly record: InstanceRecord
+  readonly course: OnceAttempt
+  readonly addresses: ReadonlyMap<string, string>
+  readonly settle: (outcome: OnceOutcome) => void
+}
+
+/** Attempts of one entry. */
+export class OnceCarrier {
+  private _nextAttempt = 1
+
+  constructor (private readonly _parts: OnceCarrierParts) {}
+
+  /** Makes one attempt at one endpoint. */
+  attempt (job: Job, group: Group<Job>, record: InstanceRecord): Promise<OnceOutcome> {
+    const agents = this._parts.agents()
+    const addresses = new Map(agents.map(agent => [agent.instance, agent.address]))
+    const { organisation, id, bodyDigest } = job.request
+    const keepers = keepersOf([...addresses.keys()], organisation, id)
+    const name = `${this._parts.incarnation}:${this._nextAttempt++}`
+    return new Promise(resolve => {
+      const attempt: Attempt = { job, group, record, course: new OnceAttempt(name, record.instance, keepers, bodyDigest), addresses, settle: resolve }
+      this._carryOut(attempt, attempt.course.begin())
+    })
+  }
+
+  private _carryOut (attempt: Attempt, effects: readonly OnceEffect[]): void {
+    for (const effect of effects) this._handlers[effect.type](attempt, effect as never)
+  }
+
+  private readonly _handlers: { readonly [Type in OnceEffect['type']]: (attempt: Attempt, effect: Extract<OnceEffect, { type: Type }>) => void } = {
+    'send-offer': attempt => { this._offer(attempt) },
+    'send-claim': (attempt, { keeper }) => { this._claim(attempt, keeper) },
+    'send-go': (attempt, { ticket }) => { this._go(attempt, ticket) },
+    'send-cancel': (attempt, { ticket }) => { this._cancel(attempt, ticket) },
+    'send-release': (attempt, { keeper }) => { this._release(attempt, keeper) },
+    'try-elsewhere': (attempt, { reason }) => attempt.settle({ type: 'elsewhere', reason, health: reason === 'unreachable' ? 'bad' : 'unclear' }),
+    started: () => {},
+    'give-up': (attempt, { failure }) => attempt.settle({ type: 'failed', failure, health: failure.outcome === 'unknown' && failure.code === 'outcome-unknown' ? 'bad' : 'unclear' })
+  }
+
+  private async _offer (attempt: Attempt): Promise<void> {
+    const { group, record, job } = attempt
+    const answer = await this._ask(record.address, { type: 'offer', endpoint: job.request.group }, STEP_TIMEOUT)
+    if (answer?.reply.type === 'offered') group.heard(record.instance, answer.reply.status)
+    const reply: OfferReply | 'unreachable' = answer?.reply.type === 'offered' ? answer.reply.reply : 'unreachable'
+    this._carryOut(attempt, attempt.course.offered(reply))
+  }
+
+  private async _claim (attempt: Attempt, keeper: string): Promise<void> {
+    const { organisation, id, bodyDigest } = attempt.job.request
+    const answer = await this._ask(attempt.addresses.get(keeper), { type: 'claim', organisation, id, attempt: attempt.course.attempt, bodyDigest }, STEP_TIMEOUT)
+    const reply: ClaimReply | 'unreachable' = answer?.reply.type === 'claimed' ? answer.reply.reply : 'unreachable'
+    this._carryOut(attempt, attempt.course.claimed(keeper, reply))
+  }
+
+  private async _release (attempt: Attempt, keeper: string): Promise<void> {
+    const { organisation, id } = attempt.job.request
+    await this._ask(attempt.addresses.get(keeper), { type: 'release', organisation, id, attempt: attempt.course.attempt }, STEP_TIMEOUT)
+  }
+
+  private async _go (attempt: Attempt, ticket: string): Promise<void> {
+    const { job, group, record, course } = attempt
+    let connection
+    try {
+      connection = await this._parts.pool.connection(record.address)
+    } catch {
+      this._carryOut(attempt, course.lost())
+      return
+    }
+    const call = new AgentCall(connection, this._parts.patience, {
+      status: status => group.heard(record.instance, status),
+      admitted: () => this._carryOut(attempt, course.started()),
+      head: head => job.sink.head(head, record.instance),
+      pieces: pieces => {
+        for (const piece of pieces) job.sink.part(piece.bytes)
+        return true
+      }
+    })
+    const end = await call.send({ type: 'go', ticket, request: forwardedRequest(job.request, 0, '') }, job.request.body)
+    this._afterGo(attempt, end)
+  }
+
+  /** A caller that hangs up does not stop a request that may not repeat: it ends as it ends. */
+  private _afterGo (attempt: Attempt, end: CallEnd): void {
+    const { course, job, settle } = attempt
+    if (end.type === 'whole') return settle({ type: 'answered', health: 'good' })
+    if (end.type === 'refused') return this._carryOut(attempt, course.refused(end.reason))
+    if (course.committed) return this._carryOut(attempt, course.lost())
+    if (end.type === 'not-reached') return this._carryOut(attempt, course.neverReached())
+    const cut = job.sink.begun
+    const failure = cut ? requestFailure('answer-cut', 'unknown', 'the answer broke off') : requestFailure('outcome-unknown', 'unknown', 'the request started and its answer was lost')
+    settle({ type: 'failed', health: 'bad', failure })
+  }
+
+  private async _cancel (attempt: Attempt, ticket: string): Promise<void> {
+    const answer = await this._ask(attempt.record.address, { type: 'cancel', ticket }, CANCEL_TIMEOUT)
+    const reply: CancelReply | 'unreachable' = answer?.reply.type === 'cancelled' ? answer.reply.reply : 'unreachable'
+    this._carryOut(attempt, attempt.course.cancelled(reply))
+  }
+
+  private async _ask (address: string | undefined, request: PeerRequest, timeout: number): Promise<Reply | undefined> {
+    if (address === undefined) return undefined
+    try {
+      return await this._parts.pool.call(address, request, { timeout })
+    } catch {
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/observe/histograms.ts
@@ -0,0 +1,96 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Histograms for each organisation and class, in milliseconds. Their number is bounded: beyond it, new organisations
+ * share one called "other", so that callers cannot make a process grow.
+ */
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js'
+
+/** What is measured. */
+export type Measure = 'queueing' | 'first-token' | 'between-tokens' | 'whole-answer' | 'refusal' | 'transfer' | 'time-to-serve'
+
+/** Names one histogram. */
+export interface SeriesName {
+  readonly measure: Measure
+  readonly organisation: string
+  readonly requestClass: string
+}
+
+/** One histogram with its name. */
+export interface Series extends SeriesName {
+  readonly histogram: Histogram
+}
+
+const MOST_SERIES = 256
+/** Values are kept in tenths of a millisecond, up to an hour, to two significant digits. */
+const UNITS_PER_MILLISECOND = 10
+const HIGHEST = 36_000_000
+const DIGITS = 2
+
+/** The histograms of one process. */
+export class Histograms {
+  private readonly _series = new Map<string, Series>()
+
+  /**
+   * Records one measurement.
+   *
+   * @param milliseconds Zero or more.
+   * @example
+   * histograms.record({ measure: 'first-token', organisation: 'hall-1', requestClass: 'interactive' }, 42.5)
+   */
+  record (name: SeriesName, milliseconds: number): void {
+    const value = Math.min(HIGHEST, Math.max(0, Math.round(milliseconds * UNITS_PER_MILLISECOND)))
+    this._get(name).histogram.recordValue(value)
+  }
+
+  /** All histograms. */
+  all (): Series[] { return [...this._series.values()] }
+
+  /** A percentile in milliseconds, or nothing when nothing was recorded. */
+  percentile (name: SeriesName, percentile: number): number | undefined {
+    const series = this._series.get(keyOf(name))
+    return series === undefined ? undefined : series.histogram.getValueAtPercentile(percentile) / UNITS_PER_MILLISECOND
+  }
+
+  private _get (name: SeriesName): Series {
+    const known = this._series.get(keyOf(name))
+    if (known !== undefined) return known
+    const other = { ...name, organisation: 'other' }
+    const kept = this._series.size >= MOST_SERIES ? other : name
+    const series = this._series.get(keyOf(kept)) ?? { ...kept, histogram: newHistogram() }
+    this._series.set(keyOf(kept), series)
+    return series
+  }
+}
+
+/** An empty histogram of the common shape, so that any two can be merged. */
+export function newHistogram (): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST, numberOfSignificantValueDigits: DIGITS, bitBucketSize: 32, useWebAssembly: false })
+}
+
+/** Milliseconds at a percentile. */
+export function percentileOf (histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / UNITS_PER_MILLISECOND
+}
+
+/** A histogram as text, to be merged elsewhere. */
+export function encodeHistogram (histogram: Histogram): string {
+  return encodeIntoCompressedBase64(histogram)
+}
+
+/**
+ * Adds a histogram that came as text.
+ *
+ * @example
+ * mergeHistogram(total, series.histogram)
+ */
+export function mergeHistogram (into: Histogram, encoded: string): void {
+  into.add(decodeFromCompressedBase64(encoded, 32, false))
+}
+
+function keyOf ({ measure, organisation, requestClass }: SeriesName): string {
+  return `${measure}\n${organisation}\n${requestClass}`
+}
--- /dev/null
+++ b/packages/node/src/lib/observe/metrics-server.ts
@@ -0,0 +1,35 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Serves metrics over HTTP for a process that has no other HTTP side. */
+import { createServer, type Server } from 'node:http'
+import { parseAddress } from '../settings/address.js'
+import type { Histograms } from './histograms.js'
+import { metricsText, type Counters } from './metrics.js'
+
+/** A small HTTP server with one path, `/metrics`. */
+export class MetricsServer {
+  private readonly _server: Server
+
+  constructor (private readonly _address: string, counters: Counters, histograms: Histograms) {
+    this._server = createServer((request, response) => {
+      if (request.url !== '/metrics') {
+        response.writeHead(404).end()
+        return
+      }
+      metricsText(counters, histograms).then(text => response.end(text))
+    })
+  }
+
+  listen (): Promise<void> {
+    const { host, port } = parseAddress(this._address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => resolve())
+    })
+  }
+
+  close (): void { this._server.close() }
+}
--- /dev/null
+++ b/packages/node/src/lib/operator/language.ts
@@ -0,0 +1,88 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Parses the operators' language into typed commands. A mistake tells its position, what was expected and, when there
+ * is one, a nearby word.
+ */
+import { closest, distance } from 'fastest-levenshtein'
+import { parse, SyntaxError as GrammarError } from './grammar.generated.js'
+
+/** Fields that a query can filter by. */
+export type FilterField = 'zone' | 'pool' | 'version' | 'state' | 'lifecycle' | 'instance'
+
+/** One condition of a query. */
+export interface Filter {
+  readonly field: FilterField
+  readonly value: string
+}
+
+/** A parsed command. */
+export type Command =
+  | { readonly type: 'show', readonly what: 'instances' | 'entries' | 'agents' | 'revisions', readonly filters: readonly Filter[] }
+  | { readonly type: 'rollout', readonly pool: string, readonly version: string, readonly neededBy?: string, readonly switchFraction?: number, readonly originCopies?: number }
+  | { readonly type: 'leave', readonly lifecycle: 'draining' | 'stopped', readonly instance: string, readonly incarnation: string | null, readonly lasting: boolean }
+  | { readonly type: 'help' }
+
+/** Why a text is no command. */
+export interface LanguageMistake {
+  readonly type: 'language-mistake'
+  /** Counted from 1. */
+  readonly position: number
+  readonly expected: string
+  readonly nearby: string | undefined
+}
+
+const words = ['show', 'rollout', 'drain', 'stop', 'help', 'instances', 'entries', 'agents', 'revisions', 'where', 'and', 'zone', 'pool', 'version', 'state', 'lifecycle', 'instance', 'incarnation', 'lasting', 'to', 'by', 'waves', 'copies']
+const FARTHEST = 2
+
+/** What `help` answers. */
+export const languageHelp = [
+  'show instances|entries|agents|revisions [where FIELD = VALUE [and ...]]   fields: zone pool version state lifecycle instance',
+  'rollout POOL to VERSION [by 2026-12-24T05:30Z] [waves 25%] [copies 2]     prints the next configuration document, for you to publish',
+  'drain INSTANCE [incarnation NAME]                                        takes no new work; what runs goes on',
+  'drain INSTANCE lasting                                                   prints the next configuration document, for you to publish',
+  'stop INSTANCE [incarnation NAME]                                         as drain, and the instance says it is stopped'
+].join('\n')
+
+/**
+ * Parses a command.
+ *
+ * @example
+ * parseCommand('show agents where zone = bagmati')
+ * parseCommand('shwo agents') // { type: 'language-mistake', position: 1, nearby: 'show', ... }
+ */
+export function parseCommand (text: string): Command | LanguageMistake {
+  try {
+    return parse(text) as Command
+  } catch (error) {
+    if (!(error instanceof GrammarError)) throw error
+    return mistakeOf(text, error)
+  }
+}
+
+function mistakeOf (text: string, error: GrammarError): LanguageMistake {
+  const offset = wordStart(text, error.location.start.offset)
+  const found = /^[a-z]+/i.exec(text.slice(offset))?.[0] ?? ''
+  const expected = [...new Set((error.expected ?? []).map(describe))].filter(part => part !== 'space').join(', ')
+  return { type: 'language-mistake', position: offset + 1, expected: expected === '' ? 'the end of the command' : expected, nearby: nearbyWord(found) }
+}
+
+/** The grammar may stop inside a word; a person means the whole of it. */
+function wordStart (text: string, offset: number): number {
+  let start = offset
+  while (start > 0 && /[a-z]/i.test(text[start - 1] ?? '')) start -= 1
+  return start
+}
+
+function nearbyWord (found: string): string | undefined {
+  if (found === '') return undefined
+  const candidate = closest(found.toLowerCase(), words)
+  return distance(found.toLowerCase(), candidate) <= FARTHEST ? candidate : undefined
+}
+
+function describe (expectation: { type: string, text?: string, description?: string }): string {
+  return expectation.description ?? expectation.text ?? expectation.type
+}
--- /dev/null
+++ b/packages/node/src/lib/operator/render.ts
@@ -0,0 +1,62 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Shows statuses to people as a table and to programs as key=value or JSON lines.
+ */
+import type { ProcessStatus } from '@drumdrift/core'
+import { formatPairs, type LogFields } from '../observe/log.js'
+
+/** Forms of an answer. */
+export type AnswerFormat = 'table' | 'pairs' | 'json'
+
+const DIGEST_SHOWN = 12
+
+/** A status as one flat row. */
+export function rowOf (status: ProcessStatus): LogFields {
+  return {
+    instance: status.instance,
+    zone: status.availabilityZone,
+    role: status.role,
+    pool: status.endpoint === '' ? '-' : status.endpoint,
+    lifecycle: status.lifecycle,
+    state: status.state,
+    percent: Math.floor(status.progress * 100),
+    version: short(status.version),
+    wanted: short(status.wanted),
+    running: status.running,
+    revision: status.revisions.configuration,
+    age_seconds: Math.round(Math.min(status.ages.configuration, 1e9) / 1000),
+    incarnation: status.incarnation,
+    detail: status.detail === '' ? '-' : status.detail
+  }
+}
+
+const renderers: Record<AnswerFormat, (rows: readonly LogFields[]) => string> = {
+  table: renderTable,
+  pairs: rows => rows.map(formatPairs).join('\n'),
+  json: rows => rows.map(row => JSON.stringify(row)).join('\n')
+}
+
+/**
+ * Renders rows.
+ *
+ * @example
+ * renderRows(statuses.map(rowOf), 'table')
+ */
+export function renderRows (rows: readonly LogFields[], format: AnswerFormat): string {
+  return renderers[format](rows)
+}
+
+function renderTable (rows: readonly LogFields[]): string {
+  const columns = Object.keys(rows[0] ?? {})
+  const widths = columns.map(column => Math.max(column.length, ...rows.map(row => String(row[column]).length)))
+  const line = (cells: readonly string[]): string => cells.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()
+  return [line(columns), ...rows.map(row => line(columns.map(column => String(row[column]))))].join('\n')
+}
+
+function short (digest: string): string {
+  return digest === '' ? '-' : digest.slice(0, DIGEST_SHOWN)
+}
--- /dev/null
+++ b/packages/node/src/lib/operator/watch.ts
@@ -0,0 +1,87 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Follows a rollout: progress for each availability zone, a forecast of the time until all serve, and a clear word
+ * when it is stuck and on what. All from what agents say of themselves.
+ */
+import { readFileSync } from 'node:fs'
+import { setTimeout as pause } from 'node:timers/promises'
+import { formatPairs } from '../observe/log.js'
+import { askHttp } from '../platform/http-client.js'
+
+const POLL = 500
+const STUCK_AFTER = 15_000
+
+interface Row {
+  readonly instance: string
+  readonly zone: string
+  readonly state: string
+  readonly percent: number
+  readonly lifecycle: string
+  readonly detail: string
+}
+
+/**
+ * Follows a rollout until all live agents of a pool serve, or the time is up.
+ *
+ * @returns The exit code: 0 when all serve.
+ * @example
+ * await watchRollout('drafting', { entry: '10.0.0.2:8080', keyFile: 'operator.key', seconds: '600' })
+ */
+export async function watchRollout (pool: string, options: { entry: string, keyFile: string, seconds: string }): Promise<number> {
+  const key = readFileSync(options.keyFile, 'utf8').trim()
+  const startedAt = performance.now()
+  let best = 0
+  let movedAt = startedAt
+  while (performance.now() - startedAt < Number(options.seconds) * 1000) {
+    const rows = (await agents(pool, options.entry, key)).filter(row => row.lifecycle === 'serving')
+    const done = rows.reduce((sum, row) => sum + shareOf(row), 0) / Math.max(1, rows.length)
+    const now = performance.now()
+    if (done > best) movedAt = now
+    best = Math.max(best, done)
+    printProgress(rows, done, now - startedAt)
+    if (rows.length > 0 && rows.every(row => row.state === 'serving')) return 0
+    if (now - movedAt > STUCK_AFTER) printStuck(rows, now - movedAt)
+    await pause(POLL)
+  }
+  return 1
+}
+
+async function agents (pool: string, entry: string, key: string): Promise<Row[]> {
+  const answer = await askHttp(entry, {
+    method: 'POST', path: '/operator/ask?format=json', body: `show agents where pool = ${pool}`, headers: { authorization: `Bearer ${key}` }, timeout: 5_000
+  })
+  const lines = answer.body.toString('utf8').split('\n').filter(line => line.startsWith('{'))
+  return lines.map(line => JSON.parse(line) as Row)
+}
+
+/** Fetching is most of the way; the last tenth is the switch. */
+function shareOf (row: Row): number {
+  if (row.state === 'serving') return 1
+  return 0.9 * row.percent / 100
+}
+
+function printProgress (rows: readonly Row[], done: number, elapsed: number): void {
+  const zones = [...new Set(rows.map(row => row.zone))].sort()
+  for (const zone of zones) {
+    const members = rows.filter(row => row.zone === zone)
+    const serving = members.filter(row => row.state === 'serving').length
+    const percent = Math.round(members.reduce((sum, row) => sum + row.percent, 0) / members.length)
+    print({ event: 'rollout', zone, serving, of: members.length, fetched_percent: percent })
+  }
+  const left = done > 0 && done < 1 ? Math.round(elapsed * (1 - done) / done) : 0
+  print({ event: 'rollout', zone: 'all', serving: rows.filter(row => row.state === 'serving').length, of: rows.length, forecast_milliseconds: done > 0 ? left : 'unknown' })
+}
+
+function printStuck (rows: readonly Row[], since: number): void {
+  for (const row of rows.filter(candidate => candidate.state !== 'serving')) {
+    print({ event: 'stuck', instance: row.instance, zone: row.zone, state: row.state, percent: row.percent, on: row.detail, since_milliseconds: Math.round(since) })
+  }
+}
+
+function print (fields: Parameters<typeof formatPairs>[0]): void {
+  process.stdout.write(`${formatPairs(fields)}\n`)
+}
--- /dev/null
+++ b/packages/node/src/lib/peer/connection.ts
@@ -0,0 +1,174 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * One TCP connection between two processes of the system. Either side may ask; replies find their call by number, so
+ * a late reply reaches nobody but its own call.
+ */
+import type { Socket } from 'node:net'
+import type { PeerReply, PeerRequest } from '@drumdrift/core'
+import { failureOf } from '@drumdrift/core'
+import { encodeFrame, FrameReader, peerError, type Frame } from './frame.js'
+
+/** A reply with its payload. */
+export interface Reply {
+  readonly reply: PeerReply
+  readonly payload: Buffer
+}
+
+/** Takes the replies of one call, in the order they came. */
+export interface ReplyListener {
+  reply (reply: PeerReply, payload: Buffer): void
+  /** The connection ended before the call did. */
+  lost (): void
+}
+
+/** Answers one request of the other side. */
+export interface Responder {
+  readonly connection: PeerConnection
+  readonly call: number
+  send (reply: PeerReply, payload?: Buffer): void
+}
+
+/** Handles what the other side asks. */
+export type RequestHandler = (request: PeerRequest, payload: Buffer, responder: Responder) => void
+
+/** Holds back reading, to keep a process to its share of the link. */
+export interface ReadPacer {
+  /** Bytes came in; returns milliseconds to stop reading for. */
+  received (bytes: number): number
+}
+
+/** A connection, of either side. */
+export class PeerConnection {
+  private readonly _reader = new FrameReader()
+  private readonly _listeners = new Map<number, ReplyListener>()
+  private readonly _endListeners = new Set<() => void>()
+  private _nextCall = 1
+  private _open = true
+
+  /**
+   * @param onRequest Handles requests of the other side.
+   * @param onFault Told of malformed input, once, before the connection is closed.
+   */
+  constructor (
+    private readonly _socket: Socket,
+    private readonly _onRequest: RequestHandler,
+    private readonly _onFault: (detail: string) => void,
+    private readonly _pacer?: ReadPacer
+  ) {
+    _socket.setNoDelay(true)
+    _socket.on('data', bytes => this._read(bytes))
+    _socket.on('error', () => this.close())
+    _socket.on('close', () => this.close())
+  }
+
+  get open (): boolean { return this._open }
+  /** Whether calls of this side are under way. */
+  get busy (): boolean { return this._listeners.size > 0 }
+  /** Bytes that the other side has not taken yet. */
+  get backlog (): number { return this._socket.writableLength }
+
+  /**
+   * Asks, with any number of replies.
+   *
+   * @returns The call's number, to hang up with.
+   */
+  ask (request: PeerRequest, payload: Buffer | undefined, listener: ReplyListener): number {
+    const call = this._nextCall++
+    if (!this._open) {
+      queueMicrotask(() => listener.lost())
+      return call
+    }
+    this._listeners.set(call, listener)
+    this._write({ call, request }, payload)
+    return call
+  }
+
+  /**
+   * Asks for one reply.
+   *
+   * @throws DrumdriftError with a peer failure: `timed-out` or `connection-lost`.
+   * @example
+   * const { reply } = await connection.call({ type: 'status' }, undefined, 500)
+   */
+  call (request: PeerRequest, payload: Buffer | undefined, timeout: number): Promise<Reply> {
+    return new Promise((resolve, reject) => {
+      const call = this.ask(request, payload, {
+        reply: (reply, bytes) => { finish(() => resolve({ reply, payload: bytes })) },
+        lost: () => { finish(() => reject(peerError('connection-lost', 'connection lost'))) }
+      })
+      const timer = setTimeout(() => finish(() => reject(peerError('timed-out', `no reply within ${timeout} ms`))), timeout)
+      const finish = (settle: () => void): void => {
+        clearTimeout(timer)
+        this.forget(call)
+        settle()
+      }
+    })
+  }
+
+  /** Says something whose reply does not matter. */
+  tell (request: PeerRequest): void {
+    this._write({ call: this._nextCall++, request }, undefined)
+  }
+
+  /** Ends a call: later replies to it are dropped. */
+  forget (call: number): void { this._listeners.delete(call) }
+
+  /** Calls back when the connection has ended. Returns a function that takes the listener away. */
+  onEnd (listener: () => void): () => void {
+    this._endListeners.add(listener)
+    return () => { this._endListeners.delete(listener) }
+  }
+
+  close (): void {
+    if (!this._open) return
+    this._open = false
+    this._socket.destroy()
+    const listeners = [...this._listeners.values()]
+    this._listeners.clear()
+    for (const listener of listeners) listener.lost()
+    for (const listener of this._endListeners) listener()
+    this._endListeners.clear()
+  }
+
+  private _write (envelope: Parameters<typeof encodeFrame>[0], payload: Buffer | undefined): void {
+    if (!this._open) return
+    this._socket.cork()
+    for (const part of encodeFrame(envelope, payload)) this._socket.write(part)
+    this._socket.uncork()
+  }
+
+  private _read (bytes: Buffer): void {
+    this._pace(bytes.length)
+    let frames: Frame[]
+    try {
+      frames = this._reader.push(bytes)
+    } catch (error) {
+      const failure = failureOf(error)
+      this._onFault('detail' in failure ? failure.detail : failure.type)
+      this.close()
+      return
+    }
+    for (const frame of frames) this._handle(frame)
+  }
+
+  private _pace (bytes: number): void {
+    const wait = this._pacer?.received(bytes) ?? 0
+    if (wait <= 0) return
+    this._socket.pause()
+    setTimeout(() => this._socket.resume(), wait)
+  }
+
+  private _handle ({ envelope, payload }: Frame): void {
+    if ('reply' in envelope) {
+      this._listeners.get(envelope.call)?.reply(envelope.reply, payload)
+      return
+    }
+    const call = envelope.call
+    const send = (reply: PeerReply, bytes?: Buffer): void => this._write({ call, reply }, bytes)
+    this._onRequest(envelope.request, payload, { connection: this, call, send })
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/peer/pool.ts
@@ -0,0 +1,117 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The asking side between the system's processes: one connection for control and one for bulk to each address, opened
+ * when first needed, closed when idle. Bulk connections carry weights and may be read slowly; control ones never are.
+ */
+import { createConnection } from 'node:net'
+import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
+import { PeerConnection, type ReadPacer, type Reply } from './connection.js'
+import { peerError } from './frame.js'
+import { parseAddress } from '../settings/address.js'
+
+/** What a connection is for. */
+export type Purpose = 'control' | 'bulk'
+
+/** Milliseconds to open a connection and be welcomed. */
+const CONNECT_TIMEOUT = 800
+/** Idle connections are closed after this, in milliseconds. */
+const IDLE_LIMIT = 15_000
+
+interface Pooled {
+  readonly connecting: Promise<PeerConnection>
+  usedAt: number
+  connection: PeerConnection | undefined
+  calls: number
+}
+
+/** Connections of one process to its peers. */
+export class PeerPool {
+  private readonly _pooled = new Map<string, Pooled>()
+  private readonly _sweeper: NodeJS.Timeout
+
+  /**
+   * @param _self Told to the other side in the hello.
+   * @param _bulkPacer Holds back reading on bulk connections.
+   */
+  constructor (private readonly _self: { readonly instance: string, readonly key: string }, private readonly _bulkPacer?: ReadPacer) {
+    this._sweeper = setInterval(() => this._sweep(), IDLE_LIMIT / 3)
+    this._sweeper.unref()
+  }
+
+  /**
+   * Asks a peer for one reply.
+   *
+   * @param timeout Milliseconds for the whole call, connecting included.
+   * @throws DrumdriftError with a peer failure.
+   * @example
+   * const { reply } = await pool.call('10.0.0.7:7400', { type: 'status' })
+   */
+  async call (address: string, request: PeerRequest, options: { payload?: Buffer, timeout?: number, purpose?: Purpose } = {}): Promise<Reply> {
+    const { payload, timeout = 1_000, purpose = 'control' } = options
+    const pooled = this._get(address, purpose)
+    pooled.calls += 1
+    try {
+      const connection = await pooled.connecting
+      return await connection.call(request, payload, timeout)
+    } finally {
+      pooled.calls -= 1
+      pooled.usedAt = performance.now()
+    }
+  }
+
+  /** The open connection to a peer, for calls with many replies. */
+  async connection (address: string): Promise<PeerConnection> {
+    const pooled = this._get(address, 'control')
+    pooled.usedAt = performance.now()
+    return await pooled.connecting
+  }
+
+  close (): void {
+    clearInterval(this._sweeper)
+    for (const pooled of this._pooled.values()) pooled.connection?.close()
+  }
+
+  private _get (address: string, purpose: Purpose): Pooled {
+    const key = `${purpose} ${address}`
+    const known = this._pooled.get(key)
+    if (known !== undefined) return known
+    const pooled: Pooled = { connecting: this._connect(address, purpose), usedAt: performance.now(), connection: undefined, calls: 0 }
+    this._pooled.set(key, pooled)
+    const drop = (): void => { if (this._pooled.get(key) === pooled) this._pooled.delete(key) }
+    pooled.connecting.then(connection => {
+      pooled.connection = connection
+      connection.onEnd(drop)
+      if (!connection.open) drop()
+    }, drop)
+    return pooled
+  }
+
+  private async _connect (address: string, purpose: Purpose): Promise<PeerConnection> {
+    const { host, port } = parseAddress(address)
+    const socket = createConnection({ host, port })
+    const pacer = purpose === 'bulk' ? this._bulkPacer : undefined
+    const connection = new PeerConnection(socket, (_request, _payload, responder) => {
+      responder.send({ type: 'refused', reason: 'not-supported', detail: 'this side only asks' })
+    }, () => {}, pacer)
+    const hello: PeerRequest = { type: 'hello', protocol: PROTOCOL_VERSION, instance: this._self.instance, key: this._self.key }
+    try {
+      const { reply } = await connection.call(hello, undefined, CONNECT_TIMEOUT)
+      if (reply.type !== 'welcome') throw peerError('refused', reply.type === 'refused' ? reply.reason : 'no welcome')
+    } catch (error) {
+      connection.close()
+      throw error
+    }
+    return connection
+  }
+
+  private _sweep (): void {
+    const now = performance.now()
+    for (const pooled of this._pooled.values()) {
+      if (pooled.calls === 0 && now - pooled.usedAt > IDLE_LIMIT && !(pooled.connection?.busy ?? true)) pooled.connection?.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/peer/server.ts
@@ -0,0 +1,102 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The listening side between the system's processes. The first message of a connection must be a `hello` with the
+ * right protocol version and key; until then nothing else is answered.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { createServer, type Server, type Socket } from 'node:net'
+import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
+import { PeerConnection, type RequestHandler, type Responder } from './connection.js'
+import { parseAddress } from '../settings/address.js'
+import type { Log } from '../observe/log.js'
+
+/** Bounds the connections that one process accepts. */
+const MOST_CONNECTIONS = 4_096
+/** A connection that says nothing is closed after this, in milliseconds. */
+const HELLO_PATIENCE = 5_000
+
+/** Settings of the listening side. */
+export interface PeerServerOptions {
+  readonly instance: string
+  readonly address: string
+  readonly key: string
+  readonly log: Log
+  readonly onRequest: RequestHandler
+}
+
+/** Accepts connections and lets in those that know the key. */
+export class PeerServer {
+  private readonly _server: Server
+  private readonly _connections = new Set<PeerConnection>()
+
+  constructor (private readonly _options: PeerServerOptions) {
+    this._server = createServer(socket => this._accept(socket))
+    this._server.maxConnections = MOST_CONNECTIONS
+  }
+
+  /** Starts to listen. */
+  listen (): Promise<void> {
+    const { host, port } = parseAddress(this._options.address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => resolve())
+    })
+  }
+
+  /** Stops listening and ends every connection. */
+  close (): void {
+    this._server.close()
+    for (const connection of this._connections) connection.close()
+  }
+
+  private _accept (socket: Socket): void {
+    let welcome = false
+    const connection = new PeerConnection(socket, (request, payload, responder) => {
+      if (welcome) this._options.onRequest(request, payload, responder)
+      else welcome = this._greet(request, responder)
+    }, detail => this._options.log.warn('peer-malformed', { detail, remote: remoteOf(socket) }))
+    this._connections.add(connection)
+    const timer = setTimeout(() => { if (!welcome) connection.close() }, HELLO_PATIENCE)
+    connection.onEnd(() => {
+      clearTimeout(timer)
+      this._connections.delete(connection)
+    })
+  }
+
+  private _greet (request: PeerRequest, responder: Responder): boolean {
+    const refusal = this._refusal(request)
+    if (refusal === undefined) {
+      responder.send({ type: 'welcome', instance: this._options.instance })
+      return true
+    }
+    this._options.log.warn('peer-refused', { reason: refusal })
+    responder.send({ type: 'refused', reason: refusal, detail: `this process speaks protocol ${PROTOCOL_VERSION}` })
+    setImmediate(() => responder.connection.close())
+    return false
+  }
+
+  private _refusal (request: PeerRequest): 'malformed' | 'protocol-version' | 'wrong-key' | undefined {
+    if (request.type !== 'hello') return 'malformed'
+    if (request.protocol !== PROTOCOL_VERSION) return 'protocol-version'
+    return sameSecret(String(request.key), this._options.key) ? undefined : 'wrong-key'
+  }
+}
+
+/**
+ * Compares secrets in a time that does not tell how much of them agrees.
+ *
+ * @example
+ * sameSecret(header, key)
+ */
+export function sameSecret (left: string, right: string): boolean {
+  const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
+  return timingSafeEqual(digest(left), digest(right))
+}
+
+function remoteOf (socket: Socket): string {
+  return `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`
+}
--- /dev/null
+++ b/packages/node/src/lib/platform/http-client.ts
@@ -0,0 +1,93 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Small requests to the platform and to endpoints over Node's `http`, with a time limit and a limit on the size of
+ * what comes back. Every failure is typed.
+ */
+import { Agent, request, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
+import { DrumdriftError } from '@drumdrift/core'
+import { parseAddress } from '../settings/address.js'
+import type { ReadPacer } from '../peer/connection.js'
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number
+  readonly headers: IncomingMessage['headers']
+  readonly body: Buffer
+}
+
+/** What to ask. */
+export interface HttpQuestion {
+  readonly method?: string
+  readonly path: string
+  readonly headers?: OutgoingHttpHeaders
+  readonly body?: Buffer | string
+  /** Milliseconds without progress after which the request is given up. */
+  readonly timeout?: number
+  readonly largest?: number
+  readonly signal?: AbortSignal
+  /** Holds back reading, to keep a process to its share of the link. */
+  readonly pacer?: ReadPacer
+}
+
+const LARGEST_ANSWER = 64 * 1024 * 1024
+const DEFAULT_TIMEOUT = 2_000
+const connections = new Agent({ keepAlive: true, maxFreeSockets: 16 })
+
+/**
+ * Asks and collects the whole answer.
+ *
+ * @throws DrumdriftError with a peer failure: `connection-lost`, `timed-out` or `oversized`.
+ * @example
+ * const answer = await askHttp('10.0.0.1:8500', { path: '/configuration' })
+ */
+export async function askHttp (address: string, question: HttpQuestion): Promise<HttpAnswer> {
+  const response = await openHttp(address, question)
+  const body = await collect(response, question)
+  return { status: response.statusCode ?? 0, headers: response.headers, body }
+}
+
+/**
+ * Asks and returns as soon as the head of the answer is there.
+ *
+ * @throws DrumdriftError with a peer failure.
+ */
+export function openHttp (address: string, question: HttpQuestion): Promise<IncomingMessage> {
+  const { host, port } = parseAddress(address)
+  const { method = 'GET', path, headers = {}, body, timeout = DEFAULT_TIMEOUT, signal } = question
+  return new Promise((resolve, reject) => {
+    const outgoing = request({ host, port, method, path, headers, agent: connections, timeout, signal }, resolve)
+    outgoing.on('timeout', () => outgoing.destroy(httpError('timed-out', `${method} ${path}: no answer within ${timeout} ms`)))
+    outgoing.on('error', error => reject(error instanceof DrumdriftError ? error : httpError('connection-lost', error.message)))
+    outgoing.end(body)
+  })
+}
+
+function collect (response: IncomingMessage, { largest = LARGEST_ANSWER, pacer }: HttpQuestion): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const pieces: Buffer[] = []
+    let length = 0
+    response.on('data', (piece: Buffer) => {
+      length += piece.length
+      if (length > largest) response.destroy(httpError('oversized', `answer of over ${largest} bytes`))
+      pieces.push(piece)
+      const wait = pacer?.received(piece.length) ?? 0
+      if (wait > 0) holdBack(response, wait)
+    })
+    response.on('end', () => resolve(Buffer.concat(pieces, length)))
+    response.on('error', error => reject(error instanceof DrumdriftError ? error : httpError('connection-lost', error.message)))
+    response.on('close', () => { if (!response.complete) reject(httpError('connection-lost', 'answer cut off')) })
+  })
+}
+
+function holdBack (response: IncomingMessage, wait: number): void {
+  response.pause()
+  setTimeout(() => response.resume(), wait)
+}
+
+function httpError (reason: 'connection-lost' | 'timed-out' | 'oversized', detail: string): DrumdriftError {
+  return new DrumdriftError({ type: 'peer-failure', reason, detail })
+}
--- /dev/null
+++ b/packages/node/src/lib/settings/schema.ts
@@ -0,0 +1,73 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The one table of settings. Checking, `drumdrift settings` and docs/SETTINGS.md all come from here.
+ */
+
+/** The two daemons. */
+export type Role = 'entry' | 'agent'
+
+/** Kinds of values. Sizes and times are numbers whose unit the key's name carries. */
+export type SettingType = 'name' | 'text' | 'address' | 'addresses' | 'number' | 'choice'
+
+/** One key of the settings file. */
+export interface SettingSpecification {
+  readonly section: string
+  readonly key: string
+  readonly type: SettingType
+  readonly unit?: string
+  /** Absent for a key that must be given. */
+  readonly fallback?: string
+  readonly least?: number
+  readonly most?: number
+  readonly choices?: readonly string[]
+  /** The daemons that read it. */
+  readonly roles: readonly Role[]
+  readonly meaning: string
+  /** Never printed. */
+  readonly secret?: boolean
+}
+
+const both: readonly Role[] = ['entry', 'agent']
+const agent: readonly Role[] = ['agent']
+const entry: readonly Role[] = ['entry']
+
+/** Every key, in the order of the page. */
+export const settingSpecifications: readonly SettingSpecification[] = [
+  { section: 'process', key: 'instance', type: 'name', roles: both, meaning: 'Name of this instance, as in the platform\'s instance list.' },
+  { section: 'process', key: 'availability-zone', type: 'name', roles: both, meaning: 'Availability zone of this instance; must be one of [platform] availability-zones.' },
+  { section: 'process', key: 'address', type: 'address', roles: both, meaning: 'Where other processes of the system reach this one (TCP).' },
+  { section: 'process', key: 'http-address', type: 'address', roles: entry, meaning: 'Where callers and operators reach this entry (HTTP).' },
+  { section: 'process', key: 'metrics-address', type: 'address', fallback: '', roles: agent, meaning: 'Where metrics are served over HTTP; empty for nowhere.' },
+  { section: 'process', key: 'log-level', type: 'choice', choices: ['debug', 'info', 'warn', 'error'], fallback: 'info', roles: both, meaning: 'Least severe log line that is written.' },
+  { section: 'process', key: 'stop-patience-seconds', type: 'number', unit: 'seconds', fallback: '120', least: 0, most: 3600, roles: both, meaning: 'On SIGTERM, how long requests in progress may go on; then they are cut off and logged.' },
+  { section: 'platform', key: 'availability-zones', type: 'text', roles: both, meaning: 'All availability zones, separated by commas.' },
+  { section: 'platform', key: 'source', type: 'name', roles: both, meaning: 'Identity of the configuration service; documents of another one are refused.' },
+  { section: 'platform', key: 'configuration', type: 'address', roles: both, meaning: 'Configuration service.' },
+  { section: 'platform', key: 'instances', type: 'address', roles: both, meaning: 'Instance list.' },
+  { section: 'platform', key: 'store', type: 'address', roles: agent, meaning: 'Weight store.' },
+  { section: 'platform', key: 'origin', type: 'address', roles: agent, meaning: 'Origin of weights.' },
+  { section: 'peers', key: 'seeds', type: 'addresses', fallback: '', roles: both, meaning: 'Peers to ask for the settings when the platform is down at the start.' },
+  { section: 'peers', key: 'key', type: 'text', roles: both, secret: true, meaning: 'Secret shared by all processes of the system.' },
+  { section: 'endpoint', key: 'name', type: 'name', roles: agent, meaning: 'Pool or service that the endpoint beside this agent belongs to.' },
+  { section: 'endpoint', key: 'kind', type: 'choice', choices: ['model', 'plain'], roles: agent, meaning: 'A model engine, or a plain service without weights.' },
+  { section: 'endpoint', key: 'address', type: 'address', roles: agent, meaning: 'The endpoint beside this agent (HTTP).' },
+  { section: 'weights', key: 'link-megabytes-per-second', type: 'number', unit: 'MiB/s', fallback: '1000', least: 0.01, most: 100_000, roles: agent, meaning: 'This instance\'s link, each way. Transfers keep below it and yield to live answers.' },
+  { section: 'weights', key: 'memory-megabytes', type: 'number', unit: 'MiB', fallback: '16', least: 1, most: 4096, roles: agent, meaning: 'Chunks held in this process for peers; older ones are read back from the engine.' },
+  { section: 'weights', key: 'window', type: 'number', unit: 'chunks', fallback: '12', least: 1, most: 256, roles: agent, meaning: 'Chunks in flight at once.' },
+  { section: 'weights', key: 'largest-gigabytes', type: 'number', unit: 'GiB', fallback: '2048', least: 0.001, most: 65_536, roles: agent, meaning: 'The largest version that is accepted.' },
+  { section: 'weights', key: 'strategy', type: 'choice', choices: ['rotation', 'rendezvous', 'tree', 'origin'], fallback: 'rotation', roles: agent, meaning: 'How chunks are spread; all but rotation are for comparison.' },
+  { section: 'requests', key: 'largest-body-kilobytes', type: 'number', unit: 'KiB', fallback: '1024', least: 1, most: 32_768, roles: entry, meaning: 'The largest body of a request.' },
+  { section: 'requests', key: 'deadline-seconds', type: 'number', unit: 'seconds', fallback: '120', least: 0.1, most: 3600, roles: entry, meaning: 'Deadline of requests that name none, and the longest that one may name.' },
+  { section: 'requests', key: 'queue-seconds', type: 'number', unit: 'seconds', fallback: '2', least: 0, most: 60, roles: entry, meaning: 'A request that would wait longer for its start is refused at once.' },
+  { section: 'requests', key: 'queue-length', type: 'number', unit: 'requests', fallback: '512', least: 1, most: 100_000, roles: entry, meaning: 'Requests that may wait in one entry for one pool or service.' },
+  { section: 'requests', key: 'first-answer-seconds', type: 'number', unit: 'seconds', fallback: '5', least: 0.05, most: 600, roles: entry, meaning: 'An endpoint that shows no sign of an answer for so long is taken as failed; requests that may repeat go elsewhere.' },
+  { section: 'requests', key: 'silence-seconds', type: 'number', unit: 'seconds', fallback: '10', least: 0.05, most: 600, roles: entry, meaning: 'An answer that has begun and then shows nothing for so long is taken as broken.' },
+  { section: 'requests', key: 'choice', type: 'choice', choices: ['affinity', 'two-choices', 'least-reported', 'round-robin', 'random'], fallback: 'affinity', roles: entry, meaning: 'How endpoints are chosen; all but affinity are for comparison.' },
+  { section: 'requests', key: 'repeat-window-seconds', type: 'number', unit: 'seconds', fallback: '600', least: 1, most: 86_400, roles: agent, meaning: 'How long ids of requests that may not repeat are remembered. A caller must not repeat an id after that.' },
+  { section: 'requests', key: 'records-per-organisation', type: 'number', unit: 'records', fallback: '4096', least: 16, most: 1_000_000, roles: agent, meaning: 'Such ids remembered for one organisation by one agent; beyond, new ones are refused.' },
+  { section: 'operators', key: 'keys', type: 'text', fallback: '', roles: entry, secret: true, meaning: 'Operators and their keys, as name:key separated by commas. Empty refuses all operators.' }
+]
--- /dev/null
+++ b/packages/node/src/lib/settings/settings.ts
@@ -0,0 +1,162 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Reads a settings file in INI and checks it whole against the schema, duplicates included, which the parser alone
+ * would take silently. The first mistake is a typed failure that names file, section, key and what was expected.
+ */
+import { readFileSync } from 'node:fs'
+import { parse } from 'ini'
+import { DrumdriftError } from '@drumdrift/core'
+import { isAddress } from './address.js'
+import { settingSpecifications, type Role, type SettingSpecification, type SettingType } from './schema.js'
+
+/** Checked settings of one process. */
+export class Settings {
+  constructor (readonly role: Role, private readonly _values: ReadonlyMap<string, string>) {}
+
+  /**
+   * A setting as text.
+   *
+   * @example
+   * settings.text('process', 'instance')
+   */
+  text (section: string, key: string): string {
+    return this._values.get(`${section}.${key}`) ?? ''
+  }
+
+  /** A setting as a number, in the unit that its key names. */
+  number (section: string, key: string): number {
+    return Number(this.text(section, key))
+  }
+
+  /** A setting as a list. */
+  list (section: string, key: string): string[] {
+    return splitList(this.text(section, key))
+  }
+}
+
+const namePattern = /^[a-z0-9][a-z0-9._-]{0,62}$/i
+
+type Check = (value: string, specification: SettingSpecification) => string | undefined
+
+/** For each type, what was expected if the value is wrong. */
+const checks: Record<SettingType, Check> = {
+  name: value => namePattern.test(value) ? undefined : 'a name of letters, digits, dots, dashes and underscores, 63 at most',
+  text: value => value === '' ? 'a value' : undefined,
+  address: value => isAddress(value) ? undefined : 'an IP number and a port, such as 10.0.0.7:7400',
+  addresses: value => splitList(value).every(isAddress) ? undefined : 'IP numbers with ports, separated by commas',
+  number: checkNumber,
+  choice: (value, { choices = [] }) => choices.includes(value) ? undefined : `one of ${choices.join(', ')}`
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @throws DrumdriftError with a settings failure.
+ * @example
+ * const settings = readSettings('entry.ini', 'entry')
+ */
+export function readSettings (file: string, role: Role): Settings {
+  let text: string
+  try {
+    text = readFileSync(file, 'utf8')
+  } catch {
+    throw settingsError(file, '', '', 'a file that can be read')
+  }
+  return checkSettings(text, file, role)
+}
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param file Named in failures.
+ * @throws DrumdriftError with a settings failure.
+ * @example
+ * checkSettings('[process]\ninstance = entry-1', 'entry.ini', 'entry')
+ */
+export function checkSettings (text: string, file: string, role: Role): Settings {
+  refuseDuplicates(text, file)
+  const given = flatten(parse(text), file)
+  const known = settingSpecifications.filter(specification => specification.roles.includes(role))
+  refuseUnknown(given, known, file, role)
+  const values = new Map<string, string>()
+  for (const specification of known) values.set(`${specification.section}.${specification.key}`, valueOf(given, specification, file))
+  const settings = new Settings(role, values)
+  checkZone(settings, file)
+  return settings
+}
+
+/** The role whose keys a file uses: an agent's file has an [endpoint]. */
+export function guessRole (file: string): Role {
+  return /^\s*\[endpoint\]/m.test(readFileSync(file, 'utf8')) ? 'agent' : 'entry'
+}
+
+function valueOf (given: ReadonlyMap<string, string>, specification: SettingSpecification, file: string): string {
+  const { section, key, type, fallback } = specification
+  const value = given.get(`${section}.${key}`)
+  if (value === undefined && fallback === undefined) throw settingsError(file, section, key, `to be given: ${specification.meaning}`)
+  if (value === undefined || value === fallback) return fallback ?? ''
+  const expected = checks[type](value, specification)
+  if (expected !== undefined) throw settingsError(file, section, key, expected)
+  return value
+}
+
+function checkNumber (value: string, { unit, least = -Infinity, most = Infinity }: SettingSpecification): string | undefined {
+  const expected = `a number of ${unit ?? 'units'} from ${least} to ${most}, without a unit`
+  if (!/^-?\d+(\.\d+)?$/.test(value)) return expected
+  const number = Number(value)
+  return number >= least && number <= most ? undefined : expected
+}
+
+function checkZone (settings: Settings, file: string): void {
+  const zones = settings.list('platform', 'availability-zones')
+  if (zones.includes(settings.text('process', 'availability-zone'))) return
+  throw settingsError(file, 'process', 'availability-zone', `one of [platform] availability-zones: ${zones.join(', ')}`)
+}
+
+function refuseDuplicates (text: string, file: string): void {
+  const seen = new Set<string>()
+  let section = ''
+  for (const line of text.split(/\r?\n/)) {
+    const trimmed = line.trim()
+    if (trimmed === '' || trimmed.startsWith(';') || trimmed.startsWith('#')) continue
+    const header = /^\[([^\]]*)\]$/.exec(trimmed)?.[1]
+    if (header !== undefined) section = header.trim()
+    const key = header === undefined ? trimmed.split('=')[0]?.trim() ?? '' : ''
+    const name = `${section}.${key}`
+    if (seen.has(name)) throw settingsError(file, section, key, 'to stand only once')
+    seen.add(name)
+  }
+}
+
+function refuseUnknown (given: ReadonlyMap<string, string>, known: readonly SettingSpecification[], file: string, role: Role): void {
+  const names = new Set(known.map(({ section, key }) => `${section}.${key}`))
+  for (const name of given.keys()) {
+    if (names.has(name)) continue
+    const dot = name.indexOf('.')
+    const section = name.slice(0, dot)
+    const keys = known.filter(specification => specification.section === section).map(({ key }) => key)
+    const expected = keys.length > 0 ? `one of the keys ${keys.join(', ')}` : `one of the sections ${[...new Set(known.map(entry => entry.section))].join(', ')}`
+    throw settingsError(file, section, name.slice(dot + 1), `${expected} (role ${role})`)
+  }
+}
+
+function flatten (parsed: Record<string, unknown>, file: string): Map<string, string> {
+  const values = new Map<string, string>()
+  for (const [section, entries] of Object.entries(parsed)) {
+    if (typeof entries !== 'object' || entries === null) throw settingsError(file, '', section, 'to stand in a section')
+    for (const [key, value] of Object.entries(entries)) values.set(`${section}.${key}`, String(value))
+  }
+  return values
+}
+
+function settingsError (file: string, section: string, key: string, expected: string): DrumdriftError {
+  return new DrumdriftError({ type: 'settings-failure', file, section, key, expected })
+}
+
+function splitList (text: string): string[] {
+  return text.split(',').map(part => part.trim()).filter(part => part !== '')
+}
--- /dev/null
+++ b/packages/node/src/lib/spread-runner.ts
@@ -0,0 +1,100 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Carries out what the spread of published documents decides, for either role: reads of the platform, comparisons
+ * with peers and pushes to them.
+ */
+import { Spread, type SpreadEffect, type SpreadSelf, type Topic, type PeerRequest } from '@drumdrift/core'
+import type { Log } from './observe/log.js'
+import type { Counters } from './observe/metrics.js'
+import type { Responder } from './peer/connection.js'
+import type { PeerPool } from './peer/pool.js'
+import type { Platform } from './platform/platform-client.js'
+
+/** What the runner works with. */
+export interface SpreadRunnerParts {
+  readonly self: SpreadSelf
+  readonly platform: Platform
+  readonly pool: PeerPool
+  readonly log: Log
+  readonly counters: Counters
+  readonly onAdopted: (topic: Topic) => void
+}
+
+const TICK = 100
+const COMPARE_TIMEOUT = 1_000
+
+/** Published documents as one process holds them. */
+export class SpreadRunner {
+  readonly spread: Spread
+  private readonly _timer: NodeJS.Timeout
+
+  constructor (private readonly _parts: SpreadRunnerParts) {
+    this.spread = new Spread(_parts.self, Math.random, performance.now())
+    this._timer = setInterval(() => this._carryOut(this.spread.tick(performance.now())), TICK)
+  }
+
+  close (): void { clearInterval(this._timer) }
+
+  /** Answers a peer's comparison. */
+  compared (request: Extract<PeerRequest, { type: 'compare' }>, responder: Responder): void {
+    const now = performance.now()
+    const { reply, behind } = this.spread.compared(request.note, now)
+    responder.send({ type: 'documents', documents: reply, note: this.spread.note(now) })
+    if (behind) void this._compare(request.address)
+  }
+
+  /** Takes what a peer pushed. */
+  pushed (request: Extract<PeerRequest, { type: 'push' }>, responder: Responder): void {
+    this._carryOut(this.spread.received(request.documents, performance.now()))
+    responder.send({ type: 'done' })
+  }
+
+  private _carryOut (effects: readonly SpreadEffect[]): void {
+    for (const effect of effects) this._handlers[effect.type](effect as never)
+  }
+
+  private readonly _handlers: { readonly [Type in SpreadEffect['type']]: (effect: Extract<SpreadEffect, { type: Type }>) => void } = {
+    'read-service': ({ topic, after, watch }) => { this._read(topic, after, watch) },
+    compare: ({ address }) => { this._compare(address) },
+    push: ({ address, documents }) => { this._push(address, documents) },
+    adopted: ({ topic, revision }) => {
+      this._parts.log.info('revision-adopted', { topic, revision })
+      this._parts.onAdopted(topic)
+    },
+    refused: ({ topic, failure }) => {
+      this._parts.counters.add('documents_refused')
+      this._parts.log.error('document-refused', { topic, reason: failure.reason, detail: failure.detail })
+    }
+  }
+
+  private async _read (topic: Topic, after: number, watch: boolean): Promise<void> {
+    this._parts.counters.add('platform_reads')
+    const answer = await this._parts.platform.read(topic, after, watch)
+    this._carryOut(this.spread.serviceAnswered(topic, answer, performance.now()))
+  }
+
+  private async _compare (address: string): Promise<void> {
+    const request: PeerRequest = { type: 'compare', note: this.spread.note(performance.now()), address: this._parts.self.address }
+    try {
+      const { reply } = await this._parts.pool.call(address, request, { timeout: COMPARE_TIMEOUT })
+      if (reply.type !== 'documents') return
+      const now = performance.now()
+      this._carryOut(this.spread.received(reply.documents, now))
+      this.spread.agreed(reply.note.revisions, reply.note.ages, now)
+    } catch {
+      this._parts.counters.add('comparisons_failed')
+    }
+  }
+
+  private async _push (address: string, documents: Extract<SpreadEffect, { type: 'push' }>['documents']): Promise<void> {
+    try {
+      await this._parts.pool.call(address, { type: 'push', documents }, { timeout: COMPARE_TIMEOUT })
+    } catch {
+      this._parts.counters.add('pushes_failed')
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Stand-ins for the platform and for endpoints, for tests and measurements. @packageDocumentation */
+export * from './lib/endpoint-host-client.js'
+export * from './lib/host-messages.js'
+export * from './lib/http-service.js'
+export * from './lib/link.js'
+export * from './lib/model-engine.js'
+export * from './lib/plain-service.js'
+export * from './lib/published-service.js'
+export * from './lib/weight-source.js'
+export * from './lib/weights.js'
--- /dev/null
+++ b/packages/stand-ins/src/lib/endpoint-host-client.ts
@@ -0,0 +1,47 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Starts a process that holds endpoint stand-ins, and speaks to it. */
+import { fork, type ChildProcess } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+import type { HostOrder, HostReply } from './host-messages.js'
+
+type WithoutId<Order> = Order extends unknown ? Omit<Order, 'id'> : never
+
+/** One such process. */
+export class EndpointHost {
+  private readonly _child: ChildProcess
+  private readonly _waiting = new Map<number, (reply: HostReply) => void>()
+  private _nextId = 1
+
+  constructor () {
+    this._child = fork(fileURLToPath(new URL('../endpoint-host.js', import.meta.url)), { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+    this._child.on('message', (reply: HostReply) => {
+      this._waiting.get(reply.id)?.(reply)
+      this._waiting.delete(reply.id)
+    })
+  }
+
+  get pid (): number { return this._child.pid ?? 0 }
+
+  /**
+   * Gives an order and waits for its reply.
+   *
+   * @example
+   * await host.order({ type: 'engine', port: 9000, times: defaultEngineTimes })
+   */
+  order (order: WithoutId<HostOrder>): Promise<HostReply> {
+    const id = this._nextId++
+    return new Promise(resolve => {
+      this._waiting.set(id, resolve)
+      this._child.send({ ...order, id })
+    })
+  }
+
+  /** Ends the process. */
+  close (): void {
+    if (this._child.connected) this._child.disconnect()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/http-service.ts
@@ -0,0 +1,72 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** A small HTTP server base for stand-ins: a handler, a rate limit, and a way to be down. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { TokenBucket } from '@drumdrift/core'
+
+/** How a stand-in behaves. */
+export type Behaviour = 'normal' | 'down' | 'slow' | 'stale'
+
+const SLOW_DELAY = 1_000
+
+/** A stand-in that speaks HTTP on loopback. */
+export abstract class HttpService {
+  behaviour: Behaviour = 'normal'
+  /** Calls that were made; a waiting watch counts as one. */
+  calls = 0
+  private readonly _server: Server
+  private readonly _bucket: TokenBucket
+
+  /**
+   * @param callsPerSecond Beyond this, calls are answered with 429.
+   */
+  constructor (callsPerSecond = 2_000) {
+    this._bucket = new TokenBucket(callsPerSecond, callsPerSecond, performance.now())
+    this._server = createServer((request, response) => { this._take(request, response) })
+    this._server.keepAliveTimeout = 30_000
+  }
+
+  listen (port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, '127.0.0.1', () => resolve())
+    })
+  }
+
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  protected abstract answer (request: IncomingMessage, response: ServerResponse): void | Promise<void>
+
+  private _take (request: IncomingMessage, response: ServerResponse): void {
+    this.calls += 1
+    if (this.behaviour === 'down') {
+      request.socket.destroy()
+      return
+    }
+    if (!this._bucket.trySpend(1, performance.now())) {
+      response.writeHead(429).end()
+      return
+    }
+    const delay = this.behaviour === 'slow' ? SLOW_DELAY : 0
+    setTimeout(() => { this.answer(request, response) }, delay)
+  }
+}
+
+/** Reads the whole body of a request. */
+export async function readAll (request: IncomingMessage): Promise<Buffer> {
+  const pieces: Buffer[] = []
+  for await (const piece of request) pieces.push(piece as Buffer)
+  return Buffer.concat(pieces)
+}
+
+/** Answers with JSON. */
+export function sendJson (response: ServerResponse, value: unknown, status = 200): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(value))
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/link.ts
@@ -0,0 +1,83 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Stand-in for a link between two processes: a relay that can corrupt, stall or cut what passes. */
+import { createConnection, createServer, type Server, type Socket } from 'node:net'
+
+/** What the link does to what passes. */
+export type LinkMode = 'pass' | 'corrupt' | 'stall' | 'cut'
+
+/** Only large pieces are corrupted, in their middle: those are weights. */
+const LEAST_CORRUPTED = 16_384
+
+/** A link to one address. */
+export class Link {
+  /** Pieces corrupted so far. */
+  corrupted = 0
+  private _mode: LinkMode = 'pass'
+  private _corruptions = 0
+  private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+
+  constructor (private readonly _port: number, private readonly _target: number) {
+    this._server = createServer(socket => this._join(socket))
+  }
+
+  listen (): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(this._port, '127.0.0.1', () => resolve())
+    })
+  }
+
+  close (): void {
+    this._server.close()
+    for (const socket of this._sockets) socket.destroy()
+  }
+
+  /**
+   * Changes what the link does.
+   *
+   * @param corruptions How many pieces to corrupt before passing again.
+   */
+  set (mode: LinkMode, corruptions = Infinity): void {
+    this._mode = mode
+    this._corruptions = corruptions
+    for (const socket of this._sockets) {
+      if (mode === 'cut') socket.destroy()
+      else if (mode === 'stall') socket.pause()
+      else socket.resume()
+    }
+  }
+
+  private _join (near: Socket): void {
+    if (this._mode === 'cut') {
+      near.destroy()
+      return
+    }
+    const far = createConnection({ host: '127.0.0.1', port: this._target })
+    for (const [from, to] of [[near, far], [far, near]] as const) {
+      this._sockets.add(from)
+      from.on('data', bytes => { if (!to.write(this._spoil(bytes)) && this._mode !== 'stall') from.pause() })
+      to.on('drain', () => { if (this._mode !== 'stall') from.resume() })
+      from.on('error', () => from.destroy())
+      from.on('close', () => {
+        this._sockets.delete(from)
+        to.destroy()
+      })
+      if (this._mode === 'stall') from.pause()
+    }
+  }
+
+  private _spoil (bytes: Buffer): Buffer {
+    if (this._mode !== 'corrupt' || bytes.length < LEAST_CORRUPTED || this._corruptions <= 0) return bytes
+    this._corruptions -= 1
+    this.corrupted += 1
+    const spoiled = Buffer.from(bytes)
+    const middle = spoiled.length >> 1
+    spoiled[middle] = (spoiled[middle] ?? 0) ^ 0xff
+    return spoiled
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -0,0 +1,231 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Stand-in for a model engine: staging memory, fenced loads, and streamed answers in the chat-completions form. Each
+ * token depends on the version, the prompt and its place, so that a caller can tell a whole answer of one version from
+ * a cut or mixed one.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
+import { hash32, checkManifest } from '@drumdrift/core'
+import { digestOf } from 'drumdrift'
+import { HttpService, readAll, sendJson } from './http-service.js'
+
+/** Times of an engine, in milliseconds. */
+export interface EngineTimes {
+  readonly load: number
+  readonly firstToken: number
+  /** Saved on the first token when the prompt's start was seen lately. */
+  readonly cachedFirstToken: number
+  readonly betweenTokens: number
+  readonly reportLag: number
+}
+
+/** What happened at an engine, for the oracles. */
+export interface EngineJournal {
+  readonly loads: { readonly manifest: string, readonly fence: number, readonly whole: boolean, readonly at: number }[]
+  partialLoads: number
+  staleFences: number
+  answers: number
+  cancelled: number
+  prefixHits: number
+  prefixMisses: number
+  readonly runs: Record<string, number>
+}
+
+/** The usual times. */
+export const defaultEngineTimes: EngineTimes = { load: 300, firstToken: 40, cachedFirstToken: 15, betweenTokens: 8, reportLag: 300 }
+
+const PREFIX_CHARACTERS = 200
+const CACHED_PREFIXES = 64
+const DEFAULT_TOKENS = 16
+
+/**
+ * One token of an answer.
+ *
+ * @example
+ * tokenOf(versionDigest, 'Draft a plan', 0) // 'w1f3a '
+ */
+export function tokenOf (version: string, prompt: string, index: number): string {
+  return `w${(hash32(`${version} ${prompt} ${index}`) & 0xffff).toString(16)} `
+}
+
+/** The whole text that an engine of a version answers. */
+export function expectedText (version: string, prompt: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, index) => tokenOf(version, prompt, index)).join('')
+}
+
+/** A model engine. */
+export class ModelEngine extends HttpService {
+  readonly journal: EngineJournal = { loads: [], partialLoads: 0, staleFences: 0, answers: 0, cancelled: 0, prefixHits: 0, prefixMisses: 0, runs: {} }
+  /** The next loads that fail, though the version is whole. */
+  failLoads = 0
+  /** Answers are held while frozen. */
+  frozen = false
+  private readonly _chunks = new Map<string, Buffer>()
+  private readonly _manifests = new Map<string, Buffer>()
+  private readonly _prefixes = new Set<string>()
+  private _version = ''
+  private _loading = ''
+  private _failed = ''
+  private _fence = 0
+  private _running = 0
+  private _reported = 0
+
+  constructor (private readonly _times: EngineTimes = defaultEngineTimes) {
+    super(100_000)
+  }
+
+  /** The version that is served. */
+  get version (): string { return this._version }
+
+  protected override async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = request.url ?? ''
+    const [, first, kind, digest = ''] = url.split('/')
+    if (url === '/state') return this._state(response)
+    if (url === '/staging') return sendJson(response, [...this._chunks.keys()])
+    if (first === 'staging') return await this._staging(request, response, kind === 'manifests' ? this._manifests : this._chunks, digest)
+    if (url === '/load') return await this._load(request, response)
+    if (url === '/v1/chat/completions') return await this._chat(request, response)
+    response.writeHead(404).end()
+  }
+
+  private _state (response: ServerResponse): void {
+    sendJson(response, { version: this._version, loading: this._loading, failed: this._failed, fence: this._fence, running: this._reported })
+  }
+
+  private async _staging (request: IncomingMessage, response: ServerResponse, held: Map<string, Buffer>, digest: string): Promise<void> {
+    if (request.method === 'PUT') held.set(digest, await readAll(request))
+    if (request.method === 'DELETE') held.delete(digest)
+    const bytes = held.get(digest)
+    if (request.method !== 'GET') response.writeHead(204).end()
+    else if (bytes === undefined) response.writeHead(404).end()
+    else response.end(bytes)
+  }
+
+  private async _load (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { manifest, fence } = JSON.parse((await readAll(request)).toString()) as { manifest: string, fence: number }
+    if (fence < this._fence) {
+      this.journal.staleFences += 1
+      response.writeHead(409).end()
+      return
+    }
+    this._fence = fence
+    this._loading = manifest
+    this._failed = ''
+    response.writeHead(202).end()
+    const whole = await this._isWhole(manifest)
+    this.journal.loads.push({ manifest, fence, whole, at: Date.now() })
+    if (!whole) this.journal.partialLoads += 1
+    await pause(this._times.load)
+    if (whole && this.failLoads === 0) this._version = manifest
+    else this._failed = manifest
+    this.failLoads = Math.max(0, this.failLoads - 1)
+    this._loading = ''
+  }
+
+  /** The engine's own look at what it was told to load, for the oracle. */
+  private async _isWhole (manifestDigest: string): Promise<boolean> {
+    const bytes = this._manifests.get(manifestDigest)
+    if (bytes === undefined || await digestOf(bytes) !== manifestDigest) return false
+    const checked = checkManifest(JSON.parse(bytes.toString()), Number.MAX_SAFE_INTEGER)
+    if ('failure' in checked) return false
+    for (const { digest } of checked.value.chunks) {
+      const chunk = this._chunks.get(digest)
+      if (chunk === undefined || await digestOf(chunk) !== digest) return false
+    }
+    return true
+  }
+
+  private async _chat (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = JSON.parse((await readAll(request)).toString()) as { model: string, messages: { content: string }[], stream?: boolean, max_tokens?: number }
+    const version = this._version
+    if (version === '' || this._loading !== '') {
+      response.writeHead(503).end()
+      return
+    }
+    const id = String(request.headers['x-request-id'] ?? '')
+    this.journal.runs[id] = (this.journal.runs[id] ?? 0) + 1
+    const prompt = body.messages.at(-1)?.content ?? ''
+    const tokens = body.max_tokens ?? DEFAULT_TOKENS
+    const resumeAfter = Number(request.headers['x-resume-after'] ?? 0)
+    this._run(1)
+    try {
+      await this._whileThawed()
+      await pause(this._firstTokenTime(prompt))
+      const answer = { id, model: body.model, version, prompt, tokens, resumeAfter }
+      const whole = body.stream === true ? await this._stream(answer, response) : await this._whole(answer, response)
+      if (whole) this.journal.answers += 1
+      else this.journal.cancelled += 1
+    } finally {
+      this._run(-1)
+    }
+  }
+
+  private async _stream (answer: Answer, response: ServerResponse): Promise<boolean> {
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-model-version': answer.version })
+    const send = (value: unknown): void => { response.write(`data: ${typeof value === 'string' ? value : JSON.stringify(value)}\n\n`) }
+    const common = { id: `chatcmpl-${answer.id}`, object: 'chat.completion.chunk', created: Math.floor(Date.now() / 1000), model: answer.model }
+    for (let index = answer.resumeAfter; index < answer.tokens; index += 1) {
+      if (response.destroyed) return false
+      send({ ...common, choices: [{ index: 0, delta: { role: 'assistant', content: tokenOf(answer.version, answer.prompt, index) }, finish_reason: null }] })
+      await pause(this._times.betweenTokens)
+      await this._whileThawed()
+    }
+    if (answer.resumeAfter <= answer.tokens) send({ ...common, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] })
+    send('[DONE]')
+    response.end()
+    return !response.destroyed
+  }
+
+  private async _whole (answer: Answer, response: ServerResponse): Promise<boolean> {
+    await pause(this._times.betweenTokens * answer.tokens)
+    await this._whileThawed()
+    if (response.destroyed) return false
+    response.setHeader('x-model-version', answer.version)
+    sendJson(response, {
+      id: `chatcmpl-${answer.id}`,
+      object: 'chat.completion',
+      created: Math.floor(Date.now() / 1000),
+      model: answer.model,
+      choices: [{ index: 0, message: { role: 'assistant', content: expectedText(answer.version, answer.prompt, answer.tokens) }, finish_reason: 'stop' }],
+      usage: { prompt_tokens: answer.prompt.length, completion_tokens: answer.tokens, total_tokens: answer.prompt.length + answer.tokens }
+    })
+    return true
+  }
+
+  private _firstTokenTime (prompt: string): number {
+    const prefix = prompt.slice(0, PREFIX_CHARACTERS)
+    const cached = this._prefixes.delete(prefix)
+    this._prefixes.add(prefix)
+    for (const oldest of this._prefixes) {
+      if (this._prefixes.size <= CACHED_PREFIXES) break
+      this._prefixes.delete(oldest)
+    }
+    this.journal[cached ? 'prefixHits' : 'prefixMisses'] += 1
+    return cached ? this._times.cachedFirstToken : this._times.firstToken
+  }
+
+  /** Reports of load come late. */
+  private _run (change: number): void {
+    this._running += change
+    const reported = this._running
+    setTimeout(() => { this._reported = reported }, this._times.reportLag)
+  }
+
+  private async _whileThawed (): Promise<void> {
+    while (this.frozen) await pause(20)
+  }
+}
+
+interface Answer {
+  readonly id: string
+  readonly model: string
+  readonly version: string
+  readonly prompt: string
+  readonly tokens: number
+  readonly resumeAfter: number
+}
--- /dev/null
+++ b/scripts/run-tests.js
@@ -0,0 +1,14 @@
+// Runs every compiled test file with node's test runner and exits with its verdict.
+import { spawnSync } from 'node:child_process'
+import { readdirSync } from 'node:fs'
+import { join } from 'node:path'
+
+const root = new URL('..', import.meta.url).pathname
+const packages = join(root, 'packages')
+const files = readdirSync(packages, { recursive: true })
+  .map(String)
+  .filter(name => /^[^/]+\/build\/test\/.*_test\.js$/.test(name))
+  .sort()
+  .map(name => join(packages, name))
+const result = spawnSync(process.execPath, ['--test', '--test-reporter=spec', ...files], { stdio: 'inherit' })
+process.exit(result.status ?? 1)
