--- /dev/null
+++ b/packages/benchmarks/src/bench.ts
@@ -0,0 +1,32 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Runs a benchmark by name. */
+import { Command } from 'commander'
+import type { Bench, BenchOptions } from './lib/bench-options.js'
+
+const benches: Record<string, () => Promise<Bench>> = {
+  rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
+}
+
+const program = new Command('bench').argument('<name>', Object.keys(benches).join(', '))
+  .option('--seed <number>', 'seed of everything that is drawn', Number, 7)
+  .option('--endpoints <number>', 'endpoints of the fleet', Number, 24)
+  .option('--origin-copies <number>', 'copies that may be read from the origin', Number, 1)
+  .option('--strategy <name>', 'how chunks are spread', 'rotation')
+  .option('--kill <number>', 'agents killed', Number, 0)
+  .option('--stall <number>', 'agents whose link stalls', Number, 0)
+  .option('--corrupt <number>', 'agents whose chunks are corrupted', Number, 0)
+  .option('--seconds <number>', 'length of the measured time', Number, 10)
+  .option('--window <number>', 'chunks in flight at one agent', Number, 32)
+  .option('--no-baselines', 'leaves the baselines out')
+  .action(async (name: string, options: BenchOptions) => {
+    const load = Object.hasOwn(benches, name) ? benches[name] : undefined
+    if (load === undefined) program.error(`no benchmark is named ${name}`, { exitCode: 2 })
+    else process.exitCode = await (await load())(options) ? 0 : 1
+  })
+
+await program.parseAsync(process.argv)
+process.exit()
--- a/packages/benchmarks/src/lib/callers.ts
+++ b/packages/benchmarks/src/lib/callers.ts
@@ -82,7 +82,13 @@
   }
 }
 
-function send (call: Call, due: number): Promise<RawAnswer> {
+/** Asks an entry for a request id, as callers of requests that may not repeat do. */
+export async function issueId (address: string): Promise<string | undefined> {
+  const answer = await send({ id: '', organisation: '', address, path: '/v1/request-ids' }, performance.now())
+  return answer.status === 200 ? (JSON.parse(answer.text) as { id: string }).id : undefined
+}
+
+function send (call: Call & { path?: string }, due: number): Promise<RawAnswer> {
   const { path, method, body } = bodyOf(call)
   const [host, port] = call.address.split(':')
   const headers: Record<string, string> = {
@@ -108,7 +114,8 @@
   })
 }
 
-function bodyOf (call: Call): { path: string, method: string, body: string } {
+function bodyOf (call: Call & { path?: string }): { path: string, method: string, body: string } {
+  if (call.path !== undefined) return { path: call.path, method: 'POST', body: '' }
   if (call.plain !== undefined) return { path: `/services/${call.plain.service}${call.plain.path}`, method: call.plain.method, body: call.plain.body }
   const { pool = '', prompt = '', tokens = 0, streamed = false } = call.chat ?? {}
   const body = JSON.stringify({ model: pool, messages: [{ role: 'user', content: prompt }], max_tokens: tokens, stream: streamed })
--- a/packages/benchmarks/src/lib/demo-run.ts
+++ b/packages/benchmarks/src/lib/demo-run.ts
@@ -11,7 +11,7 @@
 import { formatPairs, type LogFields } from 'drumdrift'
 import type { Configuration } from '@drumdrift/core'
 import { generateVersion, type GeneratedVersion } from '@drumdrift/stand-ins'
-import { makeCall, type Call, type CallRecord } from './callers.js'
+import { issueId, makeCall, type Call, type CallRecord } from './callers.js'
 import { Fleet, organisations, type EndpointPlan, type Member } from './fleet.js'
 
 const POOL = 'drafting'
@@ -36,8 +36,11 @@
   private readonly _records: CallRecord[] = []
   private readonly _repeats: CallRecord[] = []
   private readonly _startedAt = performance.now()
+  /** Calls that never got an id, so that nothing was asked of a service. */
+  private _withoutId = 0
   private readonly _versions: readonly GeneratedVersion[]
-  private _killedAt = 0
+  /** Ids that entries issued, with the number of the call. */
+  private readonly _issued = new Map<string, number>()
   private _timeToReplicas = -1
 
   private constructor (private readonly _fleet: Fleet) {
@@ -55,7 +58,7 @@
       originMegabytesPerSecond: 32,
       relays: true,
       hosts: 2,
-      settings: [['requests', 'repeat-window-seconds', '4'], ['requests', 'first-answer-seconds', '2'], ['requests', 'silence-seconds', '2']]
+      settings: [['requests', 'first-answer-seconds', '2'], ['requests', 'silence-seconds', '2']]
     })
     return new DemoRun(fleet)
   }
@@ -70,8 +73,6 @@
     this._say('started', { processes: fleet.members.length, up: await fleet.untilUp(PATIENCE) })
     const first = await this._serving(0, this._models(), PATIENCE)
     this._say('version-1', { serving: first, origin_copies: this._originCopies() })
-    // Keepers vouch once they have been listed for the repeat window.
-    await pause(2_500)
     const burst = this._burst()
     await pause(2_000)
     await this._faults()
@@ -90,7 +91,6 @@
     fleet.publish(this._configuration('v2'))
     this._say('rollout', { to: 'v2' })
     await pause(700)
-    this._killedAt = Date.now()
     fleet.signal(killed, 'SIGKILL')
     killed.state = 'gone'
     this._say('killed', { instance: killed.instance })
@@ -146,11 +146,22 @@
       const due = startedAt + index * 1000 / CALLS_PER_SECOND
       const wait = due - performance.now()
       if (wait > 0) await pause(wait)
-      calls.push(makeCall({ ...this._call(index), due }).then(record => this._records.push(record)))
+      calls.push(this._make(index, due))
     }
     await Promise.all(calls)
   }
 
+  private async _make (index: number, due: number): Promise<void> {
+    const call = this._call(index)
+    const id = call.neverRepeat === true ? await issueId(call.address) : call.id
+    if (id === undefined) {
+      this._withoutId += 1
+      return
+    }
+    if (call.neverRepeat === true) this._issued.set(id, index)
+    this._records.push(await makeCall({ ...call, id, due }))
+  }
+
   private _call (index: number): Call {
     const { entries } = this._fleet
     const names = Object.keys(WEIGHTS)
@@ -169,11 +180,11 @@
   private async _repeatSome (): Promise<void> {
     const asked = this._records.filter(record => record.neverRepeat).slice(0, 60)
     for (const [index, record] of asked.entries()) {
-      const number = Number(record.id.replace('request-', ''))
+      const number = this._issued.get(record.id) ?? 0
       const other = this._fleet.entries[(number + 1 + index) % this._fleet.entries.length]
-      this._repeats.push(await makeCall({ ...this._call(number), address: other?.httpAddress ?? '' }))
+      this._repeats.push(await makeCall({ ...this._call(number), id: record.id, address: other?.httpAddress ?? '' }))
     }
-    this._say('repeated-by-callers', { asked: asked.length, run_again: 0 })
+    this._say('repeated-by-callers', { asked: asked.length, answered_again: this._repeats.filter(repeat => repeat.result === 'whole').length })
   }
 
   private async _judge (): Promise<DemoSummary> {
@@ -186,7 +197,7 @@
     const count = (result: CallRecord['result']): number => this._records.filter(record => record.result === result).length
     const neverRepeat = new Set(this._records.filter(record => record.neverRepeat).map(record => record.id))
     const repeated = [...neverRepeat].filter(id => (runs.get(id) ?? 0) > 1).length
-    const untrue = [...this._records, ...this._repeats].filter(record => record.kind === 'plain' && record.result === 'refused' && this._records.every(other => other.id !== record.id || other === record || other.result === 'refused') && (runs.get(record.id) ?? 0) > 0).length
+    const untrue = this._untrueNotRun(runs)
     const partial = engines.reduce((sum, engine) => sum + engine.journal.partialLoads, 0)
     const orphans = await this._fleet.stop()
     this._explain()
@@ -197,9 +208,9 @@
       of: models.length,
       time_to_replicas_milliseconds: this._timeToReplicas,
       origin_copies: originCopies.toFixed(2),
-      answers_asked: this._records.length,
+      answers_asked: this._records.length + this._withoutId,
       answers_whole: count('whole'),
-      answers_refused: count('refused'),
+      answers_refused: count('refused') + this._withoutId,
       answers_unknown: count('unknown'),
       answers_cut: count('cut'),
       answers_wrong: count('wrong'),
@@ -212,6 +223,16 @@
     }
   }
 
+  /** Ids that ran more often than attempts were not told "not run". */
+  private _untrueNotRun (runs: ReadonlyMap<string, number>): number {
+    const mayHaveRun = new Map<string, number>()
+    for (const record of [...this._records, ...this._repeats]) {
+      const attempts = record.result === 'refused' ? 0 : 1
+      mayHaveRun.set(record.id, (mayHaveRun.get(record.id) ?? 0) + attempts)
+    }
+    return [...mayHaveRun].filter(([id, attempts]) => (runs.get(id) ?? 0) > 0 && attempts === 0).length
+  }
+
   /** Says why calls did not get an answer, by code. */
   private _explain (): void {
     const codes = new Map<string, number>()
--- /dev/null
+++ b/packages/core/src/lib/issued-id.ts
@@ -0,0 +1,55 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Request ids that the system issues. Such an id names its keepers, their incarnations and the reading of each one's
+ * own clock at the time of issue. A keeper of the same incarnation has lived through everything that can have happened
+ * to the id, so it can vouch from its first second on, and no two clocks need to agree. This is what makes requests
+ * that may not repeat work right after a cold start, when no keeper is old enough to vouch for a caller's own id.
+ */
+
+/** One keeper as an id names it. */
+export interface IssuedKeeper {
+  readonly instance: string
+  readonly incarnation: string
+  /** The keeper's own clock at the time of issue, in milliseconds. */
+  readonly at: number
+}
+
+const PREFIX = 'issued1'
+const PART = ','
+const FIELD = '~'
+const MOST_KEEPERS = 9
+
+/**
+ * Writes an id.
+ *
+ * @param random Makes the id unique; letters and digits.
+ * @example
+ * formatIssuedId('k3x9', [{ instance: 'agent-1', incarnation: 'agent-1.ab12', at: 4711 }])
+ */
+export function formatIssuedId (random: string, keepers: readonly IssuedKeeper[]): string {
+  const parts = keepers.map(({ instance, incarnation, at }) => [instance, incarnation.slice(instance.length + 1), Math.floor(at)].join(FIELD))
+  return [PREFIX, random, ...parts].join(PART)
+}
+
+/**
+ * Reads the keepers out of an id; nothing for an id that the system did not issue.
+ *
+ * @example
+ * parseIssuedId('issued1,k3x9,agent-1~ab12~4711')?.length // 1
+ */
+export function parseIssuedId (id: string): IssuedKeeper[] | undefined {
+  const [prefix, random, ...parts] = id.split(PART)
+  if (prefix !== PREFIX || random === undefined || random === '' || parts.length === 0 || parts.length > MOST_KEEPERS) return undefined
+  const keepers: IssuedKeeper[] = []
+  for (const part of parts) {
+    const [instance = '', suffix = '', clock = ''] = part.split(FIELD)
+    if (instance === '' || suffix === '' || !/^\d{1,15}$/.test(clock)) return undefined
+    keepers.push({ instance, incarnation: `${instance}.${suffix}`, at: Number(clock) })
+  }
+  const names = new Set(keepers.map(keeper => keeper.instance))
+  return names.size === keepers.length ? keepers : undefined
+}
--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -10,6 +10,7 @@
 import type { Admission, AdmissionRefusal, CancelReply, OfferReply } from './admission.js'
 import type { ClaimReply } from './claims.js'
 import type { EndpointStatus } from './choice.js'
+import type { IssuedKeeper } from './issued-id.js'
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
 import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
@@ -47,9 +48,12 @@
   | { readonly type: 'compare', readonly note: SpreadNote, readonly address: string }
   | { readonly type: 'push', readonly documents: SpreadDocuments }
   | { readonly type: 'chunk', readonly digest: string, readonly wait: number }
-  | { readonly type: 'manifest', readonly digest: string }
+  /** `wait`: milliseconds that the peer may take to get it first. */
+  | { readonly type: 'manifest', readonly digest: string, readonly wait: number }
   | { readonly type: 'offer', readonly endpoint: string }
   | { readonly type: 'claim', readonly organisation: string, readonly id: string, readonly attempt: string, readonly bodyDigest: string }
+  /** Asks for what an issued id says of this keeper. */
+  | { readonly type: 'issue' }
   | { readonly type: 'release', readonly organisation: string, readonly id: string, readonly attempt: string }
   | { readonly type: 'run', readonly endpoint: string, readonly request: ForwardedRequest }
   | { readonly type: 'go', readonly ticket: string, readonly request: ForwardedRequest }
@@ -87,8 +91,11 @@
   | { readonly type: 'done' }
   | { readonly type: 'chunk', readonly digest: string }
   | { readonly type: 'manifest', readonly digest: string }
+  /** The chunk is held or on its way here; said at once and again, so that waiting is not taken for a stall. */
+  | { readonly type: 'chunk-coming' }
   | { readonly type: 'no-chunk', readonly reason: 'not-yet' | 'not-held' | 'busy' }
   | { readonly type: 'offered', readonly reply: OfferReply, readonly status: EndpointStatus }
+  | { readonly type: 'issued', readonly keeper: IssuedKeeper }
   | { readonly type: 'claimed', readonly reply: ClaimReply }
   | { readonly type: 'admitted', readonly admission: Admission, readonly status: EndpointStatus }
   | { readonly type: 'cancelled', readonly reply: CancelReply }
--- a/packages/core/src/lib/once-attempt.ts
+++ b/packages/core/src/lib/once-attempt.ts
@@ -13,7 +13,7 @@
  * word makes it true: a refusal, or a cancel that found the ticket unused and killed it. All else is "unknown".
  */
 import type { AdmissionRefusal, CancelReply, OfferReply } from './admission.js'
-import { ClaimQuorum, type ClaimReply } from './claims.js'
+import { ClaimQuorum, type ClaimReply, type Keepers } from './claims.js'
 import { requestFailure, type RequestFailure } from './failure.js'
 
 /** What the entry is to do next. */
@@ -35,6 +35,7 @@
 export class OnceAttempt {
   private _phase: Phase = 'offering'
   private _ticket = ''
+  readonly keepers: readonly string[]
   private readonly _quorum: ClaimQuorum
 
   /**
@@ -42,8 +43,9 @@
    * @param agent The endpoint's agent.
    * @param keepers From `keepersOf`.
    */
-  constructor (readonly attempt: string, readonly agent: string, readonly keepers: readonly string[], bodyDigest: string) {
-    this._quorum = new ClaimQuorum(keepers, attempt, bodyDigest)
+  constructor (readonly attempt: string, readonly agent: string, keepers: Keepers, bodyDigest: string) {
+    this.keepers = keepers.instances
+    this._quorum = new ClaimQuorum(keepers.instances, keepers.needed, attempt, bodyDigest)
   }
 
   /** Whether `go` has been sent: from then on "not run" needs proof. */
--- a/packages/core/src/lib/spread.ts
+++ b/packages/core/src/lib/spread.ts
@@ -95,6 +95,7 @@
   private readonly _service: Record<Topic, ServiceState>
   private _compareAt: number
   private _comparisons = 0
+  private _order: { readonly revision: number, readonly members: readonly string[] } = { revision: 0, members: [] }
 
   /**
    * @param _random Draws from [0, 1); seeded in tests.
@@ -192,7 +193,7 @@
 
   /** Whether this process is one of its zone's watchers. */
   isWatcher (): boolean {
-    const order = rendezvousOrder(this._zoneMembers(), 'watchers')
+    const order = this._zoneOrder()
     const rank = order.indexOf(this._self.instance)
     return rank >= 0 && rank < this._policy.watchersPerZone
   }
@@ -208,7 +209,7 @@
 
   /** Children in a tree over the zone, laid out in the order that starts with the watchers. */
   private _push (topic: Topic, now: number): SpreadEffect[] {
-    const order = rendezvousOrder(this._zoneMembers(), 'watchers')
+    const order = this._zoneOrder()
     const rank = order.indexOf(this._self.instance)
     if (rank < 0) return []
     const addresses = new Map(this.instances.map(record => [record.instance, record.address]))
@@ -270,8 +271,13 @@
     state.confirmedAt = Math.max(state.confirmedAt, now - age)
   }
 
-  private _zoneMembers (): string[] {
-    const listed = this.instances.filter(record => record.availabilityZone === this._self.availabilityZone)
-    return listed.map(record => record.instance)
+  /** The zone's members in the order that starts with the watchers; worked out once for each instance list. */
+  private _zoneOrder (): readonly string[] {
+    const revision = this.revision('instances')
+    if (this._order.revision !== revision) {
+      const listed = this.instances.filter(record => record.availabilityZone === this._self.availabilityZone)
+      this._order = { revision, members: rendezvousOrder(listed.map(record => record.instance), 'watchers') }
+    }
+    return this._order.members
   }
 }
--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -37,7 +37,7 @@
 
 /** The policy that the daemons use unless the settings say otherwise. */
 export const defaultTransferPolicy: TransferPolicy = {
-  window: 12,
+  window: 32,
   strategy: 'rotation',
   originCopies: 1,
   originStagger: 400,
@@ -50,7 +50,7 @@
   readonly attempt: number
   readonly source: ChunkSource
   readonly startedAt: number
-  readonly deadline: number
+  deadline: number
 }
 
 interface Want {
@@ -131,6 +131,7 @@
     if (flight !== undefined) this._observe(now - flight.startedAt)
     if (flight === undefined) return []
     this._flights.delete(attempt)
+    this._alive(flight.source, now)
     const digest = this._manifest.chunks[flight.index]?.digest
     const effects: TransferEffect[] = []
     for (const index of [...this._missing]) {
@@ -142,12 +143,19 @@
     return [...effects, ...this.tick(now)]
   }
 
+  /** The source of an attempt says that it holds the chunk, or awaits it itself, and will send it. */
+  coming (attempt: number, now: number): void {
+    const flight = this._flights.get(attempt)
+    if (flight !== undefined) flight.deadline = Math.max(flight.deadline, now + this._timeout(flight.source))
+  }
+
   /** An attempt gave nothing. A peer that is dead or corrupt is passed over for a while, with all its flights. */
   failed (attempt: number, problem: FetchProblem, now: number): TransferEffect[] {
     const flight = this._flights.get(attempt)
     if (flight === undefined) return []
     this._flights.delete(attempt)
     this._note(flight, problem, now)
+    if (problem === 'not-yet') this._alive(flight.source, now)
     const effects: TransferEffect[] = []
     const blamed = problem === 'corrupt' || problem === 'unreachable' || problem === 'timed-out'
     if (blamed && flight.source.kind === 'peer') effects.push(...this._penalise(flight.source.instance, now))
@@ -244,6 +252,13 @@
     return effects
   }
 
+  /** A source that has just answered serves its queue: what else waits there is not stalled. */
+  private _alive (source: ChunkSource, now: number): void {
+    for (const flight of this._flights.values()) {
+      if (sameSource(flight.source, source)) flight.deadline = Math.max(flight.deadline, now + this._timeout(source))
+    }
+  }
+
   private _abandonIndex (index: number): TransferEffect[] {
     const effects: TransferEffect[] = []
     for (const flight of [...this._flights.values()]) {
@@ -270,3 +285,8 @@
     return Math.max(least, observed)
   }
 }
+
+function sameSource (left: ChunkSource, right: ChunkSource): boolean {
+  if (left.kind !== 'peer' || right.kind !== 'peer') return left.kind === right.kind
+  return left.instance === right.instance
+}
--- a/packages/node/src/lib/agent/agent-requests.ts
+++ b/packages/node/src/lib/agent/agent-requests.ts
@@ -17,6 +17,7 @@
 
 /** What the handlers work with. */
 export interface AgentRequestsParts {
+  readonly instance: string
   readonly endpoint: string
   readonly door: AdmissionDoor
   readonly keeper: ClaimKeeper
@@ -56,12 +57,16 @@
     compare: (request, _payload, responder) => this._parts.spread.compared(request, responder),
     push: (request, _payload, responder) => this._parts.spread.pushed(request, responder),
     chunk: ({ digest, wait }, _payload, responder) => { this._parts.chunks.serve(String(digest), Number(wait) || 0, responder) },
-    manifest: ({ digest }, _payload, responder) => { this._manifest(String(digest), responder) },
+    manifest: ({ digest, wait }, _payload, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
     offer: ({ endpoint }, _payload, responder) => this._offer(endpoint, responder),
     claim: ({ organisation, id, attempt, bodyDigest }, _payload, responder) => {
       const reply = this._parts.keeper.claim(String(organisation), String(id), String(attempt), String(bodyDigest), performance.now())
       responder.send({ type: 'claimed', reply })
     },
+    issue: (_request, _payload, responder) => {
+      const { incarnation } = this._parts.door
+      responder.send({ type: 'issued', keeper: { instance: this._parts.instance, incarnation, at: performance.now() } })
+    },
     release: ({ organisation, id, attempt }, _payload, responder) => {
       this._parts.keeper.release(organisation, id, attempt)
       responder.send({ type: 'done' })
@@ -82,8 +87,8 @@
     leave: (request, _payload, responder) => this._leave(request, responder)
   }
 
-  private async _manifest (digest: string, responder: Responder): Promise<void> {
-    const bytes = await this._parts.weights.manifest(digest)
+  private async _manifest (digest: string, wait: number, responder: Responder): Promise<void> {
+    const bytes = await this._parts.weights.manifest(digest, wait)
     if (bytes === undefined) responder.send({ type: 'no-chunk', reason: 'not-held' })
     else responder.send({ type: 'manifest', digest }, bytes)
   }
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -55,6 +55,7 @@
   private readonly _weights: WeightsKeeper
   private readonly _switcher: Switcher
   private readonly _runner: RequestRunner
+  private readonly _chunks: ChunkServer
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly InstanceRecord[] = []
   private _addresses: ReadonlyMap<string, string> = new Map()
@@ -72,7 +73,7 @@
     const readPacer = { received: (bytes: number): number => this._pacer.received(bytes, performance.now()) }
     this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS)
     this._door.setServing(!this._model)
-    this._keeper = new ClaimKeeper({ repeatWindow: number('requests', 'repeat-window-seconds') * 1000, recordsPerOrganisation: number('requests', 'records-per-organisation') })
+    this._keeper = new ClaimKeeper(this.incarnation, { repeatWindow: number('requests', 'repeat-window-seconds') * 1000, recordsPerOrganisation: number('requests', 'records-per-organisation') })
     this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, readPacer)
     const platform = new HttpPlatform({
       configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: text('platform', 'store'), origin: text('platform', 'origin')
@@ -118,12 +119,14 @@
     this._runner = new RequestRunner({
       endpointAddress: text('endpoint', 'address'), door: this._door, pacer: this._pacer, counters: this._counters, status: () => this._endpointStatus()
     })
+    this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
     const requests = new AgentRequests({
+      instance: this._name,
       endpoint: this._endpoint,
       door: this._door,
       keeper: this._keeper,
       spread: this._spread,
-      chunks: new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest)),
+      chunks: this._chunks,
       weights: this._weights,
       switcher: this._switcher,
       runner: this._runner,
@@ -191,6 +194,7 @@
   private _close (): void {
     this._spread.close()
     this._weights.close()
+    this._chunks.close()
     this._switcher.close()
     this._server.close()
     this._pool.close()
--- a/packages/node/src/lib/agent/chunk-server.ts
+++ b/packages/node/src/lib/agent/chunk-server.ts
@@ -12,63 +12,81 @@
 import type { ChunkStore } from './chunk-store.js'
 
 /** Chunks that may wait to be sent; more are refused as busy, so that memory stays bounded. */
-const MOST_QUEUED = 256
+const MOST_QUEUED = 1_024
 /** The longest that a peer may wait for a chunk that is on its way here, in milliseconds. */
-const LONGEST_WAIT = 2_000
+const LONGEST_WAIT = 10_000
+/** Peers that wait hear that they are not forgotten this often, in milliseconds. */
+const REASSURE_PAUSE = 300
+
+interface Wanted {
+  readonly digest: string
+  readonly responder: Responder
+}
 
 /** The uplink side of an agent's transfers. */
 export class ChunkServer {
-  private readonly _queue: { readonly digest: string, readonly responder: Responder }[] = []
+  private readonly _queue: Wanted[] = []
+  private readonly _waiting = new Set<Wanted>()
+  private readonly _timer: NodeJS.Timeout
   private _sending = false
-  private _sentBytes = 0
 
   /**
-   * @param _expects Whether a chunk belongs to the version being fetched, so that waiting for it makes sense.
+   * @param _expects Whether a chunk is, or may be, part of the version being fetched, so that waiting makes sense.
    */
-  constructor (private readonly _store: ChunkStore, private readonly _pacer: LinkPacer, private readonly _expects: (digest: string) => boolean) {}
+  constructor (private readonly _store: ChunkStore, private readonly _pacer: LinkPacer, private readonly _expects: (digest: string) => boolean) {
+    this._timer = setInterval(() => this._reassure(), REASSURE_PAUSE)
+  }
 
-  /** Bytes of chunks sent to peers since the start. */
-  get sentBytes (): number { return this._sentBytes }
-  /** Chunks that wait to be sent. */
-  get queued (): number { return this._queue.length }
+  close (): void { clearInterval(this._timer) }
 
   /** Answers a request for a chunk. */
   async serve (digest: string, wait: number, responder: Responder): Promise<void> {
-    if (!this._store.has(digest) && !this._expects(digest)) {
-      responder.send({ type: 'no-chunk', reason: 'not-held' })
-      return
-    }
-    const held = await this._store.waitFor(digest, Math.min(LONGEST_WAIT, Math.max(0, wait)))
-    if (!held) {
-      responder.send({ type: 'no-chunk', reason: 'not-yet' })
-      return
-    }
+    const wanted: Wanted = { digest, responder }
+    if (!this._store.has(digest) && !await this._arrives(wanted, wait)) return
     if (this._queue.length >= MOST_QUEUED) {
       responder.send({ type: 'no-chunk', reason: 'busy' })
       return
     }
-    this._queue.push({ digest, responder })
+    this._queue.push(wanted)
+    responder.send({ type: 'chunk-coming' })
     if (!this._sending) await this._drain()
   }
 
+  /** Waits for a chunk that is on its way here; says so if it is not, or does not come. */
+  private async _arrives (wanted: Wanted, wait: number): Promise<boolean> {
+    const { digest, responder } = wanted
+    if (!this._expects(digest)) {
+      responder.send({ type: 'no-chunk', reason: 'not-held' })
+      return false
+    }
+    responder.send({ type: 'chunk-coming' })
+    this._waiting.add(wanted)
+    const held = await this._store.waitFor(digest, Math.min(LONGEST_WAIT, Math.max(0, wait)))
+    this._waiting.delete(wanted)
+    if (!held) responder.send({ type: 'no-chunk', reason: 'not-yet' })
+    return held
+  }
+
+  private _reassure (): void {
+    for (const { responder } of this._queue) responder.send({ type: 'chunk-coming' })
+    for (const { responder } of this._waiting) responder.send({ type: 'chunk-coming' })
+  }
+
   private async _drain (): Promise<void> {
     this._sending = true
-    for (;;) {
-      const next = this._queue.shift()
-      if (next === undefined) break
-      if (next.responder.connection.open) await this._send(next.digest, next.responder)
+    for (let next = this._queue.shift(); next !== undefined; next = this._queue.shift()) {
+      if (next.responder.connection.open) await this._send(next)
     }
     this._sending = false
   }
 
-  private async _send (digest: string, responder: Responder): Promise<void> {
+  private async _send ({ digest, responder }: Wanted): Promise<void> {
     const bytes = await this._store.get(digest)
     if (bytes === undefined) {
       responder.send({ type: 'no-chunk', reason: 'not-held' })
       return
     }
     await this._pace(bytes.length)
-    this._sentBytes += bytes.length
     responder.send({ type: 'chunk', digest }, bytes)
   }
 
--- a/packages/node/src/lib/agent/chunk-store.ts
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -7,13 +7,14 @@
  * Where chunks stand while peers still need them. The engine's staging memory holds all chunks of the wanted version,
  * as it must to load it; this process keeps only the latest, up to a limit, and reads older ones back.
  */
+import { Arrivals } from './arrivals.js'
 import type { Engine } from './engine-client.js'
 
 /** Chunks of one agent. */
 export class ChunkStore {
   private readonly _recent = new Map<string, Buffer>()
   private readonly _staged = new Set<string>()
-  private readonly _waiters = new Map<string, Set<() => void>>()
+  private readonly _arrivals = new Arrivals()
   private _bytes = 0
 
   /**
@@ -36,7 +37,7 @@
    */
   async keep (digest: string, bytes: Buffer): Promise<boolean> {
     this._remember(digest, bytes)
-    this._wake(digest)
+    this._arrivals.arrived(digest)
     const staged = await this._engine.stage('chunks', digest, bytes)
     if (staged) this._staged.add(digest)
     return staged
@@ -60,18 +61,7 @@
   /** Waits until a chunk is held, for `wait` milliseconds at most. Returns whether it is. */
   async waitFor (digest: string, wait: number): Promise<boolean> {
     if (this.has(digest)) return true
-    await new Promise<void>(resolve => {
-      const waiters = this._waiters.get(digest) ?? new Set()
-      this._waiters.set(digest, waiters)
-      const done = (): void => {
-        clearTimeout(timer)
-        waiters.delete(done)
-        if (waiters.size === 0) this._waiters.delete(digest)
-        resolve()
-      }
-      const timer = setTimeout(done, wait)
-      waiters.add(done)
-    })
+    await this._arrivals.waitFor(digest, wait)
     return this.has(digest)
   }
 
@@ -94,8 +84,4 @@
       this._bytes -= held.length
     }
   }
-
-  private _wake (digest: string): void {
-    for (const done of [...this._waiters.get(digest) ?? []]) done()
-  }
 }
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -8,13 +8,15 @@
  * kept or passed on, and says when the version is whole.
  */
 import {
-  checkManifest, failureOf, rendezvousOrder, Transfer, type ChunkMember, type Manifest, type TransferEffect, type TransferPolicy, type WeightsFailure
+  checkManifest, rendezvousOrder, Transfer, type ChunkMember, type Manifest, type TransferEffect, type TransferPolicy, type WeightsFailure
 } from '@drumdrift/core'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
 import type { Platform } from '../platform/platform-client.js'
+import { Arrivals } from './arrivals.js'
+import { fetchChunk, type PeerChunk } from './chunk-fetch.js'
 import type { ChunkStore } from './chunk-store.js'
 import { digestOf, digestOfText } from './digest.js'
 import type { Engine } from './engine-client.js'
@@ -40,6 +42,9 @@
 
 const TICK = 50
 const PEER_WAIT = 1_000
+/** How long a peer may wait for a chunk itself before it says that it has none, in milliseconds. */
+const CHUNK_WAIT = 6_000
+const LONGEST_FETCH = 30_000
 const MANIFEST_FAN_OUT = 8
 const MANIFEST_PAUSE = 200
 /** Added wait, for each rank, before the platform is asked for a manifest that peers did not have. */
@@ -59,6 +64,7 @@
   private _wantedDigests: ReadonlySet<string> = new Set()
   private readonly _fetches = new Map<number, AbortController>()
   private readonly _manifests = new Map<string, Buffer>()
+  private readonly _arrivals = new Arrivals()
   private readonly _ticker: NodeJS.Timeout
 
   constructor (private readonly _parts: WeightsKeeperParts) {
@@ -79,12 +85,22 @@
     for (const fetch of this._fetches.values()) fetch.abort()
   }
 
-  /** Whether a chunk belongs to the version being fetched. */
-  expects (digest: string): boolean { return this._wantedDigests.has(digest) }
+  /** Whether a chunk belongs to the version being fetched, or may: its manifest may still be on its way. */
+  expects (digest: string): boolean {
+    if (this._wanted !== '' && this._manifest === undefined) return true
+    return this._wantedDigests.has(digest)
+  }
 
-  /** A manifest for a peer. */
-  async manifest (digest: string): Promise<Buffer | undefined> {
-    return this._manifests.get(digest) ?? await this._parts.engine.readBack('manifests', digest)
+  /**
+   * A manifest for a peer.
+   *
+   * @param wait Milliseconds to wait for one that is on its way here.
+   */
+  async manifest (digest: string, wait: number): Promise<Buffer | undefined> {
+    const held = this._manifests.get(digest) ?? await this._parts.engine.readBack('manifests', digest)
+    if (held !== undefined || wait <= 0) return held
+    await this._arrivals.waitFor(digest, Math.min(PEER_WAIT, wait))
+    return this._manifests.get(digest)
   }
 
   /**
@@ -129,6 +145,8 @@
     this._manifest = checked.value
     this._manifests.clear()
     this._manifests.set(manifestDigest, bytes)
+    this._arrivals.arrived(manifestDigest)
+    this._parts.log.info('manifest-held', { manifest: manifestDigest, chunks: checked.value.chunks.length })
     this._wantedDigests = new Set(checked.value.chunks.map(chunk => chunk.digest))
     const policy = { ...this._parts.policy, originCopies: this._originCopies }
     this._members = this._parts.members()
@@ -140,7 +158,7 @@
 
   /** Parents in a tree over the members first, then, staggered by rank, the platform. */
   private async _fetchManifest (digest: string, waited: number): Promise<Buffer | undefined> {
-    const held = await this.manifest(digest)
+    const held = await this.manifest(digest, 0)
     if (held !== undefined && digestOfText(held) === digest) return held
     const names = [...new Set([this._parts.self.instance, ...this._parts.members().map(member => member.instance)])]
     const order = rendezvousOrder(names, digest)
@@ -156,7 +174,7 @@
     const address = this._parts.addressOf(instance)
     if (address === undefined) return undefined
     try {
-      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest }, { timeout: PEER_WAIT })
+      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest, wait: PEER_WAIT }, { timeout: 2 * PEER_WAIT })
       return reply.type === 'manifest' && digestOfText(payload) === digest ? payload : undefined
     } catch {
       return undefined
@@ -227,21 +245,14 @@
     return staged ? undefined : 'not-yet'
   }
 
-  private async _bytes (effect: Fetch, signal: AbortSignal): Promise<Buffer | 'unreachable' | 'not-yet' | 'not-held' | 'timed-out'> {
+  private async _bytes (effect: Fetch, signal: AbortSignal): Promise<PeerChunk> {
     if (effect.source.kind !== 'peer') {
-      return await this._parts.platform.weights(effect.source.kind, 'chunks', effect.digest, effect.timeout, signal) ?? 'not-held'
+      return await this._parts.platform.weights(effect.source.kind, 'chunks', effect.digest, LONGEST_FETCH, signal) ?? 'not-held'
     }
     const address = this._parts.addressOf(effect.source.instance)
     if (address === undefined) return 'unreachable'
-    try {
-      const wait = Math.min(PEER_WAIT, effect.timeout / 2)
-      const { reply, payload } = await this._parts.pool.call(address, { type: 'chunk', digest: effect.digest, wait }, { timeout: effect.timeout, purpose: 'bulk' })
-      if (reply.type === 'chunk') return payload
-      return reply.type === 'no-chunk' && reply.reason === 'not-held' ? 'not-held' : 'not-yet'
-    } catch (error) {
-      const failure = failureOf(error)
-      return failure.type === 'peer-failure' && failure.reason === 'timed-out' ? 'timed-out' : 'unreachable'
-    }
+    const onComing = (): void => this._transfer?.coming(effect.attempt, performance.now())
+    return await fetchChunk(this._parts.pool, { address, digest: effect.digest, wait: CHUNK_WAIT, signal, onComing })
   }
 
   private _fail (problem: WeightsFailure): void {
--- a/packages/node/src/lib/entry/caller-request.ts
+++ b/packages/node/src/lib/entry/caller-request.ts
@@ -45,7 +45,7 @@
 
 const CHAT_PATH = '/v1/chat/completions'
 const SERVICE_PATH = /^\/services\/([^/?]+)(\/.*)?$/
-const ID_PATTERN = /^[\x21-\x7e]{1,128}$/
+const ID_PATTERN = /^[\x21-\x7e]{1,512}$/
 const PREFIX_CHARACTERS = 256
 const RETRY_AFTER_SETTINGS = 1_000
 
@@ -91,7 +91,7 @@
 
 function parseCommon (raw: RawRequest, longest: number, now: number): Common | RequestFailure {
   const id = header(raw, 'x-request-id') ?? header(raw, 'idempotency-key') ?? randomUUID()
-  if (!ID_PATTERN.test(id)) return requestFailure('bad-request', 'not-run', 'x-request-id: 1 to 128 printable characters are expected')
+  if (!ID_PATTERN.test(id)) return requestFailure('bad-request', 'not-run', 'x-request-id: 1 to 512 printable characters are expected')
   const requestClass = header(raw, 'x-request-class') ?? 'interactive'
   if (requestClass !== 'interactive' && requestClass !== 'batch') return requestFailure('bad-request', 'not-run', 'x-request-class: interactive or batch is expected')
   const given = header(raw, 'x-deadline-milliseconds')
--- a/packages/node/src/lib/entry/entry.ts
+++ b/packages/node/src/lib/entry/entry.ts
@@ -71,6 +71,7 @@
       configuration: () => this._spread.spread.configuration,
       organisations: () => this._organisations,
       operator: (request, body) => desk.answer(request, body),
+      issueId: () => once.issueId(),
       log: _log,
       counters: this._counters,
       histograms: this._histograms
--- a/packages/node/src/lib/entry/http-front.ts
+++ b/packages/node/src/lib/entry/http-front.ts
@@ -30,6 +30,8 @@
   /** Organisations by the digest of their callers' keys. */
   readonly organisations: () => ReadonlyMap<string, string>
   readonly operator: OperatorHandler
+  /** Issues a request id, or nothing when too few keepers can be reached. */
+  readonly issueId: () => Promise<string | undefined>
   readonly log: Log
   readonly counters: Counters
   readonly histograms: Histograms
@@ -76,6 +78,7 @@
     '/health': (_request, response) => { response.writeHead(this._leaving ? 503 : 200).end() },
     '/metrics': async (_request, response) => { response.end(await metricsText(this._parts.counters, this._parts.histograms)) },
     '/v1/models': (_request, response) => { this._models(response) },
+    '/v1/request-ids': async (_request, response) => { await this._issue(response) },
     '/operator/ask': async (request, response) => { await this._operator(request, response) },
     '/operator/histograms': async (request, response) => { await this._operator(request, response) }
   }
@@ -121,6 +124,15 @@
     response.end(JSON.stringify({ object: 'list', data: pools.map(id => ({ id, object: 'model', owned_by: 'drumdrift' })) }))
   }
 
+  private async _issue (response: ServerResponse): Promise<void> {
+    const id = await this._parts.issueId()
+    if (id === undefined) {
+      refuse(response, requestFailure('no-endpoint', 'not-run', 'too few keepers can be reached', RETRY_WHEN_LEAVING))
+      return
+    }
+    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ id }))
+  }
+
   private async _operator (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request, this._parts.largestBody)
     const answer = await this._parts.operator(request, body ?? Buffer.alloc(0))
--- a/packages/node/src/lib/entry/once-carrier.ts
+++ b/packages/node/src/lib/entry/once-carrier.ts
@@ -6,8 +6,9 @@
 /**
  * Carries out one attempt of a request that may not repeat: the sockets round `OnceAttempt`, which decides.
  */
+import { randomBytes } from 'node:crypto'
 import {
-  keepersOf, OnceAttempt, type AdmissionRefusal, type CancelReply, type ClaimReply, type InstanceRecord, type OfferReply, type OnceEffect, type PeerRequest, type RequestFailure,
+  formatIssuedId, KEEPER_COUNT, keepersOf, rendezvousOrder, OnceAttempt, type AdmissionRefusal, type CancelReply, type ClaimReply, type InstanceRecord, type OfferReply, type OnceEffect, type PeerRequest, type RequestFailure,
   requestFailure
 } from '@drumdrift/core'
 import type { Reply } from '../peer/connection.js'
@@ -33,6 +34,8 @@
 }
 
 const STEP_TIMEOUT = 800
+const ISSUE_TIMEOUT = 400
+const LEAST_KEEPERS = 3
 const CANCEL_TIMEOUT = 1_000
 
 interface Attempt {
@@ -50,6 +53,20 @@
 
   constructor (private readonly _parts: OnceCarrierParts) {}
 
+  /**
+   * Issues a request id, whose keepers are agents that answer now, of as many availability zones as there are.
+   *
+   * @returns Nothing when fewer than three answer, or all where there are fewer agents.
+   */
+  async issueId (): Promise<string | undefined> {
+    const random = randomBytes(9).toString('hex')
+    const live = this._parts.agents().filter(agent => agent.state === 'live')
+    const chosen = spreadOverZones(live, random).slice(0, KEEPER_COUNT)
+    const answers = await Promise.all(chosen.map(async agent => await this._ask(agent.address, { type: 'issue' }, ISSUE_TIMEOUT)))
+    const keepers = answers.flatMap(answer => answer?.reply.type === 'issued' ? [answer.reply.keeper] : [])
+    return keepers.length >= Math.min(LEAST_KEEPERS, live.length) && keepers.length > 0 ? formatIssuedId(random, keepers) : undefined
+  }
+
   /** Makes one attempt at one endpoint. */
   attempt (job: Job, group: Group<Job>, record: InstanceRecord): Promise<OnceOutcome> {
     const agents = this._parts.agents()
@@ -147,3 +164,17 @@
     }
   }
 }
+
+/** Agents in rendezvous order, the zones in turn, so that the loss of one zone takes as few keepers as can be. */
+function spreadOverZones (agents: readonly InstanceRecord[], subject: string): InstanceRecord[] {
+  const byName = new Map(agents.map(agent => [agent.instance, agent]))
+  const taken = new Map<string, number>()
+  const placed = rendezvousOrder([...byName.keys()], subject).flatMap(instance => {
+    const agent = byName.get(instance)
+    if (agent === undefined) return []
+    const round = taken.get(agent.availabilityZone) ?? 0
+    taken.set(agent.availabilityZone, round + 1)
+    return [{ agent, round }]
+  })
+  return placed.sort((left, right) => left.round - right.round).map(({ agent }) => agent)
+}
--- a/packages/node/src/lib/peer/pool.ts
+++ b/packages/node/src/lib/peer/pool.ts
@@ -64,8 +64,8 @@
   }
 
   /** The open connection to a peer, for calls with many replies. */
-  async connection (address: string): Promise<PeerConnection> {
-    const pooled = this._get(address, 'control')
+  async connection (address: string, purpose: Purpose = 'control'): Promise<PeerConnection> {
+    const pooled = this._get(address, purpose)
     pooled.usedAt = performance.now()
     return await pooled.connecting
   }
--- a/packages/node/src/lib/settings/schema.ts
+++ b/packages/node/src/lib/settings/schema.ts
@@ -57,7 +57,7 @@
   { section: 'endpoint', key: 'address', type: 'address', roles: agent, meaning: 'The endpoint beside this agent (HTTP).' },
   { section: 'weights', key: 'link-megabytes-per-second', type: 'number', unit: 'MiB/s', fallback: '1000', least: 0.01, most: 100_000, roles: agent, meaning: 'This instance\'s link, each way. Transfers keep below it and yield to live answers.' },
   { section: 'weights', key: 'memory-megabytes', type: 'number', unit: 'MiB', fallback: '16', least: 1, most: 4096, roles: agent, meaning: 'Chunks held in this process for peers; older ones are read back from the engine.' },
-  { section: 'weights', key: 'window', type: 'number', unit: 'chunks', fallback: '12', least: 1, most: 256, roles: agent, meaning: 'Chunks in flight at once.' },
+  { section: 'weights', key: 'window', type: 'number', unit: 'chunks', fallback: '32', least: 1, most: 256, roles: agent, meaning: 'Chunks in flight at once.' },
   { section: 'weights', key: 'largest-gigabytes', type: 'number', unit: 'GiB', fallback: '2048', least: 0.001, most: 65_536, roles: agent, meaning: 'The largest version that is accepted.' },
   { section: 'weights', key: 'strategy', type: 'choice', choices: ['rotation', 'rendezvous', 'tree', 'origin'], fallback: 'rotation', roles: agent, meaning: 'How chunks are spread; all but rotation are for comparison.' },
   { section: 'requests', key: 'largest-body-kilobytes', type: 'number', unit: 'KiB', fallback: '1024', least: 1, most: 32_768, roles: entry, meaning: 'The largest body of a request.' },
--- a/packages/node/src/lib/spread-runner.ts
+++ b/packages/node/src/lib/spread-runner.ts
@@ -44,7 +44,7 @@
     const now = performance.now()
     const { reply, behind } = this.spread.compared(request.note, now)
     responder.send({ type: 'documents', documents: reply, note: this.spread.note(now) })
-    if (behind) void this._compare(request.address)
+    if (behind) this._compare(request.address)
   }
 
   /** Takes what a peer pushed. */
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -26,6 +26,7 @@
 
 /** What happened at an engine, for the oracles. */
 export interface EngineJournal {
+  /** `at` is when the load ended, in milliseconds since 1970. */
   readonly loads: { readonly manifest: string, readonly fence: number, readonly whole: boolean, readonly at: number }[]
   partialLoads: number
   staleFences: number
@@ -118,9 +119,9 @@
     this._failed = ''
     response.writeHead(202).end()
     const whole = await this._isWhole(manifest)
-    this.journal.loads.push({ manifest, fence, whole, at: Date.now() })
     if (!whole) this.journal.partialLoads += 1
     await pause(this._times.load)
+    this.journal.loads.push({ manifest, fence, whole, at: Date.now() })
     if (whole && this.failLoads === 0) this._version = manifest
     else this._failed = manifest
     this.failLoads = Math.max(0, this.failLoads - 1)
