--- /dev/null
+++ b/packages/core/src/test/lib/spread_test.ts
@@ -0,0 +1,114 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { InstanceRecord } from '../../lib/documents.js'
+import { defaultSpreadPolicy, Spread, type SpreadEffect, type Topic } from '../../lib/spread.js'
+
+const records: InstanceRecord[] = Array.from({ length: 30 }, (_, index) => ({
+  instance: `p${index}`, availabilityZone: `zone-${index % 3}`, role: 'agent', address: `10.0.0.${index}:1`, endpoint: 'p', state: 'live'
+}))
+const empty = { models: {}, pools: {}, services: {}, organisations: {} }
+
+function processOf (index: number): Spread {
+  const record = records[index] as InstanceRecord
+  return new Spread({ ...record, seeds: ['10.0.0.0:1'], source: 's' }, () => 0.5, 0)
+}
+
+function publish (spread: Spread, topic: Topic, revision: number, now = 0, document: unknown = topic === 'instances' ? { instances: records } : empty): SpreadEffect[] {
+  return spread.serviceAnswered(topic, { source: 's', revision, document }, now)
+}
+
+const types = (effects: readonly SpreadEffect[]): string[] => effects.map(effect => effect.type)
+
+describe('Spread', () => {
+  it('reads the service at the start, and asks a seed', () => {
+    const effects = processOf(3).tick(500)
+    assert.deepEqual(types(effects).sort(), ['compare', 'read-service', 'read-service'])
+  })
+
+  it('has two watchers in each zone, and only they go on reading', () => {
+    const spreads = records.map((_, index) => processOf(index))
+    for (const spread of spreads) publish(spread, 'instances', 1)
+    assert.equal(spreads.filter(spread => spread.isWatcher()).length, 6)
+    for (const spread of spreads) {
+      publish(spread, 'configuration', 1)
+      const reads = spread.tick(600).filter(effect => effect.type === 'read-service')
+      assert.equal(reads.length > 0, spread.isWatcher())
+    }
+  })
+
+  it('reaches all of a zone by pushes from its first watcher', () => {
+    const spreads = new Map(records.map((record, index) => [record.address, processOf(index)]))
+    for (const spread of spreads.values()) publish(spread, 'instances', 1)
+    for (const zone of ['zone-0', 'zone-1', 'zone-2']) {
+      const members = records.filter(record => record.availabilityZone === zone)
+      const pushes = members.map(record => publish(spreads.get(record.address) as Spread, 'configuration', 1).filter(effect => effect.type === 'push').length)
+      assert.equal(pushes.reduce((sum, count) => sum + count, 0), members.length - 1, 'a tree has one edge less than members')
+    }
+  })
+
+  it('gives a peer what it lacks, and asks back when it is behind', () => {
+    const [ahead, behind] = [processOf(0), processOf(1)]
+    publish(ahead, 'configuration', 7)
+    const answer = ahead.compared(behind.note(0), 0)
+    assert.deepEqual(answer.reply.documents.map(document => document.published.revision), [7])
+    assert.equal(answer.behind, false)
+    assert.equal(behind.compared(ahead.note(0), 0).behind, true)
+    assert.deepEqual(types(behind.received(answer.reply, 0)), ['adopted'])
+    assert.equal(behind.revision('configuration'), 7)
+  })
+
+  const refusals: [name: string, revision: number, document: unknown, source: string][] = [
+    ['a stale revision', 3, empty, 's'],
+    ['an invalid document', 9, { pools: 1 }, 's'],
+    ['another source', 9, empty, 't']
+  ]
+  for (const [name, revision, document, source] of refusals) {
+    it(`keeps what it has against ${name}`, () => {
+      const spread = processOf(0)
+      publish(spread, 'configuration', 7)
+      spread.serviceAnswered('configuration', { source, revision, document }, 10)
+      assert.equal(spread.revision('configuration'), 7)
+    })
+  }
+
+  it('does not take a stale service for a living one', () => {
+    const spread = processOf(0)
+    publish(spread, 'configuration', 7, 0)
+    publish(spread, 'configuration', 3, 1_000)
+    assert.equal(spread.age('configuration', 1_000), 1_000)
+    spread.serviceAnswered('configuration', 'unchanged', 1_500)
+    assert.equal(spread.age('configuration', 2_000), 500)
+  })
+
+  it('hears at second hand that the service is well, from peers that hold as much', () => {
+    const [watcher, other] = [processOf(0), processOf(1)]
+    publish(watcher, 'configuration', 7, 4_000)
+    publish(other, 'configuration', 7, 0)
+    const note = watcher.note(5_000)
+    other.agreed(note.revisions, note.ages, 5_000)
+    assert.equal(other.age('configuration', 5_000), 1_000)
+  })
+
+  it('turns to the service itself when it hears nothing, and backs off when that is away', () => {
+    const spread = records.map((_, index) => processOf(index)).find(candidate => {
+      publish(candidate, 'instances', 1)
+      publish(candidate, 'configuration', 1)
+      return !candidate.isWatcher()
+    }) as Spread
+    const reads: number[] = []
+    for (let now = 0; now < 120_000; now += 100) {
+      for (const effect of spread.tick(now)) {
+        if (effect.type !== 'read-service') continue
+        if (effect.topic === 'configuration') reads.push(now)
+        spread.serviceAnswered(effect.topic, 'unreachable', now)
+      }
+    }
+    assert.ok((reads[0] ?? 0) >= defaultSpreadPolicy.patience)
+    assert.ok(reads.length <= 10, `${reads.length} reads in two minutes`)
+  })
+})
--- /dev/null
+++ b/packages/core/src/test/lib/transfer_test.ts
@@ -0,0 +1,125 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { ChunkMember } from '../../lib/chunk-tree.js'
+import type { Manifest } from '../../lib/documents.js'
+import { defaultTransferPolicy, Transfer, type FetchProblem, type TransferEffect } from '../../lib/transfer.js'
+
+type Fetch = Extract<TransferEffect, { type: 'fetch' }>
+
+const members: ChunkMember[] = Array.from({ length: 6 }, (_, index) => ({ instance: `agent-${index}`, availabilityZone: `zone-${index % 2}` }))
+const manifest: Manifest = { model: 'chat', version: 'v1', bytes: 80, chunks: Array.from({ length: 8 }, (_, index) => ({ digest: `d${index}`, bytes: 10 })) }
+const self = members[5] as ChunkMember
+
+function start (held: string[] = [], window = 3): Transfer {
+  return new Transfer(self, members, 'manifest', manifest, new Set(held), { ...defaultTransferPolicy, window })
+}
+
+function fetches (effects: readonly TransferEffect[]): Fetch[] {
+  return effects.filter((effect): effect is Fetch => effect.type === 'fetch')
+}
+
+/** Runs a transfer to its end; `answer` says what becomes of each fetch. */
+function play (transfer: Transfer, answer: (fetch: Fetch, now: number) => FetchProblem | 'good' | 'silence', until = 60_000): { whole: boolean, fetched: Fetch[], took: number } {
+  const fetched: Fetch[] = []
+  let open: Fetch[] = []
+  let now = 0
+  const take = (effects: readonly TransferEffect[]): void => {
+    for (const effect of effects) {
+      if (effect.type === 'fetch') open.push(effect)
+      if (effect.type === 'abandon') open = open.filter(fetch => fetch.attempt !== effect.attempt)
+    }
+  }
+  while (!transfer.whole && now < until) {
+    take(transfer.tick(now))
+    for (const fetch of open) {
+      const result = answer(fetch, now)
+      if (result === 'silence') continue
+      fetched.push(fetch)
+      open = open.filter(other => other !== fetch)
+      take(result === 'good' ? transfer.arrived(fetch.attempt, now) : transfer.failed(fetch.attempt, result, now))
+    }
+    now += 50
+  }
+  return { whole: transfer.whole, fetched, took: now }
+}
+
+describe('Transfer', () => {
+  it('keeps to its window and asks its parent first', () => {
+    const effects = fetches(start().tick(0))
+    assert.equal(effects.length, 3)
+    assert.ok(effects.every(fetch => fetch.source.kind === 'peer' || fetch.source.kind === 'origin'))
+  })
+
+  it('fetches each chunk once when nothing fails', () => {
+    const { whole, fetched } = play(start(), () => 'good')
+    assert.ok(whole)
+    assert.equal(fetched.length, manifest.chunks.length)
+  })
+
+  it('does not fetch what is held already', () => {
+    const { whole, fetched } = play(start(['d0', 'd3', 'd7']), () => 'good')
+    assert.ok(whole)
+    assert.deepEqual(fetched.map(fetch => fetch.digest).sort(), ['d1', 'd2', 'd4', 'd5', 'd6'])
+  })
+
+  const troubles: [name: string, answer: (fetch: Fetch, now: number) => FetchProblem | 'good' | 'silence'][] = [
+    ['all peers are dead', fetch => fetch.source.kind === 'peer' ? 'unreachable' : 'good'],
+    ['all peers hold nothing', fetch => fetch.source.kind === 'peer' ? 'not-held' : 'good'],
+    ['all peers have stalled', fetch => fetch.source.kind === 'peer' ? 'silence' : 'good'],
+    ['all peers corrupt what they send', fetch => fetch.source.kind === 'peer' ? 'corrupt' : 'good'],
+    ['the origin is away and the store has it', fetch => fetch.source.kind === 'origin' ? 'not-held' : 'good'],
+    ['one peer corrupts', fetch => fetch.source.kind === 'peer' && fetch.source.instance === 'agent-1' ? 'corrupt' : 'good'],
+    ['everything is away for 20 s', (_fetch, now) => now < 20_000 ? 'unreachable' : 'good']
+  ]
+  for (const [name, answer] of troubles) {
+    it(`becomes whole though ${name}`, () => {
+      assert.ok(play(start(), answer).whole)
+    })
+  }
+
+  it('passes a failed peer over, with all that was asked of it', () => {
+    const transfer = start([], 8)
+    const asked = fetches(transfer.tick(0)).filter(fetch => fetch.source.kind === 'peer')
+    const first = asked[0] as Fetch
+    const sameSource = asked.filter(fetch => JSON.stringify(fetch.source) === JSON.stringify(first.source))
+    const effects = transfer.failed(first.attempt, 'unreachable', 10)
+    const abandoned = effects.filter(effect => effect.type === 'abandon').length
+    assert.equal(abandoned, sameSource.length - 1)
+    assert.ok(fetches(effects).every(fetch => JSON.stringify(fetch.source) !== JSON.stringify(first.source)))
+  })
+
+  it('takes a sign that a chunk is coming for life, and its absence for a stall', () => {
+    const outcomes = [true, false].map(signs => {
+      const transfer = start([], 1)
+      const [fetch] = fetches(transfer.tick(0))
+      for (let now = 100; now < 4_000; now += 100) {
+        if (signs) transfer.coming(fetch?.attempt ?? 0, now)
+        if (transfer.tick(now).some(effect => effect.type === 'abandon')) return 'abandoned'
+      }
+      return 'waiting'
+    })
+    assert.deepEqual(outcomes, ['waiting', 'abandoned'])
+  })
+
+  it('goes to the origin in the order of ranks when its parents are lost, not all at once', () => {
+    const times = members.map(member => {
+      const transfer = new Transfer(member, members, 'manifest', manifest, new Set(['d1', 'd2', 'd3', 'd4', 'd5', 'd6', 'd7']), defaultTransferPolicy)
+      return play(transfer, fetch => fetch.source.kind === 'peer' ? 'unreachable' : 'good').took
+    })
+    assert.ok(new Set(times).size >= 3, `ended at ${times.join(', ')}`)
+  })
+
+  it('ends at once when its version is not wanted any more', () => {
+    const transfer = start()
+    const asked = fetches(transfer.tick(0))
+    const effects = transfer.cancel()
+    assert.deepEqual(effects.map(effect => effect.type), asked.map(() => 'abandon'))
+    assert.deepEqual(transfer.tick(100), [])
+    assert.deepEqual(transfer.arrived(asked[0]?.attempt ?? 0, 100), [], 'a late chunk changes nothing')
+  })
+})
