--- a/packages/node/src/lib/operator/language.ts
+++ b/packages/node/src/lib/operator/language.ts
@@ -66,13 +66,15 @@
 function mistakeOf (text: string, error: GrammarError): LanguageMistake {
   const offset = wordStart(text, error.location.start.offset)
   const found = /^[a-z]+/i.exec(text.slice(offset))?.[0] ?? ''
-  const expected = [...new Set((error.expected ?? []).map(describe))].filter(part => part !== 'space').join(', ')
-  return { type: 'language-mistake', position: offset + 1, expected: expected === '' ? 'the end of the command' : expected, nearby: nearbyWord(found) }
+  const described: string[] = [...new Set<string>((error.expected ?? []).map(describe))]
+  const expected = described.filter(part => part !== 'space').join(', ')
+  return { type: 'language-mistake', position: offset + 1, expected: expected === '' ? 'a space and more words' : expected, nearby: nearbyWord(found) }
 }
 
-/** The grammar may stop inside a word; a person means the whole of it. */
+/** The grammar may stop inside a word; a person means the whole of it. At the end of the text nothing is wrong but missing. */
 function wordStart (text: string, offset: number): number {
   let start = offset
+  if (offset >= text.length) return offset
   while (start > 0 && /[a-z]/i.test(text[start - 1] ?? '')) start -= 1
   return start
 }
--- /dev/null
+++ b/packages/node/src/test/lib/frame_test.ts
@@ -0,0 +1,54 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { failureOf } from '@drumdrift/core'
+import { encodeFrame, FrameReader, type PeerEnvelope } from '../../lib/peer/frame.js'
+
+const messages: { envelope: PeerEnvelope, payload: Buffer }[] = [
+  { envelope: { call: 1, request: { type: 'status' } }, payload: Buffer.alloc(0) },
+  { envelope: { call: 2, reply: { type: 'chunk', digest: 'd' } }, payload: Buffer.alloc(100_000, 7) },
+  { envelope: { call: 3, request: { type: 'chunk', digest: 'd', wait: 5 } }, payload: Buffer.from('x') }
+]
+const stream = Buffer.concat(messages.flatMap(({ envelope, payload }) => encodeFrame(envelope, payload)))
+
+describe('FrameReader', () => {
+  for (const size of [1, 3, 7, 64, 4_096, 200_000]) {
+    it(`reads what was written, ${size} bytes at a time`, () => {
+      const reader = new FrameReader()
+      const frames = []
+      for (let start = 0; start < stream.length; start += size) frames.push(...reader.push(stream.subarray(start, start + size)))
+      assert.deepEqual(frames.map(frame => frame.envelope), messages.map(message => message.envelope))
+      assert.ok(frames.every((frame, index) => frame.payload.equals(messages[index]?.payload ?? Buffer.alloc(0))))
+    })
+  }
+
+  const header = (body: number, payload: number): Buffer => {
+    const bytes = Buffer.alloc(8)
+    bytes.writeUInt32BE(body, 0)
+    bytes.writeUInt32BE(payload, 4)
+    return bytes
+  }
+  const bad: [name: string, bytes: Buffer, reason: string][] = [
+    ['an oversized body', header(2 ** 31, 0), 'oversized'],
+    ['an oversized payload', header(1, 2 ** 31), 'oversized'],
+    ['bytes that are no cbor', Buffer.concat([header(4, 0), Buffer.from([0xff, 0xff, 0xff, 0xff])]), 'malformed'],
+    ['cbor that is no message', Buffer.concat([header(1, 0), Buffer.from([0x01])]), 'malformed'],
+    ['a message without a call', Buffer.concat([header(1, 0), Buffer.from([0xa0])]), 'malformed'],
+    ['HTTP', Buffer.from('GET / HTTP/1.1\r\nhost: x\r\n\r\n'), 'oversized']
+  ]
+  for (const [name, bytes, reason] of bad) {
+    it(`refuses ${name}`, () => {
+      try {
+        new FrameReader().push(bytes)
+        assert.fail('it was taken')
+      } catch (error) {
+        const failure = failureOf(error)
+        assert.equal(failure.type === 'peer-failure' ? failure.reason : failure.type, reason)
+      }
+    })
+  }
+})
