--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -10,7 +10,7 @@
 import { randomBytes } from 'node:crypto'
 import {
   AdmissionDoor, ClaimKeeper, defaultTransferPolicy, LinkPacer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
-  type ProcessStatus, type SpreadStrategy
+  type ProcessStatus, type SpreadStrategy, type SwitchTarget
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import { Histograms } from '../observe/histograms.js'
@@ -27,7 +27,7 @@
 import { ChunkStore } from './chunk-store.js'
 import { HttpEngine } from './engine-client.js'
 import { RequestRunner } from './request-runner.js'
-import { Switcher, type SwitchTarget } from './switcher.js'
+import { Switcher } from './switcher.js'
 import { WeightsKeeper } from './weights-keeper.js'
 
 const MEBIBYTE = 1024 * 1024
@@ -106,10 +106,7 @@
       door: this._door,
       pool: this._pool,
       log: _log,
-      members: () => this._members,
-      knownDigests: () => this._knownDigests(),
-      target: () => this._target(),
-      wholeDigest: () => this._weights.wholeDigest,
+      situation: () => ({ target: this._target(), wholeDigest: this._weights.wholeDigest, members: this._members, knownDigests: this._knownDigests() }),
       onServing: () => {
         this._recordSince('time-to-serve')
         this._weights.dropOthers()
--- a/packages/node/src/lib/agent/engine-client.ts
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -7,30 +7,19 @@
  * Speaks to the model engine beside the agent: staging of chunks, fenced load orders and the engine's own account of
  * its state (docs/PROTOCOLS.md). The agent is the only one that gives this engine orders.
  */
+import type { EngineReport, LoadResult } from '@drumdrift/core'
 import { askHttp } from '../platform/http-client.js'
 
-/** What the engine says of itself. */
-export interface EngineState {
-  /** The manifest digest that is served; empty for none. */
-  readonly version: string
-  /** The manifest digest being loaded; empty for none. */
-  readonly loading: string
-  /** The manifest digest whose load failed last; empty for none. */
-  readonly failed: string
-  readonly fence: number
-  readonly running: number
-}
-
 /** An engine as the agent sees it. */
 export interface Engine {
-  state (): Promise<EngineState | undefined>
+  state (): Promise<EngineReport | undefined>
   /** Digests of the chunks that the engine's staging memory holds. */
   staged (): Promise<ReadonlySet<string>>
   stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean>
   readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined>
   drop (digest: string): Promise<void>
   /** Orders a load; the fence must not be below any earlier one. */
-  load (manifestDigest: string, fence: number): Promise<'ordered' | 'stale-fence' | 'refused' | 'unreachable'>
+  load (manifestDigest: string, fence: number): Promise<LoadResult>
 }
 
 const TIMEOUT = 5_000
@@ -39,11 +28,11 @@
 export class HttpEngine implements Engine {
   constructor (private readonly _address: string) {}
 
-  async state (): Promise<EngineState | undefined> {
+  async state (): Promise<EngineReport | undefined> {
     try {
       const answer = await askHttp(this._address, { path: '/state', timeout: 1_000 })
       const value: unknown = JSON.parse(answer.body.toString('utf8'))
-      return isEngineState(value) ? value : undefined
+      return isEngineReport(value) ? value : undefined
     } catch {
       return undefined
     }
@@ -76,7 +65,7 @@
     await this._status({ method: 'DELETE', path: `/staging/chunks/${digest}` })
   }
 
-  async load (manifestDigest: string, fence: number): Promise<'ordered' | 'stale-fence' | 'refused' | 'unreachable'> {
+  async load (manifestDigest: string, fence: number): Promise<LoadResult> {
     const status = await this._status({ method: 'POST', path: '/load', body: JSON.stringify({ manifest: manifestDigest, fence }) })
     if (status === 202) return 'ordered'
     if (status === 409) return 'stale-fence'
@@ -92,7 +81,7 @@
   }
 }
 
-function isEngineState (value: unknown): value is EngineState {
+function isEngineReport (value: unknown): value is EngineReport {
   if (typeof value !== 'object' || value === null) return false
   const { version, loading, failed, fence, running } = value as Record<string, unknown>
   const texts = [version, loading, failed].every(text => typeof text === 'string')
