--- a/packages/core/src/lib/engine-switch.ts
+++ b/packages/core/src/lib/engine-switch.ts
@@ -6,6 +6,9 @@
 /**
  * The switch of one engine from version to version: only to a whole, verified one, when the wave before is done, and
  * only after what runs has ended. Serving is believed only from the engine's own report.
+ *
+ * An agent takes its engine over before it gives any order, with a fence above the engine's last: whatever an earlier
+ * agent that wakes late orders after that is refused by the engine, and tells it that it has been replaced.
  */
 import type { AdmissionDoor } from './admission.js'
 import type { InstanceRecord } from './documents.js'
@@ -27,8 +30,6 @@
 /** What is wanted of the engine. */
 export interface SwitchTarget {
   readonly manifestDigest: string
-  /** The configuration revision that wants it: the fence of the load order. */
-  readonly fence: number
   /** The share of a zone's engines that may switch at once. */
   readonly switchFraction: number
 }
@@ -44,11 +45,17 @@
   readonly knownDigests: ReadonlySet<string>
 }
 
-/** How a load order was answered. */
-export type LoadResult = 'ordered' | 'stale-fence' | 'refused' | 'unreachable'
+/** How a load order was answered. `refused-here`: the agent found that the engine lost chunks, and gave no order. */
+export type LoadResult = 'ordered' | 'stale-fence' | 'refused' | 'refused-here' | 'unreachable'
+
+/** How a take-over was answered. */
+export type TakeOverResult = 'taken' | 'stale-fence' | 'unreachable'
 
 /** What the shell is to do, or to log. */
 export type SwitchEffect =
+  | { readonly type: 'take-over', readonly fence: number }
+  /** Another agent has taken the engine over, or may have: this one is to end. */
+  | { readonly type: 'replaced', readonly fence: number }
   | { readonly type: 'ask-progress', readonly instances: readonly string[], readonly digest: string }
   | { readonly type: 'order-load', readonly digest: string, readonly fence: number }
   | { readonly type: 'began', readonly digest: string }
@@ -62,6 +69,13 @@
 const LOAD_RETRY_PAUSE = 5_000
 /** An order that got no answer is given again after this, in milliseconds. */
 const ORDER_RETRY_PAUSE = 500
+/**
+ * Engines report what runs late. For so long after a take-over the report may lack requests of the agent before, in
+ * milliseconds.
+ */
+const REPORT_SETTLES = 1_500
+/** An agent that has not taken its engine over and finds so long a gap in its own time was paused, and may be replaced. */
+const PAUSE_SUSPECTED = 2_500
 
 /** The switch of one engine. */
 export class EngineSwitch {
@@ -73,12 +87,19 @@
   private _failed = ''
   private _retryAt = 0
   private _halted = false
+  private _fence = 0
+  private _takenAt = 0
+  private _replaced = false
+  private _steppedAt: number
 
   /**
    * @param _self This agent's instance.
    * @param _door Closed here while the engine switches or serves nothing known.
+   * @param now When the agent started.
    */
-  constructor (private readonly _self: string, private readonly _door: AdmissionDoor) {}
+  constructor (private readonly _self: string, private readonly _door: AdmissionDoor, now: number) {
+    this._steppedAt = now
+  }
 
   /** The engine's last report; nothing when it could not be reached. */
   get engine (): EngineReport | undefined { return this._report }
@@ -87,6 +108,9 @@
   /** The version that this engine failed to load; empty for none. */
   get failed (): string { return this._failed }
 
+  /** The fence of this agent's orders; 0 until it has taken the engine over. */
+  get fence (): number { return this._fence }
+
   /** How far this engine is with a version, for the waves after it. */
   progress (digest: string): SwitchProgress {
     if (this._failed === digest) return 'failed'
@@ -107,10 +131,24 @@
    */
   step (report: EngineReport | undefined, situation: SwitchSituation, now: number): SwitchEffect[] {
     this._report = report
+    const gap = now - this._steppedAt
+    this._steppedAt = now
+    if (this._replaced) return []
+    if (this._fence === 0) return this._takeOver(report, gap)
+    if (report !== undefined && report.fence > this._fence) return this._replace(report.fence)
     const effects = this._observe(situation.knownDigests, now)
     return [...effects, ...this._advance(situation, now)]
   }
 
+  /** The take-over was answered. One that came too late found another agent: which of the two is older, only the platform knows. */
+  tookOver (fence: number, result: TakeOverResult, now: number): SwitchEffect[] {
+    if (result === 'stale-fence') return this._replace(fence)
+    if (result === 'unreachable' || this._replaced) return []
+    this._fence = fence
+    this._takenAt = now
+    return []
+  }
+
   /** The load order was answered. Only an accepted order keeps the door closed. */
   loadAnswered (digest: string, result: LoadResult, now: number): void {
     if (result === 'ordered') {
@@ -123,7 +161,7 @@
       return
     }
     this._door.setSwitching(false)
-    this._retryAt = now + LOAD_RETRY_PAUSE
+    this._retryAt = now + (result === 'refused-here' ? ORDER_RETRY_PAUSE : LOAD_RETRY_PAUSE)
     if (result === 'refused') this._failed = digest
   }
 
@@ -146,7 +184,20 @@
     if (report.version === wanted || wholeDigest !== wanted) return this._stay()
     if (this._failed === wanted && (now < this._retryAt || report.version !== '')) return this._stay()
     if (now < this._retryAt) return []
-    return this._door.switching ? this._load(target, report) : this._ask(target, situation.members, report, now)
+    return this._door.switching ? this._load(target, report, now) : this._ask(target, situation.members, report, now)
+  }
+
+  /** The fence is taken from the report that was just made: if another agent comes between, the engine refuses it. */
+  private _takeOver (report: EngineReport | undefined, gap: number): SwitchEffect[] {
+    if (gap > PAUSE_SUSPECTED) return this._replace(report?.fence ?? 0)
+    return report === undefined ? [] : [{ type: 'take-over', fence: report.fence + 1 }]
+  }
+
+  /** One way: an agent that has been replaced serves and orders nothing more. */
+  private _replace (fence: number): SwitchEffect[] {
+    this._door.leave('stopped')
+    this._replaced = true
+    return [{ type: 'replaced', fence }]
   }
 
   /** Nothing is to be switched to (any more): what was closed for it opens again. */
@@ -166,7 +217,7 @@
     this._halted = decision.type === 'halt'
     if (decision.type === 'go') {
       this._door.setSwitching(true)
-      return [{ type: 'began', digest: target.manifestDigest }, ...this._load(target, report)]
+      return [{ type: 'began', digest: target.manifestDigest }, ...this._load(target, report, now)]
     }
     const instances = (decision.type === 'wait' ? decision.ask : decision.failed).slice(0, MOST_ASKED)
     const ask: SwitchEffect = { type: 'ask-progress', instances, digest: target.manifestDigest }
@@ -174,9 +225,10 @@
   }
 
   /** The door is closed: the load is ordered once nothing runs, by the agent's count and the engine's. */
-  private _load (target: SwitchTarget, report: EngineReport): SwitchEffect[] {
-    if (this._door.running > 0 || report.running > 0) return []
-    return [{ type: 'order-load', digest: target.manifestDigest, fence: target.fence }]
+  private _load (target: SwitchTarget, report: EngineReport, now: number): SwitchEffect[] {
+    const settled = report.version === '' || now - this._takenAt >= REPORT_SETTLES
+    if (this._door.running > 0 || report.running > 0 || !settled) return []
+    return [{ type: 'order-load', digest: target.manifestDigest, fence: this._fence }]
   }
 
   private _finish (digest: string): SwitchEffect[] {
--- a/packages/core/src/lib/spread.ts
+++ b/packages/core/src/lib/spread.ts
@@ -11,9 +11,12 @@
  * service. Every second each process also compares notes with one random peer, in its zone or, now and then, in
  * another: that repairs what the push lost, and heals zones that were cut off. A process that has not heard, even at
  * second hand, of the service for a while reads it itself, with growing, jittered pauses.
+ *
+ * A process that starts knows nothing and could be taken back by a stale service or peer. So it asks a few peers first,
+ * and takes the newest of what they and the service said once all have answered, or the time is up.
  */
 import { jitterOf } from './chunk-tree.js'
-import type { Checked, Configuration, InstanceList, InstanceRecord } from './documents.js'
+import type { Configuration, InstanceList, InstanceRecord } from './documents.js'
 import { checkConfiguration, checkInstanceList } from './documents.js'
 import type { DocumentFailure } from './failure.js'
 import { rendezvousOrder } from './rendezvous.js'
@@ -53,6 +56,10 @@
   readonly patience: number
   readonly firstBackoff: number
   readonly longestBackoff: number
+  /** The same for a zone's watchers, who are few: a service that comes back must be noticed within seconds. */
+  readonly longestWatcherBackoff: number
+  /** How long a process that starts asks peers before it takes what the service says. */
+  readonly joinPatience: number
 }
 
 /** The policy that the daemons use. */
@@ -62,9 +69,13 @@
   comparePause: 1_000,
   patience: 5_000,
   firstBackoff: 500,
-  longestBackoff: 60_000
+  longestBackoff: 60_000,
+  longestWatcherBackoff: 2_000,
+  joinPatience: 1_500
 }
 
+/** Peers that a process asks before it takes anything: the service may be stale, and they know better. */
+const JOIN_PEERS = 3
 /** Every how many comparisons a peer of another zone is asked. */
 const ABROAD_EVERY = 4
 const NEVER = -Infinity
@@ -87,6 +98,16 @@
   backoff: number
 }
 
+/** The time between a process's start and the first document that it takes. */
+interface Joining {
+  readonly until: number
+  asked: boolean
+  /** Addresses of peers that were asked and have neither answered nor failed. */
+  readonly pending: Set<string>
+  /** What the service and peers said meanwhile. The newest may turn out to be invalid, so the others are kept too. */
+  readonly held: { readonly topic: Topic, readonly published: Published }[]
+}
+
 type Ledgers = { readonly configuration: RevisionLedger<Configuration>, readonly instances: RevisionLedger<InstanceList> }
 
 /** What one process knows of the published documents, and how it passes them on. */
@@ -95,21 +116,24 @@
   private readonly _service: Record<Topic, ServiceState>
   private _compareAt: number
   private _comparisons = 0
+  private _joining: Joining | undefined
+  /** Addresses that did not answer, with the time until which they are passed over. */
+  private readonly _silent = new Map<string, number>()
   private _order: { readonly revision: number, readonly members: readonly string[] } = { revision: 0, members: [] }
 
   /**
    * @param _random Draws from [0, 1); seeded in tests.
-   * @param check Replaces the check of configurations; for tests of what the check protects.
+   * @param newLedger Makes the ledger of the configuration; tests give one that lacks a protection.
    */
   constructor (
     private readonly _self: SpreadSelf,
     private readonly _random: () => number,
     now: number,
     private readonly _policy: SpreadPolicy = defaultSpreadPolicy,
-    check: (input: unknown) => Checked<Configuration, DocumentFailure> = checkConfiguration
+    newLedger: (source: string) => RevisionLedger<Configuration> = source => new RevisionLedger(source, checkConfiguration)
   ) {
     this._ledgers = {
-      configuration: new RevisionLedger<Configuration>(_self.source, check),
+      configuration: newLedger(_self.source),
       instances: new RevisionLedger<InstanceList>(_self.source, checkInstanceList)
     }
     const start = (topic: Topic): ServiceState => ({
@@ -117,6 +141,7 @@
     })
     this._service = { configuration: start('configuration'), instances: start('instances') }
     this._compareAt = now
+    this._joining = { until: now + _policy.joinPatience, asked: false, pending: new Set(), held: [] }
   }
 
   /** The configuration in force here. */
@@ -138,7 +163,7 @@
    * for (const effect of spread.tick(now)) carryOut(effect)
    */
   tick (now: number): SpreadEffect[] {
-    const effects: SpreadEffect[] = []
+    const effects: SpreadEffect[] = this._join(now)
     for (const topic of topics) effects.push(...this._read(topic, now))
     if (now >= this._compareAt) effects.push(...this._compare(now))
     return effects
@@ -153,6 +178,11 @@
     const state = this._service[topic]
     state.reading = false
     if (answer === 'unreachable') return this._backOff(state, now)
+    if (this._joining !== undefined && answer !== 'unchanged') {
+      this._joining.held.push({ topic, published: answer })
+      state.nextReadAt = now + this._policy.firstBackoff
+      return this._joinEnd('', now)
+    }
     const effects = answer === 'unchanged' ? [] : this._take(topic, answer, now)
     const stale = answer !== 'unchanged' && answer.revision < this._ledgers[topic].seenRevision
     if (stale) return [...effects, ...this._backOff(state, now)]
@@ -180,15 +210,26 @@
     const effects: SpreadEffect[] = []
     for (const { topic, published } of incoming.documents) {
       if (!topics.includes(topic)) continue
+      if (this._joining !== undefined) {
+        this._joining.held.push({ topic, published })
+        continue
+      }
       effects.push(...this._take(topic, published, now))
       this._hearAge(topic, published.revision, incoming.ages[topic], now)
     }
     return effects
   }
 
-  /** A peer answered a comparison with nothing newer: its word on the service's age counts. */
-  agreed (revisions: Readonly<Record<Topic, number>>, ages: Readonly<Record<Topic, number>>, now: number): void {
-    for (const topic of topics) this._hearAge(topic, revisions[topic], ages[topic], now)
+  /** A peer that was compared with told what it holds itself: its word on the service's age counts. */
+  answered (address: string, note: SpreadNote, now: number): SpreadEffect[] {
+    for (const topic of topics) this._hearAge(topic, note.revisions[topic], note.ages[topic], now)
+    return this._joinEnd(address, now)
+  }
+
+  /** A peer that was to be compared with could not be reached: it is passed over for a while. */
+  unanswered (address: string, now: number): SpreadEffect[] {
+    this._silent.set(address, now + this._policy.patience * 2)
+    return this._joinEnd(address, now)
   }
 
   /** Whether this process is one of its zone's watchers. */
@@ -198,12 +239,43 @@
     return rank >= 0 && rank < this._policy.watchersPerZone
   }
 
+  /** At the start, a few seeds are asked at once; when the time is up, the service is believed. */
+  private _join (now: number): SpreadEffect[] {
+    const joining = this._joining
+    if (joining === undefined) return []
+    if (now >= joining.until) return this._joinNow(now)
+    if (joining.asked) return []
+    const seeds = this._self.seeds.filter(seed => seed !== this._self.address)
+    const start = seeds.length === 0 ? 0 : Math.floor(this._random() * seeds.length)
+    const chosen = [...seeds.slice(start), ...seeds.slice(0, start)].slice(0, JOIN_PEERS)
+    joining.asked = true
+    for (const address of chosen) joining.pending.add(address)
+    if (chosen.length === 0) return this._joinNow(now)
+    this._compareAt = now + this._policy.comparePause
+    return chosen.map(address => ({ type: 'compare', address, note: this.note(now) }))
+  }
+
+  /** Ends the joining once every peer that was asked has answered or failed. */
+  private _joinEnd (address: string, now: number): SpreadEffect[] {
+    const joining = this._joining
+    joining?.pending.delete(address)
+    return joining?.asked === true && joining.pending.size === 0 ? this._joinNow(now) : []
+  }
+
+  private _joinNow (now: number): SpreadEffect[] {
+    const held = [...this._joining?.held ?? []]
+    this._joining = undefined
+    held.sort((left, right) => right.published.revision - left.published.revision)
+    return held.flatMap(({ topic, published }) => this._take(topic, published, now))
+  }
+
   private _take (topic: Topic, published: Published, now: number): SpreadEffect[] {
     const acceptance: Acceptance = this._ledgers[topic].offer(published)
     if (acceptance.type === 'same') return []
     if (acceptance.type === 'refused') {
       return acceptance.failure.reason === 'older' ? [] : [{ type: 'refused', topic, failure: acceptance.failure }]
     }
+    if (topic === 'instances') this._silent.clear()
     return [{ type: 'adopted', topic, revision: acceptance.revision }, ...this._push(topic, now)]
   }
 
@@ -232,22 +304,33 @@
   }
 
   private _backOff (state: ServiceState, now: number): SpreadEffect[] {
-    state.nextReadAt = now + state.backoff * (0.5 + this._random())
-    state.backoff = Math.min(this._policy.longestBackoff, state.backoff * 2)
+    const longest = this.isWatcher() ? this._policy.longestWatcherBackoff : this._policy.longestBackoff
+    state.nextReadAt = now + Math.min(longest, state.backoff) * (0.5 + this._random())
+    state.backoff = Math.min(longest, state.backoff * 2)
     return []
   }
 
+  /** Compares with one peer; with one near and one abroad while nothing is heard of the service. */
   private _compare (now: number): SpreadEffect[] {
     this._compareAt = now + this._policy.comparePause * (0.75 + this._random() / 2)
     this._comparisons += 1
+    // A zone that hears nothing of the service may be cut off from it: other zones may not be.
+    const unheard = this.age('configuration', now) > this._policy.patience
     const abroad = this._comparisons % ABROAD_EVERY === 0
+    const chosen = unheard ? [this._peer(false, now), this._peer(true, now)] : [this._peer(abroad, now)]
+    const note = this.note(now)
+    return [...new Set(chosen)].flatMap(address => address === undefined ? [] : [{ type: 'compare', address, note } as const])
+  }
+
+  /** A random peer, near or abroad, rather one that was not silent lately; before the first list, a seed. */
+  private _peer (abroad: boolean, now: number): string | undefined {
     const others = this.instances.filter(record => record.instance !== this._self.instance)
     const preferred = others.filter(record => (record.availabilityZone !== this._self.availabilityZone) === abroad)
-    const addresses = (preferred.length > 0 ? preferred : others).map(record => record.address)
-    const choices = addresses.length > 0 ? addresses : this._self.seeds.filter(seed => seed !== this._self.address)
-    const address = choices[Math.floor(this._random() * choices.length)]
-    if (address === undefined) return []
-    return [{ type: 'compare', address, note: this.note(now) }]
+    const listed = (preferred.length > 0 ? preferred : others).map(record => record.address)
+    const known = listed.length > 0 ? listed : this._self.seeds.filter(seed => seed !== this._self.address)
+    const lively = known.filter(address => (this._silent.get(address) ?? 0) <= now)
+    const choices = lively.length > 0 ? lively : known
+    return choices[Math.floor(this._random() * choices.length)]
   }
 
   private _documents (which: readonly Topic[], now: number): SpreadDocuments {
--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -51,6 +51,13 @@
   readonly source: ChunkSource
   readonly startedAt: number
   deadline: number
+  /** Whether a second source was asked because this one takes long. */
+  hedged: boolean
+}
+
+interface Penalty {
+  readonly until: number
+  readonly count: number
 }
 
 interface Want {
@@ -65,6 +72,16 @@
 const SMOOTHING = 0.2
 const ORIGIN_FIRST_WAIT = 1_000
 const RETRY_PAUSE = 150
+const LONGEST_PENALTY = 60_000
+/** A flight older than this, and than twice the usual, is slow; in milliseconds. */
+const SLOW_AFTER = 1_000
+const SLOW_FACTOR = 2
+/** By how much the window widens for slow flights. */
+const WIDE_WINDOW = 4
+/** A second source is asked when a flight is slow this many times over. */
+const HEDGE_FACTOR = 2
+/** Second sources asked in one turn. */
+const MOST_HEDGES = 4
 
 /** The transfer of one version to one member. */
 export class Transfer {
@@ -76,7 +93,7 @@
   private readonly _missing = new Set<number>()
   private readonly _wants = new Map<number, Want>()
   private readonly _flights = new Map<number, Flight>()
-  private readonly _penalties = new Map<string, number>()
+  private readonly _penalties = new Map<string, Penalty>()
   private _nextAttempt = 1
   private _observed = 0
   private _whole = false
@@ -96,6 +113,8 @@
   /** The share of chunks that are held, 0 to 1. */
   get progress (): number { return 1 - this._missing.size / this._manifest.chunks.length }
 
+  /** The version that is fetched. */
+  get manifestDigest (): string { return this._digest }
   /** Whether every chunk is held and verified. */
   get whole (): boolean { return this._whole }
 
@@ -116,11 +135,14 @@
       this._whole = true
       return [{ type: 'whole', manifestDigest: this._digest }]
     }
-    const effects = this._expire(now)
+    const effects = [...this._expire(now), ...this._hedge(now)]
+    let room = this._room(now)
     for (const index of this._missing) {
-      if (this._flights.size >= this._policy.window) break
+      if (room <= 0) break
       const fetch = this._start(index, now)
-      if (fetch !== undefined) effects.push(fetch)
+      if (fetch === undefined) continue
+      effects.push(fetch)
+      room -= 1
     }
     return effects
   }
@@ -171,6 +193,35 @@
     return effects
   }
 
+  /**
+   * Flights that may be started. Those that wait long at a source that does not have the chunk yet take no memory here
+   * and would clog the window, so they count only against a wider one.
+   */
+  private _room (now: number): number {
+    let young = 0
+    for (const flight of this._flights.values()) if (now - flight.startedAt < this._slowAfter()) young += 1
+    const wide = this._policy.window * WIDE_WINDOW - this._flights.size
+    return Math.min(this._policy.window - young, wide)
+  }
+
+  private _slowAfter (): number { return Math.max(SLOW_AFTER, SLOW_FACTOR * this._observed) }
+
+  /** A chunk that takes long is asked of a second source too; whichever comes first is kept. */
+  private _hedge (now: number): TransferEffect[] {
+    const effects: TransferEffect[] = []
+    const slow = [...this._flights.values()].filter(flight => !flight.hedged && flight.source.kind === 'peer' && now - flight.startedAt >= HEDGE_FACTOR * this._slowAfter())
+    for (const flight of slow.slice(0, MOST_HEDGES)) {
+      flight.hedged = true
+      const chunk = this._manifest.chunks[flight.index]
+      const instance = flight.source.kind === 'peer' ? flight.source.instance : ''
+      const place = this._tree.place(flight.index, chunk?.digest ?? '')
+      const want = this._want(flight.index, now)
+      const other = place.ancestors.find(ancestor => ancestor !== instance && this._usable(ancestor, want, now))
+      if (chunk !== undefined && other !== undefined) effects.push(this._fly(flight.index, { kind: 'peer', instance: other }, true, now))
+    }
+    return effects
+  }
+
   private _start (index: number, now: number): TransferEffect | undefined {
     const chunk = this._manifest.chunks[index]
     if (chunk === undefined || this._inFlight(index)) return undefined
@@ -178,10 +229,15 @@
     if (now < want.notBefore) return undefined
     const source = this._source(index, chunk.digest, want, now)
     if (source === undefined) return undefined
+    return this._fly(index, source, false, now)
+  }
+
+  private _fly (index: number, source: ChunkSource, hedged: boolean, now: number): TransferEffect {
+    const { digest = '', bytes = 0 } = this._manifest.chunks[index] ?? {}
     const attempt = this._nextAttempt++
     const timeout = this._timeout(source)
-    this._flights.set(attempt, { index, attempt, source, startedAt: now, deadline: now + timeout })
-    return { type: 'fetch', attempt, index, digest: chunk.digest, bytes: chunk.bytes, source, timeout }
+    this._flights.set(attempt, { index, attempt, source, startedAt: now, deadline: now + timeout, hedged })
+    return { type: 'fetch', attempt, index, digest, bytes, source, timeout }
   }
 
   private _source (index: number, digest: string, want: Want, now: number): ChunkSource | undefined {
@@ -207,7 +263,7 @@
   }
 
   private _usable (instance: string, want: Want, now: number): boolean {
-    if ((this._penalties.get(instance) ?? 0) > now) return false
+    if ((this._penalties.get(instance)?.until ?? 0) > now) return false
     return (want.tried.get(instance) ?? 0) < NOT_YET_PATIENCE
   }
 
@@ -230,7 +286,9 @@
   }
 
   private _penalise (instance: string, now: number): TransferEffect[] {
-    this._penalties.set(instance, now + this._policy.penalty)
+    const count = this._penalties.get(instance)?.count ?? 0
+    const penalty = Math.min(LONGEST_PENALTY, this._policy.penalty * 2 ** count)
+    this._penalties.set(instance, { until: now + penalty, count: count + 1 })
     const effects: TransferEffect[] = []
     for (const flight of [...this._flights.values()]) {
       if (flight.source.kind !== 'peer' || flight.source.instance !== instance) continue
@@ -254,6 +312,7 @@
 
   /** A source that has just answered serves its queue: what else waits there is not stalled. */
   private _alive (source: ChunkSource, now: number): void {
+    if (source.kind === 'peer') this._penalties.delete(source.instance)
     for (const flight of this._flights.values()) {
       if (sameSource(flight.source, source)) flight.deadline = Math.max(flight.deadline, now + this._timeout(source))
     }
--- a/packages/core/src/test/lib/spread_test.ts
+++ b/packages/core/src/test/lib/spread_test.ts
@@ -13,9 +13,16 @@
 }))
 const empty = { models: {}, pools: {}, services: {}, organisations: {} }
 
-function processOf (index: number): Spread {
+function starting (index: number, seeds = ['10.0.0.0:1', '10.0.0.29:1']): Spread {
   const record = records[index] as InstanceRecord
-  return new Spread({ ...record, seeds: ['10.0.0.0:1'], source: 's' }, () => 0.5, 0)
+  return new Spread({ ...record, seeds, source: 's' }, () => 0.5, 0)
+}
+
+/** A process that has no peers to ask, and so believes the service from the start. */
+function processOf (index: number): Spread {
+  const spread = starting(index, [])
+  spread.tick(-1)
+  return spread
 }
 
 function publish (spread: Spread, topic: Topic, revision: number, now = 0, document: unknown = topic === 'instances' ? { instances: records } : empty): SpreadEffect[] {
@@ -26,10 +33,54 @@
 
 describe('Spread', () => {
   it('reads the service at the start, and asks a seed', () => {
-    const effects = processOf(3).tick(500)
-    assert.deepEqual(types(effects).sort(), ['compare', 'read-service', 'read-service'])
+    const effects = starting(3).tick(500)
+    assert.deepEqual(types(effects).sort(), ['compare', 'compare', 'read-service', 'read-service'])
   })
 
+  const joins: [name: string, act: (spread: Spread) => void, revision: number][] = [
+    ['waits for peers before it believes the service', () => {}, 0],
+    ['believes a peer that knows better than a stale service', spread => {
+      const peer = processOf(1)
+      publish(peer, 'configuration', 9)
+      spread.received(peer.compared(spread.note(0), 0).reply, 0)
+      spread.answered('10.0.0.0:1', peer.note(0), 0)
+      spread.unanswered('10.0.0.29:1', 0)
+    }, 9],
+    ['takes the newest valid one when the newest is not', spread => {
+      const say = (revision: number, document: unknown): void => { spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document } }], ages: starting(1).note(0).ages }, 0) }
+      say(9, empty)
+      say(11, { pools: 1 })
+      spread.tick(defaultSpreadPolicy.joinPatience)
+    }, 9],
+    ['takes the newest of what peers say, not the first', spread => {
+      for (const revision of [5, 9, 7]) spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document: empty } }], ages: starting(1).note(0).ages }, 0)
+      spread.tick(defaultSpreadPolicy.joinPatience)
+    }, 9],
+    ['believes the service when peers know nothing', spread => {
+      spread.answered('10.0.0.0:1', starting(1).note(0), 0)
+      spread.answered('10.0.0.29:1', starting(2).note(0), 0)
+    }, 3],
+    ['believes the service when peers are away', spread => {
+      spread.unanswered('10.0.0.0:1', 0)
+      spread.unanswered('10.0.0.29:1', 0)
+    }, 3],
+    ['does not take the answers of others for those that it asked', spread => {
+      spread.answered('10.0.0.7:1', starting(7).note(0), 0)
+      spread.answered('10.0.0.8:1', starting(8).note(0), 0)
+    }, 0],
+    ['waits for all that it asked', spread => { spread.unanswered('10.0.0.0:1', 0) }, 0],
+    ['believes the service when peers are silent for long', spread => { spread.tick(defaultSpreadPolicy.joinPatience) }, 3]
+  ]
+  for (const [name, act, revision] of joins) {
+    it(`at its start, ${name}`, () => {
+      const spread = starting(3)
+      spread.tick(0)
+      publish(spread, 'configuration', 3)
+      act(spread)
+      assert.equal(spread.revision('configuration'), revision)
+    })
+  }
+
   it('has two watchers in each zone, and only they go on reading', () => {
     const spreads = records.map((_, index) => processOf(index))
     for (const spread of spreads) publish(spread, 'instances', 1)
@@ -90,7 +141,7 @@
     publish(watcher, 'configuration', 7, 4_000)
     publish(other, 'configuration', 7, 0)
     const note = watcher.note(5_000)
-    other.agreed(note.revisions, note.ages, 5_000)
+    other.answered('10.0.0.0:1', note, 5_000)
     assert.equal(other.age('configuration', 5_000), 1_000)
   })
 
--- a/packages/core/src/test/lib/transfer_test.ts
+++ b/packages/core/src/test/lib/transfer_test.ts
@@ -99,7 +99,7 @@
       const [fetch] = fetches(transfer.tick(0))
       for (let now = 100; now < 4_000; now += 100) {
         if (signs) transfer.coming(fetch?.attempt ?? 0, now)
-        if (transfer.tick(now).some(effect => effect.type === 'abandon')) return 'abandoned'
+        if (transfer.tick(now).some(effect => effect.type === 'abandon' && effect.attempt === fetch?.attempt)) return 'abandoned'
       }
       return 'waiting'
     })
--- /dev/null
+++ b/packages/fuzz/src/fuzz.ts
@@ -0,0 +1,24 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Fuzzes the promises, or the variants that must break them. */
+import { Command } from 'commander'
+import { fuzzNegatives, fuzzPromises } from './lib/campaign.js'
+
+const DEFAULT_RUNS = 300
+
+const program = new Command('fuzz')
+  .option('--seed <number>', 'seed of everything that is drawn', Number, 7)
+  .option('--runs <number>', 'runs of each scenario', Number, DEFAULT_RUNS)
+  .option('--scenario <name>', 'only weights, requests or configuration')
+  .option('--replay <path>', 'replays the case that a violation named')
+  .option('--negatives', 'runs the variants, each of which must be found out')
+  .action((options: { seed: number, runs: number, scenario?: string, replay?: string, negatives?: boolean }) => {
+    const print = (line: string): void => { process.stdout.write(`${line}\n`) }
+    const campaign = { seed: options.seed, runs: options.runs, print, ...(options.scenario === undefined ? {} : { scenario: options.scenario }), ...(options.replay === undefined ? {} : { path: options.replay }) }
+    process.exitCode = (options.negatives === true ? fuzzNegatives(campaign) : fuzzPromises(campaign)) ? 0 : 1
+  })
+
+program.parse(process.argv)
--- /dev/null
+++ b/packages/fuzz/src/lib/campaign.ts
@@ -0,0 +1,74 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Runs the promises over their scenarios, and the variants that must break them, and prints a line for each. */
+import { realConfigurationParts } from './configuration-world.js'
+import { realRequestParts } from './request-world.js'
+import { runScenario, type Finding } from './scenario.js'
+import { configurationScenario, requestScenario, weightsScenario } from './scenarios.js'
+import { realWeightsParts } from './weights-world.js'
+import { variants } from './variants.js'
+
+/** How a campaign is run. */
+export interface CampaignOptions {
+  readonly seed: number
+  readonly runs: number
+  readonly scenario?: string
+  readonly path?: string
+  readonly print: (line: string) => void
+}
+
+interface Part {
+  readonly name: string
+  readonly promises: readonly string[]
+  readonly run: (options: { seed: number, runs: number, path?: string }) => Finding
+}
+
+const parts: readonly Part[] = [
+  { name: weightsScenario.name, promises: weightsScenario.promises, run: options => runScenario(weightsScenario, realWeightsParts, options) },
+  { name: requestScenario.name, promises: requestScenario.promises, run: options => runScenario(requestScenario, realRequestParts, options) },
+  { name: configurationScenario.name, promises: configurationScenario.promises, run: options => runScenario(configurationScenario, realConfigurationParts, options) }
+]
+
+/**
+ * Fuzzes every promise.
+ *
+ * @returns Whether all held.
+ * @example
+ * const held = fuzzPromises({ seed: 7, runs: 200, print: console.log })
+ */
+export function fuzzPromises ({ seed, runs, scenario, path, print }: CampaignOptions): boolean {
+  let held = true
+  for (const part of parts) {
+    if (scenario !== undefined && scenario !== part.name) continue
+    const finding = part.run({ seed, runs, ...(path === undefined ? {} : { path }) })
+    for (const promise of part.promises) {
+      const broken = finding.violations.filter(violation => violation.includes(` ms: ${promise}:`)).length
+      print(`event=fuzz promise=${promise} scenario=${part.name} seed=${seed} runs=${finding.runs} commands=${finding.commands} violations=${broken}`)
+    }
+    if (finding.violations.length === 0) continue
+    held = false
+    print(`event=violation scenario=${part.name} seed=${seed} path=${finding.path} what=${JSON.stringify(finding.violations[0])}`)
+    print(`event=case scenario=${part.name} commands=${JSON.stringify(finding.counterexample)}`)
+    print(`event=replay command="npm run fuzz -- --scenario ${part.name} --seed ${seed} --replay ${finding.path}"`)
+  }
+  return held
+}
+
+/**
+ * Runs every variant.
+ *
+ * @returns Whether each was found out, by its own promise.
+ */
+export function fuzzNegatives ({ seed, runs, print }: CampaignOptions): boolean {
+  let caught = true
+  for (const variant of variants) {
+    const finding = variant.run({ seed, runs })
+    const broken = finding.violations.some(violation => violation.includes(` ms: ${variant.promise}:`))
+    caught &&= broken
+    print(`event=negative variant=${variant.name} promise=${variant.promise} seed=${seed} runs=${finding.runs} caught=${broken} path=${finding.path || '-'} what=${JSON.stringify(finding.violations[0] ?? 'nothing')}`)
+  }
+  return caught
+}
--- /dev/null
+++ b/packages/fuzz/src/lib/scenario.ts
@@ -0,0 +1,114 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Turns a table of actions into fast-check commands, and runs them against a world. The model of a run is the list of
+ * what was done; the oracles live in the worlds.
+ */
+import fc from 'fast-check'
+import type { World } from './world.js'
+
+/** One thing that can happen to a world of a kind. */
+export interface Action<Subject> {
+  readonly name: string
+  /** How many whole numbers the action draws. */
+  readonly draws: number
+  /** How often it comes, beside the others; 1 if absent. */
+  readonly weight?: number
+  readonly run: (subject: Subject, drawn: readonly number[]) => void
+}
+
+/** What a world must offer to be fuzzed. */
+export interface Subject {
+  readonly world: World
+  /** Heals everything and looks at the promises. */
+  settle (): void
+}
+
+/** A kind of world with its actions. */
+export interface Scenario<Kind extends Subject, Parts> {
+  readonly name: string
+  readonly actions: readonly Action<Kind>[]
+  readonly create: (seed: number, parts: Parts) => Kind
+  /** Names of the promises whose violations count, as the worlds write them. */
+  readonly promises: readonly string[]
+}
+
+/** What a campaign found. */
+export interface Finding {
+  readonly runs: number
+  readonly commands: number
+  readonly violations: readonly string[]
+  /** The shrunk case, and the path that replays it; empty when all held. */
+  readonly counterexample: string
+  readonly path: string
+}
+
+interface Done {
+  readonly actions: string[]
+}
+
+const MOST_COMMANDS = 40
+const LARGEST_DRAW = 1_000
+const LARGEST_SEED = 0x7fffffff
+
+class ActionCommand<Kind extends Subject> implements fc.Command<Done, Kind> {
+  constructor (private readonly _action: Action<Kind>, private readonly _drawn: readonly number[], private readonly _pause: number) {}
+
+  check (): boolean { return true }
+
+  run (done: Done, subject: Kind): void {
+    done.actions.push(this._action.name)
+    this._action.run(subject, this._drawn)
+    subject.world.advance(this._pause)
+    throwIfViolated(subject)
+  }
+
+  toString (): string { return `${this._action.name}(${this._drawn.join(', ')}) +${this._pause} ms` }
+}
+
+class ViolationError extends Error {}
+
+function throwIfViolated (subject: Subject): void {
+  if (subject.world.violations.length > 0) throw new ViolationError(subject.world.violations.join('; '))
+}
+
+function commandOf<Kind extends Subject> (action: Action<Kind>): fc.Arbitrary<fc.Command<Done, Kind>> {
+  const drawn = fc.array(fc.integer({ min: 0, max: LARGEST_DRAW }), { minLength: action.draws, maxLength: action.draws })
+  const pause = fc.oneof(fc.constant(0), fc.integer({ min: 1, max: 60 }), fc.integer({ min: 60, max: 3_000 }))
+  return fc.tuple(drawn, pause).map(([numbers, milliseconds]) => new ActionCommand(action, numbers, milliseconds))
+}
+
+/**
+ * Runs a scenario many times.
+ *
+ * @param options.path Replays one case: the path that an earlier finding named.
+ * @example
+ * const finding = runScenario(requestScenario, realRequestParts, { seed: 7, runs: 200 })
+ */
+export function runScenario<Kind extends Subject, Parts> (scenario: Scenario<Kind, Parts>, parts: Parts, options: { seed: number, runs: number, path?: string }): Finding {
+  let commands = 0
+  let runs = 0
+  const arbitraries = scenario.actions.flatMap(action => Array.from({ length: action.weight ?? 1 }, () => commandOf(action)))
+  const property = fc.property(fc.integer({ min: 1, max: LARGEST_SEED }), fc.commands(arbitraries, { maxCommands: MOST_COMMANDS, size: 'max' }), (seed, cases) => {
+    runs += 1
+    const done: Done = { actions: [] }
+    const subject = scenario.create(seed, parts)
+    fc.modelRun(() => ({ model: done, real: subject }), cases)
+    subject.settle()
+    commands += done.actions.length
+    throwIfViolated(subject)
+  })
+  const details = fc.check(property, { seed: options.seed, numRuns: options.runs, ...(options.path === undefined ? {} : { path: options.path }) })
+  const error = details.errorInstance
+  if (details.failed && error instanceof Error && !(error instanceof ViolationError)) throw error
+  return {
+    runs,
+    commands,
+    violations: details.failed && error instanceof Error ? error.message.split('; ') : [],
+    counterexample: details.failed ? String(details.counterexample) : '',
+    path: details.counterexamplePath ?? ''
+  }
+}
--- /dev/null
+++ b/packages/fuzz/src/lib/variants.ts
@@ -0,0 +1,172 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The real parts with one protection taken out. Each must be found out by the fuzz that its promise has; a variant
+ * that is not found out shows that the fuzz is blind there.
+ */
+import {
+  AdmissionDoor, AnswerStream, ClaimKeeper, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
+  type Configuration, type OnceEffect, type Published, type Checked, type DocumentFailure
+} from '@drumdrift/core'
+import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
+import { realRequestParts, type RequestParts } from './request-world.js'
+import { runScenario, type Finding } from './scenario.js'
+import { configurationScenario, requestScenario, weightsScenario } from './scenarios.js'
+import { realWeightsParts, type WeightsParts } from './weights-world.js'
+
+/** One variant: what is taken out, and which promise must break. */
+export interface Variant {
+  readonly name: string
+  readonly promise: string
+  readonly run: (options: { seed: number, runs: number }) => Finding
+}
+
+function requests (name: string, promise: string, change: Partial<RequestParts>): Variant {
+  return { name, promise, run: options => runScenario(requestScenario, { ...realRequestParts, ...change }, options) }
+}
+
+function weights (name: string, promise: string, change: Partial<WeightsParts>): Variant {
+  return { name, promise, run: options => runScenario(weightsScenario, { ...realWeightsParts, ...change }, options) }
+}
+
+function configuration (name: string, promise: string, change: Partial<ConfigurationParts>): Variant {
+  return { name, promise, run: options => runScenario(configurationScenario, { ...realConfigurationParts, ...change }, options) }
+}
+
+/** Passes parts on as they come. */
+class HastyStream extends AnswerStream<string> {
+  private _parts = 0
+  private _expected = -1
+  override get whole (): boolean { return this._parts === this._expected }
+  override part (part: AnswerPart<string>): AnswerProgress<string> {
+    this._parts += 1
+    return { type: 'parts', data: [part.data], whole: this.whole }
+  }
+
+  override end (count: number): AnswerProgress<string> {
+    this._expected = count
+    return { type: 'parts', data: [], whole: this.whole }
+  }
+}
+
+/** Takes the end for the whole, whatever is missing. */
+class TrustingStream extends AnswerStream<string> {
+  override end (count: number): AnswerProgress<string> {
+    const progress = super.end(count)
+    return progress.type === 'parts' ? { ...progress, whole: true } : progress
+  }
+}
+
+/** Says that an unused ticket is dead, but leaves it alive. */
+class NoTombstoneDoor extends AdmissionDoor {
+  override cancel (ticket: string): CancelReply {
+    return ticket.startsWith(this.incarnation) && this._unused.has(ticket) ? 'never-started' : super.cancel(ticket)
+  }
+
+  override go (ticket: string, now: number): Admission {
+    const admission = super.go(ticket, now)
+    if (admission.type === 'admitted') this._unused.delete(ticket)
+    return admission
+  }
+
+  override offer (now: number): ReturnType<AdmissionDoor['offer']> {
+    const reply = super.offer(now)
+    if (reply.type === 'ready') this._unused.add(reply.ticket)
+    return reply
+  }
+
+  private readonly _unused = new Set<string>()
+}
+
+/** Tickets never expire: the time is always that of the offer. */
+class PatientDoor extends AdmissionDoor {
+  override go (ticket: string): Admission { return super.go(ticket, -Infinity) }
+}
+
+/** Takes silence for proof. */
+class OptimisticAttempt extends OnceAttempt {
+  override cancelled (reply: CancelReply | 'unreachable'): OnceEffect[] {
+    return super.cancelled(reply === 'started' ? reply : 'never-started')
+  }
+}
+
+/** Remembers nothing. */
+class ForgetfulKeeper extends ClaimKeeper {
+  override claim (): ClaimReply { return { type: 'vouched' } }
+}
+
+/** Vouches from its first second on. */
+class HastyKeeper extends ClaimKeeper {
+  override claim (...[organisation, id, attempt, body, now]: Parameters<ClaimKeeper['claim']>): ClaimReply {
+    const reply = super.claim(organisation, id, attempt, body, now)
+    return reply.type === 'young' ? { type: 'vouched' } : reply
+  }
+}
+
+/** Hears orders to leave and does nothing. */
+class StayingDoor extends AdmissionDoor {
+  override leave (): boolean { return false }
+}
+
+/** Lets go of its count of what runs. */
+class CarelessDoor extends AdmissionDoor {
+  override get running (): number { return 0 }
+}
+
+/** Never closes for a switch. */
+class OpenDoor extends AdmissionDoor {
+  override setSwitching (): void {}
+}
+
+/** Takes whatever it is given, valid or not, newer or older. */
+class CredulousLedger extends RevisionLedger<Configuration> {
+  private _last: Published | undefined
+
+  constructor (source: string, private readonly _checkIt: (input: unknown) => Checked<Configuration, DocumentFailure>, private readonly _onlyUpward: boolean) {
+    super(source, _checkIt)
+  }
+
+  override get revision (): number { return this._last?.revision ?? 0 }
+  override get seenRevision (): number { return this.revision }
+  override get published (): Published | undefined { return this._last }
+  override offer (published: Published): Acceptance {
+    if (published.revision === this.revision) return { type: 'same' }
+    if (this._onlyUpward && published.revision < this.revision) return { type: 'same' }
+    const checked = this._checkIt(published.document)
+    if ('failure' in checked) return { type: 'refused', failure: checked.failure }
+    this._last = published
+    return { type: 'adopted', revision: published.revision }
+  }
+}
+
+const takeAnything = (input: unknown): Checked<Configuration, DocumentFailure> => ({ value: input as Configuration })
+
+/** Every variant, at least two for each promise. */
+export const variants: readonly Variant[] = [
+  weights('chunks-unverified', 'whole-version', { verify: () => true }),
+  weights('load-before-whole', 'whole-version', { waitsForWhole: false, looksAgain: false }),
+  weights('door-open-while-switching', 'one-version', { door: (incarnation, slots) => new OpenDoor(incarnation, slots) }),
+  weights('running-not-counted', 'one-version', { door: (incarnation, slots) => new CarelessDoor(incarnation, slots) }),
+  weights('old-agents-unfenced', 'one-version', { takesOver: false }),
+  requests('parts-as-they-come', 'whole-answer', { stream: () => new HastyStream() }),
+  requests('end-taken-for-whole', 'whole-answer', { stream: () => new TrustingStream() }),
+  requests('frames-to-newest-call', 'whole-answer', { framesByCall: false }),
+  requests('silence-taken-for-proof', 'not-run', { attempt: (...given) => new OptimisticAttempt(...given) }),
+  requests('cancel-without-tombstone', 'not-run', { door: (incarnation, slots) => new NoTombstoneDoor(incarnation, slots) }),
+  requests('lost-taken-for-not-run', 'not-run', { lostMeans: 'not-run' }),
+  requests('keepers-forget', 'at-most-once', { keeper: (incarnation, policy) => new ForgetfulKeeper(incarnation, policy) }),
+  requests('young-keepers-vouch', 'at-most-once', { keeper: (incarnation, policy) => new HastyKeeper(incarnation, policy) }),
+  requests('one-vouch-is-enough', 'at-most-once', { keepers: (...given) => ({ ...realRequestParts.keepers(...given), needed: 1 }) }),
+  requests('tickets-never-expire', 'at-most-once', { door: (incarnation, slots) => new PatientDoor(incarnation, slots) }),
+  requests('orders-ignored', 'leaving', { door: (incarnation, slots) => new StayingDoor(incarnation, slots) }),
+  requests('list-ignored', 'leaving', { heedsList: false }),
+  requests('stop-without-count', 'planned-stop', { door: (incarnation, slots) => new CarelessDoor(incarnation, slots) }),
+  requests('stop-without-patience', 'planned-stop', { stopPatience: 200 }),
+  configuration('downward-allowed', 'never-reverts', { ledger: source => new CredulousLedger(source, takeAnything, false) }),
+  configuration('start-without-peers', 'never-reverts', { joins: false }),
+  configuration('invalid-allowed', 'accepted-only', { ledger: source => new CredulousLedger(source, takeAnything, true) }),
+  configuration('no-comparisons', 'in-force', { compares: false })
+]
--- /dev/null
+++ b/packages/fuzz/src/lib/world.ts
@@ -0,0 +1,154 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * A small fake of what lies round the core: a clock that only events move, processes that can be killed, frozen and
+ * replaced, and a network that can be cut. Everything is drawn from one seed.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+interface Event {
+  readonly at: number
+  readonly order: number
+  /** The process whose event it is; its death drops the event, its freeze holds it back. */
+  readonly process: Process | undefined
+  readonly run: () => void
+}
+
+const LEAST_LATENCY = 0.5
+const MOST_LATENCY = 8
+const REFUSED_AFTER = 2
+
+/** One process of one incarnation. */
+export class Process {
+  alive = true
+  frozen = false
+  readonly deferred: (() => void)[] = []
+
+  /**
+   * @param skew Added to the world's time: clocks differ between instances.
+   */
+  constructor (readonly name: string, readonly availabilityZone: string, readonly incarnation: string, readonly skew: number) {}
+}
+
+/** The fakes of one run. */
+export class World {
+  now = 0
+  /** What went against a promise; empty at the end of a good run. */
+  readonly violations: string[] = []
+  private readonly _events: Event[] = []
+  private readonly _cuts = new Set<string>()
+  private _order = 0
+  private readonly _generator: ReturnType<typeof xoroshiro128plus>
+
+  constructor (seed: number) {
+    this._generator = xoroshiro128plus(seed)
+  }
+
+  /** A number in [0, 1). */
+  random (): number { return uniformFloat64(this._generator) }
+
+  /** A number between two bounds. */
+  between (least: number, most: number): number { return least + (most - least) * this.random() }
+
+  /** One of several. */
+  pick<Item> (items: readonly Item[]): Item | undefined { return items[Math.floor(this.random() * items.length)] }
+
+  /** The reading of a process's own clock. */
+  clock (process: Process): number { return this.now + process.skew }
+
+  violate (text: string): void { this.violations.push(`${Math.round(this.now)} ms: ${text}`) }
+
+  /** Runs something later, as an event of a process. */
+  after (delay: number, process: Process | undefined, run: () => void): void {
+    const event: Event = { at: this.now + Math.max(0, delay), order: this._order++, process, run }
+    let low = 0
+    let high = this._events.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      const other = this._events[middle] as Event
+      if (other.at < event.at || (other.at === event.at && other.order < event.order)) low = middle + 1
+      else high = middle
+    }
+    this._events.splice(low, 0, event)
+  }
+
+  /** Lets time pass. */
+  advance (duration: number): void {
+    const until = this.now + duration
+    for (let next = this._events[0]; next !== undefined && next.at <= until; next = this._events[0]) {
+      this._events.shift()
+      this.now = next.at
+      this._run(next)
+    }
+    this.now = until
+  }
+
+  /** Cuts a direction between two ends: process names, zone names, or `platform`. */
+  cut (from: string, to: string): void { this._cuts.add(`${from}>${to}`) }
+
+  /** Heals everything. */
+  heal (): void { this._cuts.clear() }
+
+  connected (from: Process, to: Process): boolean {
+    const ends = (process: Process): string[] => [process.name, process.availabilityZone]
+    return !ends(from).some(left => ends(to).some(right => this._cuts.has(`${left}>${right}`)))
+  }
+
+  /** Whether a process and the platform reach each other. */
+  platformReaches (process: Process): boolean {
+    return !this._cuts.has(`platform>${process.availabilityZone}`) && !this._cuts.has(`${process.availabilityZone}>platform`)
+  }
+
+  /** Sends a message one way; lost when the way is cut at either end of its flight. */
+  send (from: Process, to: Process, deliver: () => void): void {
+    if (!this.connected(from, to)) return
+    this.after(this.between(LEAST_LATENCY, MOST_LATENCY), to, () => { if (this.connected(from, to)) deliver() })
+  }
+
+  /**
+   * Asks a process for one answer. A dead one refuses; a frozen or cut one is silent until the time is up. A frozen
+   * asker finds both its time-out and a late answer when it wakes, in either order.
+   */
+  call<Answer> (from: Process, to: Process | undefined, handle: () => Answer, timeout: number, done: (answer: Answer | 'unreachable') => void): void {
+    let settled = false
+    const settle = (answer: Answer | 'unreachable'): void => {
+      if (settled) return
+      settled = true
+      done(answer)
+    }
+    this.after(timeout, from, () => settle('unreachable'))
+    if (to === undefined || (!to.alive && this.connected(from, to))) this.after(REFUSED_AFTER, from, () => settle('unreachable'))
+    else this.send(from, to, () => { this.reply(to, from, handle(), settle) })
+  }
+
+  /** Sends an answer back. */
+  reply<Answer> (from: Process, to: Process, answer: Answer, take: (answer: Answer) => void): void {
+    this.send(from, to, () => take(answer))
+  }
+
+  kill (process: Process): void {
+    process.alive = false
+    process.deferred.length = 0
+  }
+
+  freeze (process: Process): void { process.frozen = true }
+
+  /** A process wakes: what it missed happens now, time-outs first or messages first. */
+  thaw (process: Process): void {
+    if (!process.frozen) return
+    process.frozen = false
+    const missed = process.deferred.splice(0)
+    if (this.random() < 0.5) missed.reverse()
+    for (const run of missed) if (process.alive) run()
+  }
+
+  private _run ({ process, run }: Event): void {
+    if (process === undefined) run()
+    else if (process.alive && process.frozen) process.deferred.push(run)
+    else if (process.alive) run()
+  }
+}
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -61,7 +61,10 @@
   private _addresses: ReadonlyMap<string, string> = new Map()
   private _wantedSince = performance.now()
 
-  constructor (private readonly _settings: Settings, private readonly _log: Log) {
+  /**
+   * @param _onReplaced Called when another agent has taken the engine over: the process is to stop.
+   */
+  constructor (private readonly _settings: Settings, private readonly _log: Log, private readonly _onReplaced: () => void = () => {}) {
     const text = (section: string, key: string): string => _settings.text(section, key)
     const number = (section: string, key: string): number => _settings.number(section, key)
     this._name = text('process', 'instance')
@@ -107,14 +110,16 @@
       pool: this._pool,
       log: _log,
       situation: () => ({ target: this._target(), wholeDigest: this._weights.wholeDigest, members: this._members, knownDigests: this._knownDigests() }),
-      onServing: () => {
+      onReplaced: () => { this._onReplaced() },
+      confirmWhole: () => this._weights.confirmWhole(),
+      onServing: (_digest, fence) => {
         this._recordSince('time-to-serve')
-        this._weights.dropOthers()
+        this._weights.dropOthers(fence)
       }
     })
     if (!this._model) this._switcher.close()
     this._runner = new RequestRunner({
-      endpointAddress: text('endpoint', 'address'), door: this._door, pacer: this._pacer, counters: this._counters, status: () => this._endpointStatus()
+      endpointAddress: text('endpoint', 'address'), door: this._door, pacer: this._pacer, counters: this._counters, status: () => this._endpointStatus(), fence: () => this._model ? this._switcher.fence : 0
     })
     this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
     const requests = new AgentRequests({
@@ -226,7 +231,7 @@
     const pool = spread.configuration?.pools[this._endpoint]
     const manifestDigest = this._weights.wanted
     if (pool === undefined || manifestDigest === '') return undefined
-    return { manifestDigest, fence: spread.revision('configuration'), switchFraction: pool.switchFraction }
+    return { manifestDigest, switchFraction: pool.switchFraction }
   }
 
   private _knownDigests (): ReadonlySet<string> {
--- a/packages/node/src/lib/agent/chunk-store.ts
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -25,8 +25,9 @@
   /** Digests that the engine holds. */
   get staged (): ReadonlySet<string> { return this._staged }
 
-  /** Learns what the engine holds from an earlier agent. */
+  /** Learns what the engine holds: at the start, and again before a load, since an earlier agent may have dropped some. */
   async recover (): Promise<void> {
+    this._staged.clear()
     for (const digest of await this._engine.staged()) this._staged.add(digest)
   }
 
@@ -66,11 +67,11 @@
   }
 
   /** Drops staged chunks that no wanted version lists. */
-  async dropExcept (wanted: ReadonlySet<string>): Promise<void> {
+  async dropExcept (wanted: ReadonlySet<string>, fence: number): Promise<void> {
     for (const digest of [...this._staged]) {
       if (wanted.has(digest)) continue
       this._staged.delete(digest)
-      await this._engine.drop(digest)
+      await this._engine.drop(digest, fence)
     }
   }
 
--- a/packages/node/src/lib/agent/engine-client.ts
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -7,7 +7,7 @@
  * Speaks to the model engine beside the agent: staging of chunks, fenced load orders and the engine's own account of
  * its state (docs/PROTOCOLS.md). The agent is the only one that gives this engine orders.
  */
-import type { EngineReport, LoadResult } from '@drumdrift/core'
+import type { EngineReport, LoadResult, TakeOverResult } from '@drumdrift/core'
 import { askHttp } from '../platform/http-client.js'
 
 /** An engine as the agent sees it. */
@@ -17,7 +17,10 @@
   staged (): Promise<ReadonlySet<string>>
   stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean>
   readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined>
-  drop (digest: string): Promise<void>
+  /** Drops a staged chunk; refused by the engine when the fence is not the newest. */
+  drop (digest: string, fence: number): Promise<void>
+  /** Takes the engine over; the fence must be above every earlier one. */
+  takeOver (fence: number): Promise<TakeOverResult>
   /** Orders a load; the fence must not be below any earlier one. */
   load (manifestDigest: string, fence: number): Promise<LoadResult>
 }
@@ -61,8 +64,14 @@
     }
   }
 
-  async drop (digest: string): Promise<void> {
-    await this._status({ method: 'DELETE', path: `/staging/chunks/${digest}` })
+  async drop (digest: string, fence: number): Promise<void> {
+    await this._status({ method: 'DELETE', path: `/staging/chunks/${digest}?fence=${fence}` })
+  }
+
+  async takeOver (fence: number): Promise<TakeOverResult> {
+    const status = await this._status({ method: 'POST', path: '/take-over', body: JSON.stringify({ fence }) })
+    if (status === 204) return 'taken'
+    return status === undefined ? 'unreachable' : 'stale-fence'
   }
 
   async load (manifestDigest: string, fence: number): Promise<LoadResult> {
--- a/packages/node/src/lib/agent/request-runner.ts
+++ b/packages/node/src/lib/agent/request-runner.ts
@@ -21,6 +21,8 @@
   readonly pacer: LinkPacer
   readonly counters: Counters
   readonly status: () => EndpointStatus
+  /** The fence that goes with requests to a model engine; 0 for none. */
+  readonly fence: () => number
 }
 
 /** Bytes of answers that may wait to be sent before transfers are told to yield. */
@@ -68,7 +70,7 @@
     const { status } = this._parts
     try {
       const response = await openHttp(this._parts.endpointAddress, {
-        method: request.method, path: request.path, headers: outgoingHeaders(request, body), body, signal, timeout: Math.max(1, request.remaining)
+        method: request.method, path: request.path, headers: outgoingHeaders(request, body, this._parts.fence()), body, signal, timeout: Math.max(1, request.remaining)
       })
       responder.send({ type: 'head', head: { status: response.statusCode ?? 502, headers: incomingHeaders(response), version: versionOf(response) } })
       const count = await this._stream(response, responder)
@@ -115,12 +117,13 @@
   }
 }
 
-function outgoingHeaders (request: ForwardedRequest, body: Buffer): Record<string, string> {
+function outgoingHeaders (request: ForwardedRequest, body: Buffer, fence: number): Record<string, string> {
   const headers: Record<string, string> = {}
   for (const [name, value] of Object.entries(request.headers)) if (!hopHeaders.has(name)) headers[name] = value
   headers['content-length'] = String(body.length)
   headers['x-request-id'] = request.id
   headers['x-priority'] = String(request.priority)
+  if (fence > 0) headers['x-fence'] = String(fence)
   if (request.resumeAfter > 0) headers['x-resume-after'] = String(request.resumeAfter)
   return headers
 }
--- a/packages/node/src/lib/agent/switcher.ts
+++ b/packages/node/src/lib/agent/switcher.ts
@@ -19,7 +19,11 @@
   readonly pool: PeerPool
   readonly log: Log
   readonly situation: () => SwitchSituation
-  readonly onServing: (manifestDigest: string) => void
+  /** Another agent has the engine: this process is to end, and the platform to start a new one if the slot is its own. */
+  readonly onReplaced: () => void
+  /** Whether the engine still holds the whole version; looked at right before a load. */
+  readonly confirmWhole: () => Promise<boolean>
+  readonly onServing: (manifestDigest: string, fence: number) => void
 }
 
 const POLL = 200
@@ -32,12 +36,14 @@
   private readonly _timer: NodeJS.Timeout
 
   constructor (private readonly _parts: SwitcherParts) {
-    this._switch = new EngineSwitch(_parts.instance, _parts.door)
+    this._switch = new EngineSwitch(_parts.instance, _parts.door, performance.now())
     this._timer = setInterval(() => { this.poll() }, POLL)
   }
 
   /** The engine's last report. */
   get engine (): EngineReport | undefined { return this._switch.engine }
+  /** The fence of this agent's orders and requests. */
+  get fence (): number { return this._switch.fence }
   /** Whether the rollout stands still because engines before this one failed to load. */
   get halted (): boolean { return this._switch.halted }
   /** The version that this engine failed to load; empty for none. */
@@ -65,19 +71,28 @@
   }
 
   private readonly _handlers: { readonly [Type in SwitchEffect['type']]: (effect: Extract<SwitchEffect, { type: Type }>) => void | Promise<void> } = {
+    'take-over': async ({ fence }) => {
+      const result = await this._parts.engine.takeOver(fence)
+      this._parts.log.info('engine-taken-over', { result, fence })
+      for (const effect of this._switch.tookOver(fence, result, performance.now())) await this._carryOut(effect)
+    },
+    replaced: ({ fence }) => {
+      this._parts.log.error('replaced', { fence })
+      this._parts.onReplaced()
+    },
     'ask-progress': async ({ instances, digest }) => { await Promise.all(instances.map(async instance => await this._ask(instance, digest))) },
     'order-load': async ({ digest, fence }) => { await this._load(digest, fence) },
     began: ({ digest }) => this._parts.log.info('switch-begins', { manifest: digest, running: this._parts.door.running }),
     switched: ({ digest }) => {
       this._parts.log.info('switched', { manifest: digest })
-      this._parts.onServing(digest)
+      this._parts.onServing(digest, this._switch.fence)
     },
     'load-failed': ({ digest }) => this._parts.log.error('load-failed', { manifest: digest }),
     halted: ({ digest }) => this._parts.log.error('rollout-halted', { manifest: digest })
   }
 
   private async _load (digest: string, fence: number): Promise<void> {
-    const result = await this._parts.engine.load(digest, fence)
+    const result = await this._parts.confirmWhole() ? await this._parts.engine.load(digest, fence) : 'refused-here'
     if (result !== 'ordered') this._parts.log.warn('load-refused', { result, fence })
     this._switch.loadAnswered(digest, result, performance.now())
   }
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -121,8 +121,23 @@
   }
 
   /** Drops chunks that the wanted version does not list; call it once that version is served. */
-  async dropOthers (): Promise<void> {
-    if (this._manifest !== undefined) await this._parts.store.dropExcept(this._wantedDigests)
+  async dropOthers (fence: number): Promise<void> {
+    if (this._manifest !== undefined) await this._parts.store.dropExcept(this._wantedDigests, fence)
+  }
+
+  /**
+   * Looks once more whether the engine holds the whole version, as it must right before a load. If chunks are gone they
+   * are fetched again.
+   */
+  async confirmWhole (): Promise<boolean> {
+    const manifest = this._manifest
+    if (manifest === undefined) return false
+    await this._parts.store.recover()
+    if (manifest.chunks.every(chunk => this._parts.store.staged.has(chunk.digest))) return true
+    this._parts.log.warn('staging-lost', { manifest: this._wanted })
+    this._wholeDigest = ''
+    this._startTransfer(manifest)
+    return false
   }
 
   private async _begin (manifestDigest: string): Promise<void> {
@@ -148,14 +163,19 @@
     this._arrivals.arrived(manifestDigest)
     this._parts.log.info('manifest-held', { manifest: manifestDigest, chunks: checked.value.chunks.length })
     this._wantedDigests = new Set(checked.value.chunks.map(chunk => chunk.digest))
-    const policy = { ...this._parts.policy, originCopies: this._originCopies }
-    this._members = this._parts.members()
-    this._transfer = new Transfer(this._parts.self, this._members, manifestDigest, checked.value, this._parts.store.staged, policy)
+    this._startTransfer(checked.value)
     this._parts.engine.stage('manifests', manifestDigest, bytes)
     this._tick()
     return true
   }
 
+  private _startTransfer (manifest: Manifest): void {
+    this._carryOut(this._transfer?.cancel() ?? [])
+    const policy = { ...this._parts.policy, originCopies: this._originCopies }
+    this._members = this._parts.members()
+    this._transfer = new Transfer(this._parts.self, this._members, this._wanted, manifest, this._parts.store.staged, policy)
+  }
+
   /** Parents in a tree over the members first, then, staggered by rank, the platform. */
   private async _fetchManifest (digest: string, waited: number): Promise<Buffer | undefined> {
     const held = await this.manifest(digest, 0)
--- a/packages/node/src/lib/entry/carrier.ts
+++ b/packages/node/src/lib/entry/carrier.ts
@@ -62,11 +62,12 @@
     const course: Course = { job, group, tried: new Set(), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0 }
     group.budget.attempted()
     for (;;) {
+      // Looked at before each attempt: an entry that was paused must not begin what its caller has long given up.
+      const stopped = this._stopped(course)
+      if (stopped !== undefined) return stopped
       const next = await this._attempt(course)
       if (next === 'done') return undefined
       if (next !== 'again') return next.failure
-      const stopped = this._stopped(course)
-      if (stopped !== undefined) return stopped
     }
   }
 
--- a/packages/node/src/lib/run-daemon.ts
+++ b/packages/node/src/lib/run-daemon.ts
@@ -19,9 +19,9 @@
   stop (): Promise<number>
 }
 
-const daemons: Record<Role, (settings: Settings, log: Log) => Daemon> = {
+const daemons: Record<Role, (settings: Settings, log: Log, stop: () => void) => Daemon> = {
   entry: (settings, log) => new EntryProcess(settings, log),
-  agent: (settings, log) => new AgentProcess(settings, log)
+  agent: (settings, log, stop) => new AgentProcess(settings, log, stop)
 }
 
 /**
@@ -35,14 +35,14 @@
   const log = new Log(settings.text('process', 'log-level') as LogLevel, { role, instance: settings.text('process', 'instance') })
   process.on('uncaughtException', error => log.error('fault', { detail: error.message, at: error.stack?.split('\n')[1]?.trim() }))
   process.on('unhandledRejection', error => log.error('fault', { detail: error instanceof Error ? error.message : 'rejection', at: error instanceof Error ? error.stack?.split('\n')[1]?.trim() : undefined }))
-  const daemon = daemons[role](settings, log)
-  await daemon.start()
   let stopping = false
   const stop = (): void => {
     if (stopping) return
     stopping = true
     daemon.stop().then(cut => process.exit(cut > 0 ? 1 : 0))
   }
+  const daemon = daemons[role](settings, log, stop)
+  await daemon.start()
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
 }
--- a/packages/node/src/lib/spread-runner.ts
+++ b/packages/node/src/lib/spread-runner.ts
@@ -84,9 +84,10 @@
       if (reply.type !== 'documents') return
       const now = performance.now()
       this._carryOut(this.spread.received(reply.documents, now))
-      this.spread.agreed(reply.note.revisions, reply.note.ages, now)
+      this._carryOut(this.spread.answered(address, reply.note, now))
     } catch {
       this._parts.counters.add('comparisons_failed')
+      this._carryOut(this.spread.unanswered(address, performance.now()))
     }
   }
 
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -85,10 +85,12 @@
 
   protected override async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = request.url ?? ''
-    const [, first, kind, digest = ''] = url.split('/')
+    const [, first, kind, rest = ''] = url.split('/')
+    const [digest = '', query = ''] = rest.split('?')
     if (url === '/state') return this._state(response)
     if (url === '/staging') return sendJson(response, [...this._chunks.keys()])
-    if (first === 'staging') return await this._staging(request, response, kind === 'manifests' ? this._manifests : this._chunks, digest)
+    if (first === 'staging') return await this._staging(request, response, kind === 'manifests' ? this._manifests : this._chunks, digest, Number(query.replace('fence=', '')))
+    if (url === '/take-over') return await this._takeOver(request, response)
     if (url === '/load') return await this._load(request, response)
     if (url === '/v1/chat/completions') return await this._chat(request, response)
     response.writeHead(404).end()
@@ -98,7 +100,12 @@
     sendJson(response, { version: this._version, loading: this._loading, failed: this._failed, fence: this._fence, running: this._reported })
   }
 
-  private async _staging (request: IncomingMessage, response: ServerResponse, held: Map<string, Buffer>, digest: string): Promise<void> {
+  private async _staging (request: IncomingMessage, response: ServerResponse, held: Map<string, Buffer>, digest: string, fence: number): Promise<void> {
+    if (request.method === 'DELETE' && fence < this._fence) {
+      this.journal.staleFences += 1
+      response.writeHead(409).end()
+      return
+    }
     if (request.method === 'PUT') held.set(digest, await readAll(request))
     if (request.method === 'DELETE') held.delete(digest)
     const bytes = held.get(digest)
@@ -107,6 +114,15 @@
     else response.end(bytes)
   }
 
+  /** A new agent takes over with a fence above every earlier one. */
+  private async _takeOver (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { fence } = JSON.parse((await readAll(request)).toString()) as { fence: number }
+    const taken = fence > this._fence
+    if (taken) this._fence = fence
+    else this.journal.staleFences += 1
+    response.writeHead(taken ? 204 : 409).end()
+  }
+
   private async _load (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { manifest, fence } = JSON.parse((await readAll(request)).toString()) as { manifest: string, fence: number }
     if (fence < this._fence) {
@@ -144,6 +160,12 @@
   private async _chat (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = JSON.parse((await readAll(request)).toString()) as { model: string, messages: { content: string }[], stream?: boolean, max_tokens?: number }
     const version = this._version
+    const fence = Number(request.headers['x-fence'] ?? this._fence)
+    if (fence < this._fence) {
+      this.journal.staleFences += 1
+      response.writeHead(409).end()
+      return
+    }
     if (version === '' || this._loading !== '') {
       response.writeHead(503).end()
       return
