--- a/packages/core/src/lib/chunk-tree.ts
+++ b/packages/core/src/lib/chunk-tree.ts
@@ -33,11 +33,14 @@
 export interface ChunkPlace {
   /** Ancestors, nearest first; empty for a member that reads from the origin. */
   readonly ancestors: readonly string[]
+  /** The members next in line when all ancestors fail: they turn to the origin before this one does. */
+  readonly substitutes: readonly string[]
   /** How many members stand before this one in its zone: decides how long it waits before it may use the origin. */
   readonly rank: number
 }
 
 const FAN_OUT = 2
+const SUBSTITUTES = 2
 
 type Orderer = (ring: readonly string[], chunk: number, chunkDigest: string) => readonly string[]
 
@@ -88,7 +91,7 @@
    * tree.place(0, manifest.chunks[0].digest) // { ancestors: ['agent-3', 'agent-1'], rank: 4 }
    */
   place (chunk: number, chunkDigest: string): ChunkPlace {
-    if (this.strategy === 'origin') return { ancestors: [], rank: 0 }
+    if (this.strategy === 'origin') return { ancestors: [], substitutes: [], rank: 0 }
     const ordered = orderers[this.strategy](this._rings[this._ownRing] ?? [], chunk, chunkDigest)
     const rank = ordered.indexOf(this.self.instance)
     const zoneRank = this._zoneRank(this._ownRing, chunk)
@@ -100,7 +103,9 @@
       ancestors.push(ordered[at] ?? '')
     }
     if (copiesHere === 0) ancestors.push(...this._headAncestors(zoneRank, chunk, chunkDigest))
-    return { ancestors, rank }
+    const next = copiesHere === 0 ? this._ordered(0, chunk, chunkDigest) : ordered.slice(0, rank)
+    const substitutes = next.slice(1, 1 + SUBSTITUTES).filter(instance => !ancestors.includes(instance))
+    return { ancestors, substitutes, rank }
   }
 
   /** The members of the asking member's own zone other than itself, for detours. */
@@ -133,9 +138,14 @@
   }
 
   private _head (zoneRank: number, chunk: number, chunkDigest: string): string {
+    return this._ordered(zoneRank, chunk, chunkDigest)[0] ?? ''
+  }
+
+  /** The members of the zone that has a rank among the zones, in the order of one chunk. */
+  private _ordered (zoneRank: number, chunk: number, chunkDigest: string): readonly string[] {
     const count = this._rings.length
     const ring = (zoneRank + (this.strategy === 'tree' ? 0 : chunk % count)) % count
-    return orderers[this.strategy](this._rings[ring] ?? [], chunk, chunkDigest)[0] ?? ''
+    return orderers[this.strategy](this._rings[ring] ?? [], chunk, chunkDigest)
   }
 }
 
--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -64,6 +64,15 @@
   | { readonly type: 'status' }
   | { readonly type: 'leave', readonly incarnation: string, readonly lifecycle: Lifecycle, readonly operator: string }
 
+/** What a process has cost its node since its start. */
+export interface ProcessCost {
+  readonly processorMilliseconds: number
+  readonly residentBytes: number
+  readonly heapBytes: number
+  /** Bytes of messages between processes, sent and received, payloads not counted. */
+  readonly controlBytes: number
+}
+
 /** A process's own account of itself, for operators. */
 export interface ProcessStatus {
   readonly instance: string
@@ -81,6 +90,7 @@
   readonly progress: number
   readonly running: number
   readonly slots: number
+  readonly cost: ProcessCost
   readonly detail: string
 }
 
--- a/packages/core/src/lib/spread.ts
+++ b/packages/core/src/lib/spread.ts
@@ -58,6 +58,8 @@
   readonly longestBackoff: number
   /** The same for a zone's watchers, who are few: a service that comes back must be noticed within seconds. */
   readonly longestWatcherBackoff: number
+  /** The same for a process that holds nothing yet. */
+  readonly longestEmptyBackoff: number
   /** How long a process that starts asks peers before it takes what the service says. */
   readonly joinPatience: number
 }
@@ -71,13 +73,14 @@
   firstBackoff: 500,
   longestBackoff: 60_000,
   longestWatcherBackoff: 2_000,
+  longestEmptyBackoff: 5_000,
   joinPatience: 1_500
 }
 
 /** Peers that a process asks before it takes anything: the service may be stale, and they know better. */
 const JOIN_PEERS = 3
 /** Every how many comparisons a peer of another zone is asked. */
-const ABROAD_EVERY = 4
+const ABROAD_EVERY = 2
 const NEVER = -Infinity
 
 /** Where this process stands. */
@@ -205,8 +208,13 @@
     return { reply: this._documents(lacking, now), behind }
   }
 
-  /** Documents came from a peer, in answer to a comparison or pushed. */
-  received (incoming: SpreadDocuments, now: number): SpreadEffect[] {
+  /**
+   * Documents came from a peer.
+   *
+   * @param way Whether they were pushed down the tree, or came in answer to a comparison and so past the tree: then the
+   * zone's first member is told, whose pushes reach the whole zone.
+   */
+  received (incoming: SpreadDocuments, way: 'pushed' | 'compared', now: number): SpreadEffect[] {
     const effects: SpreadEffect[] = []
     for (const { topic, published } of incoming.documents) {
       if (!topics.includes(topic)) continue
@@ -214,7 +222,9 @@
         this._joining.held.push({ topic, published })
         continue
       }
-      effects.push(...this._take(topic, published, now))
+      const taken = this._take(topic, published, now)
+      effects.push(...taken)
+      if (way === 'compared' && taken.length > 0) effects.push(...this._tellFirst(topic, now))
       this._hearAge(topic, published.revision, incoming.ages[topic], now)
     }
     return effects
@@ -291,6 +301,13 @@
       .map(instance => ({ type: 'push', address: addresses.get(instance) ?? '', documents }) as const)
   }
 
+  private _tellFirst (topic: Topic, now: number): SpreadEffect[] {
+    const [first] = this._zoneOrder()
+    const address = this.instances.find(record => record.instance === first)?.address
+    if (address === undefined || first === this._self.instance) return []
+    return [{ type: 'push', address, documents: this._documents([topic], now) }]
+  }
+
   private _read (topic: Topic, now: number): SpreadEffect[] {
     const state = this._service[topic]
     if (state.reading || now < state.nextReadAt) return []
@@ -304,12 +321,18 @@
   }
 
   private _backOff (state: ServiceState, now: number): SpreadEffect[] {
-    const longest = this.isWatcher() ? this._policy.longestWatcherBackoff : this._policy.longestBackoff
+    const longest = this._longestBackoff()
     state.nextReadAt = now + Math.min(longest, state.backoff) * (0.5 + this._random())
     state.backoff = Math.min(longest, state.backoff * 2)
     return []
   }
 
+  /** A process that holds nothing serves nothing, so it asks more often than one that only waits for news. */
+  private _longestBackoff (): number {
+    if (this.isWatcher()) return this._policy.longestWatcherBackoff
+    return this.revision('instances') === 0 ? this._policy.longestEmptyBackoff : this._policy.longestBackoff
+  }
+
   /** Compares with one peer; with one near and one abroad while nothing is heard of the service. */
   private _compare (now: number): SpreadEffect[] {
     this._compareAt = now + this._policy.comparePause * (0.75 + this._random() / 2)
--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -243,7 +243,7 @@
   private _source (index: number, digest: string, want: Want, now: number): ChunkSource | undefined {
     const place = this._tree.place(index, digest)
     if (place.ancestors.length === 0) return this._upstream(want)
-    for (const instance of place.ancestors) {
+    for (const instance of [...place.ancestors, ...place.substitutes]) {
       if (this._usable(instance, want, now)) return { kind: 'peer', instance }
     }
     if (now - want.since >= ORIGIN_FIRST_WAIT + place.rank * this._policy.originStagger) return this._upstream(want)
@@ -337,11 +337,10 @@
     this._observed = this._observed === 0 ? took : this._observed + SMOOTHING * (took - this._observed)
   }
 
-  /** The origin is limited by its link, not by a fault, so it gets more time. */
+  /** Peers give signs while a chunk is to come. The origin gives none and is limited by its link, so it gets more time. */
   private _timeout (source: ChunkSource): number {
-    const observed = TIMEOUT_FACTOR * this._observed
-    const least = source.kind === 'peer' ? this._policy.leastTimeout : this._policy.leastTimeout * TIMEOUT_FACTOR
-    return Math.max(least, observed)
+    if (source.kind === 'peer') return this._policy.leastTimeout
+    return TIMEOUT_FACTOR * Math.max(this._policy.leastTimeout, this._observed)
   }
 }
 
--- a/packages/core/src/test/lib/spread_test.ts
+++ b/packages/core/src/test/lib/spread_test.ts
@@ -42,18 +42,18 @@
     ['believes a peer that knows better than a stale service', spread => {
       const peer = processOf(1)
       publish(peer, 'configuration', 9)
-      spread.received(peer.compared(spread.note(0), 0).reply, 0)
+      spread.received(peer.compared(spread.note(0), 0).reply, 'compared', 0)
       spread.answered('10.0.0.0:1', peer.note(0), 0)
       spread.unanswered('10.0.0.29:1', 0)
     }, 9],
     ['takes the newest valid one when the newest is not', spread => {
-      const say = (revision: number, document: unknown): void => { spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document } }], ages: starting(1).note(0).ages }, 0) }
+      const say = (revision: number, document: unknown): void => { spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document } }], ages: starting(1).note(0).ages }, 'pushed', 0) }
       say(9, empty)
       say(11, { pools: 1 })
       spread.tick(defaultSpreadPolicy.joinPatience)
     }, 9],
     ['takes the newest of what peers say, not the first', spread => {
-      for (const revision of [5, 9, 7]) spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document: empty } }], ages: starting(1).note(0).ages }, 0)
+      for (const revision of [5, 9, 7]) spread.received({ documents: [{ topic: 'configuration', published: { source: 's', revision, document: empty } }], ages: starting(1).note(0).ages }, 'pushed', 0)
       spread.tick(defaultSpreadPolicy.joinPatience)
     }, 9],
     ['believes the service when peers know nothing', spread => {
@@ -109,10 +109,23 @@
     assert.deepEqual(answer.reply.documents.map(document => document.published.revision), [7])
     assert.equal(answer.behind, false)
     assert.equal(behind.compared(ahead.note(0), 0).behind, true)
-    assert.deepEqual(types(behind.received(answer.reply, 0)), ['adopted'])
+    assert.deepEqual(types(behind.received(answer.reply, 'compared', 0)), ['adopted'])
     assert.equal(behind.revision('configuration'), 7)
   })
 
+  it('tells the first of its zone what came past the tree', () => {
+    const spreads = records.map((_, index) => processOf(index))
+    for (const spread of spreads) publish(spread, 'instances', 1)
+    const ahead = spreads[1] as Spread
+    publish(ahead, 'configuration', 7)
+    const told = [0, 3, 6, 9, 12].map(index => {
+      const spread = spreads[index] as Spread
+      return spread.received(ahead.compared(spread.note(0), 0).reply, 'compared', 0).flatMap(effect => effect.type === 'push' ? [effect.address] : [])
+    })
+    const first = told.find(addresses => addresses.length === 1)?.[0]
+    assert.ok(first !== undefined && told.filter(addresses => addresses.includes(first)).length >= 4, JSON.stringify(told))
+  })
+
   const refusals: [name: string, revision: number, document: unknown, source: string][] = [
     ['a stale revision', 3, empty, 's'],
     ['an invalid document', 9, { pools: 1 }, 's'],
--- a/packages/fuzz/src/lib/configuration-world.ts
+++ b/packages/fuzz/src/lib/configuration-world.ts
@@ -190,7 +190,7 @@
     push: (member, { address, documents }) => {
       const to = this._at(address)
       if (to === undefined) return
-      this.world.send(member.process, to.process, () => this._carryOut(to, to.spread.received(documents, this.world.clock(to.process))))
+      this.world.send(member.process, to.process, () => this._carryOut(to, to.spread.received(documents, 'pushed', this.world.clock(to.process))))
     },
     adopted: (member, { topic, revision }) => { if (topic === 'configuration') this._adopted(member, revision) },
     refused: () => {}
@@ -217,7 +217,7 @@
     }, CALL_TIMEOUT, answer => {
       const now = world.clock(from)
       if (answer === 'unreachable') return this._carryOut(member, member.spread.unanswered(address, now))
-      this._carryOut(member, member.spread.received(answer.reply, now))
+      this._carryOut(member, member.spread.received(answer.reply, 'compared', now))
       this._carryOut(member, member.spread.answered(address, answer.note, now))
     })
   }
--- a/packages/fuzz/src/lib/request-world.ts
+++ b/packages/fuzz/src/lib/request-world.ts
@@ -8,7 +8,7 @@
  * oracles look only at what endpoints ran and what callers were told.
  */
 import {
-  AdmissionDoor, AnswerStream, ClaimKeeper, keepersOf, OnceAttempt, type Admission, type KeeperPolicy, type Keepers, type OnceEffect, type Outcome
+  AdmissionDoor, AnswerStream, ClaimKeeper, keepersOf, OnceAttempt, type Admission, type KeeperPolicy, type Keepers, type OfferReply, type OnceEffect, type Outcome
 } from '@drumdrift/core'
 import { Process, World } from './world.js'
 
@@ -110,6 +110,8 @@
   readonly submissions: Submission[] = []
   private readonly _runsById = new Map<string, number>()
   private _incarnations = 0
+  /** The agent that made the newest offer. */
+  private _offered: Agent | undefined
 
   constructor (seed: number, private readonly _parts: RequestParts = realRequestParts) {
     this.world = new World(seed)
@@ -153,6 +155,23 @@
     this.entries[at] = this._entry(old.process.name, old.process.availabilityZone)
   }
 
+  /** A rack is lost and replaced: three agents at once. */
+  replaceRack (index: number): void { for (const offset of [0, 1, 2]) this.replace(index + offset) }
+
+  /** The agent that made the newest offer is frozen, in the middle of what follows. */
+  freezeOffered (length: number): void {
+    const agent = this._offered
+    if (agent === undefined) return
+    this.world.freeze(agent.process)
+    this.world.after(length, undefined, () => this.world.thaw(agent.process))
+  }
+
+  /** What the agent that made the newest offer says does not arrive any more. */
+  muteOffered (): void {
+    const agent = this._offered
+    if (agent !== undefined) for (const { process } of this.entries) this.world.cut(agent.process.name, process.name)
+  }
+
   freezeAgent (index: number): void { this.world.freeze(this._agentAt(index).process) }
   freezeEntry (index: number): void { this.world.freeze((this.entries[index % this.entries.length] as Entry).process) }
 
@@ -282,7 +301,7 @@
     const keeper = 'keeper' in effect ? this._named(effect.keeper) : undefined
     switch (effect.type) {
       case 'send-offer':
-        return world.call(from, agent?.process, () => (agent as Agent).door.offer(world.clock((agent as Agent).process)), STEP_TIMEOUT, reply => carryOut(attempt.offered(reply)))
+        return world.call(from, agent?.process, () => this._offer(agent as Agent), STEP_TIMEOUT, reply => carryOut(attempt.offered(reply)))
       case 'send-claim':
         return world.call(from, keeper?.process, () => (keeper as Agent).keeper.claim(ORGANISATION, submission.id, attempt.attempt, 'body', world.clock((keeper as Agent).process)), STEP_TIMEOUT, reply => carryOut(attempt.claimed(effect.keeper, reply)))
       case 'send-release':
@@ -328,6 +347,11 @@
 
   // The agent.
 
+  private _offer (agent: Agent): OfferReply {
+    this._offered = agent
+    return agent.door.offer(this.world.clock(agent.process))
+  }
+
   /** From now on the agent can know that it leaves. */
   private _hears (agent: Agent): void { agent.leavingSince = Math.min(agent.leavingSince, this.world.now) }
 
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -12,6 +12,8 @@
 const IDS = 3
 const LONGEST_AGENT_FREEZE = 6_000
 const LONGEST_ENTRY_FREEZE = 30_000
+/** The time in which offer, claims and go follow each other, in milliseconds. */
+const LONGEST_STEP = 50
 
 /** Requests: whole answers, true refusals, at most once, leaving, planned stops. */
 export const requestScenario: Scenario<RequestWorld, RequestParts> = {
@@ -23,6 +25,25 @@
     { name: 'submit-repeatable', draws: 2, weight: 3, run: (subject, [id = 0, entry = 0]) => subject.submit(`any-${id}`, entry, false) },
     { name: 'kill-agent', draws: 1, run: (subject, [agent = 0]) => subject.kill(agent) },
     { name: 'replace-agent', draws: 1, run: (subject, [agent = 0]) => subject.replace(agent) },
+    { name: 'replace-rack', draws: 1, run: (subject, [agent = 0]) => subject.replaceRack(agent) },
+    {
+      name: 'submit-and-freeze',
+      draws: 4,
+      weight: 2,
+      run: (subject, [id = 0, entry = 0, delay = 0, length = 0]) => {
+        subject.submitOnce(id % IDS, entry)
+        subject.world.after(delay / 1_000 * LONGEST_STEP, undefined, () => subject.freezeOffered(length / 1_000 * LONGEST_AGENT_FREEZE))
+      }
+    },
+    {
+      name: 'submit-and-mute',
+      draws: 3,
+      weight: 2,
+      run: (subject, [id = 0, entry = 0, delay = 0]) => {
+        subject.submitOnce(id % IDS, entry)
+        subject.world.after(delay / 1_000 * LONGEST_STEP, undefined, () => subject.muteOffered())
+      }
+    },
     { name: 'replace-entry', draws: 1, run: (subject, [entry = 0]) => subject.replaceEntry(entry) },
     {
       name: 'freeze-agent',
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -9,7 +9,7 @@
  */
 import {
   AdmissionDoor, AnswerStream, ClaimKeeper, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
-  type Configuration, type OnceEffect, type Published, type Checked, type DocumentFailure
+  requestFailure, type Configuration, type OnceEffect, type Published, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
 import { realRequestParts, type RequestParts } from './request-world.js'
@@ -81,15 +81,11 @@
   private readonly _unused = new Set<string>()
 }
 
-/** Tickets never expire: the time is always that of the offer. */
-class PatientDoor extends AdmissionDoor {
-  override go (ticket: string): Admission { return super.go(ticket, -Infinity) }
-}
-
 /** Takes silence for proof. */
 class OptimisticAttempt extends OnceAttempt {
   override cancelled (reply: CancelReply | 'unreachable'): OnceEffect[] {
-    return super.cancelled(reply === 'started' ? reply : 'never-started')
+    if (reply !== 'unreachable') return super.cancelled(reply)
+    return [{ type: 'give-up', failure: requestFailure('no-endpoint', 'not-run', 'no answer') }]
   }
 }
 
@@ -98,6 +94,19 @@
   override claim (): ClaimReply { return { type: 'vouched' } }
 }
 
+/** Releases a claim for any attempt, not only the one that made it. */
+class GivingKeeper extends ClaimKeeper {
+  private readonly _holders = new Map<string, string>()
+
+  override claim (...[organisation, id, attempt, body, now]: Parameters<ClaimKeeper['claim']>): ClaimReply {
+    const reply = super.claim(organisation, id, attempt, body, now)
+    if (reply.type !== 'seen') this._holders.set(id, attempt)
+    return reply
+  }
+
+  override release (organisation: string, id: string): void { super.release(organisation, id, this._holders.get(id) ?? '') }
+}
+
 /** Vouches from its first second on. */
 class HastyKeeper extends ClaimKeeper {
   override claim (...[organisation, id, attempt, body, now]: Parameters<ClaimKeeper['claim']>): ClaimReply {
@@ -150,17 +159,17 @@
   weights('load-before-whole', 'whole-version', { waitsForWhole: false, looksAgain: false }),
   weights('door-open-while-switching', 'one-version', { door: (incarnation, slots) => new OpenDoor(incarnation, slots) }),
   weights('running-not-counted', 'one-version', { door: (incarnation, slots) => new CarelessDoor(incarnation, slots) }),
-  weights('old-agents-unfenced', 'one-version', { takesOver: false }),
+  weights('old-agents-unfenced', 'reaches-all', { takesOver: false }),
   requests('parts-as-they-come', 'whole-answer', { stream: () => new HastyStream() }),
   requests('end-taken-for-whole', 'whole-answer', { stream: () => new TrustingStream() }),
   requests('frames-to-newest-call', 'whole-answer', { framesByCall: false }),
   requests('silence-taken-for-proof', 'not-run', { attempt: (...given) => new OptimisticAttempt(...given) }),
-  requests('cancel-without-tombstone', 'not-run', { door: (incarnation, slots) => new NoTombstoneDoor(incarnation, slots) }),
+  requests('cancel-without-tombstone', 'at-most-once', { door: (incarnation, slots) => new NoTombstoneDoor(incarnation, slots) }),
   requests('lost-taken-for-not-run', 'not-run', { lostMeans: 'not-run' }),
   requests('keepers-forget', 'at-most-once', { keeper: (incarnation, policy) => new ForgetfulKeeper(incarnation, policy) }),
   requests('young-keepers-vouch', 'at-most-once', { keeper: (incarnation, policy) => new HastyKeeper(incarnation, policy) }),
   requests('one-vouch-is-enough', 'at-most-once', { keepers: (...given) => ({ ...realRequestParts.keepers(...given), needed: 1 }) }),
-  requests('tickets-never-expire', 'at-most-once', { door: (incarnation, slots) => new PatientDoor(incarnation, slots) }),
+  requests('anyone-releases', 'at-most-once', { keeper: (incarnation, policy) => new GivingKeeper(incarnation, policy) }),
   requests('orders-ignored', 'leaving', { door: (incarnation, slots) => new StayingDoor(incarnation, slots) }),
   requests('list-ignored', 'leaving', { heedsList: false }),
   requests('stop-without-count', 'planned-stop', { door: (incarnation, slots) => new CarelessDoor(incarnation, slots) }),
--- a/packages/fuzz/src/lib/weights-world.ts
+++ b/packages/fuzz/src/lib/weights-world.ts
@@ -257,8 +257,8 @@
     }
     if (effect.type === 'take-over') {
       world.after(world.between(0, 5), member.process, () => {
-        const taken = this._parts.takesOver ? effect.fence > member.engine.fence : true
-        if (taken) member.engine.fence = effect.fence
+        const taken = !this._parts.takesOver || effect.fence > member.engine.fence
+        if (taken && this._parts.takesOver) member.engine.fence = effect.fence
         for (const next of member.engineSwitch.tookOver(effect.fence, taken ? 'taken' : 'stale-fence', world.clock(member.process))) this._switchEffect(member, next)
       })
     }
--- /dev/null
+++ b/packages/fuzz/src/test/promises_test.ts
@@ -0,0 +1,118 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { fuzzPromises } from '../lib/campaign.js'
+import { ConfigurationWorld } from '../lib/configuration-world.js'
+import { RequestWorld } from '../lib/request-world.js'
+import { WeightsWorld } from '../lib/weights-world.js'
+import { variants } from '../lib/variants.js'
+
+const SEEDS = [1, 7, 21]
+const RUNS = 40
+/** The budget within which a variant must be found out; the shrinking that follows is not part of it. */
+const NEGATIVE_RUNS = 400
+
+describe('the promises hold under fuzzing', () => {
+  for (const seed of SEEDS) {
+    for (const scenario of ['weights', 'requests', 'configuration']) {
+      it(`${scenario}, seed ${seed}`, () => {
+        const lines: string[] = []
+        const held = fuzzPromises({ seed, runs: RUNS, scenario, print: line => lines.push(line) })
+        assert.ok(held, lines.join('\n'))
+        assert.ok(lines.every(line => /commands=[1-9]/.test(line)), 'something was done')
+      })
+    }
+  }
+})
+
+describe('a protection that is taken out is found out', () => {
+  // The cheap ones run here; `npm run fuzz -- --negatives` runs all.
+  for (const name of ['chunks-unverified', 'load-before-whole', 'parts-as-they-come', 'keepers-forget']) {
+    it(name, () => {
+      const variant = variants.find(candidate => candidate.name === name)
+      const finding = variant?.run({ seed: 7, runs: NEGATIVE_RUNS })
+      assert.ok(finding?.violations.some(violation => violation.includes(` ms: ${variant?.promise}:`)), finding?.violations.join())
+    })
+  }
+})
+
+describe('what the fuzz found stays mended', () => {
+  const configuration: [name: string, play: (subject: ConfigurationWorld) => void][] = [
+    ['a service that was down from the start and comes back', subject => {
+      subject.setService('down')
+      subject.world.advance(27_000)
+      subject.setService('normal')
+      subject.quiet()
+    }],
+    ['a service that was stale for long and comes back', subject => {
+      subject.quiet()
+      subject.setService('stale')
+      subject.world.advance(60_000)
+      subject.setService('normal')
+      subject.publish(true)
+      subject.quiet()
+    }],
+    ['a stale service at a restart while peers know better', subject => {
+      subject.publish(true)
+      subject.quiet()
+      subject.setService('stale')
+      subject.restart(4)
+      subject.world.advance(5_000)
+    }],
+    ['an invalid revision that is newer than what peers hold, at a restart', subject => {
+      subject.publish(true)
+      subject.quiet()
+      subject.publish(false)
+      subject.restart(7)
+      subject.quiet()
+    }],
+    ['a zone that is cut off from the platform and from one of two other zones', subject => {
+      subject.quiet()
+      subject.cutPlatform(0)
+      subject.cutZones(1, 0, false)
+      subject.publish(true)
+      subject.quiet()
+    }]
+  ]
+  for (const [name, play] of configuration) {
+    it(name, () => {
+      for (let seed = 1; seed <= 10; seed += 1) {
+        const subject = new ConfigurationWorld(seed)
+        play(subject)
+        subject.settle()
+        assert.deepEqual(subject.world.violations, [], `seed ${seed}`)
+      }
+    })
+  }
+
+  it('an agent that wakes beside its replacement', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const subject = new WeightsWorld(seed)
+      subject.world.advance(8_000)
+      subject.want(1)
+      subject.replace(1, true)
+      for (let index = 0; index < 40; index += 1) {
+        subject.request(1)
+        subject.world.advance(250)
+      }
+      subject.settle()
+      assert.deepEqual(subject.world.violations, [], `seed ${seed}`)
+    }
+  })
+
+  it('an entry that is paused with a request for longer than its deadline', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const subject = new RequestWorld(seed)
+      subject.submit('notice', 0, true)
+      subject.submit('notice', 1, true)
+      subject.freezeEntry(1)
+      subject.world.advance(25_000)
+      subject.settle()
+      assert.deepEqual(subject.world.violations, [], `seed ${seed}`)
+    }
+  })
+})
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -13,9 +13,11 @@
   type ProcessStatus, type SpreadStrategy, type SwitchTarget
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
+import { readCost } from '../observe/cost.js'
 import { Histograms } from '../observe/histograms.js'
 import { Counters } from '../observe/metrics.js'
 import { MetricsServer } from '../observe/metrics-server.js'
+import type { Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
 import { HttpPlatform } from '../platform/platform-client.js'
@@ -44,6 +46,7 @@
   private readonly _model: boolean
   private readonly _self: ChunkMember
   private readonly _counters = new Counters()
+  private readonly _traffic: Traffic = { sent: 0, received: 0 }
   private readonly _histograms = new Histograms()
   private readonly _pacer: LinkPacer
   private readonly _door: AdmissionDoor
@@ -77,7 +80,7 @@
     this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS)
     this._door.setServing(!this._model)
     this._keeper = new ClaimKeeper(this.incarnation, { repeatWindow: number('requests', 'repeat-window-seconds') * 1000, recordsPerOrganisation: number('requests', 'records-per-organisation') })
-    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, readPacer)
+    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, this._traffic, readPacer)
     const platform = new HttpPlatform({
       configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: text('platform', 'store'), origin: text('platform', 'origin')
     }, readPacer)
@@ -137,7 +140,7 @@
       processStatus: () => this.status()
     })
     this._server = new PeerServer({
-      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, onRequest: (request, payload, responder) => requests.handle(request, payload, responder)
+      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, traffic: this._traffic, onRequest: (request, payload, responder) => requests.handle(request, payload, responder)
     })
     const metricsAddress = text('process', 'metrics-address')
     this._metrics = metricsAddress === '' ? undefined : new MetricsServer(metricsAddress, this._counters, this._histograms)
@@ -189,6 +192,7 @@
       progress: this._weights.progress,
       running: this._door.running,
       slots: this._door.slots,
+      cost: readCost(this._traffic),
       detail: this._weights.problem?.detail ?? ''
     }
   }
--- a/packages/node/src/lib/entry/dispatcher.ts
+++ b/packages/node/src/lib/entry/dispatcher.ts
@@ -7,7 +7,7 @@
  * Decides which waiting request starts next, and gives up at once on what cannot start in time, with a word on when
  * to come back.
  */
-import { requestFailure, type Candidate, type ChoicePolicy, type Configuration, type InstanceRecord, type RequestFailure, type Waiting } from '@drumdrift/core'
+import { requestFailure, type Candidate, type ChoicePolicy, type Configuration, type InstanceRecord, type RequestClass, type RequestFailure, type Waiting } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Counters } from '../observe/metrics.js'
 import type { AnswerSink } from './answer-sink.js'
@@ -28,6 +28,9 @@
   readonly queueLength: number
   readonly longestWait: number
   readonly choice: ChoicePolicy
+  readonly queueing: 'fair' | 'first-in-first-out'
+  /** Load that retries may add, as a share of first attempts. */
+  readonly retryRatio: number
 }
 
 const SWEEP = 25
@@ -64,7 +67,7 @@
     const draining = new Set(configuration.draining)
     const usable = instances.filter(record => record.role === 'agent' && record.state === 'live' && !draining.has(record.instance))
     for (const name of [...Object.keys(configuration.pools), ...Object.keys(configuration.services)]) {
-      const group = this._groups.get(name) ?? new Group<Job>(name, this._self, this._policy.choice, Math.random)
+      const group = this._groups.get(name) ?? new Group<Job>(name, this._self, this._policy, Math.random)
       this._groups.set(name, group)
       group.setEndpoints(usable.filter(record => record.endpoint === name))
     }
@@ -89,8 +92,7 @@
     }
     this._accepted += 1
     const deadline = Math.min(request.deadline, request.receivedAt + this._policy.longestWait)
-    const place = { organisation: request.organisation, requestClass: request.requestClass, weight: this._weight(request.organisation), now: request.receivedAt, deadline }
-    const waiting = group.queue.add(job, place)
+    const waiting = group.queue.add(job, { ...this._flow(request), now: request.receivedAt, deadline })
     sink.onGone(() => { if (group.queue.remove(waiting)) this._release() })
     this._pump(group)
   }
@@ -101,9 +103,15 @@
     await new Promise<void>(resolve => this._idle.add(resolve))
   }
 
+  /** Whose share a request draws on. */
+  private _flow ({ organisation, requestClass }: CallerRequest): { organisation: string, requestClass: RequestClass, weight: number } {
+    if (this._policy.queueing === 'first-in-first-out') return { organisation: '', requestClass: 'interactive', weight: DEFAULT_WEIGHT }
+    return { organisation, requestClass, weight: this._weight(organisation) }
+  }
+
   private _refusal (request: CallerRequest, group: Group<Job>): RequestFailure | undefined {
     if (!group.listed) return requestFailure('no-endpoint', 'not-run', 'no endpoint is listed', RETRY_WHEN_FULL)
-    const wait = group.expectedWait(request.organisation, organisation => this._weight(organisation))
+    const wait = group.expectedWait(this._flow(request).organisation, organisation => this._weight(organisation))
     if (group.queue.size >= this._policy.queueLength) return requestFailure('overloaded', 'not-run', 'the queue is full', Math.max(RETRY_WHEN_FULL, wait))
     const allowed = Math.min(this._policy.longestWait, request.deadline - request.receivedAt)
     if (wait <= allowed) return undefined
--- a/packages/node/src/lib/entry/entry.ts
+++ b/packages/node/src/lib/entry/entry.ts
@@ -9,10 +9,11 @@
 import { randomBytes } from 'node:crypto'
 import type { ChoicePolicy, PeerRequest, ProcessStatus } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
+import { readCost } from '../observe/cost.js'
 import { Histograms } from '../observe/histograms.js'
 import { Counters } from '../observe/metrics.js'
 import { OperatorDesk } from '../operator/desk.js'
-import type { Responder } from '../peer/connection.js'
+import type { Responder, Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
 import { HttpPlatform } from '../platform/platform-client.js'
@@ -20,7 +21,7 @@
 import { SpreadRunner } from '../spread-runner.js'
 import { spreadSelf } from '../spread-self.js'
 import { RequestCarrier } from './carrier.js'
-import { Dispatcher } from './dispatcher.js'
+import { Dispatcher, type DispatcherPolicy } from './dispatcher.js'
 import { HttpFront } from './http-front.js'
 import { OnceCarrier } from './once-carrier.js'
 
@@ -33,6 +34,7 @@
   readonly incarnation: string
   private readonly _name: string
   private readonly _counters = new Counters()
+  private readonly _traffic: Traffic = { sent: 0, received: 0 }
   private readonly _histograms = new Histograms()
   private readonly _pool: PeerPool
   private readonly _server: PeerServer
@@ -47,7 +49,7 @@
     const milliseconds = (key: string): number => _settings.number('requests', key) * 1000
     this._name = text('process', 'instance')
     this.incarnation = `${this._name}.${randomBytes(6).toString('hex')}`
-    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') })
+    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, this._traffic)
     const platform = new HttpPlatform({ configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: '', origin: '' })
     this._spread = new SpreadRunner({
       self: spreadSelf(_settings), platform, pool: this._pool, log: _log, counters: this._counters, onAdopted: () => this._apply()
@@ -57,7 +59,7 @@
       incarnation: this.incarnation, pool: this._pool, patience, agents: () => this._spread.spread.instances.filter(record => record.role === 'agent')
     })
     const carrier = new RequestCarrier({ pool: this._pool, once, patience, histograms: this._histograms, counters: this._counters })
-    const policy = { queueLength: _settings.number('requests', 'queue-length'), longestWait: milliseconds('queue-seconds'), choice: text('requests', 'choice') as ChoicePolicy }
+    const policy = { queueLength: _settings.number('requests', 'queue-length'), longestWait: milliseconds('queue-seconds'), choice: text('requests', 'choice') as ChoicePolicy, queueing: text('requests', 'queueing') as DispatcherPolicy['queueing'], retryRatio: _settings.number('requests', 'retry-percent') / 100 }
     const self = { instance: this._name, availabilityZone: text('process', 'availability-zone') }
     this._dispatcher = new Dispatcher(self, policy, (job, group) => carrier.carry(job, group), this._histograms, this._counters)
     const desk = new OperatorDesk({
@@ -77,7 +79,7 @@
       histograms: this._histograms
     })
     this._server = new PeerServer({
-      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, onRequest: (request, _payload, responder) => this._answer(request, responder)
+      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
     })
   }
 
@@ -126,6 +128,7 @@
       progress: 1,
       running: this._dispatcher.inProgress,
       slots: 0,
+      cost: readCost(this._traffic),
       detail: ''
     }
   }
--- a/packages/node/src/lib/entry/group.ts
+++ b/packages/node/src/lib/entry/group.ts
@@ -21,7 +21,7 @@
 /** The state of one group at one entry. */
 export class Group<Item> {
   readonly queue = new FairQueue<Item>()
-  readonly budget = new RetryBudget()
+  readonly budget: RetryBudget
   readonly choice: EndpointChoice
   readonly limit = new ConcurrencyLimit(LEAST_LIMIT, ASSUMED_SLOTS)
   readonly inProgress = new Map<string, number>()
@@ -30,8 +30,9 @@
   private _running = 0
   private _meanDuration = FIRST_DURATION
 
-  constructor (readonly name: string, self: Candidate, policy: ChoicePolicy, random: () => number) {
-    this.choice = new EndpointChoice(self, random, policy)
+  constructor (readonly name: string, self: Candidate, policy: { readonly choice: ChoicePolicy, readonly retryRatio: number }, random: () => number) {
+    this.choice = new EndpointChoice(self, random, policy.choice)
+    this.budget = new RetryBudget(policy.retryRatio)
   }
 
   get running (): number { return this._running }
--- a/packages/node/src/lib/peer/connection.ts
+++ b/packages/node/src/lib/peer/connection.ts
@@ -35,6 +35,12 @@
 /** Handles what the other side asks. */
 export type RequestHandler = (request: PeerRequest, payload: Buffer, responder: Responder) => void
 
+/** Bytes of messages, payloads not counted: what control costs on the network. */
+export interface Traffic {
+  sent: number
+  received: number
+}
+
 /** Holds back reading, to keep a process to its share of the link. */
 export interface ReadPacer {
   /** Bytes came in; returns milliseconds to stop reading for. */
@@ -57,6 +63,7 @@
     private readonly _socket: Socket,
     private readonly _onRequest: RequestHandler,
     private readonly _onFault: (detail: string) => void,
+    private readonly _traffic: Traffic,
     private readonly _pacer?: ReadPacer
   ) {
     _socket.setNoDelay(true)
@@ -136,9 +143,11 @@
 
   private _write (envelope: Parameters<typeof encodeFrame>[0], payload: Buffer | undefined): void {
     if (!this._open) return
+    const parts = encodeFrame(envelope, payload)
     this._socket.cork()
-    for (const part of encodeFrame(envelope, payload)) this._socket.write(part)
+    for (const part of parts) this._socket.write(part)
     this._socket.uncork()
+    this._traffic.sent += parts.reduce((sum, part) => sum + part.length, 0) - (payload?.length ?? 0)
   }
 
   private _read (bytes: Buffer): void {
@@ -152,7 +161,10 @@
       this.close()
       return
     }
-    for (const frame of frames) this._handle(frame)
+    for (const frame of frames) {
+      this._traffic.received += frame.overhead
+      this._handle(frame)
+    }
   }
 
   private _pace (bytes: number): void {
--- a/packages/node/src/lib/peer/frame.ts
+++ b/packages/node/src/lib/peer/frame.ts
@@ -26,6 +26,8 @@
 export interface Frame {
   readonly envelope: PeerEnvelope
   readonly payload: Buffer
+  /** Bytes of the frame without its payload. */
+  readonly overhead: number
 }
 
 const nothing = Buffer.alloc(0)
@@ -74,7 +76,7 @@
     if (this._held < HEADER_BYTES + bodyLength + payloadLength) return undefined
     this._take(HEADER_BYTES)
     const envelope = decodeEnvelope(this._take(bodyLength))
-    return { envelope, payload: this._take(payloadLength) }
+    return { envelope, payload: this._take(payloadLength), overhead: HEADER_BYTES + bodyLength }
   }
 
   /** The first bytes, without taking them. */
--- a/packages/node/src/lib/peer/pool.ts
+++ b/packages/node/src/lib/peer/pool.ts
@@ -9,7 +9,7 @@
  */
 import { createConnection } from 'node:net'
 import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
-import { PeerConnection, type ReadPacer, type Reply } from './connection.js'
+import { PeerConnection, type ReadPacer, type Reply, type Traffic } from './connection.js'
 import { peerError } from './frame.js'
 import { parseAddress } from '../settings/address.js'
 
@@ -35,9 +35,10 @@
 
   /**
    * @param _self Told to the other side in the hello.
+   * @param _traffic Counts bytes of messages.
    * @param _bulkPacer Holds back reading on bulk connections.
    */
-  constructor (private readonly _self: { readonly instance: string, readonly key: string }, private readonly _bulkPacer?: ReadPacer) {
+  constructor (private readonly _self: { readonly instance: string, readonly key: string }, private readonly _traffic: Traffic = { sent: 0, received: 0 }, private readonly _bulkPacer?: ReadPacer) {
     this._sweeper = setInterval(() => this._sweep(), IDLE_LIMIT / 3)
     this._sweeper.unref()
   }
@@ -96,7 +97,7 @@
     const pacer = purpose === 'bulk' ? this._bulkPacer : undefined
     const connection = new PeerConnection(socket, (_request, _payload, responder) => {
       responder.send({ type: 'refused', reason: 'not-supported', detail: 'this side only asks' })
-    }, () => {}, pacer)
+    }, () => {}, this._traffic, pacer)
     const hello: PeerRequest = { type: 'hello', protocol: PROTOCOL_VERSION, instance: this._self.instance, key: this._self.key }
     try {
       const { reply } = await connection.call(hello, undefined, CONNECT_TIMEOUT)
--- a/packages/node/src/lib/peer/server.ts
+++ b/packages/node/src/lib/peer/server.ts
@@ -10,7 +10,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer, type Server, type Socket } from 'node:net'
 import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
-import { PeerConnection, type RequestHandler, type Responder } from './connection.js'
+import { PeerConnection, type RequestHandler, type Responder, type Traffic } from './connection.js'
 import { parseAddress } from '../settings/address.js'
 import type { Log } from '../observe/log.js'
 
@@ -25,6 +25,7 @@
   readonly address: string
   readonly key: string
   readonly log: Log
+  readonly traffic: Traffic
   readonly onRequest: RequestHandler
 }
 
@@ -58,7 +59,7 @@
     const connection = new PeerConnection(socket, (request, payload, responder) => {
       if (welcome) this._options.onRequest(request, payload, responder)
       else welcome = this._greet(request, responder)
-    }, detail => this._options.log.warn('peer-malformed', { detail, remote: remoteOf(socket) }))
+    }, detail => this._options.log.warn('peer-malformed', { detail, remote: remoteOf(socket) }), this._options.traffic)
     this._connections.add(connection)
     const timer = setTimeout(() => { if (!welcome) connection.close() }, HELLO_PATIENCE)
     connection.onEnd(() => {
--- a/packages/node/src/lib/spread-runner.ts
+++ b/packages/node/src/lib/spread-runner.ts
@@ -49,7 +49,7 @@
 
   /** Takes what a peer pushed. */
   pushed (request: Extract<PeerRequest, { type: 'push' }>, responder: Responder): void {
-    this._carryOut(this.spread.received(request.documents, performance.now()))
+    this._carryOut(this.spread.received(request.documents, 'pushed', performance.now()))
     responder.send({ type: 'done' })
   }
 
@@ -83,7 +83,7 @@
       const { reply } = await this._parts.pool.call(address, request, { timeout: COMPARE_TIMEOUT })
       if (reply.type !== 'documents') return
       const now = performance.now()
-      this._carryOut(this.spread.received(reply.documents, now))
+      this._carryOut(this.spread.received(reply.documents, 'compared', now))
       this._carryOut(this.spread.answered(address, reply.note, now))
     } catch {
       this._parts.counters.add('comparisons_failed')
