--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -8,6 +8,13 @@
 import type { Bench, BenchOptions } from './lib/bench-options.js'
 
 const benches: Record<string, () => Promise<Bench>> = {
+  requests: async () => (await import('./lib/requests-bench.js')).requestsBench,
+  burst: async () => (await import('./lib/burst-bench.js')).burstBench,
+  choice: async () => (await import('./lib/choice-bench.js')).choiceBench,
+  retries: async () => (await import('./lib/retries-bench.js')).retriesBench,
+  'rollout-under-load': async () => (await import('./lib/rollout-under-load-bench.js')).rolloutUnderLoadBench,
+  configuration: async () => (await import('./lib/configuration-bench.js')).configurationBench,
+  capacity: async () => (await import('./lib/capacity-bench.js')).capacityBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
 
@@ -19,7 +26,7 @@
   .option('--kill <number>', 'agents killed', Number, 0)
   .option('--stall <number>', 'agents whose link stalls', Number, 0)
   .option('--corrupt <number>', 'agents whose chunks are corrupted', Number, 0)
-  .option('--seconds <number>', 'length of the measured time', Number, 10)
+  .option('--seconds <number>', 'length of the measured time', Number, 8)
   .option('--window <number>', 'chunks in flight at one agent', Number, 32)
   .option('--no-baselines', 'leaves the baselines out')
   .action(async (name: string, options: BenchOptions) => {
--- /dev/null
+++ b/packages/benchmarks/src/lib/burst-bench.ts
@@ -0,0 +1,106 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Ten organisations, two of them large; the rate jumps 20-fold within a second to more than there is room for. Fair
+ * sharing with early refusal, against one first-in-first-out queue.
+ */
+import { printFigures, seededRandom, twoDecimals, type BenchOptions } from './bench-options.js'
+import { chatCalls, figuresOf, playLoad, startServing } from './load.js'
+import type { CallRecord } from './callers.js'
+
+const WORKERS = 4
+const SLOTS = 8
+const TOKENS = 16
+const TIMES = { load: 100, firstToken: 20, cachedFirstToken: 20, betweenTokens: 5, reportLag: 500 }
+/** Slots over the time that one request takes, timers' lateness included, as calibrated by the calm phase's whole answers. */
+const REQUEST_SECONDS = 0.125
+const CAPACITY = WORKERS * SLOTS / REQUEST_SECONDS
+/** Capacity is 60% of the burst. */
+const BURST_RATE = CAPACITY / 0.6
+const JUMP = 20
+
+/** Organisations with their weight and their share of what is asked. */
+const demand: Readonly<Record<string, { weight: number, share: number }>> = {
+  'house-large-1': { weight: 2, share: 0.4 },
+  'house-large-2': { weight: 2, share: 0.24 },
+  ...Object.fromEntries(Array.from({ length: 8 }, (_, index) => [`hall-${index + 1}`, { weight: 1, share: 0.045 }]))
+}
+
+/** Measures both ways of queueing. */
+export async function burstBench (options: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const queueing of ['fair', 'first-in-first-out']) good = await measure(options, queueing) && good
+  return good
+}
+
+async function measure (options: BenchOptions, queueing: string): Promise<boolean> {
+  const weights = Object.fromEntries(Object.entries(demand).map(([name, { weight }]) => [name, weight]))
+  const { fleet } = await startServing({ entries: 2, workers: WORKERS, slots: SLOTS, organisations: weights, engineTimes: TIMES, settings: [['requests', 'queueing', queueing], ['requests', 'queue-seconds', '1']] }, options.seed)
+  const random = seededRandom(options.seed)
+  const calls = chatCalls(fleet, queueing, drawOrganisation, TOKENS)
+  const [calm = [], burst = []] = await playLoad([{ seconds: 3, callsPerSecond: BURST_RATE / JUMP }, { seconds: options.seconds, callsPerSecond: BURST_RATE }], calls, random)
+  const figures = figuresOf(burst)
+  printFigures('burst', {
+    queueing,
+    seed: options.seed,
+    asked_per_second: Math.round(BURST_RATE),
+    jain: jainOf(burst).toFixed(3),
+    goodput_per_second: twoDecimals(figures.whole / options.seconds),
+    goodput_of_capacity: twoDecimals(figures.whole / options.seconds / CAPACITY),
+    asked: figures.asked,
+    whole: figures.whole,
+    refused: figures.refused,
+    unknown: figures.unknown,
+    cut: figures.cut,
+    refusal_99_milliseconds: figures.refusal99,
+    first_50_milliseconds: figures.first50,
+    first_99_milliseconds: figures.first99,
+    calm_first_99_milliseconds: figuresOf(calm).first99
+  })
+  await fleet.stop()
+  return figures.whole > 0
+}
+
+function drawOrganisation (random: () => number): string {
+  let drawn = random()
+  for (const [name, { share }] of Object.entries(demand)) {
+    drawn -= share
+    if (drawn < 0) return name
+  }
+  return 'hall-8'
+}
+
+/** Jain's index of what was served against what each was entitled to. */
+function jainOf (records: readonly CallRecord[]): number {
+  const served = (name: string): number => records.filter(record => record.organisation === name && record.result === 'whole').length
+  const asked = (name: string): number => records.filter(record => record.organisation === name).length
+  const total = records.filter(record => record.result === 'whole').length
+  const entitled = entitlements(total, asked)
+  const ratios = Object.keys(demand).map(name => served(name) / Math.max(1, entitled.get(name) ?? 1))
+  const sum = ratios.reduce((left, right) => left + right, 0)
+  return sum ** 2 / (ratios.length * ratios.reduce((left, right) => left + right ** 2, 0))
+}
+
+/** Weighted max-min shares: nobody is entitled to more than it asked for, and what it leaves goes to the others. */
+function entitlements (total: number, asked: (name: string) => number): Map<string, number> {
+  const entitled = new Map<string, number>()
+  let open = Object.keys(demand)
+  let left = total
+  for (;;) {
+    const weight = open.reduce((sum, name) => sum + (demand[name]?.weight ?? 0), 0)
+    const content = open.filter(name => asked(name) <= left * (demand[name]?.weight ?? 0) / weight)
+    if (content.length === 0) {
+      for (const name of open) entitled.set(name, left * (demand[name]?.weight ?? 0) / weight)
+      return entitled
+    }
+    for (const name of content) {
+      entitled.set(name, asked(name))
+      left -= asked(name)
+    }
+    open = open.filter(name => !content.includes(name))
+    if (open.length === 0) return entitled
+  }
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/choice-bench.ts
@@ -0,0 +1,34 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Ways of choosing an endpoint, with loads reported late: tail latency and hits in the engines' prefix caches. */
+import { printFigures, seededRandom, twoDecimals, type BenchOptions } from './bench-options.js'
+import { chatCalls, figuresOf, playLoad, startServing } from './load.js'
+
+const WORKERS = 6
+const SLOTS = 6
+const TOKENS = 12
+const TIMES = { load: 100, firstToken: 80, cachedFirstToken: 20, betweenTokens: 5, reportLag: 500 }
+const CALLS_PER_SECOND = 130
+
+/** Measures each policy on a fleet of its own. */
+export async function choiceBench (options: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const choice of ['affinity', 'two-choices', 'least-reported', 'round-robin', 'random']) {
+    const { fleet } = await startServing({ entries: 3, workers: WORKERS, slots: SLOTS, organisations: { 'hall-1': 1 }, engineTimes: TIMES, settings: [['requests', 'choice', choice]] }, options.seed)
+    const calls = chatCalls(fleet, choice, () => 'hall-1', TOKENS)
+    const [, measured = []] = await playLoad([{ seconds: 2, callsPerSecond: CALLS_PER_SECOND }, { seconds: options.seconds, callsPerSecond: CALLS_PER_SECOND }], calls, seededRandom(options.seed))
+    const figures = figuresOf(measured)
+    const { engines } = await fleet.journals()
+    const hits = engines.reduce((sum, engine) => sum + engine.journal.prefixHits, 0)
+    const misses = engines.reduce((sum, engine) => sum + engine.journal.prefixMisses, 0)
+    printFigures('choice', {
+      choice, seed: options.seed, asked: figures.asked, whole: figures.whole, refused: figures.refused, first_50_milliseconds: figures.first50, first_95_milliseconds: figures.first95, first_99_milliseconds: figures.first99, prefix_hits: twoDecimals(hits / Math.max(1, hits + misses))
+    })
+    good &&= figures.whole > 0
+    await fleet.stop()
+  }
+  return good
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/configuration-bench.ts
@@ -0,0 +1,86 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** How fast a configuration is in force everywhere, and what the service is asked, as the fleet grows. */
+import { setTimeout as pause } from 'node:timers/promises'
+import { printFigures, quantile, type BenchOptions } from './bench-options.js'
+import { Fleet } from './fleet.js'
+
+const SIZES = [12, 24, 48, 96, 192] as const
+const ZONES = ['bagmati', 'gandaki', 'koshi'] as const
+const CHANGES = 5
+const BETWEEN = 2_000
+const LOOK = 10
+const PATIENCE = 20_000
+/** A tenth of the fleet starts while settings change. */
+const STARTING_SHARE = 0.1
+
+/** Measures every size up to the asked number of endpoints, if that is given. */
+export async function configurationBench (options: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const size of SIZES) good = await measure(size, options.seed) && good
+  return good
+}
+
+async function measure (size: number, seed: number): Promise<boolean> {
+  const fleet = await Fleet.prepare({
+    availabilityZones: ZONES,
+    entriesPerZone: 1,
+    endpoints: Array.from({ length: size - ZONES.length }, (_, index) => ({ name: 'booking', kind: 'plain', availabilityZone: ZONES[index % ZONES.length] ?? '' })),
+    linkMegabytesPerSecond: 100,
+    originMegabytesPerSecond: 100,
+    settings: [['process', 'log-level', 'warn']]
+  })
+  const configuration = { services: { booking: { slots: 8, neverRepeat: [] } } }
+  fleet.publish(configuration)
+  fleet.publishInstances()
+  const late = fleet.agents.slice(0, Math.floor(size * STARTING_SHARE))
+  const early = fleet.members.filter(member => !late.includes(member))
+  for (const member of early) await fleet.start(member)
+  const up = await fleet.untilUp(60_000)
+  await pause(3_000)
+  const callsBefore = fleet.configuration.calls + fleet.instances.calls
+  const startedAt = performance.now()
+  const times: number[] = []
+  for (let change = 0; change < CHANGES; change += 1) {
+    const starting = late.splice(0, Math.ceil(size * STARTING_SHARE / CHANGES))
+    for (const member of starting) await fleet.start(member)
+    times.push(...await timesInForce(fleet, fleet.publish(configuration)))
+    await pause(BETWEEN)
+  }
+  const seconds = (performance.now() - startedAt) / 1000
+  const calls = fleet.configuration.calls + fleet.instances.calls - callsBefore
+  printFigures('configuration', {
+    processes: size,
+    seed,
+    changes: CHANGES,
+    in_force_50_milliseconds: Math.round(quantile(times, 0.5)),
+    in_force_99_milliseconds: Math.round(quantile(times, 0.99)),
+    in_force_most_milliseconds: Math.round(Math.max(...times)),
+    missing: CHANGES * size - times.length,
+    reads_per_second: (calls / seconds).toFixed(1),
+    reads_per_second_and_process: (calls / seconds / size).toFixed(3)
+  })
+  await fleet.stop()
+  return up && times.every(time => time < 9_000)
+}
+
+/** Milliseconds from the publishing of a revision until each process that runs has it in force. */
+async function timesInForce (fleet: Fleet, revision: number): Promise<number[]> {
+  const publishedAt = fleet.configuration.publishedAt.get(revision) ?? performance.now()
+  const waiting = new Set(fleet.members.filter(member => member.process !== undefined))
+  const times: number[] = []
+  await fleet.until(async () => {
+    await Promise.all([...waiting].map(async member => {
+      const status = await fleet.status(member, 2_000)
+      if (status === undefined || status.revisions.configuration < revision) return
+      waiting.delete(member)
+      times.push(performance.now() - publishedAt)
+    }))
+    await pause(LOOK)
+    return waiting.size === 0
+  }, PATIENCE)
+  return times
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/load.ts
@@ -0,0 +1,138 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Open-loop load: each call is due at its time, whatever became of those before, and latency counts from then. */
+import { setTimeout as pause } from 'node:timers/promises'
+import { makeCall, type Call, type CallRecord } from './callers.js'
+import { quantile } from './bench-options.js'
+import { Fleet, organisations, type FleetPlan } from './fleet.js'
+import { generateVersion, type GeneratedVersion } from '@drumdrift/stand-ins'
+import type { Configuration } from '@drumdrift/core'
+
+/** A stretch of load. */
+export interface Phase {
+  readonly seconds: number
+  readonly callsPerSecond: number
+}
+
+/** Calls are drawn one at a time: the number is unique over all phases. */
+export type CallMaker = (number: number, random: () => number) => Call
+
+/**
+ * Plays phases one after the other with Poisson arrivals.
+ *
+ * @returns The records, phase by phase.
+ * @example
+ * const [calm, burst] = await playLoad([{ seconds: 2, callsPerSecond: 20 }, { seconds: 5, callsPerSecond: 400 }], make, random)
+ */
+export async function playLoad (phases: readonly Phase[], make: CallMaker, random: () => number): Promise<CallRecord[][]> {
+  let due = performance.now()
+  let number = 0
+  const all: Promise<CallRecord>[][] = []
+  for (const phase of phases) {
+    const end = due + phase.seconds * 1000
+    const calls: Promise<CallRecord>[] = []
+    all.push(calls)
+    for (;;) {
+      due += -Math.log(1 - random()) * 1000 / phase.callsPerSecond
+      if (due >= end) break
+      const wait = due - performance.now()
+      if (wait > 1) await pause(wait)
+      calls.push(makeCall({ ...make(number++, random), due }))
+    }
+    due = end
+  }
+  return await Promise.all(all.map(async calls => await Promise.all(calls)))
+}
+
+/** Figures of a stretch of load. */
+export interface LoadFigures {
+  readonly asked: number
+  readonly whole: number
+  readonly refused: number
+  readonly unknown: number
+  readonly cut: number
+  readonly first50: string
+  readonly first95: string
+  readonly first99: string
+  readonly refusal99: string
+}
+
+/** Sums records up; times in milliseconds. */
+export function figuresOf (records: readonly CallRecord[]): LoadFigures {
+  const whole = records.filter(record => record.result === 'whole')
+  const refused = records.filter(record => record.result === 'refused')
+  const first = whole.map(record => record.firstByte)
+  const text = (value: number): string => Number.isNaN(value) ? 'none' : value.toFixed(1)
+  return {
+    asked: records.length,
+    whole: whole.length,
+    refused: refused.length,
+    unknown: records.filter(record => record.result === 'unknown').length,
+    cut: records.filter(record => record.result === 'cut' || record.result === 'wrong' || record.result === 'mixed').length,
+    first50: text(quantile(first, 0.5)),
+    first95: text(quantile(first, 0.95)),
+    first99: text(quantile(first, 0.99)),
+    refusal99: text(quantile(refused.map(record => record.took), 0.99))
+  }
+}
+
+/** A fleet that serves a small version, ready for load. */
+export interface ServingFleet {
+  readonly fleet: Fleet
+  readonly version: GeneratedVersion
+  readonly configuration: Partial<Configuration>
+}
+
+/** What a serving fleet consists of. */
+export interface ServingPlan {
+  readonly entries: number
+  readonly workers: number
+  readonly slots: number
+  readonly organisations: Readonly<Record<string, number>>
+  readonly engineTimes: NonNullable<FleetPlan['engineTimes']>
+  readonly settings?: FleetPlan['settings']
+  readonly chunks?: number
+  readonly chunkBytes?: number
+  readonly linkMegabytesPerSecond?: number
+}
+
+/** Starts a fleet of one zone and waits until all its engines serve. */
+export async function startServing (plan: ServingPlan, seed: number): Promise<ServingFleet> {
+  const fleet = await Fleet.prepare({
+    availabilityZones: ['koshi'],
+    entriesPerZone: plan.entries,
+    endpoints: Array.from({ length: plan.workers }, () => ({ name: 'drafting', kind: 'model', availabilityZone: 'koshi' })),
+    linkMegabytesPerSecond: plan.linkMegabytesPerSecond ?? 500,
+    originMegabytesPerSecond: 500,
+    engineTimes: plan.engineTimes,
+    hosts: 2,
+    settings: [['process', 'log-level', 'warn'], ...plan.settings ?? []]
+  })
+  const version = generateVersion({ model: 'chat', version: 'v1', chunks: plan.chunks ?? 4, chunkBytes: plan.chunkBytes ?? 4096, seed })
+  fleet.addVersion(version)
+  const configuration: Partial<Configuration> = {
+    models: { chat: { versions: { v1: version.digest } } },
+    pools: { drafting: { model: 'chat', version: 'v1', switchFraction: 0.25, slots: plan.slots, originCopies: 1 } },
+    organisations: organisations(plan.organisations)
+  }
+  fleet.publish(configuration)
+  fleet.publishInstances()
+  await fleet.startAll()
+  const up = await fleet.untilUp() && await fleet.until(async () => (await fleet.journals()).engines.every(engine => engine.version === version.digest), 30_000)
+  if (!up) throw new Error('the fleet did not come up')
+  await pause(1_000)
+  return { fleet, version, configuration }
+}
+
+/** Calls for chat, spread over the entries, with prompts of which a few are common. */
+export function chatCalls (fleet: Fleet, name: string, organisationOf: (random: () => number) => string, tokens: number): CallMaker {
+  return (number, random) => ({
+    id: `${name}-${number}`,
+    organisation: organisationOf(random),
+    address: fleet.entries[number % fleet.entries.length]?.httpAddress ?? '',
+    chat: { pool: 'drafting', prompt: `${'common start of prompts '.repeat(9)}${Math.floor(random() ** 2 * 60)}`.slice(-200).padStart(210, '.'), tokens, streamed: true }
+  })
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/retries-bench.ts
@@ -0,0 +1,77 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** A third of the endpoints hang for a while: what retries add to the load, and how fast things recover, with and without a budget. */
+import { setTimeout as pause } from 'node:timers/promises'
+import { printFigures, seededRandom, twoDecimals, type BenchOptions } from './bench-options.js'
+import type { CallRecord } from './callers.js'
+import { chatCalls, figuresOf, playLoad, startServing } from './load.js'
+
+const WORKERS = 6
+const FAILING = 2
+const SLOTS = 8
+const TOKENS = 12
+const TIMES = { load: 100, firstToken: 20, cachedFirstToken: 20, betweenTokens: 5, reportLag: 500 }
+const CALLS_PER_SECOND = 200
+const BEFORE = 3
+const AFTER = 6
+const WINDOW = 500
+
+/** Measures the product's budget against no bound. */
+export async function retriesBench (options: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const percent of ['10', '1000']) good = await measure(options, percent) && good
+  return good
+}
+
+async function measure (options: BenchOptions, percent: string): Promise<boolean> {
+  const settings = [['requests', 'retry-percent', percent], ['requests', 'first-answer-seconds', '0.5'], ['requests', 'silence-seconds', '0.5']] as const
+  const { fleet } = await startServing({ entries: 2, workers: WORKERS, slots: SLOTS, organisations: { 'hall-1': 1 }, engineTimes: TIMES, settings }, options.seed)
+  const calls = chatCalls(fleet, `retry${percent}`, () => 'hall-1', TOKENS)
+  const load = playLoad([{ seconds: BEFORE, callsPerSecond: CALLS_PER_SECOND }, { seconds: options.seconds, callsPerSecond: CALLS_PER_SECOND }, { seconds: AFTER, callsPerSecond: CALLS_PER_SECOND }], calls, seededRandom(options.seed))
+  const failing = fleet.agents.slice(0, FAILING)
+  await pause(BEFORE * 1000)
+  for (const member of failing) await fleet.endpoint(member, { type: 'freeze', frozen: true })
+  await pause(options.seconds * 1000)
+  const healedAt = Date.now()
+  for (const member of failing) await fleet.endpoint(member, { type: 'freeze', frozen: false })
+  const [before = [], during = [], after = []] = await load
+  const { engines } = await fleet.journals()
+  const runs = engines.reduce((sum, engine) => sum + Object.values(engine.journal.runs).reduce((left, right) => left + right, 0), 0)
+  const asked = before.length + during.length + after.length
+  const started = asked - [...before, ...during, ...after].filter(record => record.result === 'refused').length
+  const [calm, faulty, healed] = [before, during, after].map(figuresOf)
+  printFigures('retries', {
+    retry_percent: percent,
+    seed: options.seed,
+    failing: `${FAILING}/${WORKERS}`,
+    asked,
+    load_factor: twoDecimals(runs / started),
+    goodput_before: ratio(calm),
+    goodput_during: ratio(faulty),
+    goodput_after: ratio(healed),
+    cut_during: faulty?.cut,
+    unknown_during: faulty?.unknown,
+    recovery_milliseconds: recovery(after, healedAt),
+    first_99_before: calm?.first99,
+    first_99_during: faulty?.first99,
+    first_99_after: healed?.first99
+  })
+  await fleet.stop()
+  return calm !== undefined && calm.whole > 0
+}
+
+function ratio (figures: ReturnType<typeof figuresOf> | undefined): string {
+  return figures === undefined ? 'none' : twoDecimals(figures.whole / Math.max(1, figures.asked))
+}
+
+/** Milliseconds after the fault until a stretch of half a second in which 99 in 100 are answered. */
+function recovery (records: readonly CallRecord[], healedAt: number): number {
+  for (let start = 0; start < AFTER * 1000; start += WINDOW) {
+    const within = records.filter(record => record.at - healedAt >= start && record.at - healedAt < start + WINDOW)
+    if (within.length > 0 && within.filter(record => record.result === 'whole').length >= within.length * 0.99) return start
+  }
+  return -1
+}
--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -40,9 +40,9 @@
   window: 32,
   strategy: 'rotation',
   originCopies: 1,
-  originStagger: 400,
-  penalty: 5_000,
-  leastTimeout: 1_500
+  originStagger: 300,
+  penalty: 10_000,
+  leastTimeout: 1_000
 }
 
 interface Flight {
@@ -70,7 +70,7 @@
 const NOT_YET_PATIENCE = 3
 const TIMEOUT_FACTOR = 6
 const SMOOTHING = 0.2
-const ORIGIN_FIRST_WAIT = 1_000
+const ORIGIN_FIRST_WAIT = 600
 const RETRY_PAUSE = 150
 const LONGEST_PENALTY = 60_000
 /** A flight older than this, and than twice the usual, is slow; in milliseconds. */
