Early refusal by measured pace; one busy endpoint does not shrink the limit

Ruled out: fewer queue seconds (moves the cliff only). Change: the pace of each backlogged organisation's own starts is measured; a start is promised up to half the allowed wait; two busy refusals in a row count, and a busy endpoint is asked again after 20 ms.

--- a/packages/core/src/lib/choice.ts
+++ b/packages/core/src/lib/choice.ts
@@ -9,6 +9,7 @@
  * 2018); else the better of two random ones (Mitzenmacher 2001). Loads are late: what this entry itself has sent since the last
  * report is added to what was reported.
  */
+import type { AdmissionRefusal } from './admission.js'
 import { rendezvousTop } from './rendezvous.js'
 
 /** What an agent says of itself on every answer. */
@@ -43,8 +44,9 @@
 /** How far above the mean an endpoint's load may be before affinity gives way. */
 const AFFINITY_BOUND = 1.25
 const AFFINITY_ENDPOINTS = 2
-/** An endpoint that refused is passed over this long, in milliseconds. */
+/** How long an endpoint that refused is passed over, in milliseconds. A busy one has room again soon. */
 const AVOID_AFTER_REFUSAL = 250
+const AVOID_AFTER_BUSY = 20
 /** Choices are made within a subset of this size at the most, so that an entry holds few connections. */
 const SUBSET_SIZE = 24
 
@@ -117,8 +119,8 @@
   }
 
   /** An instance refused to start something. */
-  refused (instance: string, now: number): void {
-    this._entry(instance).avoidUntil = now + AVOID_AFTER_REFUSAL
+  refused (instance: string, reason: AdmissionRefusal, now: number): void {
+    this._entry(instance).avoidUntil = now + (reason === 'busy' ? AVOID_AFTER_BUSY : AVOID_AFTER_REFUSAL)
   }
 
   /** Forgets instances that are no longer listed, but for those with work in progress. */
--- a/packages/node/src/lib/entry/carrier.ts
+++ b/packages/node/src/lib/entry/carrier.ts
@@ -138,10 +138,11 @@
 
   private _refused (course: Course, record: InstanceRecord, reason: AdmissionRefusal, now: number): Next {
     const { group } = course
-    group.choice.refused(record.instance, now)
+    group.choice.refused(record.instance, reason, now)
     this._parts.counters.add(`refusals_${reason.replaceAll('-', '_')}`)
-    if (reason === 'busy') group.limit.refused(now)
     course.refusals += 1
+    // One busy endpoint may be bad luck; two in a row say that there is no room.
+    if (reason === 'busy' && course.refusals > 1) group.limit.refused(now)
     return course.refusals > MOST_REFUSALS ? { failure: this._unserved(course, 'endpoints are busy') } : 'again'
   }
 
--- a/packages/node/src/lib/entry/dispatcher.ts
+++ b/packages/node/src/lib/entry/dispatcher.ts
@@ -37,6 +37,11 @@
 const DEFAULT_WEIGHT = 1
 const RETRY_WHEN_FULL = 1_000
 const LEAST_RETRY = 500
+/**
+ * The share of the allowed wait up to which a start is promised. Waits grow when others with smaller backlogs come, and
+ * who is told "no" should be told at once, not after a wait.
+ */
+const CERTAINTY = 0.5
 
 /** The queues of one entry. */
 export class Dispatcher {
@@ -114,7 +119,7 @@
     const wait = group.expectedWait(this._flow(request).organisation, organisation => this._weight(organisation))
     if (group.queue.size >= this._policy.queueLength) return requestFailure('overloaded', 'not-run', 'the queue is full', Math.max(RETRY_WHEN_FULL, wait))
     const allowed = Math.min(this._policy.longestWait, request.deadline - request.receivedAt)
-    if (wait <= allowed) return undefined
+    if (wait <= allowed * CERTAINTY) return undefined
     return requestFailure('overloaded', 'not-run', `a start is expected in ${Math.round(wait)} ms only`, Math.max(LEAST_RETRY, wait))
   }
 
@@ -135,7 +140,7 @@
     const { request } = waiting.item
     const startedAt = performance.now()
     this._histograms.record({ measure: 'queueing', organisation: request.organisation, requestClass: request.requestClass }, startedAt - waiting.enqueuedAt)
-    group.started(request.organisation)
+    group.started(request.organisation, startedAt)
     const failure = await this._carry(waiting.item, group)
     group.ended(request.organisation, performance.now() - startedAt)
     this._finish(waiting.item, failure)
--- a/packages/node/src/lib/entry/group.ts
+++ b/packages/node/src/lib/entry/group.ts
@@ -9,6 +9,7 @@
 import {
   ConcurrencyLimit, Ejection, EndpointChoice, FairQueue, RetryBudget, type Candidate, type ChoicePolicy, type EndpointStatus, type InstanceRecord
 } from '@drumdrift/core'
+import { StartPace } from './start-pace.js'
 
 /** Slots that an endpoint is taken to have until it is heard of. */
 const ASSUMED_SLOTS = 8
@@ -29,6 +30,9 @@
   private _records: readonly InstanceRecord[] = []
   private _running = 0
   private _meanDuration = FIRST_DURATION
+  /** How fast the queue is worked off, in all and for each organisation that waits. */
+  private readonly _pace = new StartPace()
+  private readonly _paces = new Map<string, StartPace>()
 
   constructor (readonly name: string, self: Candidate, policy: { readonly choice: ChoicePolicy, readonly retryRatio: number }, random: () => number) {
     this.choice = new EndpointChoice(self, random, policy.choice)
@@ -57,7 +61,10 @@
   }
 
   /** A request starts for an organisation. */
-  started (organisation: string): void {
+  started (organisation: string, now: number): void {
+    this._pace.started(this.queue.size > 0, now)
+    this._paceOf(organisation).started(this.queue.sizeOf(organisation) > 0, now)
+    if (this.queue.sizeOf(organisation) === 0) this._paces.delete(organisation)
     this._running += 1
     this.inProgress.set(organisation, (this.inProgress.get(organisation) ?? 0) + 1)
   }
@@ -81,7 +88,9 @@
     const own = weightOf(organisation)
     const others = this.queue.waitingWeight(weightOf) - (this.queue.sizeOf(organisation) > 0 ? own : 0)
     const ahead = Math.min(this.queue.size, this.queue.sizeOf(organisation) * (own + others) / own)
-    return (ahead + 1) * this._meanDuration / this.limit.limit
+    const byAll = (ahead + 1) * Math.max(this._pace.interval, this._meanDuration / this.limit.limit)
+    const byOwn = (this.queue.sizeOf(organisation) + 1) * (this._paces.get(organisation)?.interval ?? 0)
+    return Math.max(byAll, byOwn)
   }
 
   sent (instance: string): void {
@@ -102,6 +111,12 @@
     else this._ejection.ended(instance)
   }
 
+  private _paceOf (organisation: string): StartPace {
+    const pace = this._paces.get(organisation) ?? new StartPace()
+    this._paces.set(organisation, pace)
+    return pace
+  }
+
   private _hasVersion (instance: string, version: string): boolean {
     return version === '' || this.choice.status(instance)?.version === version
   }
