Faults of one message or request stay with it; tests of the switch, of calls and of the dispatcher

A malformed message to an entry threw past its handler and cost the connection's other messages; now both roles refuse it and go on.

--- /dev/null
+++ b/packages/core/src/test/lib/engine-switch_test.ts
@@ -0,0 +1,127 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { AdmissionDoor } from '../../lib/admission.js'
+import type { InstanceRecord } from '../../lib/documents.js'
+import { EngineSwitch, type EngineReport, type SwitchEffect, type SwitchSituation } from '../../lib/engine-switch.js'
+
+const members: InstanceRecord[] = ['a', 'b'].map(instance => ({ instance, availabilityZone: 'koshi', role: 'agent', address: '10.0.0.1:1', endpoint: 'p', state: 'live' }))
+const alone = members.filter(member => member.instance === 'a')
+const SETTLED = 10_000
+
+function report (change: Partial<EngineReport> = {}): EngineReport {
+  return { version: 'v1', loading: '', failed: '', fence: 1, running: 0, ...change }
+}
+
+function situation (change: Partial<SwitchSituation> = {}): SwitchSituation {
+  return { target: { manifestDigest: 'v2', switchFraction: 0.5 }, wholeDigest: 'v2', members: alone, knownDigests: new Set(['v1', 'v2']), ...change }
+}
+
+/** A switch whose agent has taken its engine over at time 0. */
+function taken (): { engineSwitch: EngineSwitch, door: AdmissionDoor } {
+  const door = new AdmissionDoor('a.1', 4)
+  const engineSwitch = new EngineSwitch('a', door, 0)
+  engineSwitch.step(report({ fence: 0 }), situation(), 0)
+  engineSwitch.tookOver(1, 'taken', 0)
+  return { engineSwitch, door }
+}
+
+const types = (effects: readonly SwitchEffect[]): string[] => effects.map(effect => effect.type)
+
+describe('EngineSwitch', () => {
+  it('takes the engine over before anything else, above its last fence', () => {
+    const engineSwitch = new EngineSwitch('a', new AdmissionDoor('a.1', 4), 0)
+    assert.deepEqual(engineSwitch.step(report({ fence: 6 }), situation(), 100), [{ type: 'take-over', fence: 7 }])
+  })
+
+  const ends: [name: string, act: (engineSwitch: EngineSwitch) => SwitchEffect[]][] = [
+    ['another agent was faster', engineSwitch => engineSwitch.tookOver(7, 'stale-fence', 200)],
+    ['it was paused before it took over', engineSwitch => engineSwitch.step(report(), situation(), 9_000)],
+    ['a newer agent has the engine', engineSwitch => {
+      engineSwitch.tookOver(7, 'taken', 200)
+      return engineSwitch.step(report({ fence: 8 }), situation(), 300)
+    }]
+  ]
+  for (const [name, act] of ends) {
+    it(`ends when ${name}`, () => {
+      const door = new AdmissionDoor('a.1', 4)
+      const engineSwitch = new EngineSwitch('a', door, 0)
+      engineSwitch.step(report({ fence: 6 }), situation(), 100)
+      assert.deepEqual(types(act(engineSwitch)), ['replaced'])
+      assert.equal(door.lifecycle, 'stopped')
+      assert.deepEqual(engineSwitch.step(report(), situation(), 10_000), [])
+    })
+  }
+
+  const steps: [name: string, engine: EngineReport | undefined, at: SwitchSituation, effects: string[], serving: boolean][] = [
+    ['loads a whole version', report(), situation(), ['began', 'order-load'], true],
+    ['waits for the version to be whole', report(), situation({ wholeDigest: '' }), [], true],
+    ['waits while another load goes on', report({ loading: 'v1' }), situation(), [], false],
+    ['waits for what the engine says runs', report({ running: 2 }), situation(), ['began'], true],
+    ['does nothing when the wanted version is served', report({ version: 'v2' }), situation(), [], true],
+    ['does not serve a version that the configuration does not know', report({ version: 'v0' }), situation({ target: undefined }), [], false],
+    ['does not serve without a report', undefined, situation(), [], false],
+    ['loads at once into an empty engine', report({ version: '' }), situation({ members }), ['began', 'order-load'], false]
+  ]
+  for (const [name, engine, at, effects, serving] of steps) {
+    it(name, () => {
+      const { engineSwitch, door } = taken()
+      assert.deepEqual(types(engineSwitch.step(engine, at, SETTLED)), effects)
+      assert.equal(door.serving, serving)
+    })
+  }
+
+  it('asks the wave before its own, and stops when that failed', () => {
+    const pair = ['a', 'b'].map(self => {
+      const door = new AdmissionDoor(`${self}.1`, 4)
+      const engineSwitch = new EngineSwitch(self, door, 0)
+      engineSwitch.step(report({ fence: 0 }), situation({ members }), 0)
+      engineSwitch.tookOver(1, 'taken', 0)
+      return { engineSwitch, first: types(engineSwitch.step(report(), situation({ members }), SETTLED)) }
+    })
+    const second = pair.find(({ first }) => first.includes('ask-progress'))
+    assert.equal(pair.filter(({ first }) => first.includes('began')).length, 1, 'one goes first')
+    for (const name of ['a', 'b']) second?.engineSwitch.heard(name, 'failed', SETTLED)
+    assert.deepEqual(types(second?.engineSwitch.step(report(), situation({ members }), SETTLED + 200) ?? []), ['halted', 'ask-progress'])
+    assert.equal(second?.engineSwitch.halted, true)
+  })
+
+  it('waits for its own requests, then loads, then opens on the engine\'s word', () => {
+    const { engineSwitch, door } = taken()
+    engineSwitch.step(report(), situation({ target: undefined }), 5_000)
+    const run = door.run()
+    assert.deepEqual(types(engineSwitch.step(report(), situation(), SETTLED)), ['began'])
+    assert.equal(door.run().type, 'refused')
+    door.finished(run.type === 'admitted' ? run.run : 0)
+    assert.deepEqual(types(engineSwitch.step(report(), situation(), SETTLED + 200)), ['order-load'])
+    engineSwitch.loadAnswered('v2', 'ordered', SETTLED + 210)
+    assert.deepEqual(engineSwitch.step(report({ loading: 'v2' }), situation(), SETTLED + 400), [])
+    assert.equal(door.run().type, 'refused')
+    assert.deepEqual(types(engineSwitch.step(report({ version: 'v2' }), situation(), SETTLED + 600)), ['switched'])
+    assert.equal(door.run().type, 'admitted')
+  })
+
+  const answers: [result: 'stale-fence' | 'refused' | 'refused-here' | 'unreachable', open: boolean][] = [['stale-fence', true], ['refused', true], ['refused-here', true], ['unreachable', false]]
+  for (const [result, open] of answers) {
+    it(`keeps the door ${open ? 'open' : 'closed'} after a load order that was answered "${result}"`, () => {
+      const { engineSwitch, door } = taken()
+      engineSwitch.step(report(), situation(), SETTLED)
+      engineSwitch.loadAnswered('v2', result, SETTLED)
+      assert.equal(door.run().type === 'admitted', open)
+    })
+  }
+
+  it('goes back to the old version when a load fails, and does not try again by itself', () => {
+    const { engineSwitch, door } = taken()
+    engineSwitch.step(report(), situation(), SETTLED)
+    engineSwitch.loadAnswered('v2', 'ordered', SETTLED)
+    assert.deepEqual(types(engineSwitch.step(report({ failed: 'v2' }), situation(), SETTLED + 400)), ['load-failed'])
+    assert.equal(door.run().type, 'admitted')
+    assert.equal(engineSwitch.progress('v2'), 'failed')
+    assert.deepEqual(engineSwitch.step(report({ failed: 'v2' }), situation(), SETTLED + 60_000), [])
+  })
+})
--- a/packages/node/src/lib/agent/agent-requests.ts
+++ b/packages/node/src/lib/agent/agent-requests.ts
@@ -37,19 +37,14 @@
 export class AgentRequests {
   constructor (private readonly _parts: AgentRequestsParts) {}
 
-  /** Answers one message; one of an unknown type or of a wrong shape is refused and breaks nothing. */
+  /** Answers one message; one of an unknown type is refused. */
   handle (request: PeerRequest, payload: Buffer, responder: Responder): void {
     const handler = Object.hasOwn(this._handlers, request.type) && this._handlers[request.type] as ((request: PeerRequest, payload: Buffer, responder: Responder) => void) | undefined
     if (!handler) {
       responder.send({ type: 'refused', reason: 'not-supported', detail: `unknown message ${String(request.type)}` })
       return
     }
-    try {
-      handler(request, payload, responder)
-    } catch (error) {
-      this._parts.log.warn('peer-malformed', { type: request.type, detail: error instanceof Error ? error.message : '' })
-      responder.send({ type: 'refused', reason: 'malformed', detail: 'message has a wrong shape' })
-    }
+    handler(request, payload, responder)
   }
 
   private readonly _handlers: Handlers = {
--- a/packages/node/src/lib/entry/agent-call.ts
+++ b/packages/node/src/lib/entry/agent-call.ts
@@ -9,7 +9,7 @@
  */
 import { AnswerStream, type AdmissionRefusal, type AnswerHead, type EndpointStatus, type PeerReply, type PeerRequest } from '@drumdrift/core'
 import { match } from 'ts-pattern'
-import type { PeerConnection } from '../peer/connection.js'
+import type { ReplyListener } from '../peer/connection.js'
 
 /** A piece of an answer, with the number of whole events in it. */
 export interface AnswerPiece {
@@ -30,6 +30,14 @@
   | { readonly type: 'silent', readonly admitted: boolean }
   | { readonly type: 'stopped' }
 
+/** The part of a connection that a call needs. */
+export interface CallConnection {
+  readonly open: boolean
+  ask (request: PeerRequest, payload: Buffer | undefined, listener: ReplyListener): number
+  tell (request: PeerRequest): void
+  forget (call: number): void
+}
+
 /** What happens during a call. */
 export interface CallListener {
   status (status: EndpointStatus): void
@@ -55,7 +63,7 @@
   private _finish: (end: CallEnd) => void = () => {}
   private _ended = false
 
-  constructor (private readonly _connection: PeerConnection, private readonly _patience: CallPatience, private readonly _listener: CallListener) {}
+  constructor (private readonly _connection: CallConnection, private readonly _patience: CallPatience, private readonly _listener: CallListener) {}
 
   /**
    * Sends the request and resolves when the call has ended, however it ended.
--- a/packages/node/src/lib/entry/carrier.ts
+++ b/packages/node/src/lib/entry/carrier.ts
@@ -46,6 +46,8 @@
   /** Whether an attempt may have run. */
   sent: boolean
   lastPieceAt: number
+  /** The attempt under way, which ends when the caller hangs up. */
+  call: AgentCall | undefined
 }
 
 /** What follows from the end of one attempt. */
@@ -59,7 +61,8 @@
    * Carries a request. Returns the failure to tell the caller, or nothing when it has its whole answer or is gone.
    */
   async carry (job: Job, group: Group<Job>): Promise<RequestFailure | undefined> {
-    const course: Course = { job, group, tried: new Set(), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0 }
+    const course: Course = { job, group, tried: new Set(), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0, call: undefined }
+    job.sink.onGone(() => course.call?.stop())
     group.budget.attempted()
     for (;;) {
       // Looked at before each attempt: an entry that was paused must not begin what its caller has long given up.
@@ -115,7 +118,7 @@
         return sink.part(piece.bytes)
       })
     })
-    sink.onGone(() => call.stop())
+    course.call = call
     return await call.send(message, request.body)
   }
 
--- a/packages/node/src/lib/entry/dispatcher.ts
+++ b/packages/node/src/lib/entry/dispatcher.ts
@@ -141,13 +141,23 @@
     const startedAt = performance.now()
     this._histograms.record({ measure: 'queueing', organisation: request.organisation, requestClass: request.requestClass }, startedAt - waiting.enqueuedAt)
     group.started(request.organisation, startedAt)
-    const failure = await this._carry(waiting.item, group)
+    const failure = await this._carryOut(waiting.item, group)
     group.ended(request.organisation, performance.now() - startedAt)
     this._finish(waiting.item, failure)
     this._release()
     this._pump(group)
   }
 
+  /** A fault of our own must not hold a place for ever, nor leave the caller without an answer. */
+  private async _carryOut (job: Job, group: Group<Job>): Promise<RequestFailure | undefined> {
+    try {
+      return await this._carry(job, group)
+    } catch (error) {
+      this._counters.add('faults')
+      return requestFailure('outcome-unknown', 'unknown', error instanceof Error ? error.message : 'unknown fault')
+    }
+  }
+
   private _finish ({ request, sink }: Job, failure: RequestFailure | undefined): void {
     const { organisation, requestClass } = request
     const took = performance.now() - request.receivedAt
--- a/packages/node/src/lib/peer/server.ts
+++ b/packages/node/src/lib/peer/server.ts
@@ -57,7 +57,7 @@
   private _accept (socket: Socket): void {
     let welcome = false
     const connection = new PeerConnection(socket, (request, payload, responder) => {
-      if (welcome) this._options.onRequest(request, payload, responder)
+      if (welcome) this._handle(request, payload, responder)
       else welcome = this._greet(request, responder)
     }, detail => this._options.log.warn('peer-malformed', { detail, remote: remoteOf(socket) }), this._options.traffic)
     this._connections.add(connection)
@@ -68,6 +68,16 @@
     })
   }
 
+  /** A message of a wrong shape is refused, and the connection goes on. */
+  private _handle (request: PeerRequest, payload: Buffer, responder: Responder): void {
+    try {
+      this._options.onRequest(request, payload, responder)
+    } catch (error) {
+      this._options.log.warn('peer-malformed', { type: String(request.type), detail: error instanceof Error ? error.message : '' })
+      responder.send({ type: 'refused', reason: 'malformed', detail: 'message has a wrong shape' })
+    }
+  }
+
   private _greet (request: PeerRequest, responder: Responder): boolean {
     const refusal = this._refusal(request)
     if (refusal === undefined) {
--- /dev/null
+++ b/packages/node/src/test/lib/agent-call_test.ts
@@ -0,0 +1,79 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import type { PeerReply, PeerRequest } from '@drumdrift/core'
+import { AgentCall, type CallConnection, type CallEnd } from '../../lib/entry/agent-call.js'
+import type { ReplyListener } from '../../lib/peer/connection.js'
+
+const status = { incarnation: 'i', lifecycle: 'serving', version: 'v', serving: true, running: 1, slots: 4 } as const
+const admitted: PeerReply = { type: 'admitted', admission: { type: 'admitted', run: 1 }, status }
+const head: PeerReply = { type: 'head', head: { status: 200, headers: {}, version: 'v' } }
+const end = (count: number): PeerReply => ({ type: 'end', count, status })
+const part = (sequence: number): PeerReply => ({ type: 'part', sequence, events: 1 })
+
+class FakeConnection implements CallConnection {
+  readonly open = true
+  readonly told: PeerRequest[] = []
+  listener: ReplyListener | undefined
+  ask (_request: PeerRequest, _payload: Buffer | undefined, listener: ReplyListener): number {
+    this.listener = listener
+    return 1
+  }
+
+  tell (request: PeerRequest): void { this.told.push(request) }
+  forget (): void {}
+}
+
+type Step = PeerReply | 'lost' | 'stop' | number
+
+/** Plays replies and pauses (in milliseconds); tells how the call ended and what the caller got. */
+async function play (steps: readonly Step[]): Promise<{ ended: CallEnd['type'] | 'open', text: string, hungUp: boolean }> {
+  const connection = new FakeConnection()
+  let text = ''
+  let ended: CallEnd['type'] | 'open' = 'open'
+  const call = new AgentCall(connection, { admission: 1_000, firstAnswer: 3_000, silence: 500 }, {
+    status: () => {},
+    admitted: () => {},
+    head: () => {},
+    pieces: pieces => {
+      text += pieces.map(piece => piece.bytes.toString()).join('')
+      return true
+    }
+  })
+  call.send({ type: 'status' }, Buffer.alloc(0)).then(result => { ended = result.type })
+  for (const step of steps) {
+    if (typeof step === 'number') mock.timers.tick(step)
+    else if (step === 'lost') connection.listener?.lost()
+    else if (step === 'stop') call.stop()
+    else connection.listener?.reply(step, Buffer.from(step.type === 'part' ? 'abc'[step.sequence] ?? '' : ''))
+    await Promise.resolve()
+  }
+  return { ended, text, hungUp: connection.told.some(request => request.type === 'hang-up') }
+}
+
+describe('AgentCall', () => {
+  beforeEach(() => mock.timers.enable({ apis: ['setTimeout'] }))
+  afterEach(() => mock.timers.reset())
+
+  const cases: [name: string, steps: Step[], ended: CallEnd['type'] | 'open', text: string, hungUp: boolean][] = [
+    ['a whole answer', [admitted, head, part(0), part(1), end(2)], 'whole', 'ab', false],
+    ['parts out of order', [admitted, head, part(1), end(2), part(0)], 'whole', 'ab', false],
+    ['an answer without its end', [admitted, head, part(0), 499], 'open', 'a', false],
+    ['silence in the middle', [admitted, head, part(0), 500], 'silent', 'a', true],
+    ['silence before the first part', [admitted, 3_000], 'silent', '', true],
+    ['no word at all', [1_000], 'silent', '', true],
+    ['patience after the admission', [999, admitted, 2_999, head, 2_999], 'open', '', false],
+    ['a refusal', [{ type: 'admitted', admission: { type: 'refused', reason: 'busy' }, status }], 'refused', '', false],
+    ['a broken answer', [admitted, head, part(0), { type: 'broken', detail: 'x', notRun: false, status }], 'broken', 'a', false],
+    ['an endpoint that was never reached', [admitted, { type: 'broken', detail: 'x', notRun: true, status }], 'not-reached', '', false],
+    ['a lost connection', [admitted, 'lost'], 'lost', '', false],
+    ['a caller that is gone', [admitted, 'stop'], 'stopped', '', true],
+    ['an end that does not fit', [admitted, head, part(0), part(1), end(1)], 'broken', 'ab', true],
+    ['replies after the end', [admitted, head, part(0), end(1), part(1), 'lost'], 'whole', 'a', false]
+  ]
+  for (const [name, steps, ended, text, hungUp] of cases) it(name, async () => assert.deepEqual(await play(steps), { ended, text, hungUp }))
+})
--- /dev/null
+++ b/packages/node/src/test/lib/dispatcher_test.ts
@@ -0,0 +1,114 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { checkConfiguration, requestFailure, type AnswerHead, type InstanceRecord, type RequestFailure } from '@drumdrift/core'
+import type { AnswerSink } from '../../lib/entry/answer-sink.js'
+import type { CallerRequest } from '../../lib/entry/caller-request.js'
+import { Dispatcher } from '../../lib/entry/dispatcher.js'
+import { Histograms } from '../../lib/observe/histograms.js'
+import { Counters } from '../../lib/observe/metrics.js'
+
+const record: InstanceRecord = { instance: 'agent-1', availabilityZone: 'koshi', role: 'agent', address: '10.0.0.1:1', endpoint: 'booking', state: 'live' }
+const checked = checkConfiguration({ models: {}, pools: {}, services: { booking: {} }, organisations: { a: {}, b: { inProgress: 1 } } })
+
+class FakeSink implements AnswerSink {
+  gone = false
+  readonly begun = false
+  failure: RequestFailure | undefined
+  private _listener = (): void => {}
+  onGone (listener: () => void): void { this._listener = listener }
+  hangUp (): void {
+    this.gone = true
+    this._listener()
+  }
+
+  head (_head: AnswerHead): void {}
+  part (): boolean { return true }
+  end (): void {}
+  fail (failure: RequestFailure): void { this.failure = failure }
+}
+
+/** A dispatcher over one endpoint, whose requests end when the test says so. */
+class Bench {
+  readonly started: { id: string, end: (failure?: RequestFailure) => void }[] = []
+  readonly dispatcher: Dispatcher
+
+  constructor (queueLength = 100) {
+    this.dispatcher = new Dispatcher(
+      { instance: 'entry-1', availabilityZone: 'koshi' },
+      { queueLength, longestWait: 2_000, choice: 'affinity', queueing: 'fair', retryRatio: 0.1 },
+      async job => await new Promise(resolve => this.started.push({ id: job.request.id, end: resolve })),
+      new Histograms(),
+      new Counters()
+    )
+    if ('value' in checked) this.dispatcher.apply(checked.value, [record])
+  }
+
+  submit (id: string, organisation = 'a', group = 'booking'): FakeSink {
+    const sink = new FakeSink()
+    const now = performance.now()
+    const request: CallerRequest = {
+      id, organisation, requestClass: 'interactive', group, kind: 'service', method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), bodyDigest: '', neverRepeat: false, streamed: false, prefix: '', receivedAt: now, deadline: now + 10_000
+    }
+    this.dispatcher.submit({ request, sink })
+    return sink
+  }
+}
+
+describe('Dispatcher', () => {
+  let bench: Bench
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+    bench = new Bench()
+  })
+  afterEach(() => {
+    bench.dispatcher.close()
+    mock.timers.reset()
+  })
+
+  it('starts up to its limit and queues the rest', async () => {
+    for (let index = 0; index < 6; index += 1) bench.submit(`r${index}`)
+    assert.equal(bench.started.length, 4)
+    bench.started[0]?.end()
+    await new Promise(resolve => setImmediate(resolve))
+    assert.equal(bench.started.length, 5)
+    assert.equal(bench.dispatcher.inProgress, 5)
+  })
+
+  it('refuses what nothing serves, at once and as not run', () => {
+    const sink = bench.submit('r', 'a', 'nothing')
+    assert.deepEqual([sink.failure?.code, sink.failure?.outcome], ['no-endpoint', 'not-run'])
+  })
+
+  it('keeps an organisation to its own bound', () => {
+    bench.submit('one', 'b')
+    bench.submit('two', 'b')
+    bench.submit('three', 'a')
+    assert.deepEqual(bench.started.map(({ id }) => id), ['one', 'three'])
+  })
+
+  it('forgets a caller that hangs up while it waits', () => {
+    const sinks = Array.from({ length: 6 }, (_, index) => bench.submit(`r${index}`))
+    sinks[5]?.hangUp()
+    assert.equal(bench.dispatcher.inProgress, 5)
+  })
+
+  it('refuses at once, with a time to come back, what would wait too long', () => {
+    const sinks = Array.from({ length: 60 }, (_, index) => bench.submit(`r${index}`))
+    const refused = sinks.filter(sink => sink.failure !== undefined)
+    assert.ok(refused.length > 20, `${refused.length}`)
+    assert.ok(refused.every(sink => sink.failure?.code === 'overloaded' && sink.failure.outcome === 'not-run' && sink.failure.retryAfter > 0))
+  })
+
+  it('tells a caller the failure of its request, and goes on', async () => {
+    const sink = bench.submit('r')
+    bench.started[0]?.end(requestFailure('outcome-unknown', 'unknown', 'x'))
+    await new Promise(resolve => setImmediate(resolve))
+    assert.equal(sink.failure?.code, 'outcome-unknown')
+    assert.equal(bench.dispatcher.inProgress, 0)
+  })
+})
