--- a/packages/benchmarks/src/lib/capacity-bench.ts
+++ b/packages/benchmarks/src/lib/capacity-bench.ts
@@ -11,7 +11,8 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { ClaimKeeper, EndpointChoice, Spread, type InstanceRecord, type ProcessStatus } from '@drumdrift/core'
 import { printFigures, twoDecimals, type BenchOptions } from './bench-options.js'
-import { Fleet, type Member } from './fleet.js'
+import type { Fleet, Member } from './fleet.js'
+import { plainConfiguration, preparePlainFleet } from './plain-fleet.js'
 import { residentAfterImports } from './process-reading.js'
 
 const SIZES = [24, 48, 96, 192] as const
@@ -61,17 +62,7 @@
 
 /** Steady state first, then a few changes of configuration; each per process, as a mean over its role. */
 async function measureFleet (size: number, seconds: number): Promise<Sample[]> {
-  const fleet = await Fleet.prepare({
-    availabilityZones: ZONES,
-    entriesPerZone: 1,
-    endpoints: Array.from({ length: size - ZONES.length }, (_, index) => ({ name: 'booking', kind: 'plain', availabilityZone: ZONES[index % ZONES.length] ?? '' })),
-    linkMegabytesPerSecond: 100,
-    originMegabytesPerSecond: 100,
-    settings: [['process', 'log-level', 'warn']]
-  })
-  const configuration = { services: { booking: { slots: 8, neverRepeat: [] } } }
-  fleet.publish(configuration)
-  fleet.publishInstances()
+  const fleet = await preparePlainFleet(size, ZONES)
   await fleet.startAll()
   if (!await fleet.untilUp(60_000)) throw new Error('the fleet did not come up')
   await pause(SETTLE)
@@ -80,7 +71,7 @@
   const second = await statusesOf(fleet)
   for (let change = 0; change < CHANGES; change += 1) {
     fleet.publishInstances()
-    fleet.publish(configuration)
+    fleet.publish(plainConfiguration)
     await pause(500)
   }
   await pause(seconds * 1000 - CHANGES * 500)
--- a/packages/benchmarks/src/lib/configuration-bench.ts
+++ b/packages/benchmarks/src/lib/configuration-bench.ts
@@ -6,7 +6,8 @@
 /** How fast a configuration is in force everywhere, and what the service is asked, as the fleet grows. */
 import { setTimeout as pause } from 'node:timers/promises'
 import { printFigures, quantile, type BenchOptions } from './bench-options.js'
-import { Fleet } from './fleet.js'
+import type { Fleet } from './fleet.js'
+import { plainConfiguration, preparePlainFleet } from './plain-fleet.js'
 
 const SIZES = [12, 24, 48, 96, 192] as const
 const ZONES = ['bagmati', 'gandaki', 'koshi'] as const
@@ -25,17 +26,7 @@
 }
 
 async function measure (size: number, seed: number): Promise<boolean> {
-  const fleet = await Fleet.prepare({
-    availabilityZones: ZONES,
-    entriesPerZone: 1,
-    endpoints: Array.from({ length: size - ZONES.length }, (_, index) => ({ name: 'booking', kind: 'plain', availabilityZone: ZONES[index % ZONES.length] ?? '' })),
-    linkMegabytesPerSecond: 100,
-    originMegabytesPerSecond: 100,
-    settings: [['process', 'log-level', 'warn']]
-  })
-  const configuration = { services: { booking: { slots: 8, neverRepeat: [] } } }
-  fleet.publish(configuration)
-  fleet.publishInstances()
+  const fleet = await preparePlainFleet(size, ZONES)
   const late = fleet.agents.slice(0, Math.floor(size * STARTING_SHARE))
   const early = fleet.members.filter(member => !late.includes(member))
   for (const member of early) await fleet.start(member)
@@ -47,7 +38,7 @@
   for (let change = 0; change < CHANGES; change += 1) {
     const starting = late.splice(0, Math.ceil(size * STARTING_SHARE / CHANGES))
     for (const member of starting) await fleet.start(member)
-    times.push(...await timesInForce(fleet, fleet.publish(configuration)))
+    times.push(...await timesInForce(fleet, fleet.publish(plainConfiguration)))
     await pause(BETWEEN)
   }
   const seconds = (performance.now() - startedAt) / 1000
--- a/packages/benchmarks/src/lib/load.ts
+++ b/packages/benchmarks/src/lib/load.ts
@@ -17,6 +17,9 @@
   readonly callsPerSecond: number
 }
 
+/** Starts of prompts that callers share, a few of them much more often than others. */
+const PROMPTS = 60
+
 /** Calls are drawn one at a time: the number is unique over all phases. */
 export type CallMaker = (number: number, random: () => number) => Call
 
@@ -133,6 +136,6 @@
     id: `${name}-${number}`,
     organisation: organisationOf(random),
     address: fleet.entries[number % fleet.entries.length]?.httpAddress ?? '',
-    chat: { pool: 'drafting', prompt: `${'common start of prompts '.repeat(9)}${Math.floor(random() ** 2 * 60)}`.slice(-200).padStart(210, '.'), tokens, streamed: true }
+    chat: { pool: 'drafting', prompt: `${String(Math.floor(random() ** 2 * PROMPTS)).padStart(3, '0')} ${'a long start that many callers share '.repeat(6)}`, tokens, streamed: true }
   })
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/plain-fleet.ts
@@ -0,0 +1,31 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Fleets without weights, for what control alone costs. */
+import { Fleet } from './fleet.js'
+
+/** A configuration with one plain service. */
+export const plainConfiguration = { services: { booking: { slots: 8, neverRepeat: [] } } }
+
+/**
+ * Prepares a fleet of one entry in each zone and agents of a plain service, with its documents published.
+ *
+ * @param size Processes in all.
+ * @example
+ * const fleet = await preparePlainFleet(96, ['bagmati', 'gandaki', 'koshi'])
+ */
+export async function preparePlainFleet (size: number, availabilityZones: readonly string[]): Promise<Fleet> {
+  const fleet = await Fleet.prepare({
+    availabilityZones,
+    entriesPerZone: 1,
+    endpoints: Array.from({ length: size - availabilityZones.length }, (_, index) => ({ name: 'booking', kind: 'plain', availabilityZone: availabilityZones[index % availabilityZones.length] ?? '' })),
+    linkMegabytesPerSecond: 100,
+    originMegabytesPerSecond: 100,
+    settings: [['process', 'log-level', 'warn']]
+  })
+  fleet.publish(plainConfiguration)
+  fleet.publishInstances()
+  return fleet
+}
--- a/packages/core/src/lib/spread.ts
+++ b/packages/core/src/lib/spread.ts
@@ -19,6 +19,7 @@
 import type { Configuration, InstanceList, InstanceRecord } from './documents.js'
 import { checkConfiguration, checkInstanceList } from './documents.js'
 import type { DocumentFailure } from './failure.js'
+import { Joining } from './joining.js'
 import { rendezvousOrder } from './rendezvous.js'
 import { RevisionLedger, type Acceptance, type Published } from './revision-ledger.js'
 
@@ -77,8 +78,6 @@
   joinPatience: 1_500
 }
 
-/** Peers that a process asks before it takes anything: the service may be stale, and they know better. */
-const JOIN_PEERS = 3
 /** Every how many comparisons a peer of another zone is asked. */
 const ABROAD_EVERY = 2
 const NEVER = -Infinity
@@ -101,16 +100,6 @@
   backoff: number
 }
 
-/** The time between a process's start and the first document that it takes. */
-interface Joining {
-  readonly until: number
-  asked: boolean
-  /** Addresses of peers that were asked and have neither answered nor failed. */
-  readonly pending: Set<string>
-  /** What the service and peers said meanwhile. The newest may turn out to be invalid, so the others are kept too. */
-  readonly held: { readonly topic: Topic, readonly published: Published }[]
-}
-
 type Ledgers = { readonly configuration: RevisionLedger<Configuration>, readonly instances: RevisionLedger<InstanceList> }
 
 /** What one process knows of the published documents, and how it passes them on. */
@@ -119,6 +108,7 @@
   private readonly _service: Record<Topic, ServiceState>
   private _compareAt: number
   private _comparisons = 0
+  /** Until this process has joined; then nothing. */
   private _joining: Joining | undefined
   /** Addresses that did not answer, with the time until which they are passed over. */
   private readonly _silent = new Map<string, number>()
@@ -144,7 +134,7 @@
     })
     this._service = { configuration: start('configuration'), instances: start('instances') }
     this._compareAt = now
-    this._joining = { until: now + _policy.joinPatience, asked: false, pending: new Set(), held: [] }
+    this._joining = new Joining(now + _policy.joinPatience)
   }
 
   /** The configuration in force here. */
@@ -182,9 +172,9 @@
     state.reading = false
     if (answer === 'unreachable') return this._backOff(state, now)
     if (this._joining !== undefined && answer !== 'unchanged') {
-      this._joining.held.push({ topic, published: answer })
+      this._joining.hold(topic, answer)
       state.nextReadAt = now + this._policy.firstBackoff
-      return this._joinEnd('', now)
+      return this._joinIfOver(now)
     }
     const effects = answer === 'unchanged' ? [] : this._take(topic, answer, now)
     const stale = answer !== 'unchanged' && answer.revision < this._ledgers[topic].seenRevision
@@ -219,7 +209,7 @@
     for (const { topic, published } of incoming.documents) {
       if (!topics.includes(topic)) continue
       if (this._joining !== undefined) {
-        this._joining.held.push({ topic, published })
+        this._joining.hold(topic, published)
         continue
       }
       const taken = this._take(topic, published, now)
@@ -233,13 +223,15 @@
   /** A peer that was compared with told what it holds itself: its word on the service's age counts. */
   answered (address: string, note: SpreadNote, now: number): SpreadEffect[] {
     for (const topic of topics) this._hearAge(topic, note.revisions[topic], note.ages[topic], now)
-    return this._joinEnd(address, now)
+    this._joining?.heard(address)
+    return this._joinIfOver(now)
   }
 
   /** A peer that was to be compared with could not be reached: it is passed over for a while. */
   unanswered (address: string, now: number): SpreadEffect[] {
     this._silent.set(address, now + this._policy.patience * 2)
-    return this._joinEnd(address, now)
+    this._joining?.heard(address)
+    return this._joinIfOver(now)
   }
 
   /** Whether this process is one of its zone's watchers. */
@@ -249,34 +241,21 @@
     return rank >= 0 && rank < this._policy.watchersPerZone
   }
 
-  /** At the start, a few seeds are asked at once; when the time is up, the service is believed. */
+  /** At the start, a few seeds are asked at once; when all have answered or the time is up, the newest is taken. */
   private _join (now: number): SpreadEffect[] {
     const joining = this._joining
     if (joining === undefined) return []
-    if (now >= joining.until) return this._joinNow(now)
-    if (joining.asked) return []
-    const seeds = this._self.seeds.filter(seed => seed !== this._self.address)
-    const start = seeds.length === 0 ? 0 : Math.floor(this._random() * seeds.length)
-    const chosen = [...seeds.slice(start), ...seeds.slice(0, start)].slice(0, JOIN_PEERS)
-    joining.asked = true
-    for (const address of chosen) joining.pending.add(address)
-    if (chosen.length === 0) return this._joinNow(now)
-    this._compareAt = now + this._policy.comparePause
-    return chosen.map(address => ({ type: 'compare', address, note: this.note(now) }))
+    const asked = joining.ask(this._self.seeds.filter(seed => seed !== this._self.address), this._random())
+    if (asked.length > 0) this._compareAt = now + this._policy.comparePause
+    const note = this.note(now)
+    return [...asked.map(address => ({ type: 'compare', address, note }) as const), ...this._joinIfOver(now)]
   }
 
-  /** Ends the joining once every peer that was asked has answered or failed. */
-  private _joinEnd (address: string, now: number): SpreadEffect[] {
+  private _joinIfOver (now: number): SpreadEffect[] {
     const joining = this._joining
-    joining?.pending.delete(address)
-    return joining?.asked === true && joining.pending.size === 0 ? this._joinNow(now) : []
-  }
-
-  private _joinNow (now: number): SpreadEffect[] {
-    const held = [...this._joining?.held ?? []]
+    if (joining === undefined || !joining.over(now)) return []
     this._joining = undefined
-    held.sort((left, right) => right.published.revision - left.published.revision)
-    return held.flatMap(({ topic, published }) => this._take(topic, published, now))
+    return joining.newestFirst().flatMap(({ topic, published }) => this._take(topic, published, now))
   }
 
   private _take (topic: Topic, published: Published, now: number): SpreadEffect[] {
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -17,7 +17,7 @@
 import { Histograms } from '../observe/histograms.js'
 import { Counters } from '../observe/metrics.js'
 import { MetricsServer } from '../observe/metrics-server.js'
-import type { Traffic } from '../peer/connection.js'
+import type { ReadPacer, Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
 import { HttpPlatform } from '../platform/platform-client.js'
@@ -68,81 +68,37 @@
    * @param _onReplaced Called when another agent has taken the engine over: the process is to stop.
    */
   constructor (private readonly _settings: Settings, private readonly _log: Log, private readonly _onReplaced: () => void = () => {}) {
-    const text = (section: string, key: string): string => _settings.text(section, key)
-    const number = (section: string, key: string): number => _settings.number(section, key)
-    this._name = text('process', 'instance')
+    this._name = this._text('process', 'instance')
     this.incarnation = `${this._name}.${randomBytes(6).toString('hex')}`
-    this._endpoint = text('endpoint', 'name')
-    this._model = text('endpoint', 'kind') === 'model'
-    this._self = { instance: this._name, availabilityZone: text('process', 'availability-zone') }
-    this._pacer = new LinkPacer(number('weights', 'link-megabytes-per-second') * MEBIBYTE, performance.now())
+    this._endpoint = this._text('endpoint', 'name')
+    this._model = this._text('endpoint', 'kind') === 'model'
+    this._self = { instance: this._name, availabilityZone: this._text('process', 'availability-zone') }
+    this._pacer = new LinkPacer(this._number('weights', 'link-megabytes-per-second') * MEBIBYTE, performance.now())
     const readPacer = { received: (bytes: number): number => this._pacer.received(bytes, performance.now()) }
     this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS)
     this._door.setServing(!this._model)
-    this._keeper = new ClaimKeeper(this.incarnation, { repeatWindow: number('requests', 'repeat-window-seconds') * 1000, recordsPerOrganisation: number('requests', 'records-per-organisation') })
-    this._pool = new PeerPool({ instance: this._name, key: text('peers', 'key') }, this._traffic, readPacer)
-    const platform = new HttpPlatform({
-      configuration: text('platform', 'configuration'), instances: text('platform', 'instances'), store: text('platform', 'store'), origin: text('platform', 'origin')
-    }, readPacer)
-    const engine = new HttpEngine(text('endpoint', 'address'))
-    this._store = new ChunkStore(engine, number('weights', 'memory-megabytes') * MEBIBYTE)
+    this._keeper = this._newKeeper()
+    this._pool = new PeerPool({ instance: this._name, key: this._text('peers', 'key') }, this._traffic, readPacer)
+    const platform = this._newPlatform(readPacer)
+    const engine = new HttpEngine(this._text('endpoint', 'address'))
+    this._store = new ChunkStore(engine, this._number('weights', 'memory-megabytes') * MEBIBYTE)
     this._spread = new SpreadRunner({
       self: spreadSelf(_settings), platform, pool: this._pool, log: _log, counters: this._counters, onAdopted: () => this._apply()
     })
-    this._weights = new WeightsKeeper({
-      self: this._self,
-      policy: { ...defaultTransferPolicy, window: number('weights', 'window'), strategy: text('weights', 'strategy') as SpreadStrategy },
-      largestBytes: number('weights', 'largest-gigabytes') * GIBIBYTE,
-      platform,
-      pool: this._pool,
-      engine,
-      store: this._store,
-      log: _log,
-      counters: this._counters,
-      members: () => this._members,
-      addressOf: instance => this._addresses.get(instance),
-      onWhole: () => {
-        this._recordSince('transfer')
-        this._switcher.poll()
-      }
-    })
-    this._switcher = new Switcher({
-      instance: this._name,
-      engine,
-      door: this._door,
-      pool: this._pool,
-      log: _log,
-      situation: () => ({ target: this._target(), wholeDigest: this._weights.wholeDigest, members: this._members, knownDigests: this._knownDigests() }),
-      onReplaced: () => { this._onReplaced() },
-      confirmWhole: () => this._weights.confirmWhole(),
-      onServing: (_digest, fence) => {
-        this._recordSince('time-to-serve')
-        this._weights.dropOthers(fence)
-      }
-    })
+    this._weights = this._newWeights(platform, engine)
+    this._switcher = this._newSwitcher(engine)
     if (!this._model) this._switcher.close()
     this._runner = new RequestRunner({
-      endpointAddress: text('endpoint', 'address'), door: this._door, pacer: this._pacer, counters: this._counters, status: () => this._endpointStatus(), fence: () => this._model ? this._switcher.fence : 0
-    })
-    this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
-    const requests = new AgentRequests({
-      instance: this._name,
-      endpoint: this._endpoint,
+      endpointAddress: this._text('endpoint', 'address'),
       door: this._door,
-      keeper: this._keeper,
-      spread: this._spread,
-      chunks: this._chunks,
-      weights: this._weights,
-      switcher: this._switcher,
-      runner: this._runner,
-      log: _log,
-      endpointStatus: () => this._endpointStatus(),
-      processStatus: () => this.status()
-    })
-    this._server = new PeerServer({
-      instance: this._name, address: text('process', 'address'), key: text('peers', 'key'), log: _log, traffic: this._traffic, onRequest: (request, payload, responder) => requests.handle(request, payload, responder)
+      pacer: this._pacer,
+      counters: this._counters,
+      status: () => this._endpointStatus(),
+      fence: () => this._model ? this._switcher.fence : 0
     })
-    const metricsAddress = text('process', 'metrics-address')
+    this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
+    this._server = this._newServer()
+    const metricsAddress = this._text('process', 'metrics-address')
     this._metrics = metricsAddress === '' ? undefined : new MetricsServer(metricsAddress, this._counters, this._histograms)
   }
 
@@ -162,7 +118,7 @@
   async stop (): Promise<number> {
     this._door.leave('draining')
     this._log.info('agent-draining', { running: this._door.running })
-    const patience = this._settings.number('process', 'stop-patience-seconds') * 1000
+    const patience = this._number('process', 'stop-patience-seconds') * 1000
     await Promise.race([this._runner.idle(), new Promise(resolve => setTimeout(resolve, patience).unref())])
     const cut = this._door.running
     this._door.leave('stopped')
@@ -197,6 +153,83 @@
     }
   }
 
+  private _text (section: string, key: string): string { return this._settings.text(section, key) }
+  private _number (section: string, key: string): number { return this._settings.number(section, key) }
+
+  private _newKeeper (): ClaimKeeper {
+    return new ClaimKeeper(this.incarnation, {
+      repeatWindow: this._number('requests', 'repeat-window-seconds') * 1000,
+      recordsPerOrganisation: this._number('requests', 'records-per-organisation')
+    })
+  }
+
+  private _newPlatform (readPacer: ReadPacer): HttpPlatform {
+    const address = (key: string): string => this._text('platform', key)
+    return new HttpPlatform({ configuration: address('configuration'), instances: address('instances'), store: address('store'), origin: address('origin') }, readPacer)
+  }
+
+  private _newWeights (platform: HttpPlatform, engine: HttpEngine): WeightsKeeper {
+    return new WeightsKeeper({
+      self: this._self,
+      policy: { ...defaultTransferPolicy, window: this._number('weights', 'window'), strategy: this._text('weights', 'strategy') as SpreadStrategy },
+      largestBytes: this._number('weights', 'largest-gigabytes') * GIBIBYTE,
+      platform,
+      pool: this._pool,
+      engine,
+      store: this._store,
+      log: this._log,
+      counters: this._counters,
+      members: () => this._members,
+      addressOf: instance => this._addresses.get(instance),
+      onWhole: () => {
+        this._recordSince('transfer')
+        this._switcher.poll()
+      }
+    })
+  }
+
+  private _newSwitcher (engine: HttpEngine): Switcher {
+    return new Switcher({
+      instance: this._name,
+      engine,
+      door: this._door,
+      pool: this._pool,
+      log: this._log,
+      situation: () => ({ target: this._target(), wholeDigest: this._weights.wholeDigest, members: this._members, knownDigests: this._knownDigests() }),
+      onReplaced: () => { this._onReplaced() },
+      confirmWhole: () => this._weights.confirmWhole(),
+      onServing: (_digest, fence) => {
+        this._recordSince('time-to-serve')
+        this._weights.dropOthers(fence)
+      }
+    })
+  }
+
+  private _newServer (): PeerServer {
+    const requests = new AgentRequests({
+      instance: this._name,
+      endpoint: this._endpoint,
+      door: this._door,
+      keeper: this._keeper,
+      spread: this._spread,
+      chunks: this._chunks,
+      weights: this._weights,
+      switcher: this._switcher,
+      runner: this._runner,
+      log: this._log,
+      endpointStatus: () => this._endpointStatus(),
+      processStatus: () => this.status()
+    })
+    return new PeerServer({
+      instance: this._name,
+      address: this._text('process', 'address'),
+      key: this._text('peers', 'key'),
+      log: this._log,
+      traffic: this._traffic,
+      onRequest: (request, payload, responder) => requests.handle(request, payload, responder)
+    })
+  }
+
   private _close (): void {
     this._spread.close()
     this._weights.close()
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -41,7 +41,7 @@
 export const defaultEngineTimes: EngineTimes = { load: 300, firstToken: 40, cachedFirstToken: 15, betweenTokens: 8, reportLag: 300 }
 
 const PREFIX_CHARACTERS = 200
-const CACHED_PREFIXES = 64
+const CACHED_PREFIXES = 16
 const DEFAULT_TOKENS = 16
 
 /**
