--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -14,6 +14,7 @@
   retries: async () => (await import('./lib/retries-bench.js')).retriesBench,
   'rollout-under-load': async () => (await import('./lib/rollout-under-load-bench.js')).rolloutUnderLoadBench,
   configuration: async () => (await import('./lib/configuration-bench.js')).configurationBench,
+  chaos: async () => (await import('./lib/chaos-bench.js')).chaosBench,
   capacity: async () => (await import('./lib/capacity-bench.js')).capacityBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/chaos-bench.ts
@@ -0,0 +1,149 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Real processes under load, with kills and freezes of entries and agents drawn from the seed. The oracles are fed by
+ * the endpoints' journals and by what callers were told; callers repeat what they did not get, through another entry.
+ */
+import { setTimeout as pause } from 'node:timers/promises'
+import { formatPairs } from 'drumdrift'
+import { defaultEngineTimes, generateVersion } from '@drumdrift/stand-ins'
+import { printFigures, seededRandom, type BenchOptions } from './bench-options.js'
+import { issueId, makeCall, type Call, type CallRecord } from './callers.js'
+import { Fleet, organisations, type EndpointPlan, type Member } from './fleet.js'
+import { runsById, untrueNotRun } from './oracles.js'
+
+const ZONES = ['koshi', 'bagmati'] as const
+const CALLS_PER_SECOND = 60
+const FAULT_EVERY = 900
+const FREEZE = 2_500
+const DOWN = 800
+const MOST_REPEATS = 3
+const REPEAT_PAUSE = 400
+const LARGEST_SEED = 1_000
+
+const endpoints: readonly EndpointPlan[] = ZONES.flatMap(availabilityZone => [
+  ...['drafting', 'drafting', 'drafting'].map(name => ({ name, kind: 'model' as const, availabilityZone })),
+  ...['booking', 'booking', 'booking'].map(name => ({ name, kind: 'plain' as const, availabilityZone }))
+])
+
+type Fault = (fleet: Fleet, member: Member) => Promise<void>
+
+const faults: Readonly<Record<string, Fault>> = {
+  kill: async (fleet, member) => {
+    fleet.signal(member, 'SIGKILL')
+    await fleet.exited(member)
+    await pause(DOWN)
+    await fleet.start(member)
+  },
+  freeze: async (fleet, member) => {
+    fleet.signal(member, 'SIGSTOP')
+    await pause(FREEZE)
+    fleet.signal(member, 'SIGCONT')
+  }
+}
+
+/** Runs for the asked time and judges. */
+export async function chaosBench (options: BenchOptions): Promise<boolean> {
+  const version = generateVersion({ model: 'chat', version: 'v1', chunks: 8, chunkBytes: 16_384, seed: options.seed })
+  const fleet = await startFleet(version)
+  const random = seededRandom(options.seed % LARGEST_SEED + 1)
+  const records: CallRecord[] = []
+  const under: Promise<void>[] = []
+  const end = performance.now() + options.seconds * 1000
+  const breaking = breakThings(fleet, random, end)
+  for (let number = 0; performance.now() < end; number += 1) {
+    under.push(askUntilAnswered(fleet, number, [version.digest], records))
+    await pause(1000 / CALLS_PER_SECOND)
+  }
+  await Promise.all(under)
+  const faultCount = await breaking
+  await pause(FREEZE)
+  return await judge(fleet, records, options, faultCount)
+}
+
+async function startFleet (version: ReturnType<typeof generateVersion>): Promise<Fleet> {
+  const fleet = await Fleet.prepare({
+    availabilityZones: ZONES,
+    entriesPerZone: 2,
+    endpoints,
+    linkMegabytesPerSecond: 200,
+    originMegabytesPerSecond: 200,
+    engineTimes: { ...defaultEngineTimes, load: 50 },
+    settings: [['process', 'log-level', 'warn'], ['requests', 'first-answer-seconds', '1'], ['requests', 'silence-seconds', '1'], ['requests', 'deadline-seconds', '6']]
+  })
+  fleet.addVersion(version)
+  fleet.publish({
+    models: { chat: { versions: { v1: version.digest } } },
+    pools: { drafting: { model: 'chat', version: 'v1', switchFraction: 1, slots: 16, originCopies: 1 } },
+    services: { booking: { slots: 32, neverRepeat: [{ method: 'POST', pathPrefix: '/notices' }] } },
+    organisations: organisations({ 'hall-1': 1, 'hall-2': 1 })
+  })
+  fleet.publishInstances()
+  await fleet.startAll()
+  const up = await fleet.untilUp() && await fleet.until(async () => (await fleet.journals()).engines.every(engine => engine.version === version.digest), 30_000)
+  if (!up) throw new Error('the fleet did not come up')
+  return fleet
+}
+
+async function breakThings (fleet: Fleet, random: () => number, end: number): Promise<number> {
+  const under: Promise<void>[] = []
+  const busy = new Set<Member>()
+  const names = Object.keys(faults)
+  while (performance.now() < end - FREEZE) {
+    await pause(FAULT_EVERY)
+    const member = fleet.members[Math.floor(random() * fleet.members.length)]
+    const name = names[Math.floor(random() * names.length)] ?? ''
+    const fault = faults[name]
+    if (member === undefined || fault === undefined || busy.has(member)) continue
+    busy.add(member)
+    process.stdout.write(`${formatPairs({ event: 'fault', fault: name, instance: member.instance })}\n`)
+    under.push(fault(fleet, member).then(() => { busy.delete(member) }))
+  }
+  await Promise.all(under)
+  return under.length
+}
+
+/** A caller asks, and asks again with the same id through another entry, until it has its answer or gives up. */
+async function askUntilAnswered (fleet: Fleet, number: number, versions: readonly string[], records: CallRecord[]): Promise<void> {
+  const once = number % 2 === 0
+  const id = once ? await issueId(entryOf(fleet, number)) : `chat-${number}`
+  if (id === undefined) return
+  for (let attempt = 0; attempt <= MOST_REPEATS; attempt += 1) {
+    const call: Call = { id, organisation: `hall-${number % 2 + 1}`, address: entryOf(fleet, number + attempt), versions, timeout: 8_000, ...(once ? notice(number) : chat(number)) }
+    const record = await makeCall(call)
+    records.push(record)
+    if (record.result === 'whole' || record.code === 'already-claimed') return
+    await pause(REPEAT_PAUSE)
+  }
+}
+
+function entryOf (fleet: Fleet, index: number): string {
+  return fleet.entries[index % fleet.entries.length]?.httpAddress ?? ''
+}
+
+function notice (number: number): Pick<Call, 'plain' | 'neverRepeat'> {
+  return { plain: { service: 'booking', method: 'POST', path: '/notices', body: `{"notice":${number}}` }, neverRepeat: true }
+}
+
+function chat (number: number): Pick<Call, 'chat'> {
+  return { chat: { pool: 'drafting', prompt: `prompt ${number % 30}`, tokens: 16, streamed: number % 4 === 1 } }
+}
+
+async function judge (fleet: Fleet, records: readonly CallRecord[], options: BenchOptions, faultCount: number): Promise<boolean> {
+  const journals = await fleet.journals()
+  const runs = runsById(journals.plains)
+  const count = (result: CallRecord['result']): number => records.filter(record => record.result === result).length
+  const repeated = [...new Set(records.filter(record => record.neverRepeat).map(record => record.id))].filter(id => (runs.get(id) ?? 0) > 1).length
+  const untrue = untrueNotRun(records, runs)
+  const partial = journals.engines.reduce((sum, engine) => sum + engine.journal.partialLoads, 0)
+  const orphans = await fleet.stop()
+  const answered = new Set(records.filter(record => record.result === 'whole').map(record => record.id)).size
+  const held = repeated === 0 && untrue === 0 && count('wrong') === 0 && count('mixed') === 0 && partial === 0
+  printFigures('chaos', {
+    seed: options.seed, seconds: options.seconds, faults: faultCount, ids: new Set(records.map(record => record.id)).size, answered, calls: records.length, whole: count('whole'), refused: count('refused'), unknown: count('unknown'), cut: count('cut'), wrong: count('wrong'), mixed: count('mixed'), repeated, not_run_untrue: untrue, partial_loads: partial, orphans, held
+  })
+  return held
+}
--- a/packages/benchmarks/src/lib/demo-run.ts
+++ b/packages/benchmarks/src/lib/demo-run.ts
@@ -12,6 +12,7 @@
 import type { Configuration } from '@drumdrift/core'
 import { generateVersion, type GeneratedVersion } from '@drumdrift/stand-ins'
 import { issueId, makeCall, type Call, type CallRecord } from './callers.js'
+import { runsById, untrueNotRun } from './oracles.js'
 import { Fleet, organisations, type EndpointPlan, type Member } from './fleet.js'
 
 const POOL = 'drafting'
@@ -192,12 +193,11 @@
     const serving = await this._count(1, models)
     const { engines, plains } = await this._fleet.journals()
     const originCopies = this._originCopies()
-    const runs = new Map<string, number>()
-    for (const plain of plains) for (const [id, count] of Object.entries(plain.runs)) runs.set(id, (runs.get(id) ?? 0) + count)
+    const runs = runsById(plains)
     const count = (result: CallRecord['result']): number => this._records.filter(record => record.result === result).length
     const neverRepeat = new Set(this._records.filter(record => record.neverRepeat).map(record => record.id))
     const repeated = [...neverRepeat].filter(id => (runs.get(id) ?? 0) > 1).length
-    const untrue = this._untrueNotRun(runs)
+    const untrue = untrueNotRun([...this._records, ...this._repeats], runs)
     const partial = engines.reduce((sum, engine) => sum + engine.journal.partialLoads, 0)
     const orphans = await this._fleet.stop()
     this._explain()
@@ -223,16 +223,6 @@
     }
   }
 
-  /** Ids that ran more often than attempts were not told "not run". */
-  private _untrueNotRun (runs: ReadonlyMap<string, number>): number {
-    const mayHaveRun = new Map<string, number>()
-    for (const record of [...this._records, ...this._repeats]) {
-      const attempts = record.result === 'refused' ? 0 : 1
-      mayHaveRun.set(record.id, (mayHaveRun.get(record.id) ?? 0) + attempts)
-    }
-    return [...mayHaveRun].filter(([id, attempts]) => (runs.get(id) ?? 0) > 0 && attempts === 0).length
-  }
-
   /** Says why calls did not get an answer, by code. */
   private _explain (): void {
     const codes = new Map<string, number>()
--- a/packages/fuzz/src/lib/request-world.ts
+++ b/packages/fuzz/src/lib/request-world.ts
@@ -8,7 +8,7 @@
  * oracles look only at what endpoints ran and what callers were told.
  */
 import {
-  AdmissionDoor, AnswerStream, ClaimKeeper, keepersOf, OnceAttempt, type Admission, type KeeperPolicy, type Keepers, type OfferReply, type OnceEffect, type Outcome
+  AdmissionDoor, AnswerStream, ClaimKeeper, formatIssuedId, KEEPER_COUNT, keepersOf, OnceAttempt, type Admission, type KeeperPolicy, type Keepers, type OfferReply, type OnceEffect, type Outcome
 } from '@drumdrift/core'
 import { Process, World } from './world.js'
 
@@ -90,6 +90,7 @@
 /** Long enough for any freeze of an agent in a run, which the page of limits states as a condition. */
 const KEEPER_POLICY: KeeperPolicy = { repeatWindow: 20_000, recordsPerOrganisation: 64 }
 const DEADLINE = 5_000
+const LEAST_KEEPERS = 3
 /** Callers repeat an id for so long: with the deadline, less than the repeat window. */
 const ID_LIFETIME = 6_000
 /** A leaving endpoint may get work for so long after it could hear of it. */
@@ -109,6 +110,7 @@
   readonly entries: Entry[] = []
   readonly submissions: Submission[] = []
   private readonly _runsById = new Map<string, number>()
+  private readonly _issued: { readonly id: string, readonly at: number }[] = []
   private _incarnations = 0
   /** The agent that made the newest offer. */
   private _offered: Agent | undefined
@@ -126,6 +128,21 @@
     this.submit(`once-${Math.floor(this.world.now / ID_LIFETIME)}-${number}`, entryIndex, true)
   }
 
+  /** An entry issues an id, whose keepers are agents that answer now. */
+  issue (): void {
+    const { world } = this
+    const awake = this.agents.filter(agent => agent.process.alive && !agent.process.frozen)
+    const keepers = awake.slice(0, KEEPER_COUNT).map(({ process }) => ({ instance: process.name, incarnation: process.incarnation, at: world.clock(process) }))
+    if (keepers.length >= LEAST_KEEPERS) this._issued.push({ id: formatIssuedId(`r${this._issued.length}`, keepers), at: world.now })
+  }
+
+  /** A caller asks with one of the ids that were issued lately. */
+  submitIssued (number: number, entryIndex: number): void {
+    const usable = this._issued.filter(({ at }) => this.world.now - at < ID_LIFETIME)
+    const issued = usable[number % Math.max(1, usable.length)]
+    if (issued !== undefined) this.submit(issued.id, entryIndex, true)
+  }
+
   /** A caller asks an entry. */
   submit (id: string, entryIndex: number, neverRepeat: boolean): void {
     const entry = this.entries[entryIndex % this.entries.length] as Entry
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -115,6 +115,14 @@
   }
 }
 
+/** Vouches for issued ids that name another incarnation of it. */
+class StrangerKeeper extends ClaimKeeper {
+  override claim (...[organisation, id, attempt, body, now]: Parameters<ClaimKeeper['claim']>): ClaimReply {
+    const reply = super.claim(organisation, id, attempt, body, now)
+    return reply.type === 'stranger' ? { type: 'vouched' } : reply
+  }
+}
+
 /** Hears orders to leave and does nothing. */
 class StayingDoor extends AdmissionDoor {
   override leave (): boolean { return false }
@@ -168,6 +176,7 @@
   requests('lost-taken-for-not-run', 'not-run', { lostMeans: 'not-run' }),
   requests('keepers-forget', 'at-most-once', { keeper: (incarnation, policy) => new ForgetfulKeeper(incarnation, policy) }),
   requests('young-keepers-vouch', 'at-most-once', { keeper: (incarnation, policy) => new HastyKeeper(incarnation, policy) }),
+  requests('strangers-vouch', 'at-most-once', { keeper: (incarnation, policy) => new StrangerKeeper(incarnation, policy) }),
   requests('one-vouch-is-enough', 'at-most-once', { keepers: (...given) => ({ ...realRequestParts.keepers(...given), needed: 1 }) }),
   requests('anyone-releases', 'at-most-once', { keeper: (incarnation, policy) => new GivingKeeper(incarnation, policy) }),
   requests('orders-ignored', 'leaving', { door: (incarnation, slots) => new StayingDoor(incarnation, slots) }),
