--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -5,7 +5,8 @@
  */
 /** Runs a benchmark by name. */
 import { Command } from 'commander'
-import type { Bench, BenchOptions } from './lib/bench-options.js'
+import { printFigures, twoDecimals, type Bench, type BenchOptions } from './lib/bench-options.js'
+import { machineTicks } from './lib/process-reading.js'
 
 const benches: Record<string, () => Promise<Bench>> = {
   requests: async () => (await import('./lib/requests-bench.js')).requestsBench,
@@ -19,6 +20,15 @@
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
 
+/** Says with the figures how much of the machine others took meanwhile: timings of a run with much of that mean little. */
+async function runBench (name: string, bench: Bench, options: BenchOptions): Promise<boolean> {
+  const before = machineTicks()
+  const good = await bench(options)
+  const after = machineTicks()
+  printFigures(name, { what: 'machine', stolen_share: twoDecimals((after.stolen - before.stolen) / (after.all - before.all)) })
+  return good
+}
+
 const program = new Command('bench').argument('<name>', Object.keys(benches).join(', '))
   .option('--seed <number>', 'seed of everything that is drawn', Number, 7)
   .option('--endpoints <number>', 'endpoints of the fleet', Number, 24)
@@ -33,7 +43,7 @@
   .action(async (name: string, options: BenchOptions) => {
     const load = Object.hasOwn(benches, name) ? benches[name] : undefined
     if (load === undefined) program.error(`no benchmark is named ${name}`, { exitCode: 2 })
-    else process.exitCode = await (await load())(options) ? 0 : 1
+    else process.exitCode = await runBench(name, await load(), options) ? 0 : 1
   })
 
 await program.parseAsync(process.argv)
--- a/packages/benchmarks/src/lib/process-reading.ts
+++ b/packages/benchmarks/src/lib/process-reading.ts
@@ -8,7 +8,8 @@
 import { readFileSync } from 'node:fs'
 
 const MILLISECONDS_PER_TICK = 10
-const BYTES_PER_KIBIBYTE = 1024
+/** Where the stolen time stands among the machine's kinds of time. */
+const STOLEN_FIELD = 7
 
 /** Processor time of a process so far, in milliseconds. */
 export function processorMilliseconds (pid: number): number {
@@ -16,10 +17,10 @@
   return (Number(fields[11]) + Number(fields[12])) * MILLISECONDS_PER_TICK
 }
 
-/** Resident memory of a process, in bytes. */
-export function residentBytes (pid: number): number {
-  const kibibytes = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
-  return Number(kibibytes) * BYTES_PER_KIBIBYTE
+/** Processor time of the whole machine so far, in its own ticks: in all, and what others took from it. */
+export function machineTicks (): { readonly all: number, readonly stolen: number } {
+  const ticks = (readFileSync('/proc/stat', 'utf8').split('\n')[0] ?? '').split(/\s+/).slice(1, 9).map(Number)
+  return { all: ticks.reduce((sum, tick) => sum + tick, 0), stolen: ticks[STOLEN_FIELD] ?? 0 }
 }
 
 /** Resident memory of a fresh runtime after some imports, in bytes, by its own reading. */
