--- a/packages/core/src/lib/spread.ts
+++ b/packages/core/src/lib/spread.ts
@@ -21,7 +21,7 @@
 import type { DocumentFailure } from './failure.js'
 import { applyListChange, listChange, type ListChange } from './list-change.js'
 import { Joining } from './joining.js'
-import { rendezvousOrder } from './rendezvous.js'
+import { Neighbourhood } from './neighbourhood.js'
 import { RevisionLedger, type Acceptance, type Published } from './revision-ledger.js'
 
 /** The topics that the platform publishes. */
@@ -102,16 +102,6 @@
   backoff: number
 }
 
-/** The instance list as one process sees it. */
-interface Neighbourhood {
-  readonly revision: number
-  /** Names of the zone's members, the watchers first. */
-  readonly order: readonly string[]
-  /** Addresses of the zone's other members. */
-  readonly near: readonly string[]
-  readonly abroad: readonly string[]
-}
-
 type Ledgers = { readonly configuration: RevisionLedger<Configuration>, readonly instances: RevisionLedger<InstanceList> }
 
 /** What one process knows of the published documents, and how it passes them on. */
@@ -124,9 +114,7 @@
   private _change: ListChange | undefined
   /** Until this process has joined; then nothing. */
   private _joining: Joining | undefined
-  /** Addresses that did not answer, with the time until which they are passed over. */
-  private readonly _silent = new Map<string, number>()
-  private _neighbourhood: Neighbourhood = { revision: 0, order: [], near: [], abroad: [] }
+  private _neighbourhood: Neighbourhood
 
   /**
    * @param _random Draws from [0, 1); seeded in tests.
@@ -149,6 +137,7 @@
     this._service = { configuration: start('configuration'), instances: start('instances') }
     this._compareAt = now
     this._joining = new Joining(now + _policy.joinPatience)
+    this._neighbourhood = new Neighbourhood(_self, [])
   }
 
   /** The configuration in force here. */
@@ -245,14 +234,14 @@
 
   /** A peer that was to be compared with could not be reached: it is passed over for a while. */
   unanswered (address: string, now: number): SpreadEffect[] {
-    this._silent.set(address, now + this._policy.patience * 2)
+    this._neighbourhood.silent(address, now + this._policy.patience * 2)
     this._joining?.heard(address)
     return this._joinIfOver(now)
   }
 
   /** Whether this process is one of its zone's watchers. */
   isWatcher (): boolean {
-    const order = this._zoneOrder()
+    const order = this._neighbourhood.order
     const rank = order.indexOf(this._self.instance)
     return rank >= 0 && rank < this._policy.watchersPerZone
   }
@@ -294,14 +283,14 @@
 
   /** What changed is kept, to be pushed in place of the whole list. */
   private _adoptedList (before: { readonly revision: number, readonly list: InstanceList | undefined }, published: Published): void {
-    this._silent.clear()
+    this._neighbourhood = new Neighbourhood(this._self, this.instances)
     const after = this._ledgers.instances.document
     this._change = before.list === undefined || after === undefined ? undefined : listChange(before.list, before.revision, published, after)
   }
 
   /** Children in a tree over the zone, laid out in the order that starts with the watchers. */
   private _push (topic: Topic, now: number): SpreadEffect[] {
-    const order = this._zoneOrder()
+    const order = this._neighbourhood.order
     const rank = order.indexOf(this._self.instance)
     if (rank < 0) return []
     const addresses = new Map(this.instances.map(record => [record.instance, record.address]))
@@ -312,7 +301,7 @@
   }
 
   private _tellFirst (topic: Topic, now: number): SpreadEffect[] {
-    const [first] = this._zoneOrder()
+    const [first] = this._neighbourhood.order
     const address = this.instances.find(record => record.instance === first)?.address
     if (address === undefined || first === this._self.instance) return []
     return [{ type: 'push', address, documents: this._documents([topic], topic === 'instances' && this._change !== undefined, now) }]
@@ -355,15 +344,9 @@
     return [...new Set(chosen)].flatMap(address => address === undefined ? [] : [{ type: 'compare', address, note } as const])
   }
 
-  /** A random peer, near or abroad, rather one that was not silent lately; before the first list, a seed. */
+  /** A random peer, near or abroad; before the first list, a seed. */
   private _peer (abroad: boolean, now: number): string | undefined {
-    const around = this._around()
-    const [preferred, others] = abroad ? [around.abroad, around.near] : [around.near, around.abroad]
-    const listed = preferred.length > 0 ? preferred : others
-    const known = listed.length > 0 ? listed : this._self.seeds.filter(seed => seed !== this._self.address)
-    if (this._silent.size === 0) return pickOne(known, this._random())
-    const lively = known.filter(address => (this._silent.get(address) ?? 0) <= now)
-    return pickOne(lively.length > 0 ? lively : known, this._random())
+    return this._neighbourhood.pick(abroad, this._random(), now)
   }
 
   /** @param byChange Whether the list goes as the change that led to it. */
@@ -388,29 +371,4 @@
     const state = this._service[topic]
     state.confirmedAt = Math.max(state.confirmedAt, now - age)
   }
-
-  /** The zone's members in the order that starts with the watchers. */
-  private _zoneOrder (): readonly string[] { return this._around().order }
-
-  /** Who is near and who is abroad; worked out once for each instance list. */
-  private _around (): Neighbourhood {
-    const revision = this.revision('instances')
-    if (this._neighbourhood.revision !== revision) this._neighbourhood = neighbourhoodOf(this._self, this.instances, revision)
-    return this._neighbourhood
-  }
-}
-
-function neighbourhoodOf (self: SpreadSelf, instances: readonly InstanceRecord[], revision: number): Neighbourhood {
-  const zone = instances.filter(record => record.availabilityZone === self.availabilityZone)
-  const others = instances.filter(record => record.availabilityZone !== self.availabilityZone)
-  return {
-    revision,
-    order: rendezvousOrder(zone.map(record => record.instance), 'watchers'),
-    near: zone.filter(record => record.instance !== self.instance).map(record => record.address),
-    abroad: others.map(record => record.address)
-  }
-}
-
-function pickOne (addresses: readonly string[], draw: number): string | undefined {
-  return addresses[Math.floor(draw * addresses.length)]
 }
--- a/packages/fuzz/src/lib/campaign.ts
+++ b/packages/fuzz/src/lib/campaign.ts
@@ -5,7 +5,7 @@
  */
 /** Runs the promises over their scenarios, and the variants that must break them, and prints a line for each. */
 import { realConfigurationParts } from './configuration-world.js'
-import { realRequestParts } from './request-world.js'
+import { realRequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { configurationScenario, requestScenario, weightsScenario } from './scenarios.js'
 import { realWeightsParts } from './weights-world.js'
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -5,7 +5,8 @@
  */
 /** What can happen to each world, and which promises it is there for. */
 import { ConfigurationWorld, type ConfigurationParts } from './configuration-world.js'
-import { RequestWorld, type RequestParts } from './request-world.js'
+import type { RequestParts } from './request-parts.js'
+import { RequestWorld } from './request-world.js'
 import type { Scenario } from './scenario.js'
 import { WeightsWorld, type WeightsParts } from './weights-world.js'
 
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -12,7 +12,7 @@
   requestFailure, type Configuration, type OnceEffect, type Published, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
-import { realRequestParts, type RequestParts } from './request-world.js'
+import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { configurationScenario, requestScenario, weightsScenario } from './scenarios.js'
 import { realWeightsParts, type WeightsParts } from './weights-world.js'
