--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -67,11 +67,16 @@
   notBefore: number
 }
 
+/** How often one source may say that it has no chunk yet before the next is asked. */
 const NOT_YET_PATIENCE = 3
+/** The origin gets so many times the usual, since it gives no signs. */
 const TIMEOUT_FACTOR = 6
 const SMOOTHING = 0.2
+/** How long a chunk whose ancestors all failed is waited for before the origin is asked, in milliseconds, rank 0. */
 const ORIGIN_FIRST_WAIT = 600
+/** Before a source that had nothing is asked again, in milliseconds. */
 const RETRY_PAUSE = 150
+/** Penalties double up to this, in milliseconds. */
 const LONGEST_PENALTY = 60_000
 /** A flight older than this, and than twice the usual, is slow; in milliseconds. */
 const SLOW_AFTER = 1_000
--- a/packages/node/src/lib/run-daemon.ts
+++ b/packages/node/src/lib/run-daemon.ts
@@ -13,6 +13,9 @@
 import type { Role } from './settings/schema.js'
 import type { Settings } from './settings/settings.js'
 
+/** Exit code when an address cannot be listened on. */
+const EXIT_NOT_STARTED = 3
+
 /** A daemon as the runner sees it. */
 interface Daemon {
   start (): Promise<void>
@@ -42,7 +45,12 @@
     daemon.stop().then(cut => process.exit(cut > 0 ? 1 : 0))
   }
   const daemon = daemons[role](settings, log, stop)
-  await daemon.start()
+  try {
+    await daemon.start()
+  } catch (error) {
+    log.error('start-failed', { detail: error instanceof Error ? error.message : 'unknown error' })
+    process.exit(EXIT_NOT_STARTED)
+  }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
 }
