--- a/packages/core/src/lib/engine-switch.ts
+++ b/packages/core/src/lib/engine-switch.ts
@@ -63,8 +63,9 @@
   | { readonly type: 'load-failed', readonly digest: string }
   | { readonly type: 'halted', readonly digest: string }
 
-/** Predecessors asked in one round. */
+/** Predecessors asked in one round, and in a second: a large wave must not cost more than control may. */
 const MOST_ASKED = 32
+const ASKED_PER_SECOND = 16
 /** A failed load is tried again after this, in milliseconds. */
 const LOAD_RETRY_PAUSE = 5_000
 /** An order that got no answer is given again after this, in milliseconds. */
@@ -87,6 +88,7 @@
   private _failed = ''
   private _retryAt = 0
   private _halted = false
+  private _askAt = 0
   private _fence = 0
   private _takenAt = 0
   private _replaced = false
@@ -219,7 +221,9 @@
       this._door.setSwitching(true)
       return [{ type: 'began', digest: target.manifestDigest }, ...this._load(target, report, now)]
     }
+    if (now < this._askAt && !halts) return []
     const instances = (decision.type === 'wait' ? decision.ask : decision.failed).slice(0, MOST_ASKED)
+    this._askAt = now + instances.length / ASKED_PER_SECOND * 1000
     const ask: SwitchEffect = { type: 'ask-progress', instances, digest: target.manifestDigest }
     return halts ? [{ type: 'halted', digest: target.manifestDigest }, ask] : [ask]
   }
--- a/packages/core/src/test/lib/engine-switch_test.ts
+++ b/packages/core/src/test/lib/engine-switch_test.ts
@@ -90,6 +90,24 @@
     assert.equal(second?.engineSwitch.halted, true)
   })
 
+  it('asks a large wave a few at a time', () => {
+    const many: InstanceRecord[] = Array.from({ length: 200 }, (_, index) => ({ ...(members[0] as InstanceRecord), instance: `m-${index}` }))
+    const last = many.map(({ instance }) => instance).find(self => {
+      const engineSwitch = new EngineSwitch(self, new AdmissionDoor(`${self}.1`, 4), 0)
+      engineSwitch.step(report({ fence: 0 }), situation({ members: many }), 0)
+      engineSwitch.tookOver(1, 'taken', 0)
+      return types(engineSwitch.step(report(), situation({ members: many }), SETTLED)).includes('ask-progress')
+    }) ?? ''
+    const engineSwitch = new EngineSwitch(last, new AdmissionDoor(`${last}.1`, 4), 0)
+    engineSwitch.step(report({ fence: 0 }), situation({ members: many }), 0)
+    engineSwitch.tookOver(1, 'taken', 0)
+    let asked = 0
+    for (let now = SETTLED; now < SETTLED + 10_000; now += 200) {
+      for (const effect of engineSwitch.step(report(), situation({ members: many }), now)) if (effect.type === 'ask-progress') asked += effect.instances.length
+    }
+    assert.ok(asked >= 128 && asked <= 192, `${asked}`)
+  })
+
   it('waits for its own requests, then loads, then opens on the engine\'s word', () => {
     const { engineSwitch, door } = taken()
     engineSwitch.step(report(), situation({ target: undefined }), 5_000)
