--- a/packages/fuzz/src/lib/request-world.ts
+++ b/packages/fuzz/src/lib/request-world.ts
@@ -62,6 +62,7 @@
 const KEEPER_POLICY: KeeperPolicy = { repeatWindow: 20_000, recordsPerOrganisation: 64 }
 const DEADLINE = 5_000
 const LEAST_KEEPERS = 3
+const REPEAT_AFTER = 20
 /** Callers repeat an id for so long: with the deadline, less than the repeat window. */
 const ID_LIFETIME = 6_000
 /** A leaving endpoint may get work for so long after it could hear of it. */
@@ -107,6 +108,16 @@
     if (keepers.length >= LEAST_KEEPERS) this._issued.push({ id: formatIssuedId(`r${this._issued.length}`, keepers), at: world.now })
   }
 
+  /** An id is issued and asked with; a rack with some of its keepers is lost, and the caller asks again elsewhere. */
+  loseKeepers (entryIndex: number, agentIndex: number, delay: number): void {
+    this.issue()
+    const id = this._issued.at(-1)?.id
+    if (id === undefined) return
+    this.submit(id, entryIndex, true)
+    this.world.after(delay, undefined, () => this.replaceRack(agentIndex))
+    this.world.after(delay + REPEAT_AFTER, undefined, () => this.submit(id, entryIndex + 1, true))
+  }
+
   /** A caller asks with one of the ids that were issued lately. */
   submitIssued (number: number, entryIndex: number): void {
     const usable = this._issued.filter(({ at }) => this.world.now - at < ID_LIFETIME)
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -24,6 +24,7 @@
   actions: [
     { name: 'submit-once', draws: 2, weight: 6, run: (subject, [id = 0, entry = 0]) => subject.submitOnce(id % IDS, entry) },
     { name: 'issue', draws: 0, run: subject => subject.issue() },
+    { name: 'lose-keepers', draws: 3, run: (subject, [entry = 0, agent = 0, delay = 0]) => subject.loseKeepers(entry, agent, delay) },
     { name: 'submit-issued', draws: 2, weight: 4, run: (subject, [id = 0, entry = 0]) => subject.submitIssued(id, entry) },
     { name: 'submit-repeatable', draws: 2, weight: 3, run: (subject, [id = 0, entry = 0]) => subject.submit(`any-${id}`, entry, false) },
     { name: 'kill-agent', draws: 1, run: (subject, [agent = 0]) => subject.kill(agent) },
