Transfers bear crowded machines: sign of life by bytes, 3 s without one, slow only once the usual is known

On links of 1 MiB/s a window takes seconds, so flights were called slow at once, the window widened, chunks were asked twice, signs came late behind them, and living peers were passed over for up to a minute. Change: bytes on a connection are a sign of life, and time in which this side held back reading does not count; nothing is slow before a window has come; the wait for the origin counts from when a chunk is stranded; 3 s without a sign; penalties of 5 to 20 s.

--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -41,8 +41,8 @@
   strategy: 'rotation',
   originCopies: 1,
   originStagger: 300,
-  penalty: 10_000,
-  leastTimeout: 1_000
+  penalty: 5_000,
+  leastTimeout: 3_000
 }
 
 interface Flight {
@@ -61,7 +61,8 @@
 }
 
 interface Want {
-  readonly since: number
+  /** When no ancestor could be asked for the first time; nothing until then. */
+  strandedSince: number | undefined
   /** Sources that gave nothing for this chunk, with how often. */
   readonly tried: Map<string, number>
   notBefore: number
@@ -77,10 +78,11 @@
 /** Before a source that had nothing is asked again, in milliseconds. */
 const RETRY_PAUSE = 150
 /** Penalties double up to this, in milliseconds. */
-const LONGEST_PENALTY = 60_000
+const LONGEST_PENALTY = 20_000
 /** A flight older than this, and than twice the usual, is slow; in milliseconds. */
 const SLOW_AFTER = 1_000
 const SLOW_FACTOR = 2
+const SLOW_WHILE_UNKNOWN = 10_000
 /** By how much the window widens for slow flights. */
 const WIDE_WINDOW = 4
 /** A second source is asked when a flight is slow this many times over. */
@@ -101,6 +103,7 @@
   private readonly _penalties = new Map<string, Penalty>()
   private _nextAttempt = 1
   private _observed = 0
+  private _arrivals = 0
   private _whole = false
 
   /**
@@ -158,6 +161,7 @@
     if (flight !== undefined) this._observe(now - flight.startedAt)
     if (flight === undefined) return []
     this._flights.delete(attempt)
+    this._arrivals += 1
     this._alive(flight.source, now)
     const digest = this._manifest.chunks[flight.index]?.digest
     const effects: TransferEffect[] = []
@@ -209,7 +213,11 @@
     return Math.min(this._policy.window - young, wide)
   }
 
-  private _slowAfter (): number { return Math.max(SLOW_AFTER, SLOW_FACTOR * this._observed) }
+  /** Until a window's worth has come, nothing is known of what is usual: on slow links a window takes seconds. */
+  private _slowAfter (): number {
+    if (this._arrivals < this._policy.window) return SLOW_WHILE_UNKNOWN
+    return Math.max(SLOW_AFTER, SLOW_FACTOR * this._observed)
+  }
 
   /** A chunk that takes long is asked of a second source too; whichever comes first is kept. */
   private _hedge (now: number): TransferEffect[] {
@@ -251,7 +259,8 @@
     for (const instance of [...place.ancestors, ...place.substitutes]) {
       if (this._usable(instance, want, now)) return { kind: 'peer', instance }
     }
-    if (now - want.since >= ORIGIN_FIRST_WAIT + place.rank * this._policy.originStagger) return this._upstream(want)
+    want.strandedSince ??= now
+    if (now - want.strandedSince >= ORIGIN_FIRST_WAIT + place.rank * this._policy.originStagger) return this._upstream(want)
     for (const instance of this._tree.neighbours()) {
       if (this._usable(instance, want, now)) return { kind: 'peer', instance }
     }
@@ -275,7 +284,7 @@
   private _want (index: number, now: number): Want {
     const known = this._wants.get(index)
     if (known !== undefined) return known
-    const want: Want = { since: now, tried: new Map(), notBefore: now }
+    const want: Want = { strandedSince: undefined, tried: new Map(), notBefore: now }
     this._wants.set(index, want)
     return want
   }
@@ -342,7 +351,10 @@
     this._observed = this._observed === 0 ? took : this._observed + SMOOTHING * (took - this._observed)
   }
 
-  /** Peers give signs while a chunk is to come. The origin gives none and is limited by its link, so it gets more time. */
+  /**
+   * Peers give signs while a chunk is to come, but on a crowded machine or link signs are late too. The origin gives none
+   * and is limited by its link, so it gets more time.
+   */
   private _timeout (source: ChunkSource): number {
     if (source.kind === 'peer') return this._policy.leastTimeout
     return TIMEOUT_FACTOR * Math.max(this._policy.leastTimeout, this._observed)
--- a/packages/node/src/lib/agent/chunk-fetch.ts
+++ b/packages/node/src/lib/agent/chunk-fetch.ts
@@ -5,6 +5,7 @@
  */
 /** Fetches one chunk from a peer: any number of signs that it waits in the peer's queue, then the bytes or a refusal. */
 import type { PeerReply } from '@drumdrift/core'
+import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
 
 /** What a peer gave. */
@@ -19,15 +20,17 @@
   readonly signal: AbortSignal
   /** The peer will send the chunk, now or later. */
   readonly onComing: () => void
+  /** Told of the connection that the chunk is to come over. */
+  readonly onConnection: (connection: PeerConnection) => void
 }
 
 /**
  * Fetches a chunk. It has no time limit of its own: the transfer abandons it by the signal.
  *
  * @example
- * const chunk = await fetchChunk(pool, { address, digest, wait: 1_000, signal, onComing: () => {} })
+ * const chunk = await fetchChunk(pool, { address, digest, wait: 1_000, signal, onComing: () => {}, onConnection: () => {} })
  */
-export async function fetchChunk (pool: PeerPool, { address, digest, wait, signal, onComing }: ChunkRequest): Promise<PeerChunk> {
+export async function fetchChunk (pool: PeerPool, { address, digest, wait, signal, onComing, onConnection }: ChunkRequest): Promise<PeerChunk> {
   let connection
   try {
     connection = await pool.connection(address, 'bulk')
@@ -35,6 +38,7 @@
     return 'unreachable'
   }
   if (signal.aborted) return 'timed-out'
+  onConnection(connection)
   return await new Promise(resolve => {
     const call = connection.ask({ type: 'chunk', digest, wait }, undefined, {
       reply: (reply, payload) => {
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -13,6 +13,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
+import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
 import type { Platform } from '../platform/platform-client.js'
 import { Arrivals } from './arrivals.js'
@@ -44,6 +45,8 @@
 const PEER_WAIT = 1_000
 /** How long a peer may wait for a chunk itself before it says that it has none, in milliseconds. */
 const CHUNK_WAIT = 6_000
+/** A connection that was silent for less is taken for a living one, in milliseconds. */
+const SIGN_OF_LIFE = 400
 const LONGEST_FETCH = 30_000
 const MANIFEST_FAN_OUT = 8
 const MANIFEST_PAUSE = 200
@@ -63,6 +66,8 @@
   private _problem: WeightsFailure | undefined
   private _wantedDigests: ReadonlySet<string> = new Set()
   private readonly _fetches = new Map<number, AbortController>()
+  /** Where the chunks under way come from. */
+  private readonly _connections = new Map<number, PeerConnection>()
   private readonly _manifests = new Map<string, Buffer>()
   private readonly _arrivals = new Arrivals()
   private readonly _ticker: NodeJS.Timeout
@@ -216,10 +221,19 @@
     if (transfer === undefined) return
     const members = this._parts.members()
     if (members !== this._members) transfer.setMembers(members)
+    this._noteLife(transfer)
     this._members = members
     this._carryOut(transfer.tick(performance.now()))
   }
 
+  /** A connection over which bytes come is no stalled one, though signs may wait behind other chunks. */
+  private _noteLife (transfer: Transfer): void {
+    const now = performance.now()
+    for (const [attempt, connection] of this._connections) {
+      if (connection.open && connection.silence(now) < SIGN_OF_LIFE) transfer.coming(attempt, now)
+    }
+  }
+
   private _carryOut (effects: readonly TransferEffect[]): void {
     for (const effect of effects) this._handlers[effect.type](effect as never)
   }
@@ -243,6 +257,7 @@
     const abort = new AbortController()
     this._fetches.set(effect.attempt, abort)
     const problem = await this._fetchVerified(effect, abort.signal)
+    this._connections.delete(effect.attempt)
     if (!this._fetches.delete(effect.attempt) || transfer !== this._transfer) return
     const now = performance.now()
     if (problem !== undefined) this._parts.log.debug('chunk-failed', { problem, source: nameOf(effect) })
@@ -272,7 +287,7 @@
     const address = this._parts.addressOf(effect.source.instance)
     if (address === undefined) return 'unreachable'
     const onComing = (): void => this._transfer?.coming(effect.attempt, performance.now())
-    return await fetchChunk(this._parts.pool, { address, digest: effect.digest, wait: CHUNK_WAIT, signal, onComing })
+    return await fetchChunk(this._parts.pool, { address, digest: effect.digest, wait: CHUNK_WAIT, signal, onComing, onConnection: connection => this._connections.set(effect.attempt, connection) })
   }
 
   private _fail (problem: WeightsFailure): void {
--- a/packages/node/src/lib/peer/connection.ts
+++ b/packages/node/src/lib/peer/connection.ts
@@ -54,6 +54,8 @@
   private readonly _endListeners = new Set<() => void>()
   private _nextCall = 1
   private _open = true
+  private _heardAt = performance.now()
+  private _pausedUntil = 0
 
   /**
    * @param onRequest Handles requests of the other side.
@@ -73,6 +75,14 @@
   }
 
   get open (): boolean { return this._open }
+  /**
+   * Milliseconds since anything came from the other side. Time in which this side held back reading does not count: then
+   * it is this side that is slow.
+   */
+  silence (now: number): number {
+    return Math.max(0, now - Math.max(this._heardAt, this._pausedUntil))
+  }
+
   /** Whether calls of this side are under way. */
   get busy (): boolean { return this._listeners.size > 0 }
   /** Bytes that the other side has not taken yet. */
@@ -151,6 +161,7 @@
   }
 
   private _read (bytes: Buffer): void {
+    this._heardAt = performance.now()
     this._pace(bytes.length)
     let frames: Frame[]
     try {
@@ -170,6 +181,7 @@
   private _pace (bytes: number): void {
     const wait = this._pacer?.received(bytes) ?? 0
     if (wait <= 0) return
+    this._pausedUntil = this._heardAt + wait
     this._socket.pause()
     setTimeout(() => this._socket.resume(), wait)
   }
