One place writes a failure to a caller

The header for the time to come back and the body of a failure stood twice, in the sink of answers and in the HTTP front. Both now call writeFailure; what callers see is the same.

--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -158,8 +158,8 @@
   /** A verified chunk has been kept. Several indexes may share its digest. */
   arrived (attempt: number, now: number): TransferEffect[] {
     const flight = this._flights.get(attempt)
-    if (flight !== undefined) this._observe(now - flight.startedAt)
     if (flight === undefined) return []
+    this._observe(now - flight.startedAt)
     this._flights.delete(attempt)
     this._arrivals += 1
     this._alive(flight.source, now)
--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -48,18 +48,17 @@
   'records-full': 429
 }
 
-/** The HTTP status of a failure. */
-export function statusOf (failure: RequestFailure): number { return statuses[failure.code] }
-
 /**
- * The body of a failure, in the shape that chat clients expect.
+ * Answers with a failure, in the shape that chat clients expect, and with the time to come back where there is one.
  *
  * @example
- * response.end(failureBody(failure))
+ * writeFailure(response, requestFailure('overloaded', 'not-run', 'the queue is full', 2_000))
  */
-export function failureBody (failure: RequestFailure): string {
+export function writeFailure (response: ServerResponse, failure: RequestFailure): void {
   const { code, outcome, detail, retryAfter } = failure
-  return JSON.stringify({ error: { message: detail, type: 'drumdrift', code, outcome, retry_after_milliseconds: retryAfter } })
+  if (retryAfter > 0) response.setHeader('retry-after', String(Math.ceil(retryAfter / 1000)))
+  response.writeHead(statuses[code], { 'content-type': 'application/json', 'x-outcome': outcome })
+  response.end(JSON.stringify({ error: { message: detail, type: 'drumdrift', code, outcome, retry_after_milliseconds: retryAfter } }))
 }
 
 /** An answer over HTTP. */
@@ -105,9 +104,7 @@
       this._response.destroy()
       return
     }
-    const headers: Record<string, string> = { 'content-type': 'application/json', 'x-request-id': this._id, 'x-outcome': failure.outcome }
-    if (failure.retryAfter > 0) headers['retry-after'] = String(Math.ceil(failure.retryAfter / 1000))
-    this._response.writeHead(statusOf(failure), headers)
-    this._response.end(failureBody(failure))
+    this._response.setHeader('x-request-id', this._id)
+    writeFailure(this._response, failure)
   }
 }
--- a/packages/node/src/lib/entry/http-front.ts
+++ b/packages/node/src/lib/entry/http-front.ts
@@ -7,12 +7,12 @@
  * The entry's HTTP side: callers' requests, health, metrics and the operators' interface.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { requestFailure, type Configuration, type RequestFailure } from '@drumdrift/core'
+import { requestFailure, type Configuration } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Histograms } from '../observe/histograms.js'
 import { metricsText, type Counters } from '../observe/metrics.js'
 import { parseAddress } from '../settings/address.js'
-import { failureBody, HttpAnswerSink, statusOf } from './answer-sink.js'
+import { HttpAnswerSink, writeFailure } from './answer-sink.js'
 import { isFailure, parseCallerRequest } from './caller-request.js'
 import type { Dispatcher } from './dispatcher.js'
 
@@ -91,7 +91,7 @@
       else await route(request, response)
     } catch (error) {
       this._parts.log.error('request-failed', { path: path.slice(0, 100), detail: error instanceof Error ? error.message : '' })
-      if (!response.headersSent) refuse(response, requestFailure('bad-request', 'not-run', 'the request could not be read'))
+      if (!response.headersSent) writeFailure(response, requestFailure('bad-request', 'not-run', 'the request could not be read'))
     }
   }
 
@@ -99,20 +99,20 @@
     const now = performance.now()
     if (this._leaving) {
       response.setHeader('connection', 'close')
-      refuse(response, requestFailure('leaving', 'not-run', 'this entry is stopping', RETRY_WHEN_LEAVING))
+      writeFailure(response, requestFailure('leaving', 'not-run', 'this entry is stopping', RETRY_WHEN_LEAVING))
       return
     }
     const body = await readBody(request, this._parts.largestBody)
     if (body === undefined) {
       response.setHeader('connection', 'close')
-      refuse(response, requestFailure('body-too-large', 'not-run', `a body of ${this._parts.largestBody} bytes at most is taken`))
+      writeFailure(response, requestFailure('body-too-large', 'not-run', `a body of ${this._parts.largestBody} bytes at most is taken`))
       return
     }
     const raw = { method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body }
     const parsed = parseCallerRequest(raw, this._parts.configuration(), this._parts.organisations(), this._parts.longestDeadline, now)
     if (isFailure(parsed)) {
       this._parts.counters.add(`answers_${parsed.code.replaceAll('-', '_')}`)
-      refuse(response, parsed)
+      writeFailure(response, parsed)
       return
     }
     this._parts.dispatcher.submit({ request: parsed, sink: new HttpAnswerSink(response, parsed.id) })
@@ -127,7 +127,7 @@
   private async _issue (response: ServerResponse): Promise<void> {
     const id = await this._parts.issueId()
     if (id === undefined) {
-      refuse(response, requestFailure('no-endpoint', 'not-run', 'too few keepers can be reached', RETRY_WHEN_LEAVING))
+      writeFailure(response, requestFailure('no-endpoint', 'not-run', 'too few keepers can be reached', RETRY_WHEN_LEAVING))
       return
     }
     response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ id }))
@@ -140,12 +140,6 @@
   }
 }
 
-function refuse (response: ServerResponse, failure: RequestFailure): void {
-  if (failure.retryAfter > 0) response.setHeader('retry-after', String(Math.ceil(failure.retryAfter / 1000)))
-  response.writeHead(statusOf(failure), { 'content-type': 'application/json', 'x-outcome': failure.outcome })
-  response.end(failureBody(failure))
-}
-
 /** Reads a body, or nothing when it is larger than allowed. */
 async function readBody (request: IncomingMessage, largest: number): Promise<Buffer | undefined> {
   const pieces: Buffer[] = []
