--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -13,6 +13,8 @@
 import type { IssuedKeeper } from './issued-id.js'
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
+import type { LoadReport } from './routing/endpoint-load.js'
+import type { PublishedDelta, PublishedNote } from './routing/published-state.js'
 import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
 
 /** Raised when a change to the messages would be misread by older processes. */
@@ -62,6 +64,10 @@
   | { readonly type: 'hang-up', readonly call: number }
   | { readonly type: 'progress', readonly digest: string }
   | { readonly type: 'status' }
+  /** Asks for what the other side knows of published state beyond `note`. */
+  | { readonly type: 'news', readonly note: PublishedNote }
+  /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
+  | { readonly type: 'follow-load' }
   | { readonly type: 'leave', readonly incarnation: string, readonly lifecycle: Lifecycle, readonly operator: string }
 
 /** What a process has cost its node since its start. */
@@ -112,6 +118,8 @@
   | { readonly type: 'progress', readonly progress: SwitchProgress }
   | { readonly type: 'status', readonly status: ProcessStatus }
   | { readonly type: 'left', readonly lifecycle: Lifecycle }
+  | { readonly type: 'news', readonly delta: PublishedDelta }
+  | { readonly type: 'load', readonly load: LoadReport }
   /** Parts of an answer, numbered from 0; the payload is the data. */
   | { readonly type: 'head', readonly head: AnswerHead }
   | { readonly type: 'part', readonly sequence: number, readonly events: number }
--- a/packages/core/src/lib/rollout.ts
+++ b/packages/core/src/lib/rollout.ts
@@ -8,7 +8,7 @@
  * zone stand in rendezvous order and are cut into waves; an engine goes when the wave before it is done. The first
  * wave is the trial of the version: if it fails, later waves never start and the old version stays.
  */
-import type { InstanceRecord } from './documents.js'
+import type { ChunkMember } from './chunk-tree.js'
 import { rendezvousOrder } from './rendezvous.js'
 
 /** What a predecessor says of its engine, for one wanted version. */
@@ -31,7 +31,7 @@
  * @example
  * previousWave('agent-5', poolMembers, 0.25, digest)
  */
-export function previousWave (self: string, members: readonly InstanceRecord[], fraction: number, digest: string): string[] {
+export function previousWave (self: string, members: readonly ChunkMember[], fraction: number, digest: string): string[] {
   const group = switchGroup(self, members)
   const ordered = rendezvousOrder(group, digest)
   const size = Math.max(1, Math.floor(ordered.length * fraction))
@@ -40,7 +40,7 @@
   return ordered.slice((wave - 1) * size, wave * size)
 }
 
-function switchGroup (self: string, members: readonly InstanceRecord[]): string[] {
+function switchGroup (self: string, members: readonly ChunkMember[]): string[] {
   const zoneOf = new Map(members.map(member => [member.instance, member.availabilityZone]))
   const sizes = new Map<string, number>()
   for (const zone of zoneOf.values()) sizes.set(zone, (sizes.get(zone) ?? 0) + 1)
--- /dev/null
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -0,0 +1,164 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Chooses the endpoint for a request: the one where the first event, or the answer, is expected soonest, with a price
+ * in milliseconds for leaving the availability zone and the region.
+ */
+import { Ejection } from '../ejection.js'
+import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import type { EndpointRecord } from './published-state.js'
+import type { ServiceDescription } from './routing-configuration.js'
+
+/** Where an entry stands, and which region each zone belongs to. */
+export interface Place {
+  readonly availabilityZone: string
+  readonly regionOf: (availabilityZone: string) => string
+}
+
+/** What a request needs of its endpoint. */
+export interface Need {
+  readonly promptTokens: number
+  /** The model whose weights must be loaded; empty for plain services. */
+  readonly model: string
+  /** The least version that may begin the request; 0 for any. */
+  readonly leastVersion: number
+  /** Endpoints that have had this request. */
+  readonly tried: ReadonlySet<string>
+}
+
+/** A chosen endpoint. */
+export interface Choice {
+  readonly record: EndpointRecord
+  /** Milliseconds until the first event, or the whole answer, is expected. */
+  readonly expected: number
+  /** The version that it is taken to serve; 0 for plain services. */
+  readonly version: number
+  /** The age of what it reported of its load, in milliseconds; infinite for none. */
+  readonly reportAge: number
+  /** Endpoints that could have been chosen. */
+  readonly candidates: number
+}
+
+/** Why an endpoint is passed over for a while. */
+export type Avoidance = 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version'
+
+/**
+ * How long, in milliseconds. A full or switching endpoint is asked again soon; one that cannot be reached is given the
+ * time that a process takes to come back.
+ */
+const avoidances: Record<Avoidance, number> = { refused: 100, unreachable: 1_000, 'wrong-instance': 3_000, 'wrong-version': 150 }
+/**
+ * Milliseconds that an answer must be expected sooner elsewhere to leave the zone, and the region. Bytes between regions
+ * cost about five times those between zones; an event stream is 4 KB.
+ */
+const ZONE_PRICE = 10
+const REGION_PRICE = 20
+/** A plain endpoint that names no slots is taken to have these. */
+const ASSUMED_SLOTS = 8
+
+interface Known {
+  readonly load: EndpointLoad
+  avoidUntil: number
+}
+
+/** The endpoints of one service, as one entry sees them. */
+export class EndpointChooser {
+  private readonly _known = new Map<string, Known>()
+  private readonly _ejection = new Ejection()
+  private _records: readonly EndpointRecord[] = []
+
+  constructor (private readonly _place: Place) {}
+
+  get records (): readonly EndpointRecord[] { return this._records }
+
+  /** Takes the endpoints that are listed. */
+  setRecords (records: readonly EndpointRecord[]): void {
+    this._records = records
+    const listed = new Set(records.map(({ id }) => id))
+    this._ejection.retain(listed)
+    for (const [id, { load }] of this._known) if (!listed.has(id) && load.outstanding === 0) this._known.delete(id)
+  }
+
+  /** What is known of an endpoint's load. */
+  load (id: string): EndpointLoad { return this._entry(id).load }
+
+  heard (id: string, report: LoadReport, now: number): void {
+    if (this._records.some(record => record.id === id)) this._entry(id).load.heard(report, now)
+  }
+
+  /** Passes an endpoint over for a while. */
+  avoid (id: string, why: Avoidance, now: number): void {
+    this._entry(id).avoidUntil = now + avoidances[why]
+  }
+
+  /** A request was sent. */
+  sent (choice: Choice, request: string, promptTokens: number, now: number): void {
+    this._entry(choice.record.id).load.sent(request, promptTokens, now)
+    this._ejection.chosen(choice.record.id)
+  }
+
+  /** A request has ended there. */
+  ended (id: string, request: string, health: 'good' | 'bad' | 'unclear', now: number): void {
+    this._entry(id).load.ended(request)
+    if (health === 'good') this._ejection.succeeded(id)
+    else if (health === 'bad') this._ejection.failed(id, now)
+    else this._ejection.ended(id)
+  }
+
+  /**
+   * Chooses an endpoint, or nothing when none may take the request.
+   *
+   * @example
+   * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
+   */
+  choose (service: ServiceDescription, need: Need, now: number): Choice | undefined {
+    const open = this._records.filter(record => this._open(record, service, need, now))
+    const usable = new Set(this._ejection.usable(open.map(({ id }) => id), now))
+    let best: { readonly choice: Choice, readonly cost: number } | undefined
+    for (const record of open) {
+      if (!usable.has(record.id)) continue
+      const choice = this._expect(record, service, need, now, open.length)
+      const cost = choice.expected + this._distancePrice(record)
+      if (best === undefined || cost < best.cost) best = { choice, cost }
+    }
+    return best?.choice
+  }
+
+  /** The version that an endpoint serves, by its fresh report or else by the list. */
+  versionOf (record: EndpointRecord, model: string, now: number): number {
+    const listed = record.models.find(held => held.model === model)?.version ?? 0
+    return this._entry(record.id).load.report(now)?.version ?? listed
+  }
+
+  private _open (record: EndpointRecord, service: ServiceDescription, need: Need, now: number): boolean {
+    if (record.draining || need.tried.has(record.id)) return false
+    const known = this._entry(record.id)
+    if (known.avoidUntil > now || known.load.outstanding >= service.maxConnections) return false
+    if (service.pool === undefined || need.model === '') return true
+    const version = this.versionOf(record, need.model, now)
+    if (version === 0 || version < need.leastVersion) return false
+    return known.load.report(now)?.accepting !== false
+  }
+
+  private _expect (record: EndpointRecord, service: ServiceDescription, need: Need, now: number, candidates: number): Choice {
+    const { load } = this._entry(record.id)
+    const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
+    const expected = service.pool === undefined ? load.expectedPlainAnswer(slots) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
+    const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
+    return { record, expected, version, reportAge: load.reportAge(now), candidates }
+  }
+
+  private _distancePrice ({ availabilityZone }: EndpointRecord): number {
+    if (availabilityZone === this._place.availabilityZone) return 0
+    return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? ZONE_PRICE : REGION_PRICE
+  }
+
+  private _entry (id: string): Known {
+    const known = this._known.get(id) ?? { load: new EndpointLoad(), avoidUntil: -Infinity }
+    this._known.set(id, known)
+    return known
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -0,0 +1,161 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * What one entry knows of the load of one endpoint: the endpoint's last report, where there is one, corrected by what
+ * this entry has sent and seen end since.
+ */
+import { firstTokenTime } from './engine-model.js'
+import type { PoolDescription } from './routing-configuration.js'
+
+/** What an engine says of itself, taken beside it and passed on at once. */
+export interface LoadReport {
+  readonly running: number
+  readonly waiting: number
+  /** The version that it serves; 0 for none. */
+  readonly version: number
+  /** Whether it will take new work: not while it switches to another version. */
+  readonly accepting: boolean
+  /** How much slower than described it works; 1 as described. */
+  readonly pace: number
+}
+
+/** A request of this entry at the endpoint. */
+interface Sent {
+  readonly promptTokens: number
+  readonly sentAt: number
+  begun: boolean
+}
+
+/** A report older than this says nothing any more, in milliseconds: ten of the agents' reports are missing by then. */
+const REPORT_LIFETIME = 1_000
+/** What is on its way to the endpoint when it reports, in milliseconds: a few network delays. */
+const REPORT_BLIND_TIME = 5
+/**
+ * Without reports, other entries are taken to send as much as this one does. The true number is unknown; a few entries
+ * of a zone share most of the endpoints of that zone.
+ */
+const ASSUMED_ENTRIES = 3
+/** Weight of the newest sample in the measured slowness. */
+const SLOWNESS_SMOOTHING = 0.3
+const LEAST_SLOWNESS = 0.7
+const GREATEST_SLOWNESS = 20
+/** Measured slowness halves its distance to 1 in this time without new samples, in milliseconds. */
+const SLOWNESS_HALF_LIFE = 2_000
+/** The mean time of a plain request until one is measured, in milliseconds. */
+const FIRST_PLAIN_TIME = 80
+
+/** The load of one endpoint, as one entry sees it. */
+export class EndpointLoad {
+  private readonly _sent = new Map<string, Sent>()
+  private _report: LoadReport | undefined
+  private _heardAt = -Infinity
+  private _endedSinceReport = 0
+  private _slowness = 1
+  private _slownessAt = 0
+  private _plainTime = FIRST_PLAIN_TIME
+
+  /** Requests of this entry that have not ended there. */
+  get outstanding (): number { return this._sent.size }
+
+  /** The endpoint's last report, unless it is too old to say anything. */
+  report (now: number): LoadReport | undefined {
+    return now - this._heardAt <= REPORT_LIFETIME ? this._report : undefined
+  }
+
+  /** The age of the last report in milliseconds; infinite when there was none. */
+  reportAge (now: number): number { return now - this._heardAt }
+
+  heard (report: LoadReport, now: number): void {
+    this._report = report
+    this._heardAt = now
+    this._endedSinceReport = 0
+  }
+
+  sent (request: string, promptTokens: number, now: number): void {
+    this._sent.set(request, { promptTokens, sentAt: now, begun: false })
+  }
+
+  /**
+   * The first event came, or the whole answer of a plain service.
+   *
+   * @param predicted What was expected when it was sent, in milliseconds; nothing where there was no expectation.
+   */
+  begun (request: string, predicted: number | undefined, now: number): void {
+    const sent = this._sent.get(request)
+    if (sent === undefined || sent.begun) return
+    sent.begun = true
+    if (predicted !== undefined && predicted > 0) this._observe((now - sent.sentAt) / predicted, now)
+  }
+
+  /** A plain request took so long in all, in milliseconds. */
+  plainTook (milliseconds: number): void {
+    this._plainTime += SLOWNESS_SMOOTHING * (milliseconds - this._plainTime)
+  }
+
+  ended (request: string): void {
+    if (this._sent.delete(request)) this._endedSinceReport += 1
+  }
+
+  /** How much slower than expected answers have come lately; 1 as expected. */
+  slowness (now: number): number {
+    const halves = Math.max(0, now - this._slownessAt) / SLOWNESS_HALF_LIFE
+    return 1 + (this._slowness - 1) * 0.5 ** halves
+  }
+
+  /**
+   * The expected time to the first event of a request that is sent now, in milliseconds.
+   *
+   * @example
+   * const wait = load.expectedFirstEvent(pool, 1_290, now)
+   */
+  expectedFirstEvent (pool: PoolDescription, promptTokens: number, now: number): number {
+    const report = this.report(now)
+    const work = report === undefined ? this._assumedWork(pool) : this._correctedWork(report, pool)
+    const pace = Math.max(report?.pace ?? 1, this.slowness(now))
+    return pace * firstTokenTime(pool, work, promptTokens)
+  }
+
+  /** The expected time to the answer of a plain service, in milliseconds. */
+  expectedPlainAnswer (slots: number): number {
+    const ahead = this._sent.size * ASSUMED_ENTRIES
+    return this._plainTime * (1 + ahead / Math.max(1, slots))
+  }
+
+  private _correctedWork (report: LoadReport, pool: PoolDescription): { running: number, waiting: number, waitingTokens: number } {
+    let sentSince = 0
+    let tokensSince = 0
+    for (const { promptTokens, sentAt, begun } of this._sent.values()) {
+      if (begun || sentAt < this._heardAt - REPORT_BLIND_TIME) continue
+      sentSince += 1
+      tokensSince += promptTokens
+    }
+    return {
+      running: Math.max(0, report.running - this._endedSinceReport),
+      waiting: report.waiting + sentSince,
+      waitingTokens: report.waiting * pool.usualPromptTokens + tokensSince
+    }
+  }
+
+  private _assumedWork (pool: PoolDescription): { running: number, waiting: number, waitingTokens: number } {
+    let running = 0
+    let waiting = 0
+    let waitingTokens = 0
+    for (const { begun, promptTokens } of this._sent.values()) {
+      if (begun) running += 1
+      else {
+        waiting += 1
+        waitingTokens += promptTokens
+      }
+    }
+    return { running: Math.min(pool.slots, running * ASSUMED_ENTRIES), waiting, waitingTokens }
+  }
+
+  private _observe (ratio: number, now: number): void {
+    const bounded = Math.min(GREATEST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio))
+    this._slowness = this.slowness(now) + SLOWNESS_SMOOTHING * (bounded - this.slowness(now))
+    this._slownessAt = now
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -0,0 +1,248 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * What the platform has published, as one process holds it: the configuration, the versions that are wanted, and the
+ * list of endpoints. Changes come from the platform's store or from peers, in any order; each carries the store's
+ * revision of its item, and an older one never replaces a newer one.
+ */
+import type { RoutingConfiguration } from './routing-configuration.js'
+
+/** A model and one of its numbered versions. */
+export interface ModelVersion {
+  readonly model: string
+  readonly version: number
+}
+
+/** One start of an endpoint. A restarted endpoint is a new one. */
+export interface EndpointRecord {
+  /** Names this start of the endpoint. */
+  readonly id: string
+  readonly service: string
+  readonly address: string
+  readonly availabilityZone: string
+  readonly slots: number
+  /** Whether it takes no new work. */
+  readonly draining: boolean
+  /** Versions that it had loaded when it wrote this; it may be seconds old. */
+  readonly models: readonly ModelVersion[]
+}
+
+/** Parts of what is published. */
+export type PublishedTopic = 'configuration' | 'versions' | 'endpoints'
+export const publishedTopics: readonly PublishedTopic[] = ['configuration', 'versions', 'endpoints']
+
+/** One change of one item. */
+export type PublishedChange =
+  | { readonly type: 'configuration', readonly revision: number, readonly configuration: RoutingConfiguration }
+  | { readonly type: 'wanted-version', readonly revision: number, readonly wanted: ModelVersion }
+  | { readonly type: 'endpoint', readonly revision: number, readonly record: EndpointRecord }
+  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string }
+
+/** How far a process has followed each topic: the store's revision up to which it has seen every change. */
+export type PublishedNote = Readonly<Record<PublishedTopic, number>>
+
+/** Changes on their way to a peer. */
+export interface PublishedDelta {
+  readonly upTo: PublishedNote
+  readonly changes: readonly PublishedChange[]
+  /** Topics that `changes` holds in whole: what it lacks of them is gone. */
+  readonly whole: readonly PublishedTopic[]
+}
+
+/** A wanted version, with the local time at which this process first heard of it. */
+export interface WantedVersion extends ModelVersion {
+  readonly revision: number
+  /** Nothing when it was there already when this process began to follow. */
+  readonly heardAt: number | undefined
+}
+
+interface HeldEndpoint {
+  readonly record: EndpointRecord
+  readonly revision: number
+  /** Set while the entry is missing after an outage of the store, until when it is still taken as alive. */
+  lapsesAt: number | undefined
+}
+
+/**
+ * After an outage of the store, endpoints whose entries lapsed meanwhile write them again within about two seconds, as
+ * the platform's operators say; half a second is added for the way of that news. In milliseconds.
+ */
+const LAPSE_GRACE = 2_500
+/** Removals kept to be told to peers. Beyond that, a peer that is further behind gets the whole list. */
+const MOST_REMOVALS = 512
+
+/** The published state of one process. */
+export class PublishedState {
+  private _configuration: { readonly revision: number, readonly configuration: RoutingConfiguration } | undefined
+  private readonly _versions = new Map<string, WantedVersion>()
+  private readonly _endpoints = new Map<string, HeldEndpoint>()
+  /** The revision of each removal, the oldest first. */
+  private readonly _removals = new Map<string, number>()
+  private _forgottenRemovals = 0
+  private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
+  /** Until when missing endpoints count as lapsed rather than gone; infinite while the store cannot be reached. */
+  private _graceUntil = 0
+
+  get configuration (): RoutingConfiguration | undefined { return this._configuration?.configuration }
+  get configurationRevision (): number { return this._configuration?.revision ?? 0 }
+  /** Whether both a configuration and the endpoints are known. */
+  get complete (): boolean { return this._configuration !== undefined && this._seen.endpoints > 0 }
+  /** How far each topic has been followed. */
+  get note (): PublishedNote { return { ...this._seen } }
+
+  /** The wanted version of a model. */
+  wanted (model: string): WantedVersion | undefined { return this._versions.get(model) }
+  /** All wanted versions. */
+  wantedVersions (): WantedVersion[] { return [...this._versions.values()] }
+  /** Endpoints that are listed, those that drain included. */
+  endpoints (): EndpointRecord[] { return [...this._endpoints.values()].map(({ record }) => record) }
+
+  /**
+   * Takes one change.
+   *
+   * @returns Whether it was news.
+   * @example
+   * if (state.take({ type: 'endpoint', revision: 7, record }, now)) rebuildChoices()
+   */
+  take (change: PublishedChange, now: number): boolean {
+    return this._takers[change.type](change as never, now)
+  }
+
+  /**
+   * Takes everything that a topic holds: what is missing in it is gone.
+   *
+   * @param upTo The store's revision of the reading.
+   * @returns The changes that were news.
+   */
+  takeWhole (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
+    const news = changes.filter(change => this.take(change, now))
+    if (topic === 'endpoints') news.push(...this._takeMissing(changes, upTo, now))
+    this.followed(topic, upTo)
+    return news
+  }
+
+  /** Every change of a topic up to a revision has been taken. */
+  followed (topic: PublishedTopic, upTo: number): void {
+    this._seen[topic] = Math.max(this._seen[topic], upTo)
+  }
+
+  /** The store cannot be reached: entries that vanish now may have lapsed only because of that. */
+  storeLost (): void { this._graceUntil = Infinity }
+
+  /** The store answers again. */
+  storeRegained (now: number): void {
+    if (this._graceUntil === Infinity) this._graceUntil = now + LAPSE_GRACE
+  }
+
+  /** Takes away endpoints that stayed missing after an outage. Returns their removals. */
+  expire (now: number): PublishedChange[] {
+    const gone: PublishedChange[] = []
+    for (const [id, held] of this._endpoints) {
+      if (held.lapsesAt === undefined || now < Math.min(held.lapsesAt, this._graceUntil)) continue
+      this._endpoints.delete(id)
+      gone.push({ type: 'endpoint-gone', id, revision: this._removals.get(id) ?? this._seen.endpoints })
+    }
+    return gone
+  }
+
+  /** What a peer lacks that has followed up to `note`. */
+  since (note: PublishedNote): PublishedDelta {
+    const whole = publishedTopics.filter(topic => note[topic] < this._seen[topic] && this._tellsWhole(topic, note))
+    const changes: PublishedChange[] = []
+    const held = this._configuration
+    if (held !== undefined && held.revision > note.configuration) changes.push({ type: 'configuration', ...held })
+    for (const { revision, model, version } of this._versions.values()) {
+      if (revision > note.versions) changes.push({ type: 'wanted-version', revision, wanted: { model, version } })
+    }
+    const from = whole.includes('endpoints') ? 0 : note.endpoints
+    for (const { record, revision } of this._endpoints.values()) if (revision > from) changes.push({ type: 'endpoint', revision, record })
+    for (const [id, revision] of this._removals) if (revision > from) changes.push({ type: 'endpoint-gone', revision, id })
+    return { upTo: this.note, changes, whole }
+  }
+
+  /** Takes what a peer told. Returns the changes that were news. */
+  takeDelta (delta: PublishedDelta, now: number): PublishedChange[] {
+    const news: PublishedChange[] = []
+    for (const topic of publishedTopics) {
+      const changes = delta.changes.filter(change => topicOf(change) === topic)
+      if (delta.whole.includes(topic) && delta.upTo[topic] > this._seen[topic]) news.push(...this.takeWhole(topic, changes, delta.upTo[topic], now))
+      else {
+        news.push(...changes.filter(change => this.take(change, now)))
+        this.followed(topic, delta.upTo[topic])
+      }
+    }
+    return news
+  }
+
+  private readonly _takers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number) => boolean } = {
+    configuration: ({ revision, configuration }) => {
+      if (revision <= this.configurationRevision) return false
+      this._configuration = { revision, configuration }
+      return true
+    },
+    'wanted-version': ({ revision, wanted }, now) => {
+      const held = this._versions.get(wanted.model)
+      if (held !== undefined && (revision <= held.revision || wanted.version <= held.version)) return false
+      const heardAt = this._seen.versions === 0 ? undefined : now
+      this._versions.set(wanted.model, { ...wanted, revision, heardAt })
+      return true
+    },
+    endpoint: ({ revision, record }) => {
+      const known = Math.max(this._endpoints.get(record.id)?.revision ?? 0, this._removals.get(record.id) ?? 0)
+      if (revision <= known) return false
+      this._endpoints.set(record.id, { record, revision, lapsesAt: undefined })
+      this._removals.delete(record.id)
+      return true
+    },
+    'endpoint-gone': ({ revision, id }, now) => this._remove(id, revision, now)
+  }
+
+  /** A peer that has nothing, or is behind the oldest removal that is kept, gets everything. */
+  private _tellsWhole (topic: PublishedTopic, note: PublishedNote): boolean {
+    return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._forgottenRemovals)
+  }
+
+  private _remove (id: string, revision: number, now: number): boolean {
+    const held = this._endpoints.get(id)
+    if (revision <= Math.max(held?.revision ?? 0, this._removals.get(id) ?? 0)) return false
+    this._noteRemoval(id, revision)
+    if (held === undefined) return false
+    if (now < this._graceUntil) {
+      held.lapsesAt ??= this._graceUntil
+      return false
+    }
+    this._endpoints.delete(id)
+    return true
+  }
+
+  private _takeMissing (changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
+    const listed = new Set(changes.flatMap(change => change.type === 'endpoint' ? [change.record.id] : []))
+    const missing = [...this._endpoints].filter(([id, held]) => !listed.has(id) && held.revision <= upTo)
+    return missing.flatMap(([id]) => {
+      const change = { type: 'endpoint-gone', revision: upTo, id } as const
+      return this.take(change, now) ? [change] : []
+    })
+  }
+
+  private _noteRemoval (id: string, revision: number): void {
+    this._removals.set(id, revision)
+    for (const [oldest, forgotten] of this._removals) {
+      if (this._removals.size <= MOST_REMOVALS) return
+      this._removals.delete(oldest)
+      this._forgottenRemovals = Math.max(this._forgottenRemovals, forgotten)
+    }
+  }
+}
+
+const topicsOfChanges: Record<PublishedChange['type'], PublishedTopic> = {
+  configuration: 'configuration',
+  'wanted-version': 'versions',
+  endpoint: 'endpoints',
+  'endpoint-gone': 'endpoints'
+}
+
+/** The topic that a change belongs to. */
+export function topicOf (change: PublishedChange): PublishedTopic { return topicsOfChanges[change.type] }
--- a/packages/node/src/lib/agent/chunk-store.ts
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -8,7 +8,7 @@
  * as it must to load it; this process keeps only the latest, up to a limit, and reads older ones back.
  */
 import { Arrivals } from './arrivals.js'
-import type { Engine } from './engine-client.js'
+import type { ChunkStaging } from './engine-client.js'
 
 /** Chunks of one agent. */
 export class ChunkStore {
@@ -20,7 +20,7 @@
   /**
    * @param _limit Bytes kept in this process.
    */
-  constructor (private readonly _engine: Engine, private readonly _limit: number) {}
+  constructor (private readonly _engine: ChunkStaging, private readonly _limit: number) {}
 
   /** Digests that the engine holds. */
   get staged (): ReadonlySet<string> { return this._staged }
--- a/packages/node/src/lib/agent/engine-client.ts
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -10,15 +10,19 @@
 import type { EngineReport, LoadResult, TakeOverResult } from '@drumdrift/core'
 import { askHttp } from '../platform/http-client.js'
 
-/** An engine as the agent sees it. */
-export interface Engine {
-  state (): Promise<EngineReport | undefined>
+/** The part of an engine that holds chunks until it is ordered to load them. */
+export interface ChunkStaging {
   /** Digests of the chunks that the engine's staging memory holds. */
   staged (): Promise<ReadonlySet<string>>
   stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean>
   readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined>
   /** Drops a staged chunk; refused by the engine when the fence is not the newest. */
   drop (digest: string, fence: number): Promise<void>
+}
+
+/** An engine as the agent sees it. */
+export interface Engine extends ChunkStaging {
+  state (): Promise<EngineReport | undefined>
   /** Takes the engine over; the fence must be above every earlier one. */
   takeOver (fence: number): Promise<TakeOverResult>
   /** Orders a load; the fence must not be below any earlier one. */
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -15,12 +15,12 @@
 import type { Counters } from '../observe/metrics.js'
 import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
-import type { Platform } from '../platform/platform-client.js'
+import type { WeightsSource } from '../platform/platform-client.js'
 import { Arrivals } from './arrivals.js'
 import { fetchChunk, type PeerChunk } from './chunk-fetch.js'
 import type { ChunkStore } from './chunk-store.js'
 import { digestOf, digestOfText } from './digest.js'
-import type { Engine } from './engine-client.js'
+import type { ChunkStaging } from './engine-client.js'
 
 type Fetch = Extract<TransferEffect, { type: 'fetch' }>
 
@@ -29,9 +29,9 @@
   readonly self: ChunkMember
   readonly policy: TransferPolicy
   readonly largestBytes: number
-  readonly platform: Platform
+  readonly platform: WeightsSource
   readonly pool: PeerPool
-  readonly engine: Engine
+  readonly engine: ChunkStaging
   readonly store: ChunkStore
   readonly log: Log
   readonly counters: Counters
@@ -39,6 +39,11 @@
   readonly members: () => readonly ChunkMember[]
   readonly addressOf: (instance: string) => string | undefined
   readonly onWhole: (manifestDigest: string) => void
+  /**
+   * Whether bytes are the manifest of that identity. By default the identity is their digest; a platform that numbers
+   * its versions cannot know the digest beforehand.
+   */
+  readonly manifestMatches?: (identity: string, bytes: Buffer) => boolean
 }
 
 const TICK = 50
@@ -184,7 +189,7 @@
   /** Parents in a tree over the members first, then, staggered by rank, the platform. */
   private async _fetchManifest (digest: string, waited: number): Promise<Buffer | undefined> {
     const held = await this.manifest(digest, 0)
-    if (held !== undefined && digestOfText(held) === digest) return held
+    if (held !== undefined && this._matches(digest, held)) return held
     const names = [...new Set([this._parts.self.instance, ...this._parts.members().map(member => member.instance)])]
     const order = rendezvousOrder(names, digest)
     const rank = order.indexOf(this._parts.self.instance)
@@ -200,7 +205,7 @@
     if (address === undefined) return undefined
     try {
       const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest, wait: PEER_WAIT }, { timeout: 2 * PEER_WAIT })
-      return reply.type === 'manifest' && digestOfText(payload) === digest ? payload : undefined
+      return reply.type === 'manifest' && this._matches(digest, payload) ? payload : undefined
     } catch {
       return undefined
     }
@@ -209,13 +214,18 @@
   private async _manifestFromPlatform (digest: string): Promise<Buffer | undefined> {
     for (const upstream of ['origin', 'store'] as const) {
       const bytes = await this._parts.platform.weights(upstream, 'manifests', digest, PEER_WAIT)
-      if (bytes !== undefined && digestOfText(bytes) === digest) return bytes
+      if (bytes !== undefined && this._matches(digest, bytes)) return bytes
       if (bytes !== undefined) this._fail({ type: 'weights-failure', reason: 'digest-mismatch', detail: `manifest from ${upstream}` })
     }
     this._problem ??= { type: 'weights-failure', reason: 'unavailable', detail: `no one has manifest ${digest.slice(0, 12)}` }
     return undefined
   }
 
+  private _matches (identity: string, bytes: Buffer): boolean {
+    const { manifestMatches } = this._parts
+    return manifestMatches === undefined ? digestOfText(bytes) === identity : manifestMatches(identity, bytes)
+  }
+
   private _tick (): void {
     const transfer = this._transfer
     if (transfer === undefined) return
--- a/packages/node/src/lib/command-line.ts
+++ b/packages/node/src/lib/command-line.ts
@@ -12,7 +12,6 @@
 import { formatPairs } from './observe/log.js'
 import { askHttp } from './platform/http-client.js'
 import { settingsPage } from './settings/page.js'
-import type { Role } from './settings/schema.js'
 import { guessRole, readSettings } from './settings/settings.js'
 
 /** Exit code for a wrong settings file or a wrong command. */
@@ -57,10 +56,10 @@
   return program
 }
 
-async function start (file: string, role: Role): Promise<void> {
+async function start (file: string, role: 'entry' | 'agent'): Promise<void> {
   const settings = orExit(() => readSettings(file, role))
-  const { runDaemon } = await import('./run-daemon.js')
-  await runDaemon(settings)
+  const { ownDaemons, runDaemon } = await import('./run-daemon.js')
+  await runDaemon(settings, ownDaemons[role])
 }
 
 function check (file: string): void {
@@ -81,7 +80,13 @@
   }
 }
 
-function orExit<Value> (read: () => Value): Value {
+/**
+ * Reads settings, or ends the process with one line that names the mistake.
+ *
+ * @example
+ * const settings = orExit(() => readSettings(file, 'entry'))
+ */
+export function orExit<Value> (read: () => Value): Value {
   try {
     return read()
   } catch (error) {
--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -39,6 +39,8 @@
   'already-claimed': 409,
   'history-unknown': 409,
   'id-conflict': 422,
+  'unknown-route': 404,
+  'timed-out': 504,
   'outcome-unknown': 502,
   'answer-cut': 502,
   leaving: 503,
--- a/packages/node/src/lib/platform/platform-client.ts
+++ b/packages/node/src/lib/platform/platform-client.ts
@@ -14,12 +14,16 @@
 /** A source of weights on the platform. */
 export type Upstream = 'store' | 'origin'
 
+/** Where weights come from when no peer has them. */
+export interface WeightsSource {
+  /** A chunk or manifest by digest, or nothing when it could not be had. Not verified. */
+  weights (upstream: Upstream, kind: 'chunks' | 'manifests', digest: string, timeout: number, signal?: AbortSignal): Promise<Buffer | undefined>
+}
+
 /** Reads of the platform, as the rest of the system sees them. */
-export interface Platform {
+export interface Platform extends WeightsSource {
   /** The newest document, or `unchanged` when there is none above `after`. */
   read (topic: Topic, after: number, watch: boolean): Promise<Published | 'unchanged' | 'unreachable'>
-  /** A chunk or manifest by digest, or nothing when it could not be had. Not verified. */
-  weights (upstream: Upstream, kind: 'chunks' | 'manifests', digest: string, timeout: number, signal?: AbortSignal): Promise<Buffer | undefined>
 }
 
 /** Addresses of the platform's services. */
--- /dev/null
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -0,0 +1,114 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * One attempt of a request at one endpoint, over a connection of its own. A connection that is used once can bring no
+ * late answer of an earlier request, and a broken one tells nothing about any other; the price of opening it is small
+ * (dev-docs/platform.md).
+ */
+import { request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { NotRunReason } from '@drumdrift/core'
+import { parseAddress } from '../settings/address.js'
+import type { EndpointHead } from './ports.js'
+
+/** How a call ended. */
+export type EndpointCallEnd =
+  | { readonly type: 'whole' }
+  | { readonly type: 'not-run', readonly reason: NotRunReason }
+  /** No whole answer to this request. `begun` tells whether its head had been taken. */
+  | { readonly type: 'broken', readonly begun: boolean, readonly detail: string }
+  /** This side stopped it. */
+  | { readonly type: 'stopped' }
+
+/** What to send. */
+export interface EndpointRequest {
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  /** Name, value, name, value. */
+  readonly headers: readonly string[]
+  readonly body: Buffer
+}
+
+/** What happens during a call. */
+export interface EndpointCallListener {
+  /** Reads the head of the answer. */
+  readHead (response: IncomingMessage): EndpointHead
+  head (head: Extract<EndpointHead, { type: 'answer' }>): void
+  data (bytes: Buffer): void
+}
+
+/**
+ * Time to open a connection, in milliseconds: many times the way between regions (some milliseconds) and under the
+ * second after which a lost opening packet is sent again. Nothing has been sent before, so nothing can have run.
+ */
+const CONNECT_PATIENCE = 250
+
+/** A call under way. */
+export class EndpointCall {
+  private readonly _request: ClientRequest
+  private readonly _connectTimer: NodeJS.Timeout
+  private _connected = false
+  private _begun = false
+  private _finished = false
+  private _finish: (end: EndpointCallEnd) => void = () => {}
+  /** Resolves when the call has ended, however it ended. */
+  readonly ended = new Promise<EndpointCallEnd>(resolve => { this._finish = resolve })
+
+  /**
+   * Sends the request.
+   *
+   * @example
+   * const end = await new EndpointCall(request, listener).ended
+   */
+  constructor ({ address, method, path, headers, body }: EndpointRequest, private readonly _listener: EndpointCallListener) {
+    const { host, port } = parseAddress(address)
+    this._request = openRequest({ host, port, method, path, headers: headers as unknown as string[], agent: false, setHost: false })
+    this._connectTimer = setTimeout(() => this._end({ type: 'not-run', reason: 'not-connected' }), CONNECT_PATIENCE)
+    this._request.on('socket', socket => {
+      socket.setNoDelay(true)
+      socket.once('connect', () => this._onConnect())
+    })
+    this._request.on('error', error => this._lost(error.message))
+    this._request.on('response', response => this._onResponse(response))
+    this._request.end(body)
+  }
+
+  /** Ends the call at once; the endpoint sees its connection close. */
+  stop (): void { this._end({ type: 'stopped' }) }
+
+  private _onConnect (): void {
+    this._connected = true
+    clearTimeout(this._connectTimer)
+  }
+
+  private _onResponse (response: IncomingMessage): void {
+    const head = this._listener.readHead(response)
+    response.on('error', error => this._lost(error.message))
+    response.on('aborted', () => this._lost('the answer was cut off'))
+    if (head.type === 'not-run') return this._end({ type: 'not-run', reason: head.reason })
+    if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, detail: head.detail })
+    this._begun = true
+    this._listener.head(head)
+    response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
+    response.on('end', () => {
+      if (response.complete) this._end({ type: 'whole' })
+      else this._lost('the answer ended early')
+    })
+  }
+
+  private _lost (detail: string): void {
+    if (this._connected) this._end({ type: 'broken', begun: this._begun, detail })
+    else this._end({ type: 'not-run', reason: 'not-connected' })
+  }
+
+  private _end (end: EndpointCallEnd): void {
+    if (this._finished) return
+    this._finished = true
+    clearTimeout(this._connectTimer)
+    this._request.destroy()
+    this._finish(end)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -0,0 +1,167 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Looks at the engine beside the agent several times a second, tells its load, and orders it to take the wanted
+ * version when the switch decides so.
+ */
+import { failureOf, previousWave, SwitchGate, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchProgress } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerPool } from '../peer/pool.js'
+import { identityOf, type EngineReport, type LoadableEngine } from './ports.js'
+
+/** What is wanted of the engine, and what is there for it. */
+export interface SwitchSituation {
+  readonly wanted: ModelVersion | undefined
+  readonly heardAt: number | undefined
+  /** The identity that is staged whole; empty for none. */
+  readonly whole: string
+  /** Agents of the same pool. */
+  readonly members: readonly ChunkMember[]
+}
+
+/** What the switcher works with. */
+export interface EngineSwitcherParts {
+  /** This agent's name among the members. */
+  readonly self: string
+  readonly engine: LoadableEngine
+  readonly pool: PeerPool
+  readonly log: Log
+  readonly counters: Counters
+  /** See `VersionSwitch`; in milliseconds. */
+  readonly versionBound: number
+  readonly situation: () => SwitchSituation
+  /** Verifies once more what is staged; false when something is missing or spoilt. */
+  readonly confirmWhole: () => Promise<boolean>
+  readonly onLoad: (load: LoadReport) => void
+}
+
+/** How often the engine is looked at, in milliseconds: a few times in the pass of a busy engine would be wasted. */
+const LOOK_PAUSE = 100
+/** The share of a zone's engines that switches at once. */
+const WAVE_SHARE = 0.5
+/** Time that a switch takes: the longest usual answers end, and the engine warms up. In milliseconds. */
+const SWITCH_LEAD = 2_000
+/** One peer's time to say how far it is, in milliseconds. */
+const ASK_TIMEOUT = 400
+
+/** The engine of one agent. */
+export class EngineSwitcher {
+  private readonly _switch: VersionSwitch
+  private readonly _timer: NodeJS.Timeout
+  private _gate = new SwitchGate()
+  private _gateFor = ''
+  private _report: EngineReport | undefined
+  private _looking = false
+  private _ordering = false
+  private _reachable = true
+
+  constructor (private readonly _parts: EngineSwitcherParts) {
+    this._switch = new VersionSwitch(_parts.versionBound, SWITCH_LEAD)
+    this._timer = setInterval(() => { this._look() }, LOOK_PAUSE)
+  }
+
+  close (): void { clearInterval(this._timer) }
+
+  /** The version of a model that the engine serves; 0 for none. */
+  version (model: string): number {
+    return this._report?.models.find(held => held.model === model)?.version ?? 0
+  }
+
+  /** How far this engine is with a version, for the waves after it. */
+  progress (identity: string): SwitchProgress {
+    const { wanted } = this._parts.situation()
+    if (wanted === undefined || identityOf(wanted) !== identity) return 'waiting'
+    return this.version(wanted.model) >= wanted.version ? 'serving' : 'waiting'
+  }
+
+  private async _look (): Promise<void> {
+    if (this._looking) return
+    this._looking = true
+    try {
+      const before = this._report
+      this._report = await this._parts.engine.report()
+      this._noteReachable()
+      this._noteVersion(before)
+      this._tellLoad()
+      await this._step()
+    } finally {
+      this._looking = false
+    }
+  }
+
+  private _noteReachable (): void {
+    const reachable = this._report !== undefined
+    if (reachable === this._reachable) return
+    this._reachable = reachable
+    if (reachable) this._parts.log.info('engine-regained')
+    else this._parts.log.warn('engine-lost')
+  }
+
+  private _noteVersion (before: EngineReport | undefined): void {
+    const model = this._parts.situation().wanted?.model
+    if (model === undefined || this._report === undefined) return
+    const old = before?.models.find(held => held.model === model)?.version ?? 0
+    const version = this.version(model)
+    if (version !== old) this._parts.log.info('engine-version', { model, version, before: old })
+  }
+
+  private _tellLoad (): void {
+    const model = this._parts.situation().wanted?.model
+    if (this._report === undefined || model === undefined) return
+    const { running, waiting, busy, pace } = this._report
+    this._parts.onLoad({ running, waiting, version: this.version(model), accepting: !busy && !this._ordering, pace })
+  }
+
+  private async _step (): Promise<void> {
+    const situation = this._parts.situation()
+    const { wanted, heardAt, whole } = situation
+    if (wanted === undefined) return
+    const isWhole = whole === identityOf(wanted)
+    const engine = this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy }
+    const behind = engine !== undefined && engine.version < wanted.version
+    const turn = isWhole && behind && engine.version > 0 ? await this._turn(situation, identityOf(wanted)) : true
+    const now = performance.now()
+    const step = this._switch.step({ wanted: wanted.version, heardAt, whole: isWhole ? wanted.version : 0, engine, turn }, now)
+    if (step.type === 'order') await this._order(wanted, step.why, heardAt === undefined ? undefined : now - heardAt)
+  }
+
+  private async _order (wanted: ModelVersion, why: string, age: number | undefined): Promise<void> {
+    this._ordering = true
+    this._tellLoad()
+    try {
+      const result = await this._parts.confirmWhole() ? await this._parts.engine.order(wanted) : 'not-whole'
+      this._switch.answered(result, performance.now())
+      this._parts.counters.add(`orders_${result.replaceAll('-', '_')}`)
+      this._parts.log.info('engine-ordered', { ...wanted, why, result, since_named: age === undefined ? undefined : Math.round(age) })
+    } finally {
+      this._ordering = false
+    }
+  }
+
+  /** Whether the wave before this engine's has switched. */
+  private async _turn ({ members }: SwitchSituation, identity: string): Promise<boolean> {
+    if (this._gateFor !== identity) {
+      this._gate = new SwitchGate()
+      this._gateFor = identity
+    }
+    const before = previousWave(this._parts.self, members, WAVE_SHARE, identity)
+    const decision = this._gate.decide(before, false, performance.now())
+    if (decision.type === 'go') return true
+    await Promise.all((decision.type === 'wait' ? decision.ask : decision.failed).map(async peer => { await this._ask(peer, identity) }))
+    return this._gate.decide(before, false, performance.now()).type === 'go'
+  }
+
+  private async _ask (peer: string, identity: string): Promise<void> {
+    try {
+      const { reply } = await this._parts.pool.call(peer, { type: 'progress', digest: identity }, { timeout: ASK_TIMEOUT })
+      this._gate.report(peer, reply.type === 'progress' ? reply.progress : 'unreachable', performance.now())
+    } catch (error) {
+      this._parts.log.debug('peer-silent', { address: peer, reason: failureOf(error).type })
+      this._gate.report(peer, 'unreachable', performance.now())
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -0,0 +1,101 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Follows the load of engines: one connection to the agent beside each, over which the agent tells of every change.
+ */
+import { failureOf, type LoadReport } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import type { PeerConnection } from '../peer/connection.js'
+import type { PeerPool } from '../peer/pool.js'
+
+/** What the follower works with. */
+export interface LoadFollowerParts {
+  readonly pool: PeerPool
+  readonly log: Log
+  /** Takes a report of the agent at an address. */
+  readonly onLoad: (agent: string, load: LoadReport) => void
+}
+
+/** Before an agent that could not be reached is tried again, in milliseconds. */
+const RETRY_PAUSE = 500
+/** A connection without any report for this time is opened anew, in milliseconds: agents report twice a second at least. */
+const SILENCE = 1_600
+
+interface Followed {
+  connection: PeerConnection | undefined
+  connecting: boolean
+  retryAt: number
+  heardAt: number
+  lost: boolean
+}
+
+/** The agents that one entry follows. */
+export class LoadFollower {
+  private readonly _followed = new Map<string, Followed>()
+  private readonly _timer: NodeJS.Timeout
+
+  constructor (private readonly _parts: LoadFollowerParts) {
+    this._timer = setInterval(() => { this._tick() }, RETRY_PAUSE / 2)
+  }
+
+  /** Sets the agents to be followed. */
+  follow (agents: ReadonlySet<string>): void {
+    for (const [agent, followed] of this._followed) {
+      if (agents.has(agent)) continue
+      this._followed.delete(agent)
+      followed.connection?.close()
+    }
+    for (const agent of agents) {
+      if (this._followed.has(agent)) continue
+      this._followed.set(agent, { connection: undefined, connecting: false, retryAt: 0, heardAt: performance.now(), lost: false })
+    }
+    this._tick()
+  }
+
+  close (): void { clearInterval(this._timer) }
+
+  private _tick (): void {
+    const now = performance.now()
+    for (const [agent, followed] of this._followed) {
+      if (followed.connection?.open === true && now - followed.heardAt > SILENCE) followed.connection.close()
+      if (followed.connection?.open === true || followed.connecting || now < followed.retryAt) continue
+      this._connect(agent, followed)
+    }
+  }
+
+  private async _connect (agent: string, followed: Followed): Promise<void> {
+    followed.connecting = true
+    try {
+      const connection = await this._parts.pool.connection(agent)
+      if (this._followed.get(agent) !== followed) return
+      followed.connection = connection
+      followed.heardAt = performance.now()
+      connection.ask({ type: 'follow-load' }, undefined, {
+        reply: reply => {
+          if (reply.type !== 'load') return
+          followed.heardAt = performance.now()
+          if (followed.lost) this._parts.log.info('agent-regained', { agent })
+          followed.lost = false
+          this._parts.onLoad(agent, reply.load)
+        },
+        lost: () => this._lost(agent, followed, 'connection-lost')
+      })
+    } catch (error) {
+      const failure = failureOf(error)
+      this._lost(agent, followed, 'reason' in failure ? failure.reason : failure.type)
+    } finally {
+      followed.connecting = false
+    }
+  }
+
+  private _lost (agent: string, followed: Followed, reason: string): void {
+    followed.connection = undefined
+    followed.retryAt = performance.now() + RETRY_PAUSE
+    if (this._followed.get(agent) !== followed || followed.lost) return
+    followed.lost = true
+    this._parts.log.warn('agent-lost', { agent, reason })
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -0,0 +1,41 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Tells the entries that follow it how loaded the engine beside this agent is: at once when that changes, and now and
+ * then as a sign of life.
+ */
+import type { LoadReport } from '@drumdrift/core'
+import type { Responder } from '../peer/connection.js'
+
+/** Followers hear this often though nothing changes, in milliseconds; they take silence of three times that for loss. */
+const SIGN_OF_LIFE = 500
+
+/** The followers of one agent. */
+export class LoadPublisher {
+  private readonly _followers = new Set<Responder>()
+  private _last: LoadReport | undefined
+  private _toldAt = -Infinity
+
+  /** Adds a follower and tells it the last report. */
+  follow (responder: Responder): void {
+    this._followers.add(responder)
+    responder.connection.onEnd(() => { this._followers.delete(responder) })
+    if (this._last !== undefined) responder.send({ type: 'load', load: this._last })
+  }
+
+  /** Takes a new report. */
+  publish (load: LoadReport, now: number): void {
+    if (same(load, this._last) && now - this._toldAt < SIGN_OF_LIFE) return
+    this._last = load
+    this._toldAt = now
+    for (const follower of this._followers) follower.send({ type: 'load', load })
+  }
+}
+
+function same (left: LoadReport, right: LoadReport | undefined): boolean {
+  if (right === undefined) return false
+  return left.running === right.running && left.waiting === right.waiting && left.version === right.version && left.accepting === right.accepting && left.pace === right.pace
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/ports.ts
@@ -0,0 +1,160 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * What the routing daemons need of the platform that they run on. An adapter implements these; the daemons know no
+ * path, header or field of any platform.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { DocumentFailure, EndpointRecord, ModelVersion, NotRunReason, OrderResult, PublishedChange, PublishedTopic, RequestFailure } from '@drumdrift/core'
+import type { ChunkStaging } from '../agent/engine-client.js'
+import type { WeightsSource } from '../platform/platform-client.js'
+
+/** What one watch of the store covers. `operator` is the configuration and the wanted versions together. */
+export type StoreScope = 'operator' | 'configuration' | 'versions' | 'endpoints'
+
+/** The topics that a scope covers. */
+export const topicsOfScope: Record<StoreScope, readonly PublishedTopic[]> = {
+  operator: ['configuration', 'versions'],
+  configuration: ['configuration'],
+  versions: ['versions'],
+  endpoints: ['endpoints']
+}
+
+/** Why the store gave no answer. */
+export interface StoreFailure {
+  readonly type: 'store-failure'
+  readonly reason: 'unreachable' | 'timed-out' | 'turned-away' | 'malformed'
+  readonly detail: string
+}
+
+/** Changes as the store tells them, up to its revision `upTo`. */
+export interface StoreChanges {
+  readonly type: 'changes'
+  readonly changes: readonly PublishedChange[]
+  readonly upTo: number
+  /** Items that could not be read; the others count. */
+  readonly refused: readonly DocumentFailure[]
+}
+
+/** The platform's store of published state. It is only read. */
+export interface PublishedStore {
+  /** Everything that a scope holds. */
+  readWhole (scope: StoreScope): Promise<StoreChanges | StoreFailure>
+  /**
+   * Waits for changes after a revision.
+   *
+   * @param wait Milliseconds that the store may hold the call.
+   */
+  awaitChanges (scope: StoreScope, after: number, wait: number): Promise<StoreChanges | { readonly type: 'history-lost' } | StoreFailure>
+}
+
+/** The head of a caller's request, in the product's terms. */
+export interface CallerHead {
+  /** The caller's name for this attempt; empty when it gave none. */
+  readonly id: string
+  readonly key: string | undefined
+  /** Milliseconds that the caller will wait. */
+  readonly patience: number | undefined
+  /** The last event that the caller has of an earlier answer. */
+  readonly lastEventId: string | undefined
+  /** Empty for requests that need no model. */
+  readonly model: string
+  readonly promptTokens: number
+  /** Headers that go to the endpoint as they are, as name, value, name, value. */
+  readonly headers: readonly string[]
+}
+
+/** What the system adds when it sends a request to an endpoint. */
+export interface SendTerms {
+  readonly endpoint: EndpointRecord
+  /** Milliseconds after which the endpoint is to stop work. */
+  readonly remaining: number
+  readonly organisation: string | undefined
+  /** The weights that must answer; 0 for any. */
+  readonly version: number
+  /** The last event that the caller has; nothing for a new answer. */
+  readonly resumeAfter: string | undefined
+}
+
+/** The head of an endpoint's answer, in the product's terms. */
+export type EndpointHead =
+  /** It says that it did not run the request and never will. */
+  | { readonly type: 'not-run', readonly reason: NotRunReason }
+  /** It answers another request, or is no answer of an endpoint. */
+  | { readonly type: 'foreign', readonly detail: string }
+  | {
+    readonly type: 'answer'
+    readonly status: number
+    /** Headers for the caller, as name, value, name, value. */
+    readonly headers: readonly string[]
+    /** Bytes of the body; nothing when the head does not say. */
+    readonly length: number | undefined
+    readonly eventStream: boolean
+  }
+
+/** An answer of the system's own. */
+export interface OwnAnswer {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly body: string
+}
+
+/** How callers and endpoints speak. */
+export interface Dialect {
+  /** The path at which the balancer asks whether this process takes callers. */
+  readonly readinessPath: string
+  readCaller (headers: IncomingHttpHeaders, rawHeaders: readonly string[]): CallerHead
+  /** Headers of a request to an endpoint. */
+  writeRequest (head: CallerHead, terms: SendTerms, bodyLength: number): string[]
+  readEndpoint (id: string, status: number, headers: IncomingHttpHeaders, rawHeaders: readonly string[]): EndpointHead
+  writeFailure (id: string, failure: RequestFailure): OwnAnswer
+}
+
+/** What the engine beside an agent says of itself. */
+export interface EngineReport {
+  readonly running: number
+  readonly waiting: number
+  /** Versions that are loaded. */
+  readonly models: readonly ModelVersion[]
+  /** Whether it carries out an order. */
+  readonly busy: boolean
+  /** How much slower than described it works; 1 as described. */
+  readonly pace: number
+}
+
+/** The engine beside an agent. */
+export interface LoadableEngine extends ChunkStaging {
+  /** Sets the model whose chunks are staged. */
+  useModel (model: string): void
+  /** Nothing when the engine cannot be reached. */
+  report (): Promise<EngineReport | undefined>
+  /** Orders the engine to take the version that is staged, once what runs has ended. */
+  order (wanted: ModelVersion): Promise<OrderResult>
+}
+
+/** Everything that a weights agent needs of its platform. */
+export interface WeightsPlatform {
+  readonly store: PublishedStore
+  readonly engine: LoadableEngine
+  /** The origin at an address; it may change with the configuration. */
+  readonly source: WeightsSource & { setOrigin (address: string): void }
+  /** Whether bytes are the manifest of a version. */
+  readonly manifestMatches: (identity: string, bytes: Buffer) => boolean
+}
+
+/** Everything that a route entry needs of its platform. */
+export interface RoutingPlatform {
+  readonly store: PublishedStore
+  readonly dialect: Dialect
+}
+
+/**
+ * The name of a numbered version, which stands for its manifest where other platforms have a digest.
+ *
+ * @example
+ * identityOf({ model: 'drafting', version: 2 }) // 'drafting@2'
+ */
+export function identityOf ({ model, version }: ModelVersion): string { return `${model}@${version}` }
--- /dev/null
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -0,0 +1,188 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Keeps published state up to date: follows the store by watches, and asks peers while the store does not answer.
+ */
+import { setTimeout as pause } from 'node:timers/promises'
+import { failureOf, PublishedState, topicOf, type PublishedChange } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerPool } from '../peer/pool.js'
+import { topicsOfScope, type PublishedStore, type StoreChanges, type StoreFailure, type StoreScope } from './ports.js'
+
+/** What the feed works with. */
+export interface PublishedFeedParts {
+  readonly store: PublishedStore
+  readonly pool: PeerPool
+  readonly log: Log
+  readonly counters: Counters
+  /** Scopes that are watched all the time. */
+  readonly scopes: readonly StoreScope[]
+  /** How long the store may hold a watch, in milliseconds. */
+  readonly watchWait: number
+  /** Addresses of peers that may know more. */
+  readonly peers: () => readonly string[]
+  readonly onChanges: (changes: readonly PublishedChange[]) => void
+}
+
+/** Pauses after a failed call of the store, in milliseconds: they double, since refused calls are charged too. */
+const FIRST_BACKOFF = 100
+const LONGEST_BACKOFF = 800
+/** Peers are asked this often while the store does not answer, in milliseconds. */
+const PEER_PAUSE = 250
+/** One peer's time to answer, in milliseconds: a few network delays and a busy process. */
+const PEER_TIMEOUT = 400
+
+/** Follows what is published. */
+export class PublishedFeed {
+  readonly state = new PublishedState()
+  /** Scopes whose last call failed, with the time of the first failure in a row. */
+  private readonly _failing = new Map<StoreScope, number>()
+  private readonly _peerTimer: NodeJS.Timeout
+  private _closed = false
+  private _askingPeer = false
+
+  constructor (private readonly _parts: PublishedFeedParts) {
+    this._peerTimer = setInterval(() => { this._tick() }, PEER_PAUSE)
+  }
+
+  /** Begins to follow; returns at once. */
+  start (): void {
+    for (const scope of this._parts.scopes) this._follow(scope)
+  }
+
+  close (): void {
+    this._closed = true
+    clearInterval(this._peerTimer)
+  }
+
+  /** Whether every watched scope answered the last time. */
+  get storeAnswers (): boolean { return this._failing.size === 0 }
+
+  /** Reads a scope once, outside of the watches. */
+  async readOnce (scope: StoreScope): Promise<boolean> {
+    const answer = await this._parts.store.readWhole(scope)
+    this._parts.counters.add('store_reads')
+    if (answer.type !== 'changes') return false
+    this._takeWhole(scope, answer)
+    return true
+  }
+
+  private async _follow (scope: StoreScope): Promise<void> {
+    let backoff = FIRST_BACKOFF
+    let read = false
+    while (!this._closed) {
+      const answer = read ? await this._watch(scope) : await this._read(scope)
+      if (this._closed) return
+      if (answer.type === 'store-failure') {
+        this._failed(scope, answer)
+        await pause(backoff * (0.5 + Math.random()))
+        backoff = Math.min(LONGEST_BACKOFF, backoff * 2)
+        continue
+      }
+      backoff = FIRST_BACKOFF
+      this._answered(scope)
+      if (answer.type === 'history-lost') {
+        this._parts.log.warn('history-lost', { scope, revision: this._followed(scope) })
+        read = false
+        continue
+      }
+      if (read) this._takeChanges(scope, answer)
+      else this._takeWhole(scope, answer)
+      read = true
+    }
+  }
+
+  private async _read (scope: StoreScope): Promise<StoreChanges | StoreFailure> {
+    this._parts.counters.add('store_reads')
+    return await this._parts.store.readWhole(scope)
+  }
+
+  private async _watch (scope: StoreScope): Promise<StoreChanges | { readonly type: 'history-lost' } | StoreFailure> {
+    this._parts.counters.add('store_watches')
+    return await this._parts.store.awaitChanges(scope, this._followed(scope), this._parts.watchWait)
+  }
+
+  /** The revision up to which every topic of a scope has been followed. */
+  private _followed (scope: StoreScope): number {
+    const { note } = this.state
+    return Math.min(...topicsOfScope[scope].map(topic => note[topic]))
+  }
+
+  private _takeWhole (scope: StoreScope, answer: StoreChanges): void {
+    const now = performance.now()
+    const news = topicsOfScope[scope].flatMap(topic => this.state.takeWhole(topic, answer.changes.filter(change => topicOf(change) === topic), answer.upTo, now))
+    this._refused(answer)
+    this._parts.log.info('published-read', { scope, revision: answer.upTo, items: answer.changes.length, news: news.length })
+    this._tell(news)
+  }
+
+  private _takeChanges (scope: StoreScope, answer: StoreChanges): void {
+    const now = performance.now()
+    const news = answer.changes.filter(change => this.state.take(change, now))
+    for (const topic of topicsOfScope[scope]) this.state.followed(topic, answer.upTo)
+    this._refused(answer)
+    this._tell(news)
+  }
+
+  private _refused ({ refused }: StoreChanges): void {
+    for (const failure of refused) {
+      this._parts.counters.add('documents_refused')
+      this._parts.log.error('document-refused', { reason: failure.reason, detail: failure.detail })
+    }
+  }
+
+  private _tell (news: readonly PublishedChange[]): void {
+    if (news.length > 0) this._parts.onChanges(news)
+  }
+
+  private _failed (scope: StoreScope, failure: StoreFailure): void {
+    this._parts.counters.add('store_failures')
+    if (!this._failing.has(scope)) {
+      this._failing.set(scope, performance.now())
+      this._parts.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
+    }
+    this.state.storeLost()
+  }
+
+  private _answered (scope: StoreScope): void {
+    const since = this._failing.get(scope)
+    if (since === undefined) return
+    const now = performance.now()
+    this._failing.delete(scope)
+    this._parts.log.info('store-regained', { scope, away: Math.round(now - since) })
+    if (this.storeAnswers) this.state.storeRegained(now)
+  }
+
+  private _tick (): void {
+    this._tell(this.state.expire(performance.now()))
+    const wanting = !this.storeAnswers || !this.state.complete
+    if (wanting && !this._askingPeer) this._askPeer()
+  }
+
+  private async _askPeer (): Promise<void> {
+    const addresses = this._parts.peers()
+    const address = addresses[Math.floor(Math.random() * addresses.length)]
+    if (address === undefined) return
+    this._askingPeer = true
+    try {
+      const { reply } = await this._parts.pool.call(address, { type: 'news', note: this.state.note }, { timeout: PEER_TIMEOUT })
+      if (reply.type === 'news') this._takeNews(address, reply.delta)
+    } catch (error) {
+      this._parts.counters.add('peer_news_failures')
+      this._parts.log.debug('peer-silent', { address, reason: failureOf(error).type })
+    } finally {
+      this._askingPeer = false
+    }
+  }
+
+  private _takeNews (address: string, delta: Parameters<PublishedState['takeDelta']>[0]): void {
+    const news = this.state.takeDelta(delta, performance.now())
+    if (news.length === 0) return
+    this._parts.log.info('published-from-peer', { address, news: news.length, configuration: delta.upTo.configuration, endpoints: delta.upTo.endpoints })
+    this._tell(news)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/readiness-server.ts
@@ -0,0 +1,40 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Answers the balancer's question whether this process takes callers, on an address of its own.
+ */
+import { createServer, type Server } from 'node:http'
+import { parseAddress } from '../settings/address.js'
+
+/** The readiness server of one process. */
+export class ReadinessServer {
+  private readonly _server: Server
+
+  /**
+   * @param _address Where to listen.
+   * @param path What the balancer asks for; everything else is not found.
+   * @param ready Whether callers are taken now.
+   */
+  constructor (private readonly _address: string, path: string, ready: () => boolean) {
+    this._server = createServer((request, response) => {
+      const asked = request.method === 'GET' && request.url?.split('?')[0] === path
+      response.writeHead(!asked ? 404 : ready() ? 200 : 503, { 'content-length': '0' }).end()
+    })
+  }
+
+  listen (): Promise<void> {
+    const { host, port } = parseAddress(this._address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => resolve())
+    })
+  }
+
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/regions.ts
@@ -0,0 +1,22 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Which region each availability zone belongs to, from the settings. */
+import type { Place } from '@drumdrift/core'
+import type { Settings } from '../settings/settings.js'
+
+/**
+ * Where a process stands.
+ *
+ * @example
+ * const chooser = new EndpointChooser(placeOf(settings))
+ */
+export function placeOf (settings: Settings): Place {
+  const regions = new Map(settings.list('platform', 'regions').map(pair => {
+    const [zone = '', region = zone] = pair.split(':')
+    return [zone, region] as const
+  }))
+  return { availabilityZone: settings.text('process', 'availability-zone'), regionOf: zone => regions.get(zone) ?? zone }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -0,0 +1,185 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The entry for platforms whose callers name routes and whose endpoints are reached directly: reads what is published,
+ * follows the load of engines, and routes requests.
+ */
+import { setTimeout as pause } from 'node:timers/promises'
+import { RouteTable, type PeerRequest, type PublishedChange } from '@drumdrift/core'
+import { Histograms } from '../observe/histograms.js'
+import type { Log } from '../observe/log.js'
+import { Counters } from '../observe/metrics.js'
+import { MetricsServer } from '../observe/metrics-server.js'
+import type { Responder, Traffic } from '../peer/connection.js'
+import { PeerPool } from '../peer/pool.js'
+import { PeerServer } from '../peer/server.js'
+import type { Daemon } from '../run-daemon.js'
+import type { Settings } from '../settings/settings.js'
+import { LoadFollower } from './load-follower.js'
+import type { RoutingPlatform } from './ports.js'
+import { PublishedFeed } from './published-feed.js'
+import { ReadinessServer } from './readiness-server.js'
+import { placeOf } from './regions.js'
+import { RouteFront } from './route-front.js'
+import { RoutedRequest, type RoutedRequestParts } from './routed-request.js'
+import { ServiceUnits } from './service-units.js'
+
+/**
+ * New connections still come after a stop is ordered, until the balancer has asked twice without a good answer, once a
+ * second; half a second is added for its second question. In milliseconds.
+ */
+const LISTEN_AFTER_STOP = 2_500
+/** What is left of the patience for closing down once requests have been waited for, in milliseconds. */
+const CLOSING_TIME = 500
+/**
+ * Before the bound of a new version, requests already go only to endpoints that have it: a request that was sent begins
+ * later, behind others. In milliseconds; a few times the wait that a sound engine has.
+ */
+const VERSION_MARGIN = 700
+
+/** A route entry process. */
+export class RouteEntry implements Daemon {
+  private readonly _counters = new Counters()
+  private readonly _histograms = new Histograms()
+  private readonly _traffic: Traffic = { sent: 0, received: 0 }
+  private readonly _pool: PeerPool
+  private readonly _server: PeerServer
+  private readonly _feed: PublishedFeed
+  private readonly _follower: LoadFollower
+  private readonly _units: ServiceUnits
+  private readonly _front: RouteFront
+  private readonly _readiness: ReadinessServer
+  private readonly _metrics: MetricsServer | undefined
+  private _table: RouteTable | undefined
+  private _ready = false
+  private _leaving = false
+
+  constructor (private readonly _settings: Settings, private readonly _log: Log, platform: RoutingPlatform) {
+    const text = (section: string, key: string): string => _settings.text(section, key)
+    const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
+    this._pool = new PeerPool(self, this._traffic)
+    this._units = new ServiceUnits(placeOf(_settings), _settings.number('requests', 'retry-ratio'), _settings.number('peers', 'agent-port'))
+    this._feed = new PublishedFeed({
+      store: platform.store,
+      pool: this._pool,
+      log: _log,
+      counters: this._counters,
+      scopes: ['operator', 'endpoints'],
+      watchWait: _settings.number('platform', 'watch-seconds') * 1000,
+      peers: () => this._peers(),
+      onChanges: changes => this._apply(changes)
+    })
+    this._follower = new LoadFollower({ pool: this._pool, log: _log, onLoad: (agent, load) => this._units.heard(agent, load, performance.now()) })
+    const requestParts = this._requestParts(platform)
+    this._front = new RouteFront({
+      address: text('process', 'http-address'),
+      dialect: platform.dialect,
+      table: () => this._table,
+      begin: (request, answer) => new RoutedRequest(requestParts, request, answer),
+      log: _log,
+      counters: this._counters
+    })
+    this._readiness = new ReadinessServer(text('process', 'readiness-address'), platform.dialect.readinessPath, () => this._ready && !this._leaving)
+    this._server = new PeerServer({
+      ...self, address: text('process', 'address'), log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
+    })
+    const metricsAddress = text('process', 'metrics-address')
+    this._metrics = metricsAddress === '' ? undefined : new MetricsServer(metricsAddress, this._counters, this._histograms)
+  }
+
+  /** Listens, and begins to read what is published. */
+  async start (): Promise<void> {
+    this._feed.start()
+    await Promise.all([this._server.listen(), this._front.listen(), this._readiness.listen(), this._metrics?.listen()])
+    this._log.info('entry-started', { zone: this._settings.text('process', 'availability-zone') })
+  }
+
+  /** Takes nothing new once the balancer knows, lets requests in progress end, then stops. */
+  async stop (): Promise<number> {
+    const patience = this._settings.number('process', 'stop-patience-seconds') * 1000 - CLOSING_TIME
+    const until = performance.now() + patience
+    this._leaving = true
+    this._front.leave()
+    this._log.info('entry-stopping', { requests: this._front.inProgress, patience })
+    await pause(Math.min(LISTEN_AFTER_STOP, patience))
+    this._front.stopListening()
+    await Promise.race([this._front.idle(), pause(Math.max(0, until - performance.now()))])
+    const cut = this._front.inProgress
+    this._close()
+    this._log.info('entry-stopped', { cut })
+    return cut
+  }
+
+  private _close (): void {
+    this._front.close()
+    this._readiness.close()
+    this._feed.close()
+    this._follower.close()
+    this._server.close()
+    this._pool.close()
+    this._metrics?.close()
+  }
+
+  private _requestParts (platform: RoutingPlatform): RoutedRequestParts {
+    return {
+      dialect: platform.dialect,
+      unit: service => this._units.get(service),
+      leastVersion: model => this._leastVersion(model),
+      draw: Math.random,
+      log: this._log,
+      counters: this._counters,
+      histograms: this._histograms
+    }
+  }
+
+  /** Until shortly before the bound any version may begin a request; then only the wanted one. */
+  private _leastVersion (model: string): number {
+    const wanted = this._feed.state.wanted(model)
+    if (wanted === undefined) return 0
+    const bound = this._settings.number('platform', 'version-bound-milliseconds') - VERSION_MARGIN
+    const due = wanted.heardAt === undefined || performance.now() - wanted.heardAt >= bound
+    return due ? wanted.version : 0
+  }
+
+  private _peers (): string[] {
+    const own = this._settings.text('process', 'address')
+    const seeds = this._settings.list('peers', 'seeds').filter(seed => seed !== own)
+    return [...seeds, ...this._units.agents]
+  }
+
+  private _apply (changes: readonly PublishedChange[]): void {
+    const { state } = this._feed
+    if (changes.some(({ type }) => type === 'configuration') && state.configuration !== undefined) this._adopt(state.configuration)
+    for (const change of changes) this._logChange(change)
+    this._units.apply(state)
+    this._follower.follow(this._units.agents)
+    if (!this._ready && state.complete) {
+      this._ready = true
+      this._log.info('entry-ready', { configuration: state.configuration?.version, endpoints: state.endpoints().length })
+    }
+  }
+
+  private _adopt (configuration: RouteTable['configuration']): void {
+    this._table = new RouteTable(configuration)
+    this._front.applyLimits(this._table)
+    this._log.info('configuration-adopted', {
+      version: configuration.version, revision: this._feed.state.configurationRevision, routes: configuration.routes.length, organisations: configuration.organisations.length
+    })
+  }
+
+  private _logChange (change: PublishedChange): void {
+    if (change.type === 'wanted-version') this._log.info('version-wanted', { model: change.wanted.model, version: change.wanted.version, revision: change.revision })
+    if (change.type === 'endpoint-gone') this._log.info('endpoint-gone', { endpoint: change.id, revision: change.revision })
+    if (change.type !== 'endpoint') return
+    const { id, service, address, availabilityZone, draining } = change.record
+    this._log.info('endpoint-listed', { endpoint: id, service, address, zone: availabilityZone, draining, revision: change.revision })
+  }
+
+  private _answer (request: PeerRequest, responder: Responder): void {
+    if (request.type === 'news') responder.send({ type: 'news', delta: this._feed.state.since(request.note) })
+    else responder.send({ type: 'refused', reason: 'not-supported', detail: 'a route entry does not answer this' })
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -0,0 +1,323 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * One caller's request on its way: attempts at endpoints, what follows each, and the one final answer.
+ */
+import type { IncomingMessage } from 'node:http'
+import {
+  AttemptCourse, decideStart, EventSplitter, requestFailure, targetOf, type AttemptEnd, type Choice, type OrganisationDescription, type RequestFailure, type Route
+} from '@drumdrift/core'
+import type { Histograms } from '../observe/histograms.js'
+import type { Log } from '../observe/log.js'
+import type { Counters } from '../observe/metrics.js'
+import type { CallerAnswer } from './caller-answer.js'
+import { EndpointCall, type EndpointCallEnd } from './endpoint-call.js'
+import type { CallerHead, Dialect, EndpointHead } from './ports.js'
+import type { ServiceUnit } from './service-units.js'
+
+/** What requests work with. */
+export interface RoutedRequestParts {
+  readonly dialect: Dialect
+  readonly unit: (service: string) => ServiceUnit | undefined
+  /** The least version of a model that may begin a request now; 0 for any. */
+  readonly leastVersion: (model: string) => number
+  readonly draw: () => number
+  readonly log: Log
+  readonly counters: Counters
+  readonly histograms: Histograms
+}
+
+/** A request as it was read. */
+export interface ReadRequest {
+  readonly head: CallerHead
+  readonly method: string
+  /** With the query. */
+  readonly path: string
+  readonly body: Buffer
+  readonly receivedAt: number
+  readonly route: Route
+  readonly organisation: OrganisationDescription | undefined
+  readonly configurationVersion: number
+}
+
+type AnswerHead = Extract<EndpointHead, { type: 'answer' }>
+
+/** One attempt under way. */
+interface Attempt {
+  readonly choice: Choice
+  readonly call: EndpointCall
+  readonly sentAt: number
+  readonly number: number
+  head: AnswerHead | undefined
+  stalled: boolean
+  pieces: Buffer[]
+}
+
+/**
+ * An endpoint answers by itself at the deadline that it was given; its answer gets this time to arrive before the system
+ * gives its own, in milliseconds. Under the quarter of a second that holding a request past its time-out may take.
+ */
+const DEADLINE_GRACE = 80
+/** Before a caller that met no endpoint comes back, in milliseconds: the pace at which endpoint lists change. */
+const RETRY_WITHOUT_ENDPOINT = 500
+/** Before a caller comes back whose request an endpoint refused, in milliseconds. */
+const RETRY_AFTER_REFUSAL = 300
+/** A stream without a first event for this many times what was expected, and at least the time below, goes elsewhere. */
+const STALL_FACTOR = 4
+const LEAST_STALL = 900
+/** A stream that pauses longer goes on elsewhere: a few times the longest pause of a sound engine, in milliseconds. */
+const GAP_STALL = 800
+/** Failures of endpoints from this status on. */
+const LEAST_FAILURE_STATUS = 500
+
+/** A request from its acceptance to its final answer. */
+export class RoutedRequest {
+  private readonly _course: AttemptCourse
+  private readonly _tried = new Set<string>()
+  private readonly _deadline: number
+  private readonly _finalTimer: NodeJS.Timeout
+  private _splitter = new EventSplitter()
+  private _attempt: Attempt | undefined
+  private _attempts = 0
+  private _stallTimer: NodeJS.Timeout | undefined
+  private _lastEventId: string | undefined
+  private _firstEventAt: number | undefined
+  private _unit: ServiceUnit | undefined
+  private _over = false
+  private _onOver: () => void = () => {}
+  /** Resolves when the final answer has been given. */
+  readonly done = new Promise<void>(resolve => { this._onOver = resolve })
+
+  constructor (private readonly _parts: RoutedRequestParts, private readonly _request: ReadRequest, private readonly _answer: CallerAnswer) {
+    const { head, route, receivedAt } = _request
+    this._course = new AttemptCourse(route)
+    this._lastEventId = head.lastEventId
+    this._deadline = receivedAt + Math.min(route.timeout, head.patience ?? route.timeout)
+    this._finalTimer = setTimeout(() => this._timeUp(), this._deadline + DEADLINE_GRACE - performance.now())
+    _answer.onGone(() => this._callerGone())
+  }
+
+  /** Makes the first attempt, or refuses. */
+  start (): void {
+    const { route, head } = this._request
+    this._unit = this._parts.unit(targetOf(route, this._parts.draw()))
+    this._unit?.budget.attempted()
+    const now = performance.now()
+    const choice = this._choose(now)
+    if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`, RETRY_WITHOUT_ENDPOINT)
+    const decision = decideStart({ expected: choice.expected, objective: route.objective, patience: head.patience ?? route.timeout })
+    if (decision.type === 'refuse') return this._refuse('overloaded', `an answer is expected in ${Math.round(choice.expected)} ms only`, decision.retryAfter)
+    this._send(choice, now)
+  }
+
+  private _choose (now: number): Choice | undefined {
+    const { head } = this._request
+    const unit = this._unit
+    if (unit === undefined) return undefined
+    return unit.chooser.choose(unit.description, {
+      promptTokens: head.promptTokens, model: head.model, leastVersion: this._parts.leastVersion(head.model), tried: this._tried
+    }, now)
+  }
+
+  private _send (choice: Choice, now: number): void {
+    const { head, method, path, body, organisation, route } = this._request
+    const { record } = choice
+    this._attempts += 1
+    this._tried.add(record.id)
+    this._splitter = new EventSplitter()
+    const remaining = Math.max(1, Math.floor(this._deadline - now))
+    const terms = { endpoint: record, remaining, organisation: organisation?.name, version: choice.version, resumeAfter: this._lastEventId }
+    const headers = this._parts.dialect.writeRequest(head, terms, body.length)
+    const number = this._attempts
+    const call = new EndpointCall({ address: record.address, method, path, headers, body }, {
+      readHead: response => this._readHead(response),
+      head: answerHead => this._onHead(number, answerHead),
+      data: bytes => this._onData(number, bytes)
+    })
+    this._attempt = { choice, call, sentAt: now, number, head: undefined, stalled: false, pieces: [] }
+    this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
+    this._parts.counters.add('attempts')
+    this._parts.log.request('request-sent', {
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), candidates: choice.candidates, remaining, resume_after: this._lastEventId
+    })
+    if (route.kind === 'streaming') this._watchForStall(Math.max(LEAST_STALL, STALL_FACTOR * choice.expected))
+    call.ended.then(end => this._ended(number, end))
+  }
+
+  private _readHead (response: IncomingMessage): EndpointHead {
+    return this._parts.dialect.readEndpoint(this._request.head.id, response.statusCode ?? 0, response.headers, response.rawHeaders)
+  }
+
+  private _onHead (number: number, head: AnswerHead): void {
+    const attempt = this._current(number)
+    if (attempt !== undefined) attempt.head = head
+  }
+
+  private _onData (number: number, bytes: Buffer): void {
+    const attempt = this._current(number)
+    if (attempt?.head === undefined) return
+    if (!this._streams(attempt.head)) {
+      attempt.pieces.push(bytes)
+      return
+    }
+    const events = this._splitter.push(bytes)
+    if (events === undefined) return
+    this._watchForStall(GAP_STALL)
+    this._noteFirstEvent(attempt)
+    this._answer.head(attempt.head)
+    this._answer.data(events.bytes)
+    this._course.begun()
+    this._lastEventId = events.lastId ?? this._lastEventId
+  }
+
+  private _streams (head: AnswerHead): boolean {
+    return head.eventStream && head.status < LEAST_FAILURE_STATUS
+  }
+
+  private _noteFirstEvent (attempt: Attempt): void {
+    const now = performance.now()
+    const { head, receivedAt } = this._request
+    this._unit?.chooser.load(attempt.choice.record.id).begun(head.id, attempt.choice.expected, now)
+    if (this._firstEventAt !== undefined) return
+    this._firstEventAt = now
+    this._record('first-token', now - receivedAt)
+  }
+
+  /** Only requests that may go elsewhere are watched. */
+  private _watchForStall (milliseconds: number): void {
+    clearTimeout(this._stallTimer)
+    if (!this._course.repeatable) return
+    this._stallTimer = setTimeout(() => {
+      const attempt = this._attempt
+      if (attempt === undefined || this._attempts >= this._request.route.maxAttempts) return
+      attempt.stalled = true
+      attempt.call.stop()
+    }, milliseconds)
+  }
+
+  private _ended (number: number, end: EndpointCallEnd): void {
+    const attempt = this._current(number)
+    if (attempt === undefined) return
+    this._attempt = undefined
+    clearTimeout(this._stallTimer)
+    const now = performance.now()
+    const outcome = this._outcome(attempt, end)
+    this._tellChooser(attempt, outcome, now)
+    if (this._over) return
+    const step = this._course.ended(outcome, { timeLeft: this._deadline > now, spendRetry: () => this._unit?.budget.trySpend() ?? false })
+    this._parts.log.request('attempt-ended', {
+      id: this._request.head.id, attempt: number, endpoint: attempt.choice.record.id, outcome: outcome.type, reason: reasonOf(outcome), took: Math.round(now - attempt.sentAt), next: step.type
+    })
+    if (step.type === 'pass-on') return this._passOn(attempt)
+    if (step.type === 'give-up') return this._giveUp(outcome, step.outcome)
+    const choice = this._choose(now)
+    if (choice === undefined) return this._giveUp(outcome, this._course.mayHaveRun ? 'unknown' : 'not-run')
+    this._send(choice, now)
+  }
+
+  private _outcome (attempt: Attempt, end: EndpointCallEnd): AttemptEnd {
+    if (end.type === 'not-run') return end
+    if (attempt.stalled) return { type: 'stalled', detail: 'no event for too long' }
+    if (end.type === 'whole' && attempt.head !== undefined) {
+      const cutEvent = this._streams(attempt.head) && this._splitter.pending > 0
+      return cutEvent ? { type: 'cut', detail: 'the stream ended within an event' } : { type: 'answered', status: attempt.head.status }
+    }
+    const detail = end.type === 'broken' ? end.detail : end.type
+    return this._answer.begun ? { type: 'cut', detail } : { type: 'broken', detail }
+  }
+
+  private _tellChooser (attempt: Attempt, outcome: AttemptEnd, now: number): void {
+    const { chooser } = this._unit ?? {}
+    if (chooser === undefined) return
+    const { id } = attempt.choice.record
+    if (outcome.type === 'answered' && !attempt.head?.eventStream) chooser.load(id).plainTook(now - attempt.sentAt)
+    if (outcome.type === 'not-run') chooser.avoid(id, avoidanceOf(outcome.reason), now)
+    chooser.ended(id, this._request.head.id, this._over && outcome.type !== 'answered' ? 'unclear' : healthOf(outcome), now)
+  }
+
+  private _passOn (attempt: Attempt): void {
+    const { head } = attempt
+    if (head === undefined) return this._giveUp({ type: 'broken', detail: 'no head' }, 'unknown')
+    if (this._answer.begun) this._answer.end()
+    else this._answer.whole(head, Buffer.concat(attempt.pieces))
+    this._finish('answered', { status: head.status })
+  }
+
+  private _giveUp (end: AttemptEnd, outcome: RequestFailure['outcome']): void {
+    const detail = 'detail' in end ? end.detail : end.type
+    if (outcome === 'not-run') return this._refuse('overloaded', `endpoints refused it: ${reasonOf(end) ?? detail}`, RETRY_AFTER_REFUSAL)
+    this._fail(requestFailure(outcome === 'cut' ? 'answer-cut' : 'outcome-unknown', outcome, detail))
+  }
+
+  /** The time of the caller or of the route is over. */
+  private _timeUp (): void {
+    if (this._over) return
+    const ran = this._attempt !== undefined || this._course.mayHaveRun
+    this._fail(requestFailure(ran ? 'timed-out' : 'deadline-passed', ran ? 'unknown' : 'not-run', 'the time is over'))
+  }
+
+  private _refuse (code: 'overloaded' | 'no-endpoint', detail: string, retryAfter: number): void {
+    this._fail(requestFailure(code, 'not-run', detail, retryAfter))
+  }
+
+  private _fail (failure: RequestFailure): void {
+    if (this._over) return
+    this._answer.fail(this._parts.dialect.writeFailure(this._request.head.id, failure))
+    this._finish(failure.outcome === 'not-run' ? 'refused' : 'failed', { code: failure.code, detail: failure.detail, retry_after: failure.retryAfter })
+  }
+
+  private _callerGone (): void {
+    if (!this._over) this._finish('abandoned', {})
+  }
+
+  private _finish (result: 'answered' | 'refused' | 'failed' | 'abandoned', fields: Record<string, string | number>): void {
+    const { head, route, receivedAt, organisation, configurationVersion } = this._request
+    this._over = true
+    clearTimeout(this._finalTimer)
+    clearTimeout(this._stallTimer)
+    const took = performance.now() - receivedAt
+    this._parts.counters.add(`requests_${result}`)
+    this._record(result === 'refused' ? 'refusal' : 'whole-answer', took)
+    this._parts.log.request('request-ended', {
+      id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result, ...fields, took: Math.round(took), first: this._firstEventAt === undefined ? undefined : Math.round(this._firstEventAt - receivedAt), attempts: this._attempts
+    })
+    this._attempt?.call.stop()
+    this._onOver()
+  }
+
+  private _record (measure: 'first-token' | 'whole-answer' | 'refusal', milliseconds: number): void {
+    const { route, organisation } = this._request
+    this._parts.histograms.record({ measure, organisation: organisation?.name ?? 'none', requestClass: route.name }, milliseconds)
+  }
+
+  private _current (number: number): Attempt | undefined {
+    return this._attempt?.number === number ? this._attempt : undefined
+  }
+}
+
+type Health = 'good' | 'bad' | 'unclear'
+
+const healthOfOutcome: Record<AttemptEnd['type'], Health> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', cut: 'bad', stalled: 'bad' }
+
+function healthOf (outcome: AttemptEnd): Health {
+  if (outcome.type === 'answered' && outcome.status >= LEAST_FAILURE_STATUS) return 'bad'
+  if (outcome.type === 'not-run' && outcome.reason === 'not-connected') return 'bad'
+  return healthOfOutcome[outcome.type]
+}
+
+function avoidanceOf (reason: Extract<AttemptEnd, { type: 'not-run' }>['reason']): 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version' {
+  if (reason === 'not-connected') return 'unreachable'
+  return reason === 'wrong-instance' || reason === 'wrong-version' ? reason : 'refused'
+}
+
+function reasonOf (outcome: AttemptEnd): string | undefined {
+  if (outcome.type === 'answered') return String(outcome.status)
+  return outcome.type === 'not-run' ? outcome.reason : outcome.detail
+}
+
+function finite (milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -0,0 +1,56 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The services that one entry routes to, each with its endpoints and its retry budget, rebuilt from published state.
+ */
+import { EndpointChooser, RetryBudget, type LoadReport, type Place, type PublishedState, type ServiceDescription } from '@drumdrift/core'
+import { parseAddress } from '../settings/address.js'
+
+/** One service at one entry. */
+export interface ServiceUnit {
+  description: ServiceDescription
+  readonly chooser: EndpointChooser
+  readonly budget: RetryBudget
+}
+
+/** All services of one entry. */
+export class ServiceUnits {
+  private readonly _units = new Map<string, ServiceUnit>()
+  /** Endpoints by the address of the agent beside them. */
+  private readonly _byAgent = new Map<string, { readonly service: string, readonly id: string }>()
+
+  /**
+   * @param _retryRatio Load that retries may add, as a share of first attempts.
+   * @param _agentPort The port at which agents listen on their instances.
+   */
+  constructor (private readonly _place: Place, private readonly _retryRatio: number, private readonly _agentPort: number) {}
+
+  get (service: string): ServiceUnit | undefined { return this._units.get(service) }
+
+  /** Addresses of the agents beside engines of pools. */
+  get agents (): ReadonlySet<string> { return new Set(this._byAgent.keys()) }
+
+  /** Takes what is published. */
+  apply (state: PublishedState): void {
+    const endpoints = state.endpoints()
+    this._byAgent.clear()
+    for (const description of state.configuration?.services ?? []) {
+      const unit = this._units.get(description.name) ?? { description, chooser: new EndpointChooser(this._place), budget: new RetryBudget(this._retryRatio) }
+      unit.description = description
+      this._units.set(description.name, unit)
+      const records = endpoints.filter(({ service }) => service === description.name)
+      unit.chooser.setRecords(records)
+      if (description.pool === undefined) continue
+      for (const { address, id } of records) this._byAgent.set(`${parseAddress(address).host}:${this._agentPort}`, { service: description.name, id })
+    }
+  }
+
+  /** An agent told the load of the engine beside it. */
+  heard (agent: string, load: LoadReport, now: number): void {
+    const endpoint = this._byAgent.get(agent)
+    if (endpoint !== undefined) this._units.get(endpoint.service)?.chooser.heard(endpoint.id, load, now)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -0,0 +1,220 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The agent for platforms whose engines take numbered versions from a staging area: follows which version is wanted,
+ * brings its chunks from peers and the origin, and has the engine beside it switch.
+ */
+import {
+  defaultTransferPolicy, LinkPacer, type ChunkMember, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
+} from '@drumdrift/core'
+import { ChunkServer } from '../agent/chunk-server.js'
+import { ChunkStore } from '../agent/chunk-store.js'
+import { WeightsKeeper } from '../agent/weights-keeper.js'
+import { Histograms } from '../observe/histograms.js'
+import type { Log } from '../observe/log.js'
+import { Counters } from '../observe/metrics.js'
+import { MetricsServer } from '../observe/metrics-server.js'
+import type { ReadPacer, Responder, Traffic } from '../peer/connection.js'
+import { PeerPool } from '../peer/pool.js'
+import { PeerServer } from '../peer/server.js'
+import type { Daemon } from '../run-daemon.js'
+import { parseAddress } from '../settings/address.js'
+import type { Settings } from '../settings/settings.js'
+import { EngineSwitcher } from './engine-switcher.js'
+import { LoadPublisher } from './load-publisher.js'
+import { identityOf, type WeightsPlatform } from './ports.js'
+import { PublishedFeed } from './published-feed.js'
+
+const MEBIBYTE = 1024 * 1024
+const GIBIBYTE = 1024 * MEBIBYTE
+const BYTES_PER_MEGABIT = 125_000
+/** The version that engines start with when none has been named. */
+const FIRST_VERSION = 1
+/** Members that read each chunk from the origin. */
+const ORIGIN_COPIES = 1
+/** Until the pool's description is known, it is asked for this often, in milliseconds. */
+const POOL_PAUSE = 500
+
+/** A weights agent process. */
+export class WeightsAgent implements Daemon {
+  private readonly _counters = new Counters()
+  private readonly _histograms = new Histograms()
+  private readonly _traffic: Traffic = { sent: 0, received: 0 }
+  private readonly _self: ChunkMember
+  private readonly _service: string
+  private readonly _platform: WeightsPlatform
+  private readonly _pacer: LinkPacer
+  private readonly _pool: PeerPool
+  private readonly _server: PeerServer
+  private readonly _feed: PublishedFeed
+  private readonly _store: ChunkStore
+  private readonly _weights: WeightsKeeper
+  private readonly _chunks: ChunkServer
+  private readonly _switcher: EngineSwitcher
+  private readonly _publisher = new LoadPublisher()
+  private readonly _metrics: MetricsServer | undefined
+  private _members: readonly ChunkMember[] = []
+  private _poolDescription: PoolDescription | undefined
+  private _poolTimer: NodeJS.Timeout | undefined
+  private _recovering = false
+  private _recovered = false
+
+  /**
+   * @param connect Joins the agent to its platform; reads of weights are to keep to the pacer.
+   */
+  constructor (private readonly _settings: Settings, private readonly _log: Log, connect: (pacer: ReadPacer) => WeightsPlatform) {
+    const text = (section: string, key: string): string => _settings.text(section, key)
+    const address = text('process', 'address')
+    this._service = text('endpoint', 'name')
+    this._self = { instance: address, availabilityZone: text('process', 'availability-zone') }
+    const share = _settings.number('weights', 'link-percent') / 100
+    this._pacer = new LinkPacer(_settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT * share, performance.now())
+    const readPacer: ReadPacer = { received: bytes => this._pacer.received(bytes, performance.now()) }
+    this._platform = connect(readPacer)
+    const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
+    this._pool = new PeerPool(self, this._traffic, readPacer)
+    this._store = new ChunkStore(this._platform.engine, _settings.number('weights', 'memory-megabytes') * MEBIBYTE)
+    this._feed = this._newFeed()
+    this._weights = this._newWeights()
+    this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
+    this._switcher = this._newSwitcher()
+    this._server = new PeerServer({
+      ...self, address, log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
+    })
+    const metricsAddress = text('process', 'metrics-address')
+    this._metrics = metricsAddress === '' ? undefined : new MetricsServer(metricsAddress, this._counters, this._histograms)
+  }
+
+  /** Listens, learns what the engine has staged, and begins to follow what is wanted. */
+  async start (): Promise<void> {
+    await Promise.all([this._server.listen(), this._metrics?.listen()])
+    this._feed.start()
+    this._learnPool()
+    this._poolTimer = setInterval(() => { this._learnPool() }, POOL_PAUSE)
+    this._log.info('agent-started', { service: this._service })
+  }
+
+  /** Nothing of an agent needs time to end: the engine goes on by itself. */
+  async stop (): Promise<number> {
+    clearInterval(this._poolTimer)
+    this._feed.close()
+    this._weights.close()
+    this._chunks.close()
+    this._switcher.close()
+    this._server.close()
+    this._pool.close()
+    this._metrics?.close()
+    this._log.info('agent-stopped')
+    return 0
+  }
+
+  private _newFeed (): PublishedFeed {
+    return new PublishedFeed({
+      store: this._platform.store,
+      pool: this._pool,
+      log: this._log,
+      counters: this._counters,
+      scopes: ['versions', 'endpoints'],
+      watchWait: this._settings.number('platform', 'watch-seconds') * 1000,
+      peers: () => [...this._settings.list('peers', 'seeds'), ...this._members.map(({ instance }) => instance)].filter(address => address !== this._self.instance),
+      onChanges: () => this._apply()
+    })
+  }
+
+  private _newWeights (): WeightsKeeper {
+    return new WeightsKeeper({
+      self: this._self,
+      policy: { ...defaultTransferPolicy, window: this._settings.number('weights', 'window') },
+      largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
+      platform: this._platform.source,
+      pool: this._pool,
+      engine: this._platform.engine,
+      store: this._store,
+      log: this._log,
+      counters: this._counters,
+      members: () => this._members,
+      addressOf: instance => instance,
+      onWhole: () => {},
+      manifestMatches: this._platform.manifestMatches
+    })
+  }
+
+  private _newSwitcher (): EngineSwitcher {
+    return new EngineSwitcher({
+      self: this._self.instance,
+      engine: this._platform.engine,
+      pool: this._pool,
+      log: this._log,
+      counters: this._counters,
+      versionBound: this._settings.number('platform', 'version-bound-milliseconds'),
+      situation: () => {
+        const wanted = this._wanted()
+        const heardAt = wanted === undefined ? undefined : this._feed.state.wanted(wanted.model)?.heardAt
+        return { wanted, heardAt, whole: this._weights.wholeDigest, members: this._members }
+      },
+      confirmWhole: () => this._weights.confirmWhole(),
+      onLoad: load => this._publisher.publish(load, performance.now())
+    })
+  }
+
+  /** The configuration is large and changes often, so agents read it once and do not watch it. */
+  private async _learnPool (): Promise<void> {
+    if (this._poolDescription !== undefined) return
+    if (this._feed.state.configuration === undefined) await this._feed.readOnce('configuration')
+    this._apply()
+  }
+
+  /** What an earlier agent, or the platform, left staged need not be fetched again. */
+  private async _recover (model: string): Promise<void> {
+    if (this._recovering) return
+    this._recovering = true
+    this._platform.engine.useModel(model)
+    await this._store.recover()
+    this._recovered = true
+    this._log.info('staging-read', { model, staged: this._store.staged.size })
+    this._apply()
+  }
+
+  /** The version that this pool's model is to serve. */
+  private _wanted (): ModelVersion | undefined {
+    const model = this._poolDescription?.models[0]?.name
+    if (model === undefined || this._feed.state.note.versions === 0) return undefined
+    return { model, version: this._feed.state.wanted(model)?.version ?? FIRST_VERSION }
+  }
+
+  private _apply (): void {
+    const { configuration } = this._feed.state
+    this._poolDescription = configuration?.services.find(({ name }) => name === this._service)?.pool ?? this._poolDescription
+    if (configuration?.origin !== undefined) this._platform.source.setOrigin(configuration.origin.address)
+    const port = this._settings.number('peers', 'agent-port')
+    this._members = this._feed.state.endpoints().filter(({ service }) => service === this._service)
+      .map(({ address, availabilityZone }) => ({ instance: `${parseAddress(address).host}:${port}`, availabilityZone }))
+    const wanted = this._wanted()
+    if (wanted !== undefined) this._recover(wanted.model)
+    if (wanted !== undefined && this._recovered) this._weights.want(identityOf(wanted), ORIGIN_COPIES)
+  }
+
+  private _answer (request: PeerRequest, responder: Responder): void {
+    const handler = Object.hasOwn(this._handlers, request.type) ? this._handlers[request.type] : undefined
+    if (handler === undefined) responder.send({ type: 'refused', reason: 'not-supported', detail: 'a weights agent does not answer this' })
+    else handler(request as never, responder)
+  }
+
+  private readonly _handlers: { readonly [Type in PeerRequest['type']]?: (request: Extract<PeerRequest, { type: Type }>, responder: Responder) => void } = {
+    news: ({ note }, responder) => responder.send({ type: 'news', delta: this._feed.state.since(note) }),
+    chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
+    manifest: ({ digest, wait }, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
+    progress: ({ digest }, responder) => responder.send({ type: 'progress', progress: this._switcher.progress(String(digest)) }),
+    'follow-load': (_request, responder) => this._publisher.follow(responder)
+  }
+
+  private async _manifest (identity: string, wait: number, responder: Responder): Promise<void> {
+    const bytes = await this._weights.manifest(identity, wait)
+    const absent: PeerReply = { type: 'no-chunk', reason: 'not-held' }
+    if (bytes === undefined) responder.send(absent)
+    else responder.send({ type: 'manifest', digest: identity }, bytes)
+  }
+}
--- a/packages/node/src/lib/run-daemon.ts
+++ b/packages/node/src/lib/run-daemon.ts
@@ -10,19 +10,26 @@
 import { AgentProcess } from './agent/agent.js'
 import { EntryProcess } from './entry/entry.js'
 import { Log, type LogLevel } from './observe/log.js'
-import type { Role } from './settings/schema.js'
 import type { Settings } from './settings/settings.js'
 
 /** Exit code when an address cannot be listened on. */
 const EXIT_NOT_STARTED = 3
 
+/** The last lines get so long to be written before the process ends, in milliseconds. */
+const FLUSH_PATIENCE = 200
+
 /** A daemon as the runner sees it. */
-interface Daemon {
+export interface Daemon {
   start (): Promise<void>
+  /** Stops in order. Returns the number of requests that were cut off. */
   stop (): Promise<number>
 }
 
-const daemons: Record<Role, (settings: Settings, log: Log, stop: () => void) => Daemon> = {
+/** Makes a daemon from checked settings. The last argument lets the daemon ask to be stopped. */
+export type DaemonMaker = (settings: Settings, log: Log, stop: () => void) => Daemon
+
+/** The daemons that speak the product's own interface. */
+export const ownDaemons: Record<'entry' | 'agent', DaemonMaker> = {
   entry: (settings, log) => new EntryProcess(settings, log),
   agent: (settings, log, stop) => new AgentProcess(settings, log, stop)
 }
@@ -31,9 +38,9 @@
  * Runs a daemon until it is told to stop.
  *
  * @example
- * await runDaemon(readSettings('agent.ini', 'agent'))
+ * await runDaemon(readSettings('agent.ini', 'agent'), ownDaemons.agent)
  */
-export async function runDaemon (settings: Settings): Promise<void> {
+export async function runDaemon (settings: Settings, make: DaemonMaker): Promise<void> {
   const { role } = settings
   const log = new Log(settings.text('process', 'log-level') as LogLevel, { role, instance: settings.text('process', 'instance') })
   process.on('uncaughtException', error => log.error('fault', { detail: error.message, at: error.stack?.split('\n')[1]?.trim() }))
@@ -42,13 +49,17 @@
   const stop = (): void => {
     if (stopping) return
     stopping = true
-    daemon.stop().then(cut => process.exit(cut > 0 ? 1 : 0))
+    daemon.stop().then(async cut => {
+      await log.flush(FLUSH_PATIENCE)
+      process.exit(cut > 0 ? 1 : 0)
+    })
   }
-  const daemon = daemons[role](settings, log, stop)
+  const daemon = make(settings, log, stop)
   try {
     await daemon.start()
   } catch (error) {
     log.error('start-failed', { detail: error instanceof Error ? error.message : 'unknown error' })
+    await log.flush(FLUSH_PATIENCE)
     process.exit(EXIT_NOT_STARTED)
   }
   process.on('SIGTERM', stop)
