--- a/packages/node/src/lib/agent/digest.ts
+++ b/packages/node/src/lib/agent/digest.ts
@@ -10,6 +10,11 @@
 import { createHash } from 'node:crypto'
 import { setImmediate as nextTurn } from 'node:timers/promises'
 
+/** How chunks are named: the product's own way, or that of a platform which publishes other digests. */
+export type ChunkDigest = 'blake2b' | 'sha256'
+
+const algorithms: Record<ChunkDigest, string> = { blake2b: 'blake2b512', sha256: 'sha256' }
+
 /** Bytes hashed in one turn: about half a millisecond. */
 const SLICE = 256 * 1024
 const DIGEST_CHARACTERS = 64
@@ -20,8 +25,8 @@
  * @example
  * const digest = await digestOf(chunk)
  */
-export async function digestOf (bytes: Buffer): Promise<string> {
-  const hash = createHash('blake2b512')
+export async function digestOf (bytes: Buffer, kind: ChunkDigest = 'blake2b'): Promise<string> {
+  const hash = createHash(algorithms[kind])
   for (let start = 0; start < bytes.length; start += SLICE) {
     if (start > 0) await nextTurn()
     hash.update(bytes.subarray(start, start + SLICE))
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -19,7 +19,7 @@
 import { Arrivals } from './arrivals.js'
 import { fetchChunk, type PeerChunk } from './chunk-fetch.js'
 import type { ChunkStore } from './chunk-store.js'
-import { digestOf, digestOfText } from './digest.js'
+import { digestOf, digestOfText, type ChunkDigest } from './digest.js'
 import type { ChunkStaging } from './engine-client.js'
 
 type Fetch = Extract<TransferEffect, { type: 'fetch' }>
@@ -39,6 +39,8 @@
   readonly members: () => readonly ChunkMember[]
   readonly addressOf: (instance: string) => string | undefined
   readonly onWhole: (manifestDigest: string) => void
+  /** How manifests name chunks; the product's own way by default. */
+  readonly chunkDigest?: ChunkDigest
   /**
    * Whether bytes are the manifest of that identity. By default the identity is their digest; a platform that numbers
    * its versions cannot know the digest beforehand.
@@ -270,7 +272,7 @@
     this._connections.delete(effect.attempt)
     if (!this._fetches.delete(effect.attempt) || transfer !== this._transfer) return
     const now = performance.now()
-    if (problem !== undefined) this._parts.log.debug('chunk-failed', { problem, source: nameOf(effect) })
+    if (problem !== undefined) this._parts.log.debug('chunk-failed', { problem, source: nameOf(effect), chunk: effect.index, attempt: effect.attempt })
     this._carryOut(problem === undefined ? transfer.arrived(effect.attempt, now) : transfer.failed(effect.attempt, problem, now))
   }
 
@@ -278,10 +280,10 @@
   private async _fetchVerified (effect: Fetch, signal: AbortSignal): Promise<'corrupt' | 'unreachable' | 'not-yet' | 'not-held' | 'timed-out' | undefined> {
     const fetched = await this._bytes(effect, signal)
     if (typeof fetched === 'string') return fetched
-    const sound = fetched.length === effect.bytes && await digestOf(fetched) === effect.digest
+    const sound = fetched.length === effect.bytes && await digestOf(fetched, this._parts.chunkDigest) === effect.digest
     if (!sound) {
       this._parts.counters.add('chunks_corrupt')
-      this._parts.log.warn('chunk-corrupt', { source: nameOf(effect), bytes: fetched.length })
+      this._parts.log.warn('chunk-corrupt', { source: nameOf(effect), chunk: effect.index, bytes: fetched.length })
       return 'corrupt'
     }
     if (signal.aborted) return 'timed-out'
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -9,6 +9,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { DocumentFailure, EndpointRecord, ModelVersion, NotRunReason, OrderResult, PublishedChange, PublishedTopic, RequestFailure } from '@drumdrift/core'
+import type { ChunkDigest } from '../agent/digest.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { WeightsSource } from '../platform/platform-client.js'
 
@@ -141,6 +142,8 @@
   readonly engine: LoadableEngine
   /** The origin at an address; it may change with the configuration. */
   readonly source: WeightsSource & { setOrigin (address: string): void }
+  /** How manifests name chunks. */
+  readonly chunkDigest: ChunkDigest
   /** Whether bytes are the manifest of a version. */
   readonly manifestMatches: (identity: string, bytes: Buffer) => boolean
 }
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -7,6 +7,7 @@
  * The agent for platforms whose engines take numbered versions from a staging area: follows which version is wanted,
  * brings its chunks from peers and the origin, and has the engine beside it switch.
  */
+import { setTimeout as pause } from 'node:timers/promises'
 import {
   defaultTransferPolicy, LinkPacer, type ChunkMember, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
@@ -38,6 +39,9 @@
 /** Until the pool's description is known, it is asked for this often, in milliseconds. */
 const POOL_PAUSE = 500
 
+/** An engine that is not up yet is asked again after this, in milliseconds. */
+const ENGINE_PAUSE = 100
+
 /** A weights agent process. */
 export class WeightsAgent implements Daemon {
   private readonly _counters = new Counters()
@@ -127,7 +131,7 @@
   private _newWeights (): WeightsKeeper {
     return new WeightsKeeper({
       self: this._self,
-      policy: { ...defaultTransferPolicy, window: this._settings.number('weights', 'window') },
+      policy: { ...defaultTransferPolicy, upstreams: ['origin'], window: this._settings.number('weights', 'window') },
       largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
       platform: this._platform.source,
       pool: this._pool,
@@ -138,6 +142,7 @@
       members: () => this._members,
       addressOf: instance => instance,
       onWhole: () => {},
+      chunkDigest: this._platform.chunkDigest,
       manifestMatches: this._platform.manifestMatches
     })
   }
@@ -172,6 +177,7 @@
     if (this._recovering) return
     this._recovering = true
     this._platform.engine.useModel(model)
+    while (await this._platform.engine.report() === undefined) await pause(ENGINE_PAUSE)
     await this._store.recover()
     this._recovered = true
     this._log.info('staging-read', { model, staged: this._store.staged.size })
