--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -85,6 +85,8 @@
   private _stallTimer: NodeJS.Timeout | undefined
   private _lastEventId: string | undefined
   private _firstEventAt: number | undefined
+  private _lastEventAt = 0
+  private _longestGap = 0
   private _unit: ServiceUnit | undefined
   private _over = false
   private _onOver: () => void = () => {}
@@ -166,7 +168,7 @@
     const events = this._splitter.push(bytes)
     if (events === undefined) return
     this._watchForStall(GAP_STALL)
-    this._noteFirstEvent(attempt)
+    this._noteEvents(attempt)
     this._answer.head(attempt.head)
     this._answer.data(events.bytes)
     this._course.begun()
@@ -177,8 +179,10 @@
     return head.eventStream && head.status < LEAST_FAILURE_STATUS
   }
 
-  private _noteFirstEvent (attempt: Attempt): void {
+  private _noteEvents (attempt: Attempt): void {
     const now = performance.now()
+    if (this._firstEventAt !== undefined) this._longestGap = Math.max(this._longestGap, now - this._lastEventAt)
+    this._lastEventAt = now
     const { head, receivedAt } = this._request
     this._unit?.chooser.load(attempt.choice.record.id).begun(head.id, attempt.choice.expected, now)
     if (this._firstEventAt !== undefined) return
@@ -282,7 +286,7 @@
     this._parts.counters.add(`requests_${result}`)
     this._record(result === 'refused' ? 'refusal' : 'whole-answer', took)
     this._parts.log.request('request-ended', {
-      id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result, ...fields, took: Math.round(took), first: this._firstEventAt === undefined ? undefined : Math.round(this._firstEventAt - receivedAt), attempts: this._attempts
+      id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result, ...fields, took: Math.round(took), first: this._firstEventAt === undefined ? undefined : Math.round(this._firstEventAt - receivedAt), objective: route.objective, gap: Math.round(this._longestGap), attempts: this._attempts
     })
     this._attempt?.call.stop()
     this._onOver()
