Each named version keeps its own bound; what has not begun by then is taken back

Change: all named versions are remembered with the time of their naming; a request that has not begun 200 ms before the bound is stopped, also on its last attempt. Left: requests whose way to the engine takes 1.5 s, because transfers fill its link; the transfers themselves take 14 s there.

--- a/packages/core/src/lib/routing/published-state.ts
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -73,11 +73,14 @@
 const LAPSE_GRACE = 2_500
 /** Removals kept to be told to peers. Beyond that, a peer that is further behind gets the whole list. */
 const MOST_REMOVALS = 512
+/** Versions remembered of one model: those whose bounds may still be running. */
+const MOST_NAMED = 8
 
 /** The published state of one process. */
 export class PublishedState {
   private _configuration: { readonly revision: number, readonly configuration: RoutingConfiguration } | undefined
-  private readonly _versions = new Map<string, WantedVersion>()
+  /** The versions named of each model, the newest last. */
+  private readonly _versions = new Map<string, WantedVersion[]>()
   private readonly _endpoints = new Map<string, HeldEndpoint>()
   /** The revision of each removal, the oldest first. */
   private readonly _removals = new Map<string, number>()
@@ -93,10 +96,31 @@
   /** How far each topic has been followed. */
   get note (): PublishedNote { return { ...this._seen } }
 
-  /** The wanted version of a model. */
-  wanted (model: string): WantedVersion | undefined { return this._versions.get(model) }
-  /** All wanted versions. */
-  wantedVersions (): WantedVersion[] { return [...this._versions.values()] }
+  /** The wanted version of a model: the newest that was named. */
+  wanted (model: string): WantedVersion | undefined { return this._versions.get(model)?.at(-1) }
+
+  /**
+   * When a version above the given one was first named, by this process's clock; nothing when none was, or when it was
+   * named before this process began to follow. A newer version may be named while engines still switch to this one, and
+   * each has a bound of its own.
+   */
+  firstNewerAt (model: string, version: number): number | undefined {
+    return this._versions.get(model)?.find(named => named.version > version)?.heardAt
+  }
+
+  /**
+   * The least version that may begin a request: the newest that was named longer ago than the bound.
+   *
+   * @param bound In milliseconds.
+   * @returns 0 when any version may.
+   * @example
+   * const least = state.dueVersion('drafting', 8_000, now)
+   */
+  dueVersion (model: string, bound: number, now: number): number {
+    const due = this._versions.get(model)?.filter(({ heardAt }) => heardAt === undefined || now - heardAt >= bound)
+    return due?.at(-1)?.version ?? 0
+  }
+
   /** Endpoints that are listed, those that drain included. */
   endpoints (): EndpointRecord[] { return [...this._endpoints.values()].map(({ record }) => record) }
 
@@ -154,7 +178,7 @@
     const changes: PublishedChange[] = []
     const held = this._configuration
     if (held !== undefined && held.revision > note.configuration) changes.push({ type: 'configuration', ...held })
-    for (const { revision, model, version } of this._versions.values()) {
+    for (const { revision, model, version } of this._newest()) {
       if (revision > note.versions) changes.push({ type: 'wanted-version', revision, wanted: { model, version } })
     }
     const from = whole.includes('endpoints') ? 0 : note.endpoints
@@ -184,10 +208,11 @@
       return true
     },
     'wanted-version': ({ revision, wanted }, now) => {
-      const held = this._versions.get(wanted.model)
-      if (held !== undefined && (revision <= held.revision || wanted.version <= held.version)) return false
+      const named = this._versions.get(wanted.model) ?? []
+      const newest = named.at(-1)
+      if (newest !== undefined && (revision <= newest.revision || wanted.version <= newest.version)) return false
       const heardAt = this._seen.versions === 0 ? undefined : now
-      this._versions.set(wanted.model, { ...wanted, revision, heardAt })
+      this._versions.set(wanted.model, [...named.slice(1 - MOST_NAMED), { ...wanted, revision, heardAt }])
       return true
     },
     endpoint: ({ revision, record }) => {
@@ -200,6 +225,10 @@
     'endpoint-gone': ({ revision, id }, now) => this._remove(id, revision, now)
   }
 
+  private _newest (): WantedVersion[] {
+    return [...this._versions.values()].flatMap(named => named.slice(-1))
+  }
+
   /** A peer that has nothing, or is behind the oldest removal that is kept, gets everything. */
   private _tellsWhole (topic: PublishedTopic, note: PublishedNote): boolean {
     return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._forgottenRemovals)
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -39,6 +39,11 @@
  * later, behind others. In milliseconds; a few times the wait that a sound engine has.
  */
 const VERSION_MARGIN = 700
+/**
+ * What has not begun on an old version so long before the bound is taken back and sent elsewhere: the news of its
+ * beginning, and the closing of its connection, each take a way over a busy link. In milliseconds.
+ */
+const BEGIN_MARGIN = 200
 
 /** A route entry process. */
 export class RouteEntry implements Daemon {
@@ -53,12 +58,14 @@
   private readonly _front: RouteFront
   private readonly _readiness: ReadinessServer
   private readonly _metrics: MetricsServer | undefined
+  private readonly _versionBound: number
   private _table: RouteTable | undefined
   private _ready = false
   private _leaving = false
 
   constructor (private readonly _settings: Settings, private readonly _log: Log, platform: RoutingPlatform) {
     const text = (section: string, key: string): string => _settings.text(section, key)
+    this._versionBound = _settings.number('platform', 'version-bound-milliseconds')
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic)
     this._units = new ServiceUnits(placeOf(_settings), _settings.number('requests', 'retry-ratio'), _settings.number('peers', 'agent-port'))
@@ -128,6 +135,7 @@
       dialect: platform.dialect,
       unit: service => this._units.get(service),
       leastVersion: model => this._leastVersion(model),
+      mustBeginBy: (model, version) => this._mustBeginBy(model, version),
       draw: Math.random,
       log: this._log,
       counters: this._counters,
@@ -137,11 +145,13 @@
 
   /** Until shortly before the bound any version may begin a request; then only the wanted one. */
   private _leastVersion (model: string): number {
-    const wanted = this._feed.state.wanted(model)
-    if (wanted === undefined) return 0
-    const bound = this._settings.number('platform', 'version-bound-milliseconds') - VERSION_MARGIN
-    const due = wanted.heardAt === undefined || performance.now() - wanted.heardAt >= bound
-    return due ? wanted.version : 0
+    return this._feed.state.dueVersion(model, this._versionBound - VERSION_MARGIN, performance.now())
+  }
+
+  /** When an endpoint of a version must have begun what it was sent; nothing for the newest version. */
+  private _mustBeginBy (model: string, version: number): number | undefined {
+    const namedAt = this._feed.state.firstNewerAt(model, version)
+    return namedAt === undefined ? undefined : namedAt + this._versionBound - BEGIN_MARGIN
   }
 
   private _peers (): string[] {
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -24,6 +24,8 @@
   readonly unit: (service: string) => ServiceUnit | undefined
   /** The least version of a model that may begin a request now; 0 for any. */
   readonly leastVersion: (model: string) => number
+  /** When an endpoint of a version must have begun what it was sent, by this process's clock; nothing for no bound. */
+  readonly mustBeginBy: (model: string, version: number) => number | undefined
   readonly draw: () => number
   readonly log: Log
   readonly counters: Counters
@@ -83,6 +85,7 @@
   private _attempt: Attempt | undefined
   private _attempts = 0
   private _stallTimer: NodeJS.Timeout | undefined
+  private _beginTimer: NodeJS.Timeout | undefined
   private _lastEventId: string | undefined
   private _firstEventAt: number | undefined
   private _lastEventAt = 0
@@ -146,6 +149,7 @@
       id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), candidates: choice.candidates, remaining, resume_after: this._lastEventId
     })
     if (route.kind === 'streaming') this._watchForStall(Math.max(LEAST_STALL, STALL_FACTOR * choice.expected))
+    this._watchBeginning(choice, now)
     call.ended.then(end => this._ended(number, end))
   }
 
@@ -167,6 +171,7 @@
     }
     const events = this._splitter.push(bytes)
     if (events === undefined) return
+    clearTimeout(this._beginTimer)
     this._watchForStall(GAP_STALL)
     this._noteEvents(attempt)
     this._answer.head(attempt.head)
@@ -190,15 +195,26 @@
     this._record('first-token', now - receivedAt)
   }
 
+  /** Takes a request back from an endpoint of an old version that has not begun it when it must no longer begin. */
+  private _watchBeginning (choice: Choice, now: number): void {
+    clearTimeout(this._beginTimer)
+    const beginBy = this._parts.mustBeginBy(this._request.head.model, choice.version)
+    if (beginBy === undefined) return
+    this._beginTimer = setTimeout(() => this._stopAttempt(), beginBy - now)
+  }
+
+  private _stopAttempt (): void {
+    if (this._attempt === undefined) return
+    this._attempt.stalled = true
+    this._attempt.call.stop()
+  }
+
   /** Only requests that may go elsewhere are watched. */
   private _watchForStall (milliseconds: number): void {
     clearTimeout(this._stallTimer)
     if (!this._course.repeatable) return
     this._stallTimer = setTimeout(() => {
-      const attempt = this._attempt
-      if (attempt === undefined || this._attempts >= this._request.route.maxAttempts) return
-      attempt.stalled = true
-      attempt.call.stop()
+      if (this._attempts < this._request.route.maxAttempts) this._stopAttempt()
     }, milliseconds)
   }
 
@@ -282,6 +298,7 @@
     this._over = true
     clearTimeout(this._finalTimer)
     clearTimeout(this._stallTimer)
+    clearTimeout(this._beginTimer)
     const took = performance.now() - receivedAt
     this._parts.counters.add(`requests_${result}`)
     this._record(result === 'refused' ? 'refusal' : 'whole-answer', took)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -157,7 +157,8 @@
       versionBound: this._settings.number('platform', 'version-bound-milliseconds'),
       situation: () => {
         const wanted = this._wanted()
-        const heardAt = wanted === undefined ? undefined : this._feed.state.wanted(wanted.model)?.heardAt
+        const served = wanted === undefined ? 0 : this._switcher.version(wanted.model)
+        const heardAt = wanted === undefined ? undefined : this._feed.state.firstNewerAt(wanted.model, served)
         return { wanted, heardAt, whole: this._weights.wholeDigest, members: this._members }
       },
       confirmWhole: () => this._weights.confirmWhole(),
