--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -68,6 +68,8 @@
   | { readonly type: 'news', readonly note: PublishedNote }
   /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
   | { readonly type: 'follow-load' }
+  /** Asks which chunks of a version the other side holds, now and as more come, as long as the connection lasts. */
+  | { readonly type: 'follow-chunks', readonly identity: string }
   | { readonly type: 'leave', readonly incarnation: string, readonly lifecycle: Lifecycle, readonly operator: string }
 
 /** What a process has cost its node since its start. */
@@ -120,6 +122,8 @@
   | { readonly type: 'left', readonly lifecycle: Lifecycle }
   | { readonly type: 'news', readonly delta: PublishedDelta }
   | { readonly type: 'load', readonly load: LoadReport }
+  /** Chunks that are newly held, by their index. */
+  | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[] }
   /** Parts of an answer, numbered from 0; the payload is the data. */
   | { readonly type: 'head', readonly head: AnswerHead }
   | { readonly type: 'part', readonly sequence: number, readonly events: number }
--- /dev/null
+++ b/packages/core/src/lib/routing/chunk-places.ts
@@ -0,0 +1,60 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Whose turn it is to bring a chunk into the fleet, and into an availability zone. Every process computes the same
+ * answer from the member list alone, so each chunk is read from the origin once and crosses to each zone once, and
+ * nobody coordinates.
+ */
+import type { ChunkMember } from '../chunk-tree.js'
+import { rendezvousOrder } from '../rendezvous.js'
+
+/** A member's turns for one chunk; 0 is first. */
+export interface ChunkTurn {
+  /** Among the members of its zone. */
+  readonly inZone: number
+  /** Of its zone among all zones. */
+  readonly ofZone: number
+  /** Among all members. */
+  readonly overall: number
+}
+
+/** The turns of one member over a member list. */
+export class ChunkPlaces {
+  private readonly _zoneCount: number
+  private readonly _zoneIndex: number
+  private readonly _zoneSize: number
+  private readonly _position: number
+
+  /**
+   * @param self Added to `members` when the list does not show it yet.
+   */
+  constructor (self: ChunkMember, members: readonly ChunkMember[]) {
+    const zones = new Map<string, Set<string>>([[self.availabilityZone, new Set([self.instance])]])
+    for (const { instance, availabilityZone } of members) {
+      if (instance === self.instance) continue
+      const zone = zones.get(availabilityZone) ?? new Set()
+      zones.set(availabilityZone, zone.add(instance))
+    }
+    const names = rendezvousOrder([...zones.keys()], 'zones')
+    const ring = rendezvousOrder([...zones.get(self.availabilityZone) ?? []], 'ring')
+    this._zoneCount = names.length
+    this._zoneIndex = names.indexOf(self.availabilityZone)
+    this._zoneSize = ring.length
+    this._position = ring.indexOf(self.instance)
+  }
+
+  /**
+   * The member's turns for a chunk. Zones and members rotate from chunk to chunk, so that all carry the same share.
+   *
+   * @example
+   * if (places.turn(7).overall === 0) readFromOrigin(7)
+   */
+  turn (chunk: number): ChunkTurn {
+    const ofZone = (this._zoneIndex + chunk) % this._zoneCount
+    const inZone = (this._position + Math.floor(chunk / this._zoneCount)) % this._zoneSize
+    return { inZone, ofZone, overall: ofZone + inZone * this._zoneCount }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -0,0 +1,288 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Brings the chunks of one version to one member by pulling: peers tell which chunks they hold, and the member asks for
+ * a few at a time, so that its link never queues more than those. A chunk is read from the origin by the member whose
+ * turn it is, and crosses into a zone by the one whose turn that is; others step in when that takes too long.
+ */
+import type { ChunkMember } from '../chunk-tree.js'
+import type { Manifest } from '../documents.js'
+import type { FetchProblem, TransferCourse, TransferEffect } from '../transfer.js'
+import { ChunkPlaces } from './chunk-places.js'
+
+/** Bounds of a swarm; times in milliseconds. */
+export interface SwarmPolicy {
+  /** Chunks asked of peers at once. */
+  readonly peerWindow: number
+  /** Chunks asked of the origin at once. */
+  readonly originWindow: number
+  /** A peer that has not delivered a chunk after this is passed over. */
+  readonly peerTimeout: number
+  readonly originTimeout: number
+  /** Added wait, for each turn, before a member steps in for the one whose turn it is to read from the origin. */
+  readonly originStagger: number
+  /** The same for the way into a zone. */
+  readonly zoneStagger: number
+}
+
+/**
+ * The policy that daemons use. Windows: two chunks under way keep a link busy while the next request travels, and queue
+ * no longer than two chunks take. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
+ * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. Staggers: several times what a sound member
+ * needs for its chunks.
+ */
+export const defaultSwarmPolicy: SwarmPolicy = {
+  peerWindow: 3, originWindow: 2, peerTimeout: 900, originTimeout: 2_500, originStagger: 700, zoneStagger: 500
+}
+
+interface Peer {
+  readonly availabilityZone: string
+  readonly held: Set<number>
+  outstanding: number
+  failures: number
+  avoidUntil: number
+  /** The time that its chunks take, smoothed. */
+  took: number
+}
+
+interface Pull {
+  readonly index: number
+  /** Nothing for the origin. */
+  readonly peer: string | undefined
+  readonly startedAt: number
+  readonly deadline: number
+}
+
+/** Before the origin is asked again for a chunk that it failed to give, in milliseconds. */
+const ORIGIN_RETRY = 150
+/** A peer that failed is passed over for so long, doubling, up to the longest. In milliseconds. */
+const FIRST_AVOIDANCE = 300
+const LONGEST_AVOIDANCE = 4_000
+const TOOK_SMOOTHING = 0.3
+/** A pull that takes so many times the usual is asked of a second peer too, near the end of a transfer. */
+const HEDGE_FACTOR = 3
+/** Chunks missing at the end of a transfer for which hedging pays. */
+const HEDGE_MISSING = 8
+
+/** The transfer of one version to one member. */
+export class ChunkSwarm implements TransferCourse {
+  private readonly _missing = new Set<number>()
+  private readonly _peers = new Map<string, Peer>()
+  private readonly _pulls = new Map<number, Pull>()
+  private readonly _originRetryAt = new Map<number, number>()
+  /** When each chunk was first seen at a peer of another zone. */
+  private readonly _seenAbroadAt = new Map<number, number>()
+  private _places: ChunkPlaces
+  private _nextAttempt = 1
+  private _startedAt: number | undefined
+  private _whole = false
+
+  /**
+   * @param held Digests that are held already.
+   * @param _draw Random numbers in [0, 1), to spread members over chunks and peers.
+   */
+  constructor (
+    private readonly _self: ChunkMember,
+    members: readonly ChunkMember[],
+    private readonly _identity: string,
+    private readonly _manifest: Manifest,
+    held: ReadonlySet<string>,
+    private readonly _draw: () => number,
+    private readonly _policy: SwarmPolicy = defaultSwarmPolicy
+  ) {
+    this._places = new ChunkPlaces(_self, members)
+    this.setMembers(members)
+    _manifest.chunks.forEach(({ digest }, index) => { if (!held.has(digest)) this._missing.add(index) })
+  }
+
+  /** The share of chunks that are held, 0 to 1. */
+  get progress (): number { return 1 - this._missing.size / this._manifest.chunks.length }
+
+  /** Takes a new member list. */
+  setMembers (members: readonly ChunkMember[]): void {
+    this._places = new ChunkPlaces(this._self, members)
+    for (const { instance, availabilityZone } of members) {
+      if (instance === this._self.instance || this._peers.has(instance)) continue
+      this._peers.set(instance, { availabilityZone, held: new Set(), outstanding: 0, failures: 0, avoidUntil: -Infinity, took: 0 })
+    }
+  }
+
+  /** A peer told that it holds chunks. */
+  peerHolds (instance: string, chunks: Iterable<number>): void {
+    const peer = this._peers.get(instance)
+    if (peer !== undefined) for (const chunk of chunks) peer.held.add(chunk)
+  }
+
+  /** A peer was lost: what it holds is unknown until it tells again. */
+  peerLost (instance: string): void { this._peers.get(instance)?.held.clear() }
+
+  /**
+   * Asks for what can be asked for, and times out what takes too long. Call it after each event and now and then.
+   *
+   * @example
+   * for (const effect of swarm.tick(now)) carryOut(effect)
+   */
+  tick (now: number): TransferEffect[] {
+    if (this._whole) return []
+    this._startedAt ??= now
+    if (this._missing.size === 0) {
+      this._whole = true
+      return [{ type: 'whole', manifestDigest: this._identity }]
+    }
+    const effects = this._expire(now)
+    for (const index of this._order()) {
+      if (!this._hasRoom()) break
+      const effect = this._start(index, now)
+      if (effect !== undefined) effects.push(effect)
+    }
+    return effects
+  }
+
+  /** A verified chunk has been kept. */
+  arrived (attempt: number, now: number): TransferEffect[] {
+    const pull = this._end(attempt)
+    if (pull === undefined) return []
+    this._missing.delete(pull.index)
+    const peer = pull.peer === undefined ? undefined : this._peers.get(pull.peer)
+    if (peer !== undefined) {
+      peer.failures = 0
+      peer.took += TOOK_SMOOTHING * (now - pull.startedAt - peer.took)
+    }
+    const others = [...this._pulls].filter(([, other]) => other.index === pull.index)
+    for (const [other] of others) this._end(other)
+    return [...others.map(([other]) => ({ type: 'abandon', attempt: other }) as const), ...this.tick(now)]
+  }
+
+  /** Signs of life do not matter here: a pull is small, and has its time. */
+  coming (): void {}
+
+  /** An attempt gave nothing. */
+  failed (attempt: number, problem: FetchProblem, now: number): TransferEffect[] {
+    const pull = this._end(attempt)
+    if (pull === undefined) return []
+    this._note(pull, problem, now)
+    return this.tick(now)
+  }
+
+  /** Ends the transfer, for a version that is no longer wanted. */
+  cancel (): TransferEffect[] {
+    const effects = [...this._pulls.keys()].map(attempt => ({ type: 'abandon', attempt }) as const)
+    this._pulls.clear()
+    this._missing.clear()
+    this._whole = true
+    return effects
+  }
+
+  /** Missing chunks from a random place on, so that members of a zone ask for different ones. */
+  private _order (): number[] {
+    const missing = [...this._missing]
+    const start = Math.floor(this._draw() * missing.length)
+    return [...missing.slice(start), ...missing.slice(0, start)]
+  }
+
+  private _hasRoom (): boolean {
+    return this._pulls.size < this._policy.peerWindow + this._policy.originWindow
+  }
+
+  private _start (index: number, now: number): TransferEffect | undefined {
+    const flying = [...this._pulls.values()].filter(pull => pull.index === index)
+    if (flying.length > 0) return this._hedge(index, flying, now)
+    const peer = this._peerFor(index, now)
+    if (peer !== undefined) return this._count(false) < this._policy.peerWindow ? this._pull(index, peer, now) : undefined
+    return this._mayReadOrigin(index, now) ? this._pull(index, undefined, now) : undefined
+  }
+
+  /** Near the end, one slow source must not hold up the whole version. */
+  private _hedge (index: number, flying: readonly Pull[], now: number): TransferEffect | undefined {
+    const [first] = flying
+    if (flying.length > 1 || first?.peer === undefined || this._missing.size > HEDGE_MISSING) return undefined
+    const usual = this._usualTook()
+    if (usual === 0 || now - first.startedAt < HEDGE_FACTOR * usual) return undefined
+    const other = this._peerFor(index, now, first.peer)
+    return other === undefined ? undefined : this._pull(index, other, now)
+  }
+
+  private _usualTook (): number {
+    const known = [...this._peers.values()].map(({ took }) => took).filter(took => took > 0).sort((left, right) => left - right)
+    return known[Math.floor(known.length / 2)] ?? 0
+  }
+
+  /** The holder that is to be asked: of the own zone if there is one, else of another when this member may bring it in. */
+  private _peerFor (index: number, now: number, except = ''): string | undefined {
+    const holders = [...this._peers].filter(([name, peer]) => name !== except && peer.held.has(index) && now >= peer.avoidUntil)
+    const own = holders.filter(([, peer]) => peer.availabilityZone === this._self.availabilityZone)
+    if (own.length > 0) return this._leastBusy(own)
+    if (holders.length === 0) return undefined
+    const seenAt = this._seenAbroadAt.get(index) ?? now
+    this._seenAbroadAt.set(index, seenAt)
+    const { inZone } = this._places.turn(index)
+    return now - seenAt >= inZone * this._policy.zoneStagger ? this._leastBusy(holders) : undefined
+  }
+
+  private _leastBusy (holders: readonly (readonly [string, Peer])[]): string | undefined {
+    let best: { readonly name: string, readonly cost: number } | undefined
+    for (const [name, peer] of holders) {
+      const cost = (peer.outstanding + 1) * Math.max(1, peer.took) * (1 + this._draw())
+      if (best === undefined || cost < best.cost) best = { name, cost }
+    }
+    return best?.name
+  }
+
+  private _mayReadOrigin (index: number, now: number): boolean {
+    if (this._count(true) >= this._policy.originWindow || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
+    const { overall } = this._places.turn(index)
+    return now - (this._startedAt ?? now) >= overall * this._policy.originStagger
+  }
+
+  private _count (origin: boolean): number {
+    let count = 0
+    for (const { peer } of this._pulls.values()) if ((peer === undefined) === origin) count += 1
+    return count
+  }
+
+  private _pull (index: number, peer: string | undefined, now: number): TransferEffect {
+    const attempt = this._nextAttempt++
+    const timeout = peer === undefined ? this._policy.originTimeout : this._policy.peerTimeout
+    this._pulls.set(attempt, { index, peer, startedAt: now, deadline: now + timeout })
+    const known = peer === undefined ? undefined : this._peers.get(peer)
+    if (known !== undefined) known.outstanding += 1
+    const { digest = '', bytes = 0 } = this._manifest.chunks[index] ?? {}
+    const source = peer === undefined ? { kind: 'origin' } as const : { kind: 'peer', instance: peer } as const
+    return { type: 'fetch', attempt, index, digest, bytes, source, timeout }
+  }
+
+  private _end (attempt: number): Pull | undefined {
+    const pull = this._pulls.get(attempt)
+    if (pull === undefined) return undefined
+    this._pulls.delete(attempt)
+    const peer = pull.peer === undefined ? undefined : this._peers.get(pull.peer)
+    if (peer !== undefined) peer.outstanding -= 1
+    return pull
+  }
+
+  private _expire (now: number): TransferEffect[] {
+    const late = [...this._pulls].filter(([, pull]) => pull.deadline <= now)
+    return late.map(([attempt, pull]) => {
+      this._end(attempt)
+      this._note(pull, 'timed-out', now)
+      return { type: 'abandon', attempt } as const
+    })
+  }
+
+  private _note ({ index, peer: name }: Pull, problem: FetchProblem, now: number): void {
+    if (name === undefined) {
+      this._originRetryAt.set(index, now + ORIGIN_RETRY)
+      return
+    }
+    const peer = this._peers.get(name)
+    if (peer === undefined) return
+    // A piece may turn bad where it lies: its holder then says that it has none.
+    if (problem === 'not-held' || problem === 'corrupt') peer.held.delete(index)
+    if (problem === 'not-held') return
+    peer.avoidUntil = now + Math.min(LONGEST_AVOIDANCE, FIRST_AVOIDANCE * 2 ** peer.failures)
+    peer.failures += 1
+  }
+}
--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -93,8 +93,20 @@
 /** Second sources asked in one turn. */
 const MOST_HEDGES = 4
 
-/** The transfer of one version to one member. */
-export class Transfer {
+/** The transfer of one version to one member, as the shell drives it. */
+export interface TransferCourse {
+  /** The share of chunks that are held, 0 to 1. */
+  readonly progress: number
+  setMembers (members: readonly ChunkMember[]): void
+  tick (now: number): TransferEffect[]
+  arrived (attempt: number, now: number): TransferEffect[]
+  coming (attempt: number, now: number): void
+  failed (attempt: number, problem: FetchProblem, now: number): TransferEffect[]
+  cancel (): TransferEffect[]
+}
+
+/** A transfer in which chunks are awaited at ancestors in a tree, which pass them on as they come. */
+export class Transfer implements TransferCourse {
   private readonly _manifest: Manifest
   private readonly _digest: string
   private readonly _policy: TransferPolicy
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -9,8 +9,8 @@
  */
 import { randomBytes } from 'node:crypto'
 import {
-  AdmissionDoor, ClaimKeeper, defaultTransferPolicy, LinkPacer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
-  type ProcessStatus, type SpreadStrategy, type SwitchTarget
+  AdmissionDoor, ClaimKeeper, defaultTransferPolicy, LinkPacer, Transfer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
+  type ProcessStatus, type SpreadStrategy, type SwitchTarget, type TransferPolicy
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import { readCost } from '../observe/cost.js'
@@ -171,7 +171,7 @@
   private _newWeights (platform: HttpPlatform, engine: HttpEngine): WeightsKeeper {
     return new WeightsKeeper({
       self: this._self,
-      policy: { ...defaultTransferPolicy, window: this._number('weights', 'window'), strategy: this._text('weights', 'strategy') as SpreadStrategy },
+      newTransfer: ({ members, identity, manifest, held, originCopies }) => new Transfer(this._self, members, identity, manifest, held, this._transferPolicy(originCopies)),
       largestBytes: this._number('weights', 'largest-gigabytes') * GIBIBYTE,
       platform,
       pool: this._pool,
@@ -188,6 +188,10 @@
     })
   }
 
+  private _transferPolicy (originCopies: number): TransferPolicy {
+    return { ...defaultTransferPolicy, window: this._number('weights', 'window'), strategy: this._text('weights', 'strategy') as SpreadStrategy, originCopies }
+  }
+
   private _newSwitcher (engine: HttpEngine): Switcher {
     return new Switcher({
       instance: this._name,
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -8,7 +8,7 @@
  * kept or passed on, and says when the version is whole.
  */
 import {
-  checkManifest, rendezvousOrder, Transfer, type ChunkMember, type Manifest, type TransferEffect, type TransferPolicy, type WeightsFailure
+  checkManifest, rendezvousOrder, type ChunkMember, type Manifest, type TransferCourse, type TransferEffect, type WeightsFailure
 } from '@drumdrift/core'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Log } from '../observe/log.js'
@@ -27,7 +27,8 @@
 /** What the keeper works with. */
 export interface WeightsKeeperParts {
   readonly self: ChunkMember
-  readonly policy: TransferPolicy
+  /** Begins the transfer of a version; `held` are the digests that are staged already. */
+  readonly newTransfer: NewTransfer
   readonly largestBytes: number
   readonly platform: WeightsSource
   readonly pool: PeerPool
@@ -48,6 +49,15 @@
   readonly manifestMatches?: (identity: string, bytes: Buffer) => boolean
 }
 
+/** Makes the transfer of one version. */
+export type NewTransfer = (start: {
+  readonly members: readonly ChunkMember[]
+  readonly identity: string
+  readonly manifest: Manifest
+  readonly held: ReadonlySet<string>
+  readonly originCopies: number
+}) => TransferCourse
+
 const TICK = 50
 const PEER_WAIT = 1_000
 /** How long a peer may wait for a chunk itself before it says that it has none, in milliseconds. */
@@ -66,7 +76,7 @@
   private _wanted = ''
   private _originCopies = 1
   private _manifest: Manifest | undefined
-  private _transfer: Transfer | undefined
+  private _transfer: TransferCourse | undefined
   private _wholeDigest = ''
   /** The list that the transfer works with; compared by identity, since a new revision makes a new list. */
   private _members: readonly ChunkMember[] = []
@@ -87,6 +97,8 @@
   get wanted (): string { return this._wanted }
   /** The manifest digest that is held whole and verified; empty for none. */
   get wholeDigest (): string { return this._wholeDigest }
+  /** The manifest of the wanted version, once it is held. */
+  get currentManifest (): Manifest | undefined { return this._manifest }
   /** The share of the wanted version that is held. */
   get progress (): number { return this._transfer?.progress ?? 0 }
   /** What keeps the wanted version away, if anything. */
@@ -183,9 +195,10 @@
 
   private _startTransfer (manifest: Manifest): void {
     this._carryOut(this._transfer?.cancel() ?? [])
-    const policy = { ...this._parts.policy, originCopies: this._originCopies }
     this._members = this._parts.members()
-    this._transfer = new Transfer(this._parts.self, this._members, this._wanted, manifest, this._parts.store.staged, policy)
+    this._transfer = this._parts.newTransfer({
+      members: this._members, identity: this._wanted, manifest, held: this._parts.store.staged, originCopies: this._originCopies
+    })
   }
 
   /** Parents in a tree over the members first, then, staggered by rank, the platform. */
@@ -239,7 +252,7 @@
   }
 
   /** A connection over which bytes come is no stalled one, though signs may wait behind other chunks. */
-  private _noteLife (transfer: Transfer): void {
+  private _noteLife (transfer: TransferCourse): void {
     const now = performance.now()
     for (const [attempt, connection] of this._connections) {
       if (connection.open && connection.silence(now) < SIGN_OF_LIFE) transfer.coming(attempt, now)
--- /dev/null
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -0,0 +1,151 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Which chunks peers hold: tells followers of this agent, and follows those peers that this agent may pull from.
+ */
+import { failureOf, hash32, type ChunkMember } from '@drumdrift/core'
+import type { Log } from '../observe/log.js'
+import type { PeerConnection, Responder } from '../peer/connection.js'
+import type { PeerPool } from '../peer/pool.js'
+
+/** Chunks that came within this time are told together, in milliseconds. */
+const TELL_PAUSE = 60
+/** Before a peer that could not be reached is followed again, in milliseconds. */
+const RETRY_PAUSE = 400
+/** Peers that one agent follows, of its own zone and of each other one: bounds messages in a large fleet. */
+const MOST_NEAR = 12
+const MOST_IN_OTHER_ZONE = 3
+
+interface Follower {
+  readonly responder: Responder
+  readonly identity: string
+  readonly told: Set<number>
+}
+
+/** Tells followers which chunks this agent holds. */
+export class HoldingsPublisher {
+  private readonly _followers = new Map<PeerConnection, Follower>()
+  private readonly _timer: NodeJS.Timeout
+
+  /**
+   * @param _held The indexes of a version's chunks that are held here.
+   */
+  constructor (private readonly _held: (identity: string) => readonly number[]) {
+    this._timer = setInterval(() => { for (const follower of this._followers.values()) this._tell(follower) }, TELL_PAUSE)
+  }
+
+  close (): void { clearInterval(this._timer) }
+
+  /** Adds a follower; it takes the place of an earlier one over the same connection. */
+  follow (identity: string, responder: Responder): void {
+    const { connection } = responder
+    const known = this._followers.has(connection)
+    const follower = { responder, identity, told: new Set<number>() }
+    this._followers.set(connection, follower)
+    if (!known) connection.onEnd(() => { this._followers.delete(connection) })
+    this._tell(follower)
+  }
+
+  private _tell ({ responder, identity, told }: Follower): void {
+    const news = this._held(identity).filter(index => !told.has(index))
+    if (news.length === 0) return
+    for (const index of news) told.add(index)
+    responder.send({ type: 'chunks', identity, held: news })
+  }
+}
+
+/** What the follower tells. */
+export interface HoldingsListener {
+  holds (peer: string, chunks: readonly number[]): void
+  lost (peer: string): void
+}
+
+interface Followed {
+  identity: string
+  asking: boolean
+  connection: PeerConnection | undefined
+  call: number
+  retryAt: number
+}
+
+/** Follows which chunks of one version peers hold. */
+export class HoldingsFollower {
+  private readonly _followed = new Map<string, Followed>()
+  private readonly _timer: NodeJS.Timeout
+  private _identity = ''
+
+  constructor (private readonly _self: ChunkMember, private readonly _pool: PeerPool, private readonly _log: Log, private readonly _listener: HoldingsListener) {
+    this._timer = setInterval(() => { this._tick() }, RETRY_PAUSE / 2)
+  }
+
+  close (): void { clearInterval(this._timer) }
+
+  /** Sets the version to ask for, empty for none, and the peers to ask. */
+  follow (identity: string, members: readonly ChunkMember[]): void {
+    this._identity = identity
+    const chosen = new Set(identity === '' ? [] : neighboursOf(this._self, members))
+    for (const peer of this._followed.keys()) if (!chosen.has(peer)) this._followed.delete(peer)
+    for (const peer of chosen) {
+      const known = this._followed.get(peer)
+      if (known === undefined) this._followed.set(peer, { identity: '', asking: false, connection: undefined, call: 0, retryAt: 0 })
+      else if (known.identity !== identity) known.retryAt = 0
+    }
+    this._tick()
+  }
+
+  private _tick (): void {
+    const now = performance.now()
+    for (const [peer, followed] of this._followed) {
+      const current = followed.connection?.open === true && followed.identity === this._identity
+      if (!current && !followed.asking && now >= followed.retryAt) this._ask(peer, followed, this._identity)
+    }
+  }
+
+  private async _ask (peer: string, followed: Followed, identity: string): Promise<void> {
+    followed.asking = true
+    try {
+      const connection = await this._pool.connection(peer)
+      if (followed.connection === connection) connection.forget(followed.call)
+      followed.connection = connection
+      followed.identity = identity
+      followed.call = connection.ask({ type: 'follow-chunks', identity }, undefined, {
+        reply: reply => { if (reply.type === 'chunks' && reply.identity === this._identity) this._listener.holds(peer, reply.held) },
+        lost: () => this._lost(peer, followed)
+      })
+    } catch (error) {
+      this._log.debug('peer-silent', { address: peer, reason: failureOf(error).type })
+      this._lost(peer, followed)
+    } finally {
+      followed.asking = false
+    }
+  }
+
+  private _lost (peer: string, followed: Followed): void {
+    followed.connection = undefined
+    followed.retryAt = performance.now() + RETRY_PAUSE
+    this._listener.lost(peer)
+  }
+}
+
+/**
+ * The peers that a member pulls from: all of a small fleet, a bounded sample of a large one.
+ *
+ * @example
+ * const peers = neighboursOf(self, members)
+ */
+export function neighboursOf (self: ChunkMember, members: readonly ChunkMember[]): string[] {
+  const zones = new Map<string, string[]>()
+  for (const { instance, availabilityZone } of members) {
+    if (instance === self.instance) continue
+    const zone = zones.get(availabilityZone) ?? []
+    zone.push(instance)
+    zones.set(availabilityZone, zone)
+  }
+  return [...zones].flatMap(([zone, instances]) => {
+    const ranked = [...instances].sort((left, right) => hash32(`${self.instance} ${left}`) - hash32(`${self.instance} ${right}`))
+    return ranked.slice(0, zone === self.availabilityZone ? MOST_NEAR : MOST_IN_OTHER_ZONE)
+  })
+}
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultTransferPolicy, LinkPacer, type ChunkMember, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
+  ChunkSwarm, LinkPacer, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { ChunkStore } from '../agent/chunk-store.js'
@@ -24,6 +24,7 @@
 import type { Daemon } from '../run-daemon.js'
 import { parseAddress } from '../settings/address.js'
 import type { Settings } from '../settings/settings.js'
+import { HoldingsFollower, HoldingsPublisher } from './chunk-holdings.js'
 import { EngineSwitcher } from './engine-switcher.js'
 import { LoadPublisher } from './load-publisher.js'
 import { identityOf, type WeightsPlatform } from './ports.js'
@@ -58,6 +59,9 @@
   private readonly _weights: WeightsKeeper
   private readonly _chunks: ChunkServer
   private readonly _switcher: EngineSwitcher
+  private readonly _holdings: HoldingsFollower
+  private readonly _published = new HoldingsPublisher(identity => this._heldChunks(identity))
+  private _swarm: ChunkSwarm | undefined
   private readonly _publisher = new LoadPublisher()
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
@@ -82,6 +86,10 @@
     this._pool = new PeerPool(self, this._traffic, readPacer)
     this._store = new ChunkStore(this._platform.engine, _settings.number('weights', 'memory-megabytes') * MEBIBYTE)
     this._feed = this._newFeed()
+    this._holdings = new HoldingsFollower(this._self, this._pool, _log, {
+      holds: (peer, chunks) => this._swarm?.peerHolds(peer, chunks),
+      lost: peer => this._swarm?.peerLost(peer)
+    })
     this._weights = this._newWeights()
     this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
     this._switcher = this._newSwitcher()
@@ -107,6 +115,8 @@
     this._feed.close()
     this._weights.close()
     this._chunks.close()
+    this._holdings.close()
+    this._published.close()
     this._switcher.close()
     this._server.close()
     this._pool.close()
@@ -131,7 +141,7 @@
   private _newWeights (): WeightsKeeper {
     return new WeightsKeeper({
       self: this._self,
-      policy: { ...defaultTransferPolicy, upstreams: ['origin'], window: this._settings.number('weights', 'window') },
+      newTransfer: ({ members, identity, manifest, held }) => this._newTransfer(members, identity, manifest, held),
       largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
       platform: this._platform.source,
       pool: this._pool,
@@ -141,12 +151,27 @@
       counters: this._counters,
       members: () => this._members,
       addressOf: instance => instance,
-      onWhole: () => {},
+      onWhole: () => this._holdings.follow('', []),
       chunkDigest: this._platform.chunkDigest,
       manifestMatches: this._platform.manifestMatches
     })
   }
 
+  /** A transfer follows the holdings of peers until it is whole. */
+  private _newTransfer (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
+    const swarm = new ChunkSwarm(this._self, members, identity, manifest, held, Math.random)
+    this._swarm = swarm
+    this._holdings.follow(swarm.progress < 1 ? identity : '', members)
+    return swarm
+  }
+
+  /** The indexes of a version's chunks that are staged here. */
+  private _heldChunks (identity: string): number[] {
+    const { wanted, currentManifest } = this._weights
+    if (identity !== wanted || currentManifest === undefined) return []
+    return currentManifest.chunks.flatMap(({ digest }, index) => this._store.staged.has(digest) ? [index] : [])
+  }
+
   private _newSwitcher (): EngineSwitcher {
     return new EngineSwitcher({
       self: this._self.instance,
@@ -199,6 +224,7 @@
     const port = this._settings.number('peers', 'agent-port')
     this._members = this._feed.state.endpoints().filter(({ service }) => service === this._service)
       .map(({ address, availabilityZone }) => ({ instance: `${parseAddress(address).host}:${port}`, availabilityZone }))
+    if (this._weights.progress < 1 && this._weights.currentManifest !== undefined) this._holdings.follow(this._weights.wanted, this._members)
     const wanted = this._wanted()
     if (wanted !== undefined) this._recover(wanted.model)
     if (wanted !== undefined && this._recovered) this._weights.want(identityOf(wanted), ORIGIN_COPIES)
@@ -215,6 +241,7 @@
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
     manifest: ({ digest, wait }, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
     progress: ({ digest }, responder) => responder.send({ type: 'progress', progress: this._switcher.progress(String(digest)) }),
+    'follow-chunks': ({ identity }, responder) => this._published.follow(String(identity), responder),
     'follow-load': (_request, responder) => this._publisher.follow(responder)
   }
 
