Engines of a zone switch one after the other up to the bound; turns skip members that cannot be reached

Change: each agent works out its own time, spread evenly over its zone from when the version is whole to 600 ms before the bound; no asking.

--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -22,7 +22,9 @@
   /** A peer that has not delivered a chunk after this is passed over. */
   readonly peerTimeout: number
   readonly originTimeout: number
-  /** Added wait, for each turn, before a member steps in for the one whose turn it is to read from the origin. */
+  /** Time that the origin takes for one copy: nobody steps in for the member whose turn it is before that. */
+  readonly originPatience: number
+  /** Added wait, for each further turn. */
   readonly originStagger: number
   /** The same for the way into a zone. */
   readonly zoneStagger: number
@@ -35,7 +37,7 @@
  * needs for its chunks.
  */
 export const defaultSwarmPolicy: SwarmPolicy = {
-  peerWindow: 3, originWindow: 2, peerTimeout: 900, originTimeout: 2_500, originStagger: 700, zoneStagger: 500
+  peerWindow: 3, originWindow: 2, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
 }
 
 interface Peer {
@@ -75,6 +77,9 @@
   private readonly _originRetryAt = new Map<number, number>()
   /** When each chunk was first seen at a peer of another zone. */
   private readonly _seenAbroadAt = new Map<number, number>()
+  /** Members that could not be reached lately: turns are not dealt to them. */
+  private readonly _unreachable = new Set<string>()
+  private _members: readonly ChunkMember[] = []
   private _places: ChunkPlaces
   private _nextAttempt = 1
   private _startedAt: number | undefined
@@ -103,13 +108,17 @@
 
   /** Takes a new member list. */
   setMembers (members: readonly ChunkMember[]): void {
-    this._places = new ChunkPlaces(this._self, members)
+    this._members = members
+    this._deal()
     for (const { instance, availabilityZone } of members) {
       if (instance === this._self.instance || this._peers.has(instance)) continue
       this._peers.set(instance, { availabilityZone, held: new Set(), outstanding: 0, failures: 0, avoidUntil: -Infinity, took: 0 })
     }
   }
 
+  /** A peer answers. */
+  peerJoined (instance: string): void { if (this._unreachable.delete(instance)) this._deal() }
+
   /** A peer told that it holds chunks. */
   peerHolds (instance: string, chunks: Iterable<number>): void {
     const peer = this._peers.get(instance)
@@ -117,7 +126,12 @@
   }
 
   /** A peer was lost: what it holds is unknown until it tells again. */
-  peerLost (instance: string): void { this._peers.get(instance)?.held.clear() }
+  peerLost (instance: string): void {
+    this._peers.get(instance)?.held.clear()
+    if (this._unreachable.has(instance)) return
+    this._unreachable.add(instance)
+    this._deal()
+  }
 
   /**
    * Asks for what can be asked for, and times out what takes too long. Call it after each event and now and then.
@@ -176,11 +190,20 @@
     return effects
   }
 
-  /** Missing chunks from a random place on, so that members of a zone ask for different ones. */
+  private _deal (): void {
+    this._places = new ChunkPlaces(this._self, this._members.filter(({ instance }) => !this._unreachable.has(instance)))
+  }
+
+  /**
+   * Missing chunks: first those that this member is to bring into its zone, since others wait for them, then the others,
+   * each from a random place on, so that members ask for different ones.
+   */
   private _order (): number[] {
     const missing = [...this._missing]
     const start = Math.floor(this._draw() * missing.length)
-    return [...missing.slice(start), ...missing.slice(0, start)]
+    const turned = [...missing.slice(start), ...missing.slice(0, start)]
+    const own = turned.filter(index => this._places.turn(index).inZone === 0)
+    return [...own, ...turned.filter(index => this._places.turn(index).inZone > 0)]
   }
 
   private _hasRoom (): boolean {
@@ -234,7 +257,8 @@
   private _mayReadOrigin (index: number, now: number): boolean {
     if (this._count(true) >= this._policy.originWindow || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
     const { overall } = this._places.turn(index)
-    return now - (this._startedAt ?? now) >= overall * this._policy.originStagger
+    const wait = overall === 0 ? 0 : this._policy.originPatience + (overall - 1) * this._policy.originStagger
+    return now - (this._startedAt ?? now) >= wait
   }
 
   private _count (origin: boolean): number {
--- a/packages/core/src/lib/routing/version-switch.ts
+++ b/packages/core/src/lib/routing/version-switch.ts
@@ -5,9 +5,11 @@
  */
 /**
  * Decides when the engine beside an agent is ordered to take the version that lies staged there: only one that is
- * whole and was verified just before, one wave of engines after the other, and all in time for the bound after which
- * no request may begin on the old version.
+ * whole and was verified just before, and each engine of a zone at its own time, spread evenly from when the version
+ * is whole to the bound after which no request may begin on the old one. Every agent works its time out by itself.
  */
+import type { ChunkMember } from '../chunk-tree.js'
+import { rendezvousOrder } from '../rendezvous.js'
 
 /** What an engine says of itself. */
 export interface EngineState {
@@ -26,15 +28,15 @@
   /** The version that is staged whole; 0 for none. */
   readonly whole: number
   readonly engine: EngineState | undefined
-  /** Whether every engine of the waves before has switched, or cannot be waited for. */
-  readonly turn: boolean
+  /** This engine's place among those of its zone, from 0 to under 1: see `switchPlace`. */
+  readonly place: number
 }
 
 /** What to do. */
 export type SwitchStep =
   | { readonly type: 'wait' }
   /** Verify what is staged, and order the engine to take it. */
-  | { readonly type: 'order', readonly version: number, readonly why: 'empty' | 'turn' | 'bound-near' }
+  | { readonly type: 'order', readonly version: number, readonly why: 'empty' | 'turn' | 'late' }
 
 /** How an order was answered. */
 export type OrderResult = 'begun' | 'done' | 'refused' | 'unreachable' | 'not-whole'
@@ -45,11 +47,12 @@
 /** The switch of one engine. */
 export class VersionSwitch {
   private _retryAt = -Infinity
+  private _wholeVersion = 0
+  private _wholeAt = 0
 
   /**
    * @param _bound After this time from a version's naming no request may begin on an older one, in milliseconds.
-   * @param _lead The time that a switch takes: what runs ends, and the engine warms up. The bound is met by starting so
-   * much before it, in milliseconds.
+   * @param _lead The last engine starts so much before the bound, in milliseconds.
    */
   constructor (private readonly _bound: number, private readonly _lead: number) {}
 
@@ -59,17 +62,38 @@
    * @example
    * if (versionSwitch.step(view, now).type === 'order') await orderLoad()
    */
-  step ({ wanted, heardAt, whole, engine, turn }: SwitchView, now: number): SwitchStep {
+  step ({ wanted, heardAt, whole, engine, place }: SwitchView, now: number): SwitchStep {
+    this._noteWhole(whole, now)
     if (wanted === 0 || whole !== wanted || engine === undefined || engine.busy || now < this._retryAt) return { type: 'wait' }
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
-    if (turn) return { type: 'order', version: wanted, why: 'turn' }
-    const late = heardAt === undefined || now >= heardAt + this._bound - this._lead
-    return late ? { type: 'order', version: wanted, why: 'bound-near' } : { type: 'wait' }
+    if (heardAt === undefined || now >= heardAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
+    const span = Math.max(0, heardAt + this._bound - this._lead - this._wholeAt)
+    return now >= this._wholeAt + place * span ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
   }
 
   /** An order was answered. */
   answered (result: OrderResult, now: number): void {
     this._retryAt = now + retryPauses[result]
   }
+
+  private _noteWhole (whole: number, now: number): void {
+    if (whole === this._wholeVersion) return
+    this._wholeVersion = whole
+    this._wholeAt = now
+  }
+}
+
+/**
+ * An engine's place in the order in which its zone switches, from 0 to under 1. All agents of a zone agree on it from
+ * the member list alone.
+ *
+ * @param identity Changes the order from version to version.
+ * @example
+ * const place = switchPlace(self, members, 'drafting@2')
+ */
+export function switchPlace (self: ChunkMember, members: readonly ChunkMember[], identity: string): number {
+  const zone = members.filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).map(({ instance }) => instance)
+  const order = rendezvousOrder([...new Set([self.instance, ...zone])], identity)
+  return order.indexOf(self.instance) / order.length
 }
--- a/packages/node/src/lib/routing/chunk-holdings.ts
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -59,6 +59,7 @@
 
 /** What the follower tells. */
 export interface HoldingsListener {
+  joined (peer: string): void
   holds (peer: string, chunks: readonly number[]): void
   lost (peer: string): void
 }
@@ -109,6 +110,7 @@
     try {
       const connection = await this._pool.connection(peer)
       if (followed.connection === connection) connection.forget(followed.call)
+      this._listener.joined(peer)
       followed.connection = connection
       followed.identity = identity
       followed.call = connection.ask({ type: 'follow-chunks', identity }, undefined, {
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -7,10 +7,9 @@
  * Looks at the engine beside the agent several times a second, tells its load, and orders it to take the wanted
  * version when the switch decides so.
  */
-import { failureOf, previousWave, SwitchGate, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchProgress } from '@drumdrift/core'
+import { switchPlace, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
-import type { PeerPool } from '../peer/pool.js'
 import { identityOf, type EngineReport, type LoadableEngine } from './ports.js'
 
 /** What is wanted of the engine, and what is there for it. */
@@ -25,10 +24,8 @@
 
 /** What the switcher works with. */
 export interface EngineSwitcherParts {
-  /** This agent's name among the members. */
-  readonly self: string
+  readonly self: ChunkMember
   readonly engine: LoadableEngine
-  readonly pool: PeerPool
   readonly log: Log
   readonly counters: Counters
   /** See `VersionSwitch`; in milliseconds. */
@@ -41,19 +38,16 @@
 
 /** How often the engine is looked at, in milliseconds: a few times in the pass of a busy engine would be wasted. */
 const LOOK_PAUSE = 100
-/** The share of a zone's engines that switches at once. */
-const WAVE_SHARE = 0.5
-/** Time that a switch takes: the longest usual answers end, and the engine warms up. In milliseconds. */
-const SWITCH_LEAD = 2_000
-/** One peer's time to say how far it is, in milliseconds. */
-const ASK_TIMEOUT = 400
+/**
+ * The last engine of a zone switches at most so long before the bound, in milliseconds: entries give nothing to the old
+ * version from a little before the bound on, so an engine that still holds it then loses nothing by switching.
+ */
+const SWITCH_LEAD = 600
 
 /** The engine of one agent. */
 export class EngineSwitcher {
   private readonly _switch: VersionSwitch
   private readonly _timer: NodeJS.Timeout
-  private _gate = new SwitchGate()
-  private _gateFor = ''
   private _report: EngineReport | undefined
   private _looking = false
   private _ordering = false
@@ -71,13 +65,6 @@
     return this._report?.models.find(held => held.model === model)?.version ?? 0
   }
 
-  /** How far this engine is with a version, for the waves after it. */
-  progress (identity: string): SwitchProgress {
-    const { wanted } = this._parts.situation()
-    if (wanted === undefined || identityOf(wanted) !== identity) return 'waiting'
-    return this.version(wanted.model) >= wanted.version ? 'serving' : 'waiting'
-  }
-
   private async _look (): Promise<void> {
     if (this._looking) return
     this._looking = true
@@ -117,15 +104,13 @@
   }
 
   private async _step (): Promise<void> {
-    const situation = this._parts.situation()
-    const { wanted, heardAt, whole } = situation
+    const { wanted, heardAt, whole, members } = this._parts.situation()
     if (wanted === undefined) return
-    const isWhole = whole === identityOf(wanted)
+    const identity = identityOf(wanted)
     const engine = this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy }
-    const behind = engine !== undefined && engine.version < wanted.version
-    const turn = isWhole && behind && engine.version > 0 ? await this._turn(situation, identityOf(wanted)) : true
+    const place = switchPlace(this._parts.self, members, identity)
     const now = performance.now()
-    const step = this._switch.step({ wanted: wanted.version, heardAt, whole: isWhole ? wanted.version : 0, engine, turn }, now)
+    const step = this._switch.step({ wanted: wanted.version, heardAt, whole: whole === identity ? wanted.version : 0, engine, place }, now)
     if (step.type === 'order') await this._order(wanted, step.why, heardAt === undefined ? undefined : now - heardAt)
   }
 
@@ -141,27 +126,4 @@
       this._ordering = false
     }
   }
-
-  /** Whether the wave before this engine's has switched. */
-  private async _turn ({ members }: SwitchSituation, identity: string): Promise<boolean> {
-    if (this._gateFor !== identity) {
-      this._gate = new SwitchGate()
-      this._gateFor = identity
-    }
-    const before = previousWave(this._parts.self, members, WAVE_SHARE, identity)
-    const decision = this._gate.decide(before, false, performance.now())
-    if (decision.type === 'go') return true
-    await Promise.all((decision.type === 'wait' ? decision.ask : decision.failed).map(async peer => { await this._ask(peer, identity) }))
-    return this._gate.decide(before, false, performance.now()).type === 'go'
-  }
-
-  private async _ask (peer: string, identity: string): Promise<void> {
-    try {
-      const { reply } = await this._parts.pool.call(peer, { type: 'progress', digest: identity }, { timeout: ASK_TIMEOUT })
-      this._gate.report(peer, reply.type === 'progress' ? reply.progress : 'unreachable', performance.now())
-    } catch (error) {
-      this._parts.log.debug('peer-silent', { address: peer, reason: failureOf(error).type })
-      this._gate.report(peer, 'unreachable', performance.now())
-    }
-  }
 }
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  ChunkSwarm, LinkPacer, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
+  ChunkSwarm, defaultSwarmPolicy, LinkPacer, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { ChunkStore } from '../agent/chunk-store.js'
@@ -37,6 +37,8 @@
 const FIRST_VERSION = 1
 /** Members that read each chunk from the origin. */
 const ORIGIN_COPIES = 1
+/** See `_originPatience`. */
+const ORIGIN_PATIENCE_FACTOR = 1.5
 /** Until the pool's description is known, it is asked for this often, in milliseconds. */
 const POOL_PAUSE = 500
 
@@ -87,6 +89,7 @@
     this._store = new ChunkStore(this._platform.engine, _settings.number('weights', 'memory-megabytes') * MEBIBYTE)
     this._feed = this._newFeed()
     this._holdings = new HoldingsFollower(this._self, this._pool, _log, {
+      joined: peer => this._swarm?.peerJoined(peer),
       holds: (peer, chunks) => this._swarm?.peerHolds(peer, chunks),
       lost: peer => this._swarm?.peerLost(peer)
     })
@@ -159,12 +162,19 @@
 
   /** A transfer follows the holdings of peers until it is whole. */
   private _newTransfer (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
-    const swarm = new ChunkSwarm(this._self, members, identity, manifest, held, Math.random)
+    const policy = { ...defaultSwarmPolicy, originPatience: this._originPatience(manifest) }
+    const swarm = new ChunkSwarm(this._self, members, identity, manifest, held, Math.random, policy)
     this._swarm = swarm
     this._holdings.follow(swarm.progress < 1 ? identity : '', members)
     return swarm
   }
 
+  /** The time that the origin's link takes for one copy, and half as much again. */
+  private _originPatience ({ bytes }: Manifest): number {
+    const rate = this._feed.state.configuration?.origin?.megabitsPerSecond ?? 0
+    return rate > 0 ? ORIGIN_PATIENCE_FACTOR * bytes / (rate * BYTES_PER_MEGABIT) * 1000 : defaultSwarmPolicy.originPatience
+  }
+
   /** The indexes of a version's chunks that are staged here. */
   private _heldChunks (identity: string): number[] {
     const { wanted, currentManifest } = this._weights
@@ -174,9 +184,8 @@
 
   private _newSwitcher (): EngineSwitcher {
     return new EngineSwitcher({
-      self: this._self.instance,
+      self: this._self,
       engine: this._platform.engine,
-      pool: this._pool,
       log: this._log,
       counters: this._counters,
       versionBound: this._settings.number('platform', 'version-bound-milliseconds'),
@@ -240,7 +249,6 @@
     news: ({ note }, responder) => responder.send({ type: 'news', delta: this._feed.state.since(note) }),
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
     manifest: ({ digest, wait }, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
-    progress: ({ digest }, responder) => responder.send({ type: 'progress', progress: this._switcher.progress(String(digest)) }),
     'follow-chunks': ({ identity }, responder) => this._published.follow(String(identity), responder),
     'follow-load': (_request, responder) => this._publisher.follow(responder)
   }
