--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -32,12 +32,13 @@
 
 /**
  * The policy that daemons use. Windows: two chunks under way keep a link busy while the next request travels, and queue
- * no longer than two chunks take. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
+ * no longer than two chunks take; one chunk of the origin each keeps its link busy, and brings the first ones sooner
+ * than if it shared itself over more. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
  * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. Staggers: several times what a sound member
  * needs for its chunks.
  */
 export const defaultSwarmPolicy: SwarmPolicy = {
-  peerWindow: 3, originWindow: 2, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
+  peerWindow: 2, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
 }
 
 interface Peer {
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -25,6 +25,8 @@
   readonly model: string
   /** The least version that may begin the request; 0 for any. */
   readonly leastVersion: number
+  /** When an endpoint that serves a version must have begun; nothing for no bound. */
+  readonly mustBeginBy: (version: number) => number | undefined
   /** Endpoints that have had this request. */
   readonly tried: ReadonlySet<string>
 }
@@ -58,6 +60,8 @@
 const REGION_PRICE = 20
 /** A plain endpoint that names no slots is taken to have these. */
 const ASSUMED_SLOTS = 8
+/** A request is taken to begin within so many times the expected time: links and engines may just be getting slower. */
+const BEGIN_FACTOR = 2
 
 interface Known {
   readonly load: EndpointLoad
@@ -121,6 +125,7 @@
     for (const record of open) {
       if (!usable.has(record.id)) continue
       const choice = this._expect(record, service, need, now, open.length)
+      if (tooLate(choice, need, now)) continue
       const cost = choice.expected + this._distancePrice(record)
       if (best === undefined || cost < best.cost) best = { choice, cost }
     }
@@ -162,3 +167,9 @@
     return known
   }
 }
+
+/** Whether a request could begin on an old version after it must no longer. */
+function tooLate ({ expected, version }: Choice, { mustBeginBy }: Need, now: number): boolean {
+  const bound = mustBeginBy(version)
+  return bound !== undefined && now + BEGIN_FACTOR * expected > bound
+}
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -88,7 +88,7 @@
     this._self = { instance: address, availabilityZone: text('process', 'availability-zone') }
     const share = _settings.number('weights', 'link-percent') / 100
     this._pacer = new LinkPacer(_settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT * share, performance.now())
-    const readPacer: ReadPacer = { received: bytes => this._pacer.received(bytes, performance.now()) }
+    const readPacer: ReadPacer = { received: bytes => this._engineAnswers() ? this._pacer.received(bytes, performance.now()) : 0 }
     this._platform = connect(readPacer)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic, readPacer)
@@ -175,6 +175,12 @@
     return swarm
   }
 
+  /** An engine without weights has no answers that transfers could hold up: then they may fill the link. */
+  private _engineAnswers (): boolean {
+    const model = this._poolDescription?.models[0]?.name
+    return model === undefined || this._switcher.version(model) > 0
+  }
+
   /** The time that the origin's link takes for one copy, and half as much again. */
   private _originPatience ({ bytes }: Manifest): number {
     const rate = this._feed.state.configuration?.origin?.megabitsPerSecond ?? 0
