Engines tell when they will switch; long answers go elsewhere before

Cause: an engine that is ordered to switch takes nothing new until its longest answer has ended (1 to 2.5 s), so the switch cost 38 of 100 parts of the pool for 3.5 s. Change: the load report says when the engine's turn comes; work that would last beyond it has a price.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -8,6 +8,7 @@
  * in milliseconds for leaving the availability zone and the region.
  */
 import { Ejection } from '../ejection.js'
+import { stepTime } from './engine-model.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
 import type { EndpointRecord } from './published-state.js'
 import type { ServiceDescription } from './routing-configuration.js'
@@ -21,6 +22,8 @@
 /** What a request needs of its endpoint. */
 export interface Need {
   readonly promptTokens: number
+  /** Tokens that the answer is expected to have; 0 where nothing is known. */
+  readonly answerTokens: number
   /** The model whose weights must be loaded; empty for plain services. */
   readonly model: string
   /** The least version that may begin the request; 0 for any. */
@@ -58,6 +61,11 @@
  */
 const ZONE_PRICE = 10
 const REGION_PRICE = 20
+/**
+ * What it costs, in milliseconds, to leave an engine with a millisecond of work when it wants to switch to another
+ * version: that long it takes nothing new, though it still works on what it has.
+ */
+const CLOSING_PRICE = 0.5
 /** A plain endpoint that names no slots is taken to have these. */
 const ASSUMED_SLOTS = 8
 /** A request is taken to begin within so many times the expected time: links and engines may just be getting slower. */
@@ -126,7 +134,7 @@
       if (!usable.has(record.id)) continue
       const choice = this._expect(record, service, need, now, open.length)
       if (tooLate(choice, need, now)) continue
-      const cost = choice.expected + this._distancePrice(record)
+      const cost = choice.expected + this._distancePrice(record) + this._closingPrice(record, service, need, choice, now)
       if (best === undefined || cost < best.cost) best = { choice, cost }
     }
     return best?.choice
@@ -156,6 +164,16 @@
     return { record, expected, version, reportAge: load.reportAge(now), candidates }
   }
 
+  /** The price of work that would hold up a planned switch. */
+  private _closingPrice ({ id }: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Choice, now: number): number {
+    const { load } = this._entry(id)
+    const closesAt = load.closesAt(now)
+    if (closesAt === undefined || pool === undefined) return 0
+    const tokens = answerTokens > 0 ? answerTokens : pool.usualAnswerTokens
+    const ends = now + expected + tokens * stepTime(pool, load.report(now)?.running ?? 0)
+    return Math.max(0, ends - closesAt) * CLOSING_PRICE
+  }
+
   private _distancePrice ({ availabilityZone }: EndpointRecord): number {
     if (availabilityZone === this._place.availabilityZone) return 0
     return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? ZONE_PRICE : REGION_PRICE
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -20,6 +20,8 @@
   readonly accepting: boolean
   /** How much slower than described it works; 1 as described. */
   readonly pace: number
+  /** Milliseconds until it stops to take new work, to switch to another version; nothing when that is not planned. */
+  readonly closesIn?: number | undefined
 }
 
 /** A request of this entry at the endpoint. */
@@ -65,6 +67,12 @@
     return now - this._heardAt <= REPORT_LIFETIME ? this._report : undefined
   }
 
+  /** When it will stop to take new work; nothing when that is not planned. */
+  closesAt (now: number): number | undefined {
+    const closesIn = this.report(now)?.closesIn
+    return closesIn === undefined ? undefined : this._heardAt + closesIn
+  }
+
   /** The age of the last report in milliseconds; infinite when there was none. */
   reportAge (now: number): number { return now - this._heardAt }
 
--- a/packages/core/src/lib/routing/version-switch.ts
+++ b/packages/core/src/lib/routing/version-switch.ts
@@ -68,8 +68,17 @@
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
     if (heardAt === undefined || now >= heardAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
-    const span = Math.max(0, heardAt + this._bound - this._lead - this._wholeAt)
-    return now >= this._wholeAt + place * span ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+    return now >= this._turnAt(heardAt, place) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+  }
+
+  /** When the engine's turn comes; nothing while no switch is planned. */
+  plannedAt ({ wanted, heardAt, whole, engine, place }: SwitchView): number | undefined {
+    const planned = wanted > 0 && whole === wanted && this._wholeVersion === wanted && engine !== undefined && engine.version > 0 && engine.version < wanted
+    return planned && heardAt !== undefined ? this._turnAt(heardAt, place) : undefined
+  }
+
+  private _turnAt (heardAt: number, place: number): number {
+    return this._wholeAt + place * Math.max(0, heardAt + this._bound - this._lead - this._wholeAt)
   }
 
   /** An order was answered. */
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -7,7 +7,7 @@
  * Looks at the engine beside the agent several times a second, tells its load, and orders it to take the wanted
  * version when the switch decides so.
  */
-import { switchPlace, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion } from '@drumdrift/core'
+import { switchPlace, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchView } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { identityOf, type EngineReport, type LoadableEngine } from './ports.js'
@@ -96,21 +96,35 @@
     if (version !== old) this._parts.log.info('engine-version', { model, version, before: old })
   }
 
+  private _view (): SwitchView | undefined {
+    const { wanted, heardAt, whole, members } = this._parts.situation()
+    if (wanted === undefined) return undefined
+    const identity = identityOf(wanted)
+    return {
+      wanted: wanted.version,
+      heardAt,
+      whole: whole === identity ? wanted.version : 0,
+      engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
+      place: switchPlace(this._parts.self, members, identity)
+    }
+  }
+
   private _tellLoad (): void {
-    const model = this._parts.situation().wanted?.model
-    if (this._report === undefined || model === undefined) return
+    const { wanted } = this._parts.situation()
+    const view = this._view()
+    if (this._report === undefined || wanted === undefined || view === undefined) return
     const { running, waiting, busy, pace } = this._report
-    this._parts.onLoad({ running, waiting, version: this.version(model), accepting: !busy && !this._ordering, pace })
+    const closesAt = this._switch.plannedAt(view)
+    const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - performance.now()))
+    this._parts.onLoad({ running, waiting, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn })
   }
 
   private async _step (): Promise<void> {
-    const { wanted, heardAt, whole, members } = this._parts.situation()
-    if (wanted === undefined) return
-    const identity = identityOf(wanted)
-    const engine = this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy }
-    const place = switchPlace(this._parts.self, members, identity)
+    const { wanted, heardAt } = this._parts.situation()
+    const view = this._view()
+    if (wanted === undefined || view === undefined) return
     const now = performance.now()
-    const step = this._switch.step({ wanted: wanted.version, heardAt, whole: whole === identity ? wanted.version : 0, engine, place }, now)
+    const step = this._switch.step(view, now)
     if (step.type === 'order') await this._order(wanted, step.why, heardAt === undefined ? undefined : now - heardAt)
   }
 
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -64,6 +64,8 @@
   /** Empty for requests that need no model. */
   readonly model: string
   readonly promptTokens: number
+  /** What the caller expects of the answer's length, in tokens; 0 when it does not say. */
+  readonly answerTokens: number
   /** Headers that go to the endpoint as they are, as name, value, name, value. */
   readonly headers: readonly string[]
 }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -128,7 +128,7 @@
     const unit = this._unit
     if (unit === undefined) return undefined
     return unit.chooser.choose(unit.description, {
-      promptTokens: head.promptTokens, model: head.model, leastVersion: this._parts.leastVersion(head.model), mustBeginBy: version => this._parts.mustBeginBy(head.model, version), tried: this._tried
+      promptTokens: head.promptTokens, answerTokens: head.answerTokens, model: head.model, leastVersion: this._parts.leastVersion(head.model), mustBeginBy: version => this._parts.mustBeginBy(head.model, version), tried: this._tried
     }, now)
   }
 
