--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,9 +2,9 @@
 import jsdoc from 'eslint-plugin-jsdoc'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/build/**', '**/*.generated.js'] }),
+  ...neostandard({ ts: true, ignores: ['**/build/**', 'target/**', 'journal/**', '**/*.generated.js'] }),
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/test/**'],
     plugins: { jsdoc },
     rules: {
--- /dev/null
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -0,0 +1,101 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { EndpointChooser, type Need } from '../../../lib/routing/endpoint-chooser.js'
+import type { LoadReport } from '../../../lib/routing/endpoint-load.js'
+import type { EndpointRecord } from '../../../lib/routing/published-state.js'
+import type { PoolDescription, ServiceDescription } from '../../../lib/routing/routing-configuration.js'
+
+const pool: PoolDescription = {
+  slots: 16, stride: 5, stepTime: 9, stepTimePerRequest: 0.02, stepTimePerThousandTokens: 0.03, promptTokensPerMillisecond: 20, promptTokensPerPass: 2_000, usualPromptTokens: 1_000, usualAnswerTokens: 100, models: [{ name: 'm', warmUp: 300 }], layers: 16, chunks: 96, chunkBytes: 10
+}
+const drafting: ServiceDescription = { name: 'drafting', maxConnections: 100, pool }
+const desk: ServiceDescription = { name: 'desk', maxConnections: 4 }
+const need: Need = { promptTokens: 500, answerTokens: 0, model: 'm', leastVersion: 0, mustBeginBy: () => undefined, tried: new Set() }
+const idle: LoadReport = { running: 0, waiting: 0, version: 1, accepting: true, pace: 1 }
+const busy: LoadReport = { ...idle, running: 14, waiting: 3 }
+
+function record (id: string, availabilityZone = 'koshi', part: Partial<EndpointRecord> = {}): EndpointRecord {
+  return { id, service: 'drafting', address: `10.0.0.1:${id}`, availabilityZone, slots: 16, draining: false, models: [{ model: 'm', version: 1 }], ...part }
+}
+
+function chooser (records: readonly EndpointRecord[], loads: Readonly<Record<string, LoadReport>> = {}): EndpointChooser {
+  const made = new EndpointChooser({ availabilityZone: 'koshi', regionOf: zone => zone === 'far' ? 'other' : 'here' })
+  made.setRecords(records)
+  for (const [id, load] of Object.entries(loads)) made.heard(id, load, 1_000)
+  return made
+}
+
+/** The chosen endpoint's id, or nothing. */
+function chosen (made: EndpointChooser, part: Partial<Need> = {}, service = drafting, now = 1_050): string | undefined {
+  return made.choose(service, { ...need, ...part }, now)?.record.id
+}
+
+describe('EndpointChooser', () => {
+  const cases: [name: string, chosen: string | undefined, expected: string | undefined][] = [
+    ['the one that answers soonest', chosen(chooser([record('a'), record('b')], { a: busy, b: idle })), 'b'],
+    ['the own zone among equals', chosen(chooser([record('a', 'next'), record('b')], { a: idle, b: idle })), 'b'],
+    ['the nearer zone among equals', chosen(chooser([record('a', 'far'), record('b', 'next')], { a: idle, b: idle })), 'b'],
+    ['another zone when the own one is much slower', chosen(chooser([record('a'), record('b', 'far')], { a: busy, b: idle })), 'b'],
+    ['none that drains', chosen(chooser([record('a', 'koshi', { draining: true })])), undefined],
+    ['none that was tried', chosen(chooser([record('a'), record('b')]), { tried: new Set(['a']) }), 'b'],
+    ['none that holds nothing', chosen(chooser([record('a', 'koshi', { models: [] })])), undefined],
+    ['none that is switching', chosen(chooser([record('a')], { a: { ...idle, accepting: false } })), undefined],
+    ['none of too old a version', chosen(chooser([record('a')], { a: idle }), { leastVersion: 2 }), undefined],
+    ['a fresh report of a version before the list', chosen(chooser([record('a')], { a: { ...idle, version: 2 } }), { leastVersion: 2 }), 'a'],
+    ['the list when the report is old', chosen(chooser([record('a')], { a: { ...idle, version: 2 } }), { leastVersion: 2 }, drafting, 9_000), undefined],
+    ['none that would begin after its bound', chosen(chooser([record('a')], { a: busy }), { mustBeginBy: () => 1_200 }), undefined],
+    ['one that begins before its bound', chosen(chooser([record('a')], { a: idle }), { mustBeginBy: () => 1_600 }), 'a'],
+    ['one that does not close soon, for a long answer', chosen(chooser([record('a'), record('b', 'next')], { a: { ...idle, closesIn: 200 }, b: idle }), { answerTokens: 150 }), 'b'],
+    ['one that closes soon, for a short answer', chosen(chooser([record('a'), record('b', 'next')], { a: { ...idle, closesIn: 900 }, b: idle }), { answerTokens: 20 }), 'a']
+  ]
+  for (const [name, id, expected] of cases) it(`chooses ${name}`, () => assert.equal(id, expected))
+
+  it('counts what it sent since the last report', () => {
+    const made = chooser([record('a'), record('b')], { a: idle, b: idle })
+    const ids = new Set<string | undefined>()
+    for (const request of ['r1', 'r2']) {
+      const choice = made.choose(drafting, need, 1_050)
+      ids.add(choice?.record.id)
+      if (choice !== undefined) made.sent(choice, request, need.promptTokens, 1_050)
+    }
+    assert.deepEqual([...ids].sort(), ['a', 'b'])
+  })
+
+  it('passes over for a while what could not be reached', () => {
+    const made = chooser([record('a')])
+    made.avoid('a', 'unreachable', 1_000)
+    assert.equal(chosen(made, {}, drafting, 1_999), undefined)
+    assert.equal(chosen(made, {}, drafting, 2_000), 'a')
+  })
+
+  it('keeps to the connections that an endpoint takes', () => {
+    const made = chooser([record('a', 'koshi', { service: 'desk', models: [] })])
+    for (const request of ['r1', 'r2', 'r3', 'r4']) {
+      const choice = made.choose(desk, need, 0)
+      if (choice !== undefined) made.sent(choice, request, 0, 0)
+    }
+    assert.equal(chosen(made, {}, desk, 0), undefined)
+    made.ended('a', 'r1', 'good', 0)
+    assert.equal(chosen(made, {}, desk, 0), 'a')
+  })
+
+  it('goes elsewhere when an endpoint answers much later than expected, and comes back with time', () => {
+    const made = chooser([record('a'), record('b', 'next')], { a: idle, b: idle })
+    for (const request of ['r1', 'r2', 'r3']) {
+      const choice = made.choose(drafting, { ...need, tried: new Set(['b']) }, 1_000)
+      if (choice === undefined) continue
+      made.sent(choice, request, 500, 1_000)
+      made.load('a').begun(request, choice.expected, 3_000)
+      made.ended('a', request, 'good', 3_000)
+    }
+    for (const id of ['a', 'b']) made.heard(id, idle, 3_000)
+    assert.equal(chosen(made, {}, drafting, 3_010), 'b')
+    for (const id of ['a', 'b']) made.heard(id, idle, 30_000)
+    assert.equal(chosen(made, {}, drafting, 30_010), 'a')
+  })
+})
--- /dev/null
+++ b/packages/core/src/test/lib/routing/event-splitter_test.ts
@@ -0,0 +1,42 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { EventSplitter } from '../../../lib/routing/event-splitter.js'
+
+const encoder = new TextEncoder()
+const decoder = new TextDecoder()
+
+describe('EventSplitter', () => {
+  const cases: [name: string, pieces: string[], whole: string, lastId: string | undefined, pending: number][] = [
+    ['one event', ['id: 1\ndata: a\n\n'], 'id: 1\ndata: a\n\n', '1', 0],
+    ['two events in one piece', ['id: 1\n\nid: 2\n\n'], 'id: 1\n\nid: 2\n\n', '2', 0],
+    ['an event in pieces', ['id: 1\nda', 'ta: a\n', '\n'], 'id: 1\ndata: a\n\n', '1', 0],
+    ['a started event after a whole one', ['id: 1\n\nid: 2\nda'], 'id: 1\n\n', '1', 8],
+    ['carriage returns', ['id: 3\r\ndata: a\r\n\r\n'], 'id: 3\r\ndata: a\r\n\r\n', '3', 0],
+    ['an event without id', ['data: a\n\n'], 'data: a\n\n', undefined, 0],
+    ['an event without id after one with', ['id: 4\n\n', 'data: a\n\n'], 'id: 4\n\ndata: a\n\n', '4', 0],
+    ['nothing whole', ['id: 1\ndata: a\n'], '', undefined, 14]
+  ]
+  for (const [name, pieces, whole, lastId, pending] of cases) {
+    it(`passes on whole events only: ${name}`, () => {
+      const splitter = new EventSplitter()
+      let out = ''
+      let id: string | undefined
+      for (const piece of pieces) {
+        const events = splitter.push(encoder.encode(piece))
+        if (events === undefined) continue
+        out += decoder.decode(events.bytes)
+        id = events.lastId ?? id
+      }
+      assert.deepEqual([out, id, splitter.pending], [whole, lastId, pending])
+    })
+  }
+
+  it('counts events', () => {
+    assert.equal(new EventSplitter().push(encoder.encode('id: 1\n\nid: 2\n\nid: 3\n\n'))?.count, 3)
+  })
+})
--- /dev/null
+++ b/packages/core/src/test/lib/routing/published-state_test.ts
@@ -0,0 +1,141 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { PublishedState, type EndpointRecord, type PublishedChange } from '../../../lib/routing/published-state.js'
+import type { RoutingConfiguration } from '../../../lib/routing/routing-configuration.js'
+
+const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 }
+
+function configuration (version: number, revision: number): PublishedChange {
+  const value: RoutingConfiguration = { version, routes: [], services: [], organisations: [], limits }
+  return { type: 'configuration', revision, configuration: value }
+}
+
+function record (id: string, draining = false): EndpointRecord {
+  return { id, service: 'desk', address: '10.0.0.1:80', availabilityZone: 'koshi', slots: 4, draining, models: [] }
+}
+
+function listed (id: string, revision: number, draining = false): PublishedChange {
+  return { type: 'endpoint', revision, record: record(id, draining) }
+}
+
+function gone (id: string, revision: number): PublishedChange { return { type: 'endpoint-gone', revision, id } }
+function wanted (version: number, revision: number): PublishedChange { return { type: 'wanted-version', revision, wanted: { model: 'm', version } } }
+function ids (state: PublishedState): string[] { return state.endpoints().map(({ id }) => id).sort() }
+
+describe('PublishedState', () => {
+  const orders: [name: string, changes: PublishedChange[], expected: string[]][] = [
+    ['an endpoint', [listed('a', 1)], ['a']],
+    ['its removal', [listed('a', 1), gone('a', 2)], []],
+    ['a removal that comes before what it removes', [gone('a', 2), listed('a', 1)], []],
+    ['a return after a removal', [listed('a', 1), gone('a', 2), listed('a', 3)], ['a']],
+    ['an older removal after a return', [listed('a', 3), gone('a', 2)], ['a']]
+  ]
+  for (const [name, changes, expected] of orders) {
+    it(`takes ${name} by revision, not by order`, () => {
+      const state = new PublishedState()
+      for (const change of changes) state.take(change, 0)
+      assert.deepEqual(ids(state), expected)
+    })
+  }
+
+  it('never goes back to an older configuration', () => {
+    const state = new PublishedState()
+    assert.equal(state.take(configuration(7, 20), 0), true)
+    assert.equal(state.take(configuration(4, 10), 0), false)
+    assert.equal(state.configuration?.version, 7)
+  })
+
+  it('keeps a draining mark against a late older entry', () => {
+    const state = new PublishedState()
+    state.take(listed('a', 5, true), 0)
+    state.take(listed('a', 4, false), 0)
+    assert.equal(state.endpoints()[0]?.draining, true)
+  })
+
+  it('takes what a whole reading lacks as gone, but not what is newer than the reading', () => {
+    const state = new PublishedState()
+    state.take(listed('old', 1), 0)
+    state.take(listed('new', 9), 0)
+    state.takeWhole('endpoints', [listed('a', 2)], 5, 0)
+    assert.deepEqual(ids(state), ['a', 'new'])
+  })
+
+  it('holds endpoints whose entries lapsed during an outage until the store has been back for a while', () => {
+    const state = new PublishedState()
+    state.take(listed('a', 1), 0)
+    state.take(listed('b', 2), 0)
+    state.storeLost()
+    state.storeRegained(10_000)
+    state.take(gone('a', 3), 10_100)
+    state.take(gone('b', 4), 10_100)
+    assert.deepEqual(ids(state), ['a', 'b'])
+    state.take(listed('b', 5), 11_000)
+    assert.deepEqual(state.expire(12_499), [])
+    assert.deepEqual(state.expire(12_500).map(change => change.type === 'endpoint-gone' && change.id), ['a'])
+    assert.deepEqual(ids(state), ['b'])
+  })
+
+  it('removes at once when the store was not away', () => {
+    const state = new PublishedState()
+    state.take(listed('a', 1), 0)
+    assert.equal(state.take(gone('a', 2), 5), true)
+  })
+
+  it('gives a peer what it lacks, removals included', () => {
+    const [teller, asker] = [new PublishedState(), new PublishedState()]
+    for (const state of [teller, asker]) {
+      state.takeWhole('endpoints', [listed('a', 1), listed('b', 2)], 2, 0)
+      state.takeWhole('configuration', [configuration(1, 1)], 2, 0)
+      state.takeWhole('versions', [], 2, 0)
+    }
+    for (const change of [gone('a', 3), listed('c', 4), configuration(2, 5), wanted(2, 6)]) teller.take(change, 0)
+    teller.followed('endpoints', 6)
+    teller.followed('configuration', 6)
+    teller.followed('versions', 6)
+    const news = asker.takeDelta(teller.since(asker.note), 100)
+    assert.equal(news.length, 4)
+    assert.deepEqual(ids(asker), ['b', 'c'])
+    assert.equal(asker.configuration?.version, 2)
+    assert.equal(asker.wanted('m')?.version, 2)
+    assert.deepEqual(asker.takeDelta(teller.since(asker.note), 100), [])
+  })
+
+  it('gives everything to a peer that has nothing', () => {
+    const [teller, asker] = [new PublishedState(), new PublishedState()]
+    teller.takeWhole('endpoints', [listed('a', 1)], 3, 0)
+    teller.takeWhole('configuration', [configuration(1, 2)], 3, 0)
+    asker.takeDelta(teller.since(asker.note), 0)
+    assert.equal(asker.complete, true)
+  })
+})
+
+describe('PublishedState.dueVersion', () => {
+  const bound = 8_000
+  const cases: [name: string, named: [version: number, at: number][], now: number, due: number, firstNewer: number | undefined][] = [
+    ['none named', [], 100_000, 0, undefined],
+    ['one just named', [[2, 1_000]], 8_999, 0, 1_000],
+    ['one whose bound has passed', [[2, 1_000]], 9_000, 2, 1_000],
+    ['a second one named before the first is everywhere', [[2, 1_000], [3, 3_000]], 9_500, 2, 1_000],
+    ['both bounds passed', [[2, 1_000], [3, 3_000]], 11_000, 3, 1_000]
+  ]
+  for (const [name, named, now, due, firstNewer] of cases) {
+    it(`holds each version to its own bound: ${name}`, () => {
+      const state = new PublishedState()
+      state.followed('versions', 1)
+      named.forEach(([version, at], index) => state.take(wanted(version, index + 2), at))
+      assert.equal(state.dueVersion('m', bound, now), due)
+      assert.equal(state.firstNewerAt('m', 1), firstNewer)
+    })
+  }
+
+  it('takes a version that was named before it began to follow as due', () => {
+    const state = new PublishedState()
+    state.takeWhole('versions', [wanted(4, 9)], 9, 500)
+    assert.equal(state.dueVersion('m', bound, 501), 4)
+  })
+})
--- /dev/null
+++ b/packages/core/src/test/lib/routing/routing-configuration_test.ts
@@ -0,0 +1,60 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { RouteTable, targetOf, type Route, type RoutingConfiguration } from '../../../lib/routing/routing-configuration.js'
+
+/** A route with everything that a case does not name. */
+function route (part: Partial<Route>): Route {
+  return {
+    name: 'plans', host: 'halls.example', pathPrefix: '/plans/', kind: 'safe', timeout: 2_000, objective: 400, gapObjective: 0, priority: 1, maxAttempts: 2, open: false, resumable: false, targets: [{ service: 'desk', weight: 1 }], ...part
+  }
+}
+
+function table (routes: readonly Route[], organisations: RoutingConfiguration['organisations']): RouteTable {
+  return new RouteTable({ version: 1, routes, services: [], organisations, limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 } })
+}
+
+const branch = { name: 'branch', keys: ['key-1', 'key-2'] }
+
+describe('RouteTable.match', () => {
+  const routes = [route({}), route({ name: 'long', pathPrefix: '/plans/long/' }), route({ name: 'open', pathPrefix: '/open/', open: true }), route({ name: 'other', host: 'other.example' })]
+  const cases: [name: string, host: string, path: string, key: string | undefined, expected: string][] = [
+    ['a prefix', 'halls.example', '/plans/7', 'key-1', 'plans'],
+    ['the prefix itself', 'halls.example', '/plans/', 'key-2', 'plans'],
+    ['the longest prefix', 'halls.example', '/plans/long/7', 'key-1', 'long'],
+    ['the same path of another host', 'other.example', '/plans/7', 'key-1', 'other'],
+    ['a path that only resembles the prefix', 'halls.example', '/plansx', 'key-1', 'unknown-route'],
+    ['a host that has no routes', 'no.example', '/plans/7', 'key-1', 'unknown-route'],
+    ['a key that nobody holds', 'halls.example', '/plans/7', 'key-9', 'unknown-key'],
+    ['no key', 'halls.example', '/plans/7', undefined, 'unknown-key'],
+    ['no key on an open route', 'halls.example', '/open/7', undefined, 'open'],
+    ['an unknown key on an unknown route', 'halls.example', '/none/', 'key-9', 'unknown-route']
+  ]
+  for (const [name, host, path, key, expected] of cases) {
+    it(`finds ${name}`, () => {
+      const match = table(routes, [branch]).match(host, path, key)
+      assert.equal(match.type === 'route' ? match.route.name : match.type, expected)
+    })
+  }
+
+  it('asks for no key where no organisations are configured', () => {
+    const match = table(routes, []).match('halls.example', '/plans/7', undefined)
+    assert.equal(match.type, 'route')
+  })
+
+  it('names the organisation that holds the key', () => {
+    const match = table(routes, [branch]).match('halls.example', '/open/7', 'key-2')
+    assert.equal(match.type === 'route' && match.organisation?.name, 'branch')
+  })
+})
+
+describe('targetOf', () => {
+  const shared = route({ targets: [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }] })
+  const cases: [draw: number, expected: string][] = [[0, 'a'], [0.899, 'a'], [0.9, 'b'], [0.999, 'b']]
+  for (const [draw, expected] of cases) it(`draws ${expected} for ${draw}`, () => assert.equal(targetOf(shared, draw), expected))
+  it('draws nothing of a route without targets', () => assert.equal(targetOf(route({ targets: [] }), 0.5), ''))
+})
--- a/packages/stand-ins/src/lib/http-service.ts
+++ b/packages/stand-ins/src/lib/http-service.ts
@@ -5,6 +5,7 @@
  */
 /** A small HTTP server base for stand-ins: a handler, a rate limit, and a way to be down. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { TokenBucket } from '@drumdrift/core'
 
 /** How a stand-in behaves. */
@@ -36,6 +37,9 @@
     })
   }
 
+  /** Where it listens, once it does. */
+  get address (): string { return `127.0.0.1:${(this._server.address() as AddressInfo).port}` }
+
   close (): void {
     this._server.close()
     this._server.closeAllConnections()
--- /dev/null
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -0,0 +1,116 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Stands in for the users' store: items with revisions, reads by prefix in pages, watches that wait, and its faults.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { HttpService, sendJson } from '../http-service.js'
+
+/** One change, as the store tells it. */
+interface StoreEvent {
+  readonly key: string
+  readonly revision: number
+  readonly value?: string
+  readonly removed?: true
+}
+
+interface Waiting {
+  readonly prefix: string
+  readonly after: number
+  readonly response: ServerResponse
+  readonly timer: NodeJS.Timeout
+}
+
+/** What the store does with calls, besides `behaviour`: answer, turn away, or hear and say nothing. */
+export type StoreMode = 'answers' | 'turns-away' | 'silent'
+
+/** The store on loopback. */
+export class KeyValueStoreStandIn extends HttpService {
+  mode: StoreMode = 'answers'
+  /** Items in one page of a read. */
+  pageSize = 500
+  private readonly _items = new Map<string, StoreEvent>()
+  private _history: StoreEvent[] = []
+  private _revision = 1
+  private _forgottenUpTo = 0
+  private readonly _waiting = new Set<Waiting>()
+
+  /** Writes a document, as operators and workers do. Returns its revision. */
+  put (key: string, document: unknown): number {
+    const value = Buffer.from(JSON.stringify(document)).toString('base64')
+    return this._change({ key, revision: ++this._revision, value })
+  }
+
+  remove (key: string): number {
+    return this._change({ key, revision: ++this._revision, removed: true })
+  }
+
+  /** Forgets its history and cuts all watches. */
+  compact (): void {
+    this._forgottenUpTo = this._revision
+    this._history = []
+    for (const waiting of this._waiting) {
+      clearTimeout(waiting.timer)
+      waiting.response.destroy()
+    }
+    this._waiting.clear()
+  }
+
+  override close (): void {
+    for (const { timer } of this._waiting) clearTimeout(timer)
+    super.close()
+  }
+
+  protected answer (request: IncomingMessage, response: ServerResponse): void {
+    if (this.mode === 'silent') return
+    if (this.mode === 'turns-away') return sendJson(response, {}, 503)
+    const url = new URL(request.url ?? '/', 'http://store')
+    const prefix = url.searchParams.get('pathPrefix') ?? ''
+    if (url.pathname === '/api/kv-range') this._range(prefix, url.searchParams.get('sinceRev') ?? '', response)
+    else if (url.pathname === '/api/kv-watch') this._watch(prefix, Number(url.searchParams.get('sinceRev')), Number(url.searchParams.get('waitMs')), response)
+    else sendJson(response, {}, 404)
+  }
+
+  private _range (prefix: string, afterKey: string, response: ServerResponse): void {
+    const items = [...this._items.values()].filter(({ key }) => key.startsWith(prefix) && key > afterKey).sort((left, right) => left.key < right.key ? -1 : 1)
+    sendJson(response, { items: items.slice(0, this.pageSize), truncated: items.length > this.pageSize, storeRevision: this._revision })
+  }
+
+  private _watch (prefix: string, after: number, wait: number, response: ServerResponse): void {
+    if (after < this._forgottenUpTo) return sendJson(response, {}, 410)
+    if (this._tell(prefix, after, response)) return
+    const waiting: Waiting = {
+      prefix,
+      after,
+      response,
+      timer: setTimeout(() => {
+        this._waiting.delete(waiting)
+        sendJson(response, { events: [], storeRevision: this._revision })
+      }, wait)
+    }
+    this._waiting.add(waiting)
+  }
+
+  private _tell (prefix: string, after: number, response: ServerResponse): boolean {
+    const events = this._history.filter(event => event.key.startsWith(prefix) && event.revision > after)
+    if (events.length === 0) return false
+    sendJson(response, { events, storeRevision: this._revision })
+    return true
+  }
+
+  private _change (event: StoreEvent): number {
+    if (event.removed === true) this._items.delete(event.key)
+    else this._items.set(event.key, event)
+    this._history.push(event)
+    if (this.mode === 'silent') return event.revision
+    for (const waiting of this._waiting) {
+      if (!this._tell(waiting.prefix, waiting.after, waiting.response)) continue
+      clearTimeout(waiting.timer)
+      this._waiting.delete(waiting)
+    }
+    return event.revision
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -0,0 +1,154 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Stands in for one of the users' workers: answers with its signature, or misbehaves in one of the ways that their
+ * pages tell of; holds staged pieces and takes orders.
+ */
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { HttpService, readAll, sendJson } from '../http-service.js'
+
+/** What the worker does with a request. */
+export type WorkerMode =
+  | 'whole' | 'error' | 'sheds' | 'wrong-instance' | 'wrong-version' | 'cut' | 'cut-in-event' | 'reset-unanswered' | 'mute'
+  | 'unsigned' | 'of-another-request' | 'unframed'
+
+/** A request that reached the worker. */
+export interface Arrival {
+  readonly method: string
+  readonly path: string
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+}
+
+/** Events of a stream. */
+const EVENTS = 6
+/** Events that come before a stream is cut. */
+const EVENTS_BEFORE_CUT = 3
+const EVENT_PAUSE = 5
+
+type ModeHandler = (worker: UsersWorkerStandIn, request: IncomingMessage, response: ServerResponse) => void
+
+/** A worker on loopback. */
+export class UsersWorkerStandIn extends HttpService {
+  mode: WorkerMode = 'whole'
+  /** Requests of callers, in the order they came. */
+  readonly arrivals: Arrival[] = []
+  /** Connections that were closed by the other side before the answer was over. */
+  abandoned = 0
+  version = 1
+  running = 0
+  busy = false
+  readonly orders: unknown[] = []
+  readonly staged = new Map<number, Buffer>()
+
+  /**
+   * @param id Names this start of the worker.
+   * @param model The model that it serves; empty for a plain service.
+   */
+  constructor (readonly id: string, readonly model = '') { super() }
+
+  /** What the worker's entry in the store says. */
+  entry (service: string, zone: string, state = 'ready'): unknown {
+    const models = this.model === '' || this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
+    return { service, address: this.address, zone, version: 'v1', slots: 16, state, coldRemainingMs: 0, stage: 'both', models, seq: 1 }
+  }
+
+  protected async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://worker')
+    if (url.pathname === '/api/report') return this._report(response)
+    if (url.pathname.startsWith('/api/stage-')) return await this._stage(url, request, response)
+    if (url.pathname === '/api/order') return await this._order(request, response)
+    const body = (await readAll(request)).toString('utf8')
+    this.arrivals.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
+    response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
+    modeHandlers[this.mode](this, request, response)
+  }
+
+  /** The head that each answer has: the echo of the request's name, and the worker's signature. */
+  head (request: IncomingMessage): Record<string, string> {
+    return { 'x-attempt-id': String(request.headers['x-attempt-id']), 'x-server-seal': `seal-of-${this.id}` }
+  }
+
+  private _report (response: ServerResponse): void {
+    const models = this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
+    sendJson(response, { stage: 'both', models, busy: this.busy, seq: this.orders.length, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
+  }
+
+  private async _stage (url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const index = url.searchParams.get('sampleCount')
+    if (url.pathname.startsWith('/api/stage-put/')) {
+      this.staged.set(Number(index), await readAll(request))
+      return sendJson(response, {})
+    }
+    if (index === null) return sendJson(response, { held: [...this.staged.keys()] })
+    const piece = this.staged.get(Number(index))
+    if (piece === undefined) sendJson(response, {}, 404)
+    else response.writeHead(200).end(piece)
+  }
+
+  private async _order (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = JSON.parse((await readAll(request)).toString('utf8')) as { version: number }
+    this.orders.push(order)
+    this.version = order.version
+    sendJson(response, {}, 202)
+  }
+}
+
+function sendEvents (worker: UsersWorkerStandIn, request: IncomingMessage, response: ServerResponse, upTo: number, then: () => void): void {
+  response.writeHead(200, { ...worker.head(request), 'content-type': 'text/event-stream' })
+  let next = Number(request.headers['last-event-id'] ?? 0) + 1
+  const timer = setInterval(() => {
+    if (next > upTo) {
+      clearInterval(timer)
+      then()
+      return
+    }
+    response.write(`id: ${next}\ndata: piece ${next} of ${worker.id}\n\n`)
+    next += 1
+  }, EVENT_PAUSE)
+}
+
+/** Streams answer model requests; everything else is answered with a body of known length. */
+function streams (request: IncomingMessage): boolean { return request.headers['x-model'] !== undefined }
+
+const modeHandlers: Record<WorkerMode, ModeHandler> = {
+  whole: (worker, request, response) => {
+    if (streams(request)) return sendEvents(worker, request, response, EVENTS, () => response.end())
+    response.writeHead(200, worker.head(request)).end(`answer of ${worker.id}`)
+  },
+  error: (worker, request, response) => { response.writeHead(500, worker.head(request)).end('failed') },
+  sheds: (_worker, _request, response) => { response.writeHead(503, { 'x-not-run': '1' }).end() },
+  'wrong-instance': (worker, _request, response) => { response.writeHead(421, { 'x-instance-id': worker.id }).end() },
+  'wrong-version': (_worker, _request, response) => { response.writeHead(421).end() },
+  cut: (worker, request, response) => {
+    if (streams(request)) return sendEvents(worker, request, response, EVENTS_BEFORE_CUT, () => response.destroy())
+    response.writeHead(200, { ...worker.head(request), 'content-length': '100' })
+    response.write('half of an answer')
+    setTimeout(() => response.destroy(), EVENT_PAUSE)
+  },
+  'cut-in-event': (worker, request, response) => sendEvents(worker, request, response, EVENTS_BEFORE_CUT, () => {
+    response.write('id: 4\ndata: pie')
+    setTimeout(() => response.destroy(), EVENT_PAUSE)
+  }),
+  'reset-unanswered': (_worker, request) => { request.socket.resetAndDestroy() },
+  mute: () => {},
+  unsigned: (worker, request, response) => {
+    response.writeHead(200, { 'x-attempt-id': worker.head(request)['x-attempt-id'] }).end('not to be trusted')
+  },
+  'of-another-request': (worker, request, response) => {
+    response.writeHead(200, { ...worker.head(request), 'x-attempt-id': 'another' }).end('of another request')
+  },
+  unframed: (worker, request) => {
+    const head = Object.entries(worker.head(request)).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    request.socket.end(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nanswer of ${worker.id}`)
+  }
+}
+
+/** The digest by which the users name a piece of weights. */
+export function pieceDigest (bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex')
+}
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -4,11 +4,10 @@
 import { join } from 'node:path'
 
 const root = new URL('..', import.meta.url).pathname
-const packages = join(root, 'packages')
-const files = readdirSync(packages, { recursive: true })
-  .map(String)
-  .filter(name => /^[^/]+\/build\/test\/.*_test\.js$/.test(name))
+const built = ['packages', 'platform'].flatMap(folder => readdirSync(join(root, folder), { recursive: true }).map(name => join(folder, String(name))))
+const files = built
+  .filter(name => /^(packages\/[^/]+|platform)\/build\/test\/.*_test\.js$/.test(name))
   .sort()
-  .map(name => join(packages, name))
+  .map(name => join(root, name))
 const result = spawnSync(process.execPath, ['--test', '--test-reporter=spec', ...files], { stdio: 'inherit' })
 process.exit(result.status ?? 1)
