--- a/packages/node/src/lib/command-line.ts
+++ b/packages/node/src/lib/command-line.ts
@@ -59,7 +59,7 @@
 async function start (file: string, role: 'entry' | 'agent'): Promise<void> {
   const settings = orExit(() => readSettings(file, role))
   const { ownDaemons, runDaemon } = await import('./run-daemon.js')
-  await runDaemon(settings, ownDaemons[role])
+  await runDaemon(settings, ownDaemons[role], file)
 }
 
 function check (file: string): void {
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -62,14 +62,12 @@
   private readonly _front: RouteFront
   private readonly _readiness: ReadinessServer
   private readonly _metrics: MetricsServer | undefined
-  private readonly _versionBound: number
   private _table: RouteTable | undefined
   private _ready = false
   private _leaving = false
 
   constructor (private readonly _settings: Settings, private readonly _log: Log, platform: RoutingPlatform) {
     const text = (section: string, key: string): string => _settings.text(section, key)
-    this._versionBound = _settings.number('platform', 'version-bound-milliseconds')
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic)
     this._units = new ServiceUnits(placeOf(_settings), _settings.number('requests', 'retry-ratio'), _settings.number('peers', 'agent-port'))
@@ -154,6 +152,8 @@
     }
   }
 
+  private get _versionBound (): number { return this._settings.number('platform', 'version-bound-milliseconds') }
+
   /** Until shortly before the bound any version may begin a request; then only the wanted one. */
   private _leastVersion (model: string): number {
     return this._feed.state.dueVersion(model, this._versionBound - VERSION_MARGIN, performance.now())
--- a/packages/node/src/lib/settings/settings.ts
+++ b/packages/node/src/lib/settings/settings.ts
@@ -15,7 +15,7 @@
 
 /** Checked settings of one process. */
 export class Settings {
-  constructor (readonly role: Role, private readonly _values: ReadonlyMap<string, string>) {}
+  constructor (readonly role: Role, private _values: ReadonlyMap<string, string>) {}
 
   /**
    * A setting as text.
@@ -32,6 +32,20 @@
     return Number(this.text(section, key))
   }
 
+  /**
+   * Takes the values of a newer reading, as after a change of the file. Whoever asks for a setting from now on gets the
+   * new value.
+   *
+   * @returns The settings that changed, as section.key.
+   * @example
+   * const changed = settings.adopt(readSettings(file, settings.role))
+   */
+  adopt (newer: Settings): string[] {
+    const changed = [...newer._values].filter(([name, value]) => this._values.get(name) !== value).map(([name]) => name)
+    this._values = newer._values
+    return changed
+  }
+
   /** A setting as a list. */
   list (section: string, key: string): string[] {
     return splitList(this.text(section, key))
