What leaves after the store has returned is gone at once; watches are short after a failure

Ruled out: a late watch (the removal, revision 47, was there; it was held as a lapse). Change: only removals up to the revision at the return can be lapses. A test of the first failed before.

--- a/packages/core/src/lib/routing/published-state.ts
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -88,6 +88,8 @@
   private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
   /** Until when missing endpoints count as lapsed rather than gone; infinite while the store cannot be reached. */
   private _graceUntil = 0
+  /** Removals up to this revision may be such lapses. */
+  private _graceRevision = 0
 
   get configuration (): RoutingConfiguration | undefined { return this._configuration?.configuration }
   get configurationRevision (): number { return this._configuration?.revision ?? 0 }
@@ -154,11 +156,20 @@
   }
 
   /** The store cannot be reached: entries that vanish now may have lapsed only because of that. */
-  storeLost (): void { this._graceUntil = Infinity }
+  storeLost (): void {
+    this._graceUntil = Infinity
+    this._graceRevision = Infinity
+  }
 
-  /** The store answers again. */
-  storeRegained (now: number): void {
-    if (this._graceUntil === Infinity) this._graceUntil = now + LAPSE_GRACE
+  /**
+   * The store answers again.
+   *
+   * @param upTo Its revision then: what went up to it may have lapsed, what goes later is gone.
+   */
+  storeRegained (now: number, upTo: number): void {
+    if (this._graceUntil !== Infinity) return
+    this._graceUntil = now + LAPSE_GRACE
+    this._graceRevision = upTo
   }
 
   /** Takes away endpoints that stayed missing after an outage. Returns their removals. */
@@ -239,7 +250,7 @@
     if (revision <= Math.max(held?.revision ?? 0, this._removals.get(id) ?? 0)) return false
     this._noteRemoval(id, revision)
     if (held === undefined) return false
-    if (now < this._graceUntil) {
+    if (now < this._graceUntil && revision <= this._graceRevision) {
       held.lapsesAt ??= this._graceUntil
       return false
     }
--- a/packages/core/src/test/lib/routing/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published-state_test.ts
@@ -70,7 +70,7 @@
     state.take(listed('a', 1), 0)
     state.take(listed('b', 2), 0)
     state.storeLost()
-    state.storeRegained(10_000)
+    state.storeRegained(10_000, 4)
     state.take(gone('a', 3), 10_100)
     state.take(gone('b', 4), 10_100)
     assert.deepEqual(ids(state), ['a', 'b'])
@@ -80,6 +80,15 @@
     assert.deepEqual(ids(state), ['b'])
   })
 
+  it('removes at once what goes after the store has returned', () => {
+    const state = new PublishedState()
+    state.take(listed('a', 1), 0)
+    state.storeLost()
+    state.storeRegained(10_000, 4)
+    assert.equal(state.take(gone('a', 5), 10_100), true)
+    assert.deepEqual(ids(state), [])
+  })
+
   it('removes at once when the store was not away', () => {
     const state = new PublishedState()
     state.take(listed('a', 1), 0)
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -37,6 +37,12 @@
   readonly onChanges: (changes: readonly PublishedChange[]) => void
 }
 
+/**
+ * After a failure watches are held for less, so that one that hangs on a path which is just being cut or healed is given
+ * up soon. Both in milliseconds: how long they are short, and how short.
+ */
+const UNSTEADY_TIME = 12_000
+const UNSTEADY_WAIT = 500
 /** Pauses after a failed call of the store, in milliseconds: they double, since refused calls are charged too. */
 const FIRST_BACKOFF = 100
 const LONGEST_BACKOFF = 800
@@ -51,6 +57,7 @@
   /** Scopes whose last call failed, with the time of the first failure in a row. */
   private readonly _failing = new Map<StoreScope, number>()
   private readonly _peerTimer: NodeJS.Timeout
+  private _failedAt = -Infinity
   private _closed = false
   private _askingPeer = false
 
@@ -76,7 +83,7 @@
     const answer = await this._read(scope)
     if (this._closed) return
     if (answer.type === 'store-failure') return this._failed(scope, answer)
-    this._answered(scope)
+    this._answered(scope, answer.upTo)
     this._takeWhole(scope, answer)
   }
 
@@ -93,12 +100,12 @@
         continue
       }
       backoff = FIRST_BACKOFF
-      this._answered(scope)
       if (answer.type === 'history-lost') {
         this._parts.log.warn('history-lost', { scope, revision: this._followed(scope) })
         read = false
         continue
       }
+      this._answered(scope, answer.upTo)
       if (read) this._takeChanges(scope, answer)
       else this._takeWhole(scope, answer)
       read = true
@@ -113,7 +120,9 @@
 
   private async _watch (scope: StoreScope): Promise<StoreChanges | { readonly type: 'history-lost' } | StoreFailure> {
     this._parts.counters.add('store_watches')
-    return await this._parts.store.awaitChanges(scope, this._followed(scope), this._parts.watchWait)
+    const unsteady = performance.now() - this._failedAt < UNSTEADY_TIME
+    const wait = unsteady ? Math.min(UNSTEADY_WAIT, this._parts.watchWait) : this._parts.watchWait
+    return await this._parts.store.awaitChanges(scope, this._followed(scope), wait)
   }
 
   /** The revision up to which every topic of a scope has been followed. */
@@ -151,6 +160,7 @@
 
   private _failed (scope: StoreScope, failure: StoreFailure): void {
     this._parts.counters.add('store_failures')
+    this._failedAt = performance.now()
     if (!this._failing.has(scope)) {
       this._failing.set(scope, performance.now())
       this._parts.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
@@ -158,13 +168,13 @@
     this.state.storeLost()
   }
 
-  private _answered (scope: StoreScope): void {
+  private _answered (scope: StoreScope, upTo: number): void {
     const since = this._failing.get(scope)
     if (since === undefined) return
     const now = performance.now()
     this._failing.delete(scope)
     this._parts.log.info('store-regained', { scope, away: Math.round(now - since) })
-    if (this.storeAnswers) this.state.storeRegained(now)
+    if (this.storeAnswers) this.state.storeRegained(now, upTo)
   }
 
   private _tick (): void {
