A longer margin before a version's bound, more so over slow links

In the cases that were traced before, a request lay in the queue of a narrowed link when it was sent or stopped. Change: entries leave old versions 900 ms before the bound (700), and count six times the measured way besides twice the expected time.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -43,6 +43,8 @@
   readonly version: number
   /** The age of what it reported of its load, in milliseconds; infinite for none. */
   readonly reportAge: number
+  /** The way there and back, in milliseconds; 0 when it is not measured. */
+  readonly roundTrip: number
   /** Endpoints that could have been chosen. */
   readonly candidates: number
 }
@@ -68,8 +70,12 @@
 const CLOSING_PRICE = 0.5
 /** A plain endpoint that names no slots is taken to have these. */
 const ASSUMED_SLOTS = 8
-/** A request is taken to begin within so many times the expected time: links and engines may just be getting slower. */
+/**
+ * A request is taken to begin within so many times the expected time, and so many times the way there and back: engines
+ * and links may just be getting slower, and the queue of a link that was narrowed grows by its own length in a moment.
+ */
 const BEGIN_FACTOR = 2
+const BEGIN_LINK_FACTOR = 6
 
 interface Known {
   readonly load: EndpointLoad
@@ -169,7 +175,7 @@
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
     const expected = service.pool === undefined ? load.expectedPlainAnswer(slots) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
     const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
-    return { record, expected, version, reportAge: load.reportAge(now), candidates }
+    return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.roundTrip(now), candidates }
   }
 
   /** The price of work that would hold up a planned switch. */
@@ -195,7 +201,7 @@
 }
 
 /** Whether a request could begin on an old version after it must no longer. */
-function tooLate ({ expected, version }: Choice, { mustBeginBy }: Need, now: number): boolean {
+function tooLate ({ expected, version, roundTrip }: Choice, { mustBeginBy }: Need, now: number): boolean {
   const bound = mustBeginBy(version)
-  return bound !== undefined && now + BEGIN_FACTOR * expected > bound
+  return bound !== undefined && now + BEGIN_FACTOR * expected + BEGIN_LINK_FACTOR * roundTrip > bound
 }
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -55,6 +55,19 @@
   ]
   for (const [name, id, expected] of cases) it(`chooses ${name}`, () => assert.equal(id, expected))
 
+  it('gives nothing to an old version over a link whose queue could hold it beyond the bound', () => {
+    const made = chooser([record('a')], { a: idle })
+    const bounded = { mustBeginBy: (): number => 2_300 }
+    assert.equal(chosen(made, bounded), 'a')
+    made.measured('a', 'begun', 850)
+    assert.equal(chosen(made, bounded), undefined)
+    made.measured('a', 'ended', 1_040)
+    assert.equal(chosen(made, bounded), undefined)
+    made.measured('a', 'begun', 1_045)
+    made.measured('a', 'ended', 1_050)
+    assert.equal(chosen(made, bounded), 'a')
+  })
+
   it('counts what it sent since the last report', () => {
     const made = chooser([record('a'), record('b')], { a: idle, b: idle })
     const ids = new Set<string | undefined>()
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -41,7 +41,7 @@
  * Before the bound of a new version, requests already go only to endpoints that have it: a request that was sent begins
  * later, behind others. In milliseconds; a few times the wait that a sound engine has.
  */
-const VERSION_MARGIN = 700
+const VERSION_MARGIN = 900
 /**
  * What has not begun on an old version so long before the bound is taken back and sent elsewhere: the news of its
  * beginning, and the closing of its connection, each take a way over a busy link. In milliseconds.
