An answer without a length is not believed where the request may be repeated

Ruled out: a length that was not kept to (the call reports that as broken; played against a small server). An unsafe request still gets such an answer, since asking again could run it twice.

--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -16,7 +16,8 @@
 
 /** How a call ended. */
 export type EndpointCallEnd =
-  | { readonly type: 'whole' }
+  /** `framed`: the answer told its end itself; one that only ended with its connection may have been cut off. */
+  | { readonly type: 'whole', readonly framed: boolean }
   | { readonly type: 'not-run', readonly reason: NotRunReason }
   /** No whole answer to this request. `begun` tells whether its head had been taken. */
   | { readonly type: 'broken', readonly begun: boolean, readonly detail: string }
@@ -97,7 +98,7 @@
     this._listener.head(head)
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
     response.on('end', () => {
-      if (response.complete) this._end({ type: 'whole' })
+      if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
       else this._lost('the answer ended early')
     })
   }
@@ -115,3 +116,9 @@
     this._finish(end)
   }
 }
+
+/** Whether an answer tells where it ends (RFC 9112, 6.3), so that the end of its connection is no guess. */
+function isFramed ({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  const bodiless = statusCode === 204 || statusCode === 304
+  return bodiless || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -256,6 +256,7 @@
     if (end.type === 'not-run') return end
     if (attempt.stalled) return { type: 'stalled', detail: 'no event for too long' }
     if (end.type === 'whole' && attempt.head !== undefined) {
+      if (this._mayBeShort(attempt.head, end.framed)) return { type: 'broken', detail: 'the answer ended with its connection' }
       const cutEvent = this._streams(attempt.head) && this._splitter.pending > 0
       return cutEvent ? { type: 'cut', detail: 'the stream ended within an event' } : { type: 'answered', status: attempt.head.status }
     }
@@ -263,6 +264,15 @@
     return this._answer.begun ? { type: 'cut', detail } : { type: 'broken', detail }
   }
 
+  /**
+   * An answer without a length looks whole when its endpoint crashed in the middle of it. Where the request may be
+   * repeated, another endpoint is asked rather than such an answer believed.
+   */
+  private _mayBeShort (head: AnswerHead, framed: boolean): boolean {
+    const again = this._course.repeatable && this._attempts < this._request.route.maxAttempts
+    return !framed && !this._streams(head) && again
+  }
+
   private _tellChooser (attempt: Attempt, outcome: AttemptEnd, now: number): void {
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
