Connections whose answer ends after listening has stopped are ended

Ruled out: the balancer (new connections end after 2.5 s). Change: once listening has stopped, resting connections are ended every 20 ms.

--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -34,6 +34,8 @@
 const FIRST_HEAD_TIMEOUT = 3_000
 /** A whole request must have been read after this, in milliseconds; Node checks in steps. */
 const READ_TIMEOUT = 30_000
+/** How often connections that rest are ended once it has stopped to listen, in milliseconds. */
+const IDLE_CLOSE_PAUSE = 20
 /** Before a caller comes back that met a process without any configuration, in milliseconds. */
 const RETRY_WITHOUT_CONFIGURATION = 500
 
@@ -43,6 +45,7 @@
   private readonly _requests = new Set<RoutedRequest>()
   private readonly _idle = new Set<() => void>()
   private _leaving = false
+  private _idleTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly _parts: RouteFrontParts) {
     this._server = createServer({ maxHeaderSize: LARGEST_HEAD, requestTimeout: READ_TIMEOUT, headersTimeout: FIRST_HEAD_TIMEOUT, keepAliveTimeout: FIRST_IDLE_TIMEOUT }, (request, response) => { this._take(request, response) })
@@ -70,13 +73,18 @@
   /** From now on each answer asks its caller to open a new connection, elsewhere if it can. */
   leave (): void { this._leaving = true }
 
-  /** Takes no new connections, and ends those that rest. */
+  /**
+   * Takes no new connections, and ends those that rest, now and as soon as their answers have ended: an answer whose
+   * head was sent before could not tell its caller to open a new connection for the next request.
+   */
   stopListening (): void {
     this._server.close()
     this._server.closeIdleConnections()
+    this._idleTimer = setInterval(() => this._server.closeIdleConnections(), IDLE_CLOSE_PAUSE)
   }
 
   close (): void {
+    clearInterval(this._idleTimer)
     this._server.close()
     this._server.closeAllConnections()
   }
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -39,6 +39,8 @@
   readonly arrivals: Arrival[] = []
   /** Connections that were closed by the other side before the answer was over. */
   abandoned = 0
+  /** Milliseconds between the events of a stream. */
+  eventPause = EVENT_PAUSE
   version = 1
   running = 0
   busy = false
@@ -109,7 +111,7 @@
     }
     response.write(`id: ${next}\ndata: piece ${next} of ${worker.id}\n\n`)
     next += 1
-  }, EVENT_PAUSE)
+  }, worker.eventPause)
 }
 
 /** Streams answer model requests; everything else is answered with a body of known length. */
