--- a/packages/core/src/lib/transfer.ts
+++ b/packages/core/src/lib/transfer.ts
@@ -29,8 +29,6 @@
   readonly originCopies: number
   /** Added wait, for each rank in the zone, before a member may turn to the store or origin. */
   readonly originStagger: number
-  /** Where chunks come from when no peer has them. */
-  readonly upstreams: readonly ('store' | 'origin')[]
   /** How long a peer that failed is passed over. */
   readonly penalty: number
   /** The least time that an attempt gets. */
@@ -43,7 +41,6 @@
   strategy: 'rotation',
   originCopies: 1,
   originStagger: 300,
-  upstreams: ['store', 'origin'],
   penalty: 5_000,
   leastTimeout: 3_000
 }
@@ -286,8 +283,6 @@
 
   /** The store goes first; the origin takes what the store refused. */
   private _upstream (want: Want): ChunkSource {
-    const [only] = this._policy.upstreams
-    if (this._policy.upstreams.length === 1 && only !== undefined) return { kind: only }
     const store = want.tried.get('store') ?? 0
     const origin = want.tried.get('origin') ?? 0
     return origin <= store ? { kind: 'origin' } : { kind: 'store' }
