Where a request must not be late, the longest way of the last seconds counts

Change: beside the last measurement a fading longest one is kept, and counts before the bound of a version. A row failed before.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -43,7 +43,7 @@
   readonly version: number
   /** The age of what it reported of its load, in milliseconds; infinite for none. */
   readonly reportAge: number
-  /** The way there and back, in milliseconds; 0 when it is not measured. */
+  /** The longest way there and back of the last seconds, in milliseconds; 0 when it is not measured. */
   readonly roundTrip: number
   /** Endpoints that could have been chosen. */
   readonly candidates: number
@@ -175,7 +175,7 @@
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
     const expected = service.pool === undefined ? load.expectedPlainAnswer(slots) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
     const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
-    return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.roundTrip(now), candidates }
+    return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.longestRoundTrip(now), candidates }
   }
 
   /** The price of work that would hold up a planned switch. */
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -46,6 +46,8 @@
 const GREATEST_SLOWNESS = 20
 /** Measured slowness halves its distance to 1 in this time without new samples, in milliseconds. */
 const SLOWNESS_HALF_LIFE = 2_000
+/** The longest measured way counts half after this, in milliseconds: a few times the queue of a narrowed link. */
+const PEAK_HALF_LIFE = 2_000
 /** The mean time of a plain request until one is measured, in milliseconds. */
 const FIRST_PLAIN_TIME = 80
 
@@ -58,6 +60,9 @@
   /** The last measured way there and back, in milliseconds, and when the one under way began. */
   private _roundTrip = 0
   private _pingedAt: number | undefined
+  /** The longest way measured lately, and when it was. */
+  private _peak = 0
+  private _peakAt = 0
   private _slowness = 1
   private _slownessAt = 0
   private _plainTime = FIRST_PLAIN_TIME
@@ -93,8 +98,17 @@
     if (this._pingedAt === undefined) return
     this._roundTrip = now - this._pingedAt
     this._pingedAt = undefined
+    if (this._roundTrip < this._fadedPeak(now)) return
+    this._peak = this._roundTrip
+    this._peakAt = now
   }
 
+  /**
+   * The longest way there and back of the last seconds, fading, in milliseconds. The queue of a narrow link comes and goes
+   * within one measurement, so where a request must not be late the last one says too little.
+   */
+  longestRoundTrip (now: number): number { return Math.max(this.roundTrip(now), this._fadedPeak(now)) }
+
   /**
    * The way there and back, in milliseconds: what was measured last, or more when the measurement under way already takes
    * longer. A link that carries chunks of weights, or was narrowed, shows in it at once.
@@ -182,6 +196,10 @@
     return { running: Math.min(pool.slots, running * ASSUMED_ENTRIES), waiting, waitingTokens }
   }
 
+  private _fadedPeak (now: number): number {
+    return this._peak * 0.5 ** (Math.max(0, now - this._peakAt) / PEAK_HALF_LIFE)
+  }
+
   private _observe (ratio: number, now: number): void {
     const bounded = Math.min(GREATEST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio))
     this._slowness = this.slowness(now) + SLOWNESS_SMOOTHING * (bounded - this.slowness(now))
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -65,7 +65,17 @@
     assert.equal(chosen(made, bounded), undefined)
     made.measured('a', 'begun', 1_045)
     made.measured('a', 'ended', 1_050)
-    assert.equal(chosen(made, bounded), 'a')
+    assert.equal(chosen(made, bounded), undefined)
+  })
+
+  it('trusts such a link again once its queue has been short for seconds', () => {
+    const made = chooser([record('a')], { a: idle })
+    made.measured('a', 'begun', 850)
+    made.measured('a', 'ended', 1_040)
+    made.measured('a', 'begun', 8_990)
+    made.measured('a', 'ended', 9_000)
+    made.heard('a', idle, 9_000)
+    assert.equal(chosen(made, { mustBeginBy: () => 10_200 }, drafting, 9_050), 'a')
   })
 
   it('counts what it sent since the last report', () => {
