A success without a length is never believed

The change before covered only what may be repeated. Ruled out: a reset taken for an end (a reset is reported as broken). Change: such a success is taken as broken off, for unsafe requests and streams too.

--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -77,6 +77,8 @@
 const GAP_STALL = 800
 /** An endpoint whose agent reported within this can be reached, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT = 350
+/** Answers below this status are successes. */
+const LEAST_UNSUCCESSFUL_STATUS = 300
 /** Failures of endpoints from this status on. */
 const LEAST_FAILURE_STATUS = 500
 
@@ -256,7 +258,7 @@
     if (end.type === 'not-run') return end
     if (attempt.stalled) return { type: 'stalled', detail: 'no event for too long' }
     if (end.type === 'whole' && attempt.head !== undefined) {
-      if (this._mayBeShort(attempt.head, end.framed)) return { type: 'broken', detail: 'the answer ended with its connection' }
+      if (this._mayBeShort(attempt.head, end.framed)) return { type: this._answer.begun ? 'cut' : 'broken', detail: 'the answer ended with its connection' }
       const cutEvent = this._streams(attempt.head) && this._splitter.pending > 0
       return cutEvent ? { type: 'cut', detail: 'the stream ended within an event' } : { type: 'answered', status: attempt.head.status }
     }
@@ -265,12 +267,11 @@
   }
 
   /**
-   * An answer without a length looks whole when its endpoint crashed in the middle of it. Where the request may be
-   * repeated, another endpoint is asked rather than such an answer believed.
+   * A success without a length looks whole when its endpoint crashed in the middle of it, so it is never believed: half an
+   * answer that looks whole is worse for its caller than none.
    */
-  private _mayBeShort (head: AnswerHead, framed: boolean): boolean {
-    const again = this._course.repeatable && this._attempts < this._request.route.maxAttempts
-    return !framed && !this._streams(head) && again
+  private _mayBeShort ({ status }: AnswerHead, framed: boolean): boolean {
+    return !framed && status < LEAST_UNSUCCESSFUL_STATUS
   }
 
   private _tellChooser (attempt: Attempt, outcome: AttemptEnd, now: number): void {
