One way to listen for all servers; two pieces that nothing used are gone

The same six lines stood in five servers, two of them new. The bound on the size of an event was written and never looked at, and the length of an endpoint's answer was read and never used; enforcing the bound would be a change of behaviour and is left open. Unit tests: 659 pass; lint and types clean.

--- a/packages/core/src/lib/routing/event-splitter.ts
+++ b/packages/core/src/lib/routing/event-splitter.ts
@@ -18,8 +18,6 @@
 
 const NEWLINE = 10
 const CARRIAGE_RETURN = 13
-/** An event that grows beyond this is passed on in pieces no more: the stream counts as broken. In bytes. */
-const LARGEST_EVENT = 1024 * 1024
 
 /** The state of one stream. */
 export class EventSplitter {
@@ -27,8 +25,6 @@
 
   /** Bytes of an event that is not whole yet. */
   get pending (): number { return this._rest.length }
-  /** Whether an event has grown beyond what is held. */
-  get oversized (): boolean { return this._rest.length > LARGEST_EVENT }
 
   /**
    * Takes bytes and returns the events that they complete.
--- a/packages/node/src/lib/entry/http-front.ts
+++ b/packages/node/src/lib/entry/http-front.ts
@@ -11,7 +11,7 @@
 import type { Log } from '../observe/log.js'
 import type { Histograms } from '../observe/histograms.js'
 import { metricsText, type Counters } from '../observe/metrics.js'
-import { parseAddress } from '../settings/address.js'
+import { listenAt } from '../listen.js'
 import { HttpAnswerSink, writeFailure } from './answer-sink.js'
 import { isFailure, parseCallerRequest } from './caller-request.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -56,13 +56,7 @@
     this._server.maxConnections = MOST_CONNECTIONS
   }
 
-  listen (): Promise<void> {
-    const { host, port } = parseAddress(this._parts.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve())
-    })
-  }
+  listen (): Promise<void> { return listenAt(this._server, this._parts.address) }
 
   /** From now on new requests are refused as "not run"; those accepted go on. */
   leave (): void {
--- a/packages/node/src/lib/observe/metrics-server.ts
+++ b/packages/node/src/lib/observe/metrics-server.ts
@@ -5,7 +5,7 @@
  */
 /** Serves metrics over HTTP for a process that has no other HTTP side. */
 import { createServer, type Server } from 'node:http'
-import { parseAddress } from '../settings/address.js'
+import { listenAt } from '../listen.js'
 import type { Histograms } from './histograms.js'
 import { metricsText, type Counters } from './metrics.js'
 
@@ -23,13 +23,7 @@
     })
   }
 
-  listen (): Promise<void> {
-    const { host, port } = parseAddress(this._address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve())
-    })
-  }
+  listen (): Promise<void> { return listenAt(this._server, this._address) }
 
   close (): void { this._server.close() }
 }
--- a/packages/node/src/lib/peer/server.ts
+++ b/packages/node/src/lib/peer/server.ts
@@ -11,7 +11,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
 import { PeerConnection, type RequestHandler, type Responder, type Traffic } from './connection.js'
-import { parseAddress } from '../settings/address.js'
+import { listenAt } from '../listen.js'
 import type { Log } from '../observe/log.js'
 
 /** Bounds the connections that one process accepts. */
@@ -40,13 +40,7 @@
   }
 
   /** Starts to listen. */
-  listen (): Promise<void> {
-    const { host, port } = parseAddress(this._options.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve())
-    })
-  }
+  listen (): Promise<void> { return listenAt(this._server, this._options.address) }
 
   /** Stops listening and ends every connection. */
   close (): void {
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -93,8 +93,6 @@
     readonly status: number
     /** Headers for the caller, as name, value, name, value. */
     readonly headers: readonly string[]
-    /** Bytes of the body; nothing when the head does not say. */
-    readonly length: number | undefined
     readonly eventStream: boolean
   }
 
--- a/packages/node/src/lib/routing/readiness-server.ts
+++ b/packages/node/src/lib/routing/readiness-server.ts
@@ -7,7 +7,7 @@
  * Answers the balancer's question whether this process takes callers, on an address of its own.
  */
 import { createServer, type Server } from 'node:http'
-import { parseAddress } from '../settings/address.js'
+import { listenAt } from '../listen.js'
 
 /** The readiness server of one process. */
 export class ReadinessServer {
@@ -25,13 +25,7 @@
     })
   }
 
-  listen (): Promise<void> {
-    const { host, port } = parseAddress(this._address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve())
-    })
-  }
+  listen (): Promise<void> { return listenAt(this._server, this._address) }
 
   close (): void {
     this._server.close()
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -10,7 +10,7 @@
 import { requestFailure, type RequestFailure, type RouteTable } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
-import { parseAddress } from '../settings/address.js'
+import { listenAt } from '../listen.js'
 import { CallerAnswer } from './caller-answer.js'
 import type { CallerHead, Dialect } from './ports.js'
 import type { ReadRequest, RoutedRequest } from './routed-request.js'
@@ -52,13 +52,7 @@
     this._server.maxConnections = MOST_CONNECTIONS
   }
 
-  listen (): Promise<void> {
-    const { host, port } = parseAddress(this._parts.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve())
-    })
-  }
+  listen (): Promise<void> { return listenAt(this._server, this._parts.address) }
 
   /** Requests that have no final answer yet. */
   get inProgress (): number { return this._requests.size }
