Entries spread their choices for what others send, and count admitted prompts as unread

Ten requests within 40 ms went to each engine that had just become free: all entries held the same report, and the next one counted the admitted requests as running, so their unread prompts were in no figure. Change: choices are drawn by the room of each engine for what all entries send between two reports; agents estimate unread prompts from the growth of the engine's context; a pass reads up to the limit of each of its steps.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -8,10 +8,12 @@
  * in milliseconds for leaving the availability zone and the region.
  */
 import { Ejection } from '../ejection.js'
-import { stepTime } from './engine-model.js'
+import { readTime, stepTime } from './engine-model.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import { chooseEvenly } from './even-choice.js'
 import type { EndpointRecord } from './published-state.js'
 import type { ServiceDescription } from './routing-configuration.js'
+import { SendRate } from './send-rate.js'
 
 /** Where an entry stands, and which region each zone belongs to. */
 export interface Place {
@@ -63,6 +65,11 @@
  */
 const ZONE_PRICE = 10
 const REGION_PRICE = 20
+/**
+ * What entries hold of an engine is this old on average, in milliseconds: its agent looks at it ten times a second, and
+ * what was sent just before is not seen there yet.
+ */
+const VIEW_AGE = 60
 /**
  * What it costs, in milliseconds, to leave an engine with a millisecond of work when it wants to switch to another
  * version: that long it takes nothing new, though it still works on what it has.
@@ -86,9 +93,13 @@
 export class EndpointChooser {
   private readonly _known = new Map<string, Known>()
   private readonly _ejection = new Ejection()
+  private readonly _rate = new SendRate()
   private _records: readonly EndpointRecord[] = []
 
-  constructor (private readonly _place: Place) {}
+  /**
+   * @param _draw Random numbers in [0, 1).
+   */
+  constructor (private readonly _place: Place, private readonly _draw: () => number) {}
 
   get records (): readonly EndpointRecord[] { return this._records }
 
@@ -124,6 +135,7 @@
   sent (choice: Choice, request: string, promptTokens: number, now: number): void {
     this._entry(choice.record.id).load.sent(request, promptTokens, now)
     this._ejection.chosen(choice.record.id)
+    this._rate.sent(now)
   }
 
   /** A request has ended there. */
@@ -143,15 +155,25 @@
   choose (service: ServiceDescription, need: Need, now: number): Choice | undefined {
     const open = this._records.filter(record => this._open(record, service, need, now))
     const usable = new Set(this._ejection.usable(open.map(({ id }) => id), now))
-    let best: { readonly choice: Choice, readonly cost: number } | undefined
-    for (const record of open) {
-      if (!usable.has(record.id)) continue
-      const choice = this._expect(record, service, need, now, open.length)
-      if (tooLate(choice, need, now)) continue
-      const cost = choice.expected + this._distancePrice(record) + this._closingPrice(record, service, need, choice, now)
-      if (best === undefined || cost < best.cost) best = { choice, cost }
-    }
-    return best?.choice
+    const choices = open.filter(({ id }) => usable.has(id))
+      .map(record => this._expect(record, service, need, now, open.length))
+      .filter(choice => !tooLate(choice, need, now))
+    const costs = choices.map(choice => choice.expected + this._distancePrice(choice.record) + this._closingPrice(choice.record, service, need, choice, now))
+    return choices[this._pick(costs, service, now)]
+  }
+
+  /** Draws among pools' engines, whose reports all entries share; of plain endpoints the best one is taken. */
+  private _pick (costs: readonly number[], { pool }: ServiceDescription, now: number): number {
+    if (pool === undefined) return costs.indexOf(Math.min(...costs))
+    const step = readTime(pool, pool.usualPromptTokens)
+    return chooseEvenly({ costs, step, requests: this._sentByOthers(now) }, this._draw())
+  }
+
+  /** Requests that other entries have sent since the reports that this one holds, if they send as much as it does. */
+  private _sentByOthers (now: number): number {
+    let entries = 1
+    for (const { load } of this._known.values()) entries = Math.max(entries, load.report(now)?.entries ?? 1)
+    return (entries - 1) * this._rate.perMillisecond(now) * VIEW_AGE
   }
 
   /** The version that an endpoint serves, by its fresh report or else by the list. */
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -7,13 +7,15 @@
  * What one entry knows of the load of one endpoint: the endpoint's last report, where there is one, corrected by what
  * this entry has sent and seen end since.
  */
-import { firstTokenTime } from './engine-model.js'
+import { firstTokenTime, readRate } from './engine-model.js'
 import type { PoolDescription } from './routing-configuration.js'
 
 /** What an engine says of itself, taken beside it and passed on at once. */
 export interface LoadReport {
   readonly running: number
   readonly waiting: number
+  /** Prompt tokens of running requests that it has still to read; nothing when that is not told. */
+  readonly unreadTokens?: number | undefined
   /** The version that it serves; 0 for none. */
   readonly version: number
   /** Whether it will take new work: not while it switches to another version. */
@@ -22,6 +24,8 @@
   readonly pace: number
   /** Milliseconds until it stops to take new work, to switch to another version; nothing when that is not planned. */
   readonly closesIn?: number | undefined
+  /** Entries that hear these reports, and may send to it; nothing when that is not told. */
+  readonly entries?: number | undefined
 }
 
 /** A request of this entry at the endpoint. */
@@ -156,7 +160,7 @@
    */
   expectedFirstEvent (pool: PoolDescription, promptTokens: number, now: number): number {
     const report = this.report(now)
-    const work = report === undefined ? this._assumedWork(pool) : this._correctedWork(report, pool)
+    const work = report === undefined ? this._assumedWork(pool) : this._correctedWork(report, pool, now)
     const pace = Math.max(report?.pace ?? 1, this.slowness(now))
     return pace * firstTokenTime(pool, work, promptTokens) + this.roundTrip(now)
   }
@@ -167,7 +171,12 @@
     return this._plainTime * (1 + ahead / Math.max(1, slots))
   }
 
-  private _correctedWork (report: LoadReport, pool: PoolDescription): { running: number, waiting: number, waitingTokens: number } {
+  /** What was unread when the report was made, less what the engine has read since. */
+  private _unread ({ unreadTokens = 0 }: LoadReport, pool: PoolDescription, now: number): number {
+    return Math.max(0, unreadTokens - this.reportAge(now) * readRate(pool))
+  }
+
+  private _correctedWork (report: LoadReport, pool: PoolDescription, now: number): { running: number, waiting: number, waitingTokens: number } {
     let sentSince = 0
     let tokensSince = 0
     for (const { promptTokens, sentAt, begun } of this._sent.values()) {
@@ -178,7 +187,7 @@
     return {
       running: Math.max(0, report.running - this._endedSinceReport),
       waiting: report.waiting + sentSince,
-      waitingTokens: report.waiting * pool.usualPromptTokens + tokensSince
+      waitingTokens: report.waiting * pool.usualPromptTokens + tokensSince + this._unread(report, pool, now)
     }
   }
 
--- a/packages/core/src/lib/routing/engine-model.ts
+++ b/packages/core/src/lib/routing/engine-model.ts
@@ -21,7 +21,7 @@
 }
 
 /** A pool whose description names no rate is taken to read this many prompt tokens in a millisecond. */
-const ASSUMED_READ_RATE = 10
+export const ASSUMED_READ_RATE = 10
 
 /**
  * The time of one decoding step, in milliseconds.
@@ -40,12 +40,14 @@
   return pool.usualAnswerTokens * stepTime(pool, running) + prompts
 }
 
-/** The time to read so many prompt tokens, in milliseconds. */
-export function readTime (pool: PoolDescription, tokens: number): number {
-  const rate = pool.promptTokensPerMillisecond > 0 ? pool.promptTokensPerMillisecond : ASSUMED_READ_RATE
-  return tokens / rate
+/** The prompt tokens that an engine reads in a millisecond. */
+export function readRate (pool: PoolDescription): number {
+  return pool.promptTokensPerMillisecond > 0 ? pool.promptTokensPerMillisecond : ASSUMED_READ_RATE
 }
 
+/** The time to read so many prompt tokens, in milliseconds. */
+export function readTime (pool: PoolDescription, tokens: number): number { return tokens / readRate(pool) }
+
 /**
  * The time until the first token of a request that is sent now, in milliseconds, at the engine's published speed.
  *
@@ -54,7 +56,7 @@
  */
 export function firstTokenTime (pool: PoolDescription, work: EngineWork, promptTokens: number): number {
   const tokens = work.waitingTokens + promptTokens
-  const passes = Math.max(1, Math.ceil(tokens / Math.max(1, pool.promptTokensPerPass)))
+  const passes = Math.max(1, Math.ceil(tokens / Math.max(1, pool.promptTokensPerStep * pool.stride)))
   const writePerPass = work.running > 0 ? pool.stride * stepTime(pool, work.running) : 0
   // A request comes, on average, in the middle of a pass, and its first event closes the pass that it joins.
   const passTime = (passes + 0.5) * writePerPass + pool.stride * stepTime(pool, work.running + 1)
--- a/packages/core/src/lib/routing/routing-configuration.ts
+++ b/packages/core/src/lib/routing/routing-configuration.ts
@@ -63,8 +63,8 @@
   readonly stepTimePerThousandTokens: number
   /** Prompt tokens read in a millisecond. */
   readonly promptTokensPerMillisecond: number
-  /** Prompt tokens read in one pass at most. */
-  readonly promptTokensPerPass: number
+  /** Prompt tokens read with one decoding step at most; a pass beside requests that write has `stride` steps. */
+  readonly promptTokensPerStep: number
   /** Mean tokens of a prompt and of an answer. */
   readonly usualPromptTokens: number
   readonly usualAnswerTokens: number
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -11,7 +11,7 @@
 import type { PoolDescription, ServiceDescription } from '../../../lib/routing/routing-configuration.js'
 
 const pool: PoolDescription = {
-  slots: 16, stride: 5, stepTime: 9, stepTimePerRequest: 0.02, stepTimePerThousandTokens: 0.03, promptTokensPerMillisecond: 20, promptTokensPerPass: 2_000, usualPromptTokens: 1_000, usualAnswerTokens: 100, models: [{ name: 'm', warmUp: 300 }], layers: 16, chunks: 96, chunkBytes: 10
+  slots: 16, stride: 5, stepTime: 9, stepTimePerRequest: 0.02, stepTimePerThousandTokens: 0.03, promptTokensPerMillisecond: 20, promptTokensPerStep: 2_000, usualPromptTokens: 1_000, usualAnswerTokens: 100, models: [{ name: 'm', warmUp: 300 }], layers: 16, chunks: 96, chunkBytes: 10
 }
 const drafting: ServiceDescription = { name: 'drafting', maxConnections: 100, pool }
 const desk: ServiceDescription = { name: 'desk', maxConnections: 4 }
@@ -23,8 +23,8 @@
   return { id, service: 'drafting', address: `10.0.0.1:${id}`, availabilityZone, slots: 16, draining: false, models: [{ model: 'm', version: 1 }], ...part }
 }
 
-function chooser (records: readonly EndpointRecord[], loads: Readonly<Record<string, LoadReport>> = {}): EndpointChooser {
-  const made = new EndpointChooser({ availabilityZone: 'koshi', regionOf: zone => zone === 'far' ? 'other' : 'here' })
+function chooser (records: readonly EndpointRecord[], loads: Readonly<Record<string, LoadReport>> = {}, draw = (): number => 0): EndpointChooser {
+  const made = new EndpointChooser({ availabilityZone: 'koshi', regionOf: zone => zone === 'far' ? 'other' : 'here' }, draw)
   made.setRecords(records)
   for (const [id, load] of Object.entries(loads)) made.heard(id, load, 1_000)
   return made
@@ -38,6 +38,7 @@
 describe('EndpointChooser', () => {
   const cases: [name: string, chosen: string | undefined, expected: string | undefined][] = [
     ['the one that answers soonest', chosen(chooser([record('a'), record('b')], { a: busy, b: idle })), 'b'],
+    ['one whose admitted prompts are read', chosen(chooser([record('a'), record('b')], { a: { ...idle, running: 4, unreadTokens: 8_000 }, b: { ...idle, running: 6 } })), 'b'],
     ['the own zone among equals', chosen(chooser([record('a', 'next'), record('b')], { a: idle, b: idle })), 'b'],
     ['the nearer zone among equals', chosen(chooser([record('a', 'far'), record('b', 'next')], { a: idle, b: idle })), 'b'],
     ['another zone when the own one is much slower', chosen(chooser([record('a'), record('b', 'far')], { a: busy, b: idle })), 'b'],
@@ -55,6 +56,27 @@
   ]
   for (const [name, id, expected] of cases) it(`chooses ${name}`, () => assert.equal(id, expected))
 
+  const crowds: [name: string, entries: number, fewest: number, most: number][] = [
+    ['alone, gives everything to the best engine', 1, 3, 3],
+    ['one of many entries, leaves room there for what they send', 12, 1, 2]
+  ]
+  for (const [name, entries, fewest, most] of crowds) {
+    it(name, () => {
+      const draws = [0.1, 0.5, 0.9]
+      const loads = { a: { ...idle, entries }, b: { ...idle, running: 8, entries }, c: { ...idle, running: 8, entries } }
+      const made = chooser([record('a'), record('b'), record('c')], loads, () => draws[0] ?? 0)
+      for (let now = 1_000; now < 1_050; now += 5) made.sent(made.choose(drafting, { ...need, promptTokens: 1 }, now) ?? assert.fail('none'), `early ${now}`, 1, now)
+      for (let now = 1_000; now < 1_050; now += 5) for (const id of ['a', 'b', 'c']) made.ended(id, `early ${now}`, 'good', now)
+      for (const [id, load] of Object.entries(loads)) made.heard(id, load, 1_050)
+      const chosenIds = draws.map(draw => {
+        draws[0] = draw
+        return made.choose(drafting, need, 1_060)?.record.id
+      })
+      const toBest = chosenIds.filter(id => id === 'a').length
+      assert.ok(toBest >= fewest && toBest <= most, chosenIds.join(' '))
+    })
+  }
+
   it('gives nothing to an old version over a link whose queue could hold it beyond the bound', () => {
     const made = chooser([record('a')], { a: idle })
     const bounded = { mustBeginBy: (): number => 2_300 }
--- /dev/null
+++ b/packages/core/src/test/lib/routing/send-rate_test.ts
@@ -0,0 +1,26 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { SendRate } from '../../../lib/routing/send-rate.js'
+
+describe('SendRate', () => {
+  const cases: [name: string, pause: number, since: number, least: number, most: number][] = [
+    ['tells a steady rate', 50, 0, 0.018, 0.022],
+    ['fades when nothing is sent', 50, 3_000, 0.001, 0.004],
+    ['tells a high rate', 5, 0, 0.19, 0.21]
+  ]
+  for (const [name, pause, since, least, most] of cases) {
+    it(name, () => {
+      const rate = new SendRate()
+      for (let now = 0; now <= 10_000; now += pause) rate.sent(now)
+      const seen = rate.perMillisecond(10_000 + since)
+      assert.ok(seen >= least && seen <= most, `${seen}`)
+    })
+  }
+
+  it('is nothing before the first request', () => assert.equal(new SendRate().perMillisecond(5_000), 0))
+})
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -7,7 +7,7 @@
  * Looks at the engine beside the agent several times a second, tells its load, and orders it to take the wanted
  * version when the switch decides so.
  */
-import { switchPlace, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchView } from '@drumdrift/core'
+import { switchPlace, UnreadTokens, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchView } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { identityOf, type EngineReport, type LoadableEngine } from './ports.js'
@@ -34,6 +34,8 @@
   /** Verifies once more what is staged; false when something is missing or spoilt. */
   readonly confirmWhole: () => Promise<boolean>
   readonly onLoad: (load: LoadReport) => void
+  /** Prompt tokens that the engine reads in a millisecond. */
+  readonly readRate: () => number
 }
 
 /** How often the engine is looked at, in milliseconds: a few times in the pass of a busy engine would be wasted. */
@@ -48,6 +50,7 @@
 export class EngineSwitcher {
   private readonly _switch: VersionSwitch
   private readonly _timer: NodeJS.Timeout
+  private readonly _unread = new UnreadTokens()
   private _report: EngineReport | undefined
   private _looking = false
   private _ordering = false
@@ -114,9 +117,11 @@
     const view = this._view()
     if (this._report === undefined || wanted === undefined || view === undefined) return
     const { running, waiting, busy, pace } = this._report
+    const now = performance.now()
+    const unreadTokens = Math.round(this._unread.observe(this._report, this._parts.readRate(), now))
     const closesAt = this._switch.plannedAt(view)
-    const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - performance.now()))
-    this._parts.onLoad({ running, waiting, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn })
+    const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
+    this._parts.onLoad({ running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn })
   }
 
   private async _step (): Promise<void> {
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -23,7 +23,7 @@
   follow (responder: Responder): void {
     this._followers.add(responder)
     responder.connection.onEnd(() => { this._followers.delete(responder) })
-    if (this._last !== undefined) responder.send({ type: 'load', load: this._last })
+    if (this._last !== undefined) this._tell(responder, this._last)
   }
 
   /** Takes a new report. */
@@ -31,11 +31,15 @@
     if (same(load, this._last) && now - this._toldAt < SIGN_OF_LIFE) return
     this._last = load
     this._toldAt = now
-    for (const follower of this._followers) follower.send({ type: 'load', load })
+    for (const follower of this._followers) this._tell(follower, load)
+  }
+
+  private _tell (follower: Responder, load: LoadReport): void {
+    follower.send({ type: 'load', load: { ...load, entries: this._followers.size } })
   }
 }
 
 function same (left: LoadReport, right: LoadReport | undefined): boolean {
   if (right === undefined) return false
-  return left.running === right.running && left.waiting === right.waiting && left.version === right.version && left.accepting === right.accepting && left.pace === right.pace
+  return left.running === right.running && left.waiting === right.waiting && left.unreadTokens === right.unreadTokens && left.version === right.version && left.accepting === right.accepting && left.pace === right.pace
 }
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -118,6 +118,8 @@
 export interface EngineReport {
   readonly running: number
   readonly waiting: number
+  /** Tokens held for the running requests: their prompts, and what has been written. */
+  readonly contextTokens: number
   /** Versions that are loaded. */
   readonly models: readonly ModelVersion[]
   /** Whether it carries out an order. */
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -38,7 +38,7 @@
     const endpoints = state.endpoints()
     this._byAgent.clear()
     for (const description of state.configuration?.services ?? []) {
-      const unit = this._units.get(description.name) ?? { description, chooser: new EndpointChooser(this._place), budget: new RetryBudget(this._retryRatio) }
+      const unit = this._units.get(description.name) ?? { description, chooser: new EndpointChooser(this._place, Math.random), budget: new RetryBudget(this._retryRatio) }
       unit.description = description
       this._units.set(description.name, unit)
       const records = endpoints.filter(({ service }) => service === description.name)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  ChunkSwarm, defaultSwarmPolicy, LinkPacer, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
+  ASSUMED_READ_RATE, ChunkSwarm, defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { ChunkStore } from '../agent/chunk-store.js'
@@ -208,6 +208,7 @@
         return { wanted, heardAt, whole: this._weights.wholeDigest, members: this._members }
       },
       confirmWhole: () => this._weights.confirmWhole(),
+      readRate: () => this._poolDescription === undefined ? ASSUMED_READ_RATE : readRate(this._poolDescription),
       onLoad: load => this._publisher.publish(load, performance.now())
     })
   }
