Entries follow agents sooner, and take engines that tell nothing for loaded

The opening packet to an agent that was just coming back was lost; it was given up after 800 ms and tried again 500 ms later. Ruled out: a late recovery of the engines (all served again at 43.2 s, from staged chunks). Change: 300 ms to open, 200 ms between tries; an engine that tells nothing costs 100 ms more, and what waits there of this entry counts for the other entries too.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -75,6 +75,11 @@
  * version: that long it takes nothing new, though it still works on what it has.
  */
 const CLOSING_PRICE = 0.5
+/**
+ * What an engine of a pool that tells nothing of itself is taken to be slower, in milliseconds: about two prompts of usual
+ * size that nobody knows of. Its agent may just not be reached yet, and all entries would think it idle.
+ */
+const UNSEEN_PRICE = 100
 /** A plain endpoint that names no slots is taken to have these. */
 const ASSUMED_SLOTS = 8
 /**
@@ -158,7 +163,7 @@
     const choices = open.filter(({ id }) => usable.has(id))
       .map(record => this._expect(record, service, need, now, open.length))
       .filter(choice => !tooLate(choice, need, now))
-    const costs = choices.map(choice => choice.expected + this._distancePrice(choice.record) + this._closingPrice(choice.record, service, need, choice, now))
+    const costs = choices.map(choice => this._cost(choice, service, need, now))
     return choices[this._pick(costs, service, now)]
   }
 
@@ -200,6 +205,12 @@
     return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.longestRoundTrip(now), candidates }
   }
 
+  /** What a choice costs in all, in milliseconds. */
+  private _cost (choice: Choice, service: ServiceDescription, need: Need, now: number): number {
+    const unseen = service.pool !== undefined && this._entry(choice.record.id).load.report(now) === undefined
+    return choice.expected + this._distancePrice(choice.record) + this._closingPrice(choice.record, service, need, choice, now) + (unseen ? UNSEEN_PRICE : 0)
+  }
+
   /** The price of work that would hold up a planned switch. */
   private _closingPrice ({ id }: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Choice, now: number): number {
     const { load } = this._entry(id)
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -202,7 +202,7 @@
         waitingTokens += promptTokens
       }
     }
-    return { running: Math.min(pool.slots, running * ASSUMED_ENTRIES), waiting, waitingTokens }
+    return { running: Math.min(pool.slots, running * ASSUMED_ENTRIES), waiting: waiting * ASSUMED_ENTRIES, waitingTokens: waitingTokens * ASSUMED_ENTRIES }
   }
 
   private _fadedPeak (now: number): number {
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -39,6 +39,7 @@
   const cases: [name: string, chosen: string | undefined, expected: string | undefined][] = [
     ['the one that answers soonest', chosen(chooser([record('a'), record('b')], { a: busy, b: idle })), 'b'],
     ['one whose admitted prompts are read', chosen(chooser([record('a'), record('b')], { a: { ...idle, running: 4, unreadTokens: 8_000 }, b: { ...idle, running: 6 } })), 'b'],
+    ['one that tells its load before one that might be idle', chosen(chooser([record('a'), record('b')], { b: { ...idle, running: 6 } })), 'b'],
     ['the own zone among equals', chosen(chooser([record('a', 'next'), record('b')], { a: idle, b: idle })), 'b'],
     ['the nearer zone among equals', chosen(chooser([record('a', 'far'), record('b', 'next')], { a: idle, b: idle })), 'b'],
     ['another zone when the own one is much slower', chosen(chooser([record('a'), record('b', 'far')], { a: busy, b: idle })), 'b'],
--- a/packages/node/src/lib/agent/chunk-fetch.ts
+++ b/packages/node/src/lib/agent/chunk-fetch.ts
@@ -33,7 +33,7 @@
 export async function fetchChunk (pool: PeerPool, { address, digest, wait, signal, onComing, onConnection }: ChunkRequest): Promise<PeerChunk> {
   let connection
   try {
-    connection = await pool.connection(address, 'bulk')
+    connection = await pool.connection(address, { purpose: 'bulk' })
   } catch {
     return 'unreachable'
   }
--- a/packages/node/src/lib/peer/pool.ts
+++ b/packages/node/src/lib/peer/pool.ts
@@ -64,9 +64,13 @@
     }
   }
 
-  /** The open connection to a peer, for calls with many replies. */
-  async connection (address: string, purpose: Purpose = 'control'): Promise<PeerConnection> {
-    const pooled = this._get(address, purpose)
+  /**
+   * The open connection to a peer, for calls with many replies.
+   *
+   * @param patience Milliseconds to open one.
+   */
+  async connection (address: string, { purpose = 'control', patience = CONNECT_TIMEOUT }: { purpose?: Purpose, patience?: number } = {}): Promise<PeerConnection> {
+    const pooled = this._get(address, purpose, patience)
     pooled.usedAt = performance.now()
     return await pooled.connecting
   }
@@ -76,11 +80,11 @@
     for (const pooled of this._pooled.values()) pooled.connection?.close()
   }
 
-  private _get (address: string, purpose: Purpose): Pooled {
+  private _get (address: string, purpose: Purpose, patience = CONNECT_TIMEOUT): Pooled {
     const key = `${purpose} ${address}`
     const known = this._pooled.get(key)
     if (known !== undefined) return known
-    const pooled: Pooled = { connecting: this._connect(address, purpose), usedAt: performance.now(), connection: undefined, calls: 0 }
+    const pooled: Pooled = { connecting: this._connect(address, purpose, patience), usedAt: performance.now(), connection: undefined, calls: 0 }
     this._pooled.set(key, pooled)
     const drop = (): void => { if (this._pooled.get(key) === pooled) this._pooled.delete(key) }
     pooled.connecting.then(connection => {
@@ -91,7 +95,7 @@
     return pooled
   }
 
-  private async _connect (address: string, purpose: Purpose): Promise<PeerConnection> {
+  private async _connect (address: string, purpose: Purpose, patience: number): Promise<PeerConnection> {
     const { host, port } = parseAddress(address)
     const socket = createConnection({ host, port })
     const pacer = purpose === 'bulk' ? this._bulkPacer : undefined
@@ -100,7 +104,7 @@
     }, () => {}, this._traffic, pacer)
     const hello: PeerRequest = { type: 'hello', protocol: PROTOCOL_VERSION, instance: this._self.instance, key: this._self.key }
     try {
-      const { reply } = await connection.call(hello, undefined, CONNECT_TIMEOUT)
+      const { reply } = await connection.call(hello, undefined, patience)
       if (reply.type !== 'welcome') throw peerError('refused', reply.type === 'refused' ? reply.reason : 'no welcome')
     } catch (error) {
       connection.close()
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -23,8 +23,13 @@
 
 /** How often the follower looks what is due, in milliseconds. */
 const TICK = 100
-/** Before an agent that could not be reached is tried again, in milliseconds. */
-const RETRY_PAUSE = 500
+/**
+ * Time to open a connection to an agent, and before one that could not be reached is tried again, in milliseconds. The
+ * opening packet to an instance that is just coming back is lost, and the network sends it again after a second only;
+ * until the agent is heard, its engine's load is a guess.
+ */
+const CONNECT_PATIENCE = 300
+const RETRY_PAUSE = 200
 /** The way to each agent is measured this often, in milliseconds: queues of a link grow and go within half a second. */
 const MEASURE_PAUSE = 400
 /** A measurement that takes longer is given up, in milliseconds; the connection is then taken for lost. */
@@ -96,7 +101,7 @@
   private async _connect (agent: string, followed: Followed): Promise<void> {
     followed.connecting = true
     try {
-      const connection = await this._parts.pool.connection(agent)
+      const connection = await this._parts.pool.connection(agent, { patience: CONNECT_PATIENCE })
       if (this._followed.get(agent) !== followed) return
       followed.connection = connection
       followed.heardAt = performance.now()
