Members step in at the origin only some time after it failed them too

Ruled out: slow retries (each missing chunk is asked for every 150 ms). Change: the wait before a member steps in counts from the origin's last failure towards itself. The test fails without it.

--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -96,6 +96,8 @@
   private _decreasedAt = -Infinity
   private _nextAttempt = 1
   private _startedAt: number | undefined
+  /** When the origin last gave nothing to this member. */
+  private _originFailedAt = -Infinity
   private _whole = false
 
   /**
@@ -272,8 +274,11 @@
   private _mayReadOrigin (index: number, now: number): boolean {
     if (this._count(true) >= this._policy.originWindow || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
     const { overall } = this._places.turn(index)
-    const wait = overall === 0 ? 0 : this._policy.originPatience + (overall - 1) * this._policy.originStagger
-    return now - (this._startedAt ?? now) >= wait
+    if (overall === 0) return true
+    // An origin that is away fails all alike: others step in for the member whose turn it is only some time after it failed
+    // them too, or all of them would read the same chunks as soon as it is back.
+    const since = Math.max(this._startedAt ?? now, this._originFailedAt)
+    return now - since >= this._policy.originPatience + (overall - 1) * this._policy.originStagger
   }
 
   /** Keeps the window as large as the links bear without long queues. */
@@ -324,6 +329,7 @@
   private _note ({ index, peer: name }: Pull, problem: FetchProblem, now: number): void {
     if (name === undefined) {
       this._originRetryAt.set(index, now + ORIGIN_RETRY)
+      if (problem !== 'corrupt') this._originFailedAt = now
       return
     }
     const peer = this._peers.get(name)
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -86,6 +86,17 @@
     assert.ok(late.some(({ index }) => places.turn(index).overall > 0))
   })
 
+  it('does not step in while the origin fails it too, nor as soon as it is back', () => {
+    const swarm = newSwarm()
+    const patience = defaultSwarmPolicy.originPatience + 5 * defaultSwarmPolicy.originStagger
+    for (const { attempt } of fetches(swarm.tick(0))) swarm.failed(attempt, 'not-held', patience)
+    const atReturn = fetches(swarm.tick(patience + 200))
+    assert.ok(atReturn.length > 0)
+    for (const { index } of atReturn) assert.equal(places.turn(index).overall, 0)
+    for (const { attempt } of atReturn) swarm.arrived(attempt, patience + 300)
+    assert.ok(fetches(swarm.tick(2 * patience)).some(({ index }) => places.turn(index).overall > 0))
+  })
+
   it('pulls from its own zone when both zones hold a chunk', () => {
     const swarm = newSwarm()
     swarm.peerHolds(far, all)
