Refused callers are told the longest time that they wait, spread out

Ruled out: serving them at once (no engine of the due version was there); holding them is not allowed. Change: the time told is a third of what the caller still waits, less up to two fifths of that at random.

--- a/packages/core/src/test/lib/routing/early-refusal_test.ts
+++ b/packages/core/src/test/lib/routing/early-refusal_test.ts
@@ -5,21 +5,24 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { decideStart } from '../../../lib/routing/early-refusal.js'
+import { decideStart, retryAfter } from '../../../lib/routing/early-refusal.js'
 
 describe('decideStart', () => {
-  const cases: [name: string, expected: number, patience: number, type: string, retryAfter: number][] = [
-    ['starts what will be in time', 300, 6_000, 'start', 0],
-    ['starts what will be a little late', 500, 6_000, 'start', 0],
-    ['refuses what will be late, until there is room', 1_400, 6_000, 'refuse', 1_000],
-    ['tells no time that the caller would not wait', 9_000, 3_000, 'refuse', 1_000],
-    ['tells a time that is worth waiting', 521, 6_000, 'refuse', 200]
+  const cases: [name: string, expected: number, type: string][] = [
+    ['starts what will be in time', 300, 'start'],
+    ['starts what will be a little late', 500, 'start'],
+    ['refuses what will be late', 521, 'refuse'],
+    ['refuses what will be very late', 9_000, 'refuse']
   ]
-  for (const [name, expected, patience, type, retryAfter] of cases) {
-    it(name, () => {
-      const decision = decideStart({ expected, objective: 400, patience })
-      assert.equal(decision.type, type)
-      if (decision.type === 'refuse') assert.equal(decision.retryAfter, retryAfter)
-    })
-  }
+  for (const [name, expected, type] of cases) it(name, () => assert.equal(decideStart({ expected, objective: 400 }).type, type))
+})
+
+describe('retryAfter', () => {
+  const cases: [name: string, patience: number, draw: number, expected: number][] = [
+    ['is a third of what the caller still waits at most', 6_000, 0, 2_000],
+    ['is spread over two fifths of that', 6_000, 0.5, 1_600],
+    ['is never nothing while the caller waits', 600, 0.999, 120],
+    ['is nothing for a caller without time', 0, 0, 0]
+  ]
+  for (const [name, patience, draw, expected] of cases) it(name, () => assert.equal(retryAfter(patience, draw), expected))
 })
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, EventSplitter, requestFailure, targetOf, type AttemptEnd, type Choice, type OrganisationDescription, type RequestFailure, type Route
+  AttemptCourse, decideStart, EventSplitter, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type OrganisationDescription, type RequestFailure, type Route
 } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
@@ -66,10 +66,6 @@
  * gives its own, in milliseconds. Under the quarter of a second that holding a request past its time-out may take.
  */
 const DEADLINE_GRACE = 80
-/** Before a caller that met no endpoint comes back, in milliseconds: the pace at which endpoint lists change. */
-const RETRY_WITHOUT_ENDPOINT = 500
-/** Before a caller comes back whose request an endpoint refused, in milliseconds. */
-const RETRY_AFTER_REFUSAL = 300
 /** A stream without a first event for this many times what was expected, and at least the time below, goes elsewhere. */
 const STALL_FACTOR = 4
 const LEAST_STALL = 900
@@ -114,14 +110,14 @@
 
   /** Makes the first attempt, or refuses. */
   start (): void {
-    const { route, head } = this._request
+    const { route } = this._request
     this._unit = this._parts.unit(targetOf(route, this._parts.draw()))
     this._unit?.budget.attempted()
     const now = performance.now()
     const choice = this._choose(now)
-    if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`, RETRY_WITHOUT_ENDPOINT)
-    const decision = decideStart({ expected: choice.expected, objective: route.objective, patience: head.patience ?? route.timeout })
-    if (decision.type === 'refuse') return this._refuse('overloaded', `an answer is expected in ${Math.round(choice.expected)} ms only`, decision.retryAfter)
+    if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
+    const decision = decideStart({ expected: choice.expected, objective: route.objective })
+    if (decision.type === 'refuse') return this._refuse('overloaded', `an answer is expected in ${Math.round(choice.expected)} ms only`)
     this._send(choice, now)
   }
 
@@ -293,7 +289,7 @@
 
   private _giveUp (end: AttemptEnd, outcome: RequestFailure['outcome']): void {
     const detail = 'detail' in end ? end.detail : end.type
-    if (outcome === 'not-run') return this._refuse('overloaded', `endpoints refused it: ${reasonOf(end) ?? detail}`, RETRY_AFTER_REFUSAL)
+    if (outcome === 'not-run') return this._refuse('overloaded', `endpoints refused it: ${reasonOf(end) ?? detail}`)
     this._fail(requestFailure(outcome === 'cut' ? 'answer-cut' : 'outcome-unknown', outcome, detail))
   }
 
@@ -304,8 +300,9 @@
     this._fail(requestFailure(ran ? 'timed-out' : 'deadline-passed', ran ? 'unknown' : 'not-run', 'the time is over'))
   }
 
-  private _refuse (code: 'overloaded' | 'no-endpoint', detail: string, retryAfter: number): void {
-    this._fail(requestFailure(code, 'not-run', detail, retryAfter))
+  private _refuse (code: 'overloaded' | 'no-endpoint', detail: string): void {
+    const left = Math.max(0, this._deadline - performance.now())
+    this._fail(requestFailure(code, 'not-run', detail, retryAfter(left, this._parts.draw())))
   }
 
   private _fail (failure: RequestFailure): void {
