What other entries send meanwhile counts in what is expected

Ruled out: late reports (5 to 90 ms old). Change: a chosen engine's expected wait includes what the others send there; their rate is taken from requests that come, not from those that were sent, which are few after an outage.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -10,10 +10,10 @@
 import { Ejection } from '../ejection.js'
 import { readTime, stepTime } from './engine-model.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
-import { chooseEvenly } from './even-choice.js'
+import { chooseEvenly, levelOf } from './even-choice.js'
 import type { EndpointRecord } from './published-state.js'
 import type { ServiceDescription } from './routing-configuration.js'
-import { SendRate } from './send-rate.js'
+import { RequestRate } from './request-rate.js'
 
 /** Where an entry stands, and which region each zone belongs to. */
 export interface Place {
@@ -98,7 +98,7 @@
 export class EndpointChooser {
   private readonly _known = new Map<string, Known>()
   private readonly _ejection = new Ejection()
-  private readonly _rate = new SendRate()
+  private readonly _rate = new RequestRate()
   private _records: readonly EndpointRecord[] = []
 
   /**
@@ -140,7 +140,6 @@
   sent (choice: Choice, request: string, promptTokens: number, now: number): void {
     this._entry(choice.record.id).load.sent(request, promptTokens, now)
     this._ejection.chosen(choice.record.id)
-    this._rate.sent(now)
   }
 
   /** A request has ended there. */
@@ -163,18 +162,24 @@
     const choices = open.filter(({ id }) => usable.has(id))
       .map(record => this._expect(record, service, need, now, open.length))
       .filter(choice => !tooLate(choice, need, now))
+    this._rate.asked(now)
     const costs = choices.map(choice => this._cost(choice, service, need, now))
-    return choices[this._pick(costs, service, now)]
+    return this._pick(choices, costs, service, now)
   }
 
-  /** Draws among pools' engines, whose reports all entries share; of plain endpoints the best one is taken. */
-  private _pick (costs: readonly number[], { pool }: ServiceDescription, now: number): number {
-    if (pool === undefined) return costs.indexOf(Math.min(...costs))
-    const step = readTime(pool, pool.usualPromptTokens)
-    return chooseEvenly({ costs, step, requests: this._sentByOthers(now) }, this._draw())
+  /**
+   * Draws among pools' engines, whose reports all entries share, and counts what the others send there meanwhile in what
+   * is expected; of plain endpoints the best one is taken.
+   */
+  private _pick (choices: readonly Choice[], costs: readonly number[], { pool }: ServiceDescription, now: number): Choice | undefined {
+    if (pool === undefined) return choices[costs.indexOf(Math.min(...costs))]
+    const even = { costs, step: readTime(pool, pool.usualPromptTokens), requests: this._sentByOthers(now) }
+    const index = chooseEvenly(even, this._draw())
+    const chosen = choices[index]
+    return chosen === undefined ? undefined : { ...chosen, expected: chosen.expected + Math.max(0, levelOf(even) - (costs[index] ?? 0)) }
   }
 
-  /** Requests that other entries have sent since the reports that this one holds, if they send as much as it does. */
+  /** Requests that other entries have sent since the reports that this one holds, if they have as many as it does. */
   private _sentByOthers (now: number): number {
     let entries = 1
     for (const { load } of this._known.values()) entries = Math.max(entries, load.report(now)?.entries ?? 1)
--- a/packages/core/src/lib/routing/request-rate.ts
+++ b/packages/core/src/lib/routing/request-rate.ts
@@ -3,18 +3,18 @@
  * Copyright 2026 the drumdrift contributors
  * SPDX-License-Identifier: BSD-3-Clause
  */
-/** How many requests one entry sends in a second, lately. */
+/** How many requests of one service come to an entry, lately; those that it refuses count too. */
 
-/** What was sent counts half after this, in milliseconds: long enough to hold a few tens of requests of a busy entry. */
+/** What came counts half after this, in milliseconds: long enough to hold a few tens of requests of a busy entry. */
 const HALF_LIFE = 1_000
 
 /** A rate that fades. */
-export class SendRate {
+export class RequestRate {
   private _count = 0
   private _at = 0
 
-  /** A request was sent. */
-  sent (now: number): void {
+  /** An endpoint was asked for. */
+  asked (now: number): void {
     this._count = this._faded(now) + 1
     this._at = now
   }
--- a/packages/core/src/test/lib/routing/request-rate_test.ts
+++ b/packages/core/src/test/lib/routing/request-rate_test.ts
@@ -5,22 +5,22 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { SendRate } from '../../../lib/routing/send-rate.js'
+import { RequestRate } from '../../../lib/routing/request-rate.js'
 
-describe('SendRate', () => {
+describe('RequestRate', () => {
   const cases: [name: string, pause: number, since: number, least: number, most: number][] = [
     ['tells a steady rate', 50, 0, 0.018, 0.022],
-    ['fades when nothing is sent', 50, 3_000, 0.001, 0.004],
+    ['fades when nothing comes', 50, 3_000, 0.001, 0.004],
     ['tells a high rate', 5, 0, 0.19, 0.21]
   ]
   for (const [name, pause, since, least, most] of cases) {
     it(name, () => {
-      const rate = new SendRate()
-      for (let now = 0; now <= 10_000; now += pause) rate.sent(now)
+      const rate = new RequestRate()
+      for (let now = 0; now <= 10_000; now += pause) rate.asked(now)
       const seen = rate.perMillisecond(10_000 + since)
       assert.ok(seen >= least && seen <= most, `${seen}`)
     })
   }
 
-  it('is nothing before the first request', () => assert.equal(new SendRate().perMillisecond(5_000), 0))
+  it('is nothing before the first request', () => assert.equal(new RequestRate().perMillisecond(5_000), 0))
 })
