Agents report loads only when that is news; short ways are measured half as often

Ruled out by profiles of both programs against stand-ins: a single costly piece; the cost is spread over messages, connections, logs and start-up. Change: a report goes out when it differs from what its readers expect by then; ways under 10 ms are measured every 800 ms.

--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -30,8 +30,13 @@
  */
 const CONNECT_PATIENCE = 300
 const RETRY_PAUSE = 200
-/** The way to each agent is measured this often, in milliseconds: queues of a link grow and go within half a second. */
+/**
+ * The way to each agent is measured this often, in milliseconds: queues of a link grow and go within half a second. While a
+ * way is short it is measured less often, until a transfer or a narrowed link shows in it; both in milliseconds.
+ */
 const MEASURE_PAUSE = 400
+const CALM_MEASURE_PAUSE = 800
+const SHORT_WAY = 10
 /** A measurement that takes longer is given up, in milliseconds; the connection is then taken for lost. */
 const MEASURE_PATIENCE = 3_000
 /** A connection without any report for this time is opened anew, in milliseconds: agents report twice a second at least. */
@@ -44,6 +49,8 @@
   heardAt: number
   measuring: boolean
   measuredAt: number
+  /** The last measured way there and back, in milliseconds. */
+  way: number
   lost: boolean
 }
 
@@ -65,7 +72,7 @@
     }
     for (const agent of agents) {
       if (this._followed.has(agent)) continue
-      this._followed.set(agent, { connection: undefined, connecting: false, retryAt: 0, heardAt: performance.now(), measuring: false, measuredAt: 0, lost: false })
+      this._followed.set(agent, { connection: undefined, connecting: false, retryAt: 0, heardAt: performance.now(), measuring: false, measuredAt: 0, way: Infinity, lost: false })
     }
     this._tick()
   }
@@ -83,7 +90,7 @@
   }
 
   private async _measure (agent: string, followed: Followed, connection: PeerConnection, now: number): Promise<void> {
-    if (followed.measuring || now - followed.measuredAt < MEASURE_PAUSE) return
+    if (followed.measuring || now - followed.measuredAt < (followed.way <= SHORT_WAY ? CALM_MEASURE_PAUSE : MEASURE_PAUSE)) return
     followed.measuring = true
     followed.measuredAt = now
     this._parts.onMeasured(agent, 'begun')
@@ -94,6 +101,7 @@
       connection.close()
     } finally {
       followed.measuring = false
+      followed.way = performance.now() - now
       this._parts.onMeasured(agent, 'ended')
     }
   }
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -4,21 +4,31 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Tells the entries that follow it how loaded the engine beside this agent is: at once when that changes, and now and
- * then as a sign of life.
+ * Tells the entries that follow it how loaded the engine beside this agent is: at once when that is news to them, and now
+ * and then as a sign of life.
  */
-import type { LoadReport } from '@drumdrift/core'
+import { isLoadNews, type LoadReport } from '@drumdrift/core'
 import type { Responder } from '../peer/connection.js'
 
 /** Followers hear this often though nothing changes, in milliseconds; they take silence of three times that for loss. */
 const SIGN_OF_LIFE = 500
 
+/** The engine that the reports are about. */
+export interface PublishedEngine {
+  /** Prompt tokens that it reads in a millisecond. */
+  readonly readRate: number
+  /** Requests that it runs at once. */
+  readonly slots: number
+}
+
 /** The followers of one agent. */
 export class LoadPublisher {
   private readonly _followers = new Set<Responder>()
   private _last: LoadReport | undefined
   private _toldAt = -Infinity
 
+  constructor (private readonly _engine: () => PublishedEngine) {}
+
   /** Adds a follower and tells it the last report. */
   follow (responder: Responder): void {
     this._followers.add(responder)
@@ -28,7 +38,8 @@
 
   /** Takes a new report. */
   publish (load: LoadReport, now: number): void {
-    if (same(load, this._last) && now - this._toldAt < SIGN_OF_LIFE) return
+    const age = now - this._toldAt
+    if (this._last !== undefined && age < SIGN_OF_LIFE && !isLoadNews(load, { told: this._last, age, ...this._engine() })) return
     this._last = load
     this._toldAt = now
     for (const follower of this._followers) this._tell(follower, load)
@@ -38,8 +49,3 @@
     follower.send({ type: 'load', load: { ...load, entries: this._followers.size } })
   }
 }
-
-function same (left: LoadReport, right: LoadReport | undefined): boolean {
-  if (right === undefined) return false
-  return left.running === right.running && left.waiting === right.waiting && left.unreadTokens === right.unreadTokens && left.version === right.version && left.accepting === right.accepting && left.pace === right.pace
-}
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -68,7 +68,7 @@
   private readonly _holdings: HoldingsFollower
   private readonly _published = new HoldingsPublisher(identity => this._heldChunks(identity))
   private _swarm: ChunkSwarm | undefined
-  private readonly _publisher = new LoadPublisher()
+  private readonly _publisher = new LoadPublisher(() => ({ readRate: this._readRate, slots: this._poolDescription?.slots ?? Infinity }))
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
@@ -187,6 +187,11 @@
     return rate > 0 ? ORIGIN_PATIENCE_FACTOR * bytes / (rate * BYTES_PER_MEGABIT) * 1000 : defaultSwarmPolicy.originPatience
   }
 
+  /** Prompt tokens that the engine reads in a millisecond. */
+  private get _readRate (): number {
+    return this._poolDescription === undefined ? ASSUMED_READ_RATE : readRate(this._poolDescription)
+  }
+
   /** The indexes of a version's chunks that are staged here. */
   private _heldChunks (identity: string): number[] {
     const { wanted, currentManifest } = this._weights
@@ -208,7 +213,7 @@
         return { wanted, heardAt, whole: this._weights.wholeDigest, members: this._members }
       },
       confirmWhole: () => this._weights.confirmWhole(),
-      readRate: () => this._poolDescription === undefined ? ASSUMED_READ_RATE : readRate(this._poolDescription),
+      readRate: () => this._readRate,
       onLoad: load => this._publisher.publish(load, performance.now())
     })
   }
