--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -29,9 +29,9 @@
 function fetches (effects: readonly TransferEffect[]): Fetch[] { return effects.filter(effect => effect.type === 'fetch') }
 function sourceOf ({ source }: Fetch): string { return source.kind === 'peer' ? source.instance : source.kind }
 
-/** Lets everything arrive that the member asks for, until it asks for nothing more. */
-function arriveAll (swarm: ChunkSwarm, now: number): void {
-  let pending = fetches(swarm.tick(now))
+/** Lets these chunks arrive and all that the member asks for after them, until it asks for nothing more. */
+function arriveAll (swarm: ChunkSwarm, first: readonly Fetch[], now: number): void {
+  let pending = [...first]
   while (pending.length > 0) pending = pending.flatMap(({ attempt }) => fetches(swarm.arrived(attempt, now)))
 }
 
@@ -84,7 +84,7 @@
 
   it('steps in at the origin when a chunk has not come for long', () => {
     const swarm = newSwarm()
-    arriveAll(swarm, 0)
+    arriveAll(swarm, fetches(swarm.tick(0)), 0)
     const now = defaultSwarmPolicy.originPatience + 5 * defaultSwarmPolicy.originStagger
     const late = fetches(swarm.tick(now))
     assert.ok(late.some(({ index }) => places.turn(index).overall > 0))
@@ -98,8 +98,7 @@
     const atReturn = fetches(swarm.tick(patience + 200))
     assert.ok(atReturn.length > 0)
     for (const { index } of atReturn) assert.equal(places.turn(index).overall, 0)
-    for (const { attempt } of atReturn) swarm.arrived(attempt, patience + 300)
-    arriveAll(swarm, patience + 400)
+    arriveAll(swarm, atReturn, patience + 300)
     assert.ok(fetches(swarm.tick(2 * patience)).some(({ index }) => places.turn(index).overall > 0))
   })
 
