--- a/packages/node/src/lib/command-line.ts
+++ b/packages/node/src/lib/command-line.ts
@@ -53,6 +53,13 @@
       const { watchRollout } = await import('./operator/watch.js')
       process.exitCode = await watchRollout(pool, options)
     })
+  program.command('explain').description('tells from log files what happened to a request, and why')
+    .argument('<id>', 'the caller\'s name for the attempt')
+    .argument('<files...>', 'logs of entries and agents')
+    .action(async (id, files) => {
+      const { explainFiles } = await import('./operator/explain-files.js')
+      process.exitCode = await explainFiles(id, files, text => { process.stdout.write(text) })
+    })
   return program
 }
 
--- /dev/null
+++ b/packages/node/src/test/lib/operator/explain_test.ts
@@ -0,0 +1,101 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, describe, it } from 'node:test'
+import { explainFiles } from '../../../lib/operator/explain-files.js'
+import { explainRequest, parseLogLine, type LogLine, type RequestCause } from '../../../lib/operator/explain.js'
+
+/** Log lines at so many seconds; all of entry-1 unless they name another instance. */
+function lines (...texts: (readonly [second: number, text: string])[]): LogLine[] {
+  return texts.flatMap(([second, text]) => parseLogLine(lineAt(second, text)) ?? [])
+}
+
+function lineAt (second: number, text: string): string {
+  const instance = text.includes('instance=') ? '' : ' instance=entry-1'
+  return `time=${new Date(second * 1_000).toISOString()} level=info event=${text}${instance}`
+}
+
+const sent = [1, 'request-sent id=r1 endpoint=e1 expected=120'] as const
+
+describe('parseLogLine', () => {
+  const cases: [name: string, text: string, event: string | undefined, detail: string | undefined][] = [
+    ['a line', 'time=2026-12-02T05:30:00.000Z level=info event=entry-ready', 'entry-ready', undefined],
+    ['quoted values', 'time=2026-12-02T05:30:00.000Z event=request-ended detail="in 912 ms \\"only\\""', 'request-ended', 'in 912 ms "only"'],
+    ['what a collector wrote before it', '  18.02 edge-1 time=2026-12-02T05:30:00.000Z event=entry-ready', 'entry-ready', undefined],
+    ['no line of ours', 'listening on port 80', undefined, undefined],
+    ['a line without a time', 'event=entry-ready', undefined, undefined],
+    ['a value that was cut off', 'time=2026-12-02T05:30:00.000Z event=fault detail="half', 'fault', 'half']
+  ]
+  for (const [name, text, event, detail] of cases) {
+    it(`reads ${name}`, () => {
+      const line = parseLogLine(text)
+      assert.equal(line?.event, event)
+      assert.equal(line?.fields['detail'], detail)
+    })
+  }
+})
+
+describe('explainRequest', () => {
+  const cases: [name: string, lines: LogLine[], cause: RequestCause][] = [
+    ['an answer in time', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=130 objective=400 gap=60']), 'in-time'],
+    ['a late answer that was expected late', lines([1, 'request-sent id=r1 endpoint=e1 expected=480'], [2, 'request-ended id=r1 result=answered status=200 first=500 objective=400']), 'pool-busy'],
+    ['a late answer that was expected in time', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=900 objective=400']), 'endpoint-slower-than-expected'],
+    ['a late plain answer', lines(sent, [2, 'request-ended id=r1 result=answered status=200 took=900 objective=400']), 'endpoint-slower-than-expected'],
+    ['a pause', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=130 objective=400 gap=700']), 'stream-paused'],
+    ['an error of the endpoint', lines(sent, [2, 'request-ended id=r1 result=answered status=500 took=30 objective=400']), 'endpoint-failed'],
+    ['a refusal for load', lines([1, 'request-ended id=r1 result=refused code=overloaded']), 'overloaded'],
+    ['a refusal without endpoints', lines([1, 'request-ended id=r1 result=refused code=no-endpoint']), 'no-endpoint'],
+    ['a refusal before the first configuration', lines([1, 'request-ended id=r1 result=refused code=no-configuration']), 'no-configuration'],
+    ['an unknown key', lines([1, 'request-ended id=r1 result=refused code=unknown-organisation']), 'not-allowed'],
+    ['an answer that was cut', lines(sent, [2, 'request-ended id=r1 result=failed code=answer-cut']), 'endpoint-failed'],
+    ['a time-out', lines(sent, [2, 'request-ended id=r1 result=failed code=timed-out']), 'time-over'],
+    ['a caller that left', lines(sent, [2, 'request-ended id=r1 result=abandoned']), 'caller-left'],
+    ['lines that stop', lines(sent), 'unfinished']
+  ]
+  for (const [name, given, cause] of cases) it(`finds ${name}`, () => assert.equal(explainRequest('r1', given)?.cause, cause))
+
+  it('finds nothing for an unknown id', () => assert.equal(explainRequest('r2', lines(sent)), undefined))
+
+  const aroundCases: [name: string, second: number, text: string, shown: boolean][] = [
+    ['a loss of the store just before', 0, 'store-lost scope=operator', true],
+    ['the end of its endpoint', 1, 'endpoint-gone endpoint=e1', true],
+    ['the loss of the agent beside its endpoint', 1, 'agent-lost agent=10.0.0.1:7400', true],
+    ['the loss of another agent', 1, 'agent-lost agent=10.0.0.2:7400', false],
+    ['the end of another endpoint', 1, 'endpoint-gone endpoint=e2', false],
+    ['what another entry learned', 1, 'store-lost scope=operator instance=entry-2', false],
+    ['what was long before', -60, 'store-lost scope=operator', false],
+    ['what came after', 60, 'store-lost scope=operator', false]
+  ]
+  for (const [name, second, text, shown] of aroundCases) {
+    it(`${shown ? 'shows' : 'leaves out'} ${name}`, () => {
+      const given = lines([-90, 'endpoint-listed endpoint=e1 address=10.0.0.1:8080'], sent, [second, text], [2, 'request-ended id=r1 result=abandoned'])
+      assert.equal(explainRequest('r1', given)?.around.length, shown ? 1 : 0)
+    })
+  }
+})
+
+describe('explainFiles', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'drumdrift-'))
+  after(() => rmSync(folder, { recursive: true }))
+  const log = join(folder, 'entry.log')
+  writeFileSync(log, `${lineAt(1, sent[1])}\nsomething else\n${lineAt(2, 'request-ended id=r1 result=abandoned')}\n`)
+
+  const cases: [name: string, id: string, files: string[], code: number, last: RegExp][] = [
+    ['the lines of a request and its cause', 'r1', [log], 0, /event=explained id=r1 cause=caller-left lines=2 /],
+    ['that no line names it', 'r2', [log], 1, /event=not-found id=r2 files=1 lines=2/],
+    ['that a file cannot be read', 'r1', [log, join(folder, 'missing.log')], 2, /event=file-unreadable file=\S+missing\.log /]
+  ]
+  for (const [name, id, files, code, last] of cases) {
+    it(`tells ${name}`, async () => {
+      const printed: string[] = []
+      assert.equal(await explainFiles(id, files, text => { printed.push(text) }), code)
+      assert.match(printed.at(-1) ?? '', last)
+    })
+  }
+})
