--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -17,6 +17,7 @@
   configuration: async () => (await import('./lib/configuration-bench.js')).configurationBench,
   chaos: async () => (await import('./lib/chaos-bench.js')).chaosBench,
   capacity: async () => (await import('./lib/capacity-bench.js')).capacityBench,
+  policy: async () => (await import('./lib/policy/policy-bench.js')).policyBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
 
@@ -39,6 +40,8 @@
   .option('--corrupt <number>', 'agents whose chunks are corrupted', Number, 0)
   .option('--seconds <number>', 'length of the measured time', Number, 8)
   .option('--window <number>', 'chunks in flight at one agent', Number, 32)
+  .option('--seeds <number>', 'seeds that a model is played with', Number, 40)
+  .option('--plot <file>', 'writes an SVG plot, where the benchmark has one')
   .option('--no-baselines', 'leaves the baselines out')
   .action(async (name: string, options: BenchOptions) => {
     const load = Object.hasOwn(benches, name) ? benches[name] : undefined
--- a/packages/benchmarks/src/lib/bench-options.ts
+++ b/packages/benchmarks/src/lib/bench-options.ts
@@ -17,6 +17,10 @@
   readonly corrupt: number
   readonly seconds: number
   readonly baselines: boolean
+  /** Seeds that a model is played with, from `seed` on. */
+  readonly seeds: number
+  /** Where a plot goes; nothing for none. */
+  readonly plot: string | undefined
   /** Chunks in flight at one agent. */
   readonly window: number
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/policy/policies.ts
@@ -0,0 +1,117 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Ways of choosing an engine that the model compares: the product's own, earlier versions of it, and plain baselines. */
+import { decideStart, EndpointChooser, type Choice, type EndpointRecord, type LoadReport, type PoolDescription, type ServiceDescription } from '@drumdrift/core'
+
+/** The names of the policies. */
+export const policyNames = ['by-room', 'soonest', 'soonest-unread-unknown', 'least-connections', 'random'] as const
+/** One of them. */
+export type PolicyName = typeof policyNames[number]
+
+/** A request that an entry has to place. */
+export interface PlacedRequest {
+  readonly id: string
+  readonly promptTokens: number
+  /** Milliseconds. */
+  readonly objective: number
+}
+
+/** The choice of one entry. */
+export interface EntryPolicy {
+  /** The index of an engine; nothing to refuse. */
+  choose (request: PlacedRequest, tried: ReadonlySet<number>, now: number): number | undefined
+  begun (engine: number, request: PlacedRequest, now: number): void
+  ended (engine: number, request: PlacedRequest, outcome: 'served' | 'refused', now: number): void
+  heard (engine: number, report: LoadReport, now: number): void
+}
+
+/** What a policy works with. */
+export interface PolicyParts {
+  readonly pool: PoolDescription
+  readonly engines: number
+  readonly draw: () => number
+}
+
+const MODEL = 'model'
+const ZONE = 'zone'
+
+/** The product's chooser and its early refusal; `see` is what it gets of a report. */
+class ChooserPolicy implements EntryPolicy {
+  private readonly _chooser: EndpointChooser
+  private readonly _service: ServiceDescription
+  private readonly _sent = new Map<string, Choice>()
+
+  constructor (parts: PolicyParts, private readonly _see: (report: LoadReport) => LoadReport) {
+    this._chooser = new EndpointChooser({ availabilityZone: ZONE, regionOf: zone => zone }, parts.draw)
+    this._chooser.setRecords(Array.from({ length: parts.engines }, (_, index) => recordOf(index)))
+    this._service = { name: 'pool', maxConnections: Infinity, pool: parts.pool }
+  }
+
+  choose (request: PlacedRequest, tried: ReadonlySet<number>, now: number): number | undefined {
+    const need = { promptTokens: request.promptTokens, answerTokens: 0, model: MODEL, leastVersion: 0, mustBeginBy: () => undefined, tried: new Set([...tried].map(String)) }
+    const choice = this._chooser.choose(this._service, need, now)
+    if (choice === undefined || decideStart({ expected: choice.expected, objective: request.objective }).type === 'refuse') return undefined
+    this._chooser.sent(choice, request.id, request.promptTokens, now)
+    this._sent.set(request.id, choice)
+    return Number(choice.record.id)
+  }
+
+  begun (engine: number, { id }: PlacedRequest, now: number): void {
+    this._chooser.load(String(engine)).begun(id, this._sent.get(id)?.expected, now)
+  }
+
+  ended (engine: number, { id }: PlacedRequest, outcome: 'served' | 'refused', now: number): void {
+    this._sent.delete(id)
+    if (outcome === 'refused') this._chooser.avoid(String(engine), 'refused', now)
+    this._chooser.ended(String(engine), id, outcome === 'served' ? 'good' : 'unclear', now)
+  }
+
+  heard (engine: number, report: LoadReport, now: number): void { this._chooser.heard(String(engine), this._see(report), now) }
+}
+
+/** Knows only which engines are open and what this entry has sent there. */
+class CountingPolicy implements EntryPolicy {
+  private readonly _outstanding: number[]
+  private readonly _accepting: boolean[]
+
+  constructor (parts: PolicyParts, private readonly _pick: (open: readonly number[], outstanding: readonly number[]) => number | undefined) {
+    this._outstanding = new Array<number>(parts.engines).fill(0)
+    this._accepting = new Array<boolean>(parts.engines).fill(true)
+  }
+
+  choose (_request: PlacedRequest, tried: ReadonlySet<number>): number | undefined {
+    const open = this._accepting.flatMap((accepting, index) => accepting && !tried.has(index) ? [index] : [])
+    const engine = this._pick(open, this._outstanding)
+    if (engine !== undefined) this._add(engine, 1)
+    return engine
+  }
+
+  begun (): void {}
+  ended (engine: number): void { this._add(engine, -1) }
+  heard (engine: number, { accepting }: LoadReport): void { this._accepting[engine] = accepting }
+
+  private _add (engine: number, count: number): void {
+    this._outstanding[engine] = (this._outstanding[engine] ?? 0) + count
+  }
+}
+
+/** Makes the choice of one entry, for each policy. */
+export const entryPolicies: Record<PolicyName, (parts: PolicyParts) => EntryPolicy> = {
+  'by-room': parts => new ChooserPolicy(parts, report => report),
+  soonest: parts => new ChooserPolicy(parts, report => ({ ...report, entries: undefined })),
+  'soonest-unread-unknown': parts => new ChooserPolicy(parts, report => ({ ...report, entries: undefined, unreadTokens: undefined })),
+  'least-connections': parts => new CountingPolicy(parts, (open, outstanding) => {
+    const least = Math.min(...open.map(index => outstanding[index] ?? 0))
+    return drawn(open.filter(index => outstanding[index] === least), parts.draw())
+  }),
+  random: parts => new CountingPolicy(parts, open => drawn(open, parts.draw()))
+}
+
+function drawn (engines: readonly number[], draw: number): number | undefined { return engines[Math.floor(draw * engines.length)] }
+
+function recordOf (index: number): EndpointRecord {
+  return { id: String(index), service: 'pool', address: `10.0.0.${index}:80`, availabilityZone: ZONE, slots: 0, draining: false, models: [{ model: MODEL, version: 1 }] }
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/policy/policy-bench.ts
@@ -0,0 +1,62 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Compares ways of choosing an engine over many seeds in the model of a pool, with a plot of worth against load. */
+import { writeFileSync } from 'node:fs'
+import { compile, type TopLevelSpec } from 'vega-lite'
+import { parse, View } from 'vega'
+import { printFigures, twoDecimals, type BenchOptions } from '../bench-options.js'
+import { playPolicy, type PolicyFigures } from './policy-model.js'
+import { policyNames, type PolicyName } from './policies.js'
+
+/** Requests a second: a quiet pool, the users' usual peak, and about what the model's pool can serve. */
+const LOADS = [60, 100, 130]
+/** Ratios are told against this plain way. */
+const BASELINE: PolicyName = 'least-connections'
+
+interface PolicyPoint {
+  readonly policy: PolicyName
+  readonly load: number
+  readonly worth: number
+}
+
+/** Plays each policy at each load. */
+export async function policyBench ({ seed, seeds, plot }: BenchOptions): Promise<boolean> {
+  const points: PolicyPoint[] = []
+  for (const load of LOADS) {
+    const played = new Map(policyNames.map(policy => [policy, meanOf(policy, load, seed, seeds)]))
+    const baseline = played.get(BASELINE)?.worth ?? Number.NaN
+    for (const [policy, { worth, refused, late, firstMedian, firstLatest }] of played) {
+      points.push({ policy, load, worth })
+      printFigures('policy', {
+        policy, load, seeds, worth: worth.toFixed(3), of_baseline: twoDecimals(worth / baseline), refused: refused.toFixed(3), late: late.toFixed(3), first_50_milliseconds: Math.round(firstMedian), first_99_milliseconds: Math.round(firstLatest)
+      })
+    }
+  }
+  if (plot !== undefined) writeFileSync(plot, await plotWorth(points))
+  return points.every(({ worth }) => worth > 0)
+}
+
+function meanOf (policy: PolicyName, perSecond: number, seed: number, seeds: number): PolicyFigures {
+  const figures = Array.from({ length: seeds }, (_, index) => playPolicy({ policy, perSecond, seed: seed + index }))
+  const mean = (value: (each: PolicyFigures) => number): number => figures.reduce((sum, each) => sum + value(each), 0) / figures.length
+  return { worth: mean(each => each.worth), refused: mean(each => each.refused), late: mean(each => each.late), firstMedian: mean(each => each.firstMedian), firstLatest: mean(each => each.firstLatest) }
+}
+
+async function plotWorth (points: readonly PolicyPoint[]): Promise<string> {
+  const specification: TopLevelSpec = {
+    $schema: 'https://vega.github.io/schema/vega-lite/v6.json',
+    data: { values: points.map(point => ({ ...point })) },
+    width: 420,
+    height: 300,
+    mark: { type: 'line', point: true },
+    encoding: {
+      x: { field: 'load', type: 'quantitative', title: 'requests a second' },
+      y: { field: 'worth', type: 'quantitative', title: 'credit earned of credit owed' },
+      color: { field: 'policy', type: 'nominal' }
+    }
+  }
+  return await new View(parse(compile(specification).spec), { renderer: 'none' }).toSVG()
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/policy/virtual-engine.ts
@@ -0,0 +1,90 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * A batching engine in virtual time, as the users publish how theirs work: it plays passes, each of which admits what
+ * waits, reads prompts up to a limit, and lets every request that has been read write some tokens.
+ */
+import { readRate, stepTime, type PoolDescription } from '@drumdrift/core'
+import type { VirtualTime } from './virtual-time.js'
+
+/** A request at an engine. */
+export interface EngineJob {
+  readonly promptTokens: number
+  readonly answerTokens: number
+  readonly onFirst: () => void
+  readonly onEnd: () => void
+}
+
+interface Running {
+  readonly job: EngineJob
+  unread: number
+  left: number
+}
+
+/** One engine. */
+export class VirtualEngine {
+  private readonly _waiting: EngineJob[] = []
+  private _running: Running[] = []
+  private _busy = false
+  /** Whether it takes new work. */
+  accepting = true
+
+  constructor (private readonly _pool: PoolDescription, private readonly _time: VirtualTime) {}
+
+  /** Takes a request; false when it is closed. */
+  send (job: EngineJob): boolean {
+    if (!this.accepting) return false
+    this._waiting.push(job)
+    if (!this._busy) this._pass()
+    return true
+  }
+
+  /** What it tells of itself. Requests count as running from their admission on, as the users' engines count them. */
+  reading (): { running: number, waiting: number, contextTokens: number } {
+    const contextTokens = this._running.reduce((sum, { job, left }) => sum + job.promptTokens + job.answerTokens - left, 0)
+    return { running: this._running.length, waiting: this._waiting.length, contextTokens }
+  }
+
+  private _pass (): void {
+    this._admit()
+    this._busy = this._running.length > 0
+    if (!this._busy) return
+    const writers = this._running.filter(({ unread }) => unread === 0)
+    const readers = this._running.filter(({ unread }) => unread > 0)
+    const steps = writers.length > 0 ? this._pool.stride : 1
+    const read = readPrompts(readers, this._pool.promptTokensPerStep * steps)
+    const duration = read / readRate(this._pool) + steps * stepTime(this._pool, writers.length)
+    this._time.after(duration, () => this._passEnds(writers, readers))
+  }
+
+  private _admit (): void {
+    while (this._running.length < this._pool.slots) {
+      const job = this._waiting.shift()
+      if (job === undefined) return
+      this._running.push({ job, unread: job.promptTokens, left: job.answerTokens })
+    }
+  }
+
+  private _passEnds (writers: readonly Running[], readers: readonly Running[]): void {
+    for (const writer of writers) writer.left = Math.max(0, writer.left - this._pool.stride)
+    const ended = this._running.filter(({ unread, left }) => unread === 0 && left === 0)
+    this._running = this._running.filter(running => !ended.includes(running))
+    for (const { job } of readers.filter(({ unread }) => unread === 0)) job.onFirst()
+    for (const { job } of ended) job.onEnd()
+    this._pass()
+  }
+}
+
+/** Reads prompts in the order of their admission. Returns the tokens read. */
+function readPrompts (readers: readonly Running[], most: number): number {
+  let left = most
+  for (const reader of readers) {
+    const read = Math.min(left, reader.unread)
+    reader.unread -= read
+    left -= read
+  }
+  return most - left
+}
--- /dev/null
+++ b/packages/benchmarks/src/test/lib/policy/policy-model_test.ts
@@ -0,0 +1,77 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { modelPool, playPolicy } from '../../../lib/policy/policy-model.js'
+import { policyNames, type PolicyName } from '../../../lib/policy/policies.js'
+import { VirtualEngine } from '../../../lib/policy/virtual-engine.js'
+import { VirtualTime } from '../../../lib/policy/virtual-time.js'
+
+describe('VirtualTime', () => {
+  it('plays events in the order of their time, and of their planning within one moment', () => {
+    const time = new VirtualTime()
+    const seen: string[] = []
+    for (const [milliseconds, name] of [[20, 'c'], [10, 'a'], [10, 'b'], [40, 'late']] as const) time.after(milliseconds, () => seen.push(`${name} at ${time.now}`))
+    time.playUntil(30)
+    assert.deepEqual(seen, ['a at 10', 'b at 10', 'c at 20'])
+    assert.equal(time.now, 30)
+  })
+})
+
+describe('VirtualEngine', () => {
+  /** When the first token of each request comes, in milliseconds; 2,070 prompt tokens are read in 100. */
+  const cases: [name: string, prompts: number[], firsts: number[]][] = [
+    ['reads a prompt, then plays one step', [2_070], [109.27]],
+    ['lets the next one wait for the pass that is under way, and for the steps of those that write', [1_000, 1_000], [57.58, 152.24]],
+    ['reads a long prompt in several passes', [4_096], [216.41]]
+  ]
+  for (const [name, prompts, expected] of cases) {
+    it(name, () => {
+      const time = new VirtualTime()
+      const engine = new VirtualEngine({ ...modelPool, promptTokensPerStep: 2_070, stepTimePerRequest: 0, stepTimePerThousandTokens: 0 }, time)
+      const firsts: string[] = []
+      for (const promptTokens of prompts) engine.send({ promptTokens, answerTokens: 10, onFirst: () => firsts.push(time.now.toFixed(2)), onEnd: () => {} })
+      time.playUntil(1_000)
+      assert.deepEqual(firsts, expected.map(milliseconds => milliseconds.toFixed(2)))
+    })
+  }
+
+  it('takes nothing while it is closed', () => {
+    const engine = new VirtualEngine(modelPool, new VirtualTime())
+    engine.accepting = false
+    assert.equal(engine.send({ promptTokens: 1, answerTokens: 1, onFirst: () => {}, onEnd: () => {} }), false)
+  })
+
+  it('counts admitted requests as running with their whole prompt', () => {
+    const time = new VirtualTime()
+    const engine = new VirtualEngine(modelPool, time)
+    engine.send({ promptTokens: 900, answerTokens: 10, onFirst: () => {}, onEnd: () => {} })
+    engine.send({ promptTokens: 700, answerTokens: 10, onFirst: () => {}, onEnd: () => {} })
+    assert.deepEqual(engine.reading(), { running: 1, waiting: 1, contextTokens: 900 })
+    time.playUntil(5_000)
+    assert.deepEqual(engine.reading(), { running: 0, waiting: 0, contextTokens: 0 })
+  })
+})
+
+describe('playPolicy', () => {
+  for (const policy of policyNames) {
+    it(`gives the same figures for the same seed with ${policy}`, () => {
+      assert.deepEqual(playPolicy({ policy, seed: 3, perSecond: 60 }), playPolicy({ policy, seed: 3, perSecond: 60 }))
+    })
+  }
+
+  const orders: [better: PolicyName, worse: PolicyName, perSecond: number][] = [
+    ['by-room', 'soonest-unread-unknown', 130],
+    ['by-room', 'least-connections', 130],
+    ['least-connections', 'random', 100]
+  ]
+  for (const [better, worse, perSecond] of orders) {
+    it(`ranks ${better} before ${worse}`, () => {
+      const worth = (policy: PolicyName): number => [1, 2, 3, 4, 5, 6].reduce((sum, seed) => sum + playPolicy({ policy, seed, perSecond }).worth, 0)
+      assert.ok(worth(better) > worth(worse), `${worth(better)} against ${worth(worse)}`)
+    })
+  }
+})
