Nothing goes to an old version over a way that is not known

Ruled out: the change of admission (the request was expected in 131 ms). Change: with a newer version named, an engine that still has the old one is given work only while its agent is heard. The test fails without it.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -9,7 +9,7 @@
  */
 import { Ejection } from '../ejection.js'
 import { readTime, stepTime } from './engine-model.js'
-import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import { EndpointLoad, REPORT_LIFETIME, type LoadReport } from './endpoint-load.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
 import type { EndpointRecord } from './published-state.js'
 import type { ServiceDescription } from './routing-configuration.js'
@@ -247,8 +247,12 @@
   }
 }
 
-/** Whether a request could begin on an old version after it must no longer. */
-function tooLate ({ expected, version, roundTrip }: Choice, { mustBeginBy }: Need, now: number): boolean {
+/**
+ * Whether a request could begin on an old version after it must no longer. Where the agent is not heard the way is not
+ * known, and may be a link with seconds of queue: then it could.
+ */
+function tooLate ({ expected, version, roundTrip, reportAge }: Choice, { mustBeginBy }: Need, now: number): boolean {
   const bound = mustBeginBy(version)
-  return bound !== undefined && now + BEGIN_FACTOR * expected + BEGIN_LINK_FACTOR * roundTrip > bound
+  if (bound === undefined) return false
+  return reportAge > REPORT_LIFETIME || now + BEGIN_FACTOR * expected + BEGIN_LINK_FACTOR * roundTrip > bound
 }
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -36,7 +36,7 @@
 }
 
 /** A report older than this says nothing any more, in milliseconds: ten of the agents' reports are missing by then. */
-const REPORT_LIFETIME = 1_000
+export const REPORT_LIFETIME = 1_000
 /** What is on its way to the endpoint when it reports, in milliseconds: a few network delays. */
 const REPORT_BLIND_TIME = 5
 /**
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -51,6 +51,8 @@
     ['a fresh report of a version before the list', chosen(chooser([record('a')], { a: { ...idle, version: 2 } }), { leastVersion: 2 }), 'a'],
     ['the list when the report is old', chosen(chooser([record('a')], { a: { ...idle, version: 2 } }), { leastVersion: 2 }, drafting, 9_000), undefined],
     ['none that would begin after its bound', chosen(chooser([record('a')], { a: busy }), { mustBeginBy: () => 1_200 }), undefined],
+    ['none of an old version whose way is unknown', chosen(chooser([record('a')]), { mustBeginBy: () => 9_000 }), undefined],
+    ['one of the newest version whose way is unknown', chosen(chooser([record('a')])), 'a'],
     ['one that begins before its bound', chosen(chooser([record('a')], { a: idle }), { mustBeginBy: () => 1_600 }), 'a'],
     ['one that does not close soon, for a long answer', chosen(chooser([record('a'), record('b', 'next')], { a: { ...idle, closesIn: 200 }, b: idle }), { answerTokens: 150 }), 'b'],
     ['one that closes soon, for a short answer', chosen(chooser([record('a'), record('b', 'next')], { a: { ...idle, closesIn: 900 }, b: idle }), { answerTokens: 20 }), 'a']
