Two versions under way: an older one that is half out of the origin is finished, the newer one collected beside it

Cause: when a version was named while the last was on its way, or staged and not yet taken by all engines, each agent threw the last one away.

Holdings of both are followed over one connection. The older one goes first at the origin and on the links while it advances.

--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -42,6 +42,14 @@
   peerWindow: 6, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
 }
 
+/** Bounds on what a swarm asks for at once. */
+export interface SwarmLimit {
+  /** Chunks asked of peers. */
+  readonly peers: number
+  /** Chunks asked of the origin. */
+  readonly origin: number
+}
+
 interface Peer {
   readonly availabilityZone: string
   readonly held: Set<number>
@@ -100,6 +108,8 @@
   /** When the origin last gave nothing to this member. */
   private _originFailedAt = -Infinity
   private _whole = false
+  private _limit: SwarmLimit
+  private _arrivedAt = -Infinity
 
   /**
    * @param held Digests that are held already.
@@ -116,6 +126,7 @@
   ) {
     this._places = new ChunkPlaces(_self, members)
     this._window = _policy.peerWindow
+    this._limit = { peers: _policy.peerWindow, origin: _policy.originWindow }
     this.setMembers(members)
     _manifest.chunks.forEach(({ digest }, index) => { if (!held.has(digest)) this._missing.add(index) })
   }
@@ -123,6 +134,22 @@
   /** The share of chunks that are held, 0 to 1. */
   get progress (): number { return 1 - this._missing.size / this._manifest.chunks.length }
 
+  /** The share of chunks that are held here or by some peer, 0 to 1. */
+  get known (): number {
+    const peers = [...this._peers.values()]
+    const unknown = [...this._missing].filter(index => !peers.some(({ held }) => held.has(index)))
+    return 1 - unknown.length / this._manifest.chunks.length
+  }
+
+  /** When a chunk came last; -Infinity for never. */
+  get arrivedAt (): number { return this._arrivedAt }
+
+  /** Bounds what is asked for at once below the policy; nothing for the policy's own bounds. */
+  limit (limit: SwarmLimit | undefined): void {
+    const { peerWindow, originWindow } = this._policy
+    this._limit = { peers: Math.min(peerWindow, limit?.peers ?? peerWindow), origin: Math.min(originWindow, limit?.origin ?? originWindow) }
+  }
+
   /** Takes a new member list. */
   setMembers (members: readonly ChunkMember[]): void {
     this._members = members
@@ -177,6 +204,7 @@
     const pull = this._end(attempt)
     if (pull === undefined) return []
     this._missing.delete(pull.index)
+    this._arrivedAt = now
     const peer = pull.peer === undefined ? undefined : this._peers.get(pull.peer)
     if (peer !== undefined) {
       peer.failures = 0
@@ -225,14 +253,16 @@
   }
 
   private _hasRoom (): boolean {
-    return this._pulls.size < Math.floor(this._window) + this._policy.originWindow
+    return this._pulls.size < this._peerRoom() + this._limit.origin
   }
 
+  private _peerRoom (): number { return Math.min(this._limit.peers, Math.floor(this._window)) }
+
   private _start (index: number, now: number): TransferEffect | undefined {
     const flying = [...this._pulls.values()].filter(pull => pull.index === index)
     if (flying.length > 0) return this._hedge(index, flying, now)
     const peer = this._peerFor(index, now)
-    if (peer !== undefined) return this._count(false) < Math.floor(this._window) ? this._pull(index, peer, now) : undefined
+    if (peer !== undefined) return this._count(false) < this._peerRoom() ? this._pull(index, peer, now) : undefined
     return this._mayReadOrigin(index, now) ? this._pull(index, undefined, now) : undefined
   }
 
@@ -273,7 +303,7 @@
   }
 
   private _mayReadOrigin (index: number, now: number): boolean {
-    if (this._count(true) >= this._policy.originWindow || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
+    if (this._count(true) >= this._limit.origin || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
     const { overall } = this._places.turn(index)
     if (overall === 0) return true
     // An origin that is away fails all alike: others step in for the member whose turn it is only some time after it failed
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -8,7 +8,7 @@
 import type { ChunkMember } from '../../../lib/chunk-tree.js'
 import type { Manifest } from '../../../lib/documents.js'
 import { ChunkPlaces } from '../../../lib/routing/chunk-places.js'
-import { ChunkSwarm, defaultSwarmPolicy } from '../../../lib/routing/chunk-swarm.js'
+import { ChunkSwarm, defaultSwarmPolicy, type SwarmLimit } from '../../../lib/routing/chunk-swarm.js'
 import type { TransferEffect } from '../../../lib/transfer.js'
 
 const CHUNKS = 12
@@ -155,6 +155,38 @@
     assert.ok(fetches(effects).some(effect => sourceOf(effect) === 'koshi-3'))
   })
 
+  const shares: [name: string, held: readonly number[], peers: readonly number[], expected: number][] = [
+    ['nothing', [], [], 0],
+    ['what it holds', [0, 1, 2], [], 0.25],
+    ['what peers hold', [], [0, 1, 2], 0.25],
+    ['either, counted once', [0, 1, 2], [2, 3, 4, 5], 0.5],
+    ['everything', [0, 1], all, 1]
+  ]
+  for (const [name, held, peers, expected] of shares) {
+    it(`knows the share of chunks that somebody has: ${name}`, () => {
+      const swarm = newSwarm(new Set(held.map(index => manifest.chunks[index]?.digest ?? '')))
+      swarm.peerHolds(near, peers)
+      assert.equal(swarm.known, expected)
+    })
+  }
+
+  const limits: [name: string, limit: SwarmLimit | undefined, peers: number, origin: number][] = [
+    ['the policy without a limit', undefined, defaultSwarmPolicy.peerWindow, defaultSwarmPolicy.originWindow],
+    ['a limit', { peers: 2, origin: 0 }, 2, 0],
+    ['nothing', { peers: 0, origin: 0 }, 0, 0],
+    ['the policy before a higher limit', { peers: 99, origin: 99 }, defaultSwarmPolicy.peerWindow, defaultSwarmPolicy.originWindow]
+  ]
+  for (const [name, limit, peers, origin] of limits) {
+    it(`asks for as many at once as allowed by ${name}`, () => {
+      const swarm = newSwarm()
+      swarm.limit(limit)
+      swarm.peerHolds(near, others)
+      const started = fetches(swarm.tick(0))
+      assert.equal(started.filter(effect => effect.source.kind === 'peer').length, Math.min(peers, others.length))
+      assert.equal(started.filter(effect => effect.source.kind === 'origin').length, origin)
+    })
+  }
+
   it('is whole when every chunk has arrived, and says so once', () => {
     const swarm = newSwarm()
     swarm.peerHolds(near, all)
--- a/packages/node/src/lib/agent/chunk-server.ts
+++ b/packages/node/src/lib/agent/chunk-server.ts
@@ -18,6 +18,9 @@
 /** Peers that wait hear that they are not forgotten this often, in milliseconds. */
 const REASSURE_PAUSE = 300
 
+/** Where the chunks lie that are served. */
+export type ChunkSource = Pick<ChunkStore, 'has' | 'get' | 'waitFor'>
+
 interface Wanted {
   readonly digest: string
   readonly responder: Responder
@@ -33,7 +36,7 @@
   /**
    * @param _expects Whether a chunk is, or may be, part of the version being fetched, so that waiting makes sense.
    */
-  constructor (private readonly _store: ChunkStore, private readonly _pacer: LinkPacer, private readonly _expects: (digest: string) => boolean) {
+  constructor (private readonly _store: ChunkSource, private readonly _pacer: LinkPacer, private readonly _expects: (digest: string) => boolean) {
     this._timer = setInterval(() => this._reassure(), REASSURE_PAUSE)
   }
 
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -88,6 +88,9 @@
   private readonly _manifests = new Map<string, Buffer>()
   private readonly _arrivals = new Arrivals()
   private readonly _ticker: NodeJS.Timeout
+  /** What became of the attempts of the transfer under way, for the log: by source, or by what went wrong. */
+  private readonly _outcomes = new Map<string, number>()
+  private _startedAt = 0
 
   constructor (private readonly _parts: WeightsKeeperParts) {
     this._ticker = setInterval(() => this._tick(), TICK)
@@ -128,12 +131,12 @@
   }
 
   /**
-   * Sets the wanted version. A transfer of another one ends at once; chunks that both share stay.
+   * Sets the wanted version; empty for none. A transfer of another one ends at once; chunks that both share stay.
    */
   want (manifestDigest: string, originCopies: number): void {
     this._originCopies = originCopies
     if (manifestDigest === this._wanted) return
-    this._parts.log.info('version-wanted', { manifest: manifestDigest })
+    this._parts.log.info('weights-wanted', { manifest: manifestDigest })
     this._wanted = manifestDigest
     this._wholeDigest = ''
     this._problem = undefined
@@ -141,7 +144,7 @@
     this._transfer = undefined
     this._manifest = undefined
     this._wantedDigests = new Set()
-    this._begin(manifestDigest)
+    if (manifestDigest !== '') this._begin(manifestDigest)
   }
 
   /** Drops chunks that the wanted version does not list; call it once that version is served. */
@@ -195,6 +198,8 @@
 
   private _startTransfer (manifest: Manifest): void {
     this._carryOut(this._transfer?.cancel() ?? [])
+    this._outcomes.clear()
+    this._startedAt = performance.now()
     this._members = this._parts.members()
     this._transfer = this._parts.newTransfer({
       members: this._members, identity: this._wanted, manifest, held: this._parts.store.staged, originCopies: this._originCopies
@@ -271,7 +276,9 @@
     },
     whole: ({ manifestDigest }) => {
       this._wholeDigest = manifestDigest
-      this._parts.log.info('version-whole', { manifest: manifestDigest, chunks: this._manifest?.chunks.length })
+      this._parts.log.info('version-whole', {
+        manifest: manifestDigest, chunks: this._manifest?.chunks.length, took: Math.round(performance.now() - this._startedAt), ...Object.fromEntries(this._outcomes)
+      })
       this._parts.onWhole(manifestDigest)
     }
   }
@@ -285,6 +292,8 @@
     this._connections.delete(effect.attempt)
     if (!this._fetches.delete(effect.attempt) || transfer !== this._transfer) return
     const now = performance.now()
+    const outcome = problem === undefined ? `from_${effect.source.kind}` : problem.replaceAll('-', '_')
+    this._outcomes.set(outcome, (this._outcomes.get(outcome) ?? 0) + 1)
     if (problem !== undefined) this._parts.log.debug('chunk-failed', { problem, source: nameOf(effect), chunk: effect.index, attempt: effect.attempt })
     this._carryOut(problem === undefined ? transfer.arrived(effect.attempt, now) : transfer.failed(effect.attempt, problem, now))
   }
--- a/packages/node/src/lib/routing/chunk-holdings.ts
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -25,27 +25,32 @@
   readonly told: Set<number>
 }
 
+/** Versions that one connection follows at once: the staged one, the one ahead, and one that it just leaves. */
+const MOST_FOLLOWED = 3
+
 /** Tells followers which chunks this agent holds. */
 export class HoldingsPublisher {
-  private readonly _followers = new Map<PeerConnection, Follower>()
+  /** The followers of each connection, the oldest first. */
+  private readonly _followers = new Map<PeerConnection, readonly Follower[]>()
   private readonly _timer: NodeJS.Timeout
 
   /**
    * @param _held The indexes of a version's chunks that are held here.
    */
   constructor (private readonly _held: (identity: string) => readonly number[]) {
-    this._timer = setInterval(() => { for (const follower of this._followers.values()) this._tell(follower) }, TELL_PAUSE)
+    this._timer = setInterval(() => { for (const follower of [...this._followers.values()].flat()) this._tell(follower) }, TELL_PAUSE)
   }
 
   close (): void { clearInterval(this._timer) }
 
-  /** Adds a follower; it takes the place of an earlier one over the same connection. */
+  /** Adds a follower; it takes the place of an earlier one of the same version over the same connection. */
   follow (identity: string, responder: Responder): void {
     const { connection } = responder
-    const known = this._followers.has(connection)
+    const known = this._followers.get(connection)
     const follower = { responder, identity, told: new Set<number>() }
-    this._followers.set(connection, follower)
-    if (!known) connection.onEnd(() => { this._followers.delete(connection) })
+    const others = (known ?? []).filter(other => other.identity !== identity)
+    this._followers.set(connection, [...others, follower].slice(-MOST_FOLLOWED))
+    if (known === undefined) connection.onEnd(() => { this._followers.delete(connection) })
     this._tell(follower)
   }
 
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -14,6 +14,7 @@
 
 /** What is wanted of the engine, and what is there for it. */
 export interface SwitchSituation {
+  /** The version that it is to take next. */
   readonly wanted: ModelVersion | undefined
   readonly heardAt: number | undefined
   /** The identity that is staged whole; empty for none. */
@@ -34,6 +35,8 @@
   /** Verifies once more what is staged; false when something is missing or spoilt. */
   readonly confirmWhole: () => Promise<boolean>
   readonly onLoad: (load: LoadReport) => void
+  /** The engine was looked at. */
+  readonly onLooked: () => void
   /** Prompt tokens that the engine reads in a millisecond. */
   readonly readRate: () => number
 }
@@ -63,6 +66,9 @@
 
   close (): void { clearInterval(this._timer) }
 
+  /** Whether the engine carries out an order, or is being given one. */
+  get ordering (): boolean { return this._ordering || this._report?.busy === true }
+
   /** The version of a model that the engine serves; 0 for none. */
   version (model: string): number {
     return this._report?.models.find(held => held.model === model)?.version ?? 0
@@ -77,6 +83,7 @@
       this._noteReachable()
       this._noteVersion(before)
       this._tellLoad()
+      this._parts.onLooked()
       await this._step()
     } finally {
       this._looking = false
--- /dev/null
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -0,0 +1,144 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * One version on its way to this instance: where its chunks are kept, which peers hold them, and the swarm that pulls
+ * them.
+ */
+import { ChunkSwarm, defaultSwarmPolicy, type ChunkMember, type Manifest, type SwarmLimit } from '@drumdrift/core'
+import type { ChunkStore } from '../agent/chunk-store.js'
+import type { ChunkDigest } from '../agent/digest.js'
+import type { ChunkStaging } from '../agent/engine-client.js'
+import { WeightsKeeper } from '../agent/weights-keeper.js'
+import type { Log } from '../observe/log.js'
+import type { Counters } from '../observe/metrics.js'
+import type { PeerPool } from '../peer/pool.js'
+import type { WeightsSource } from '../platform/platform-client.js'
+import { HoldingsFollower } from './chunk-holdings.js'
+
+/** What transfers of one agent share. */
+export interface TransferParts {
+  readonly self: ChunkMember
+  readonly largestBytes: number
+  readonly source: WeightsSource
+  readonly pool: PeerPool
+  readonly log: Log
+  readonly counters: Counters
+  /** Agents of the same pool. */
+  readonly members: () => readonly ChunkMember[]
+  readonly chunkDigest: ChunkDigest
+  readonly manifestMatches: (identity: string, bytes: Buffer) => boolean
+  /** The time that the origin takes for one copy, in milliseconds, with some reserve. */
+  readonly originPatience: (manifest: Manifest) => number
+}
+
+/** Members that read each chunk from the origin. */
+const ORIGIN_COPIES = 1
+/** A transfer that is to ask for nothing. */
+const NOTHING: SwarmLimit = { peers: 0, origin: 0 }
+
+/** The transfer of one version after the other to one place. */
+export class VersionTransfer {
+  private readonly _weights: WeightsKeeper
+  private readonly _holdings: HoldingsFollower
+  private _swarm: ChunkSwarm | undefined
+  private _limit: SwarmLimit | undefined
+
+  /**
+   * @param _staging Where chunks are kept.
+   * @param store The same, with what this process remembers of them.
+   * @param _capacity Bytes that fit there; a larger version is not fetched.
+   */
+  constructor (private readonly _parts: TransferParts, private readonly _staging: ChunkStaging, readonly store: ChunkStore, private readonly _capacity = Infinity) {
+    this._holdings = new HoldingsFollower(_parts.self, _parts.pool, _parts.log, {
+      joined: peer => this._swarm?.peerJoined(peer),
+      holds: (peer, chunks) => this._swarm?.peerHolds(peer, chunks),
+      lost: peer => this._swarm?.peerLost(peer)
+    })
+    this._weights = this._newWeights()
+  }
+
+  /** What is on its way, or staged; empty for nothing. */
+  get identity (): string { return this._weights.wanted }
+  /** Whether it is complete and verified. */
+  get whole (): boolean { return this.identity !== '' && this._weights.wholeDigest === this.identity }
+  /** The share of its chunks that are held here or by some peer, 0 to 1; 0 while its manifest is not known. */
+  get known (): number { return this._weights.currentManifest === undefined ? 0 : this._swarm?.known ?? 0 }
+  /** When a chunk came last, by this process's clock; -Infinity for never. */
+  get arrivedAt (): number { return this._swarm?.arrivedAt ?? -Infinity }
+
+  close (): void {
+    this._weights.close()
+    this._holdings.close()
+  }
+
+  /** Sets the version to be fetched; empty for none. */
+  want (identity: string): void {
+    if (identity === this.identity) return
+    this._swarm = undefined
+    this._weights.want(identity, ORIGIN_COPIES)
+    if (identity === '') this._holdings.follow('', [])
+  }
+
+  /** The list of peers has changed. */
+  membersChanged (): void {
+    if (this._weights.progress < 1 && this._weights.currentManifest !== undefined) this._holdings.follow(this.identity, this._parts.members())
+  }
+
+  /** Bounds what is asked for at once, so that another transfer has the links; nothing for the usual bounds. */
+  limit (limit: SwarmLimit | undefined): void {
+    this._limit = limit
+    this._applyLimit()
+  }
+
+  /** The indexes of the version's chunks that are held here. */
+  held (): number[] {
+    return (this._weights.currentManifest?.chunks ?? []).flatMap(({ digest }, index) => this.store.staged.has(digest) ? [index] : [])
+  }
+
+  /** Whether a chunk belongs to the version, or may. */
+  expects (digest: string): boolean { return this._weights.expects(digest) }
+
+  /** See `WeightsKeeper.manifest`. */
+  manifest (identity: string, wait: number): Promise<Buffer | undefined> { return this._weights.manifest(identity, wait) }
+
+  /** See `WeightsKeeper.confirmWhole`. */
+  confirmWhole (): Promise<boolean> { return this._weights.confirmWhole() }
+
+  private _newWeights (): WeightsKeeper {
+    const { self, largestBytes, source, pool, log, counters, members, chunkDigest, manifestMatches } = this._parts
+    return new WeightsKeeper({
+      self,
+      newTransfer: ({ members, identity, manifest, held }) => this._newSwarm(members, identity, manifest, held),
+      largestBytes,
+      platform: source,
+      pool,
+      engine: this._staging,
+      store: this.store,
+      log,
+      counters,
+      members,
+      addressOf: instance => instance,
+      onWhole: () => this._holdings.follow('', []),
+      chunkDigest,
+      manifestMatches
+    })
+  }
+
+  /** A transfer follows the holdings of peers until it is whole. */
+  private _newSwarm (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
+    const policy = { ...defaultSwarmPolicy, originPatience: this._parts.originPatience(manifest) }
+    const swarm = new ChunkSwarm(this._parts.self, members, identity, manifest, held, Math.random, policy)
+    this._swarm = swarm
+    this._applyLimit()
+    this._holdings.follow(swarm.progress < 1 ? identity : '', members)
+    return swarm
+  }
+
+  private _applyLimit (): void {
+    const tooLarge = (this._weights.currentManifest?.bytes ?? 0) > this._capacity
+    this._swarm?.limit(tooLarge ? NOTHING : this._limit)
+  }
+}
--- /dev/null
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -0,0 +1,185 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * The versions that are on their way to one engine: one in the engine's staging memory, and a newer one that is collected
+ * in this process until it takes over. Without the second, naming a version while the last was still on its way, or not
+ * yet taken by all engines, threw the last away; with the origin away just then, nothing could be served for seconds.
+ */
+import { overlapStep, worthFinishing, type ModelVersion } from '@drumdrift/core'
+import { ChunkStore } from '../agent/chunk-store.js'
+import type { ChunkSource } from '../agent/chunk-server.js'
+import type { ChunkStaging } from '../agent/engine-client.js'
+import type { Log } from '../observe/log.js'
+import { MemoryStaging } from './memory-staging.js'
+import { identityOf } from './ports.js'
+import { VersionTransfer, type TransferParts } from './version-transfer.js'
+
+/** What is known of the engine when it is decided which version goes on. */
+export interface EngineView {
+  /** The version that it serves; 0 for none. */
+  readonly served: number
+  /** Whether it carries out an order, or is being given one. */
+  readonly ordering: boolean
+  /** Whether requests may still begin on a version. */
+  readonly mayBegin: (version: number) => boolean
+}
+
+/**
+ * While the staged version advances, the version ahead asks for one chunk at a time of peers, and of the origin once the
+ * staged one has left it.
+ */
+const BESIDE_AT_PEERS = 1
+/** A transfer without a new chunk for this long does not need the links for itself, in milliseconds: several chunks' time. */
+const STANDSTILL = 500
+
+/** The versions on their way to one engine. */
+export class VersionsUnderWay implements ChunkSource {
+  private readonly _staging: VersionTransfer
+  private readonly _ahead: VersionTransfer
+  private readonly _memory: MemoryStaging
+  private readonly _log: Log
+  private _stagedVersion: ModelVersion | undefined
+  private _aheadVersion: ModelVersion | undefined
+  private _takingOver = false
+  /** Named while another version was taking over. */
+  private _namedMeanwhile: ModelVersion | undefined
+
+  /**
+   * @param _engine The engine's staging memory.
+   * @param memoryBytes Bytes of chunks kept in this process: of the staged version, and as many of the one ahead.
+   */
+  constructor (parts: TransferParts, private readonly _engine: ChunkStaging, memoryBytes: number) {
+    this._log = parts.log
+    this._staging = new VersionTransfer(parts, _engine, new ChunkStore(_engine, memoryBytes))
+    this._memory = new MemoryStaging(_engine, memoryBytes)
+    this._ahead = new VersionTransfer(parts, this._memory, new ChunkStore(this._memory, 0), memoryBytes)
+  }
+
+  /** The version that has the staging memory: the next one that the engine is to take. */
+  get target (): ModelVersion | undefined { return this._stagedVersion }
+  /** The identity of that version if it is whole; empty otherwise. */
+  get whole (): string { return this._staging.whole ? this._staging.identity : '' }
+  /** Whether anything is still to be fetched. */
+  get transferring (): boolean { return (this._stagedVersion !== undefined && !this._staging.whole) || (this._aheadVersion !== undefined && !this._ahead.whole) }
+  /** Chunks that the engine's staging memory holds. */
+  get stagedCount (): number { return this._staging.store.staged.size }
+
+  close (): void {
+    this._staging.close()
+    this._ahead.close()
+  }
+
+  /** Learns what is staged already, from an earlier life of this process. */
+  recover (): Promise<void> { return this._staging.store.recover() }
+
+  membersChanged (): void {
+    this._staging.membersChanged()
+    this._ahead.membersChanged()
+  }
+
+  /**
+   * Sets the newest version that is named.
+   *
+   * @param served The version that the engine serves; 0 for none.
+   */
+  want (newest: ModelVersion, served: number): void {
+    if (this._takingOver) {
+      this._namedMeanwhile = newest
+      return
+    }
+    const identity = identityOf(newest)
+    if (identity === this._staging.identity || identity === this._ahead.identity) return
+    const staged = this._stagedView()
+    const beside = staged !== undefined && served < staged.version && worthFinishing(staged, newest.version)
+    this._log.info('version-wanted', { ...newest, staging: staged?.version, staged_whole: staged?.whole, staged_known: staged?.known, beside })
+    if (beside) {
+      this._aheadVersion = newest
+      this._dropMemory()
+      this._ahead.want(identity)
+    } else this._stage(newest)
+  }
+
+  /** Looks whether the version ahead is to take over, and shares the links between the two. Call it now and then. */
+  async step ({ served, ordering, mayBegin }: EngineView, now: number): Promise<void> {
+    const [staged, ahead] = [this._stagedView(), this._aheadVersion]
+    if (staged === undefined || ahead === undefined || this._takingOver) return
+    const advancing = !staged.whole && now - this._staging.arrivedAt < STANDSTILL
+    this._ahead.limit(advancing ? { peers: BESIDE_AT_PEERS, origin: staged.known < 1 ? 0 : 1 } : undefined)
+    const step = overlapStep({ staged, ahead: { version: ahead.version, whole: this._ahead.whole }, served, ordering, mayBegin: mayBegin(staged.version) })
+    if (step.type === 'wait') return
+    this._log.info('version-takes-over', { ...ahead, before: staged.version, why: step.why, whole: this._ahead.whole, served })
+    await this._takeOver(ahead)
+    const named = this._namedMeanwhile
+    this._namedMeanwhile = undefined
+    if (named !== undefined) this.want(named, served)
+  }
+
+  /** The indexes of a version's chunks that are held here. */
+  held (identity: string): number[] {
+    return this._transferOf(identity)?.held() ?? []
+  }
+
+  /** A manifest for a peer, waiting for one that is on its way. */
+  manifest (identity: string, wait: number): Promise<Buffer | undefined> {
+    return (this._transferOf(identity) ?? this._staging).manifest(identity, wait)
+  }
+
+  /** Whether a chunk belongs to one of the versions, or may. */
+  expects (digest: string): boolean { return this._staging.expects(digest) || this._ahead.expects(digest) }
+
+  has (digest: string): boolean { return this._staging.store.has(digest) || this._ahead.store.has(digest) }
+
+  async get (digest: string): Promise<Buffer | undefined> {
+    return await this._staging.store.get(digest) ?? await this._ahead.store.get(digest)
+  }
+
+  async waitFor (digest: string, wait: number): Promise<boolean> {
+    return await Promise.race([this._staging.store.waitFor(digest, wait), this._ahead.store.waitFor(digest, wait)])
+  }
+
+  /** Verifies once more that the engine holds the whole of the target. */
+  confirmWhole (): Promise<boolean> { return this._staging.confirmWhole() }
+
+  private _stagedView (): { version: number, whole: boolean, known: number } | undefined {
+    if (this._stagedVersion === undefined) return undefined
+    return { version: this._stagedVersion.version, whole: this._staging.whole, known: this._staging.known }
+  }
+
+  private _transferOf (identity: string): VersionTransfer | undefined {
+    return [this._staging, this._ahead].find(transfer => transfer.identity === identity)
+  }
+
+  /** Nothing is ahead any more: a version goes into the staging memory. */
+  private _stage (version: ModelVersion): void {
+    this._stagedVersion = version
+    this._aheadVersion = undefined
+    this._staging.want(identityOf(version))
+    this._ahead.want('')
+    this._dropMemory()
+  }
+
+  /**
+   * Chunks of the version ahead go into the staging memory over those of the older one. While they do, no version counts
+   * as whole, so that the engine is ordered to take neither.
+   */
+  private async _takeOver (version: ModelVersion): Promise<void> {
+    this._takingOver = true
+    try {
+      this._staging.want('')
+      for (const digest of await this._memory.staged()) {
+        const bytes = await this._memory.readBack('chunks', digest)
+        if (bytes !== undefined) await this._staging.store.keep(digest, bytes)
+      }
+      this._stage(version)
+    } finally {
+      this._takingOver = false
+    }
+  }
+
+  private async _dropMemory (): Promise<void> {
+    await this._ahead.store.dropExcept(new Set(), 0)
+  }
+}
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,11 +9,9 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  ASSUMED_READ_RATE, ChunkSwarm, defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
+  ASSUMED_READ_RATE, defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
-import { ChunkStore } from '../agent/chunk-store.js'
-import { WeightsKeeper } from '../agent/weights-keeper.js'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -24,19 +22,18 @@
 import type { Daemon } from '../run-daemon.js'
 import { parseAddress } from '../settings/address.js'
 import type { Settings } from '../settings/settings.js'
-import { HoldingsFollower, HoldingsPublisher } from './chunk-holdings.js'
+import { HoldingsPublisher } from './chunk-holdings.js'
 import { EngineSwitcher } from './engine-switcher.js'
 import { LoadPublisher } from './load-publisher.js'
-import { identityOf, type WeightsPlatform } from './ports.js'
+import type { WeightsPlatform } from './ports.js'
 import { PublishedFeed } from './published-feed.js'
+import { VersionsUnderWay } from './versions-under-way.js'
 
 const MEBIBYTE = 1024 * 1024
 const GIBIBYTE = 1024 * MEBIBYTE
 const BYTES_PER_MEGABIT = 125_000
 /** The version that engines start with when none has been named. */
 const FIRST_VERSION = 1
-/** Members that read each chunk from the origin. */
-const ORIGIN_COPIES = 1
 /** See `_originPatience`. */
 const ORIGIN_PATIENCE_FACTOR = 1.5
 /** Until the pool's description is known, it is asked for this often, in milliseconds. */
@@ -61,13 +58,10 @@
   private readonly _pool: PeerPool
   private readonly _server: PeerServer
   private readonly _feed: PublishedFeed
-  private readonly _store: ChunkStore
-  private readonly _weights: WeightsKeeper
+  private readonly _versions: VersionsUnderWay
   private readonly _chunks: ChunkServer
   private readonly _switcher: EngineSwitcher
-  private readonly _holdings: HoldingsFollower
-  private readonly _published = new HoldingsPublisher(identity => this._heldChunks(identity))
-  private _swarm: ChunkSwarm | undefined
+  private readonly _published = new HoldingsPublisher(identity => this._versions.held(identity))
   private readonly _publisher = new LoadPublisher(() => ({ readRate: this._readRate, slots: this._poolDescription?.slots ?? Infinity }))
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
@@ -92,15 +86,9 @@
     this._platform = connect(readPacer)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic, readPacer)
-    this._store = new ChunkStore(this._platform.engine, _settings.number('weights', 'memory-megabytes') * MEBIBYTE)
     this._feed = this._newFeed()
-    this._holdings = new HoldingsFollower(this._self, this._pool, _log, {
-      joined: peer => this._swarm?.peerJoined(peer),
-      holds: (peer, chunks) => this._swarm?.peerHolds(peer, chunks),
-      lost: peer => this._swarm?.peerLost(peer)
-    })
-    this._weights = this._newWeights()
-    this._chunks = new ChunkServer(this._store, this._pacer, digest => this._weights.expects(digest))
+    this._versions = this._newVersions()
+    this._chunks = new ChunkServer(this._versions, this._pacer, digest => this._versions.expects(digest))
     this._switcher = this._newSwitcher()
     this._server = new PeerServer({
       ...self, address, log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
@@ -122,9 +110,8 @@
   async stop (): Promise<number> {
     clearInterval(this._refreshTimer)
     this._feed.close()
-    this._weights.close()
+    this._versions.close()
     this._chunks.close()
-    this._holdings.close()
     this._published.close()
     this._switcher.close()
     this._server.close()
@@ -147,32 +134,20 @@
     })
   }
 
-  private _newWeights (): WeightsKeeper {
-    return new WeightsKeeper({
+  private _newVersions (): VersionsUnderWay {
+    const { engine, source, chunkDigest, manifestMatches } = this._platform
+    return new VersionsUnderWay({
       self: this._self,
-      newTransfer: ({ members, identity, manifest, held }) => this._newTransfer(members, identity, manifest, held),
       largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
-      platform: this._platform.source,
+      source,
       pool: this._pool,
-      engine: this._platform.engine,
-      store: this._store,
       log: this._log,
       counters: this._counters,
       members: () => this._members,
-      addressOf: instance => instance,
-      onWhole: () => this._holdings.follow('', []),
-      chunkDigest: this._platform.chunkDigest,
-      manifestMatches: this._platform.manifestMatches
-    })
-  }
-
-  /** A transfer follows the holdings of peers until it is whole. */
-  private _newTransfer (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
-    const policy = { ...defaultSwarmPolicy, originPatience: this._originPatience(manifest) }
-    const swarm = new ChunkSwarm(this._self, members, identity, manifest, held, Math.random, policy)
-    this._swarm = swarm
-    this._holdings.follow(swarm.progress < 1 ? identity : '', members)
-    return swarm
+      chunkDigest,
+      manifestMatches,
+      originPatience: manifest => this._originPatience(manifest)
+    }, engine, this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
   }
 
   /** An engine without weights has no answers that transfers could hold up: then they may fill the link. */
@@ -192,13 +167,6 @@
     return this._poolDescription === undefined ? ASSUMED_READ_RATE : readRate(this._poolDescription)
   }
 
-  /** The indexes of a version's chunks that are staged here. */
-  private _heldChunks (identity: string): number[] {
-    const { wanted, currentManifest } = this._weights
-    if (identity !== wanted || currentManifest === undefined) return []
-    return currentManifest.chunks.flatMap(({ digest }, index) => this._store.staged.has(digest) ? [index] : [])
-  }
-
   private _newSwitcher (): EngineSwitcher {
     return new EngineSwitcher({
       self: this._self,
@@ -207,17 +175,31 @@
       counters: this._counters,
       versionBound: this._settings.number('platform', 'version-bound-milliseconds'),
       situation: () => {
-        const wanted = this._wanted()
+        const wanted = this._versions.target ?? this._wanted()
         const served = wanted === undefined ? 0 : this._switcher.version(wanted.model)
         const heardAt = wanted === undefined ? undefined : this._feed.state.firstNewerAt(wanted.model, served)
-        return { wanted, heardAt, whole: this._weights.wholeDigest, members: this._members }
+        return { wanted, heardAt, whole: this._versions.whole, members: this._members }
       },
-      confirmWhole: () => this._weights.confirmWhole(),
+      confirmWhole: () => this._versions.confirmWhole(),
+      onLooked: () => this._stepVersions(),
       readRate: () => this._readRate,
       onLoad: load => this._publisher.publish(load, performance.now())
     })
   }
 
+  /** Looks which of two versions under way goes on. */
+  private _stepVersions (): void {
+    const model = this._versions.target?.model
+    if (model === undefined) return
+    const now = performance.now()
+    const bound = this._settings.number('platform', 'version-bound-milliseconds')
+    const mayBegin = (version: number): boolean => {
+      const newerAt = this._feed.state.firstNewerAt(model, version)
+      return newerAt === undefined || now < newerAt + bound
+    }
+    this._versions.step({ served: this._switcher.version(model), ordering: this._switcher.ordering, mayBegin }, now)
+  }
+
   /**
    * Agents watch only what is wanted. The configuration, which is large, is read until the pool is known; the list of
    * endpoints while there is something to transfer, since only then it matters who the peers are.
@@ -229,8 +211,7 @@
       this._poolReadAt = now
       await this._feed.refresh('configuration')
     }
-    const transferring = this._weights.wholeDigest !== this._weights.wanted
-    const wanting = state.note.endpoints === 0 || transferring
+    const wanting = state.note.endpoints === 0 || this._versions.transferring
     if (!wanting || now - this._listReadAt < LIST_PAUSE) return
     this._listReadAt = now
     await this._feed.refresh('endpoints')
@@ -247,9 +228,9 @@
     this._recovering = true
     this._platform.engine.useModel(model)
     while (await this._platform.engine.report() === undefined) await pause(ENGINE_PAUSE)
-    await this._store.recover()
+    await this._versions.recover()
     this._recovered = true
-    this._log.info('staging-read', { model, staged: this._store.staged.size })
+    this._log.info('staging-read', { model, staged: this._versions.stagedCount })
     this._apply()
   }
 
@@ -267,10 +248,10 @@
     const port = this._settings.number('peers', 'agent-port')
     this._members = this._feed.state.endpoints().filter(({ service }) => service === this._service)
       .map(({ address, availabilityZone }) => ({ instance: `${parseAddress(address).host}:${port}`, availabilityZone }))
-    if (this._weights.progress < 1 && this._weights.currentManifest !== undefined) this._holdings.follow(this._weights.wanted, this._members)
+    this._versions.membersChanged()
     const wanted = this._wanted()
     if (wanted !== undefined) this._recover(wanted.model)
-    if (wanted !== undefined && this._recovered && this._feed.state.note.endpoints > 0) this._weights.want(identityOf(wanted), ORIGIN_COPIES)
+    if (wanted !== undefined && this._recovered && this._feed.state.note.endpoints > 0) this._versions.want(wanted, this._switcher.version(wanted.model))
   }
 
   private _answer (request: PeerRequest, responder: Responder): void {
@@ -289,7 +270,7 @@
   }
 
   private async _manifest (identity: string, wait: number, responder: Responder): Promise<void> {
-    const bytes = await this._weights.manifest(identity, wait)
+    const bytes = await this._versions.manifest(identity, wait)
     const absent: PeerReply = { type: 'no-chunk', reason: 'not-held' }
     if (bytes === undefined) responder.send(absent)
     else responder.send({ type: 'manifest', digest: identity }, bytes)
--- /dev/null
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -0,0 +1,175 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { createHash } from 'node:crypto'
+import { afterEach, describe, it } from 'node:test'
+import type { Manifest } from '@drumdrift/core'
+import type { ChunkStaging } from '../../../lib/agent/engine-client.js'
+import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
+import { Log } from '../../../lib/observe/log.js'
+import { Counters } from '../../../lib/observe/metrics.js'
+import { PeerPool } from '../../../lib/peer/pool.js'
+import { VersionsUnderWay, type EngineView } from '../../../lib/routing/versions-under-way.js'
+
+const CHUNKS = 8
+const self = { instance: '127.0.0.1:1', availabilityZone: 'koshi' }
+
+function chunkOf (version: number, index: number): Buffer { return Buffer.from(`v${version} chunk ${index}`) }
+function digestOf (bytes: Buffer): string { return createHash('sha256').update(bytes).digest('hex') }
+function manifestOf (version: number): Manifest {
+  const chunks = Array.from({ length: CHUNKS }, (_, index) => chunkOf(version, index)).map(bytes => ({ digest: digestOf(bytes), bytes: bytes.length }))
+  return { model: 'm', version: String(version), bytes: chunks.reduce((sum, { bytes }) => sum + bytes, 0), chunks }
+}
+
+/** The origin: gives the chunks of each version up to a limit. */
+class OriginFake {
+  readonly given = new Map<number, number>()
+  limits: Readonly<Record<number, number>> = {}
+
+  async weights (_upstream: string, kind: 'chunks' | 'manifests', identity: string): Promise<Buffer | undefined> {
+    if (kind === 'manifests') return Buffer.from(JSON.stringify(manifestOf(Number(identity.split('@')[1]))))
+    for (const version of [2, 3, 4]) {
+      const index = manifestOf(version).chunks.findIndex(({ digest }) => digest === identity)
+      const given = this.given.get(version) ?? 0
+      if (index < 0 || given >= (this.limits[version] ?? CHUNKS)) continue
+      this.given.set(version, given + 1)
+      return chunkOf(version, index)
+    }
+    return undefined
+  }
+}
+
+/** The engine's staging memory: one copy, by place, whatever the version. */
+class StagingFake implements ChunkStaging {
+  readonly places = new Map<number, Buffer>()
+  private readonly _manifests = new Map<string, Buffer>()
+
+  async staged (): Promise<ReadonlySet<string>> { return new Set([...this.places.values()].map(digestOf)) }
+  async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
+    if (kind === 'manifests') this._manifests.set(digest, bytes)
+    else this.places.set(Number(bytes.toString().split(' ').at(-1)), bytes)
+    return true
+  }
+
+  async readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined> {
+    if (kind === 'manifests') return this._manifests.get(digest)
+    return [...this.places.values()].find(bytes => digestOf(bytes) === digest)
+  }
+
+  async drop (): Promise<void> {}
+  /** The versions whose chunks lie there. */
+  get versions (): string[] { return [...new Set([...this.places.values()].map(bytes => bytes.toString().split(' ')[0] ?? ''))].sort() }
+}
+
+const view: EngineView = { served: 1, ordering: false, mayBegin: () => true }
+const log = new Log('error', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => { setImmediate(() => callback(null, bytes.length)) }))
+
+describe('VersionsUnderWay', () => {
+  const open: { close (): void }[] = []
+  afterEach(() => { for (const each of open.splice(0)) each.close() })
+
+  function begin (limits: Readonly<Record<number, number>>, memory = 1_000): { versions: VersionsUnderWay, origin: OriginFake, staging: StagingFake } {
+    const [origin, staging, pool] = [new OriginFake(), new StagingFake(), new PeerPool({ instance: 'a', key: 'k' })]
+    origin.limits = limits
+    const versions = new VersionsUnderWay({
+      self, largestBytes: 1_000_000, source: origin, pool, log, counters: new Counters(), members: () => [self], chunkDigest: 'sha256', originPatience: () => 100, manifestMatches: (identity, bytes) => JSON.parse(bytes.toString()).version === identity.split('@')[1]
+    }, staging, memory)
+    open.push(versions, pool)
+    return { versions, origin, staging }
+  }
+
+  async function until (what: string, holds: () => boolean): Promise<void> {
+    for (let tries = 0; tries < 200; tries += 1) {
+      if (holds()) return
+      await new Promise(resolve => setTimeout(resolve, 10))
+    }
+    throw new Error(`never: ${what}`)
+  }
+
+  it('brings one version into the staging memory', async () => {
+    const { versions, staging } = begin({})
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    assert.deepEqual([staging.places.size, versions.target?.version, versions.transferring], [CHUNKS, 2, false])
+  })
+
+  it('finishes a version that is half there when a newer one is named, and collects that beside it', async () => {
+    const { versions, origin, staging } = begin({ 2: 5 })
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('half there', () => origin.given.get(2) === 5)
+    await new Promise(resolve => setTimeout(resolve, 20))
+    versions.want({ model: 'm', version: 3 }, 1)
+    assert.equal(versions.target?.version, 2)
+    origin.limits = { 3: 4 }
+    await until('the older one whole', () => versions.whole === 'm@2')
+    await versions.step(view, performance.now())
+    assert.deepEqual([staging.versions, versions.target?.version, versions.transferring], [['v2'], 2, true])
+    assert.equal(await versions.confirmWhole(), true)
+  })
+
+  it('hands the staging memory to the newer one when that is whole, without another fetch', async () => {
+    const { versions, origin, staging } = begin({})
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    versions.want({ model: 'm', version: 3 }, 1)
+    await until('collected', () => versions.held('m@3').length === CHUNKS)
+    assert.deepEqual(staging.versions, ['v2'])
+    await versions.step(view, performance.now())
+    await until('taken over', () => versions.whole === 'm@3')
+    assert.deepEqual([staging.versions, versions.target?.version, origin.given.get(3)], [['v3'], 3, CHUNKS])
+    assert.equal(await versions.confirmWhole(), true)
+  })
+
+  it('does not touch the staging memory while the engine reads it', async () => {
+    const { versions, staging } = begin({})
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    versions.want({ model: 'm', version: 3 }, 1)
+    await until('collected', () => versions.held('m@3').length === CHUNKS)
+    await versions.step({ ...view, ordering: true }, performance.now())
+    assert.deepEqual([staging.versions, versions.whole], [['v2'], 'm@2'])
+  })
+
+  it('replaces at once a version that has just begun', async () => {
+    const { versions, origin } = begin({ 2: 1 })
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('begun', () => origin.given.get(2) === 1)
+    versions.want({ model: 'm', version: 3 }, 1)
+    assert.equal(versions.target?.version, 3)
+    await until('whole', () => versions.whole === 'm@3')
+  })
+
+  it('replaces at once a version that the engine serves', async () => {
+    const { versions } = begin({})
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    versions.want({ model: 'm', version: 3 }, 2)
+    assert.equal(versions.target?.version, 3)
+  })
+
+  it('does not collect beside what does not fit into its memory, and fetches it once the staging memory is free', async () => {
+    const { versions, origin } = begin({}, 10)
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    versions.want({ model: 'm', version: 3 }, 1)
+    await new Promise(resolve => setTimeout(resolve, 200))
+    assert.equal(origin.given.get(3) ?? 0, 0)
+    await versions.step({ ...view, served: 2 }, performance.now())
+    await until('whole', () => versions.whole === 'm@3')
+  })
+
+  it('takes a version that is named while another takes over', async () => {
+    const { versions } = begin({})
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole', () => versions.whole === 'm@2')
+    versions.want({ model: 'm', version: 3 }, 1)
+    await until('collected', () => versions.held('m@3').length === CHUNKS)
+    const stepped = versions.step({ ...view, served: 2 }, performance.now())
+    versions.want({ model: 'm', version: 4 }, 2)
+    await stepped
+    await until('the newest is held', () => versions.held('m@4').length === CHUNKS)
+  })
+})
