An entry watches everything published with one call

Ruled out: longer watches, since a mute connection is found by nothing else in the time that a configuration has; a longer pause after changes, which ages the marks of leaving endpoints.

--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -13,12 +13,12 @@
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { WeightsSource } from '../platform/platform-client.js'
 
-/** What one watch of the store covers. `operator` is the configuration and the wanted versions together. */
-export type StoreScope = 'operator' | 'configuration' | 'versions' | 'endpoints'
+/** What one reading or watch of the store covers. */
+export type StoreScope = 'everything' | 'configuration' | 'versions' | 'endpoints'
 
 /** The topics that a scope covers. */
 export const topicsOfScope: Record<StoreScope, readonly PublishedTopic[]> = {
-  operator: ['configuration', 'versions'],
+  everything: ['configuration', 'versions', 'endpoints'],
   configuration: ['configuration'],
   versions: ['versions'],
   endpoints: ['endpoints']
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -33,7 +33,10 @@
  * second; half a second is added for its second question. In milliseconds.
  */
 const LISTEN_AFTER_STOP = 2_500
-/** The list of endpoints changes in runs; news of it may be this old, in milliseconds, out of the seconds allowed. */
+/**
+ * What is published changes in runs; news of it may be this old, in milliseconds, out of the two seconds in which a
+ * configuration or a leaving endpoint must be heeded.
+ */
 const LIST_PAUSE = 300
 /** What is left of the patience for closing down once requests have been waited for, in milliseconds. */
 const CLOSING_TIME = 500
@@ -76,7 +79,7 @@
       pool: this._pool,
       log: _log,
       counters: this._counters,
-      watches: [{ scope: 'operator', pause: 0 }, { scope: 'endpoints', pause: LIST_PAUSE }],
+      watches: [{ scope: 'everything', pause: LIST_PAUSE }],
       watchWait: _settings.number('platform', 'watch-seconds') * 1000,
       peers: () => this._peers(),
       onChanges: changes => this._apply(changes)
