Refused callers are told when the pool opens, not the longest time that they will wait

Change: agents tell when their engine takes work on its next version (transfer, answers that run, loading); the chooser says whether the pool is open, opens in so many milliseconds, does not tell, or is not heard; callers are spread from then on.

--- a/packages/benchmarks/src/lib/policy/policy-model.ts
+++ b/packages/benchmarks/src/lib/policy/policy-model.ts
@@ -128,7 +128,7 @@
   private _ask (entry: EntryPolicy, request: ReturnType<PolicyModel['_newRequest']>, counted: boolean): void {
     if (counted) this._tally.asked += 1
     const refused = (): void => {
-      this._time.after(retryAfter(PATIENCE, this._draw()), () => this._place(entry, { request, counted, again: true }, new Set(), this._time.now, () => { if (counted) this._tally.refused += 1 }))
+      this._time.after(retryAfter(PATIENCE, this._draw(), { type: 'open' }), () => this._place(entry, { request, counted, again: true }, new Set(), this._time.now, () => { if (counted) this._tally.refused += 1 }))
     }
     this._place(entry, { request, counted, again: false }, new Set(), this._time.now, refused)
   }
--- a/packages/core/src/lib/routing/early-refusal.ts
+++ b/packages/core/src/lib/routing/early-refusal.ts
@@ -33,10 +33,28 @@
 /** Callers do not wait longer than this share of their patience for the time that they are told. */
 const LONGEST_RETRY_SHARE = 1 / 3
 /**
- * Callers seldom come back twice, and what they get counts from when they come back, so they are told the longest time
- * that they will wait, less up to this share of it: those that were refused together come back spread out.
+ * Callers seldom come back twice, so those that a busy pool refused are told the longest time that they will wait, less up
+ * to this share of it: those that were refused together come back spread out.
  */
 const RETRY_SPREAD = 0.4
+/** The same share where nothing takes requests yet, and is to do so only about the longest time from now, or later. */
+const LATE_OPENING_SPREAD = 0.1
+/**
+ * After a restart of everything the agents are heard, and their engines serve, about so much later, in milliseconds: a
+ * process starts in 0.3 s, and a staged version is loaded in as much again.
+ */
+const SILENT_OPENING = 500
+
+/** When a pool is expected to take requests. */
+export type Opening =
+  /** It does. */
+  | { readonly type: 'open' }
+  /** In so many milliseconds, as its agents tell. */
+  | { readonly type: 'expected', readonly in: number }
+  /** Its agents do not know. */
+  | { readonly type: 'unknown' }
+  /** None of its agents is heard. */
+  | { readonly type: 'silent' }
 
 /**
  * Decides on one request.
@@ -71,14 +89,27 @@
   }
 }
 
+/** The least that a caller is told, in milliseconds, of the longest that it will wait. */
+const earliestReturns: { readonly [Type in Opening['type']]: (opening: Extract<Opening, { type: Type }>, longest: number) => number } = {
+  open: (_opening, longest) => longest * (1 - RETRY_SPREAD),
+  expected: opening => opening.in,
+  unknown: (_opening, longest) => longest * (1 - RETRY_SPREAD),
+  silent: () => SILENT_OPENING
+}
+
 /**
- * When a caller that is refused is to come back, in milliseconds.
+ * When a caller that is refused is to come back, in milliseconds. Where nothing takes requests, callers are spread from the
+ * time at which something will up to the longest that they will wait: told the longest time as those of a busy pool are,
+ * they left the pool half empty for a second after a loss of power, and a third of them were refused again in the next.
  *
  * @param patience What it will still wait, in milliseconds.
  * @param draw A random number in [0, 1).
  * @example
- * const milliseconds = retryAfter(6_000, Math.random()) // 1_200 to 2_000
+ * const milliseconds = retryAfter(6_000, Math.random(), { type: 'open' }) // 1_200 to 2_000
  */
-export function retryAfter (patience: number, draw: number): number {
-  return Math.round(patience * LONGEST_RETRY_SHARE * (1 - RETRY_SPREAD * draw))
+export function retryAfter (patience: number, draw: number, opening: Opening): number {
+  const longest = patience * LONGEST_RETRY_SHARE
+  const earliest = earliestReturns[opening.type](opening as never, longest)
+  const spread = longest - Math.min(earliest, longest * (1 - LATE_OPENING_SPREAD))
+  return Math.round(longest - spread * draw)
 }
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -10,6 +10,7 @@
 import { Ejection } from '../ejection.js'
 import { readTime, stepTime } from './engine-model.js'
 import { EndpointLoad, REPORT_LIFETIME, type LoadReport } from './endpoint-load.js'
+import type { Opening } from './early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
 import type { EndpointRecord } from './published-state.js'
 import type { ServiceDescription } from './routing-configuration.js'
@@ -172,6 +173,21 @@
     return this._pick(choices, costs, service, now)
   }
 
+  /**
+   * When some endpoint is expected to take the request, for callers that are refused.
+   *
+   * @example
+   * const milliseconds = retryAfter(patience, Math.random(), chooser.opening(service, need, now))
+   */
+  opening (service: ServiceDescription, need: Need, now: number): Opening {
+    if (service.pool === undefined) return { type: 'open' }
+    const heard = this._records.filter(({ id }) => this._entry(id).load.report(now) !== undefined)
+    if (heard.length === 0) return { type: 'silent' }
+    if (heard.some(record => this._open(record, service, { ...need, tried: new Set() }, now))) return { type: 'open' }
+    const times = heard.flatMap(({ id }) => this._entry(id).load.opensAt(now) ?? [])
+    return times.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.max(0, Math.min(...times) - now) }
+  }
+
   /**
    * Draws among pools' engines, whose reports all entries share, and counts what the others send there meanwhile in what
    * is expected; of plain endpoints the best one is taken.
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -24,6 +24,8 @@
   readonly pace: number
   /** Milliseconds until it stops to take new work, to switch to another version; nothing when that is not planned. */
   readonly closesIn?: number | undefined
+  /** Milliseconds until it takes new work on the version that it is to take next; nothing when that is not known. */
+  readonly opensIn?: number | undefined
   /** Entries that hear these reports, and may send to it; nothing when that is not told. */
   readonly entries?: number | undefined
 }
@@ -91,6 +93,12 @@
     return closesIn === undefined ? undefined : this._heardAt + closesIn
   }
 
+  /** When it takes new work on its next version; nothing when that is not known. */
+  opensAt (now: number): number | undefined {
+    const opensIn = this.report(now)?.opensIn
+    return opensIn === undefined ? undefined : this._heardAt + opensIn
+  }
+
   /** The age of the last report in milliseconds; infinite when there was none. */
   reportAge (now: number): number { return now - this._heardAt }
 
--- a/packages/core/src/lib/routing/load-news.ts
+++ b/packages/core/src/lib/routing/load-news.ts
@@ -14,6 +14,8 @@
 /** A free slot more or less matters little while so many are free. */
 const SLOTS_NEARLY_FULL = 3
 const RUNNING_TOLERANCE = 1
+/** An engine may open so much sooner or later than told, in milliseconds: callers come back spread over more. */
+const OPENING_TOLERANCE = 300
 /** The share by which the pace may change untold. */
 const PACE_TOLERANCE = 0.05
 
@@ -38,6 +40,8 @@
 export function isLoadNews (load: LoadReport, { told, age, readRate, slots }: LoadExpectation): boolean {
   if (load.version !== told.version || load.accepting !== told.accepting || load.waiting !== told.waiting) return true
   if ((load.closesIn === undefined) !== (told.closesIn === undefined)) return true
+  if ((load.opensIn === undefined) !== (told.opensIn === undefined)) return true
+  if (Math.abs((load.opensIn ?? 0) - Math.max(0, (told.opensIn ?? 0) - age)) > OPENING_TOLERANCE) return true
   if (Math.abs(load.pace - told.pace) > PACE_TOLERANCE * told.pace) return true
   const expectedUnread = Math.max(0, (told.unreadTokens ?? 0) - age * readRate)
   if (Math.abs((load.unreadTokens ?? 0) - expectedUnread) > UNREAD_TOLERANCE) return true
--- a/packages/core/src/test/lib/routing/early-refusal_test.ts
+++ b/packages/core/src/test/lib/routing/early-refusal_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { decideStart, retryAfter, UsualObjective } from '../../../lib/routing/early-refusal.js'
+import { decideStart, retryAfter, UsualObjective, type Opening } from '../../../lib/routing/early-refusal.js'
 
 describe('decideStart', () => {
   const cases: [name: string, expected: number, objective: number, usualObjective: number, type: string][] = [
@@ -38,11 +38,24 @@
 })
 
 describe('retryAfter', () => {
-  const cases: [name: string, patience: number, draw: number, expected: number][] = [
-    ['is a third of what the caller still waits at most', 6_000, 0, 2_000],
-    ['is spread over two fifths of that', 6_000, 0.5, 1_600],
-    ['is never nothing while the caller waits', 600, 0.999, 120],
-    ['is nothing for a caller without time', 0, 0, 0]
+  const open: Opening = { type: 'open' }
+  const cases: [name: string, patience: number, opening: Opening, latest: number, earliest: number][] = [
+    ['a busy pool: a third of what the caller still waits, less two fifths of that', 6_000, open, 2_000, 1_200],
+    ['a busy pool, for a caller with little time left', 600, open, 200, 120],
+    ['a caller without time', 0, open, 0, 0],
+    ['a pool that opens soon: from then on', 6_000, { type: 'expected', in: 300 }, 2_000, 300],
+    ['a pool that opens just before the longest time: about that time', 6_000, { type: 'expected', in: 1_950 }, 2_000, 1_800],
+    ['a pool that opens after the longest time: about that time', 6_000, { type: 'expected', in: 9_000 }, 2_000, 1_800],
+    ['a pool that opens nobody knows when: as a busy one', 6_000, { type: 'unknown' }, 2_000, 1_200],
+    ['a pool of which nothing is heard: from when it may be back', 6_000, { type: 'silent' }, 2_000, 500],
+    ['the same for a caller with less time than that', 1_200, { type: 'silent' }, 400, 360]
   ]
-  for (const [name, patience, draw, expected] of cases) it(name, () => assert.equal(retryAfter(patience, draw), expected))
+  for (const [name, patience, opening, latest, earliest] of cases) {
+    it(name, () => {
+      assert.equal(retryAfter(patience, 0, opening), latest)
+      assert.equal(retryAfter(patience, 1, opening), earliest)
+      const middle = retryAfter(patience, 0.5, opening)
+      assert.ok(middle >= earliest && middle <= latest)
+    })
+  }
 })
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { EndpointChooser, type Need } from '../../../lib/routing/endpoint-chooser.js'
+import type { Opening } from '../../../lib/routing/early-refusal.js'
 import type { LoadReport } from '../../../lib/routing/endpoint-load.js'
 import type { EndpointRecord } from '../../../lib/routing/published-state.js'
 import type { PoolDescription, ServiceDescription } from '../../../lib/routing/routing-configuration.js'
@@ -163,3 +164,18 @@
     assert.equal(chosen(made, {}, drafting, 30_010), 'a')
   })
 })
+
+describe('EndpointChooser.opening', () => {
+  const closed: LoadReport = { ...idle, accepting: false }
+  const cases: [name: string, made: EndpointChooser, part: Partial<Need>, service: ServiceDescription, expected: Opening][] = [
+    ['a plain service is open', chooser([]), {}, desk, { type: 'open' }],
+    ['a pool is open when an engine that is heard takes requests', chooser([record('a'), record('b')], { a: closed, b: idle }), {}, drafting, { type: 'open' }],
+    ['also when the request was tried there', chooser([record('a')], { a: idle }), { tried: new Set(['a']) }, drafting, { type: 'open' }],
+    ['it opens with the first engine that tells when', chooser([record('a'), record('b'), record('c')], { a: { ...closed, opensIn: 900 }, b: { ...closed, opensIn: 400 }, c: closed }), {}, drafting, { type: 'expected', in: 350 }],
+    ['at once when that time has passed', chooser([record('a')], { a: { ...closed, opensIn: 20 } }), {}, drafting, { type: 'expected', in: 0 }],
+    ['an engine of too old a version opens with its next one', chooser([record('a')], { a: { ...idle, opensIn: 700 } }), { leastVersion: 2 }, drafting, { type: 'expected', in: 650 }],
+    ['nobody knows when engines that are heard do not tell', chooser([record('a')], { a: closed }), {}, drafting, { type: 'unknown' }],
+    ['it is silent when no agent is heard', chooser([record('a')]), {}, drafting, { type: 'silent' }]
+  ]
+  for (const [name, made, part, service, expected] of cases) it(name, () => assert.deepEqual(made.opening(service, { ...need, ...part }, 1_050), expected))
+})
--- a/packages/core/src/test/lib/routing/load-news_test.ts
+++ b/packages/core/src/test/lib/routing/load-news_test.ts
@@ -22,6 +22,7 @@
     ['another version', { version: 2 }, 0, true],
     ['a closed engine', { accepting: false }, 0, true],
     ['a planned switch', { closesIn: 500 }, 0, true],
+    ['when it opens', { opensIn: 800 }, 0, true],
     ['a slower pace', { pace: 1.2 }, 0, true],
     ['hardly a slower pace', { pace: 1.02 }, 0, false]
   ]
@@ -34,6 +35,19 @@
   it('does not tell that a planned switch comes nearer', () => {
     assert.equal(isLoadNews({ ...told, closesIn: 400 }, { told: { ...told, closesIn: 500 }, age: 0, readRate: 20, slots: 16 }), false)
   })
+  const openings: [name: string, before: number, opensIn: number, age: number, news: boolean][] = [
+    ['an opening that comes nearer', 800, 700, 100, false],
+    ['an opening that comes a little late', 800, 900, 100, false],
+    ['an opening that does not come nearer', 800, 800, 400, true],
+    ['an opening that is put off', 800, 1_500, 0, true]
+  ]
+  for (const [name, before, opensIn, age, news] of openings) {
+    it(`${news ? 'tells' : 'does not tell'} ${name}`, () => {
+      const earlier = { ...told, accepting: false, opensIn: before }
+      assert.equal(isLoadNews({ ...earlier, opensIn }, { told: earlier, age, readRate: 0, slots: 16 }), news)
+    })
+  }
+
   it('tells one request more when all slots are nearly taken', () => {
     assert.equal(isLoadNews({ ...told, running: 14 }, { told: { ...told, running: 13 }, age: 0, readRate: 20, slots: 16 }), true)
   })
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -7,7 +7,9 @@
  * Looks at the engine beside the agent several times a second, tells its load, and orders it to take the wanted
  * version when the switch decides so.
  */
-import { switchPlace, UnreadTokens, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type SwitchView } from '@drumdrift/core'
+import {
+  ASSUMED_READ_RATE, readRate, switchPlace, UnreadTokens, usualWriteTime, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type PoolDescription, type SwitchView
+} from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { identityOf, type EngineReport, type LoadableEngine } from './ports.js'
@@ -37,8 +39,10 @@
   readonly onLoad: (load: LoadReport) => void
   /** The engine was looked at. */
   readonly onLooked: () => void
-  /** Prompt tokens that the engine reads in a millisecond. */
-  readonly readRate: () => number
+  /** How engines of this pool work; nothing until that is known. */
+  readonly pool: () => PoolDescription | undefined
+  /** Milliseconds until the wanted version is whole here; 0 when it is, nothing when that is not known. */
+  readonly timeToWhole: () => number | undefined
 }
 
 /** How often the engine is looked at, in milliseconds: a few times in the pass of a busy engine would be wasted. */
@@ -125,10 +129,27 @@
     if (this._report === undefined || wanted === undefined || view === undefined) return
     const { running, waiting, busy, pace } = this._report
     const now = performance.now()
-    const unreadTokens = Math.round(this._unread.observe(this._report, this._parts.readRate(), now))
+    const unreadTokens = Math.round(this._unread.observe(this._report, this._readRate, now))
     const closesAt = this._switch.plannedAt(view)
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
-    this._parts.onLoad({ running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn })
+    this._parts.onLoad({
+      running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn, opensIn: this._opensIn(this._report, wanted)
+    })
+  }
+
+  private get _readRate (): number {
+    const pool = this._parts.pool()
+    return pool === undefined ? ASSUMED_READ_RATE : readRate(pool)
+  }
+
+  /** Until the wanted version is whole, what runs has ended, and the version is loaded; nothing when it is served. */
+  private _opensIn ({ running }: EngineReport, { model, version }: ModelVersion): number | undefined {
+    const pool = this._parts.pool()
+    const timeToWhole = this._parts.timeToWhole()
+    if (pool === undefined || timeToWhole === undefined || this.version(model) >= version) return undefined
+    const ends = running > 0 ? usualWriteTime(pool, running) : 0
+    const warmUp = pool.models.find(({ name }) => name === model)?.warmUp ?? 0
+    return Math.round(timeToWhole + ends + warmUp)
   }
 
   private async _step (): Promise<void> {
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, EventSplitter, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type OrganisationDescription, type RequestFailure, type Route
+  AttemptCourse, decideStart, EventSplitter, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type OrganisationDescription, type RequestFailure, type Route
 } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
@@ -123,12 +123,15 @@
   }
 
   private _choose (now: number): Choice | undefined {
-    const { head } = this._request
     const unit = this._unit
-    if (unit === undefined) return undefined
-    return unit.chooser.choose(unit.description, {
-      promptTokens: head.promptTokens, answerTokens: head.answerTokens, model: head.model, leastVersion: this._parts.leastVersion(head.model), mustBeginBy: version => this._parts.mustBeginBy(head.model, version), tried: this._tried
-    }, now)
+    return unit?.chooser.choose(unit.description, this._need(), now)
+  }
+
+  private _need (): Need {
+    const { promptTokens, answerTokens, model } = this._request.head
+    return {
+      promptTokens, answerTokens, model, leastVersion: this._parts.leastVersion(model), mustBeginBy: version => this._parts.mustBeginBy(model, version), tried: this._tried
+    }
   }
 
   private _send (choice: Choice, now: number): void {
@@ -302,8 +305,12 @@
   }
 
   private _refuse (code: 'overloaded' | 'no-endpoint', detail: string): void {
-    const left = Math.max(0, this._deadline - performance.now())
-    this._fail(requestFailure(code, 'not-run', detail, retryAfter(left, this._parts.draw())))
+    const now = performance.now()
+    const unit = this._unit
+    const opening: Opening = unit === undefined ? { type: 'unknown' } : unit.chooser.opening(unit.description, this._need(), now)
+    const told = opening.type === 'expected' ? `, which opens in ${Math.round(opening.in)} ms` : ''
+    const wait = retryAfter(Math.max(0, this._deadline - now), this._parts.draw(), opening)
+    this._fail(requestFailure(code, 'not-run', `${detail} (pool ${opening.type}${told})`, wait))
   }
 
   private _fail (failure: RequestFailure): void {
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -62,6 +62,16 @@
   get target (): ModelVersion | undefined { return this._stagedVersion }
   /** The identity of that version if it is whole; empty otherwise. */
   get whole (): string { return this._staging.whole ? this._staging.identity : '' }
+  /**
+   * Milliseconds until the target is whole, while its chunks come; nothing when it is not known where they are.
+   *
+   * @param bytesPerSecond What the link carries.
+   */
+  timeToWhole (bytesPerSecond: number): number | undefined {
+    if (this._staging.whole) return 0
+    return this._staging.known < 1 ? undefined : this._staging.missingBytes / bytesPerSecond * 1000
+  }
+
   /** Whether anything is still to be fetched. */
   get transferring (): boolean { return (this._stagedVersion !== undefined && !this._staging.whole) || (this._aheadVersion !== undefined && !this._ahead.whole) }
   /** Chunks that the engine's staging memory holds. */
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -54,6 +54,8 @@
   private readonly _self: ChunkMember
   private readonly _service: string
   private readonly _platform: WeightsPlatform
+  /** Bytes in a second that transfers may take of the link, each way. */
+  private readonly _linkRate: number
   private readonly _pacer: LinkPacer
   private readonly _pool: PeerPool
   private readonly _server: PeerServer
@@ -80,8 +82,8 @@
     const address = text('process', 'address')
     this._service = text('endpoint', 'name')
     this._self = { instance: address, availabilityZone: text('process', 'availability-zone') }
-    const share = _settings.number('weights', 'link-percent') / 100
-    this._pacer = new LinkPacer(_settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT * share, performance.now())
+    this._linkRate = _settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT * _settings.number('weights', 'link-percent') / 100
+    this._pacer = new LinkPacer(this._linkRate, performance.now())
     const readPacer: ReadPacer = { received: bytes => this._engineAnswers() ? this._pacer.received(bytes, performance.now()) : 0 }
     this._platform = connect(readPacer)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
@@ -182,7 +184,8 @@
       },
       confirmWhole: () => this._versions.confirmWhole(),
       onLooked: () => this._stepVersions(),
-      readRate: () => this._readRate,
+      pool: () => this._poolDescription,
+      timeToWhole: () => this._versions.timeToWhole(this._linkRate),
       onLoad: load => this._publisher.publish(load, performance.now())
     })
   }
--- a/packages/node/src/test/lib/routing/versions-under-way_test.ts
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -94,6 +94,7 @@
     versions.want({ model: 'm', version: 2 }, 1)
     await until('whole', () => versions.whole === 'm@2')
     assert.deepEqual([staging.places.size, versions.target?.version, versions.transferring], [CHUNKS, 2, false])
+    assert.equal(versions.timeToWhole(1_000), 0)
   })
 
   it('finishes a version that is half there when a newer one is named, and collects that beside it', async () => {
