What all entries send is told by agents, from those that reach them

The number of entries that an agent counts included those beyond the cut, whose connections stay open, and each was taken to send as much as the one that decides; refused requests counted as sent. So 13 requests of others were expected between two reports where there were one or two.

Ruled out: fewer engines than known: four of four served version 3 from 35.3 s on; admission by 0.8 of the usual objective, which is the same elsewhere.

Change: entries tell agents with each measurement of the way how many requests they send to the pool; an agent tells the sum over followers heard within 1.8 s; an entry takes its own off.

--- a/packages/benchmarks/src/lib/policy/policies.ts
+++ b/packages/benchmarks/src/lib/policy/policies.ts
@@ -101,8 +101,8 @@
 /** Makes the choice of one entry, for each policy. */
 export const entryPolicies: Record<PolicyName, (parts: PolicyParts) => EntryPolicy> = {
   'by-room': parts => new ChooserPolicy(parts, report => report),
-  soonest: parts => new ChooserPolicy(parts, report => ({ ...report, entries: undefined })),
-  'soonest-unread-unknown': parts => new ChooserPolicy(parts, report => ({ ...report, entries: undefined, unreadTokens: undefined })),
+  soonest: parts => new ChooserPolicy(parts, report => ({ ...report, sentRate: undefined })),
+  'soonest-unread-unknown': parts => new ChooserPolicy(parts, report => ({ ...report, sentRate: undefined, unreadTokens: undefined })),
   'least-connections': parts => new CountingPolicy(parts, (open, outstanding) => {
     const least = Math.min(...open.map(index => outstanding[index] ?? 0))
     return drawn(open.filter(index => outstanding[index] === least), parts.draw())
--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -66,8 +66,12 @@
   | { readonly type: 'status' }
   /** Asks for what the other side knows of published state beyond `note`. */
   | { readonly type: 'news', readonly note: PublishedNote }
-  /** Asks for a sign at once, to measure the way there and back. */
-  | { readonly type: 'ping' }
+  /**
+   * Asks for a sign at once, to measure the way there and back.
+   *
+   * `sentRate` tells an agent how many requests in a millisecond the asking entry sends to the pool; nothing for none.
+   */
+  | { readonly type: 'ping', readonly sentRate?: number | undefined }
   /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
   | { readonly type: 'follow-load' }
   /** Asks which chunks of a version the other side holds, now and as more come, as long as the connection lasts. */
--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -79,11 +79,11 @@
 /** Chunks missing at the end of a transfer for which hedging pays. */
 const HEDGE_MISSING = 8
 /**
- * A pull that takes longer shows a queue on some link, in milliseconds: six chunks that come in turn take 290 over the
- * 5 Mbit/s link of a small instance. The window then shrinks by the factor, and grows back by the step with each chunk
- * that came sooner.
+ * A pull that takes longer shows a queue on some link, in milliseconds: six chunks that come in turn take 350 over the
+ * 5 Mbit/s link of a small instance, and peers that send to several members at once let them wait for as long again. The
+ * window then shrinks by the factor, and grows back by the step with each chunk that came sooner.
  */
-const SLOW_PULL = 500
+const SLOW_PULL = 700
 const WINDOW_DECREASE = 0.6
 const WINDOW_INCREASE = 0.25
 /** The window shrinks at most this often, in milliseconds: chunks of one queue are one signal. */
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -124,6 +124,9 @@
     for (const [id, { load }] of this._known) if (!listed.has(id) && load.outstanding === 0) this._known.delete(id)
   }
 
+  /** Requests in a millisecond that this entry sends to the service. */
+  sentRate (now: number): number { return this._rate.perMillisecond(now) }
+
   /** What is known of an endpoint's load. */
   load (id: string): EndpointLoad { return this._entry(id).load }
 
@@ -146,6 +149,7 @@
 
   /** A request was sent. */
   sent (choice: Choice, request: string, promptTokens: number, now: number): void {
+    this._rate.sent(now)
     this._entry(choice.record.id).load.sent(request, promptTokens, now)
     this._ejection.chosen(choice.record.id)
   }
@@ -176,7 +180,6 @@
     const choices = open.filter(({ id }) => usable.has(id))
       .map(record => this._expect(record, service, need, now, open.length))
       .filter(choice => !tooLate(choice, need, now))
-    this._rate.asked(now)
     const costs = choices.map(choice => this._cost(choice, service, need, now))
     return this._pick(choices, costs, service, now)
   }
@@ -210,11 +213,15 @@
     return { ...chosen, expected: chosen.expected + byOthers, expectedOfUsual: chosen.expectedOfUsual + byOthers }
   }
 
-  /** Requests that other entries have sent since the reports that this one holds, if they have as many as it does. */
+  /**
+   * Requests that other entries have sent since the reports that this one holds. An agent counts those entries only that
+   * reach it: taken for as many as before and as busy as this one, they made the entries of a zone that was cut off refuse
+   * half of what its engines could do.
+   */
   private _sentByOthers (now: number): number {
-    let entries = 1
-    for (const { load } of this._known.values()) entries = Math.max(entries, load.report(now)?.entries ?? 1)
-    return (entries - 1) * this._rate.perMillisecond(now) * VIEW_AGE
+    let all = 0
+    for (const { load } of this._known.values()) all = Math.max(all, load.report(now)?.sentRate ?? 0)
+    return Math.max(0, all - this.sentRate(now)) * VIEW_AGE
   }
 
   /** The version that an endpoint serves, by its fresh report or else by the list. */
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -26,8 +26,8 @@
   readonly closesIn?: number | undefined
   /** Milliseconds until it takes new work on the version that it is to take next; nothing when that is not known. */
   readonly opensIn?: number | undefined
-  /** Entries that hear these reports, and may send to it; nothing when that is not told. */
-  readonly entries?: number | undefined
+  /** Requests in a millisecond that all entries which hear these reports send to the pool; nothing when that is not told. */
+  readonly sentRate?: number | undefined
 }
 
 /** A request of this entry at the endpoint. */
--- a/packages/core/src/lib/routing/request-rate.ts
+++ b/packages/core/src/lib/routing/request-rate.ts
@@ -3,7 +3,7 @@
  * Copyright 2026 the drumdrift contributors
  * SPDX-License-Identifier: BSD-3-Clause
  */
-/** How many requests of one service come to an entry, lately; those that it refuses count too. */
+/** How many requests one entry has sent to the endpoints of a service, lately; those that it refuses do not count. */
 
 /** What came counts half after this, in milliseconds: long enough to hold a few tens of requests of a busy entry. */
 const HALF_LIFE = 1_000
@@ -13,8 +13,8 @@
   private _count = 0
   private _at = 0
 
-  /** An endpoint was asked for. */
-  asked (now: number): void {
+  /** A request was sent. */
+  sent (now: number): void {
     this._count = this._faded(now) + 1
     this._at = now
   }
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -60,14 +60,15 @@
   ]
   for (const [name, id, expected] of cases) it(`chooses ${name}`, () => assert.equal(id, expected))
 
-  const crowds: [name: string, entries: number, fewest: number, most: number][] = [
-    ['alone, gives everything to the best engine', 1, 3, 3],
-    ['one of many entries, leaves room there for what they send', 12, 1, 2]
+  const crowds: [name: string, sentRate: number, fewest: number, most: number][] = [
+    ['alone, gives everything to the best engine', 0, 3, 3],
+    ['where all that is sent to the pool is its own, does the same', 0.005, 3, 3],
+    ['one of many entries, leaves room there for what they send', 0.08, 1, 2]
   ]
-  for (const [name, entries, fewest, most] of crowds) {
+  for (const [name, sentRate, fewest, most] of crowds) {
     it(name, () => {
       const draws = [0.1, 0.5, 0.9]
-      const loads = { a: { ...idle, entries }, b: { ...idle, running: 8, entries }, c: { ...idle, running: 8, entries } }
+      const loads = { a: { ...idle, sentRate }, b: { ...idle, running: 8, sentRate }, c: { ...idle, running: 8, sentRate } }
       const made = chooser([record('a'), record('b'), record('c')], loads, () => draws[0] ?? 0)
       for (let now = 1_000; now < 1_050; now += 5) made.sent(made.choose(drafting, { ...need, promptTokens: 1 }, now) ?? assert.fail('none'), `early ${now}`, 1, now)
       for (let now = 1_000; now < 1_050; now += 5) for (const id of ['a', 'b', 'c']) made.ended(id, `early ${now}`, 'good', now)
--- a/packages/core/src/test/lib/routing/request-rate_test.ts
+++ b/packages/core/src/test/lib/routing/request-rate_test.ts
@@ -16,7 +16,7 @@
   for (const [name, pause, since, least, most] of cases) {
     it(name, () => {
       const rate = new RequestRate()
-      for (let now = 0; now <= 10_000; now += pause) rate.asked(now)
+      for (let now = 0; now <= 10_000; now += pause) rate.sent(now)
       const seen = rate.perMillisecond(10_000 + since)
       assert.ok(seen >= least && seen <= most, `${seen}`)
     })
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -48,10 +48,10 @@
 /** How often the engine is looked at, in milliseconds: a few times in the pass of a busy engine would be wasted. */
 const LOOK_PAUSE = 100
 /**
- * The last engine of a zone switches at most so long before the bound, in milliseconds: entries give nothing to the old
- * version from a little before the bound on, so an engine that still holds it then loses nothing by switching.
+ * The last engine of a zone switches so long before the bound, in milliseconds: entries give nothing to the old version from
+ * then on, so an engine that still holds it does better to switch at once.
  */
-const SWITCH_LEAD = 600
+const SWITCH_LEAD = 900
 
 /** The engine of one agent. */
 export class EngineSwitcher {
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -17,6 +17,8 @@
   readonly log: Log
   /** Takes a report of the agent at an address. */
   readonly onLoad: (agent: string, load: LoadReport) => void
+  /** Requests in a millisecond that this process sends to the pool of an agent. */
+  readonly sentRate: (agent: string) => number
   /** A measurement of the way to the agent and back began or ended. */
   readonly onMeasured: (agent: string, step: 'begun' | 'ended') => void
 }
@@ -95,7 +97,7 @@
     followed.measuredAt = now
     this._parts.onMeasured(agent, 'begun')
     try {
-      await connection.call({ type: 'ping' }, undefined, MEASURE_PATIENCE)
+      await connection.call({ type: 'ping', sentRate: this._parts.sentRate(agent) }, undefined, MEASURE_PATIENCE)
     } catch (error) {
       this._parts.log.debug('agent-silent', { agent, reason: failureOf(error).type })
       connection.close()
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -8,7 +8,7 @@
  * and then as a sign of life.
  */
 import { isLoadNews, type LoadReport } from '@drumdrift/core'
-import type { Responder } from '../peer/connection.js'
+import type { PeerConnection, Responder } from '../peer/connection.js'
 
 /** Followers hear this often though nothing changes, in milliseconds; they take silence of three times that for loss. */
 const SIGN_OF_LIFE = 500
@@ -21,19 +21,42 @@
   readonly slots: number
 }
 
+interface Follower {
+  readonly responder: Responder
+  /** Requests in a millisecond that it sends to the pool, as it told last. */
+  sentRate: number
+  heardAt: number
+}
+
+/**
+ * A follower that was not heard for this long is cut off, and sends nothing here, in milliseconds: entries measure the way
+ * twice in this time at least. Its connection may stay open for as long as the cut.
+ */
+const FOLLOWER_SILENCE = 1_800
+
 /** The followers of one agent. */
 export class LoadPublisher {
-  private readonly _followers = new Set<Responder>()
+  private readonly _followers = new Map<PeerConnection, Follower>()
   private _last: LoadReport | undefined
   private _toldAt = -Infinity
 
   constructor (private readonly _engine: () => PublishedEngine) {}
 
   /** Adds a follower and tells it the last report. */
-  follow (responder: Responder): void {
-    this._followers.add(responder)
-    responder.connection.onEnd(() => { this._followers.delete(responder) })
-    if (this._last !== undefined) this._tell(responder, this._last)
+  follow (responder: Responder, now: number): void {
+    const { connection } = responder
+    const follower = { responder, sentRate: 0, heardAt: now }
+    this._followers.set(connection, follower)
+    connection.onEnd(() => { this._followers.delete(connection) })
+    if (this._last !== undefined) this._tell(follower, this._last, now)
+  }
+
+  /** A follower told how many requests in a millisecond it sends to the pool. */
+  noteRate (connection: PeerConnection, sentRate: number, now: number): void {
+    const follower = this._followers.get(connection)
+    if (follower === undefined) return
+    follower.sentRate = sentRate
+    follower.heardAt = now
   }
 
   /** Takes a new report. */
@@ -42,10 +65,17 @@
     if (this._last !== undefined && age < SIGN_OF_LIFE && !isLoadNews(load, { told: this._last, age, ...this._engine() })) return
     this._last = load
     this._toldAt = now
-    for (const follower of this._followers) this._tell(follower, load)
+    for (const follower of this._followers.values()) this._tell(follower, load, now)
+  }
+
+  private _tell ({ responder }: Follower, load: LoadReport, now: number): void {
+    responder.send({ type: 'load', load: { ...load, sentRate: this._sentRate(now) } })
   }
 
-  private _tell (follower: Responder, load: LoadReport): void {
-    follower.send({ type: 'load', load: { ...load, entries: this._followers.size } })
+  /** What all followers that can be reached send to the pool. */
+  private _sentRate (now: number): number {
+    let sum = 0
+    for (const { sentRate, heardAt } of this._followers.values()) if (now - heardAt <= FOLLOWER_SILENCE) sum += sentRate
+    return sum
   }
 }
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -87,6 +87,7 @@
     this._follower = new LoadFollower({
       pool: this._pool,
       log: _log,
+      sentRate: agent => this._units.sentRate(agent, performance.now()),
       onLoad: (agent, load) => this._units.heard(agent, load, performance.now()),
       onMeasured: (agent, step) => this._units.measured(agent, step, performance.now())
     })
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -49,6 +49,12 @@
     }
   }
 
+  /** Requests in a millisecond that go to the pool of an agent. */
+  sentRate (agent: string, now: number): number {
+    const endpoint = this._byAgent.get(agent)
+    return endpoint === undefined ? 0 : this._units.get(endpoint.service)?.chooser.sentRate(now) ?? 0
+  }
+
   /** A measurement of the way to an agent, which is that to the engine beside it, began or ended. */
   measured (agent: string, step: 'begun' | 'ended', now: number): void {
     const endpoint = this._byAgent.get(agent)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -264,12 +264,15 @@
   }
 
   private readonly _handlers: { readonly [Type in PeerRequest['type']]?: (request: Extract<PeerRequest, { type: Type }>, responder: Responder) => void } = {
-    ping: (_request, responder) => responder.send({ type: 'done' }),
+    ping: ({ sentRate }, responder) => {
+      this._publisher.noteRate(responder.connection, Number(sentRate) || 0, performance.now())
+      responder.send({ type: 'done' })
+    },
     news: ({ note }, responder) => responder.send({ type: 'news', delta: this._feed.state.since(note) }),
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
     manifest: ({ digest, wait }, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
     'follow-chunks': ({ identity }, responder) => this._published.follow(String(identity), responder),
-    'follow-load': (_request, responder) => this._publisher.follow(responder)
+    'follow-load': (_request, responder) => this._publisher.follow(responder, performance.now())
   }
 
   private async _manifest (identity: string, wait: number, responder: Responder): Promise<void> {
--- a/packages/node/src/test/lib/routing/load-publisher_test.ts
+++ b/packages/node/src/test/lib/routing/load-publisher_test.ts
@@ -35,21 +35,48 @@
     it(name, () => {
       const made = publisher()
       const follower = new Follower()
-      made.follow(follower)
+      made.follow(follower, 0)
       for (const [at, part] of reports) made.publish({ ...load, ...part }, at)
       assert.equal(follower.told.length, told)
     })
   }
 
-  it('tells a new follower the last report, and how many follow', () => {
+  it('tells a new follower the last report, and what all followers send', () => {
     const made = publisher()
     const [first, second] = [new Follower(), new Follower()]
-    made.follow(first)
+    made.follow(first, 0)
+    made.noteRate(first.connection, 0.02, 0)
     made.publish(load, 0)
-    made.follow(second)
-    assert.deepEqual(second.told, [{ ...load, entries: 2 }])
+    made.follow(second, 10)
+    assert.deepEqual(second.told, [{ ...load, sentRate: 0.02 }])
+    made.noteRate(second.connection, 0.03, 20)
     first.leave()
     made.publish({ ...load, waiting: 1 }, 100)
-    assert.deepEqual([first.told.length, second.told.at(-1)?.entries], [1, 1])
+    assert.deepEqual([first.told.length, second.told.at(-1)?.sentRate], [1, 0.03])
+  })
+
+  const rates: [name: string, firstHeardAt: number, expected: number][] = [
+    ['counts what followers send that were heard lately', 1_000, 0.05],
+    ['does not count what followers sent that are not heard any more', 0, 0.03]
+  ]
+  for (const [name, firstHeardAt, expected] of rates) {
+    it(name, () => {
+      const made = publisher()
+      const [first, second] = [new Follower(), new Follower()]
+      for (const follower of [first, second]) made.follow(follower, 0)
+      made.noteRate(first.connection, 0.02, firstHeardAt)
+      made.noteRate(second.connection, 0.03, 2_000)
+      made.publish(load, 2_500)
+      assert.equal(second.told.at(-1)?.sentRate, expected)
+    })
+  }
+
+  it('takes no rate of one that does not follow', () => {
+    const made = publisher()
+    made.noteRate(new Follower().connection, 9, 0)
+    const follower = new Follower()
+    made.follow(follower, 0)
+    made.publish(load, 0)
+    assert.equal(follower.told.at(-1)?.sentRate, 0)
   })
 })
