--- a/packages/node/src/lib/command-line.ts
+++ b/packages/node/src/lib/command-line.ts
@@ -60,6 +60,13 @@
       const { explainFiles } = await import('./operator/explain-files.js')
       process.exitCode = await explainFiles(id, files, text => { process.stdout.write(text) })
     })
+  program.command('losses').description('counts from log files which requests were not answered in time: why, by which entry, when')
+    .argument('<files...>', 'logs of entries')
+    .option('--span <seconds>', 'the length of one span of time', '2')
+    .action(async (files, options) => {
+      const { lossesOfFiles } = await import('./operator/losses-files.js')
+      process.exitCode = await lossesOfFiles(files, options.span, text => { process.stdout.write(text) })
+    })
   return program
 }
 
--- a/packages/node/src/lib/operator/explain-files.ts
+++ b/packages/node/src/lib/operator/explain-files.ts
@@ -4,14 +4,12 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Reads log files for the `explain` command. */
-import { createReadStream } from 'node:fs'
-import { createInterface } from 'node:readline'
 import { formatPairs } from '../observe/log.js'
-import { explainRequest, explanationFields, parseLogLine, type LogLine } from './explain.js'
+import { explainRequest, explanationFields } from './explain.js'
+import { EXIT_UNREADABLE, logFileFailureLine, readLogFiles } from './log-files.js'
 
-/** Exit codes: no line names the request; a file cannot be read. */
+/** Exit code when no line names the request. */
 const EXIT_NOT_FOUND = 1
-const EXIT_UNREADABLE = 2
 
 /**
  * Prints what the files tell of one request.
@@ -21,17 +19,10 @@
  * process.exitCode = await explainFiles('9c41d07b', ['entry-1.log', 'agent-1.log'], text => process.stdout.write(text))
  */
 export async function explainFiles (id: string, files: readonly string[], print: (text: string) => void): Promise<number> {
-  const lines: LogLine[] = []
-  for (const file of files) {
-    try {
-      for await (const text of createInterface({ input: createReadStream(file), crlfDelay: Infinity })) {
-        const line = parseLogLine(text)
-        if (line !== undefined) lines.push(line)
-      }
-    } catch (error) {
-      print(`${formatPairs({ event: 'file-unreadable', file, detail: error instanceof Error ? error.message : 'unknown error' })}\n`)
-      return EXIT_UNREADABLE
-    }
+  const lines = await readLogFiles(files)
+  if (!Array.isArray(lines)) {
+    print(logFileFailureLine(lines))
+    return EXIT_UNREADABLE
   }
   const explanation = explainRequest(id, lines)
   if (explanation === undefined) {
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -107,7 +107,8 @@
 
 const refusals: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
 
-function causeOf (request: readonly LogLine[]): RequestCause {
+/** Why a request ended as it did, from its own lines in order. */
+export function causeOf (request: readonly LogLine[]): RequestCause {
   const end = request.find(({ event }) => event === 'request-ended')?.fields
   if (end === undefined) return 'unfinished'
   const handler = results[end['result'] ?? '']
--- /dev/null
+++ b/packages/node/src/lib/operator/losses-files.ts
@@ -0,0 +1,41 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** The `losses` command. */
+import { formatPairs } from '../observe/log.js'
+import { EXIT_UNREADABLE, logFileFailureLine, readLogFiles } from './log-files.js'
+import { lossLines, tallyLosses } from './losses.js'
+
+/** Exit codes: no request in the files; a wrong option. */
+const EXIT_NOTHING = 1
+const EXIT_WRONG_OPTION = 2
+
+/**
+ * Prints where service was lost.
+ *
+ * @param seconds The length of a span, as it was given.
+ * @returns The exit code.
+ * @example
+ * process.exitCode = await lossesOfFiles(['entry-1.log'], '2', text => process.stdout.write(text))
+ */
+export async function lossesOfFiles (files: readonly string[], seconds: string, print: (text: string) => void): Promise<number> {
+  const span = Number(seconds) * 1000
+  if (!(span > 0) || !Number.isFinite(span)) {
+    print(`${formatPairs({ event: 'option-wrong', option: 'span', value: seconds, expected: 'seconds above 0' })}\n`)
+    return EXIT_WRONG_OPTION
+  }
+  const lines = await readLogFiles(files)
+  if (!Array.isArray(lines)) {
+    print(logFileFailureLine(lines))
+    return EXIT_UNREADABLE
+  }
+  const table = tallyLosses(lines, span)
+  if (table.all.size === 0) {
+    print(`${formatPairs({ event: 'not-found', files: files.length, lines: lines.length })}\n`)
+    return EXIT_NOTHING
+  }
+  for (const fields of lossLines(table)) print(`${formatPairs(fields)}\n`)
+  return 0
+}
--- /dev/null
+++ b/packages/node/src/lib/operator/losses.ts
@@ -0,0 +1,100 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Says where service was lost: how many requests were not answered in time, by cause, by entry and by span of time, from
+ * the log lines of several processes.
+ */
+import type { LogFields } from '../observe/log.js'
+import { causeOf, type LogLine, type RequestCause } from './explain.js'
+
+/** Requests of one group, by what became of them. */
+export type CauseCounts = ReadonlyMap<RequestCause, number>
+
+/** Where service was lost. */
+export interface LossTable {
+  readonly all: CauseCounts
+  /** By the entry that took them. */
+  readonly byEntry: ReadonlyMap<string, CauseCounts>
+  /** By the start of the span in which they came, in milliseconds of the time of day. */
+  readonly bySpan: ReadonlyMap<number, CauseCounts>
+}
+
+/** What is no loss: it was served in time, not allowed, or its caller left. */
+const notLost: ReadonlySet<RequestCause> = new Set<RequestCause>(['in-time', 'not-allowed', 'caller-left'])
+
+/**
+ * Counts requests by cause. Each attempt of a caller is one request.
+ *
+ * @param span The length of a span, in milliseconds.
+ * @example
+ * const { all } = tallyLosses(lines, 2_000)
+ */
+export function tallyLosses (lines: readonly LogLine[], span: number): LossTable {
+  const all = new Map<RequestCause, number>()
+  const byEntry = new Map<string, Map<RequestCause, number>>()
+  const bySpan = new Map<number, Map<RequestCause, number>>()
+  for (const request of requestsOf(lines)) {
+    const [first] = request
+    if (first === undefined) continue
+    const cause = causeOf(request)
+    add(all, cause)
+    add(groupOf(byEntry, first.fields['instance'] ?? 'unknown'), cause)
+    add(groupOf(bySpan, Math.floor(first.time / span) * span), cause)
+  }
+  return { all, byEntry: sorted(byEntry), bySpan: sorted(bySpan) }
+}
+
+/** The lines that tell of a table, the largest loss first. */
+export function lossLines ({ all, byEntry, bySpan }: LossTable): LogFields[] {
+  const causes = [...all].filter(([cause]) => !notLost.has(cause)).sort(([, left], [, right]) => right - left)
+  return [
+    { event: 'losses', ...summary(all) },
+    ...causes.map(([cause, requests]) => ({ event: 'losses-cause', cause, requests })),
+    ...[...byEntry].map(([entry, counts]) => ({ event: 'losses-entry', entry, ...summary(counts), ...named(counts) })),
+    ...[...bySpan].map(([from, counts]) => ({ event: 'losses-span', from: new Date(from).toISOString(), ...summary(counts), ...named(counts) }))
+  ]
+}
+
+/** The lines of each request, the first one first. */
+function requestsOf (lines: readonly LogLine[]): Iterable<readonly LogLine[]> {
+  const requests = new Map<string, LogLine[]>()
+  for (const line of lines) {
+    const { id } = line.fields
+    if (id === undefined || id === '') continue
+    const known = requests.get(id)
+    if (known === undefined) requests.set(id, [line])
+    else known.push(line)
+  }
+  for (const request of requests.values()) request.sort((left, right) => left.time - right.time)
+  return requests.values()
+}
+
+function summary (counts: CauseCounts): { requests: number, lost: number } {
+  let [requests, lost] = [0, 0]
+  for (const [cause, count] of counts) {
+    requests += count
+    if (!notLost.has(cause)) lost += count
+  }
+  return { requests, lost }
+}
+
+function named (counts: CauseCounts): LogFields {
+  return Object.fromEntries([...counts].filter(([cause]) => !notLost.has(cause)).map(([cause, count]) => [cause.replaceAll('-', '_'), count]))
+}
+
+function groupOf<Key> (groups: Map<Key, Map<RequestCause, number>>, key: Key): Map<RequestCause, number> {
+  const group = groups.get(key) ?? new Map<RequestCause, number>()
+  groups.set(key, group)
+  return group
+}
+
+function add (counts: Map<RequestCause, number>, cause: RequestCause): void {
+  counts.set(cause, (counts.get(cause) ?? 0) + 1)
+}
+
+function sorted<Key extends string | number> (groups: ReadonlyMap<Key, CauseCounts>): ReadonlyMap<Key, CauseCounts> {
+  return new Map([...groups].sort(([left], [right]) => left < right ? -1 : 1))
+}
