Chunks come from the ring's predecessor; turns to switch from when the first of a zone is whole; idle engines fill their link

Change: a pull from the predecessor in the zone's ring counts as a quarter of another; peers are followed until the engine serves the version, and its turn is its place among those that are whole, from when the first of them was; the whole link both ways while nothing is answered and nothing may begin.

--- a/packages/core/src/lib/routing/chunk-places.ts
+++ b/packages/core/src/lib/routing/chunk-places.ts
@@ -27,6 +27,11 @@
   private readonly _zoneIndex: number
   private readonly _zoneSize: number
   private readonly _position: number
+  /**
+   * The member before this one in the ring of its zone; this one itself when it is alone. Each member is that of one other, so
+   * members that pull from theirs do not meet at the same one.
+   */
+  readonly predecessor: string
 
   /**
    * @param self Added to `members` when the list does not show it yet.
@@ -44,6 +49,7 @@
     this._zoneIndex = names.indexOf(self.availabilityZone)
     this._zoneSize = ring.length
     this._position = ring.indexOf(self.instance)
+    this.predecessor = ring.at(this._position - 1) ?? self.instance
   }
 
   /**
--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -74,6 +74,11 @@
 const FIRST_AVOIDANCE = 300
 const LONGEST_AVOIDANCE = 4_000
 const TOOK_SMOOTHING = 0.3
+/**
+ * A pull from the predecessor in the ring of the zone counts as so much of one from another peer. With the choice by chance
+ * alone several peers sent to one member at once, whose link then held requests up by 50 to 150 ms, and to others none did.
+ */
+const PREDECESSOR_COST = 0.25
 /** A pull that takes so many times the usual is asked of a second peer too, near the end of a transfer. */
 const HEDGE_FACTOR = 3
 /** Chunks missing at the end of a transfer for which hedging pays. */
@@ -141,6 +146,11 @@
     return 1 - unknown.length / this._manifest.chunks.length
   }
 
+  /** Peers that hold every chunk. */
+  get wholePeers (): string[] {
+    return [...this._peers].filter(([, { held }]) => held.size === this._manifest.chunks.length).map(([instance]) => instance)
+  }
+
   /** When a chunk came last; -Infinity for never. */
   get arrivedAt (): number { return this._arrivedAt }
 
@@ -296,7 +306,8 @@
   private _leastBusy (holders: readonly (readonly [string, Peer])[]): string | undefined {
     let best: { readonly name: string, readonly cost: number } | undefined
     for (const [name, peer] of holders) {
-      const cost = (peer.outstanding + 1) * Math.max(1, peer.took) * (1 + this._draw())
+      const share = name === this._places.predecessor ? PREDECESSOR_COST : 1
+      const cost = share * (peer.outstanding + 1) * Math.max(1, peer.took) * (1 + this._draw())
       if (best === undefined || cost < best.cost) best = { name, cost }
     }
     return best?.name
--- a/packages/core/src/lib/routing/version-switch.ts
+++ b/packages/core/src/lib/routing/version-switch.ts
@@ -5,7 +5,7 @@
  */
 /**
  * Decides when the engine beside an agent is ordered to take the version that lies staged there: only one that is
- * whole and was verified just before, and each engine of a zone at its own time, spread evenly from when the version
+ * whole and was verified just before, and each engine of a zone at its own time, spread evenly from when the first of them
  * is whole to the bound after which no request may begin on the old one. Every agent works its time out by itself.
  */
 import type { ChunkMember } from '../chunk-tree.js'
@@ -19,6 +19,16 @@
   readonly busy: boolean
 }
 
+/** The turn of one engine among those of its zone. */
+export interface SwitchTurn {
+  /** Its place among those that hold the version whole, this one included; 0 for the first. */
+  readonly index: number
+  /** Engines of the zone. */
+  readonly of: number
+  /** When the first of the zone held the version whole, by this process's clock. */
+  readonly since: number
+}
+
 /** What the agent knows when it decides; times by its own clock, in milliseconds. */
 export interface SwitchView {
   /** The wanted version; 0 for none. */
@@ -28,8 +38,7 @@
   /** The version that is staged whole; 0 for none. */
   readonly whole: number
   readonly engine: EngineState | undefined
-  /** This engine's place among those of its zone, from 0 to 1: see `switchPlace`. */
-  readonly place: number
+  readonly turn: SwitchTurn
 }
 
 /** What to do. */
@@ -41,6 +50,9 @@
 /** How an order was answered. */
 export type OrderResult = 'begun' | 'done' | 'refused' | 'unreachable' | 'not-whole'
 
+/** Peers that were whole at the same time are known so much later, in milliseconds: they tell it every 60 ms. */
+const TELL_TIME = 150
+
 /** Before an order is given again, in milliseconds. */
 const retryPauses: Record<OrderResult, number> = { begun: 300, done: 0, refused: 300, unreachable: 200, 'not-whole': 100 }
 
@@ -62,23 +74,25 @@
    * @example
    * if (versionSwitch.step(view, now).type === 'order') await orderLoad()
    */
-  step ({ wanted, heardAt, whole, engine, place }: SwitchView, now: number): SwitchStep {
+  step ({ wanted, heardAt, whole, engine, turn }: SwitchView, now: number): SwitchStep {
     this._noteWhole(whole, now)
     if (wanted === 0 || whole !== wanted || engine === undefined || engine.busy || now < this._retryAt) return { type: 'wait' }
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
     if (heardAt === undefined || now >= heardAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
-    return now >= this._turnAt(heardAt, place) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+    return now >= this._turnAt(heardAt, turn) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
   }
 
   /** When the engine's turn comes; nothing while no switch is planned. */
-  plannedAt ({ wanted, heardAt, whole, engine, place }: SwitchView): number | undefined {
+  plannedAt ({ wanted, heardAt, whole, engine, turn }: SwitchView): number | undefined {
     const planned = wanted > 0 && whole === wanted && this._wholeVersion === wanted && engine !== undefined && engine.version > 0 && engine.version < wanted
-    return planned && heardAt !== undefined ? this._turnAt(heardAt, place) : undefined
+    return planned && heardAt !== undefined ? this._turnAt(heardAt, turn) : undefined
   }
 
-  private _turnAt (heardAt: number, place: number): number {
-    return this._wholeAt + place * Math.max(0, heardAt + this._bound - this._lead - this._wholeAt)
+  /** Turns lie evenly between when the first of the zone is whole and when the last one must begin. */
+  private _turnAt (heardAt: number, { index, of, since }: SwitchTurn): number {
+    const pause = Math.max(0, heardAt + this._bound - this._lead - since) / Math.max(1, of - 1)
+    return Math.max(this._wholeAt + TELL_TIME, since + index * pause)
   }
 
   /** An order was answered. */
@@ -94,15 +108,18 @@
 }
 
 /**
- * An engine's place in the order in which its zone switches, from 0 for the first to 1 for the last; 0 when it is alone. All
- * agents of a zone agree on it from the member list alone.
+ * An engine's place among those of its zone that hold a version whole. All agents of a zone agree on it but for the time
+ * that such news takes; one that is whole later takes a place that is free, and moves those behind it. So turns are taken from
+ * when the first is whole, by whoever is: by the order of all members, most turns came when two thirds of the time were over.
  *
+ * @param whole Members that hold the version whole.
  * @param identity Changes the order from version to version.
  * @example
- * const place = switchPlace(self, members, 'drafting@2')
+ * const { index, of } = switchPlace(self, ['10.0.0.7:7700'], members, 'drafting@2')
  */
-export function switchPlace (self: ChunkMember, members: readonly ChunkMember[], identity: string): number {
-  const zone = members.filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).map(({ instance }) => instance)
-  const order = rendezvousOrder([...new Set([self.instance, ...zone])], identity)
-  return order.indexOf(self.instance) / Math.max(1, order.length - 1)
+export function switchPlace (self: ChunkMember, whole: readonly string[], members: readonly ChunkMember[], identity: string): Pick<SwitchTurn, 'index' | 'of'> {
+  const zone = new Set([self.instance, ...members.filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).map(({ instance }) => instance)])
+  const ready = whole.filter(instance => zone.has(instance))
+  const order = rendezvousOrder([...new Set([self.instance, ...ready])], identity)
+  return { index: order.indexOf(self.instance), of: zone.size }
 }
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -51,6 +51,15 @@
     }
   })
 
+  it('makes each member the predecessor of one other of its zone', () => {
+    for (const zone of ['koshi', 'bagmati']) {
+      const ring = members.filter(({ availabilityZone }) => availabilityZone === zone)
+      const predecessors = ring.map(member => new ChunkPlaces(member, members).predecessor)
+      assert.deepEqual(predecessors.sort(), ring.map(({ instance }) => instance).sort())
+    }
+    assert.equal(new ChunkPlaces(self, [self]).predecessor, self.instance)
+  })
+
   it('gives all members the same share', () => {
     for (const member of members) {
       const mine = all.filter(chunk => new ChunkPlaces(member, members).turn(chunk).overall === 0)
@@ -111,6 +120,22 @@
     assert.deepEqual([...new Set(started.map(sourceOf))], [near])
   })
 
+  const neighbours = ['koshi-2', 'koshi-3']
+  const [before = '', after = ''] = [places.predecessor, neighbours.find(name => name !== places.predecessor)]
+  const rings: [name: string, arrange: (swarm: ChunkSwarm) => void, expected: string][] = [
+    ['its predecessor before others', () => {}, before],
+    ['another when the predecessor cannot be reached', swarm => swarm.peerLost(before), after]
+  ]
+  for (const [name, arrange, expected] of rings) {
+    it(`pulls from ${name}`, () => {
+      const swarm = newSwarm()
+      for (const neighbour of neighbours) swarm.peerHolds(neighbour, others)
+      arrange(swarm)
+      const [first] = fetches(swarm.tick(0)).filter(effect => effect.source.kind === 'peer')
+      assert.equal(first === undefined ? '' : sourceOf(first), expected)
+    })
+  }
+
   it('brings chunks of its own turn into the zone, and leaves the others to whose turn it is for a while', () => {
     const swarm = newSwarm()
     swarm.peerHolds(far, all)
@@ -170,6 +195,16 @@
     })
   }
 
+  it('knows which peers hold everything', () => {
+    const swarm = newSwarm()
+    swarm.peerHolds(near, all)
+    swarm.peerHolds(far, all.slice(1))
+    assert.deepEqual(swarm.wholePeers, [near])
+    swarm.peerHolds(far, all)
+    swarm.peerLost(near)
+    assert.deepEqual(swarm.wholePeers, [far])
+  })
+
   const limits: [name: string, limit: SwarmLimit | undefined, peers: number, origin: number][] = [
     ['the policy without a limit', undefined, defaultSwarmPolicy.peerWindow, defaultSwarmPolicy.originWindow],
     ['a limit', { peers: 2, origin: 0 }, 2, 0],
--- a/packages/node/src/lib/agent/chunk-server.ts
+++ b/packages/node/src/lib/agent/chunk-server.ts
@@ -36,7 +36,7 @@
   /**
    * @param _expects Whether a chunk is, or may be, part of the version being fetched, so that waiting makes sense.
    */
-  constructor (private readonly _store: ChunkSource, private readonly _pacer: LinkPacer, private readonly _expects: (digest: string) => boolean) {
+  constructor (private readonly _store: ChunkSource, private readonly _pacer: Pick<LinkPacer, 'upload'>, private readonly _expects: (digest: string) => boolean) {
     this._timer = setInterval(() => this._reassure(), REASSURE_PAUSE)
   }
 
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -8,7 +8,7 @@
  * version when the switch decides so.
  */
 import {
-  ASSUMED_READ_RATE, readRate, switchPlace, UnreadTokens, usualWriteTime, VersionSwitch, type ChunkMember, type LoadReport, type ModelVersion, type PoolDescription, type SwitchView
+  ASSUMED_READ_RATE, readRate, UnreadTokens, usualWriteTime, VersionSwitch, type LoadReport, type ModelVersion, type PoolDescription, type SwitchTurn, type SwitchView
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -21,13 +21,11 @@
   readonly heardAt: number | undefined
   /** The identity that is staged whole; empty for none. */
   readonly whole: string
-  /** Agents of the same pool. */
-  readonly members: readonly ChunkMember[]
+  readonly turn: SwitchTurn
 }
 
 /** What the switcher works with. */
 export interface EngineSwitcherParts {
-  readonly self: ChunkMember
   readonly engine: LoadableEngine
   readonly log: Log
   readonly counters: Counters
@@ -73,6 +71,9 @@
   /** Whether the engine carries out an order, or is being given one. */
   get ordering (): boolean { return this._ordering || this._report?.busy === true }
 
+  /** Whether the engine has requests. */
+  get working (): boolean { return this._report !== undefined && this._report.running + this._report.waiting > 0 }
+
   /** The version of a model that the engine serves; 0 for none. */
   version (model: string): number {
     return this._report?.models.find(held => held.model === model)?.version ?? 0
@@ -111,7 +112,7 @@
   }
 
   private _view (): SwitchView | undefined {
-    const { wanted, heardAt, whole, members } = this._parts.situation()
+    const { wanted, heardAt, whole, turn } = this._parts.situation()
     if (wanted === undefined) return undefined
     const identity = identityOf(wanted)
     return {
@@ -119,7 +120,7 @@
       heardAt,
       whole: whole === identity ? wanted.version : 0,
       engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
-      place: switchPlace(this._parts.self, members, identity)
+      turn
     }
   }
 
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -7,7 +7,7 @@
  * One version on its way to this instance: where its chunks are kept, which peers hold them, and the swarm that pulls
  * them.
  */
-import { ChunkSwarm, defaultSwarmPolicy, type ChunkMember, type Manifest, type SwarmLimit } from '@drumdrift/core'
+import { ChunkSwarm, defaultSwarmPolicy, switchPlace, type ChunkMember, type Manifest, type SwarmLimit, type SwitchTurn } from '@drumdrift/core'
 import type { ChunkStore } from '../agent/chunk-store.js'
 import type { ChunkDigest } from '../agent/digest.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
@@ -45,6 +45,9 @@
   private readonly _holdings: HoldingsFollower
   private _swarm: ChunkSwarm | undefined
   private _limit: SwarmLimit | undefined
+  private _following = false
+  /** When the version was first whole at a member of this zone, as far as is known here. */
+  private _zoneWholeAt: number | undefined
 
   /**
    * @param _staging Where chunks are kept.
@@ -54,7 +57,10 @@
   constructor (private readonly _parts: TransferParts, private readonly _staging: ChunkStaging, readonly store: ChunkStore, private readonly _capacity = Infinity) {
     this._holdings = new HoldingsFollower(_parts.self, _parts.pool, _parts.log, {
       joined: peer => this._swarm?.peerJoined(peer),
-      holds: (peer, chunks) => this._swarm?.peerHolds(peer, chunks),
+      holds: (peer, chunks) => {
+        this._swarm?.peerHolds(peer, chunks)
+        this._noteZone()
+      },
       lost: peer => this._swarm?.peerLost(peer)
     })
     this._weights = this._newWeights()
@@ -80,13 +86,25 @@
   want (identity: string): void {
     if (identity === this.identity) return
     this._swarm = undefined
+    this._zoneWholeAt = undefined
     this._weights.want(identity, ORIGIN_COPIES)
-    if (identity === '') this._holdings.follow('', [])
+    if (identity === '') this._follow('')
+  }
+
+  /** The turn of this instance's engine among those of its zone that hold the version. */
+  get turn (): SwitchTurn {
+    const { self, members } = this._parts
+    return { ...switchPlace(self, this._swarm?.wholePeers ?? [], members(), this.identity), since: this._zoneWholeAt ?? performance.now() }
+  }
+
+  /** The engine serves the version: nothing more need be known of peers. */
+  settle (): void {
+    if (this._following) this._follow('')
   }
 
   /** The list of peers has changed. */
   membersChanged (): void {
-    if (this._weights.progress < 1 && this._weights.currentManifest !== undefined) this._holdings.follow(this.identity, this._parts.members())
+    if (this._following && this._weights.currentManifest !== undefined) this._follow(this.identity)
   }
 
   /** Bounds what is asked for at once, so that another transfer has the links; nothing for the usual bounds. */
@@ -123,19 +141,31 @@
       counters,
       members,
       addressOf: instance => instance,
-      onWhole: () => this._holdings.follow('', []),
+      onWhole: () => { this._zoneWholeAt ??= performance.now() },
       chunkDigest,
       manifestMatches
     })
   }
 
-  /** A transfer follows the holdings of peers until it is whole. */
+  private _noteZone (): void {
+    const { self, members } = this._parts
+    if (this._zoneWholeAt !== undefined) return
+    const { index, of } = switchPlace(self, this._swarm?.wholePeers ?? [], members(), this.identity)
+    if (index > 0 && of > 1) this._zoneWholeAt = performance.now()
+  }
+
+  private _follow (identity: string): void {
+    this._following = identity !== ''
+    this._holdings.follow(identity, identity === '' ? [] : this._parts.members())
+  }
+
+  /** Peers are followed until the engine serves the version: their chunks, and then whose turn it is to switch, depend on them. */
   private _newSwarm (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
     const policy = { ...defaultSwarmPolicy, originPatience: this._parts.originPatience(manifest) }
     const swarm = new ChunkSwarm(this._parts.self, members, identity, manifest, held, Math.random, policy)
     this._swarm = swarm
     this._applyLimit()
-    this._holdings.follow(swarm.progress < 1 ? identity : '', members)
+    this._follow(identity)
     return swarm
   }
 
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -8,7 +8,7 @@
  * in this process until it takes over. Without the second, naming a version while the last was still on its way, or not
  * yet taken by all engines, threw the last away; with the origin away just then, nothing could be served for seconds.
  */
-import { overlapStep, worthFinishing, type ModelVersion } from '@drumdrift/core'
+import { overlapStep, worthFinishing, type ModelVersion, type SwitchTurn } from '@drumdrift/core'
 import { ChunkStore } from '../agent/chunk-store.js'
 import type { ChunkSource } from '../agent/chunk-server.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
@@ -74,6 +74,8 @@
 
   /** Whether anything is still to be fetched. */
   get transferring (): boolean { return (this._stagedVersion !== undefined && !this._staging.whole) || (this._aheadVersion !== undefined && !this._ahead.whole) }
+  /** The turn of the engine to take the target. */
+  get turn (): SwitchTurn { return this._staging.turn }
   /** Chunks that the engine's staging memory holds. */
   get stagedCount (): number { return this._staging.store.staged.size }
 
@@ -115,6 +117,7 @@
   /** Looks whether the version ahead is to take over, and shares the links between the two. Call it now and then. */
   async step ({ served, ordering, mayBegin }: EngineView, now: number): Promise<void> {
     const [staged, ahead] = [this._stagedView(), this._aheadVersion]
+    if (staged !== undefined && staged.whole && served >= staged.version) this._staging.settle()
     if (staged === undefined || ahead === undefined || this._takingOver) return
     const advancing = !staged.whole && now - this._staging.arrivedAt < STANDSTILL
     this._ahead.limit(advancing ? { peers: BESIDE_AT_PEERS, origin: staged.known < 1 ? 0 : 1 } : undefined)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -54,9 +54,8 @@
   private readonly _self: ChunkMember
   private readonly _service: string
   private readonly _platform: WeightsPlatform
-  /** Bytes in a second that transfers may take of the link, each way. */
+  /** Bytes in a second that transfers may take of the link beside answers, each way. */
   private readonly _linkRate: number
-  private readonly _pacer: LinkPacer
   private readonly _pool: PeerPool
   private readonly _server: PeerServer
   private readonly _feed: PublishedFeed
@@ -82,15 +81,18 @@
     const address = text('process', 'address')
     this._service = text('endpoint', 'name')
     this._self = { instance: address, availabilityZone: text('process', 'availability-zone') }
-    this._linkRate = _settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT * _settings.number('weights', 'link-percent') / 100
-    this._pacer = new LinkPacer(this._linkRate, performance.now())
-    const readPacer: ReadPacer = { received: bytes => this._engineAnswers() ? this._pacer.received(bytes, performance.now()) : 0 }
+    const wholeRate = _settings.number('weights', 'link-megabits-per-second') * BYTES_PER_MEGABIT
+    this._linkRate = wholeRate * _settings.number('weights', 'link-percent') / 100
+    const beside = new LinkPacer(this._linkRate, performance.now())
+    const whole = new LinkPacer(wholeRate, performance.now())
+    const pacer = (): LinkPacer => this._engineAnswers() ? beside : whole
+    const readPacer: ReadPacer = { received: bytes => pacer().received(bytes, performance.now()) }
     this._platform = connect(readPacer)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic, readPacer)
     this._feed = this._newFeed()
     this._versions = this._newVersions()
-    this._chunks = new ChunkServer(this._versions, this._pacer, digest => this._versions.expects(digest))
+    this._chunks = new ChunkServer(this._versions, { upload: (bytes, now) => pacer().upload(bytes, now) }, digest => this._versions.expects(digest))
     this._switcher = this._newSwitcher()
     this._server = new PeerServer({
       ...self, address, log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
@@ -152,10 +154,21 @@
     }, engine, this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
   }
 
-  /** An engine without weights has no answers that transfers could hold up: then they may fill the link. */
+  /**
+   * An engine that has nothing to answer with, or may be given no work any more and has none left, has no answers that
+   * transfers could hold up: then they may fill the link.
+   */
   private _engineAnswers (): boolean {
     const model = this._poolDescription?.models[0]?.name
-    return model === undefined || this._switcher.version(model) > 0
+    if (model === undefined) return true
+    const version = this._switcher.version(model)
+    return version > 0 && (this._switcher.working || this._mayBegin(model, version))
+  }
+
+  /** Whether requests may still begin on a version, by the bound of the one named after it. */
+  private _mayBegin (model: string, version: number): boolean {
+    const newerAt = this._feed.state.firstNewerAt(model, version)
+    return newerAt === undefined || performance.now() < newerAt + this._settings.number('platform', 'version-bound-milliseconds')
   }
 
   /** The time that the origin's link takes for one copy, and half as much again. */
@@ -171,7 +184,6 @@
 
   private _newSwitcher (): EngineSwitcher {
     return new EngineSwitcher({
-      self: this._self,
       engine: this._platform.engine,
       log: this._log,
       counters: this._counters,
@@ -180,7 +192,7 @@
         const wanted = this._versions.target ?? this._wanted()
         const served = wanted === undefined ? 0 : this._switcher.version(wanted.model)
         const heardAt = wanted === undefined ? undefined : this._feed.state.firstNewerAt(wanted.model, served)
-        return { wanted, heardAt, whole: this._versions.whole, members: this._members }
+        return { wanted, heardAt, whole: this._versions.whole, turn: this._versions.turn }
       },
       confirmWhole: () => this._versions.confirmWhole(),
       onLooked: () => this._stepVersions(),
@@ -194,13 +206,8 @@
   private _stepVersions (): void {
     const model = this._versions.target?.model
     if (model === undefined) return
-    const now = performance.now()
-    const bound = this._settings.number('platform', 'version-bound-milliseconds')
-    const mayBegin = (version: number): boolean => {
-      const newerAt = this._feed.state.firstNewerAt(model, version)
-      return newerAt === undefined || now < newerAt + bound
-    }
-    this._versions.step({ served: this._switcher.version(model), ordering: this._switcher.ordering, mayBegin }, now)
+    const view = { served: this._switcher.version(model), ordering: this._switcher.ordering, mayBegin: (version: number) => this._mayBegin(model, version) }
+    this._versions.step(view, performance.now())
   }
 
   /**
