News that may have waited for a pause counts from before it; the log has prompt sizes; callers of a process without configuration are spread

Cause: since entries watch everything with one call, a version that is named in the pause after a change of the list is heard up to 0.3 s later, and its bound with it, while requests are taken back only 0.2 s before. Read from the code, not seen in a play. Change: an answer that comes at once counts from the answer before it, one for which the watch waited from when it came.

--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -46,6 +46,11 @@
 /** Pauses after a failed call of the store, in milliseconds: they double, since refused calls are charged too. */
 const FIRST_BACKOFF = 100
 const LONGEST_BACKOFF = 800
+/**
+ * A watch that is answered sooner tells of changes from before it was asked, in milliseconds: the store answers in a few, and
+ * in some hundreds when it is slow.
+ */
+const QUICK_ANSWER = 500
 /** Peers are asked this often while the store does not answer, in milliseconds. */
 const PEER_PAUSE = 250
 /** One peer's time to answer, in milliseconds: a few network delays and a busy process. */
@@ -90,7 +95,9 @@
   private async _follow ({ scope, pause: rest }: Watch): Promise<void> {
     let backoff = FIRST_BACKOFF
     let read = false
+    let answeredAt = performance.now()
     while (!this._closed) {
+      const askedAt = performance.now()
       const answer = read ? await this._watch(scope) : await this._read(scope)
       if (this._closed) return
       if (answer.type === 'store-failure') {
@@ -106,9 +113,10 @@
         continue
       }
       this._answered(scope, answer.upTo)
-      if (read) this._takeChanges(scope, answer)
+      if (read) this._takeChanges(scope, answer, changedFrom(answeredAt, askedAt, performance.now()))
       else this._takeWhole(scope, answer)
       read = true
+      answeredAt = performance.now()
       if (answer.changes.length > 0 && rest > 0) await pause(rest)
     }
   }
@@ -139,9 +147,8 @@
     this._tell(news)
   }
 
-  private _takeChanges (scope: StoreScope, answer: StoreChanges): void {
-    const now = performance.now()
-    const news = answer.changes.flatMap(change => this.state.take(change, now))
+  private _takeChanges (scope: StoreScope, answer: StoreChanges, changedAt: number): void {
+    const news = answer.changes.flatMap(change => this.state.take(change, changedAt))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, answer.upTo)
     this._refused(answer)
     this._tell(news)
@@ -206,3 +213,11 @@
     this._tell(news)
   }
 }
+
+/**
+ * The earliest time at which the changes of a watch's answer may have come. After a pause they may be as old as the answer
+ * before: taken for new, a version named in the pause would be held to a bound that is a pause too late.
+ */
+function changedFrom (answeredBefore: number, askedAt: number, now: number): number {
+  return now - askedAt <= QUICK_ANSWER ? answeredBefore : now
+}
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -97,6 +97,7 @@
       dialect: platform.dialect,
       table: () => this._table,
       begin: (request, answer) => new RoutedRequest(requestParts, request, answer),
+      draw: Math.random,
       log: _log,
       counters: this._counters
     })
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -21,6 +21,8 @@
   readonly dialect: Dialect
   readonly table: () => RouteTable | undefined
   readonly begin: (request: ReadRequest, answer: CallerAnswer) => RoutedRequest
+  /** Random numbers in [0, 1). */
+  readonly draw: () => number
   readonly log: Log
   readonly counters: Counters
 }
@@ -36,8 +38,13 @@
 const READ_TIMEOUT = 30_000
 /** How often connections that rest are ended once it has stopped to listen, in milliseconds. */
 const IDLE_CLOSE_PAUSE = 20
-/** Before a caller comes back that met a process without any configuration, in milliseconds. */
-const RETRY_WITHOUT_CONFIGURATION = 500
+/**
+ * Before a caller comes back that met a process without any configuration, in milliseconds: between these, at random. A
+ * process reads it within some tens of milliseconds of its start, and 68 callers who came in these after a kill of everything
+ * would otherwise come back at one moment.
+ */
+const EARLIEST_RETRY_WITHOUT_CONFIGURATION = 100
+const LATEST_RETRY_WITHOUT_CONFIGURATION = 500
 
 /** The server towards callers. */
 export class RouteFront {
@@ -94,7 +101,7 @@
     const answer = new CallerAnswer(response, () => this._leaving)
     const head = this._parts.dialect.readCaller(request.headers, request.rawHeaders)
     const table = this._parts.table()
-    if (table === undefined) return this._refuse(answer, head, requestFailure('no-configuration', 'not-run', 'no configuration is known yet', RETRY_WITHOUT_CONFIGURATION))
+    if (table === undefined) return this._refuse(answer, head, requestFailure('no-configuration', 'not-run', 'no configuration is known yet', retryWithoutConfiguration(this._parts.draw())))
     const path = request.url ?? '/'
     const host = (request.headers.host ?? '').toLowerCase()
     const match = table.match(host, path.split('?')[0] ?? path, head.key)
@@ -142,3 +149,7 @@
     answer.fail(this._parts.dialect.writeFailure(head.id, failure))
   }
 }
+
+function retryWithoutConfiguration (draw: number): number {
+  return Math.round(EARLIEST_RETRY_WITHOUT_CONFIGURATION + draw * (LATEST_RETRY_WITHOUT_CONFIGURATION - EARLIEST_RETRY_WITHOUT_CONFIGURATION))
+}
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -154,7 +154,7 @@
     this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
     this._parts.counters.add('attempts')
     this._parts.log.request('request-sent', {
-      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), round_trip: Math.round(choice.roundTrip), candidates: choice.candidates, remaining, resume_after: this._lastEventId
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), round_trip: Math.round(choice.roundTrip), candidates: choice.candidates, prompt: head.promptTokens, remaining, resume_after: this._lastEventId
     })
     if (route.kind === 'streaming') this._watchForStall(Math.max(LEAST_STALL, STALL_FACTOR * choice.expected))
     this._watchBeginning(choice, now)
--- /dev/null
+++ b/packages/node/src/test/lib/routing/published-feed_test.ts
@@ -0,0 +1,66 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import type { PublishedChange } from '@drumdrift/core'
+import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
+import { Log } from '../../../lib/observe/log.js'
+import { Counters } from '../../../lib/observe/metrics.js'
+import { PeerPool } from '../../../lib/peer/pool.js'
+import type { PublishedStore, StoreChanges } from '../../../lib/routing/ports.js'
+import { PublishedFeed } from '../../../lib/routing/published-feed.js'
+
+const PAUSE = 150
+const log = new Log('error', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => { setImmediate(() => callback(null, bytes.length)) }))
+const record = { id: 'a', service: 'pool', address: '10.0.0.1:80', availabilityZone: 'koshi', slots: 4, draining: false, models: [] }
+const listed: PublishedChange = { type: 'endpoint', revision: 2, record }
+const named: PublishedChange = { type: 'wanted-version', revision: 3, wanted: { model: 'm', version: 2 } }
+
+/** Answers a reading with nothing, then each watch with the next changes after a while; the last watch hangs. */
+class StoreFake implements PublishedStore {
+  readonly answeredAt: number[] = []
+  private _upTo = 1
+
+  constructor (private readonly _answers: (readonly [after: number, change: PublishedChange])[]) {}
+
+  async readWhole (): Promise<StoreChanges> { return { type: 'changes', changes: [], upTo: this._upTo, refused: [] } }
+
+  async awaitChanges (): Promise<StoreChanges> {
+    const [after, change] = this._answers.shift() ?? [60_000, listed]
+    await new Promise(resolve => { setTimeout(resolve, after).unref() })
+    this.answeredAt.push(performance.now())
+    this._upTo += 1
+    return { type: 'changes', changes: [change], upTo: this._upTo, refused: [] }
+  }
+}
+
+describe('PublishedFeed', () => {
+  const open: { close (): void }[] = []
+  afterEach(() => { for (const each of open.splice(0)) each.close() })
+
+  const cases: [name: string, after: number, expected: 'when the answer before came' | 'when it came'][] = [
+    ['that is told at once after a pause may have been named in it', 0, 'when the answer before came'],
+    ['for which a watch waited was named then', 700, 'when it came']
+  ]
+  for (const [name, after, expected] of cases) {
+    it(`a version ${name}`, async () => {
+      const store = new StoreFake([[0, listed], [after, named]])
+      const pool = new PeerPool({ instance: 'a', key: 'k' })
+      const heard = new Promise<void>(resolve => {
+        const feed: PublishedFeed = new PublishedFeed({
+          store, pool, log, counters: new Counters(), watches: [{ scope: 'everything', pause: PAUSE }], watchWait: 1_000, peers: () => [], onChanges: () => { if (feed.state.firstNewerAt('m', 1) !== undefined) resolve() }
+        })
+        open.push(feed, pool)
+        feed.start()
+      })
+      await heard
+      const [before = 0, came = 0] = store.answeredAt
+      const at = (open[0] as PublishedFeed).state.firstNewerAt('m', 1) ?? 0
+      const wanted = expected === 'when it came' ? came : before
+      assert.ok(Math.abs(at - wanted) < PAUSE / 2, `${at} is not ${wanted}`)
+    })
+  }
+})
