Smaller modules: progress of a stream, outcome of an attempt, window of pulls, decay; one more expectation for the chosen endpoint only

No change of behaviour but these: the expectation for a request of usual size is worked out for the chosen endpoint, not for all; a word in a log line that is the name of an object's property is no result (test). The fading by half-lives, which stood five times, is one function.

--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -12,6 +12,7 @@
 import type { Manifest } from '../documents.js'
 import type { FetchProblem, TransferCourse, TransferEffect } from '../transfer.js'
 import { ChunkPlaces } from './chunk-places.js'
+import { PullWindow } from './pull-window.js'
 
 /** Bounds of a swarm; times in milliseconds. */
 export interface SwarmPolicy {
@@ -83,16 +84,6 @@
 const HEDGE_FACTOR = 3
 /** Chunks missing at the end of a transfer for which hedging pays. */
 const HEDGE_MISSING = 8
-/**
- * A pull that takes longer shows a queue on some link, in milliseconds: six chunks that come in turn take 350 over the
- * 5 Mbit/s link of a small instance, and peers that send to several members at once let them wait for as long again. The
- * window then shrinks by the factor, and grows back by the step with each chunk that came sooner.
- */
-const SLOW_PULL = 700
-const WINDOW_DECREASE = 0.6
-const WINDOW_INCREASE = 0.25
-/** The window shrinks at most this often, in milliseconds: chunks of one queue are one signal. */
-const DECREASE_PAUSE = 300
 
 /** The transfer of one version to one member. */
 export class ChunkSwarm implements TransferCourse {
@@ -106,8 +97,7 @@
   private readonly _unreachable = new Set<string>()
   private _members: readonly ChunkMember[] = []
   private _places: ChunkPlaces
-  private _window: number
-  private _decreasedAt = -Infinity
+  private readonly _window: PullWindow
   private _nextAttempt = 1
   private _startedAt: number | undefined
   /** When the origin last gave nothing to this member. */
@@ -130,7 +120,7 @@
     private readonly _policy: SwarmPolicy = defaultSwarmPolicy
   ) {
     this._places = new ChunkPlaces(_self, members)
-    this._window = _policy.peerWindow
+    this._window = new PullWindow(_policy.peerWindow)
     this._limit = { peers: _policy.peerWindow, origin: _policy.originWindow }
     this.setMembers(members)
     _manifest.chunks.forEach(({ digest }, index) => { if (!held.has(digest)) this._missing.add(index) })
@@ -219,7 +209,7 @@
     if (peer !== undefined) {
       peer.failures = 0
       peer.took += TOOK_SMOOTHING * (now - pull.startedAt - peer.took)
-      this._adapt(now - pull.startedAt, now)
+      this._window.took(now - pull.startedAt, now)
     }
     const others = [...this._pulls].filter(([, other]) => other.index === pull.index)
     for (const [other] of others) this._end(other)
@@ -266,7 +256,7 @@
     return this._pulls.size < this._peerRoom() + this._limit.origin
   }
 
-  private _peerRoom (): number { return Math.min(this._limit.peers, Math.floor(this._window)) }
+  private _peerRoom (): number { return Math.min(this._limit.peers, this._window.size) }
 
   private _start (index: number, now: number): TransferEffect | undefined {
     const flying = [...this._pulls.values()].filter(pull => pull.index === index)
@@ -323,15 +313,6 @@
     return now - since >= this._policy.originPatience + (overall - 1) * this._policy.originStagger
   }
 
-  /** Keeps the window as large as the links bear without long queues. */
-  private _adapt (took: number, now: number): void {
-    if (took < SLOW_PULL) this._window = Math.min(this._policy.peerWindow, this._window + WINDOW_INCREASE)
-    else if (now - this._decreasedAt >= DECREASE_PAUSE) {
-      this._decreasedAt = now
-      this._window = Math.max(1, this._window * WINDOW_DECREASE)
-    }
-  }
-
   private _count (origin: boolean): number {
     let count = 0
     for (const { peer } of this._pulls.values()) if ((peer === undefined) === origin) count += 1
@@ -362,7 +343,7 @@
     const late = [...this._pulls].filter(([, pull]) => pull.deadline <= now)
     return late.map(([attempt, pull]) => {
       this._end(attempt)
-      this._adapt(now - pull.startedAt, now)
+      this._window.took(now - pull.startedAt, now)
       this._note(pull, 'timed-out', now)
       return { type: 'abandon', attempt } as const
     })
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -60,6 +60,15 @@
   readonly candidates: number
 }
 
+/** An endpoint that might be chosen. */
+type Candidate = Omit<Choice, 'expectedOfUsual'>
+
+/** The one that is, and what others are taken to have sent there meanwhile, in milliseconds of waiting. */
+interface Picked {
+  readonly candidate: Candidate
+  readonly byOthers: number
+}
+
 /** Why an endpoint is passed over for a while. */
 export type Avoidance = 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version'
 
@@ -191,7 +200,8 @@
       .filter(choice => !tooLate(choice, need, now))
     const distanceFactor = this._comfortable(choices, need) ? COMFORT_FACTOR : 1
     const costs = choices.map(choice => this._cost(choice, service, need, distanceFactor, now))
-    return this._pick(choices, costs, service, now)
+    const picked = this._pick(choices, costs, service, now)
+    return picked === undefined ? undefined : this._choice(picked, service, need, now)
   }
 
   /**
@@ -213,14 +223,18 @@
    * Draws among pools' engines, whose reports all entries share, and counts what the others send there meanwhile in what
    * is expected; of plain endpoints the best one is taken.
    */
-  private _pick (choices: readonly Choice[], costs: readonly number[], { pool }: ServiceDescription, now: number): Choice | undefined {
-    if (pool === undefined) return choices[costs.indexOf(Math.min(...costs))]
+  private _pick (choices: readonly Candidate[], costs: readonly number[], { pool }: ServiceDescription, now: number): Picked | undefined {
+    if (pool === undefined) return pickedAt(choices, costs.indexOf(Math.min(...costs)), 0)
     const even = { costs, step: readTime(pool, pool.usualPromptTokens), requests: this._sentByOthers(now) }
     const index = chooseEvenly(even, this._draw())
-    const chosen = choices[index]
-    if (chosen === undefined) return undefined
-    const byOthers = Math.max(0, levelOf(even) - (costs[index] ?? 0))
-    return { ...chosen, expected: chosen.expected + byOthers, expectedOfUsual: chosen.expectedOfUsual + byOthers }
+    return pickedAt(choices, index, Math.max(0, levelOf(even) - (costs[index] ?? 0)))
+  }
+
+  private _choice ({ candidate, byOthers }: Picked, { pool }: ServiceDescription, { promptTokens }: Need, now: number): Choice {
+    const expected = candidate.expected + byOthers
+    if (pool === undefined || promptTokens <= pool.usualPromptTokens) return { ...candidate, expected, expectedOfUsual: expected }
+    const usual = this._entry(candidate.record.id).load.expectedFirstEvent(pool, pool.usualPromptTokens, now)
+    return { ...candidate, expected, expectedOfUsual: usual + byOthers }
   }
 
   /**
@@ -250,24 +264,22 @@
     return known.load.report(now)?.accepting !== false
   }
 
-  private _expect (record: EndpointRecord, service: ServiceDescription, need: Need, now: number, candidates: number): Choice {
+  private _expect (record: EndpointRecord, service: ServiceDescription, need: Need, now: number, candidates: number): Candidate {
     const { load } = this._entry(record.id)
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
     const expected = service.pool === undefined ? load.expectedPlainAnswer(slots, this._plainTime.value(now), now) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
     const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
-    const usualTokens = Math.min(need.promptTokens, service.pool?.usualPromptTokens ?? Infinity)
-    const expectedOfUsual = service.pool === undefined ? expected : load.expectedFirstEvent(service.pool, usualTokens, now)
-    return { record, expected, expectedOfUsual, version, reportAge: load.reportAge(now), roundTrip: load.longestRoundTrip(now), candidates }
+    return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.longestRoundTrip(now), candidates }
   }
 
   /** What a choice costs in all, in milliseconds. */
-  private _cost (choice: Choice, service: ServiceDescription, need: Need, distanceFactor: number, now: number): number {
+  private _cost (choice: Candidate, service: ServiceDescription, need: Need, distanceFactor: number, now: number): number {
     const unseen = service.pool !== undefined && this._entry(choice.record.id).load.report(now) === undefined
     return choice.expected + distanceFactor * this._distancePrice(choice.record) + this._closingPrice(choice.record, service, need, choice, now) + (unseen ? UNSEEN_PRICE : 0)
   }
 
   /** The price of work that would hold up a planned switch. */
-  private _closingPrice ({ id }: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Choice, now: number): number {
+  private _closingPrice ({ id }: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Candidate, now: number): number {
     const { load } = this._entry(id)
     const closesAt = load.closesAt(now)
     if (closesAt === undefined || pool === undefined) return 0
@@ -277,7 +289,7 @@
   }
 
   /** Whether an answer from the own zone is expected so soon that nothing is gained by a sooner one. */
-  private _comfortable (choices: readonly Choice[], { usualObjective }: Need): boolean {
+  private _comfortable (choices: readonly Candidate[], { usualObjective }: Need): boolean {
     return choices.some(({ record, expected }) => record.availabilityZone === this._place.availabilityZone && expected < COMFORT_SHARE * usualObjective)
   }
 
@@ -293,11 +305,16 @@
   }
 }
 
+function pickedAt (candidates: readonly Candidate[], index: number, byOthers: number): Picked | undefined {
+  const candidate = candidates[index]
+  return candidate === undefined ? undefined : { candidate, byOthers }
+}
+
 /**
  * Whether a request could begin on an old version after it must no longer. Where the agent is not heard the way is not
  * known, and may be a link with seconds of queue: then it could.
  */
-function tooLate ({ expected, version, roundTrip, reportAge }: Choice, { mustBeginBy }: Need, now: number): boolean {
+function tooLate ({ expected, version, roundTrip, reportAge }: Candidate, { mustBeginBy }: Need, now: number): boolean {
   const bound = mustBeginBy(version)
   if (bound === undefined) return false
   return reportAge > REPORT_LIFETIME || now + BEGIN_FACTOR * expected + BEGIN_LINK_FACTOR * roundTrip > bound
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -7,6 +7,7 @@
  * What one entry knows of the load of one endpoint: the endpoint's last report, where there is one, corrected by what
  * this entry has sent and seen end since.
  */
+import { decay } from './decay.js'
 import { firstTokenTime, readRate } from './engine-model.js'
 import type { PoolDescription } from './routing-configuration.js'
 
@@ -166,8 +167,7 @@
 
   /** How much slower than expected answers have come lately; 1 as expected. */
   slowness (now: number): number {
-    const halves = Math.max(0, now - this._slownessAt) / SLOWNESS_HALF_LIFE
-    return 1 + (this._slowness - 1) * 0.5 ** halves
+    return 1 + (this._slowness - 1) * decay(now - this._slownessAt, SLOWNESS_HALF_LIFE)
   }
 
   /**
@@ -197,8 +197,7 @@
 
   private _fadedPlainTime (usual: number, now: number): number {
     if (this._plainTime === undefined) return usual
-    const halves = Math.max(0, now - this._plainTimeAt) / PLAIN_TIME_HALF_LIFE
-    return usual + (this._plainTime - usual) * 0.5 ** halves
+    return usual + (this._plainTime - usual) * decay(now - this._plainTimeAt, PLAIN_TIME_HALF_LIFE)
   }
 
   /** What was unread when the report was made, less what the engine has read since. */
@@ -236,7 +235,7 @@
   }
 
   private _fadedPeak (now: number): number {
-    return this._peak * 0.5 ** (Math.max(0, now - this._peakAt) / PEAK_HALF_LIFE)
+    return this._peak * decay(now - this._peakAt, PEAK_HALF_LIFE)
   }
 
   private _observe (ratio: number, now: number): void {
--- a/packages/core/src/lib/routing/request-rate.ts
+++ b/packages/core/src/lib/routing/request-rate.ts
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** How many requests one entry has sent to the endpoints of a service, lately; those that it refuses do not count. */
+import { decay } from './decay.js'
 
 /** What came counts half after this, in milliseconds: long enough to hold a few tens of requests of a busy entry. */
 const HALF_LIFE = 1_000
@@ -28,6 +29,6 @@
   perMillisecond (now: number): number { return this._faded(now) * Math.LN2 / HALF_LIFE }
 
   private _faded (now: number): number {
-    return this._count * 0.5 ** (Math.max(0, now - this._at) / HALF_LIFE)
+    return this._count * decay(now - this._at, HALF_LIFE)
   }
 }
--- a/packages/core/src/lib/routing/usual-time.ts
+++ b/packages/core/src/lib/routing/usual-time.ts
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** What the requests of a plain service usually take, whichever endpoint answers. */
+import { decay } from './decay.js'
 
 /** Weight of the newest answer: the mean is that of some tens of answers. */
 const SMOOTHING = 0.05
@@ -20,7 +21,7 @@
 
   /** The mean, in milliseconds; 0 while nothing is known. */
   value (now: number): number {
-    return this._mean * 0.5 ** (Math.max(0, now - this._at) / HALF_LIFE)
+    return this._mean * decay(now - this._at, HALF_LIFE)
   }
 
   /**
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -111,10 +111,15 @@
 export function causeOf (request: readonly LogLine[]): RequestCause {
   const end = request.find(({ event }) => event === 'request-ended')?.fields
   if (end === undefined) return 'unfinished'
-  const handler = results[end['result'] ?? '']
+  const handler = lookUp(results, end['result'])
   return handler === undefined ? 'unfinished' : handler(end, request)
 }
 
+/** What a table has under a name from a log file, which may be any word. */
+function lookUp<Value> (table: Readonly<Record<string, Value>>, name: string | undefined): Value | undefined {
+  return name !== undefined && Object.hasOwn(table, name) ? table[name] : undefined
+}
+
 const results: Readonly<Record<string, (end: LogLine['fields'], request: readonly LogLine[]) => RequestCause>> = {
   answered: (end, request) => {
     if (Number(end['status']) >= 500) return 'endpoint-failed'
@@ -125,7 +130,7 @@
     }
     return Number(end['gap']) > Number(end['objective']) ? 'stream-paused' : 'in-time'
   },
-  refused: end => refusals[end['code'] ?? ''] ?? 'not-allowed',
+  refused: end => lookUp(refusals, end['code']) ?? 'not-allowed',
   failed: end => end['code'] === 'timed-out' ? 'time-over' : 'endpoint-failed',
   abandoned: () => 'caller-left'
 }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,16 +9,18 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, EventSplitter, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type OrganisationDescription, type RequestFailure, type Route
+  AttemptCourse, decideStart, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type OrganisationDescription, type RequestFailure, type Route
 } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
+import { avoidanceOf, healthOf, LEAST_FAILURE_STATUS, LEAST_UNSUCCESSFUL_STATUS, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { ConnectionReserve } from './connection-reserve.js'
 import { connectPatience, EndpointCall, type EndpointCallEnd } from './endpoint-call.js'
 import type { CallerHead, Dialect, EndpointHead } from './ports.js'
 import type { ServiceUnit } from './service-units.js'
+import { StreamProgress } from './stream-progress.js'
 
 /** What requests work with. */
 export interface RoutedRequestParts {
@@ -73,10 +75,6 @@
 const GAP_STALL = 800
 /** An endpoint whose agent reported within this can be reached, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT = 350
-/** Answers below this status are successes. */
-const LEAST_UNSUCCESSFUL_STATUS = 300
-/** Failures of endpoints from this status on. */
-const LEAST_FAILURE_STATUS = 500
 
 /** A request from its acceptance to its final answer. */
 export class RoutedRequest {
@@ -84,15 +82,11 @@
   private readonly _tried = new Set<string>()
   private readonly _deadline: number
   private readonly _finalTimer: NodeJS.Timeout
-  private _splitter = new EventSplitter()
+  private readonly _stream: StreamProgress
   private _attempt: Attempt | undefined
   private _attempts = 0
   private _stallTimer: NodeJS.Timeout | undefined
   private _beginTimer: NodeJS.Timeout | undefined
-  private _lastEventId: string | undefined
-  private _firstEventAt: number | undefined
-  private _lastEventAt = 0
-  private _longestGap = 0
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
   private _over = false
@@ -103,7 +97,7 @@
   constructor (private readonly _parts: RoutedRequestParts, private readonly _request: ReadRequest, private readonly _answer: CallerAnswer) {
     const { head, route, receivedAt } = _request
     this._course = new AttemptCourse(route)
-    this._lastEventId = head.lastEventId
+    this._stream = new StreamProgress(head.lastEventId)
     this._deadline = receivedAt + Math.min(route.timeout, head.patience ?? route.timeout)
     this._finalTimer = setTimeout(() => this._timeUp(), this._deadline + DEADLINE_GRACE - performance.now())
     _answer.onGone(() => this._callerGone())
@@ -140,9 +134,9 @@
     const { record } = choice
     this._attempts += 1
     this._tried.add(record.id)
-    this._splitter = new EventSplitter()
+    this._stream.restart()
     const remaining = Math.max(1, Math.floor(this._deadline - now))
-    const terms = { endpoint: record, remaining, organisation: organisation?.name, version: choice.version, resumeAfter: this._lastEventId }
+    const terms = { endpoint: record, remaining, organisation: organisation?.name, version: choice.version, resumeAfter: this._stream.lastEventId }
     const headers = this._parts.dialect.writeRequest(head, terms, body.length)
     const number = this._attempts
     const call = new EndpointCall({ address: record.address, method, path, headers, body, socket: this._ready(choice), connectPatience: connectPatience(route.objective) }, {
@@ -154,7 +148,7 @@
     this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
     this._parts.counters.add('attempts')
     this._parts.log.request('request-sent', {
-      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), round_trip: Math.round(choice.roundTrip), candidates: choice.candidates, prompt: head.promptTokens, remaining, resume_after: this._lastEventId
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(choice.expected), version: choice.version, load_age: finite(choice.reportAge), round_trip: Math.round(choice.roundTrip), candidates: choice.candidates, prompt: head.promptTokens, remaining, resume_after: this._stream.lastEventId
     })
     if (route.kind === 'streaming') this._watchForStall(Math.max(LEAST_STALL, STALL_FACTOR * choice.expected))
     this._watchBeginning(choice, now)
@@ -186,32 +180,23 @@
       attempt.pieces.push(bytes)
       return
     }
-    const events = this._splitter.push(bytes)
+    const now = performance.now()
+    const first = this._stream.firstEventAt === undefined
+    const events = this._stream.take(bytes, now)
     if (events === undefined) return
     clearTimeout(this._beginTimer)
     this._watchForStall(GAP_STALL)
-    this._noteEvents(attempt)
+    this._unit?.chooser.load(attempt.choice.record.id).begun(this._request.head.id, attempt.choice.expected, now)
+    if (first) this._record('first-token', now - this._request.receivedAt)
     this._answer.head(attempt.head)
-    this._answer.data(events.bytes)
+    this._answer.data(events)
     this._course.begun()
-    this._lastEventId = events.lastId ?? this._lastEventId
   }
 
   private _streams (head: AnswerHead): boolean {
     return head.eventStream && head.status < LEAST_FAILURE_STATUS
   }
 
-  private _noteEvents (attempt: Attempt): void {
-    const now = performance.now()
-    if (this._firstEventAt !== undefined) this._longestGap = Math.max(this._longestGap, now - this._lastEventAt)
-    this._lastEventAt = now
-    const { head, receivedAt } = this._request
-    this._unit?.chooser.load(attempt.choice.record.id).begun(head.id, attempt.choice.expected, now)
-    if (this._firstEventAt !== undefined) return
-    this._firstEventAt = now
-    this._record('first-token', now - receivedAt)
-  }
-
   /** Takes a request back from an endpoint of an old version that has not begun it when it must no longer begin. */
   private _watchBeginning (choice: Choice, now: number): void {
     clearTimeout(this._beginTimer)
@@ -260,7 +245,7 @@
     if (attempt.stalled) return { type: 'stalled', detail: 'no event for too long' }
     if (end.type === 'whole' && attempt.head !== undefined) {
       if (this._mayBeShort(attempt.head, end.framed)) return { type: this._answer.begun ? 'cut' : 'broken', detail: 'the answer ended with its connection' }
-      const cutEvent = this._streams(attempt.head) && this._splitter.pending > 0
+      const cutEvent = this._streams(attempt.head) && this._stream.withinEvent
       return cutEvent ? { type: 'cut', detail: 'the stream ended within an event' } : { type: 'answered', status: attempt.head.status }
     }
     const detail = end.type === 'broken' ? end.detail : end.type
@@ -333,10 +318,11 @@
     clearTimeout(this._stallTimer)
     clearTimeout(this._beginTimer)
     const took = performance.now() - receivedAt
+    const { firstEventAt, longestGap } = this._stream
     this._parts.counters.add(`requests_${result}`)
     this._record(result === 'refused' ? 'refusal' : 'whole-answer', took)
     this._parts.log.request('request-ended', {
-      id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result, ...fields, took: Math.round(took), first: this._firstEventAt === undefined ? undefined : Math.round(this._firstEventAt - receivedAt), objective: route.objective, gap: Math.round(this._longestGap), attempts: this._attempts
+      id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result, ...fields, took: Math.round(took), first: firstEventAt === undefined ? undefined : Math.round(firstEventAt - receivedAt), objective: route.objective, gap: Math.round(longestGap), attempts: this._attempts
     })
     this._attempt?.call.stop()
     this._onOver()
@@ -352,26 +338,6 @@
   }
 }
 
-type Health = 'good' | 'bad' | 'unclear'
-
-const healthOfOutcome: Record<AttemptEnd['type'], Health> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', cut: 'bad', stalled: 'bad' }
-
-function healthOf (outcome: AttemptEnd): Health {
-  if (outcome.type === 'answered' && outcome.status >= LEAST_FAILURE_STATUS) return 'bad'
-  if (outcome.type === 'not-run' && outcome.reason === 'not-connected') return 'bad'
-  return healthOfOutcome[outcome.type]
-}
-
-function avoidanceOf (reason: Extract<AttemptEnd, { type: 'not-run' }>['reason']): 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version' {
-  if (reason === 'not-connected') return 'unreachable'
-  return reason === 'wrong-instance' || reason === 'wrong-version' ? reason : 'refused'
-}
-
-function reasonOf (outcome: AttemptEnd): string | undefined {
-  if (outcome.type === 'answered') return String(outcome.status)
-  return outcome.type === 'not-run' ? outcome.reason : outcome.detail
-}
-
 function finite (milliseconds: number): number | undefined {
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
 }
--- a/packages/node/src/test/lib/operator/explain_test.ts
+++ b/packages/node/src/test/lib/operator/explain_test.ts
@@ -56,6 +56,8 @@
     ['an answer that was cut', lines(sent, [2, 'request-ended id=r1 result=failed code=answer-cut']), 'endpoint-failed'],
     ['a time-out', lines(sent, [2, 'request-ended id=r1 result=failed code=timed-out']), 'time-over'],
     ['a caller that left', lines(sent, [2, 'request-ended id=r1 result=abandoned']), 'caller-left'],
+    ['a result that is no result', lines(sent, [2, 'request-ended id=r1 result=constructor']), 'unfinished'],
+    ['a refusal for a reason that is none of ours', lines([1, 'request-ended id=r1 result=refused code=constructor']), 'not-allowed'],
     ['lines that stop', lines(sent), 'unfinished']
   ]
   for (const [name, given, cause] of cases) it(`finds ${name}`, () => assert.equal(explainRequest('r1', given)?.cause, cause))
