Peers are followed anew when a transfer begins again

Cause: since agents follow their peers until the engine serves the version, a transfer that began again because pieces had turned bad before the order was told nothing by peers, who tell a follower only what is new: the missing chunks came from the origin alone, in turn or after its patience. Test first: never whole again before, whole now.

--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -165,6 +165,8 @@
     const swarm = new ChunkSwarm(this._parts.self, members, identity, manifest, held, Math.random, policy)
     this._swarm = swarm
     this._applyLimit()
+    // Peers tell only what is new to a follower: followed anew, they tell this swarm all that they hold.
+    this._follow('')
     this._follow(identity)
     return swarm
   }
--- a/packages/node/src/test/lib/routing/versions-under-way_test.ts
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { createHash } from 'node:crypto'
+import { createServer, type AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import type { Manifest } from '@drumdrift/core'
 import type { ChunkStaging } from '../../../lib/agent/engine-client.js'
@@ -12,12 +13,22 @@
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
 import { PeerPool } from '../../../lib/peer/pool.js'
+import { PeerServer } from '../../../lib/peer/server.js'
+import { HoldingsPublisher } from '../../../lib/routing/chunk-holdings.js'
 import { VersionsUnderWay, type EngineView } from '../../../lib/routing/versions-under-way.js'
 
 const CHUNKS = 8
 const self = { instance: '127.0.0.1:1', availabilityZone: 'koshi' }
 
 function chunkOf (version: number, index: number): Buffer { return Buffer.from(`v${version} chunk ${index}`) }
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
 function digestOf (bytes: Buffer): string { return createHash('sha256').update(bytes).digest('hex') }
 function manifestOf (version: number): Manifest {
   const chunks = Array.from({ length: CHUNKS }, (_, index) => chunkOf(version, index)).map(bytes => ({ digest: digestOf(bytes), bytes: bytes.length }))
@@ -71,16 +82,39 @@
   const open: { close (): void }[] = []
   afterEach(() => { for (const each of open.splice(0)) each.close() })
 
-  function begin (limits: Readonly<Record<number, number>>, memory = 1_000): { versions: VersionsUnderWay, origin: OriginFake, staging: StagingFake } {
+  function begin (limits: Readonly<Record<number, number>>, memory = 1_000, peers: readonly string[] = []): { versions: VersionsUnderWay, origin: OriginFake, staging: StagingFake } {
     const [origin, staging, pool] = [new OriginFake(), new StagingFake(), new PeerPool({ instance: 'a', key: 'k' })]
     origin.limits = limits
     const versions = new VersionsUnderWay({
-      self, largestBytes: 1_000_000, source: origin, pool, log, counters: new Counters(), members: () => [self], chunkDigest: 'sha256', originPatience: () => 100, manifestMatches: (identity, bytes) => JSON.parse(bytes.toString()).version === identity.split('@')[1]
+      self, largestBytes: 1_000_000, source: origin, pool, log, counters: new Counters(), members: () => [self, ...peers.map(instance => ({ instance, availabilityZone: 'koshi' }))], chunkDigest: 'sha256', originPatience: () => 100, manifestMatches: (identity, bytes) => JSON.parse(bytes.toString()).version === identity.split('@')[1]
     }, staging, memory)
     open.push(versions, pool)
     return { versions, origin, staging }
   }
 
+  /** A peer that holds all chunks of a version. */
+  async function peerWithAll (version: number): Promise<string> {
+    const address = `127.0.0.1:${await freePort()}`
+    const holdings = new HoldingsPublisher(() => Array.from({ length: CHUNKS }, (_, index) => index))
+    const server = new PeerServer({
+      instance: 'peer',
+      key: 'k',
+      address,
+      log,
+      traffic: { sent: 0, received: 0 },
+      onRequest: (request, _payload, responder) => {
+        if (request.type === 'follow-chunks') holdings.follow(request.identity, responder)
+        if (request.type === 'manifest') responder.send({ type: 'no-chunk', reason: 'not-held' })
+        if (request.type !== 'chunk') return
+        const index = manifestOf(version).chunks.findIndex(({ digest }) => digest === request.digest)
+        responder.send({ type: 'chunk', digest: request.digest }, chunkOf(version, index))
+      }
+    })
+    await server.listen()
+    open.push(holdings, server)
+    return address
+  }
+
   async function until (what: string, holds: () => boolean): Promise<void> {
     for (let tries = 0; tries < 200; tries += 1) {
       if (holds()) return
@@ -162,6 +196,17 @@
     await until('whole', () => versions.whole === 'm@3')
   })
 
+  it('asks peers again for what turned bad in the staging memory', async () => {
+    const address = await peerWithAll(2)
+    const { versions, staging } = begin({ 2: 0 }, 1_000, [address])
+    versions.want({ model: 'm', version: 2 }, 1)
+    await until('whole from the peer', () => versions.whole === 'm@2')
+    staging.places.set(3, Buffer.from('spoilt 3'))
+    assert.equal(await versions.confirmWhole(), false)
+    await until('whole again', () => versions.whole === 'm@2')
+    assert.equal(await versions.confirmWhole(), true)
+  })
+
   it('takes a version that is named while another takes over', async () => {
     const { versions } = begin({})
     versions.want({ model: 'm', version: 2 }, 1)
