--- a/packages/core/src/lib/routing/version-overlap.ts
+++ b/packages/core/src/lib/routing/version-overlap.ts
@@ -14,6 +14,8 @@
   readonly version: number
   /** Whether it is complete and verified here. */
   readonly whole: boolean
+  /** The share of its chunks that are held here, 0 to 1. */
+  readonly progress: number
   /** The share of its chunks that are held here or by some peer, 0 to 1. */
   readonly known: number
 }
@@ -37,25 +39,20 @@
   | { readonly type: 'take-over', readonly why: 'newer-whole' | 'older-served' | 'older-late' | 'older-lost' }
 
 /**
- * The origin gives a version and the one before it. Of anything older only what instances hold is to be had.
+ * The share of an older version that must be here for it to be finished. What is left then takes a second of this instance's
+ * own link, which both versions share; from half a copy at the origin on, when a third was here, the older one served two
+ * seconds longer and the newer one came 1.5 s later, and engines switched twice.
  */
-const VERSIONS_AT_ORIGIN = 2
-/**
- * The share of chunks that must have left the origin for an older version to be finished. The rest of it then holds up the
- * newer one by half of a copy's time at most, and is there for the case that the origin goes away before the newer one is.
- */
-const LEAST_KNOWN = 0.5
+const LEAST_PROGRESS = 0.75
 
 /**
  * Whether an older version is worth finishing when a newer one is named.
  *
- * @param newest The version that is named.
  * @example
- * if (worthFinishing({ version: 2, whole: false, known: 1 }, 3)) collectBeside()
+ * if (worthFinishing({ version: 2, whole: false, progress: 0.9, known: 1 })) collectBeside()
  */
-export function worthFinishing ({ version, whole, known }: StagedVersion, newest: number): boolean {
-  if (whole || known >= 1) return true
-  return known >= LEAST_KNOWN && newest - version < VERSIONS_AT_ORIGIN
+export function worthFinishing ({ whole, progress }: StagedVersion): boolean {
+  return whole || progress >= LEAST_PROGRESS
 }
 
 /**
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -70,10 +70,12 @@
   get identity (): string { return this._weights.wanted }
   /** Whether it is complete and verified. */
   get whole (): boolean { return this.identity !== '' && this._weights.wholeDigest === this.identity }
+  /** The share of its chunks that are held here, 0 to 1. */
+  get progress (): number { return this._weights.progress }
   /** The share of its chunks that are held here or by some peer, 0 to 1; 0 while its manifest is not known. */
   get known (): number { return this._weights.currentManifest === undefined ? 0 : this._swarm?.known ?? 0 }
   /** Bytes that are still to come; 0 while the manifest is not known. */
-  get missingBytes (): number { return (1 - this._weights.progress) * (this._weights.currentManifest?.bytes ?? 0) }
+  get missingBytes (): number { return (1 - this.progress) * (this._weights.currentManifest?.bytes ?? 0) }
   /** When a chunk came last, by this process's clock; -Infinity for never. */
   get arrivedAt (): number { return this._swarm?.arrivedAt ?? -Infinity }
 
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -8,7 +8,7 @@
  * in this process until it takes over. Without the second, naming a version while the last was still on its way, or not
  * yet taken by all engines, threw the last away; with the origin away just then, nothing could be served for seconds.
  */
-import { overlapStep, worthFinishing, type ModelVersion, type SwitchTurn } from '@drumdrift/core'
+import { overlapStep, worthFinishing, type ModelVersion, type StagedVersion, type SwitchTurn } from '@drumdrift/core'
 import { ChunkStore } from '../agent/chunk-store.js'
 import type { ChunkSource } from '../agent/chunk-server.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
@@ -105,8 +105,8 @@
     const identity = identityOf(newest)
     if (identity === this._staging.identity || identity === this._ahead.identity) return
     const staged = this._stagedView()
-    const beside = staged !== undefined && served < staged.version && worthFinishing(staged, newest.version)
-    this._log.info('version-wanted', { ...newest, staging: staged?.version, staged_whole: staged?.whole, staged_known: staged?.known, beside })
+    const beside = staged !== undefined && served < staged.version && worthFinishing(staged)
+    this._log.info('version-wanted', { ...newest, staging: staged?.version, staged_progress: staged?.progress, staged_known: staged?.known, beside })
     if (beside) {
       this._aheadVersion = newest
       this._dropMemory()
@@ -156,9 +156,9 @@
   /** Verifies once more that the engine holds the whole of the target. */
   confirmWhole (): Promise<boolean> { return this._staging.confirmWhole() }
 
-  private _stagedView (): { version: number, whole: boolean, known: number } | undefined {
+  private _stagedView (): StagedVersion | undefined {
     if (this._stagedVersion === undefined) return undefined
-    return { version: this._stagedVersion.version, whole: this._staging.whole, known: this._staging.known }
+    return { version: this._stagedVersion.version, whole: this._staging.whole, progress: this._staging.progress, known: this._staging.known }
   }
 
   private _transferOf (identity: string): VersionTransfer | undefined {
