--- a/packages/core/src/lib/routing/early-refusal.ts
+++ b/packages/core/src/lib/routing/early-refusal.ts
@@ -4,8 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Whether a request starts now or is refused at once with a time to come back. A refusal costs its caller less than an
- * answer that is late, provided that the caller is served when it comes back.
+ * Whether a request starts now or is refused at once with a time to come back. What is started late makes the next one late
+ * too, so a pool that is asked for more than it can do serves more in time when it refuses the rest.
  */
 
 /** What a decision rests on; times in milliseconds. */
--- a/packages/core/src/lib/routing/engine-model.ts
+++ b/packages/core/src/lib/routing/engine-model.ts
@@ -20,7 +20,7 @@
   readonly waitingTokens: number
 }
 
-/** A pool whose description names no rate is taken to read this many prompt tokens in a millisecond. */
+/** A pool that is not known, or whose description names no rate, is taken to read this many prompt tokens in a millisecond. */
 export const ASSUMED_READ_RATE = 10
 
 /**
@@ -40,9 +40,9 @@
   return pool.usualAnswerTokens * stepTime(pool, running) + prompts
 }
 
-/** The prompt tokens that an engine reads in a millisecond. */
-export function readRate (pool: PoolDescription): number {
-  return pool.promptTokensPerMillisecond > 0 ? pool.promptTokensPerMillisecond : ASSUMED_READ_RATE
+/** The prompt tokens that an engine reads in a millisecond, also while its pool is not known yet. */
+export function readRate (pool: PoolDescription | undefined): number {
+  return pool !== undefined && pool.promptTokensPerMillisecond > 0 ? pool.promptTokensPerMillisecond : ASSUMED_READ_RATE
 }
 
 /** The time to read so many prompt tokens, in milliseconds. */
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -8,7 +8,7 @@
  * version when the switch decides so.
  */
 import {
-  ASSUMED_READ_RATE, readRate, UnreadTokens, usualWriteTime, VersionSwitch, type LoadReport, type ModelVersion, type PoolDescription, type SwitchTurn, type SwitchView
+  readRate, UnreadTokens, usualWriteTime, VersionSwitch, type LoadReport, type ModelVersion, type PoolDescription, type SwitchTurn, type SwitchView
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -130,7 +130,7 @@
     if (this._report === undefined || wanted === undefined || view === undefined) return
     const { running, waiting, busy, pace } = this._report
     const now = performance.now()
-    const unreadTokens = Math.round(this._unread.observe(this._report, this._readRate, now))
+    const unreadTokens = Math.round(this._unread.observe(this._report, readRate(this._parts.pool()), now))
     const closesAt = this._switch.plannedAt(view)
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._parts.onLoad({
@@ -138,11 +138,6 @@
     })
   }
 
-  private get _readRate (): number {
-    const pool = this._parts.pool()
-    return pool === undefined ? ASSUMED_READ_RATE : readRate(pool)
-  }
-
   /** Until the wanted version is whole, what runs has ended, and the version is loaded; nothing when it is served. */
   private _opensIn ({ running }: EngineReport, { model, version }: ModelVersion): number | undefined {
     const pool = this._parts.pool()
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  ASSUMED_READ_RATE, defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -63,7 +63,7 @@
   private readonly _chunks: ChunkServer
   private readonly _switcher: EngineSwitcher
   private readonly _published = new HoldingsPublisher(identity => this._versions.held(identity))
-  private readonly _publisher = new LoadPublisher(() => ({ readRate: this._readRate, slots: this._poolDescription?.slots ?? Infinity }))
+  private readonly _publisher = new LoadPublisher(() => ({ readRate: readRate(this._poolDescription), slots: this._poolDescription?.slots ?? Infinity }))
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
@@ -177,11 +177,6 @@
     return rate > 0 ? ORIGIN_PATIENCE_FACTOR * bytes / (rate * BYTES_PER_MEGABIT) * 1000 : defaultSwarmPolicy.originPatience
   }
 
-  /** Prompt tokens that the engine reads in a millisecond. */
-  private get _readRate (): number {
-    return this._poolDescription === undefined ? ASSUMED_READ_RATE : readRate(this._poolDescription)
-  }
-
   private _newSwitcher (): EngineSwitcher {
     return new EngineSwitcher({
       engine: this._platform.engine,
