After an outage of the store a version counts from when it is heard, not from before the outage

Cause: the repair of news that may have waited for a pause took the answer before as the earliest time, also when failures lay between. A version named while the store was away for seconds was heard with its bound nearly or wholly over, and what served before was given no more work while nothing newer was there. Change: only the pause right before a watch is taken off.

--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -95,9 +95,11 @@
   private async _follow ({ scope, pause: rest }: Watch): Promise<void> {
     let backoff = FIRST_BACKOFF
     let read = false
-    let answeredAt = performance.now()
+    let restedFrom: number | undefined
     while (!this._closed) {
       const askedAt = performance.now()
+      const notBefore = restedFrom ?? askedAt
+      restedFrom = undefined
       const answer = read ? await this._watch(scope) : await this._read(scope)
       if (this._closed) return
       if (answer.type === 'store-failure') {
@@ -113,11 +115,12 @@
         continue
       }
       this._answered(scope, answer.upTo)
-      if (read) this._takeChanges(scope, answer, changedFrom(answeredAt, askedAt, performance.now()))
+      if (read) this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
       else this._takeWhole(scope, answer)
       read = true
-      answeredAt = performance.now()
-      if (answer.changes.length > 0 && rest > 0) await pause(rest)
+      if (answer.changes.length === 0 || rest === 0) continue
+      restedFrom = performance.now()
+      await pause(rest)
     }
   }
 
@@ -215,9 +218,12 @@
 }
 
 /**
- * The earliest time at which the changes of a watch's answer may have come. After a pause they may be as old as the answer
- * before: taken for new, a version named in the pause would be held to a bound that is a pause too late.
+ * The time from which the changes of a watch's answer count. After a pause they may be as old as the answer before: taken for
+ * new, a version named in the pause would be held to a bound that is a pause too late. After a failure they count from when
+ * they are heard: how long the store was away must not shorten the time to bring a version.
+ *
+ * @param notBefore When the pause before the watch began, or else when the watch was asked.
  */
-function changedFrom (answeredBefore: number, askedAt: number, now: number): number {
-  return now - askedAt <= QUICK_ANSWER ? answeredBefore : now
+function changedFrom (notBefore: number, askedAt: number, now: number): number {
+  return now - askedAt <= QUICK_ANSWER ? notBefore : now
 }
--- a/packages/node/src/test/lib/routing/published-feed_test.ts
+++ b/packages/node/src/test/lib/routing/published-feed_test.ts
@@ -10,7 +10,7 @@
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
 import { PeerPool } from '../../../lib/peer/pool.js'
-import type { PublishedStore, StoreChanges } from '../../../lib/routing/ports.js'
+import type { PublishedStore, StoreChanges, StoreFailure } from '../../../lib/routing/ports.js'
 import { PublishedFeed } from '../../../lib/routing/published-feed.js'
 
 const PAUSE = 150
@@ -19,18 +19,19 @@
 const listed: PublishedChange = { type: 'endpoint', revision: 2, record }
 const named: PublishedChange = { type: 'wanted-version', revision: 3, wanted: { model: 'm', version: 2 } }
 
-/** Answers a reading with nothing, then each watch with the next changes after a while; the last watch hangs. */
+/** Answers a reading with nothing, then each watch with the next change, or a failure, after a while; the last watch hangs. */
 class StoreFake implements PublishedStore {
   readonly answeredAt: number[] = []
   private _upTo = 1
 
-  constructor (private readonly _answers: (readonly [after: number, change: PublishedChange])[]) {}
+  constructor (private readonly _answers: (readonly [after: number, change: PublishedChange | 'failure'])[]) {}
 
   async readWhole (): Promise<StoreChanges> { return { type: 'changes', changes: [], upTo: this._upTo, refused: [] } }
 
-  async awaitChanges (): Promise<StoreChanges> {
+  async awaitChanges (): Promise<StoreChanges | StoreFailure> {
     const [after, change] = this._answers.shift() ?? [60_000, listed]
     await new Promise(resolve => { setTimeout(resolve, after).unref() })
+    if (change === 'failure') return { type: 'store-failure', reason: 'timed-out', detail: 'no answer' }
     this.answeredAt.push(performance.now())
     this._upTo += 1
     return { type: 'changes', changes: [change], upTo: this._upTo, refused: [] }
@@ -41,13 +42,14 @@
   const open: { close (): void }[] = []
   afterEach(() => { for (const each of open.splice(0)) each.close() })
 
-  const cases: [name: string, after: number, expected: 'when the answer before came' | 'when it came'][] = [
-    ['that is told at once after a pause may have been named in it', 0, 'when the answer before came'],
-    ['for which a watch waited was named then', 700, 'when it came']
+  const cases: [name: string, between: (readonly [after: number, change: 'failure'])[], after: number, expected: 'when the answer before came' | 'when it came'][] = [
+    ['that is told at once after a pause may have been named in it', [], 0, 'when the answer before came'],
+    ['for which a watch waited was named then', [], 700, 'when it came'],
+    ['that is told after the store was away counts from when it is heard', [[400, 'failure']], 0, 'when it came']
   ]
-  for (const [name, after, expected] of cases) {
+  for (const [name, between, after, expected] of cases) {
     it(`a version ${name}`, async () => {
-      const store = new StoreFake([[0, listed], [after, named]])
+      const store = new StoreFake([[0, listed], ...between, [after, named]])
       const pool = new PeerPool({ instance: 'a', key: 'k' })
       const heard = new Promise<void>(resolve => {
         const feed: PublishedFeed = new PublishedFeed({
