--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -21,7 +21,6 @@
   readonly heardAt: number | undefined
   /** The identity that is staged whole; empty for none. */
   readonly whole: string
-  readonly turn: SwitchTurn
 }
 
 /** What the switcher works with. */
@@ -32,6 +31,8 @@
   /** See `VersionSwitch`; in milliseconds. */
   readonly versionBound: number
   readonly situation: () => SwitchSituation
+  /** The engine's turn among those of its zone; it takes some reckoning, so it is asked for only where it decides. */
+  readonly turn: () => SwitchTurn
   /** Verifies once more what is staged; false when something is missing or spoilt. */
   readonly confirmWhole: () => Promise<boolean>
   readonly onLoad: (load: LoadReport) => void
@@ -112,7 +113,7 @@
   }
 
   private _view (): SwitchView | undefined {
-    const { wanted, heardAt, whole, turn } = this._parts.situation()
+    const { wanted, heardAt, whole } = this._parts.situation()
     if (wanted === undefined) return undefined
     const identity = identityOf(wanted)
     return {
@@ -120,7 +121,7 @@
       heardAt,
       whole: whole === identity ? wanted.version : 0,
       engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
-      turn
+      turn: this._parts.turn()
     }
   }
 
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -48,13 +48,13 @@
   private _namedMeanwhile: ModelVersion | undefined
 
   /**
-   * @param _engine The engine's staging memory.
+   * @param engine The engine's staging memory.
    * @param memoryBytes Bytes of chunks kept in this process: of the staged version, and as many of the one ahead.
    */
-  constructor (parts: TransferParts, private readonly _engine: ChunkStaging, memoryBytes: number) {
+  constructor (parts: TransferParts, engine: ChunkStaging, memoryBytes: number) {
     this._log = parts.log
-    this._staging = new VersionTransfer(parts, _engine, new ChunkStore(_engine, memoryBytes))
-    this._memory = new MemoryStaging(_engine, memoryBytes)
+    this._staging = new VersionTransfer(parts, engine, new ChunkStore(engine, memoryBytes))
+    this._memory = new MemoryStaging(engine, memoryBytes)
     this._ahead = new VersionTransfer(parts, this._memory, new ChunkStore(this._memory, 0), memoryBytes)
   }
 
