Turns count from when any engine of the zone is whole, whatever its place

Cause: whether somebody of the zone was whole was read from this engine's own place, which is first also when those that are whole come after it; such an engine counted turns from its own time. Change: the zone's members are looked at. Test for both orders; one of them failed.

--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -150,10 +150,11 @@
   }
 
   private _noteZone (): void {
-    const { self, members } = this._parts
     if (this._zoneWholeAt !== undefined) return
-    const { index, of } = switchPlace(self, this._swarm?.wholePeers ?? [], members(), this.identity)
-    if (index > 0 && of > 1) this._zoneWholeAt = performance.now()
+    const { self, members } = this._parts
+    const whole = this._swarm?.wholePeers ?? []
+    const inZone = members().some(({ instance, availabilityZone }) => availabilityZone === self.availabilityZone && whole.includes(instance))
+    if (inZone) this._zoneWholeAt = performance.now()
   }
 
   private _follow (identity: string): void {
--- a/packages/node/src/test/lib/routing/versions-under-way_test.ts
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -7,7 +7,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
-import type { Manifest } from '@drumdrift/core'
+import { switchPlace, type Manifest } from '@drumdrift/core'
 import type { ChunkStaging } from '../../../lib/agent/engine-client.js'
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
@@ -92,9 +92,10 @@
     return { versions, origin, staging }
   }
 
-  /** A peer that holds all chunks of a version. */
-  async function peerWithAll (version: number): Promise<string> {
-    const address = `127.0.0.1:${await freePort()}`
+  /** A peer that holds all chunks of a version; it sends them unless it is mute. */
+  async function peerWithAll (version: number, mute = false, wanted: (address: string) => boolean = () => true): Promise<string> {
+    let address = ''
+    while (address === '' || !wanted(address)) address = `127.0.0.1:${await freePort()}`
     const holdings = new HoldingsPublisher(() => Array.from({ length: CHUNKS }, (_, index) => index))
     const server = new PeerServer({
       instance: 'peer',
@@ -105,7 +106,7 @@
       onRequest: (request, _payload, responder) => {
         if (request.type === 'follow-chunks') holdings.follow(request.identity, responder)
         if (request.type === 'manifest') responder.send({ type: 'no-chunk', reason: 'not-held' })
-        if (request.type !== 'chunk') return
+        if (request.type !== 'chunk' || mute) return
         const index = manifestOf(version).chunks.findIndex(({ digest }) => digest === request.digest)
         responder.send({ type: 'chunk', digest: request.digest }, chunkOf(version, index))
       }
@@ -207,6 +208,22 @@
     assert.equal(await versions.confirmWhole(), true)
   })
 
+  const orders: [name: string, index: number][] = [['before', 1], ['after', 0]]
+  for (const [name, index] of orders) {
+    it(`counts turns to switch from when the first of the zone is whole, also one whose place is ${name} its own`, async () => {
+      const placed = (address: string): boolean => switchPlace(self, [address], [self, { ...self, instance: address }], 'm@2').index === index
+      const address = await peerWithAll(2, true, placed)
+      const { versions } = begin({ 2: 0 }, 1_000, [address])
+      const begunAt = performance.now()
+      versions.want({ model: 'm', version: 2 }, 1)
+      await until('the peer is known to be whole', () => performance.now() - begunAt > 200 && versions.timeToWhole(1) !== undefined)
+      const { since } = versions.turn
+      await new Promise(resolve => setTimeout(resolve, 30))
+      assert.equal(versions.turn.since, since)
+      assert.equal(versions.whole, '')
+    })
+  }
+
   it('takes a version that is named while another takes over', async () => {
     const { versions } = begin({})
     versions.want({ model: 'm', version: 2 }, 1)
