--- a/packages/core/src/lib/routing/attempt-course.ts
+++ b/packages/core/src/lib/routing/attempt-course.ts
@@ -42,7 +42,7 @@
 }
 
 /** Answers of an endpoint from this status on count as its failure. */
-const LEAST_FAILURE_STATUS = 500
+export const LEAST_FAILURE_STATUS = 500
 
 /** The attempts of one request. */
 export class AttemptCourse {
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -69,6 +69,9 @@
   readonly byOthers: number
 }
 
+/** What the end of an attempt says of its endpoint. */
+export type EndpointHealth = 'good' | 'bad' | 'unclear'
+
 /** Why an endpoint is passed over for a while. */
 export type Avoidance = 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version'
 
@@ -179,7 +182,7 @@
   }
 
   /** A request has ended there. */
-  ended (id: string, request: string, health: 'good' | 'bad' | 'unclear', now: number): void {
+  ended (id: string, request: string, health: EndpointHealth, now: number): void {
     this._entry(id).load.ended(request)
     if (health === 'good') this._ejection.succeeded(id)
     else if (health === 'bad') this._ejection.failed(id, now)
--- a/packages/node/src/lib/routing/attempt-outcome.ts
+++ b/packages/node/src/lib/routing/attempt-outcome.ts
@@ -4,15 +4,10 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** What the end of an attempt says: of the endpoint's health, of how long to pass it over, and to those who read the log. */
-import type { AttemptEnd, Avoidance } from '@drumdrift/core'
-
-/** What an attempt says of its endpoint. */
-export type EndpointHealth = 'good' | 'bad' | 'unclear'
+import { LEAST_FAILURE_STATUS, type AttemptEnd, type Avoidance, type EndpointHealth } from '@drumdrift/core'
 
 /** Answers below this status are successes. */
 export const LEAST_UNSUCCESSFUL_STATUS = 300
-/** Failures of endpoints from this status on. */
-export const LEAST_FAILURE_STATUS = 500
 
 const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', cut: 'bad', stalled: 'bad' }
 
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,12 +9,12 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type OrganisationDescription, type RequestFailure, type Route
+  AttemptCourse, decideStart, LEAST_FAILURE_STATUS, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type OrganisationDescription, type RequestFailure, type Route
 } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
-import { avoidanceOf, healthOf, LEAST_FAILURE_STATUS, LEAST_UNSUCCESSFUL_STATUS, reasonOf } from './attempt-outcome.js'
+import { avoidanceOf, healthOf, LEAST_UNSUCCESSFUL_STATUS, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { ConnectionReserve } from './connection-reserve.js'
 import { connectPatience, EndpointCall, type EndpointCallEnd } from './endpoint-call.js'
