Tests take ports that no outgoing connection can be given

Cause: a run of the checks failed with EADDRINUSE on "gives nothing to an endpoint that drains". Tests found a free port by listening at one that the system drew, and closed it; the system draws the ports of outgoing connections from the same range, and one of them, of another test's process, took it before the process under test listened. Ruled out: a fault of the product; the test itself never got to its assertions. Change: one freePorts in the stand-ins, below the drawn range, in blocks by process; benchmarks and tests use it. The one test that cannot import the stand-ins listens at the first wanted address that is free.

--- a/packages/benchmarks/src/lib/fleet.ts
+++ b/packages/benchmarks/src/lib/fleet.ts
@@ -13,8 +13,7 @@
 import { join } from 'node:path'
 import { digestOfText, PeerPool } from 'drumdrift'
 import type { Configuration, InstanceRecord, PeerReply, PeerRequest, ProcessStatus } from '@drumdrift/core'
-import { defaultEngineTimes, EndpointHost, Link, PublishedService, WeightSource, type EngineTimes, type GeneratedVersion, type HostReply } from '@drumdrift/stand-ins'
-import { freePorts } from './ports.js'
+import { defaultEngineTimes, EndpointHost, freePorts, Link, PublishedService, WeightSource, type EngineTimes, type GeneratedVersion, type HostReply } from '@drumdrift/stand-ins'
 
 /** One endpoint with its agent. */
 export interface EndpointPlan {
--- a/packages/benchmarks/src/lib/requests-bench.ts
+++ b/packages/benchmarks/src/lib/requests-bench.ts
@@ -7,9 +7,9 @@
 import { fork, spawn, type ChildProcess } from 'node:child_process'
 import { fileURLToPath } from 'node:url'
 import { setTimeout as pause } from 'node:timers/promises'
+import { freePorts } from '@drumdrift/stand-ins'
 import { printFigures, quantile, twoDecimals, type BenchOptions } from './bench-options.js'
 import { startServing } from './load.js'
-import { freePorts } from './ports.js'
 import { processorMilliseconds } from './process-reading.js'
 
 const WORKERS = 4
--- a/packages/node/src/test/lib/routing/versions-under-way_test.ts
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -5,13 +5,13 @@
  */
 import assert from 'node:assert/strict'
 import { createHash } from 'node:crypto'
-import { createServer, type AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { switchPlace, type Manifest } from '@drumdrift/core'
 import type { ChunkStaging } from '../../../lib/agent/engine-client.js'
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
+import type { RequestHandler } from '../../../lib/peer/connection.js'
 import { PeerPool } from '../../../lib/peer/pool.js'
 import { PeerServer } from '../../../lib/peer/server.js'
 import { HoldingsPublisher } from '../../../lib/routing/chunk-holdings.js'
@@ -21,12 +21,19 @@
 const self = { instance: '127.0.0.1:1', availabilityZone: 'koshi' }
 
 function chunkOf (version: number, index: number): Buffer { return Buffer.from(`v${version} chunk ${index}`) }
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
+/** Below the ports that outgoing connections are given, and away from those that other tests look for. */
+const FIRST_PORT = 10_000
+let portsTried = 0
+
+/** Listens at the first wanted address that is free. */
+async function listenAtWanted (onRequest: RequestHandler, wanted: (address: string) => boolean): Promise<{ server: PeerServer, address: string }> {
+  for (;;) {
+    const address = `127.0.0.1:${FIRST_PORT + portsTried++}`
+    if (!wanted(address)) continue
+    const server = new PeerServer({ instance: 'peer', key: 'k', address, log, traffic: { sent: 0, received: 0 }, onRequest })
+    const listens = await server.listen().then(() => true, () => false)
+    if (listens) return { server, address }
+  }
 }
 
 function digestOf (bytes: Buffer): string { return createHash('sha256').update(bytes).digest('hex') }
@@ -94,24 +101,15 @@
 
   /** A peer that holds all chunks of a version; it sends them unless it is mute. */
   async function peerWithAll (version: number, mute = false, wanted: (address: string) => boolean = () => true): Promise<string> {
-    let address = ''
-    while (address === '' || !wanted(address)) address = `127.0.0.1:${await freePort()}`
     const holdings = new HoldingsPublisher(() => Array.from({ length: CHUNKS }, (_, index) => index))
-    const server = new PeerServer({
-      instance: 'peer',
-      key: 'k',
-      address,
-      log,
-      traffic: { sent: 0, received: 0 },
-      onRequest: (request, _payload, responder) => {
-        if (request.type === 'follow-chunks') holdings.follow(request.identity, responder)
-        if (request.type === 'manifest') responder.send({ type: 'no-chunk', reason: 'not-held' })
-        if (request.type !== 'chunk' || mute) return
-        const index = manifestOf(version).chunks.findIndex(({ digest }) => digest === request.digest)
-        responder.send({ type: 'chunk', digest: request.digest }, chunkOf(version, index))
-      }
-    })
-    await server.listen()
+    const onRequest: RequestHandler = (request, _payload, responder) => {
+      if (request.type === 'follow-chunks') holdings.follow(request.identity, responder)
+      if (request.type === 'manifest') responder.send({ type: 'no-chunk', reason: 'not-held' })
+      if (request.type !== 'chunk' || mute) return
+      const index = manifestOf(version).chunks.findIndex(({ digest }) => digest === request.digest)
+      responder.send({ type: 'chunk', digest: request.digest }, chunkOf(version, index))
+    }
+    const { server, address } = await listenAtWanted(onRequest, wanted)
     open.push(holdings, server)
     return address
   }
