--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -13,53 +13,8 @@
 import type { FetchProblem, TransferCourse, TransferEffect } from '../transfer.js'
 import { ChunkPlaces } from './chunk-places.js'
 import { PullWindow } from './pull-window.js'
-
-/** Bounds of a swarm; times in milliseconds. */
-export interface SwarmPolicy {
-  /** Chunks asked of peers at once. */
-  readonly peerWindow: number
-  /** Chunks asked of the origin at once. */
-  readonly originWindow: number
-  /** A peer that has not delivered a chunk after this is passed over. */
-  readonly peerTimeout: number
-  readonly originTimeout: number
-  /** Time that the origin takes for one copy: nobody steps in for the member whose turn it is before that. */
-  readonly originPatience: number
-  /** Added wait, for each further turn. */
-  readonly originStagger: number
-  /** The same for the way into a zone. */
-  readonly zoneStagger: number
-}
-
-/**
- * The policy that daemons use. Windows: peers send one chunk after the other, so several must be asked for one to be on
- * its way; measured on 15 members with 5 Mbit/s each, six and two bring a version of 2.4 MB in 5.2 s, three and two in
- * 5.7 s, two and one in 6.4 s, and answers beside them fare alike. One at a time from the origin, whose link all share, lets the
- * first chunks come in half the time, so that peers have something to pull. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
- * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. Staggers: several times what a sound member
- * needs for its chunks.
- */
-export const defaultSwarmPolicy: SwarmPolicy = {
-  peerWindow: 6, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
-}
-
-/** Bounds on what a swarm asks for at once. */
-export interface SwarmLimit {
-  /** Chunks asked of peers. */
-  readonly peers: number
-  /** Chunks asked of the origin. */
-  readonly origin: number
-}
-
-interface Peer {
-  readonly availabilityZone: string
-  readonly held: Set<number>
-  outstanding: number
-  failures: number
-  avoidUntil: number
-  /** The time that its chunks take, smoothed. */
-  took: number
-}
+import { SwarmPeers } from './swarm-peers.js'
+import { defaultSwarmPolicy, type SwarmLimit, type SwarmPolicy } from './swarm-policy.js'
 
 interface Pull {
   readonly index: number
@@ -71,15 +26,6 @@
 
 /** Before the origin is asked again for a chunk that it failed to give, in milliseconds. */
 const ORIGIN_RETRY = 150
-/** A peer that failed is passed over for so long, doubling, up to the longest. In milliseconds. */
-const FIRST_AVOIDANCE = 300
-const LONGEST_AVOIDANCE = 4_000
-const TOOK_SMOOTHING = 0.3
-/**
- * A pull from the predecessor in the ring of the zone counts as so much of one from another peer. With the choice by chance
- * alone several peers sent to one member at once, whose link then held requests up by 50 to 150 ms, and to others none did.
- */
-const PREDECESSOR_COST = 0.25
 /** A pull that takes so many times the usual is asked of a second peer too, near the end of a transfer. */
 const HEDGE_FACTOR = 3
 /** Chunks missing at the end of a transfer for which hedging pays. */
@@ -88,7 +34,7 @@
 /** The transfer of one version to one member. */
 export class ChunkSwarm implements TransferCourse {
   private readonly _missing = new Set<number>()
-  private readonly _peers = new Map<string, Peer>()
+  private readonly _peers: SwarmPeers
   private readonly _pulls = new Map<number, Pull>()
   private readonly _originRetryAt = new Map<number, number>()
   /** When each chunk was first seen at a peer of another zone. */
@@ -120,6 +66,7 @@
     private readonly _policy: SwarmPolicy = defaultSwarmPolicy
   ) {
     this._places = new ChunkPlaces(_self, members)
+    this._peers = new SwarmPeers(_self, _draw)
     this._window = new PullWindow(_policy.peerWindow)
     this._limit = { peers: _policy.peerWindow, origin: _policy.originWindow }
     this.setMembers(members)
@@ -131,14 +78,13 @@
 
   /** The share of chunks that are held here or by some peer, 0 to 1. */
   get known (): number {
-    const peers = [...this._peers.values()]
-    const unknown = [...this._missing].filter(index => !peers.some(({ held }) => held.has(index)))
+    const unknown = [...this._missing].filter(index => !this._peers.hold(index))
     return 1 - unknown.length / this._manifest.chunks.length
   }
 
   /** Peers that hold every chunk. */
   get wholePeers (): string[] {
-    return [...this._peers].filter(([, { held }]) => held.size === this._manifest.chunks.length).map(([instance]) => instance)
+    return this._peers.holdersOf(this._manifest.chunks.length)
   }
 
   /** When a chunk came last; -Infinity for never. */
@@ -154,10 +100,7 @@
   setMembers (members: readonly ChunkMember[]): void {
     this._members = members
     this._deal()
-    for (const { instance, availabilityZone } of members) {
-      if (instance === this._self.instance || this._peers.has(instance)) continue
-      this._peers.set(instance, { availabilityZone, held: new Set(), outstanding: 0, failures: 0, avoidUntil: -Infinity, took: 0 })
-    }
+    this._peers.add(members)
   }
 
   /** A peer answers. */
@@ -165,8 +108,7 @@
 
   /** A peer told that it holds chunks. */
   peerHolds (instance: string, chunks: Iterable<number>): void {
-    const peer = this._peers.get(instance)
-    if (peer !== undefined) for (const chunk of chunks) peer.held.add(chunk)
+    this._peers.holds(instance, chunks)
   }
 
   /** A peer was lost: what it holds is unknown until it tells again. */
@@ -205,10 +147,8 @@
     if (pull === undefined) return []
     this._missing.delete(pull.index)
     this._arrivedAt = now
-    const peer = pull.peer === undefined ? undefined : this._peers.get(pull.peer)
-    if (peer !== undefined) {
-      peer.failures = 0
-      peer.took += TOOK_SMOOTHING * (now - pull.startedAt - peer.took)
+    if (pull.peer !== undefined) {
+      this._peers.delivered(pull.peer, now - pull.startedAt)
       this._window.took(now - pull.startedAt, now)
     }
     const others = [...this._pulls].filter(([, other]) => other.index === pull.index)
@@ -270,37 +210,22 @@
   private _hedge (index: number, flying: readonly Pull[], now: number): TransferEffect | undefined {
     const [first] = flying
     if (flying.length > 1 || first?.peer === undefined || this._missing.size > HEDGE_MISSING) return undefined
-    const usual = this._usualTook()
+    const usual = this._peers.usualTook
     if (usual === 0 || now - first.startedAt < HEDGE_FACTOR * usual) return undefined
     const other = this._peerFor(index, now, first.peer)
     return other === undefined ? undefined : this._pull(index, other, now)
   }
 
-  private _usualTook (): number {
-    const known = [...this._peers.values()].map(({ took }) => took).filter(took => took > 0).sort((left, right) => left - right)
-    return known[Math.floor(known.length / 2)] ?? 0
-  }
-
   /** The holder that is to be asked: of the own zone if there is one, else of another when this member may bring it in. */
   private _peerFor (index: number, now: number, except = ''): string | undefined {
-    const holders = [...this._peers].filter(([name, peer]) => name !== except && peer.held.has(index) && now >= peer.avoidUntil)
-    const own = holders.filter(([, peer]) => peer.availabilityZone === this._self.availabilityZone)
-    if (own.length > 0) return this._leastBusy(own)
+    const holders = this._peers.sources(index, now, except)
+    const own = holders.filter(({ availabilityZone }) => availabilityZone === this._self.availabilityZone)
+    if (own.length > 0) return this._peers.leastBusy(own, this._places.predecessor)
     if (holders.length === 0) return undefined
     const seenAt = this._seenAbroadAt.get(index) ?? now
     this._seenAbroadAt.set(index, seenAt)
     const { inZone } = this._places.turn(index)
-    return now - seenAt >= inZone * this._policy.zoneStagger ? this._leastBusy(holders) : undefined
-  }
-
-  private _leastBusy (holders: readonly (readonly [string, Peer])[]): string | undefined {
-    let best: { readonly name: string, readonly cost: number } | undefined
-    for (const [name, peer] of holders) {
-      const share = name === this._places.predecessor ? PREDECESSOR_COST : 1
-      const cost = share * (peer.outstanding + 1) * Math.max(1, peer.took) * (1 + this._draw())
-      if (best === undefined || cost < best.cost) best = { name, cost }
-    }
-    return best?.name
+    return now - seenAt >= inZone * this._policy.zoneStagger ? this._peers.leastBusy(holders, this._places.predecessor) : undefined
   }
 
   private _mayReadOrigin (index: number, now: number): boolean {
@@ -355,12 +280,8 @@
       if (problem !== 'corrupt') this._originFailedAt = now
       return
     }
-    const peer = this._peers.get(name)
-    if (peer === undefined) return
     // A piece may turn bad where it lies: its holder then says that it has none.
-    if (problem === 'not-held' || problem === 'corrupt') peer.held.delete(index)
-    if (problem === 'not-held') return
-    peer.avoidUntil = now + Math.min(LONGEST_AVOIDANCE, FIRST_AVOIDANCE * 2 ** peer.failures)
-    peer.failures += 1
+    if (problem === 'not-held' || problem === 'corrupt') this._peers.get(name)?.held.delete(index)
+    if (problem !== 'not-held') this._peers.failed(name, now)
   }
 }
--- /dev/null
+++ b/packages/core/src/lib/routing/swarm-policy.ts
@@ -0,0 +1,43 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** The bounds of a swarm: how much it asks for at once, and how long it waits for it. */
+
+/** Bounds of a swarm; times in milliseconds. */
+export interface SwarmPolicy {
+  /** Chunks asked of peers at once. */
+  readonly peerWindow: number
+  /** Chunks asked of the origin at once. */
+  readonly originWindow: number
+  /** A peer that has not delivered a chunk after this is passed over. */
+  readonly peerTimeout: number
+  readonly originTimeout: number
+  /** Time that the origin takes for one copy: nobody steps in for the member whose turn it is before that. */
+  readonly originPatience: number
+  /** Added wait, for each further turn. */
+  readonly originStagger: number
+  /** The same for the way into a zone. */
+  readonly zoneStagger: number
+}
+
+/**
+ * The policy that daemons use. Windows: peers send one chunk after the other, so several must be asked for one to be on
+ * its way; measured on 15 members with 5 Mbit/s each, six and two bring a version of 2.4 MB in 5.2 s, three and two in
+ * 5.7 s, two and one in 6.4 s, and answers beside them fare alike. One at a time from the origin, whose link all share, lets the
+ * first chunks come in half the time, so that peers have something to pull. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
+ * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. Staggers: several times what a sound member
+ * needs for its chunks.
+ */
+export const defaultSwarmPolicy: SwarmPolicy = {
+  peerWindow: 6, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
+}
+
+/** Bounds on what a swarm asks for at once. */
+export interface SwarmLimit {
+  /** Chunks asked of peers. */
+  readonly peers: number
+  /** Chunks asked of the origin. */
+  readonly origin: number
+}
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -8,7 +8,8 @@
 import type { ChunkMember } from '../../../lib/chunk-tree.js'
 import type { Manifest } from '../../../lib/documents.js'
 import { ChunkPlaces } from '../../../lib/routing/chunk-places.js'
-import { ChunkSwarm, defaultSwarmPolicy, type SwarmLimit } from '../../../lib/routing/chunk-swarm.js'
+import { ChunkSwarm } from '../../../lib/routing/chunk-swarm.js'
+import { defaultSwarmPolicy, type SwarmLimit } from '../../../lib/routing/swarm-policy.js'
 import type { TransferEffect } from '../../../lib/transfer.js'
 
 const CHUNKS = 12
