Switches are told ahead, and engines switch until 400 ms before the bound

Engines that told their switch 0.3 s ahead were out for 1.9 s, those that told it 1.2 s ahead for 1.0 s: entries had given the others long answers. Ruled out: slow transfers (whole after 4.6 s, the link allows 4.2 s); the loading itself (0.3 s).

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -102,7 +102,7 @@
  * What it costs, in milliseconds, to leave an engine with a millisecond of work when it wants to switch to another
  * version: that long it takes nothing new, though it still works on what it has.
  */
-const CLOSING_PRICE = 0.5
+const CLOSING_PRICE = 1.5
 /**
  * What an engine of a pool that tells nothing of itself is taken to be slower, in milliseconds: about two prompts of usual
  * size that nobody knows of. Its agent may just not be reached yet, and all entries would think it idle.
--- a/packages/core/src/lib/routing/version-switch.ts
+++ b/packages/core/src/lib/routing/version-switch.ts
@@ -23,6 +23,8 @@
 export interface SwitchTurn {
   /** Its place among those that hold the version whole, this one included; 0 for the first. */
   readonly index: number
+  /** Its place once all engines of the zone hold it. */
+  readonly finalIndex: number
   /** Engines of the zone. */
   readonly of: number
   /** When the first of the zone held the version whole, by this process's clock. */
@@ -37,6 +39,8 @@
   readonly heardAt: number | undefined
   /** The version that is staged whole; 0 for none. */
   readonly whole: number
+  /** Milliseconds until the wanted version is staged whole, by the rate of the link; nothing when that is not known. */
+  readonly wholeIn: number | undefined
   readonly engine: EngineState | undefined
   readonly turn: SwitchTurn
 }
@@ -53,6 +57,12 @@
 /** Peers that were whole at the same time are known so much later, in milliseconds: they tell it every 60 ms. */
 const TELL_TIME = 150
 
+/**
+ * So long before it is whole a switch is foretold, in milliseconds: the time of an answer of usual size. Entries then give
+ * long answers to engines that switch later.
+ */
+const LONGEST_NOTICE = 1_500
+
 /** Before an order is given again, in milliseconds. */
 const retryPauses: Record<OrderResult, number> = { begun: 300, done: 0, refused: 300, unreachable: 200, 'not-whole': 100 }
 
@@ -80,19 +90,24 @@
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
     if (heardAt === undefined || now >= heardAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
-    return now >= this._turnAt(heardAt, turn) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+    return now >= this._turnAt(heardAt, turn, this._wholeAt) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
   }
 
-  /** When the engine's turn comes; nothing while no switch is planned. */
-  plannedAt ({ wanted, heardAt, whole, engine, turn }: SwitchView): number | undefined {
-    const planned = wanted > 0 && whole === wanted && this._wholeVersion === wanted && engine !== undefined && engine.version > 0 && engine.version < wanted
-    return planned && heardAt !== undefined ? this._turnAt(heardAt, turn) : undefined
+  /**
+   * When the engine's turn comes; nothing while no switch is planned. Shortly before the version is whole it is foretold, by
+   * the places that engines will have once all of them hold it.
+   */
+  plannedAt ({ wanted, heardAt, whole, wholeIn, engine, turn }: SwitchView, now: number): number | undefined {
+    if (wanted === 0 || heardAt === undefined || engine === undefined || engine.version === 0 || engine.version >= wanted) return undefined
+    if (whole === wanted && this._wholeVersion === wanted) return this._turnAt(heardAt, turn, this._wholeAt)
+    if (wholeIn === undefined || wholeIn > LONGEST_NOTICE) return undefined
+    return this._turnAt(heardAt, { ...turn, index: turn.finalIndex }, now + wholeIn)
   }
 
   /** Turns lie evenly between when the first of the zone is whole and when the last one must begin. */
-  private _turnAt (heardAt: number, { index, of, since }: SwitchTurn): number {
+  private _turnAt (heardAt: number, { index, of, since }: SwitchTurn, wholeAt: number): number {
     const pause = Math.max(0, heardAt + this._bound - this._lead - since) / Math.max(1, of - 1)
-    return Math.max(this._wholeAt + TELL_TIME, since + index * pause)
+    return Math.max(wholeAt + TELL_TIME, since + index * pause)
   }
 
   /** An order was answered. */
@@ -117,9 +132,9 @@
  * @example
  * const { index, of } = switchPlace(self, ['10.0.0.7:7700'], members, 'drafting@2')
  */
-export function switchPlace (self: ChunkMember, whole: readonly string[], members: readonly ChunkMember[], identity: string): Pick<SwitchTurn, 'index' | 'of'> {
+export function switchPlace (self: ChunkMember, whole: readonly string[], members: readonly ChunkMember[], identity: string): Pick<SwitchTurn, 'index' | 'finalIndex' | 'of'> {
   const zone = new Set([self.instance, ...members.filter(({ availabilityZone }) => availabilityZone === self.availabilityZone).map(({ instance }) => instance)])
   const ready = whole.filter(instance => zone.has(instance))
-  const order = rendezvousOrder([...new Set([self.instance, ...ready])], identity)
-  return { index: order.indexOf(self.instance), of: zone.size }
+  const placeAmong = (instances: Iterable<string>): number => rendezvousOrder([...instances], identity).indexOf(self.instance)
+  return { index: placeAmong(new Set([self.instance, ...ready])), finalIndex: placeAmong(zone), of: zone.size }
 }
--- a/packages/core/src/test/lib/routing/load-news_test.ts
+++ b/packages/core/src/test/lib/routing/load-news_test.ts
@@ -35,6 +35,19 @@
   it('does not tell that a planned switch comes nearer', () => {
     assert.equal(isLoadNews({ ...told, closesIn: 400 }, { told: { ...told, closesIn: 500 }, age: 0, readRate: 20, slots: 16 }), false)
   })
+  const closings: [name: string, before: number, closesIn: number, age: number, news: boolean][] = [
+    ['a planned switch that comes nearer with time', 500, 400, 100, false],
+    ['a planned switch that comes a little sooner', 500, 360, 0, false],
+    ['a planned switch that does not come nearer', 500, 500, 200, true],
+    ['a planned switch that is put off', 500, 900, 0, true]
+  ]
+  for (const [name, before, closesIn, age, news] of closings) {
+    it(`${news ? 'tells' : 'does not tell'} ${name}`, () => {
+      const earlier = { ...told, closesIn: before }
+      assert.equal(isLoadNews({ ...earlier, closesIn }, { told: earlier, age, readRate: 0, slots: 16 }), news)
+    })
+  }
+
   const openings: [name: string, before: number, opensIn: number, age: number, news: boolean][] = [
     ['an opening that comes nearer', 800, 700, 100, false],
     ['an opening that comes a little late', 800, 900, 100, false],
--- a/packages/core/src/test/lib/routing/version-switch_test.ts
+++ b/packages/core/src/test/lib/routing/version-switch_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { switchPlace, VersionSwitch, type SwitchView } from '../../../lib/routing/version-switch.js'
+import { switchPlace, VersionSwitch, type SwitchTurn, type SwitchView } from '../../../lib/routing/version-switch.js'
 
 const BOUND = 8_000
 const LEAD = 600
@@ -13,9 +13,12 @@
 /** The version was whole so long after its naming. */
 const WHOLE = NAMED + 5_000
 
-const view: SwitchView = { wanted: 2, heardAt: NAMED, whole: 2, engine: { version: 1, busy: false }, turn: { index: 1, of: 3, since: WHOLE } }
+/** A turn among three engines that will all hold the version in the end. */
+function turnOf (index: number, since = WHOLE, of = 3): SwitchTurn { return { index, finalIndex: index, of, since } }
 
-const last = { index: 2, of: 3, since: WHOLE }
+const view: SwitchView = { wanted: 2, heardAt: NAMED, whole: 2, wholeIn: 0, engine: { version: 1, busy: false }, turn: turnOf(1) }
+
+const last = turnOf(2)
 
 /** What is decided at a time, when the version was whole since `WHOLE`. */
 function decide (part: Partial<SwitchView>, now: number): string {
@@ -28,14 +31,14 @@
 describe('VersionSwitch', () => {
   // The last engine starts at NAMED + BOUND - LEAD, 2,400 ms after the version is whole.
   const cases: [name: string, part: Partial<SwitchView>, now: number, expected: string][] = [
-    ['the first of a zone as soon as it would know of others', { turn: { index: 0, of: 3, since: WHOLE } }, WHOLE + 150, 'turn'],
-    ['it not before', { turn: { index: 0, of: 3, since: WHOLE } }, WHOLE + 149, 'wait'],
+    ['the first of a zone as soon as it would know of others', { turn: turnOf(0) }, WHOLE + 150, 'turn'],
+    ['it not before', { turn: turnOf(0) }, WHOLE + 149, 'wait'],
     ['the middle one not before its turn', {}, WHOLE + 1_199, 'wait'],
     ['the middle one at its turn', {}, WHOLE + 1_200, 'turn'],
-    ['one that is whole after its turn had come', { turn: { index: 1, of: 3, since: WHOLE - 2_000 } }, WHOLE + 200, 'turn'],
+    ['one that is whole after its turn had come', { turn: turnOf(1, WHOLE - 2_000) }, WHOLE + 200, 'turn'],
     ['the last one when entries give the old version nothing any more', { turn: last }, NAMED + BOUND - LEAD, 'turn'],
     ['it not before', { turn: last }, NAMED + BOUND - LEAD - 1, 'wait'],
-    ['an engine that is alone in its zone at once', { turn: { index: 0, of: 1, since: WHOLE } }, WHOLE + 150, 'turn'],
+    ['an engine that is alone in its zone at once', { turn: turnOf(0, WHOLE, 1) }, WHOLE + 150, 'turn'],
     ['an empty engine at once', { engine: { version: 0, busy: false }, turn: last }, WHOLE, 'empty'],
     ['any engine after the bound', { turn: last }, NAMED + BOUND, 'late'],
     ['any engine when the time of the naming is unknown', { heardAt: undefined, turn: last }, WHOLE, 'late'],
@@ -57,13 +60,26 @@
     assert.equal(versionSwitch.step(view, WHOLE + 2_300).type, 'order')
   })
 
-  it('tells when its turn comes only while a switch is planned', () => {
-    const versionSwitch = new VersionSwitch(BOUND, LEAD)
-    versionSwitch.step({ ...view, engine: undefined }, WHOLE)
-    assert.equal(versionSwitch.plannedAt(view), WHOLE + 1_200)
-    assert.equal(versionSwitch.plannedAt({ ...view, whole: 0 }), undefined)
-    assert.equal(versionSwitch.plannedAt({ ...view, engine: { version: 2, busy: false } }), undefined)
-  })
+  const soon = { whole: 0, wholeIn: 1_000 }
+  const plans: [name: string, part: Partial<SwitchView>, now: number, expected: number | undefined][] = [
+    ['its turn when the version is whole', {}, WHOLE, WHOLE + 1_200],
+    ['its turn ahead when the version will soon be whole', { ...soon, turn: turnOf(1, WHOLE - 1_000) }, WHOLE - 1_000, WHOLE + 700],
+    ['the first turn not before the version is whole', { ...soon, turn: turnOf(0) }, WHOLE, WHOLE + 1_150],
+    ['the turn that it will have when all are whole', { ...soon, turn: { ...turnOf(0), finalIndex: 2 } }, WHOLE, WHOLE + 2_400],
+    ['nothing while it takes long until the version is whole', { whole: 0, wholeIn: 1_600 }, WHOLE, undefined],
+    ['nothing while it is not known when the version is whole', { whole: 0, wholeIn: undefined }, WHOLE, undefined],
+    ['nothing when the engine serves the version', { engine: { version: 2, busy: false } }, WHOLE, undefined],
+    ['nothing when the engine is empty', { engine: { version: 0, busy: false } }, WHOLE, undefined],
+    ['nothing when the engine is silent', { engine: undefined }, WHOLE, undefined],
+    ['nothing when the time of the naming is unknown', { heardAt: undefined }, WHOLE, undefined]
+  ]
+  for (const [name, part, now, expected] of plans) {
+    it(`tells ${name}`, () => {
+      const versionSwitch = new VersionSwitch(BOUND, LEAD)
+      versionSwitch.step({ ...view, engine: undefined }, WHOLE)
+      assert.equal(versionSwitch.plannedAt({ ...view, ...part }, now), expected)
+    })
+  }
 })
 
 describe('switchPlace', () => {
@@ -86,6 +102,11 @@
     assert.equal(indexOf(first, [second]), 0)
   })
 
+  it('tells the place that it will have when all are whole', () => {
+    const finalIndexOf = (instance: string): number => switchPlace({ instance, availabilityZone: 'koshi' }, [], members, 'm@2').finalIndex
+    for (const name of names) assert.equal(finalIndexOf(name), indexOf(name, names))
+  })
+
   const zones: [name: string, self: string, expected: number][] = [
     ['counts the engines of its zone, whole or not', 'a', 4],
     ['counts one that the list does not show yet', 'new', 5]
@@ -93,7 +114,8 @@
   for (const [name, instance, expected] of zones) {
     it(name, () => {
       const others = [...members, { instance: 'x', availabilityZone: 'bagmati' }]
-      assert.deepEqual(switchPlace({ instance, availabilityZone: 'koshi' }, ['x'], others, 'm@2'), { index: 0, of: expected })
+      const { index, of } = switchPlace({ instance, availabilityZone: 'koshi' }, ['x'], others, 'm@2')
+      assert.deepEqual({ index, of }, { index: 0, of: expected })
     })
   }
 })
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -50,7 +50,7 @@
  * The last engine of a zone switches so long before the bound, in milliseconds: entries give nothing to the old version from
  * then on, so an engine that still holds it does better to switch at once.
  */
-const SWITCH_LEAD = 900
+const SWITCH_LEAD = 400
 
 /** The engine of one agent. */
 export class EngineSwitcher {
@@ -120,6 +120,7 @@
       wanted: wanted.version,
       heardAt,
       whole: whole === identity ? wanted.version : 0,
+      wholeIn: this._parts.timeToWhole(),
       engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
       turn: this._parts.turn()
     }
@@ -132,7 +133,7 @@
     const { running, waiting, busy, pace } = this._report
     const now = performance.now()
     const unreadTokens = Math.round(this._unread.observe(this._report, readRate(this._parts.pool()), now))
-    const closesAt = this._switch.plannedAt(view)
+    const closesAt = this._switch.plannedAt(view, now)
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._parts.onLoad({
       running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn, opensIn: this._opensIn(this._report, wanted)
