Chunks leave the origin by a schedule that all members share; recovery waits for neither the list nor the manifest

Ruled out: the origin's link alone; chunks that turned bad. Change: chunks leave the origin in their order, counted from when the version was named; one that is overdue for 0.4 s, later when the origin is behind as a whole, is read by the member whose turn is next. Peers tell what they heard of besides what they hold, and of other zones those are followed that read what this member brings in. Manifests: 0.4 s for the parent, 20 ms a rank. Agents with staged chunks fetch the manifest before they know the list; an engine is looked at as soon as a version is whole.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -18,7 +18,7 @@
 import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
 
 /** Raised when a change to the messages would be misread by older processes. */
-export const PROTOCOL_VERSION = 1
+export const PROTOCOL_VERSION = 2
 
 /** A caller's request as it goes to an agent, without its body. */
 export interface ForwardedRequest {
@@ -136,8 +136,8 @@
   | { readonly type: 'left', readonly lifecycle: Lifecycle }
   | { readonly type: 'news', readonly delta: PublishedDelta }
   | { readonly type: 'load', readonly load: LoadReport }
-  /** Chunks that are newly held, by their index. */
-  | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[] }
+  /** Chunks that are newly held, and those that some other member holds, by their index. */
+  | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[] }
   /** Parts of an answer, numbered from 0; the payload is the data. */
   | { readonly type: 'head', readonly head: AnswerHead }
   | { readonly type: 'part', readonly sequence: number, readonly events: number }
--- a/packages/core/src/lib/routing/chunk-places.ts
+++ b/packages/core/src/lib/routing/chunk-places.ts
@@ -23,9 +23,9 @@
 
 /** The turns of one member over a member list. */
 export class ChunkPlaces {
-  private readonly _zoneCount: number
+  /** The members of each zone, in the order in which they take turns. */
+  private readonly _rings: readonly (readonly string[])[]
   private readonly _zoneIndex: number
-  private readonly _zoneSize: number
   private readonly _position: number
   /**
    * The member before this one in the ring of its zone; this one itself when it is alone. Each member is that of one other, so
@@ -44,10 +44,9 @@
       zones.set(availabilityZone, zone.add(instance))
     }
     const names = rendezvousOrder([...zones.keys()], 'zones')
-    const ring = rendezvousOrder([...zones.get(self.availabilityZone) ?? []], 'ring')
-    this._zoneCount = names.length
+    this._rings = names.map(name => rendezvousOrder([...zones.get(name) ?? []], 'ring'))
     this._zoneIndex = names.indexOf(self.availabilityZone)
-    this._zoneSize = ring.length
+    const ring = this._rings[this._zoneIndex] ?? []
     this._position = ring.indexOf(self.instance)
     this.predecessor = ring.at(this._position - 1) ?? self.instance
   }
@@ -59,8 +58,17 @@
    * if (places.turn(7).overall === 0) readFromOrigin(7)
    */
   turn (chunk: number): ChunkTurn {
-    const ofZone = (this._zoneIndex + chunk) % this._zoneCount
-    const inZone = (this._position + Math.floor(chunk / this._zoneCount)) % this._zoneSize
-    return { inZone, ofZone, overall: ofZone + inZone * this._zoneCount }
+    const zoneCount = this._rings.length
+    const zoneSize = this._rings[this._zoneIndex]?.length ?? 1
+    const ofZone = (this._zoneIndex + chunk) % zoneCount
+    const inZone = (this._position + Math.floor(chunk / zoneCount)) % zoneSize
+    return { inZone, ofZone, overall: ofZone + inZone * zoneCount }
+  }
+
+  /** The member that reads a chunk from the origin: the one whose turn is the first of all. */
+  reader (chunk: number): string {
+    const zoneCount = this._rings.length
+    const ring = this._rings[(zoneCount - chunk % zoneCount) % zoneCount] ?? []
+    return ring[(ring.length - Math.floor(chunk / zoneCount) % ring.length) % ring.length] ?? ''
   }
 }
--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/chunk-swarm.ts
@@ -12,6 +12,7 @@
 import type { Manifest } from '../documents.js'
 import type { FetchProblem, TransferCourse, TransferEffect } from '../transfer.js'
 import { ChunkPlaces } from './chunk-places.js'
+import { OriginSchedule, type OriginView } from './origin-schedule.js'
 import { PullWindow } from './pull-window.js'
 import { SwarmPeers } from './swarm-peers.js'
 import { defaultSwarmPolicy, type SwarmLimit, type SwarmPolicy } from './swarm-policy.js'
@@ -42,10 +43,12 @@
   /** Members that could not be reached lately: turns are not dealt to them. */
   private readonly _unreachable = new Set<string>()
   private _members: readonly ChunkMember[] = []
+  private readonly _schedule: OriginSchedule
   private _places: ChunkPlaces
   private readonly _window: PullWindow
   private _nextAttempt = 1
   private _startedAt: number | undefined
+  private _namedAt: number | undefined
   /** When the origin last gave nothing to this member. */
   private _originFailedAt = -Infinity
   private _whole = false
@@ -67,6 +70,7 @@
   ) {
     this._places = new ChunkPlaces(_self, members)
     this._peers = new SwarmPeers(_self, _draw)
+    this._schedule = new OriginSchedule(_manifest.chunks.length, _policy)
     this._window = new PullWindow(_policy.peerWindow)
     this._limit = { peers: _policy.peerWindow, origin: _policy.originWindow }
     this.setMembers(members)
@@ -82,6 +86,16 @@
     return 1 - unknown.length / this._manifest.chunks.length
   }
 
+  /** Chunks that nobody is known to hold, in their order. */
+  private _unheld (now: number): number[] {
+    return [...this._missing].filter(index => !this._peers.somewhere(index, now)).sort((left, right) => left - right)
+  }
+
+  /** Chunks that some member holds, as far as is known here. */
+  elsewhere (now: number): number[] {
+    return this._manifest.chunks.flatMap((_chunk, index) => this._peers.somewhere(index, now) ? [index] : [])
+  }
+
   /** Peers that hold every chunk. */
   get wholePeers (): string[] {
     return this._peers.holdersOf(this._manifest.chunks.length)
@@ -96,6 +110,9 @@
     this._limit = { peers: Math.min(peerWindow, limit?.peers ?? peerWindow), origin: Math.min(originWindow, limit?.origin ?? originWindow) }
   }
 
+  /** Sets when the version was named; without, it counts as named when the transfer began. */
+  namedAt (time: number): void { this._namedAt = time }
+
   /** Takes a new member list. */
   setMembers (members: readonly ChunkMember[]): void {
     this._members = members
@@ -111,9 +128,12 @@
     this._peers.holds(instance, chunks)
   }
 
+  /** A peer told of chunks that another member holds. */
+  heardOf (chunks: Iterable<number>, now: number): void { this._peers.hearOf(chunks, now) }
+
   /** A peer was lost: what it holds is unknown until it tells again. */
   peerLost (instance: string): void {
-    this._peers.get(instance)?.held.clear()
+    this._peers.lost(instance)
     if (this._unreachable.has(instance)) return
     this._unreachable.add(instance)
     this._deal()
@@ -133,9 +153,10 @@
       return [{ type: 'whole', manifestDigest: this._identity }]
     }
     const effects = this._expire(now)
+    const view: OriginView = { now, namedAt: this._namedAt ?? this._startedAt, startedAt: this._startedAt, failedAt: this._originFailedAt, unheld: this._unheld(now) }
     for (const index of this._order()) {
       if (!this._hasRoom()) break
-      const effect = this._start(index, now)
+      const effect = this._start(index, view)
       if (effect !== undefined) effects.push(effect)
     }
     return effects
@@ -198,12 +219,13 @@
 
   private _peerRoom (): number { return Math.min(this._limit.peers, this._window.size) }
 
-  private _start (index: number, now: number): TransferEffect | undefined {
+  private _start (index: number, view: OriginView): TransferEffect | undefined {
+    const { now } = view
     const flying = [...this._pulls.values()].filter(pull => pull.index === index)
     if (flying.length > 0) return this._hedge(index, flying, now)
     const peer = this._peerFor(index, now)
     if (peer !== undefined) return this._count(false) < this._peerRoom() ? this._pull(index, peer, now) : undefined
-    return this._mayReadOrigin(index, now) ? this._pull(index, undefined, now) : undefined
+    return this._mayReadOrigin(index, view) ? this._pull(index, undefined, now) : undefined
   }
 
   /** Near the end, one slow source must not hold up the whole version. */
@@ -228,14 +250,9 @@
     return now - seenAt >= inZone * this._policy.zoneStagger ? this._peers.leastBusy(holders, this._places.predecessor) : undefined
   }
 
-  private _mayReadOrigin (index: number, now: number): boolean {
-    if (this._count(true) >= this._limit.origin || now < (this._originRetryAt.get(index) ?? -Infinity)) return false
-    const { overall } = this._places.turn(index)
-    if (overall === 0) return true
-    // An origin that is away fails all alike: others step in for the member whose turn it is only some time after it failed
-    // them too, or all of them would read the same chunks as soon as it is back.
-    const since = Math.max(this._startedAt ?? now, this._originFailedAt)
-    return now - since >= this._policy.originPatience + (overall - 1) * this._policy.originStagger
+  private _mayReadOrigin (index: number, view: OriginView): boolean {
+    if (this._count(true) >= this._limit.origin || view.now < (this._originRetryAt.get(index) ?? -Infinity)) return false
+    return this._schedule.mayRead(index, this._places.turn(index).overall, view)
   }
 
   private _count (origin: boolean): number {
@@ -281,7 +298,7 @@
       return
     }
     // A piece may turn bad where it lies: its holder then says that it has none.
-    if (problem === 'not-held' || problem === 'corrupt') this._peers.get(name)?.held.delete(index)
+    if (problem === 'not-held' || problem === 'corrupt') this._peers.lacks(name, index)
     if (problem !== 'not-held') this._peers.failed(name, now)
   }
 }
--- a/packages/core/src/lib/routing/swarm-peers.ts
+++ b/packages/core/src/lib/routing/swarm-peers.ts
@@ -25,6 +25,11 @@
 const FIRST_AVOIDANCE = 300
 const LONGEST_AVOIDANCE = 4_000
 const TOOK_SMOOTHING = 0.3
+/**
+ * A chunk that peers only heard of should be at one of them after this, in milliseconds: half of what a transfer takes. Then
+ * its holder is taken for gone.
+ */
+const HEARSAY_LIFETIME = 2_500
 /**
  * A pull from the predecessor in the ring of the zone counts as so much of one from another peer. With the choice by chance
  * alone several peers sent to one member at once, whose link then held requests up by 50 to 150 ms, and to others none did.
@@ -34,6 +39,10 @@
 /** The other members of one swarm. */
 export class SwarmPeers {
   private readonly _peers = new Map<string, SwarmPeer>()
+  /** Chunks that peers heard of, and when the first of them told it. */
+  private readonly _heardOf = new Map<number, number>()
+  /** How many peers hold each chunk; chunks that none holds have no entry, or 0. */
+  private readonly _holders = new Map<number, number>()
 
   /**
    * @param _draw Random numbers in [0, 1), to spread pulls over peers.
@@ -53,11 +62,36 @@
   /** A peer told that it holds chunks. */
   holds (instance: string, chunks: Iterable<number>): void {
     const peer = this._peers.get(instance)
-    if (peer !== undefined) for (const chunk of chunks) peer.held.add(chunk)
+    if (peer === undefined) return
+    for (const chunk of chunks) {
+      if (peer.held.has(chunk)) continue
+      peer.held.add(chunk)
+      this._holders.set(chunk, (this._holders.get(chunk) ?? 0) + 1)
+    }
+  }
+
+  /** A peer told of chunks that some other member holds. */
+  hearOf (chunks: Iterable<number>, now: number): void {
+    for (const chunk of chunks) if (!this._heardOf.has(chunk)) this._heardOf.set(chunk, now)
+  }
+
+  /** Whether some member holds a chunk, as far as is known here: a peer, or one that a peer heard of lately. */
+  somewhere (index: number, now: number): boolean {
+    return this.hold(index) || now - (this._heardOf.get(index) ?? -Infinity) < HEARSAY_LIFETIME
+  }
+
+  /** A peer does not hold a chunk that it told of. */
+  lacks (instance: string, index: number): void {
+    if (this._peers.get(instance)?.held.delete(index) === true) this._holders.set(index, (this._holders.get(index) ?? 1) - 1)
+  }
+
+  /** A peer was lost: what it holds is unknown until it tells again. */
+  lost (instance: string): void {
+    for (const index of [...this._peers.get(instance)?.held ?? []]) this.lacks(instance, index)
   }
 
   /** Whether some peer holds a chunk. */
-  hold (index: number): boolean { return [...this._peers.values()].some(({ held }) => held.has(index)) }
+  hold (index: number): boolean { return (this._holders.get(index) ?? 0) > 0 }
 
   /** Peers that hold a number of different chunks. */
   holdersOf (chunks: number): string[] {
--- a/packages/core/src/lib/routing/swarm-policy.ts
+++ b/packages/core/src/lib/routing/swarm-policy.ts
@@ -14,8 +14,10 @@
   /** A peer that has not delivered a chunk after this is passed over. */
   readonly peerTimeout: number
   readonly originTimeout: number
-  /** Time that the origin takes for one copy: nobody steps in for the member whose turn it is before that. */
-  readonly originPatience: number
+  /** Time that the origin takes for one copy. */
+  readonly originCopyTime: number
+  /** A chunk that is overdue at the origin for so long is read by the member whose turn is next. */
+  readonly stepInPatience: number
   /** Added wait, for each further turn. */
   readonly originStagger: number
   /** The same for the way into a zone. */
@@ -27,11 +29,12 @@
  * its way; measured on 15 members with 5 Mbit/s each, six and two bring a version of 2.4 MB in 5.2 s, three and two in
  * 5.7 s, two and one in 6.4 s, and answers beside them fare alike. One at a time from the origin, whose link all share, lets the
  * first chunks come in half the time, so that peers have something to pull. Time-outs: a chunk of 24 KB takes 40 ms over the 5 Mbit/s link of a small instance and
- * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. Staggers: several times what a sound member
- * needs for its chunks.
+ * 220 ms over a squeezed one; the origin serves all at once over 7 Mbit/s. A member whose turn it is needs
+ * some 0.2 s for a chunk, learns of the version up to 0.4 s after others, and tells what it holds every 60 ms; with one and a half
+ * copies' time as patience, three agents that could not read kept a version from 47 members until after its bound.
  */
 export const defaultSwarmPolicy: SwarmPolicy = {
-  peerWindow: 6, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originPatience: 3_000, originStagger: 700, zoneStagger: 1_000
+  peerWindow: 6, originWindow: 1, peerTimeout: 900, originTimeout: 2_500, originCopyTime: 2_000, stepInPatience: 400, originStagger: 250, zoneStagger: 1_000
 }
 
 /** Bounds on what a swarm asks for at once. */
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/chunk-swarm_test.ts
@@ -13,6 +13,8 @@
 import type { TransferEffect } from '../../../lib/transfer.js'
 
 const CHUNKS = 12
+/** By then every member has stepped in at the origin for a chunk that nobody holds. */
+const LONGEST_PATIENCE = 2 * defaultSwarmPolicy.originCopyTime + defaultSwarmPolicy.stepInPatience + 5 * defaultSwarmPolicy.originStagger
 const manifest: Manifest = {
   model: 'm', version: '2', bytes: CHUNKS * 10, chunks: Array.from({ length: CHUNKS }, (_, index) => ({ digest: `digest-${index}`, bytes: 10 }))
 }
@@ -52,6 +54,13 @@
     }
   })
 
+  it('tells for each chunk the member whose turn is the first', () => {
+    for (const chunk of all) {
+      const [reader] = members.filter(member => new ChunkPlaces(member, members).turn(chunk).overall === 0)
+      assert.equal(places.reader(chunk), reader?.instance)
+    }
+  })
+
   it('makes each member the predecessor of one other of its zone', () => {
     for (const zone of ['koshi', 'bagmati']) {
       const ring = members.filter(({ availabilityZone }) => availabilityZone === zone)
@@ -95,14 +104,24 @@
   it('steps in at the origin when a chunk has not come for long', () => {
     const swarm = newSwarm()
     arriveAll(swarm, fetches(swarm.tick(0)), 0)
-    const now = defaultSwarmPolicy.originPatience + 5 * defaultSwarmPolicy.originStagger
+    const now = LONGEST_PATIENCE
     const late = fetches(swarm.tick(now))
     assert.ok(late.some(({ index }) => places.turn(index).overall > 0))
   })
 
+  it('does not step in for a chunk that some member holds by hearsay, until that is old', () => {
+    const swarm = newSwarm()
+    const ofOthers = all.filter(index => places.turn(index).overall > 0)
+    swarm.heardOf(ofOthers, LONGEST_PATIENCE - 100)
+    arriveAll(swarm, fetches(swarm.tick(0)), 0)
+    assert.deepEqual(fetches(swarm.tick(LONGEST_PATIENCE)), [])
+    assert.deepEqual(swarm.elsewhere(LONGEST_PATIENCE), ofOthers)
+    assert.ok(fetches(swarm.tick(LONGEST_PATIENCE + 2_500)).length > 0)
+  })
+
   it('does not step in while the origin fails it too, nor as soon as it is back', () => {
     const swarm = newSwarm()
-    const patience = defaultSwarmPolicy.originPatience + 5 * defaultSwarmPolicy.originStagger
+    const patience = LONGEST_PATIENCE
     let failing = fetches(swarm.tick(0))
     while (failing.length > 0) failing = failing.flatMap(({ attempt }) => fetches(swarm.failed(attempt, 'not-held', patience)))
     const atReturn = fetches(swarm.tick(patience + 200))
--- a/packages/core/src/test/lib/routing/swarm-peers_test.ts
+++ b/packages/core/src/test/lib/routing/swarm-peers_test.ts
@@ -27,6 +27,15 @@
     assert.deepEqual(peers.sources(0, 0, 'b').map(({ instance }) => instance), ['c'])
   })
 
+  it('forgets what a peer does not hold after all, and all of one that was lost', () => {
+    const peers = newPeers()
+    for (const instance of ['b', 'c', 'b']) peers.holds(instance, [0, 1])
+    peers.lacks('b', 0)
+    peers.lacks('b', 0)
+    peers.lost('c')
+    assert.deepEqual([peers.hold(0), peers.hold(1)], [false, true])
+  })
+
   const avoided: [name: string, failures: number, milliseconds: number][] = [
     ['once', 1, 300],
     ['twice', 2, 600],
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -59,7 +59,16 @@
 }) => TransferCourse
 
 const TICK = 50
-const PEER_WAIT = 1_000
+/**
+ * How long a peer may wait for a manifest itself before it says that it has none, and how long it may take to say so, in
+ * milliseconds. A member whose parent cannot be reached asks the platform after that. The longest is what this process waits
+ * for others.
+ */
+const MANIFEST_WAIT = 400
+const LONGEST_MANIFEST_WAIT = 1_000
+const MANIFEST_TIMEOUT = 700
+/** How long the platform may wait for a manifest itself, in milliseconds. */
+const PLATFORM_WAIT = 1_000
 /** How long a peer may wait for a chunk itself before it says that it has none, in milliseconds. */
 const CHUNK_WAIT = 6_000
 /** A connection that was silent for less is taken for a living one, in milliseconds. */
@@ -68,7 +77,7 @@
 const MANIFEST_FAN_OUT = 8
 const MANIFEST_PAUSE = 200
 /** Added wait, for each rank, before the platform is asked for a manifest that peers did not have. */
-const MANIFEST_STAGGER = 100
+const MANIFEST_STAGGER = 20
 const LONGEST_MANIFEST_STAGGER = 5_000
 
 /** The weights of one agent. */
@@ -128,7 +137,7 @@
   async manifest (digest: string, wait: number): Promise<Buffer | undefined> {
     const held = this._manifests.get(digest) ?? await this._parts.engine.readBack('manifests', digest)
     if (held !== undefined || wait <= 0) return held
-    await this._arrivals.waitFor(digest, Math.min(PEER_WAIT, wait))
+    await this._arrivals.waitFor(digest, Math.min(LONGEST_MANIFEST_WAIT, wait))
     return this._manifests.get(digest)
   }
 
@@ -226,7 +235,7 @@
     const address = this._parts.addressOf(instance)
     if (address === undefined) return undefined
     try {
-      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest, wait: PEER_WAIT }, { timeout: 2 * PEER_WAIT })
+      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest, wait: MANIFEST_WAIT }, { timeout: MANIFEST_TIMEOUT })
       return reply.type === 'manifest' && this._matches(digest, payload) ? payload : undefined
     } catch {
       return undefined
@@ -235,7 +244,7 @@
 
   private async _manifestFromPlatform (digest: string): Promise<Buffer | undefined> {
     for (const upstream of ['origin', 'store'] as const) {
-      const bytes = await this._parts.platform.weights(upstream, 'manifests', digest, PEER_WAIT)
+      const bytes = await this._parts.platform.weights(upstream, 'manifests', digest, PLATFORM_WAIT)
       if (bytes !== undefined && this._matches(digest, bytes)) return bytes
       if (bytes !== undefined) this._fail({ type: 'weights-failure', reason: 'digest-mismatch', detail: `manifest from ${upstream}` })
     }
--- a/packages/node/src/lib/routing/chunk-holdings.ts
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -6,7 +6,7 @@
 /**
  * Which chunks peers hold: tells followers of this agent, and follows those peers that this agent may pull from.
  */
-import { failureOf, hash32, type ChunkMember } from '@drumdrift/core'
+import { ChunkPlaces, failureOf, hash32, type ChunkMember } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
@@ -15,29 +15,45 @@
 const TELL_PAUSE = 60
 /** Before a peer that could not be reached is followed again, in milliseconds. */
 const RETRY_PAUSE = 400
-/** Peers that one agent follows, of its own zone and of each other one: bounds messages in a large fleet. */
+/**
+ * Peers that one agent follows, of its own zone and of each other one: bounds messages in a large fleet. Of other zones those
+ * come first that read from the origin what this agent brings into its zone.
+ */
 const MOST_NEAR = 12
-const MOST_IN_OTHER_ZONE = 3
+const MOST_READERS_IN_OTHER_ZONE = 6
+const LEAST_IN_OTHER_ZONE = 3
 
 interface Follower {
   readonly responder: Responder
   readonly identity: string
   readonly told: Set<number>
+  /** Told as held by another member. */
+  readonly toldElsewhere: Set<number>
+}
+
+/** What an agent knows of the chunks of one version, by their index. */
+export interface KnownChunks {
+  readonly held: readonly number[]
+  /** Held by some other member, as far as is known. */
+  readonly elsewhere: readonly number[]
 }
 
 /** Versions that one connection follows at once: the staged one, the one ahead, and one that it just leaves. */
 const MOST_FOLLOWED = 3
 
-/** Tells followers which chunks this agent holds. */
+/**
+ * Tells followers which chunks this agent holds, and of which it heard. In a large zone an agent follows some of the others
+ * only; without hearsay several read the same chunks from the origin, in place of those that nobody had.
+ */
 export class HoldingsPublisher {
   /** The followers of each connection, the oldest first. */
   private readonly _followers = new Map<PeerConnection, readonly Follower[]>()
   private readonly _timer: NodeJS.Timeout
 
   /**
-   * @param _held The indexes of a version's chunks that are held here.
+   * @param _known What is known here of a version's chunks.
    */
-  constructor (private readonly _held: (identity: string) => readonly number[]) {
+  constructor (private readonly _known: (identity: string) => KnownChunks) {
     this._timer = setInterval(() => { for (const follower of [...this._followers.values()].flat()) this._tell(follower) }, TELL_PAUSE)
   }
 
@@ -47,25 +63,27 @@
   follow (identity: string, responder: Responder): void {
     const { connection } = responder
     const known = this._followers.get(connection)
-    const follower = { responder, identity, told: new Set<number>() }
+    const follower = { responder, identity, told: new Set<number>(), toldElsewhere: new Set<number>() }
     const others = (known ?? []).filter(other => other.identity !== identity)
     this._followers.set(connection, [...others, follower].slice(-MOST_FOLLOWED))
     if (known === undefined) connection.onEnd(() => { this._followers.delete(connection) })
     this._tell(follower)
   }
 
-  private _tell ({ responder, identity, told }: Follower): void {
-    const news = this._held(identity).filter(index => !told.has(index))
-    if (news.length === 0) return
-    for (const index of news) told.add(index)
-    responder.send({ type: 'chunks', identity, held: news })
+  private _tell ({ responder, identity, told, toldElsewhere }: Follower): void {
+    const known = this._known(identity)
+    const held = known.held.filter(index => !told.has(index))
+    for (const index of held) told.add(index)
+    const elsewhere = known.elsewhere.filter(index => !told.has(index) && !toldElsewhere.has(index))
+    for (const index of elsewhere) toldElsewhere.add(index)
+    if (held.length + elsewhere.length > 0) responder.send({ type: 'chunks', identity, held, elsewhere })
   }
 }
 
 /** What the follower tells. */
 export interface HoldingsListener {
   joined (peer: string): void
-  holds (peer: string, chunks: readonly number[]): void
+  holds (peer: string, chunks: KnownChunks): void
   lost (peer: string): void
 }
 
@@ -89,10 +107,14 @@
 
   close (): void { clearInterval(this._timer) }
 
-  /** Sets the version to ask for, empty for none, and the peers to ask. */
-  follow (identity: string, members: readonly ChunkMember[]): void {
+  /**
+   * Sets the version to ask for, empty for none, and the peers to ask.
+   *
+   * @param chunks How many chunks the version has.
+   */
+  follow (identity: string, members: readonly ChunkMember[], chunks: number): void {
     this._identity = identity
-    const chosen = new Set(identity === '' ? [] : neighboursOf(this._self, members))
+    const chosen = new Set(identity === '' ? [] : neighboursOf(this._self, members, chunks))
     for (const peer of this._followed.keys()) if (!chosen.has(peer)) this._followed.delete(peer)
     for (const peer of chosen) {
       const known = this._followed.get(peer)
@@ -119,7 +141,7 @@
       followed.connection = connection
       followed.identity = identity
       followed.call = connection.ask({ type: 'follow-chunks', identity }, undefined, {
-        reply: reply => { if (reply.type === 'chunks' && reply.identity === this._identity) this._listener.holds(peer, reply.held) },
+        reply: reply => { if (reply.type === 'chunks' && reply.identity === this._identity) this._listener.holds(peer, reply) },
         lost: () => this._lost(peer, followed)
       })
     } catch (error) {
@@ -140,10 +162,13 @@
 /**
  * The peers that a member pulls from: all of a small fleet, a bounded sample of a large one.
  *
+ * @param chunks How many chunks the version has.
  * @example
- * const peers = neighboursOf(self, members)
+ * const peers = neighboursOf(self, members, 64)
  */
-export function neighboursOf (self: ChunkMember, members: readonly ChunkMember[]): string[] {
+export function neighboursOf (self: ChunkMember, members: readonly ChunkMember[], chunks: number): string[] {
+  const places = new ChunkPlaces(self, members)
+  const readers = new Set(Array.from({ length: chunks }, (_, chunk) => chunk).filter(chunk => places.turn(chunk).inZone === 0).map(chunk => places.reader(chunk)))
   const zones = new Map<string, string[]>()
   for (const { instance, availabilityZone } of members) {
     if (instance === self.instance) continue
@@ -153,6 +178,17 @@
   }
   return [...zones].flatMap(([zone, instances]) => {
     const ranked = [...instances].sort((left, right) => hash32(`${self.instance} ${left}`) - hash32(`${self.instance} ${right}`))
-    return ranked.slice(0, zone === self.availabilityZone ? MOST_NEAR : MOST_IN_OTHER_ZONE)
+    return zone === self.availabilityZone ? nearPeers(ranked, places.predecessor) : farPeers(ranked, readers)
   })
 }
+
+function nearPeers (ranked: readonly string[], predecessor: string): string[] {
+  const others = ranked.filter(instance => instance !== predecessor)
+  return [...ranked.filter(instance => instance === predecessor), ...others].slice(0, MOST_NEAR)
+}
+
+function farPeers (ranked: readonly string[], readers: ReadonlySet<string>): string[] {
+  const first = ranked.filter(instance => readers.has(instance)).slice(0, MOST_READERS_IN_OTHER_ZONE)
+  const others = ranked.filter(instance => !readers.has(instance))
+  return [...first, ...others.slice(0, Math.max(0, LEAST_IN_OTHER_ZONE - first.length))]
+}
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -64,7 +64,7 @@
 
   constructor (private readonly _parts: EngineSwitcherParts) {
     this._switch = new VersionSwitch(_parts.versionBound, SWITCH_LEAD)
-    this._timer = setInterval(() => { this._look() }, LOOK_PAUSE)
+    this._timer = setInterval(() => { this.look() }, LOOK_PAUSE)
   }
 
   close (): void { clearInterval(this._timer) }
@@ -80,7 +80,8 @@
     return this._report?.models.find(held => held.model === model)?.version ?? 0
   }
 
-  private async _look (): Promise<void> {
+  /** Looks at the engine now; otherwise that is done several times a second. */
+  async look (): Promise<void> {
     if (this._looking) return
     this._looking = true
     try {
@@ -166,7 +167,7 @@
       const result = await this._parts.confirmWhole() ? await this._parts.engine.order(wanted) : 'not-whole'
       this._switch.answered(result, performance.now())
       this._parts.counters.add(`orders_${result.replaceAll('-', '_')}`)
-      this._parts.log.info('engine-ordered', { ...wanted, why, result, since_named: age === undefined ? undefined : Math.round(age) })
+      this._parts.log.info('engine-ordered', { model: wanted.model, version: wanted.version, why, result, since_named: age === undefined ? undefined : Math.round(age) })
     } finally {
       this._ordering = false
     }
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -87,6 +87,12 @@
     this._tick()
   }
 
+  /** Measures the ways to all agents now, since there is news for them. */
+  tellNews (): void {
+    for (const followed of this._followed.values()) followed.measuredAt = -Infinity
+    this._tick()
+  }
+
   close (): void { clearInterval(this._timer) }
 
   private _tick (): void {
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -188,6 +188,7 @@
     for (const change of changes) this._logChange(change)
     this._units.apply(state)
     this._follower.follow(this._units.agents)
+    if (changes.some(({ type }) => type === 'wanted-version')) this._follower.tellNews()
     if (!this._ready && state.complete) {
       this._ready = true
       this._log.info('entry-ready', { configuration: state.configuration?.version, endpoints: state.endpoints().length })
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -30,8 +30,10 @@
   readonly members: () => readonly ChunkMember[]
   readonly chunkDigest: ChunkDigest
   readonly manifestMatches: (identity: string, bytes: Buffer) => boolean
-  /** The time that the origin takes for one copy, in milliseconds, with some reserve. */
-  readonly originPatience: (manifest: Manifest) => number
+  /** The time that the origin takes for one copy, in milliseconds. */
+  readonly originCopyTime: (manifest: Manifest) => number
+  /** A version has just become whole. */
+  readonly onWhole: () => void
 }
 
 /** Members that read each chunk from the origin. */
@@ -46,6 +48,7 @@
   private _swarm: ChunkSwarm | undefined
   private _limit: SwarmLimit | undefined
   private _following = false
+  private _namedAt: number | undefined
   /** When the version was first whole at a member of this zone, as far as is known here. */
   private _zoneWholeAt: number | undefined
 
@@ -57,8 +60,9 @@
   constructor (private readonly _parts: TransferParts, private readonly _staging: ChunkStaging, readonly store: ChunkStore, private readonly _capacity = Infinity) {
     this._holdings = new HoldingsFollower(_parts.self, _parts.pool, _parts.log, {
       joined: peer => this._swarm?.peerJoined(peer),
-      holds: (peer, chunks) => {
-        this._swarm?.peerHolds(peer, chunks)
+      holds: (peer, { held, elsewhere }) => {
+        this._swarm?.peerHolds(peer, held)
+        this._swarm?.heardOf(elsewhere, performance.now())
         this._noteZone()
       },
       lost: peer => this._swarm?.peerLost(peer)
@@ -84,9 +88,14 @@
     this._holdings.close()
   }
 
-  /** Sets the version to be fetched; empty for none. */
-  want (identity: string): void {
+  /**
+   * Sets the version to be fetched; empty for none.
+   *
+   * @param namedAt When it was named, by this process's clock; nothing when that is not known.
+   */
+  want (identity: string, namedAt?: number): void {
     if (identity === this.identity) return
+    this._namedAt = namedAt
     this._swarm = undefined
     this._zoneWholeAt = undefined
     this._weights.want(identity, ORIGIN_COPIES)
@@ -120,6 +129,9 @@
     return (this._weights.currentManifest?.chunks ?? []).flatMap(({ digest }, index) => this.store.staged.has(digest) ? [index] : [])
   }
 
+  /** The indexes of chunks that other members hold, as far as is known here. */
+  elsewhere (): number[] { return this._swarm?.elsewhere(performance.now()) ?? [] }
+
   /** Whether a chunk belongs to the version, or may. */
   expects (digest: string): boolean { return this._weights.expects(digest) }
 
@@ -143,7 +155,10 @@
       counters,
       members,
       addressOf: instance => instance,
-      onWhole: () => { this._zoneWholeAt ??= performance.now() },
+      onWhole: () => {
+        this._zoneWholeAt ??= performance.now()
+        this._parts.onWhole()
+      },
       chunkDigest,
       manifestMatches
     })
@@ -159,14 +174,15 @@
 
   private _follow (identity: string): void {
     this._following = identity !== ''
-    this._holdings.follow(identity, identity === '' ? [] : this._parts.members())
+    this._holdings.follow(identity, identity === '' ? [] : this._parts.members(), this._weights.currentManifest?.chunks.length ?? 0)
   }
 
   /** Peers are followed until the engine serves the version: their chunks, and then whose turn it is to switch, depend on them. */
   private _newSwarm (members: readonly ChunkMember[], identity: string, manifest: Manifest, held: ReadonlySet<string>): ChunkSwarm {
-    const policy = { ...defaultSwarmPolicy, originPatience: this._parts.originPatience(manifest) }
+    const policy = { ...defaultSwarmPolicy, originCopyTime: this._parts.originCopyTime(manifest) }
     const swarm = new ChunkSwarm(this._parts.self, members, identity, manifest, held, Math.random, policy)
     this._swarm = swarm
+    if (this._namedAt !== undefined) swarm.namedAt(this._namedAt)
     this._applyLimit()
     // Peers tell only what is new to a follower: followed anew, they tell this swarm all that they hold.
     this._follow('')
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -13,10 +13,16 @@
 import type { ChunkSource } from '../agent/chunk-server.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { Log } from '../observe/log.js'
+import type { KnownChunks } from './chunk-holdings.js'
 import { MemoryStaging } from './memory-staging.js'
 import { identityOf } from './ports.js'
 import { VersionTransfer, type TransferParts } from './version-transfer.js'
 
+/** A version that is wanted, and when it was named, by this process's clock; nothing when that is not known. */
+export interface NewestVersion extends ModelVersion {
+  readonly heardAt?: number | undefined
+}
+
 /** What is known of the engine when it is decided which version goes on. */
 export interface EngineView {
   /** The version that it serves; 0 for none. */
@@ -41,11 +47,11 @@
   private readonly _ahead: VersionTransfer
   private readonly _memory: MemoryStaging
   private readonly _log: Log
-  private _stagedVersion: ModelVersion | undefined
-  private _aheadVersion: ModelVersion | undefined
+  private _stagedVersion: NewestVersion | undefined
+  private _aheadVersion: NewestVersion | undefined
   private _takingOver = false
   /** Named while another version was taking over. */
-  private _namedMeanwhile: ModelVersion | undefined
+  private _namedMeanwhile: NewestVersion | undefined
 
   /**
    * @param engine The engine's staging memory.
@@ -97,7 +103,7 @@
    *
    * @param served The version that the engine serves; 0 for none.
    */
-  want (newest: ModelVersion, served: number): void {
+  want (newest: NewestVersion, served: number): void {
     if (this._takingOver) {
       this._namedMeanwhile = newest
       return
@@ -106,11 +112,11 @@
     if (identity === this._staging.identity || identity === this._ahead.identity) return
     const staged = this._stagedView()
     const beside = staged !== undefined && served < staged.version && worthFinishing(staged)
-    this._log.info('version-wanted', { ...newest, staging: staged?.version, staged_progress: staged?.progress, staged_known: staged?.known, beside })
+    this._log.info('version-wanted', { model: newest.model, version: newest.version, staging: staged?.version, staged_progress: staged?.progress, staged_known: staged?.known, beside })
     if (beside) {
       this._aheadVersion = newest
       this._dropMemory()
-      this._ahead.want(identity)
+      this._ahead.want(identity, newest.heardAt)
     } else this._stage(newest)
   }
 
@@ -123,7 +129,7 @@
     this._ahead.limit(advancing ? { peers: BESIDE_AT_PEERS, origin: staged.known < 1 ? 0 : 1 } : undefined)
     const step = overlapStep({ staged, ahead: { version: ahead.version, whole: this._ahead.whole }, served, ordering, mayBegin: mayBegin(staged.version) })
     if (step.type === 'wait') return
-    this._log.info('version-takes-over', { ...ahead, before: staged.version, why: step.why, whole: this._ahead.whole, served })
+    this._log.info('version-takes-over', { model: ahead.model, version: ahead.version, before: staged.version, why: step.why, whole: this._ahead.whole, served })
     await this._takeOver(ahead)
     const named = this._namedMeanwhile
     this._namedMeanwhile = undefined
@@ -135,6 +141,11 @@
     return this._transferOf(identity)?.held() ?? []
   }
 
+  /** What is known of a version's chunks. */
+  known (identity: string): KnownChunks {
+    return { held: this.held(identity), elsewhere: this._transferOf(identity)?.elsewhere() ?? [] }
+  }
+
   /** A manifest for a peer, waiting for one that is on its way. */
   manifest (identity: string, wait: number): Promise<Buffer | undefined> {
     return (this._transferOf(identity) ?? this._staging).manifest(identity, wait)
@@ -166,10 +177,10 @@
   }
 
   /** Nothing is ahead any more: a version goes into the staging memory. */
-  private _stage (version: ModelVersion): void {
+  private _stage (version: NewestVersion): void {
     this._stagedVersion = version
     this._aheadVersion = undefined
-    this._staging.want(identityOf(version))
+    this._staging.want(identityOf(version), version.heardAt)
     this._ahead.want('')
     this._dropMemory()
   }
@@ -178,7 +189,7 @@
    * Chunks of the version ahead go into the staging memory over those of the older one. While they do, no version counts
    * as whole, so that the engine is ordered to take neither.
    */
-  private async _takeOver (version: ModelVersion): Promise<void> {
+  private async _takeOver (version: NewestVersion): Promise<void> {
     this._takingOver = true
     try {
       this._staging.want('')
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type ModelVersion, type NamedVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -27,15 +27,13 @@
 import { LoadPublisher } from './load-publisher.js'
 import type { WeightsPlatform } from './ports.js'
 import { PublishedFeed } from './published-feed.js'
-import { VersionsUnderWay } from './versions-under-way.js'
+import { VersionsUnderWay, type NewestVersion } from './versions-under-way.js'
 
 const MEBIBYTE = 1024 * 1024
 const GIBIBYTE = 1024 * MEBIBYTE
 const BYTES_PER_MEGABIT = 125_000
 /** The version that engines start with when none has been named. */
 const FIRST_VERSION = 1
-/** See `_originPatience`. */
-const ORIGIN_PATIENCE_FACTOR = 1.5
 /** Until the pool's description and the wanted version are known, they are read this often, in milliseconds. */
 const UNKNOWN_PAUSE = 500
 /**
@@ -67,7 +65,7 @@
   private readonly _versions: VersionsUnderWay
   private readonly _chunks: ChunkServer
   private readonly _switcher: EngineSwitcher
-  private readonly _published = new HoldingsPublisher(identity => this._versions.held(identity))
+  private readonly _published = new HoldingsPublisher(identity => this._versions.known(identity))
   private readonly _publisher = new LoadPublisher(() => ({ readRate: readRate(this._poolDescription), slots: this._poolDescription?.slots ?? Infinity }))
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
@@ -156,7 +154,8 @@
       members: () => this._members,
       chunkDigest,
       manifestMatches,
-      originPatience: manifest => this._originPatience(manifest)
+      originCopyTime: manifest => this._originCopyTime(manifest),
+      onWhole: () => this._switcher.look()
     }, engine, this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
   }
 
@@ -177,10 +176,10 @@
     return newerAt === undefined || performance.now() < newerAt + this._settings.number('platform', 'version-bound-milliseconds')
   }
 
-  /** The time that the origin's link takes for one copy, and half as much again. */
-  private _originPatience ({ bytes }: Manifest): number {
+  /** The time that the origin's link takes for one copy, in milliseconds. */
+  private _originCopyTime ({ bytes }: Manifest): number {
     const rate = this._feed.state.configuration?.origin?.megabitsPerSecond ?? 0
-    return rate > 0 ? ORIGIN_PATIENCE_FACTOR * bytes / (rate * BYTES_PER_MEGABIT) * 1000 : defaultSwarmPolicy.originPatience
+    return rate > 0 ? bytes / (rate * BYTES_PER_MEGABIT) * 1000 : defaultSwarmPolicy.originCopyTime
   }
 
   private _newSwitcher (): EngineSwitcher {
@@ -224,9 +223,12 @@
       this._poolReadAt = now
       await this._feed.refresh('configuration')
     }
-    if (now - this._versionsReadAt >= (state.note.versions === 0 ? UNKNOWN_PAUSE : VERSIONS_PAUSE)) {
+    const versionsKnown = state.note.versions > 0
+    if (now - this._versionsReadAt >= (versionsKnown ? VERSIONS_PAUSE : UNKNOWN_PAUSE)) {
       this._versionsReadAt = now
       await this._feed.refresh('versions')
+      // That none has been named is no news, but it means that the first version is wanted.
+      if (!versionsKnown) this._apply()
     }
     const wanting = state.note.endpoints === 0 || this._versions.transferring
     if (!wanting || now - this._listReadAt < LIST_PAUSE) return
@@ -252,10 +254,11 @@
   }
 
   /** The version that this pool's model is to serve. */
-  private _wanted (): ModelVersion | undefined {
+  private _wanted (): NewestVersion | undefined {
     const model = this._poolDescription?.models[0]?.name
     if (model === undefined || this._feed.state.note.versions === 0) return undefined
-    return { model, version: this._feed.state.wanted(model)?.version ?? FIRST_VERSION }
+    const wanted = this._feed.state.wanted(model)
+    return { model, version: wanted?.version ?? FIRST_VERSION, heardAt: wanted?.heardAt }
   }
 
   private _apply (): void {
@@ -268,9 +271,16 @@
     this._versions.membersChanged()
     const wanted = this._wanted()
     if (wanted !== undefined) this._recover(wanted.model)
-    if (wanted !== undefined && this._recovered && this._feed.state.note.endpoints > 0) this._versions.want(wanted, this._switcher.version(wanted.model))
+    if (wanted !== undefined && this._recovered && this._mayFetch()) this._versions.want(wanted, this._switcher.version(wanted.model))
   }
 
+  /**
+   * Before the other members are known, an agent would read everything from the origin by itself. Where chunks are staged, most
+   * likely only the manifest is missing: after a loss of power everywhere, with narrow links between regions, the list of 105
+   * endpoints came 0.7 s later than the configuration.
+   */
+  private _mayFetch (): boolean { return this._feed.state.note.endpoints > 0 || this._versions.stagedCount > 0 }
+
   private _answer (request: PeerRequest, responder: Responder): void {
     const handler = Object.hasOwn(this._handlers, request.type) ? this._handlers[request.type] : undefined
     if (handler === undefined) responder.send({ type: 'refused', reason: 'not-supported', detail: 'a weights agent does not answer this' })
--- a/packages/node/src/test/lib/routing/chunk-holdings_test.ts
+++ b/packages/node/src/test/lib/routing/chunk-holdings_test.ts
@@ -7,7 +7,8 @@
 import { afterEach, describe, it } from 'node:test'
 import type { PeerReply } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../../../lib/peer/connection.js'
-import { HoldingsPublisher } from '../../../lib/routing/chunk-holdings.js'
+import { ChunkPlaces, type ChunkMember } from '@drumdrift/core'
+import { HoldingsPublisher, neighboursOf, type KnownChunks } from '../../../lib/routing/chunk-holdings.js'
 
 describe('HoldingsPublisher', () => {
   let publisher: HoldingsPublisher | undefined
@@ -16,7 +17,7 @@
   /** Follows versions over one connection, one after the other; then all of them hold one chunk more. */
   async function heard (identities: readonly string[]): Promise<Map<string, readonly number[]>> {
     let more = false
-    publisher = new HoldingsPublisher(() => more ? [1, 2] : [1])
+    publisher = new HoldingsPublisher(() => ({ held: more ? [1, 2] : [1], elsewhere: [] }))
     const told = new Map<string, readonly number[]>()
     const connection = { open: true, onEnd: () => {} } as unknown as PeerConnection
     const send = (reply: PeerReply): void => { if (reply.type === 'chunks') told.set(reply.identity, reply.held) }
@@ -36,3 +37,46 @@
     it(`tells ${name}`, async () => assert.deepEqual(Object.fromEntries(await heard(identities)), expected))
   }
 })
+
+describe('HoldingsPublisher: hearsay', () => {
+  const cases: [name: string, before: KnownChunks, after: KnownChunks, expected: KnownChunks][] = [
+    ['what others hold besides', { held: [1], elsewhere: [2] }, { held: [1], elsewhere: [2, 3] }, { held: [], elsewhere: [3] }],
+    ['not what it holds itself', { held: [1], elsewhere: [] }, { held: [1, 2], elsewhere: [1, 2, 3] }, { held: [2], elsewhere: [3] }],
+    ['as held what it had only heard of', { held: [], elsewhere: [1] }, { held: [1], elsewhere: [1] }, { held: [1], elsewhere: [] }]
+  ]
+  for (const [name, before, after, expected] of cases) {
+    it(`tells ${name}`, async () => {
+      const told: KnownChunks[] = []
+      let known = before
+      const publisher = new HoldingsPublisher(() => known)
+      const send = (reply: PeerReply): void => { if (reply.type === 'chunks') told.push({ held: reply.held, elsewhere: reply.elsewhere }) }
+      publisher.follow('m@2', { connection: { onEnd: () => {} }, send } as unknown as Responder)
+      known = after
+      await new Promise(resolve => setTimeout(resolve, 150))
+      publisher.close()
+      assert.deepEqual(told.at(-1), expected)
+    })
+  }
+})
+
+describe('neighboursOf', () => {
+  const CHUNKS = 64
+  const fleet = (perZone: number): ChunkMember[] => ['koshi', 'bagmati', 'gandaki'].flatMap(zone => Array.from({ length: perZone }, (_, index) => ({ instance: `${zone}-${index}`, availabilityZone: zone })))
+
+  it('gives all of a small fleet', () => {
+    const members = fleet(3)
+    const [self] = members as [ChunkMember]
+    assert.deepEqual(neighboursOf(self, members, CHUNKS).sort(), members.slice(1).map(({ instance }) => instance).sort())
+  })
+
+  it('gives a bounded sample of a large one, with the predecessor and the readers of what the member brings in', () => {
+    const members = fleet(20)
+    for (const self of members) {
+      const [places, peers] = [new ChunkPlaces(self, members), neighboursOf(self, members, CHUNKS)]
+      const brings = Array.from({ length: CHUNKS }, (_, chunk) => chunk).filter(chunk => places.turn(chunk).inZone === 0)
+      const readers = brings.map(chunk => places.reader(chunk)).filter(reader => reader !== self.instance)
+      assert.ok([places.predecessor, ...readers].every(peer => peers.includes(peer)), self.instance)
+      assert.ok(peers.length <= 12 + 2 * 6, `${peers.length}`)
+    }
+  })
+})
--- a/packages/node/src/test/lib/routing/versions-under-way_test.ts
+++ b/packages/node/src/test/lib/routing/versions-under-way_test.ts
@@ -93,7 +93,7 @@
     const [origin, staging, pool] = [new OriginFake(), new StagingFake(), new PeerPool({ instance: 'a', key: 'k' })]
     origin.limits = limits
     const versions = new VersionsUnderWay({
-      self, largestBytes: 1_000_000, source: origin, pool, log, counters: new Counters(), members: () => [self, ...peers.map(instance => ({ instance, availabilityZone: 'koshi' }))], chunkDigest: 'sha256', originPatience: () => 100, manifestMatches: (identity, bytes) => JSON.parse(bytes.toString()).version === identity.split('@')[1]
+      self, largestBytes: 1_000_000, source: origin, pool, log, counters: new Counters(), members: () => [self, ...peers.map(instance => ({ instance, availabilityZone: 'koshi' }))], chunkDigest: 'sha256', originCopyTime: () => 100, onWhole: () => {}, manifestMatches: (identity, bytes) => JSON.parse(bytes.toString()).version === identity.split('@')[1]
     }, staging, memory)
     open.push(versions, pool)
     return { versions, origin, staging }
@@ -101,7 +101,7 @@
 
   /** A peer that holds all chunks of a version; it sends them unless it is mute. */
   async function peerWithAll (version: number, mute = false, wanted: (address: string) => boolean = () => true): Promise<string> {
-    const holdings = new HoldingsPublisher(() => Array.from({ length: CHUNKS }, (_, index) => index))
+    const holdings = new HoldingsPublisher(() => ({ held: Array.from({ length: CHUNKS }, (_, index) => index), elsewhere: [] }))
     const onRequest: RequestHandler = (request, _payload, responder) => {
       if (request.type === 'follow-chunks') holdings.follow(request.identity, responder)
       if (request.type === 'manifest') responder.send({ type: 'no-chunk', reason: 'not-held' })
--- a/packages/node/src/test/lib/routing/weights-agent_test.ts
+++ b/packages/node/src/test/lib/routing/weights-agent_test.ts
@@ -9,7 +9,7 @@
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
 import { PeerPool } from '../../../lib/peer/pool.js'
-import type { EngineReport, PublishedStore, ReadFreshness, StoreChanges, StoreScope, WeightsPlatform } from '../../../lib/routing/ports.js'
+import type { EngineReport, PublishedStore, ReadFreshness, StoreChanges, StoreFailure, StoreScope, WeightsPlatform } from '../../../lib/routing/ports.js'
 import { WeightsAgent } from '../../../lib/routing/weights-agent.js'
 import { checkSettings } from '../../../lib/settings/settings.js'
 
@@ -40,8 +40,14 @@
   readonly readings: [scope: StoreScope, freshness: ReadFreshness][] = []
   watches = 0
 
-  async readWhole (scope: StoreScope, freshness: ReadFreshness): Promise<StoreChanges> {
+  /**
+   * @param _listed Whether it gives the list of endpoints; else that reading fails.
+   */
+  constructor (private readonly _listed: boolean) {}
+
+  async readWhole (scope: StoreScope, freshness: ReadFreshness): Promise<StoreChanges | StoreFailure> {
     this.readings.push([scope, freshness])
+    if (scope === 'endpoints' && !this._listed) return { type: 'store-failure', reason: 'timed-out', detail: 'no answer' }
     return { type: 'changes', changes: published[scope], upTo: 3, refused: [] }
   }
 
@@ -53,14 +59,14 @@
 
 const report: EngineReport = { running: 0, waiting: 0, contextTokens: 0, models: [{ model: 'm', version: 1 }], busy: false, pace: 1 }
 
-function platformWith (store: PublishedStore): WeightsPlatform {
+function platformWith (store: PublishedStore, staged: readonly string[]): WeightsPlatform {
   return {
     store,
     engine: {
       useModel: () => {},
       report: async () => report,
       order: async (_wanted: ModelVersion) => 'refused',
-      staged: async () => new Set<string>(),
+      staged: async () => new Set(staged),
       stage: async () => true,
       readBack: async () => undefined,
       drop: async () => {}
@@ -75,8 +81,8 @@
   const open: { close (): unknown }[] = []
   afterEach(async () => { for (const each of open.splice(0)) await each.close() })
 
-  async function begin (): Promise<{ store: StoreFake, lines: string[], ask: (request: PeerRequest) => Promise<unknown> }> {
-    const [store, lines, address] = [new StoreFake(), [] as string[], `127.0.0.1:${nextPort++}`]
+  async function start (listed: boolean, staged: readonly string[]): Promise<{ store: StoreFake, lines: string[], address: string }> {
+    const [store, lines, address] = [new StoreFake(listed), [] as string[], `127.0.0.1:${nextPort++}`]
     const log = new Log('info', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => {
       lines.push(bytes.toString())
       setImmediate(() => callback(null, bytes.length))
@@ -98,10 +104,16 @@
 [weights]
 link-megabits-per-second = 10
 `, 'agent.ini', 'weights-agent')
-    const agent = new WeightsAgent(settings, log, () => platformWith(store))
+    const agent = new WeightsAgent(settings, log, () => platformWith(store, staged))
     await agent.start()
+    open.push({ close: () => agent.stop() })
+    return { store, lines, address }
+  }
+
+  async function begin (): Promise<{ store: StoreFake, lines: string[], ask: (request: PeerRequest) => Promise<unknown> }> {
+    const { store, lines, address } = await start(true, [])
     const pool = new PeerPool({ instance: 'entry-1', key: 'k' })
-    open.push({ close: () => agent.stop() }, pool)
+    open.push(pool)
     await until('the first version is wanted', () => lines.join('').includes('event=version-wanted'))
     return { store, lines, ask: async request => await pool.call(address, request, { timeout: 1_000 }) }
   }
@@ -121,6 +133,20 @@
     assert.deepEqual([store.watches, new Set(store.readings.map(([, freshness]) => freshness))], [0, new Set(['may-be-old'])])
   })
 
+  const beginnings: [name: string, listed: boolean, staged: readonly string[], expected: boolean][] = [
+    ['begins once it knows the other members', true, [], true],
+    ['waits for them while it has nothing', false, [], false],
+    ['does not wait for them when chunks are staged', false, ['digest'], true]
+  ]
+  for (const [name, listed, staged, expected] of beginnings) {
+    it(name, async () => {
+      const { lines } = await start(listed, staged)
+      await until('the staging memory is read', () => lines.join('').includes('event=staging-read'))
+      await new Promise(resolve => setTimeout(resolve, 50))
+      assert.equal(lines.join('').includes('event=version-wanted'), expected)
+    })
+  }
+
   const unheeded: [name: string, named: unknown, told: boolean][] = [
     ['an older version', { model: 'm', version: 1, revision: 9, age: 50 }, false],
     ['a version without a number', { model: 'm', revision: 9, age: 50 }, true],
