Where a member gets a manifest has a module of its own

A peer that does not answer is logged (debug) where it was swallowed before; no other change of behaviour. The tree, the wait by rank and wrong manifests are tested.

--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -8,7 +8,7 @@
  * kept or passed on, and says when the version is whole.
  */
 import {
-  checkManifest, rendezvousOrder, type ChunkMember, type Manifest, type TransferCourse, type TransferEffect, type WeightsFailure
+  checkManifest, type ChunkMember, type Manifest, type TransferCourse, type TransferEffect, type WeightsFailure
 } from '@drumdrift/core'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Log } from '../observe/log.js'
@@ -21,6 +21,7 @@
 import type { ChunkStore } from './chunk-store.js'
 import { digestOf, digestOfText, type ChunkDigest } from './digest.js'
 import type { ChunkStaging } from './engine-client.js'
+import { ManifestSource } from './manifest-source.js'
 
 type Fetch = Extract<TransferEffect, { type: 'fetch' }>
 
@@ -59,26 +60,15 @@
 }) => TransferCourse
 
 const TICK = 50
-/**
- * How long a peer may wait for a manifest itself before it says that it has none, and how long it may take to say so, in
- * milliseconds. A member whose parent cannot be reached asks the platform after that. The longest is what this process waits
- * for others.
- */
-const MANIFEST_WAIT = 400
+/** How long this process waits at most for a manifest that a peer asks for, in milliseconds. */
 const LONGEST_MANIFEST_WAIT = 1_000
-const MANIFEST_TIMEOUT = 700
-/** How long the platform may wait for a manifest itself, in milliseconds. */
-const PLATFORM_WAIT = 1_000
 /** How long a peer may wait for a chunk itself before it says that it has none, in milliseconds. */
 const CHUNK_WAIT = 6_000
 /** A connection that was silent for less is taken for a living one, in milliseconds. */
 const SIGN_OF_LIFE = 400
 const LONGEST_FETCH = 30_000
-const MANIFEST_FAN_OUT = 8
+/** Before a manifest that nobody gave is asked for again, in milliseconds. */
 const MANIFEST_PAUSE = 200
-/** Added wait, for each rank, before the platform is asked for a manifest that peers did not have. */
-const MANIFEST_STAGGER = 20
-const LONGEST_MANIFEST_STAGGER = 5_000
 
 /** The weights of one agent. */
 export class WeightsKeeper {
@@ -96,12 +86,16 @@
   private readonly _connections = new Map<number, PeerConnection>()
   private readonly _manifests = new Map<string, Buffer>()
   private readonly _arrivals = new Arrivals()
+  private readonly _manifestSource: ManifestSource
   private readonly _ticker: NodeJS.Timeout
   /** What became of the attempts of the transfer under way, for the log: by source, or by what went wrong. */
   private readonly _outcomes = new Map<string, number>()
   private _startedAt = 0
 
   constructor (private readonly _parts: WeightsKeeperParts) {
+    this._manifestSource = new ManifestSource({
+      ..._parts, matches: (identity, bytes) => this._matches(identity, bytes), onProblem: problem => this._noteManifestProblem(problem)
+    })
     this._ticker = setInterval(() => this._tick(), TICK)
   }
 
@@ -217,39 +211,11 @@
     })
   }
 
-  /** Parents in a tree over the members first, then, staggered by rank, the platform. */
+  /** The one that is staged already, or else one from a peer or the platform. */
   private async _fetchManifest (digest: string, waited: number): Promise<Buffer | undefined> {
     const held = await this.manifest(digest, 0)
     if (held !== undefined && this._matches(digest, held)) return held
-    const names = [...new Set([this._parts.self.instance, ...this._parts.members().map(member => member.instance)])]
-    const order = rendezvousOrder(names, digest)
-    const rank = order.indexOf(this._parts.self.instance)
-    const parent = rank > 0 ? order[Math.floor((rank - 1) / MANIFEST_FAN_OUT)] : undefined
-    const fromPeer = parent === undefined ? undefined : await this._manifestFromPeer(parent, digest)
-    if (fromPeer !== undefined) return fromPeer
-    if (waited < Math.min(LONGEST_MANIFEST_STAGGER, rank * MANIFEST_STAGGER)) return undefined
-    return await this._manifestFromPlatform(digest)
-  }
-
-  private async _manifestFromPeer (instance: string, digest: string): Promise<Buffer | undefined> {
-    const address = this._parts.addressOf(instance)
-    if (address === undefined) return undefined
-    try {
-      const { reply, payload } = await this._parts.pool.call(address, { type: 'manifest', digest, wait: MANIFEST_WAIT }, { timeout: MANIFEST_TIMEOUT })
-      return reply.type === 'manifest' && this._matches(digest, payload) ? payload : undefined
-    } catch {
-      return undefined
-    }
-  }
-
-  private async _manifestFromPlatform (digest: string): Promise<Buffer | undefined> {
-    for (const upstream of ['origin', 'store'] as const) {
-      const bytes = await this._parts.platform.weights(upstream, 'manifests', digest, PLATFORM_WAIT)
-      if (bytes !== undefined && this._matches(digest, bytes)) return bytes
-      if (bytes !== undefined) this._fail({ type: 'weights-failure', reason: 'digest-mismatch', detail: `manifest from ${upstream}` })
-    }
-    this._problem ??= { type: 'weights-failure', reason: 'unavailable', detail: `no one has manifest ${digest.slice(0, 12)}` }
-    return undefined
+    return await this._manifestSource.fetch(digest, waited)
   }
 
   private _matches (identity: string, bytes: Buffer): boolean {
@@ -335,6 +301,12 @@
     return await fetchChunk(this._parts.pool, { address, digest: effect.digest, wait: CHUNK_WAIT, signal, onComing, onConnection: connection => this._connections.set(effect.attempt, connection) })
   }
 
+  /** That nobody has a manifest is no news after another problem with it. */
+  private _noteManifestProblem (problem: WeightsFailure): void {
+    if (problem.reason === 'unavailable') this._problem ??= problem
+    else this._fail(problem)
+  }
+
   private _fail (problem: WeightsFailure): void {
     this._problem = problem
     this._parts.log.warn('weights-refused', { reason: problem.reason, detail: problem.detail })
