--- a/packages/core/src/lib/routing/origin-schedule.ts
+++ b/packages/core/src/lib/routing/origin-schedule.ts
@@ -10,9 +10,9 @@
 import type { SwarmPolicy } from './swarm-policy.js'
 
 /**
- * Chunks whose turn comes at once: so many share the origin's link at a time, at most one for each member. With eight the last
- * of 64 chunks left it 2.5 s after the first of them, as members waited for each other, in place of 1.8 s; without a bound the
- * origin turned some of 47 members away.
+ * Chunks whose turn comes at once: so many share the origin's link at a time, at most one for each member. With eight one of
+ * 64 chunks had not left it 2.5 s after the version was named, though one copy takes 1.7 s, as members waited for each other;
+ * without a bound the origin turned some of 47 members away.
  */
 const HEAD_START = 24
 
