Sight: readings of published state tell how long they took and how many bytes they were

The hypotheses of the incident differ in where the seconds go: in the queue of a link, or in processes. published-read and published-from-peer tell the time and, from the store, the bytes; each failed call and each peer that was asked is counted, by reason. No change of behaviour.

--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -38,6 +38,8 @@
   readonly upTo: number
   /** Items that could not be read; the others count. */
   readonly refused: readonly DocumentFailure[]
+  /** Bytes of the answers that told them; nothing where that is not known. */
+  readonly bytes?: number | undefined
 }
 
 /** How new a reading must be. One that may be some seconds old is much cheaper for the store. */
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -91,12 +91,13 @@
    * asked.
    */
   async refresh (scope: StoreScope): Promise<void> {
+    const askedAt = performance.now()
     const answer = await this._read(scope, 'may-be-old')
     if (this._closed) return
-    if (answer.type === 'store-failure') return this._failed(scope, answer)
+    if (answer.type === 'store-failure') return this._failed(scope, answer, askedAt)
     // An old reading does not tell which revision the store has come to.
     this._answered(scope, Infinity)
-    this._takeWhole(scope, answer)
+    this._takeWhole(scope, answer, askedAt)
   }
 
   /**
@@ -119,7 +120,7 @@
       const answer = read ? await this._watch(scope) : await this._read(scope, 'newest')
       if (this._closed) return
       if (answer.type === 'store-failure') {
-        this._failed(scope, answer)
+        this._failed(scope, answer, askedAt)
         await pause(backoff * (0.5 + Math.random()))
         backoff = Math.min(LONGEST_BACKOFF, backoff * 2)
         continue
@@ -132,7 +133,7 @@
       }
       this._answered(scope, answer.upTo)
       if (read) this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
-      else this._takeWhole(scope, answer)
+      else this._takeWhole(scope, answer, askedAt)
       read = true
       if (answer.changes.length === 0 || rest === 0) continue
       restedFrom = performance.now()
@@ -163,11 +164,11 @@
     return Math.min(...topicsOfScope[scope].map(topic => note[topic]))
   }
 
-  private _takeWhole (scope: StoreScope, answer: StoreChanges): void {
+  private _takeWhole (scope: StoreScope, answer: StoreChanges, askedAt: number): void {
     const now = performance.now()
     const news = topicsOfScope[scope].flatMap(topic => this.state.takeWhole(topic, answer.changes.filter(change => topicOf(change) === topic), answer.upTo, now))
     this._refused(answer)
-    this._parts.log.info('published-read', { scope, revision: answer.upTo, items: answer.changes.length, news: news.length })
+    this._parts.log.info('published-read', { scope, revision: answer.upTo, items: answer.changes.length, news: news.length, took: Math.round(now - askedAt), bytes: answer.bytes })
     this._tell(news)
   }
 
@@ -189,11 +190,14 @@
     if (news.length > 0) this._parts.onChanges(news)
   }
 
-  private _failed (scope: StoreScope, failure: StoreFailure): void {
+  private _failed (scope: StoreScope, failure: StoreFailure, askedAt: number): void {
+    const now = performance.now()
     this._parts.counters.add('store_failures')
-    this._failedAt = performance.now()
+    this._parts.counters.add(`store_failures_${failure.reason.replaceAll('-', '_')}`)
+    this._parts.log.debug('store-call-failed', { scope, reason: failure.reason, took: Math.round(now - askedAt), complete: this.state.complete })
+    this._failedAt = now
     if (!this._failing.has(scope)) {
-      this._failing.set(scope, performance.now())
+      this._failing.set(scope, now)
       this._parts.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
     }
     this.state.storeLost()
@@ -219,21 +223,24 @@
     const address = addresses[Math.floor(Math.random() * addresses.length)]
     if (address === undefined) return
     this._askingPeer = true
+    const askedAt = performance.now()
+    this._parts.counters.add('peer_news_asked')
     try {
       const { reply } = await this._parts.pool.call(address, { type: 'news', note: this.state.note }, { timeout: PEER_TIMEOUT })
-      if (reply.type === 'news') this._takeNews(address, reply.delta)
+      if (reply.type === 'news') this._takeNews(address, reply.delta, askedAt)
     } catch (error) {
       this._parts.counters.add('peer_news_failures')
-      this._parts.log.debug('peer-silent', { address, reason: failureOf(error).type })
+      this._parts.log.debug('peer-silent', { address, reason: failureOf(error).type, took: Math.round(performance.now() - askedAt) })
     } finally {
       this._askingPeer = false
     }
   }
 
-  private _takeNews (address: string, delta: Parameters<PublishedState['takeDelta']>[0]): void {
-    const news = this.state.takeDelta(delta, performance.now())
+  private _takeNews (address: string, delta: Parameters<PublishedState['takeDelta']>[0], askedAt: number): void {
+    const now = performance.now()
+    const news = this.state.takeDelta(delta, now)
     if (news.length === 0) return
-    this._parts.log.info('published-from-peer', { address, news: news.length, configuration: delta.upTo.configuration, endpoints: delta.upTo.endpoints })
+    this._parts.log.info('published-from-peer', { address, news: news.length, configuration: delta.upTo.configuration, endpoints: delta.upTo.endpoints, took: Math.round(now - askedAt) })
     this._tell(news)
   }
 }
