--- /dev/null
+++ b/packages/stand-ins/src/lib/shared-link.ts
@@ -0,0 +1,105 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * Stand-in for a link that many connections share, as that between two regions: what any of them sends waits in one queue,
+ * which is carried at a fixed rate. What was sent is carried also when nobody waits for it any more.
+ */
+import { createConnection, createServer, type Server, type Socket } from 'node:net'
+
+/** Bytes of one connection that may wait in the queue: a usual window of a connection. */
+const WINDOW = 64 * 1024
+/** Milliseconds between two looks at the queue. */
+const TICK = 5
+
+interface Queued {
+  readonly bytes: Buffer
+  readonly from: Socket
+  readonly to: Socket
+}
+
+/** A shared link to one address. Only the way back from that address is narrow, since that is where bulk comes from. */
+export class SharedLink {
+  /** Bytes that the link has carried back. */
+  carried = 0
+  private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+  private readonly _queue: Queued[] = []
+  private readonly _waiting = new Map<Socket, number>()
+  private readonly _timer: NodeJS.Timeout
+  private _budget = 0
+  private _lookedAt = performance.now()
+
+  /**
+   * @param _target The port on loopback that it leads to.
+   * @param _rate Bytes in a millisecond.
+   * @example
+   * const link = new SharedLink(storePort, 1_000)
+   * await link.listen(0)
+   */
+  constructor (private readonly _target: number, private readonly _rate: number) {
+    this._server = createServer(socket => this._join(socket))
+    this._timer = setInterval(() => this._carry(), TICK)
+  }
+
+  listen (port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, '127.0.0.1', () => resolve())
+    })
+  }
+
+  close (): void {
+    clearInterval(this._timer)
+    this._server.close()
+    for (const socket of this._sockets) socket.destroy()
+  }
+
+  private _join (near: Socket): void {
+    const far = createConnection({ host: '127.0.0.1', port: this._target })
+    for (const socket of [near, far]) {
+      this._sockets.add(socket)
+      socket.on('error', () => socket.destroy())
+      socket.on('close', () => { this._sockets.delete(socket) })
+    }
+    near.on('data', bytes => { far.write(bytes) })
+    near.on('close', () => far.destroy())
+    far.on('data', bytes => this._take({ bytes, from: far, to: near }))
+    far.on('close', () => { if (!this._waiting.has(far)) near.destroy() })
+  }
+
+  private _take (queued: Queued): void {
+    const { bytes, from } = queued
+    this._queue.push(queued)
+    const waiting = (this._waiting.get(from) ?? 0) + bytes.length
+    this._waiting.set(from, waiting)
+    if (waiting >= WINDOW) from.pause()
+  }
+
+  private _carry (): void {
+    const now = performance.now()
+    this._budget += (now - this._lookedAt) * this._rate
+    this._lookedAt = now
+    while (this._budget > 0) {
+      const next = this._queue.shift()
+      if (next === undefined) {
+        this._budget = 0
+        return
+      }
+      this._deliver(next)
+    }
+  }
+
+  private _deliver ({ bytes, from, to }: Queued): void {
+    this._budget -= bytes.length
+    this.carried += bytes.length
+    if (!to.destroyed) to.write(bytes)
+    const waiting = (this._waiting.get(from) ?? 0) - bytes.length
+    if (waiting > 0) this._waiting.set(from, waiting)
+    else this._waiting.delete(from)
+    if (waiting < WINDOW) from.resume()
+    if (from.destroyed && waiting <= 0) to.destroy()
+  }
+}
