--- /dev/null
+++ b/packages/core/src/test/lib/routing/relay-book_test.ts
@@ -0,0 +1,62 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { RelayNote } from '../../../lib/messages.js'
+import type { PublishedNote } from '../../../lib/routing/published-state.js'
+import { RelayBook } from '../../../lib/routing/relay-book.js'
+
+const place = { availabilityZone: 'koshi-a', regionOf: (zone: string) => zone.split('-')[0] ?? zone }
+const nobody = new Set<string>()
+
+function held (configuration: number): PublishedNote { return { configuration, versions: 1, endpoints: 1 } }
+
+function note (availabilityZone: string, configuration: number, fresh = true): RelayNote {
+  return { availabilityZone, followed: held(100 + configuration), held: held(configuration), fresh }
+}
+
+describe('RelayBook', () => {
+  const sources: [name: string, relays: readonly [string, RelayNote][], passedOver: readonly string[], after: number, expected: string | undefined][] = [
+    ['the own zone before the region', [['b', note('koshi-b', 2)], ['a', note('koshi-a', 2)]], [], 0, 'a'],
+    ['the region before others', [['c', note('bagmati-c', 2)], ['b', note('koshi-b', 2)]], [], 0, 'b'],
+    ['another region when nobody is nearer', [['c', note('bagmati-c', 2)]], [], 0, 'c'],
+    ['nobody while a nearer one may soon hold it', [['c', note('bagmati-c', 2)], ['a', note('koshi-a', 1)]], [], 0, undefined],
+    ['another region when the nearer one is late', [['c', note('bagmati-c', 2)], ['a', note('koshi-a', 1)]], [], 500, 'c'],
+    ['another region when the nearer one failed', [['c', note('bagmati-c', 2)], ['a', note('koshi-a', 1)]], ['a'], 0, 'c'],
+    ['nobody when nobody holds more', [['a', note('koshi-a', 1)]], [], 0, undefined]
+  ]
+  for (const [name, relays, passedOver, after, expected] of sources) {
+    it(`takes news from ${name}`, () => {
+      const book = new RelayBook(place)
+      for (const [address, told] of relays) book.heard(address, told, 0)
+      book.ahead(held(1), ['configuration'], new Set(passedOver), 0)
+      assert.equal(book.ahead(held(1), ['configuration'], new Set(passedOver), after), expected)
+    })
+  }
+
+  const confirmations: [name: string, change: (book: RelayBook) => void, at: number, expected: boolean][] = [
+    ['one that follows the store', book => book.heard('a', note('koshi-a', 1), 0), 100, true],
+    ['none that does not hear the store', book => book.heard('a', note('koshi-a', 1, false), 0), 100, false],
+    ['none that was not heard for long', book => book.heard('a', note('koshi-a', 1), 0), 1_501, false],
+    ['none whose connection ended', book => {
+      book.heard('a', note('koshi-a', 1), 0)
+      book.lost('a')
+    }, 100, false]
+  ]
+  for (const [name, change, at, expected] of confirmations) {
+    it(`relies on ${name}`, () => {
+      const book = new RelayBook(place)
+      change(book)
+      assert.deepEqual([book.confirmed(at), book.nearest(nobody, at) !== undefined], [expected, expected])
+    })
+  }
+
+  it('counts as followed what a relay that holds the same has followed, and nothing by one that holds more', () => {
+    const book = new RelayBook(place)
+    book.heard('a', note('koshi-a', 5), 0)
+    assert.deepEqual([book.followedBy(held(5), 'configuration', 0), book.followedBy(held(4), 'configuration', 0)], [105, 0])
+  })
+})
