Few endpoints missing after an outage have left; an outage seen by one process alone is none

Cause: every removal heard while, or just after, a process could not read the store counted as a lapse for 2.5 s. Change: while a relay follows the store nothing counts as a lapse; else, when less than half of the endpoints are missing half a second after the store is back, they are gone. Ruled out: a shorter grace for all, since entries that lapsed may take two seconds to come back.

--- a/packages/core/src/lib/routing/published-state.ts
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -66,6 +66,13 @@
  * the platform's operators say; half a second is added for the way of that news. In milliseconds.
  */
 const LAPSE_GRACE = 2_500
+/**
+ * When few are missing, in milliseconds: with an outage of the store itself most entries lapse, so these have left. Kept for the
+ * whole grace, they were sent requests 3.1 s after they had said so, with 3 s allowed.
+ */
+const FEW_LAPSE_GRACE = 500
+/** Fewer than this share of the endpoints are few. */
+const FEW = 0.5
 /**
  * A version that a peer heard of longer ago counts from when this process hears of it, as after an outage, in milliseconds:
  * a few times the pause in which a relay does not watch the store.
@@ -90,6 +97,8 @@
   private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
   /** Until when missing endpoints count as lapsed rather than gone; infinite while the store cannot be reached. */
   private _graceUntil = 0
+  /** From when it is decided whether few or most are missing. */
+  private _decideAt = 0
   /** Removals up to this revision may be such lapses. */
   private _graceRevision = 0
 
@@ -188,11 +197,13 @@
   storeRegained (now: number, upTo: number): void {
     if (this._graceUntil !== Infinity) return
     this._graceUntil = now + LAPSE_GRACE
+    this._decideAt = now + FEW_LAPSE_GRACE
     this._graceRevision = upTo
   }
 
   /** Takes away endpoints that stayed missing after an outage. Returns their removals. */
   expire (now: number): PublishedChange[] {
+    this._shortenGrace(now)
     const gone: PublishedChange[] = []
     for (const { record: { id }, lapsesAt } of this._endpoints.values()) {
       if (lapsesAt === undefined || now < Math.min(lapsesAt, this._graceUntil)) continue
@@ -202,6 +213,15 @@
     return gone
   }
 
+  /** Decides once for each outage. */
+  private _shortenGrace (now: number): void {
+    if (this._graceUntil === Infinity || now < this._decideAt) return
+    this._decideAt = Infinity
+    const endpoints = [...this._endpoints.values()]
+    const missing = endpoints.filter(({ lapsesAt }) => lapsesAt !== undefined)
+    if (missing.length < FEW * endpoints.length) this._graceUntil = now
+  }
+
   /**
    * What a peer lacks that has followed up to `note`.
    *
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -266,7 +266,8 @@
       this._failing.set(scope, now)
       this._parts.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
     }
-    this.state.storeLost()
+    // A relay that follows the store shows that the store is not away: then nothing lapses, and what goes has left.
+    if (!this._relays.confirmed) this.state.storeLost()
   }
 
   private _answered (scope: StoreScope, upTo: number): void {
