--- a/packages/node/src/lib/platform/http-client.ts
+++ b/packages/node/src/lib/platform/http-client.ts
@@ -29,6 +29,8 @@
   readonly timeout?: number
   readonly largest?: number
   readonly signal?: AbortSignal
+  /** Whether the connection is kept for the next request; it is unless this says no. */
+  readonly keepConnection?: boolean
   /** Holds back reading, to keep a process to its share of the link. */
   readonly pacer?: ReadPacer
 }
@@ -57,9 +59,9 @@
  */
 export function openHttp (address: string, question: HttpQuestion): Promise<IncomingMessage> {
   const { host, port } = parseAddress(address)
-  const { method = 'GET', path, headers = {}, body, timeout = DEFAULT_TIMEOUT, signal } = question
+  const { method = 'GET', path, headers = {}, body, timeout = DEFAULT_TIMEOUT, signal, keepConnection = true } = question
   return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, method, path, headers, agent: connections, timeout, signal }, resolve)
+    const outgoing = request({ host, port, method, path, headers, agent: keepConnection ? connections : false, timeout, signal }, resolve)
     outgoing.on('timeout', () => outgoing.destroy(httpError('timed-out', `${method} ${path}: no answer within ${timeout} ms`)))
     outgoing.on('error', error => reject(error instanceof DrumdriftError ? error : httpError('connection-lost', error.message)))
     outgoing.end(body)
