--- a/packages/core/src/lib/routing/published-state.ts
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -9,6 +9,8 @@
  * revision of its item, and an older one never replaces a newer one.
  */
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
+import { LapseGrace } from './lapse-grace.js'
+import { NamedVersions } from './named-versions.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
 /** A model and one of its numbered versions. */
@@ -61,18 +63,6 @@
   readonly heardAt: number | undefined
 }
 
-/**
- * After an outage of the store, endpoints whose entries lapsed meanwhile write them again within about two seconds, as
- * the platform's operators say; half a second is added for the way of that news. In milliseconds.
- */
-const LAPSE_GRACE = 2_500
-/**
- * When few are missing, in milliseconds: with an outage of the store itself most entries lapse, so these have left. Kept for the
- * whole grace, they were sent requests 3.1 s after they had said so, with 3 s allowed.
- */
-const FEW_LAPSE_GRACE = 500
-/** Fewer than this share of the endpoints are few. */
-const FEW = 0.5
 /**
  * A version that a peer heard of longer ago counts from when this process hears of it, as after an outage, in milliseconds:
  * a few times the pause in which a relay does not watch the store.
@@ -80,14 +70,12 @@
 const LONGEST_AGE = 1_000
 /** Removals kept to be told to peers. Beyond that, a peer that is further behind gets the whole list. */
 const MOST_REMOVALS = 512
-/** Versions remembered of one model: those whose bounds may still be running. */
-const MOST_NAMED = 8
 
 /** The published state of one process. */
 export class PublishedState {
   private _configuration: { readonly revision: number, readonly configuration: RoutingConfiguration } | undefined
-  /** The versions named of each model, the newest last. */
-  private readonly _versions = new Map<string, WantedVersion[]>()
+  private readonly _versions = new NamedVersions()
+  private readonly _grace = new LapseGrace()
   private readonly _endpoints = new HeldEndpoints()
   /** The revision of each removal, the oldest first. */
   private readonly _removals = new Map<string, number>()
@@ -95,12 +83,6 @@
   private _newestEndpoint = 0
   private _edition = 0
   private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
-  /** Until when missing endpoints count as lapsed rather than gone; infinite while the store cannot be reached. */
-  private _graceUntil = 0
-  /** From when it is decided whether few or most are missing. */
-  private _decideAt = 0
-  /** Removals up to this revision may be such lapses. */
-  private _graceRevision = 0
 
   get configuration (): RoutingConfiguration | undefined { return this._configuration?.configuration }
   get configurationRevision (): number { return this._configuration?.revision ?? 0 }
@@ -113,7 +95,7 @@
    * they have followed.
    */
   get held (): PublishedNote {
-    const versions = Math.max(0, ...this._newest().map(({ revision }) => revision))
+    const versions = Math.max(0, ...this._versions.newestOfAll().map(({ revision }) => revision))
     return { configuration: this.configurationRevision, versions, endpoints: this._newestEndpoint }
   }
 
@@ -121,7 +103,7 @@
   get edition (): number { return this._edition }
 
   /** The wanted version of a model: the newest that was named. */
-  wanted (model: string): WantedVersion | undefined { return this._versions.get(model)?.at(-1) }
+  wanted (model: string): WantedVersion | undefined { return this._versions.newest(model) }
 
   /**
    * When a version above the given one was first named, by this process's clock; nothing when none was, or when it was
@@ -129,7 +111,7 @@
    * each has a bound of its own.
    */
   firstNewerAt (model: string, version: number): number | undefined {
-    return this._versions.get(model)?.find(named => named.version > version)?.heardAt
+    return this._versions.firstNewerAt(model, version)
   }
 
   /**
@@ -141,8 +123,7 @@
    * const least = state.dueVersion('drafting', 8_000, now)
    */
   dueVersion (model: string, bound: number, now: number): number {
-    const due = this._versions.get(model)?.filter(({ heardAt }) => heardAt === undefined || now - heardAt >= bound)
-    return due?.at(-1)?.version ?? 0
+    return this._versions.due(model, bound, now)
   }
 
   /** Endpoints that are listed, those that drain included. */
@@ -184,44 +165,28 @@
   }
 
   /** The store cannot be reached: entries that vanish now may have lapsed only because of that. */
-  storeLost (): void {
-    this._graceUntil = Infinity
-    this._graceRevision = Infinity
-  }
+  storeLost (): void { this._grace.lost() }
 
   /**
    * The store answers again.
    *
    * @param upTo Its revision then: what went up to it may have lapsed, what goes later is gone.
    */
-  storeRegained (now: number, upTo: number): void {
-    if (this._graceUntil !== Infinity) return
-    this._graceUntil = now + LAPSE_GRACE
-    this._decideAt = now + FEW_LAPSE_GRACE
-    this._graceRevision = upTo
-  }
+  storeRegained (now: number, upTo: number): void { this._grace.regained(now, upTo) }
 
   /** Takes away endpoints that stayed missing after an outage. Returns their removals. */
   expire (now: number): PublishedChange[] {
-    this._shortenGrace(now)
+    const endpoints = [...this._endpoints.values()]
+    this._grace.decide(endpoints.filter(({ lapsesAt }) => lapsesAt !== undefined).length, endpoints.length, now)
     const gone: PublishedChange[] = []
-    for (const { record: { id }, lapsesAt } of this._endpoints.values()) {
-      if (lapsesAt === undefined || now < Math.min(lapsesAt, this._graceUntil)) continue
+    for (const { record: { id }, lapsesAt } of endpoints) {
+      if (lapsesAt === undefined || !this._grace.isOver(lapsesAt, now)) continue
       this._endpoints.drop(id)
       gone.push({ type: 'endpoint-gone', id, revision: this._removals.get(id) ?? this._seen.endpoints })
     }
     return gone
   }
 
-  /** Decides once for each outage. */
-  private _shortenGrace (now: number): void {
-    if (this._graceUntil === Infinity || now < this._decideAt) return
-    this._decideAt = Infinity
-    const endpoints = [...this._endpoints.values()]
-    const missing = endpoints.filter(({ lapsesAt }) => lapsesAt !== undefined)
-    if (missing.length < FEW * endpoints.length) this._graceUntil = now
-  }
-
   /**
    * What a peer lacks that has followed up to `note`.
    *
@@ -241,7 +206,7 @@
     const changes: PublishedChange[] = []
     const held = this._configuration
     if (held !== undefined && held.revision > note.configuration) changes.push({ type: 'configuration', ...held })
-    for (const { revision, model, version, heardAt } of this._newest()) {
+    for (const { revision, model, version, heardAt } of this._versions.newestOfAll()) {
       const age = heardAt === undefined ? undefined : now - heardAt
       if (revision > note.versions) changes.push({ type: 'wanted-version', revision, wanted: { model, version }, age })
     }
@@ -272,12 +237,8 @@
       return true
     },
     'wanted-version': ({ revision, wanted, age = 0 }, now) => {
-      const named = this._versions.get(wanted.model) ?? []
-      const newest = named.at(-1)
-      if (newest !== undefined && (revision <= newest.revision || wanted.version <= newest.version)) return false
       const heardAt = this._seen.versions === 0 ? undefined : now - (age <= LONGEST_AGE ? age : 0)
-      this._versions.set(wanted.model, [...named.slice(1 - MOST_NAMED), { ...wanted, revision, heardAt }])
-      return true
+      return this._versions.take(wanted, revision, heardAt)
     },
     endpoint: ({ revision, record }) => {
       const known = Math.max(this._endpoints.get(record.id)?.revision ?? 0, this._removals.get(record.id) ?? 0)
@@ -308,10 +269,6 @@
     return [{ type: 'endpoint-gone', id, revision }]
   }
 
-  private _newest (): WantedVersion[] {
-    return [...this._versions.values()].flatMap(named => named.slice(-1))
-  }
-
   /** A peer that has nothing, or is behind the oldest removal that is kept, gets everything. */
   private _tellsWhole (topic: PublishedTopic, note: PublishedNote): boolean {
     return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._forgottenRemovals)
@@ -322,8 +279,9 @@
     if (revision <= Math.max(held?.revision ?? 0, this._removals.get(id) ?? 0)) return false
     this._noteRemoval(id, revision)
     if (held === undefined) return false
-    if (now < this._graceUntil && revision <= this._graceRevision) {
-      held.lapsesAt ??= this._graceUntil
+    const keptUntil = this._grace.keptUntil(revision, now)
+    if (keptUntil !== undefined) {
+      held.lapsesAt ??= keptUntil
       return false
     }
     this._endpoints.drop(id)
