--- a/packages/node/src/lib/routing/news-relay.ts
+++ b/packages/node/src/lib/routing/news-relay.ts
@@ -20,13 +20,13 @@
 export class NewsRelay {
   private readonly _followers = new Map<PeerConnection, Responder>()
   private readonly _packer: NewsPacker
-  private readonly _timer: NodeJS.Timeout
+  /** Runs from the first follower on. */
+  private _timer: NodeJS.Timeout | undefined
   private _told = ''
   private _toldAt = -Infinity
 
   constructor (private readonly _feed: PublishedFeed, private readonly _availabilityZone: string) {
     this._packer = new NewsPacker(_feed.state)
-    this._timer = setInterval(() => this._tick(), TELL_PAUSE)
   }
 
   close (): void { clearInterval(this._timer) }
@@ -35,6 +35,7 @@
   follow (responder: Responder): void {
     const { connection } = responder
     this._followers.set(connection, responder)
+    this._timer ??= setInterval(() => this._tick(), TELL_PAUSE)
     connection.onEnd(() => { this._followers.delete(connection) })
     responder.send({ type: 'news-note', note: this._note() })
   }
