Tests of streams that fail twice, which fail: an error in answer to a resumed stream ends it as whole

An engine stand-in cuts a stream after three events and answers the request that is to go on with it with an error (500), a refusal (404) or a success that is no stream.

--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -15,6 +15,8 @@
 export type WorkerMode =
   | 'whole' | 'error' | 'sheds' | 'wrong-instance' | 'wrong-version' | 'cut' | 'cut-in-event' | 'reset-unanswered' | 'mute'
   | 'unsigned' | 'of-another-request' | 'unframed' | 'late-error'
+  /** A stream is cut after some events, and one that is to go on elsewhere gets an answer that is no stream. */
+  | 'cut-then-error' | 'cut-then-denied' | 'cut-then-plain' | 'cut-then-not-signed'
 
 /** A request that reached the worker. */
 export interface Arrival {
@@ -119,6 +121,14 @@
 /** Streams answer model requests; everything else is answered with a body of known length. */
 function streams (request: IncomingMessage): boolean { return request.headers['x-model'] !== undefined }
 
+/** Cuts a stream that begins; one that goes on gets another kind of answer. */
+function cutThen (resumed: ModeHandler): ModeHandler {
+  return (worker, request, response) => {
+    const handler = request.headers['last-event-id'] === undefined ? modeHandlers.cut : resumed
+    handler(worker, request, response)
+  }
+}
+
 const modeHandlers: Record<WorkerMode, ModeHandler> = {
   whole: (worker, request, response) => {
     if (streams(request)) return sendEvents(worker, request, response, EVENTS, () => response.end())
@@ -141,6 +151,10 @@
     response.write('id: 4\ndata: pie')
     setTimeout(() => response.destroy(), EVENT_PAUSE)
   }),
+  'cut-then-error': cutThen((...exchange) => modeHandlers.error(...exchange)),
+  'cut-then-denied': cutThen((worker, request, response) => { response.writeHead(404, worker.head(request)).end('unknown') }),
+  'cut-then-plain': cutThen((worker, request, response) => { response.writeHead(200, worker.head(request)).end('no stream') }),
+  'cut-then-not-signed': cutThen((...exchange) => modeHandlers.unsigned(...exchange)),
   'reset-unanswered': (_worker, request) => { request.socket.resetAndDestroy() },
   mute: () => {},
   unsigned: (worker, request, response) => {
