--- a/packages/node/src/lib/routing/attempt-outcome.ts
+++ b/packages/node/src/lib/routing/attempt-outcome.ts
@@ -6,10 +6,7 @@
 /** What the end of an attempt says: of the endpoint's health, of how long to pass it over, and to those who read the log. */
 import { LEAST_FAILURE_STATUS, type AttemptEnd, type Avoidance, type EndpointHealth } from '@drumdrift/core'
 
-/** Answers below this status are successes. */
-export const LEAST_UNSUCCESSFUL_STATUS = 300
-
-const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', cut: 'bad', stalled: 'bad' }
+const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad' }
 
 /** What an attempt's end says of the endpoint's health. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -7,9 +7,7 @@
  * The caller's side of one exchange: passes an answer on, and never lets a broken one look whole.
  */
 import type { ServerResponse } from 'node:http'
-import type { EndpointHead, OwnAnswer } from './ports.js'
-
-type AnswerHead = Extract<EndpointHead, { type: 'answer' }>
+import type { AnswerHead, OwnAnswer } from './ports.js'
 
 /** Where the answer of one request goes. */
 export class CallerAnswer {
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -12,7 +12,7 @@
 import { createConnection, type Socket } from 'node:net'
 import type { NotRunReason } from '@drumdrift/core'
 import { parseAddress } from '../settings/address.js'
-import type { EndpointHead } from './ports.js'
+import type { AnswerHead, EndpointHead } from './ports.js'
 
 /** How a call ended. */
 export type EndpointCallEnd =
@@ -42,7 +42,7 @@
 export interface EndpointCallListener {
   /** Reads the head of the answer. */
   readHead (response: IncomingMessage): EndpointHead
-  head (head: Extract<EndpointHead, { type: 'answer' }>): void
+  head (head: AnswerHead): void
   data (bytes: Buffer): void
 }
 
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -102,6 +102,9 @@
     readonly eventStream: boolean
   }
 
+/** The head of an answer that is for the caller. */
+export type AnswerHead = Extract<EndpointHead, { type: 'answer' }>
+
 /** An answer of the system's own. */
 export interface OwnAnswer {
   readonly status: number
