Endpoints that start again under their id; entries of other writers

Cause: each start of a worker had an id of its own, and all that is learnt of one was kept by that id. Now a worker may come back under its id with nothing of before. What is learnt (load, reports, avoidance, ejection, tried, reserved connections) is kept by the start, the id with the time told as born; an older start never replaces a newer one; a late report of an earlier start is dropped, and one of a later start takes the listed one out of the choice. An agent whose engine started again forgets its prompts and orders and verifies what is staged.

An entry that cannot be read now names no endpoint also where it takes the place of a good one, in readings, watches and news of relays; it goes at once, without the grace for lapses. An entry of a service that nobody configured takes no address away.

Types that three modules of published state imported from each other in a circle have a lowest file.

--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -12,7 +12,7 @@
 import { EndpointLoad, REPORT_LIFETIME, type LoadReport } from './endpoint-load.js'
 import type { Opening } from './early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
-import type { EndpointRecord } from './published-state.js'
+import { startOf, type EndpointRecord } from './endpoint-record.js'
 import type { ServiceDescription } from './routing-configuration.js'
 import { RequestRate } from './request-rate.js'
 import { UsualTime } from './usual-time.js'
@@ -36,7 +36,7 @@
   readonly mustBeginBy: (version: number) => number | undefined
   /** What requests of the service want on average, in milliseconds: see `UsualObjective`. */
   readonly usualObjective: number
-  /** Endpoints that have had this request. */
+  /** Starts of endpoints that have had this request. */
   readonly tried: ReadonlySet<string>
 }
 
@@ -124,10 +124,12 @@
 
 /** The endpoints of one service, as one entry sees them. */
 export class EndpointChooser {
+  /** What is known of each start of an endpoint: see `startOf`. */
   private readonly _known = new Map<string, Known>()
   private readonly _ejection = new Ejection()
   private readonly _rate = new RequestRate()
   private _records: readonly EndpointRecord[] = []
+  private _listed: ReadonlySet<string> = new Set()
   private readonly _plainTime = new UsualTime()
 
   /**
@@ -140,53 +142,54 @@
   /** Takes the endpoints that are listed. */
   setRecords (records: readonly EndpointRecord[]): void {
     this._records = records
-    const listed = new Set(records.map(({ id }) => id))
-    this._ejection.retain(listed)
-    for (const [id, { load }] of this._known) if (!listed.has(id) && load.outstanding === 0) this._known.delete(id)
+    this._listed = new Set(records.map(startOf))
+    this._ejection.retain(this._listed)
+    for (const [start, { load }] of this._known) if (!this._listed.has(start) && load.outstanding === 0) this._known.delete(start)
   }
 
   /** Requests in a millisecond that this entry sends to the service. */
   sentRate (now: number): number { return this._rate.perMillisecond(now) }
 
   /** What is known of an endpoint's load. */
-  load (id: string): EndpointLoad { return this._entry(id).load }
+  load (start: string): EndpointLoad { return this._entry(start).load }
 
-  heard (id: string, report: LoadReport, now: number): void {
-    if (this._records.some(record => record.id === id)) this._entry(id).load.heard(report, now)
+  heard (start: string, report: LoadReport, now: number): void {
+    if (this._listed.has(start)) this._entry(start).load.heard(report, now)
   }
 
   /** A measurement of the way to an endpoint began, or ended. */
-  measured (id: string, step: 'begun' | 'ended', now: number): void {
-    if (!this._records.some(record => record.id === id)) return
-    const { load } = this._entry(id)
+  measured (start: string, step: 'begun' | 'ended', now: number): void {
+    if (!this._listed.has(start)) return
+    const { load } = this._entry(start)
     if (step === 'begun') load.pinged(now)
     else load.ponged(now)
   }
 
   /** Passes an endpoint over for a while. */
-  avoid (id: string, why: Avoidance, now: number): void {
-    this._entry(id).avoidUntil = now + avoidances[why]
+  avoid (start: string, why: Avoidance, now: number): void {
+    this._entry(start).avoidUntil = now + avoidances[why]
   }
 
   /** A request was sent. */
   sent (choice: Choice, request: string, promptTokens: number, now: number): void {
     this._rate.sent(now)
-    this._entry(choice.record.id).load.sent(request, promptTokens, now)
-    this._ejection.chosen(choice.record.id)
+    const start = startOf(choice.record)
+    this._entry(start).load.sent(request, promptTokens, now)
+    this._ejection.chosen(start)
   }
 
   /** A plain request was answered after so many milliseconds. */
-  plainTook (id: string, milliseconds: number, now: number): void {
-    this._entry(id).load.plainTook(milliseconds, this._plainTime.value(now), now)
+  plainTook (start: string, milliseconds: number, now: number): void {
+    this._entry(start).load.plainTook(milliseconds, this._plainTime.value(now), now)
     this._plainTime.took(milliseconds, now)
   }
 
   /** A request has ended there. */
-  ended (id: string, request: string, health: EndpointHealth, now: number): void {
-    this._entry(id).load.ended(request)
-    if (health === 'good') this._ejection.succeeded(id)
-    else if (health === 'bad') this._ejection.failed(id, now)
-    else this._ejection.ended(id)
+  ended (start: string, request: string, health: EndpointHealth, now: number): void {
+    this._entry(start).load.ended(request)
+    if (health === 'good') this._ejection.succeeded(start)
+    else if (health === 'bad') this._ejection.failed(start, now)
+    else this._ejection.ended(start)
   }
 
   /**
@@ -197,8 +200,8 @@
    */
   choose (service: ServiceDescription, need: Need, now: number): Choice | undefined {
     const open = this._records.filter(record => this._open(record, service, need, now))
-    const usable = new Set(this._ejection.usable(open.map(({ id }) => id), now))
-    const choices = open.filter(({ id }) => usable.has(id))
+    const usable = new Set(this._ejection.usable(open.map(startOf), now))
+    const choices = open.filter(record => usable.has(startOf(record)))
       .map(record => this._expect(record, service, need, now, open.length))
       .filter(choice => !tooLate(choice, need, now))
     const distanceFactor = this._comfortable(choices, need) ? COMFORT_FACTOR : 1
@@ -215,10 +218,10 @@
    */
   opening (service: ServiceDescription, need: Need, now: number): Opening {
     if (service.pool === undefined) return { type: 'open' }
-    const heard = this._records.filter(({ id }) => this._entry(id).load.report(now) !== undefined)
+    const heard = this._records.filter(record => this._entryOf(record).load.report(now) !== undefined)
     if (heard.length === 0) return { type: 'silent' }
     if (heard.some(record => this._open(record, service, { ...need, tried: new Set() }, now))) return { type: 'open' }
-    const times = heard.flatMap(({ id }) => this._entry(id).load.opensAt(now) ?? [])
+    const times = heard.flatMap(record => this._entryOf(record).load.opensAt(now) ?? [])
     return times.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.max(0, Math.min(...times) - now) }
   }
 
@@ -236,7 +239,7 @@
   private _choice ({ candidate, byOthers }: Picked, { pool }: ServiceDescription, { promptTokens }: Need, now: number): Choice {
     const expected = candidate.expected + byOthers
     if (pool === undefined || promptTokens <= pool.usualPromptTokens) return { ...candidate, expected, expectedOfUsual: expected }
-    const usual = this._entry(candidate.record.id).load.expectedFirstEvent(pool, pool.usualPromptTokens, now)
+    const usual = this._entryOf(candidate.record).load.expectedFirstEvent(pool, pool.usualPromptTokens, now)
     return { ...candidate, expected, expectedOfUsual: usual + byOthers }
   }
 
@@ -254,12 +257,12 @@
   /** The version that an endpoint serves, by its fresh report or else by the list. */
   versionOf (record: EndpointRecord, model: string, now: number): number {
     const listed = record.models.find(held => held.model === model)?.version ?? 0
-    return this._entry(record.id).load.report(now)?.version ?? listed
+    return this._entryOf(record).load.report(now)?.version ?? listed
   }
 
   private _open (record: EndpointRecord, service: ServiceDescription, need: Need, now: number): boolean {
-    if (record.draining || need.tried.has(record.id)) return false
-    const known = this._entry(record.id)
+    if (record.draining || need.tried.has(startOf(record))) return false
+    const known = this._entryOf(record)
     if (known.avoidUntil > now || known.load.outstanding >= service.maxConnections) return false
     if (service.pool === undefined || need.model === '') return true
     const version = this.versionOf(record, need.model, now)
@@ -268,7 +271,7 @@
   }
 
   private _expect (record: EndpointRecord, service: ServiceDescription, need: Need, now: number, candidates: number): Candidate {
-    const { load } = this._entry(record.id)
+    const { load } = this._entryOf(record)
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
     const expected = service.pool === undefined ? load.expectedPlainAnswer(slots, this._plainTime.value(now), now) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
     const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
@@ -277,13 +280,13 @@
 
   /** What a choice costs in all, in milliseconds. */
   private _cost (choice: Candidate, service: ServiceDescription, need: Need, distanceFactor: number, now: number): number {
-    const unseen = service.pool !== undefined && this._entry(choice.record.id).load.report(now) === undefined
+    const unseen = service.pool !== undefined && this._entryOf(choice.record).load.report(now) === undefined
     return choice.expected + distanceFactor * this._distancePrice(choice.record) + this._closingPrice(choice.record, service, need, choice, now) + (unseen ? UNSEEN_PRICE : 0)
   }
 
   /** The price of work that would hold up a planned switch. */
-  private _closingPrice ({ id }: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Candidate, now: number): number {
-    const { load } = this._entry(id)
+  private _closingPrice (record: EndpointRecord, { pool }: ServiceDescription, { answerTokens }: Need, { expected }: Candidate, now: number): number {
+    const { load } = this._entryOf(record)
     const closesAt = load.closesAt(now)
     if (closesAt === undefined || pool === undefined) return 0
     const tokens = answerTokens > 0 ? answerTokens : pool.usualAnswerTokens
@@ -301,9 +304,11 @@
     return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? ZONE_PRICE : REGION_PRICE
   }
 
-  private _entry (id: string): Known {
-    const known = this._known.get(id) ?? { load: new EndpointLoad(), avoidUntil: -Infinity }
-    this._known.set(id, known)
+  private _entryOf (record: EndpointRecord): Known { return this._entry(startOf(record)) }
+
+  private _entry (start: string): Known {
+    const known = this._known.get(start) ?? { load: new EndpointLoad(), avoidUntil: -Infinity }
+    this._known.set(start, known)
     return known
   }
 }
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -29,6 +29,8 @@
   readonly opensIn?: number | undefined
   /** Requests in a millisecond that all entries which hear these reports send to the pool; nothing when that is not told. */
   readonly sentRate?: number | undefined
+  /** The start of the engine that this is told of; nothing where engines do not tell it. See `EndpointRecord`. */
+  readonly born?: number | undefined
 }
 
 /** A request of this entry at the endpoint. */
--- a/packages/core/src/lib/routing/held-endpoints.ts
+++ b/packages/core/src/lib/routing/held-endpoints.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** The endpoints that a process holds, by id and by address. At an address there is one at a time. */
-import type { EndpointRecord } from './published-state.js'
+import type { EndpointRecord } from './endpoint-record.js'
 
 /** One endpoint as it was published last. */
 export interface HeldEndpoint {
@@ -30,13 +30,17 @@
     return id === undefined ? undefined : this._byId.get(id)
   }
 
-  /** Holds an endpoint in place of what was held of the same id. */
-  hold (endpoint: HeldEndpoint): void {
+  /**
+   * Holds an endpoint in place of what was held of the same id.
+   *
+   * @param claimsAddress Whether it takes its address from whatever was held there.
+   */
+  hold (endpoint: HeldEndpoint, claimsAddress: boolean): void {
     const { id, address } = endpoint.record
     const before = this._byId.get(id)
     if (before !== undefined) this._leave(before)
     this._byId.set(id, endpoint)
-    this._idAt.set(address, id)
+    if (claimsAddress) this._idAt.set(address, id)
   }
 
   /** Takes an endpoint away; nothing happens when it is not held. */
--- a/packages/core/src/lib/routing/load-news.ts
+++ b/packages/core/src/lib/routing/load-news.ts
@@ -40,7 +40,7 @@
  * if (isLoadNews(load, { told, age: 100, readRate: 20, slots: 16 })) tell(load)
  */
 export function isLoadNews (load: LoadReport, { told, age, readRate, slots }: LoadExpectation): boolean {
-  if (load.version !== told.version || load.accepting !== told.accepting || load.waiting !== told.waiting) return true
+  if (load.born !== told.born || load.version !== told.version || load.accepting !== told.accepting || load.waiting !== told.waiting) return true
   if ((load.closesIn === undefined) !== (told.closesIn === undefined)) return true
   if ((load.opensIn === undefined) !== (told.opensIn === undefined)) return true
   if (hasMoved(load.opensIn, told.opensIn, age, OPENING_TOLERANCE)) return true
--- a/packages/core/src/lib/routing/named-versions.ts
+++ b/packages/core/src/lib/routing/named-versions.ts
@@ -4,7 +4,14 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** The versions that were named of each model, and when this process heard of them. */
-import type { ModelVersion, WantedVersion } from './published-state.js'
+import type { ModelVersion } from './endpoint-record.js'
+
+/** A wanted version, with the local time at which this process first heard of it. */
+export interface WantedVersion extends ModelVersion {
+  readonly revision: number
+  /** Nothing when it was there already when this process began to follow. */
+  readonly heardAt: number | undefined
+}
 
 /** Versions remembered of one model: those whose bounds may still be running. */
 const MOST_NAMED = 8
--- a/packages/core/src/lib/routing/published-state.ts
+++ b/packages/core/src/lib/routing/published-state.ts
@@ -8,31 +8,13 @@
  * list of endpoints. Changes come from the platform's store or from peers, in any order; each carries the store's
  * revision of its item, and an older one never replaces a newer one.
  */
+import { isEarlierStart, type EndpointRecord, type ModelVersion } from './endpoint-record.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
-import { NamedVersions } from './named-versions.js'
+import { NamedVersions, type WantedVersion } from './named-versions.js'
+import { Removals } from './removals.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
-/** A model and one of its numbered versions. */
-export interface ModelVersion {
-  readonly model: string
-  readonly version: number
-}
-
-/** One start of an endpoint. A restarted endpoint is a new one. */
-export interface EndpointRecord {
-  /** Names this start of the endpoint. */
-  readonly id: string
-  readonly service: string
-  readonly address: string
-  readonly availabilityZone: string
-  readonly slots: number
-  /** Whether it takes no new work. */
-  readonly draining: boolean
-  /** Versions that it had loaded when it wrote this; it may be seconds old. */
-  readonly models: readonly ModelVersion[]
-}
-
 /** Parts of what is published. */
 export type PublishedTopic = 'configuration' | 'versions' | 'endpoints'
 export const publishedTopics: readonly PublishedTopic[] = ['configuration', 'versions', 'endpoints']
@@ -43,7 +25,8 @@
   /** `age`: milliseconds since the teller heard of it, in news between processes; nothing where that is not known. */
   | { readonly type: 'wanted-version', readonly revision: number, readonly wanted: ModelVersion, readonly age?: number | undefined }
   | { readonly type: 'endpoint', readonly revision: number, readonly record: EndpointRecord }
-  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string }
+  /** `certain`: it names no endpoint to use any more, whatever became of the store meanwhile; otherwise it may only have lapsed. */
+  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined }
 
 /** How far a process has followed each topic: the store's revision up to which it has seen every change. */
 export type PublishedNote = Readonly<Record<PublishedTopic, number>>
@@ -56,20 +39,11 @@
   readonly whole: readonly PublishedTopic[]
 }
 
-/** A wanted version, with the local time at which this process first heard of it. */
-export interface WantedVersion extends ModelVersion {
-  readonly revision: number
-  /** Nothing when it was there already when this process began to follow. */
-  readonly heardAt: number | undefined
-}
-
 /**
  * A version that a peer heard of longer ago counts from when this process hears of it, as after an outage, in milliseconds:
  * a few times the pause in which a relay does not watch the store.
  */
 const LONGEST_AGE = 1_000
-/** Removals kept to be told to peers. Beyond that, a peer that is further behind gets the whole list. */
-const MOST_REMOVALS = 512
 
 /** The published state of one process. */
 export class PublishedState {
@@ -77,9 +51,7 @@
   private readonly _versions = new NamedVersions()
   private readonly _grace = new LapseGrace()
   private readonly _endpoints = new HeldEndpoints()
-  /** The revision of each removal, the oldest first. */
-  private readonly _removals = new Map<string, number>()
-  private _forgottenRemovals = 0
+  private readonly _removals = new Removals()
   private _newestEndpoint = 0
   private _edition = 0
   private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
@@ -182,7 +154,7 @@
     for (const { record: { id }, lapsesAt } of endpoints) {
       if (lapsesAt === undefined || !this._grace.isOver(lapsesAt, now)) continue
       this._endpoints.drop(id)
-      gone.push({ type: 'endpoint-gone', id, revision: this._removals.get(id) ?? this._seen.endpoints })
+      gone.push({ type: 'endpoint-gone', id, revision: this._removals.revisionOf(id) || this._seen.endpoints })
     }
     return gone
   }
@@ -212,7 +184,7 @@
     }
     const from = whole.includes('endpoints') ? 0 : note.endpoints
     for (const { record, revision } of this._endpoints.values()) if (revision > from) changes.push({ type: 'endpoint', revision, record })
-    for (const [id, revision] of this._removals) if (revision > from) changes.push({ type: 'endpoint-gone', revision, id })
+    changes.push(...this._removals.after(from))
     return { changes, whole }
   }
 
@@ -241,13 +213,15 @@
       return this._versions.take(wanted, revision, heardAt)
     },
     endpoint: ({ revision, record }) => {
-      const known = Math.max(this._endpoints.get(record.id)?.revision ?? 0, this._removals.get(record.id) ?? 0)
+      const held = this._endpoints.get(record.id)
+      const known = Math.max(held?.revision ?? 0, this._removals.revisionOf(record.id))
       if (revision <= known || this._isReplaced(record, revision)) return false
-      this._endpoints.hold({ record, revision, lapsesAt: undefined })
-      this._removals.delete(record.id)
+      if (isEarlierStart(record.born, held?.record.born ?? this._removals.bornOf(record.id))) return false
+      this._endpoints.hold({ record, revision, lapsesAt: undefined }, this._isNamed(record.service))
+      this._removals.forget(record.id)
       return true
     },
-    'endpoint-gone': ({ revision, id }, now) => this._remove(id, revision, now)
+    'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
   /** Whether another start of an endpoint was listed at the same address later. */
@@ -256,30 +230,37 @@
     return held !== undefined && held.record.id !== id && held.revision > revision
   }
 
+  /** An entry of a service that nobody configured takes no address away: it may have been written by anyone. */
+  private _isNamed (service: string): boolean {
+    return this.configuration === undefined || this.configuration.services.some(({ name }) => name === service)
+  }
+
   /**
    * An earlier start of an endpoint at an address that a newer one has taken. It stays listed until three heartbeats are
    * missing; requests sent there meanwhile are answered by the newer one with "wrong instance": 112 on a day that ends with a
    * loss of power, and 38 since then.
    */
   private _replaced (earlier: HeldEndpoint | undefined, { revision, record }: Extract<PublishedChange, { type: 'endpoint' }>): PublishedChange[] {
-    if (earlier === undefined || earlier.record.id === record.id) return []
-    const { id } = earlier.record
+    if (earlier === undefined || earlier.record.id === record.id || !this._isNamed(record.service)) return []
+    const { id, born } = earlier.record
+    const gone = { type: 'endpoint-gone', id, revision } as const
     this._endpoints.drop(id)
-    this._noteRemoval(id, revision)
-    return [{ type: 'endpoint-gone', id, revision }]
+    this._removals.note(gone, born)
+    return [gone]
   }
 
   /** A peer that has nothing, or is behind the oldest removal that is kept, gets everything. */
   private _tellsWhole (topic: PublishedTopic, note: PublishedNote): boolean {
-    return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._forgottenRemovals)
+    return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._removals.forgottenUpTo)
   }
 
-  private _remove (id: string, revision: number, now: number): boolean {
+  private _remove (gone: Extract<PublishedChange, { type: 'endpoint-gone' }>, now: number): boolean {
+    const { id, revision, certain = false } = gone
     const held = this._endpoints.get(id)
-    if (revision <= Math.max(held?.revision ?? 0, this._removals.get(id) ?? 0)) return false
-    this._noteRemoval(id, revision)
+    if (revision <= Math.max(held?.revision ?? 0, this._removals.revisionOf(id))) return false
+    this._removals.note(gone, held?.record.born ?? this._removals.bornOf(id))
     if (held === undefined) return false
-    const keptUntil = this._grace.keptUntil(revision, now)
+    const keptUntil = certain ? undefined : this._grace.keptUntil(revision, now)
     if (keptUntil !== undefined) {
       held.lapsesAt ??= keptUntil
       return false
@@ -293,15 +274,6 @@
     const missing = [...this._endpoints.values()].filter(({ record: { id }, revision }) => !listed.has(id) && revision <= upTo)
     return missing.flatMap(({ record: { id } }) => this.take({ type: 'endpoint-gone', revision: upTo, id }, now))
   }
-
-  private _noteRemoval (id: string, revision: number): void {
-    this._removals.set(id, revision)
-    for (const [oldest, forgotten] of this._removals) {
-      if (this._removals.size <= MOST_REMOVALS) return
-      this._removals.delete(oldest)
-      this._forgottenRemovals = Math.max(this._forgottenRemovals, forgotten)
-    }
-  }
 }
 
 const topicsOfChanges: Record<PublishedChange['type'], PublishedTopic> = {
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
@@ -8,7 +8,7 @@
 import { EndpointChooser, type Need } from '../../../lib/routing/endpoint-chooser.js'
 import type { Opening } from '../../../lib/routing/early-refusal.js'
 import type { LoadReport } from '../../../lib/routing/endpoint-load.js'
-import type { EndpointRecord } from '../../../lib/routing/published-state.js'
+import { startOf, type EndpointRecord } from '../../../lib/routing/endpoint-record.js'
 import type { PoolDescription, ServiceDescription } from '../../../lib/routing/routing-configuration.js'
 
 const pool: PoolDescription = {
@@ -216,3 +216,54 @@
   ]
   for (const [name, made, part, service, expected] of cases) it(name, () => assert.deepEqual(made.opening(service, { ...need, ...part }, 1_050), expected))
 })
+
+/** What is learnt of one start of an endpoint says nothing of the next. */
+describe('an endpoint that starts again under its id', () => {
+  const first = record('a', 'koshi', { born: 100 })
+  const second = record('a', 'koshi', { born: 200 })
+  const other = record('b', 'koshi', { models: [] })
+
+  type Learn = (made: EndpointChooser) => void
+  const state: [name: string, learn: Learn][] = [
+    ['a report of its load', made => made.heard(startOf(first), { ...idle, version: 0 }, 1_000)],
+    ['that it was switching', made => made.heard(startOf(first), { ...idle, accepting: false }, 1_000)],
+    ['that it refused', made => made.avoid(startOf(first), 'unreachable', 1_000)]
+  ]
+  for (const [name, learn] of state) {
+    it(`is not judged by ${name}`, () => {
+      const made = chooser([first, other])
+      learn(made)
+      const before = chosen(made)
+      made.setRecords([second, other])
+      assert.deepEqual([before, chosen(made)], [undefined, 'a'])
+    })
+  }
+
+  it('is not judged by its failures', () => {
+    const others = [record('b', 'next'), record('c', 'next')]
+    const made = chooser([first, ...others], { [startOf(first)]: idle, b: idle, c: idle })
+    for (let count = 0; count < 3; count += 1) made.ended(startOf(first), `request-${count}`, 'bad', 1_000)
+    const before = chosen(made)
+    made.setRecords([second, ...others])
+    made.heard(startOf(second), idle, 1_000)
+    assert.deepEqual([before, chosen(made)], ['b', 'a'])
+  })
+
+  it('may have a request that its earlier start was sent', () => {
+    assert.equal(chosen(chooser([second]), { tried: new Set([startOf(first)]) }), 'a')
+  })
+
+  it('is not slowed by what its earlier start had to do', () => {
+    const made = chooser([first, record('b', 'next')], { [startOf(first)]: busy, b: { ...idle, running: 6 } })
+    assert.equal(chosen(made), 'b')
+    made.setRecords([second, record('b', 'next')])
+    made.heard(startOf(second), idle, 1_020)
+    assert.equal(chosen(made), 'a')
+  })
+
+  it('takes no late report of its earlier start', () => {
+    const made = chooser([second])
+    made.heard(startOf(first), { ...idle, version: 0 }, 1_000)
+    assert.equal(chosen(made), 'a')
+  })
+})
--- a/packages/core/src/test/lib/routing/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published-state_test.ts
@@ -5,7 +5,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PublishedState, type EndpointRecord, type PublishedChange } from '../../../lib/routing/published-state.js'
+import type { EndpointRecord } from '../../../lib/routing/endpoint-record.js'
+import { PublishedState, type PublishedChange } from '../../../lib/routing/published-state.js'
 import type { RoutingConfiguration } from '../../../lib/routing/routing-configuration.js'
 
 const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 }
@@ -47,6 +48,49 @@
     })
   }
 
+  function bornAt (born: number | undefined, revision: number): PublishedChange { return { type: 'endpoint', revision, record: { ...record('a'), born } } }
+
+  const starts: [name: string, changes: PublishedChange[], expected: (number | undefined)[]][] = [
+    ['a newer start in place of an older one', [bornAt(100, 1), bornAt(200, 2)], [200]],
+    ['no older start in place of a newer one', [bornAt(200, 1), bornAt(100, 2)], [200]],
+    ['no older start after the newer one has gone', [bornAt(200, 1), gone('a', 2), bornAt(100, 3)], []],
+    ['a newer start after the older one has gone', [bornAt(100, 1), gone('a', 2), bornAt(200, 3)], [200]],
+    ['the same start again', [bornAt(100, 1), gone('a', 2), bornAt(100, 3)], [100]],
+    ['an older revision of a newer start not', [bornAt(100, 2), bornAt(200, 1)], [100]],
+    ['an entry that tells no start', [bornAt(100, 1), bornAt(undefined, 2)], [undefined]]
+  ]
+  for (const [name, changes, expected] of starts) {
+    it(`takes ${name}`, () => {
+      const state = new PublishedState()
+      for (const change of changes) state.take(change, 0)
+      assert.deepEqual(state.endpoints().map(({ born }) => born), expected)
+    })
+  }
+
+  it('lets go at once of an endpoint whose entry cannot be read, also while others may have lapsed, and tells peers so', () => {
+    const state = new PublishedState()
+    state.take(listed('a', 1), 0)
+    state.take(listed('b', 2), 0)
+    const peer = new PublishedState()
+    peer.takeDelta(state.since(peer.note, 0), 0)
+    for (const one of [state, peer]) one.storeLost()
+    state.take({ type: 'endpoint-gone', revision: 3, id: 'a', certain: true }, 10)
+    state.take(gone('b', 4), 10)
+    peer.takeDelta(state.since({ ...peer.note, endpoints: 2 }, 10), 10)
+    assert.deepEqual([ids(state), ids(peer)], [['b'], ['b']])
+  })
+
+  it('keeps an address for its endpoint when an entry of a service that nobody configured claims it', () => {
+    const state = new PublishedState()
+    const value: RoutingConfiguration = { version: 1, routes: [], services: [{ name: 'desk', maxConnections: 1 }], organisations: [], limits }
+    state.take({ type: 'configuration', revision: 1, configuration: value }, 0)
+    state.take(listedAt('10.0.0.1:80', 'a', 2), 0)
+    state.take({ type: 'endpoint', revision: 3, record: { ...record('stranger', false, '10.0.0.1:80'), service: 'none' } }, 0)
+    assert.ok(ids(state).includes('a'))
+    state.take(listedAt('10.0.0.1:80', 'b', 4), 0)
+    assert.ok(!ids(state).includes('a'))
+  })
+
   it('takes no endpoint back, and none away, by a reading that is older than what it holds', () => {
     const state = new PublishedState()
     state.takeWhole('endpoints', [listed('a', 1), listed('b', 2)], 2, 0)
--- a/packages/node/src/lib/routing/connection-reserve.ts
+++ b/packages/node/src/lib/routing/connection-reserve.ts
@@ -22,6 +22,8 @@
 const watched = ['error', 'end', 'close', 'readable'] as const
 
 interface Held {
+  /** The start of the endpoint that it was opened to. */
+  readonly start: string
   readonly socket: Socket
   readonly timer: NodeJS.Timeout
 }
@@ -33,14 +35,20 @@
   /**
    * Takes a ready connection, if there is one, and has the next one opened.
    *
+   * @param start The start of the endpoint that is wanted there: a connection to an earlier one leads nowhere.
    * @example
-   * const socket = reserve.take('10.0.0.7:8080') ?? connect('10.0.0.7:8080')
+   * const socket = reserve.take('10.0.0.7:8080', startOf(record)) ?? connect('10.0.0.7:8080')
    */
-  take (address: string): Socket | undefined {
+  take (address: string, start: string): Socket | undefined {
     const held = this._held.get(address)
+    if (held !== undefined && held.start !== start) this._drop(address, held)
+    return this._take(address, start, this._held.get(address))
+  }
+
+  private _take (address: string, start: string, held: Held | undefined): Socket | undefined {
     const ready = held !== undefined && !held.socket.connecting && !held.socket.destroyed
     if (ready) this._release(address, held)
-    if (!this._held.has(address)) this._open(address)
+    if (!this._held.has(address)) this._open(address, start)
     return ready ? held.socket : undefined
   }
 
@@ -51,11 +59,11 @@
     }
   }
 
-  private _open (address: string): void {
+  private _open (address: string, start: string): void {
     if (this._held.size >= MOST_HELD) return
     const { host, port } = parseAddress(address)
     const socket = createConnection({ host, port, noDelay: true })
-    const held: Held = { socket, timer: setTimeout(() => this._drop(address, held), LONGEST_REST) }
+    const held: Held = { start, socket, timer: setTimeout(() => this._drop(address, held), LONGEST_REST) }
     this._held.set(address, held)
     for (const event of watched) socket.on(event, () => this._drop(address, held))
   }
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -36,6 +36,8 @@
   /** Verifies once more what is staged; false when something is missing or spoilt. */
   readonly confirmWhole: () => Promise<boolean>
   readonly onLoad: (load: LoadReport) => void
+  /** The engine has started again. */
+  readonly onStartedAgain: () => void
   /** The engine was looked at. */
   readonly onLooked: () => void
   /** How engines of this pool work; nothing until that is known. */
@@ -54,16 +56,18 @@
 
 /** The engine of one agent. */
 export class EngineSwitcher {
-  private readonly _switch: VersionSwitch
+  private _switch: VersionSwitch
   private readonly _timer: NodeJS.Timeout
-  private readonly _unread = new UnreadTokens()
+  private _unread = new UnreadTokens()
   private _report: EngineReport | undefined
   private _looking = false
   private _ordering = false
   private _reachable = true
+  /** The start of the engine that was heard last. */
+  private _born: number | undefined
 
   constructor (private readonly _parts: EngineSwitcherParts) {
-    this._switch = new VersionSwitch(_parts.versionBound, SWITCH_LEAD)
+    this._switch = this._newSwitch()
     this._timer = setInterval(() => { this.look() }, LOOK_PAUSE)
   }
 
@@ -88,6 +92,7 @@
       const before = this._report
       this._report = await this._parts.engine.report()
       this._noteReachable()
+      this._noteStart(before)
       this._noteVersion(before)
       this._tellLoad()
       this._parts.onLooked()
@@ -105,6 +110,20 @@
     else this._parts.log.warn('engine-lost')
   }
 
+  private _newSwitch (): VersionSwitch { return new VersionSwitch(this._parts.versionBound, SWITCH_LEAD) }
+
+  /** An engine that has started again has nothing of what was known of it: its prompts, its orders, what lies in its staging area. */
+  private _noteStart (before: EngineReport | undefined): void {
+    this._born ??= before?.born ?? this._report?.born
+    const born = this._report?.born
+    if (born === undefined || born === this._born) return
+    this._parts.log.info('engine-started-again', { born, before: this._born })
+    this._born = born
+    this._unread = new UnreadTokens()
+    this._switch = this._newSwitch()
+    this._parts.onStartedAgain()
+  }
+
   private _noteVersion (before: EngineReport | undefined): void {
     const model = this._parts.situation().wanted?.model
     if (model === undefined || this._report === undefined) return
@@ -131,13 +150,13 @@
     const { wanted } = this._parts.situation()
     const view = this._view()
     if (this._report === undefined || wanted === undefined || view === undefined) return
-    const { running, waiting, busy, pace } = this._report
+    const { running, waiting, busy, pace, born } = this._report
     const now = performance.now()
     const unreadTokens = Math.round(this._unread.observe(this._report, readRate(this._parts.pool()), now))
     const closesAt = this._switch.plannedAt(view, now)
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._parts.onLoad({
-      running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn, opensIn: this._opensIn(this._report, wanted)
+      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn, opensIn: this._opensIn(this._report, wanted)
     })
   }
 
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -125,6 +125,8 @@
 
 /** What the engine beside an agent says of itself. */
 export interface EngineReport {
+  /** Tells the starts of the engine apart; nothing where it does not say. See `EndpointRecord`. */
+  readonly born?: number | undefined
   readonly running: number
   readonly waiting: number
   /** Tokens held for the running requests: their prompts, and what has been written. */
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -8,7 +8,7 @@
  */
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, LEAST_FAILURE_STATUS, requestFailure, retryAfter, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type RequestFailure
+  AttemptCourse, decideStart, LEAST_FAILURE_STATUS, requestFailure, retryAfter, startOf, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -104,7 +104,7 @@
   private _send (choice: Choice, now: number): void {
     const { head, route } = this._request
     this._attempts += 1
-    this._tried.add(choice.record.id)
+    this._tried.add(startOf(choice.record))
     this._progress.restart()
     const remaining = Math.max(1, Math.floor(this._deadline - now))
     const attempt = new EndpointAttempt({
@@ -137,12 +137,12 @@
    */
   private _ready ({ record, reportAge }: Choice): Socket | undefined {
     const usable = this._course.repeatable && reportAge <= FRESH_REPORT
-    return usable ? this._parts.reserve.take(record.address) : undefined
+    return usable ? this._parts.reserve.take(record.address, startOf(record)) : undefined
   }
 
   private _passEvents ({ choice }: EndpointAttempt, head: AnswerHead, events: Uint8Array): void {
     const now = performance.now()
-    this._unit?.chooser.load(choice.record.id).begun(this._request.head.id, choice.expected, now)
+    this._unit?.chooser.load(startOf(choice.record)).begun(this._request.head.id, choice.expected, now)
     if (!this._answer.begun) this._record.firstEvent(now)
     this._answer.head(head)
     this._answer.data(events)
@@ -169,12 +169,12 @@
   private _tellChooser ({ choice, head, sentAt }: EndpointAttempt, end: AttemptEnd, now: number): void {
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
-    const { id } = choice.record
+    const start = startOf(choice.record)
     // An endpoint's own failure says nothing of its speed: one at the deadline takes as long as a route allows, and 40 of 684
     // plain requests were refused on a day for the slowness that was read from these.
-    if (end.type === 'answered' && end.status < LEAST_FAILURE_STATUS && head?.eventStream !== true) chooser.plainTook(id, now - sentAt, now)
-    if (end.type === 'not-run') chooser.avoid(id, avoidanceOf(end.reason), now)
-    chooser.ended(id, this._request.head.id, this._over && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
+    if (end.type === 'answered' && end.status < LEAST_FAILURE_STATUS && head?.eventStream !== true) chooser.plainTook(start, now - sentAt, now)
+    if (end.type === 'not-run') chooser.avoid(start, avoidanceOf(end.reason), now)
+    chooser.ended(start, this._request.head.id, this._over && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
   }
 
   private _passOn ({ head, body }: EndpointAttempt): void {
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -6,7 +6,7 @@
 /**
  * The services that one entry routes to, each with its endpoints and its retry budget, rebuilt from published state.
  */
-import { EndpointChooser, RetryBudget, UsualObjective, type LoadReport, type Place, type PublishedState, type ServiceDescription } from '@drumdrift/core'
+import { EndpointChooser, isEarlierStart, RetryBudget, startOf, UsualObjective, type EndpointRecord, type LoadReport, type Place, type PublishedState, type ServiceDescription } from '@drumdrift/core'
 import { parseAddress } from '../settings/address.js'
 
 /** One service at one entry. */
@@ -17,11 +17,17 @@
   readonly objective: UsualObjective
 }
 
+/** The endpoint that an agent stands beside. */
+interface AgentPlace {
+  readonly service: string
+  readonly record: EndpointRecord
+}
+
 /** All services of one entry. */
 export class ServiceUnits {
   private readonly _units = new Map<string, ServiceUnit>()
   /** Endpoints by the address of the agent beside them. */
-  private readonly _byAgent = new Map<string, { readonly service: string, readonly id: string }>()
+  private readonly _byAgent = new Map<string, AgentPlace>()
 
   /**
    * @param _retryRatio Load that retries may add, as a share of first attempts.
@@ -39,16 +45,20 @@
     const endpoints = state.endpoints()
     this._byAgent.clear()
     for (const description of state.configuration?.services ?? []) {
-      const unit = this._units.get(description.name) ?? { description, chooser: new EndpointChooser(this._place, Math.random), budget: new RetryBudget(this._retryRatio), objective: new UsualObjective() }
+      const unit = this._units.get(description.name) ?? this._newUnit(description)
       unit.description = description
       this._units.set(description.name, unit)
       const records = endpoints.filter(({ service }) => service === description.name)
       unit.chooser.setRecords(records)
       if (description.pool === undefined) continue
-      for (const { address, id } of records) this._byAgent.set(`${parseAddress(address).host}:${this._agentPort}`, { service: description.name, id })
+      for (const record of records) this._byAgent.set(`${parseAddress(record.address).host}:${this._agentPort}`, { service: description.name, record })
     }
   }
 
+  private _newUnit (description: ServiceDescription): ServiceUnit {
+    return { description, chooser: new EndpointChooser(this._place, Math.random), budget: new RetryBudget(this._retryRatio), objective: new UsualObjective() }
+  }
+
   /** Requests in a millisecond that go to the pool of an agent. */
   sentRate (agent: string, now: number): number {
     const endpoint = this._byAgent.get(agent)
@@ -64,12 +74,20 @@
   /** A measurement of the way to an agent, which is that to the engine beside it, began or ended. */
   measured (agent: string, step: 'begun' | 'ended', now: number): void {
     const endpoint = this._byAgent.get(agent)
-    if (endpoint !== undefined) this._units.get(endpoint.service)?.chooser.measured(endpoint.id, step, now)
+    if (endpoint !== undefined) this._units.get(endpoint.service)?.chooser.measured(startOf(endpoint.record), step, now)
   }
 
   /** An agent told the load of the engine beside it. */
   heard (agent: string, load: LoadReport, now: number): void {
     const endpoint = this._byAgent.get(agent)
-    if (endpoint !== undefined) this._units.get(endpoint.service)?.chooser.heard(endpoint.id, load, now)
+    if (endpoint !== undefined) this._hearLoad(endpoint, load, now)
+  }
+
+  /** A late report of an earlier start says nothing of the one that is listed; one of a later start says that this one is gone. */
+  private _hearLoad ({ service, record }: AgentPlace, load: LoadReport, now: number): void {
+    const chooser = this._units.get(service)?.chooser
+    if (isEarlierStart(load.born, record.born)) return
+    if (isEarlierStart(record.born, load.born)) chooser?.avoid(startOf(record), 'wrong-instance', now)
+    else chooser?.heard(startOf(record), load, now)
   }
 }
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -207,6 +207,7 @@
       turn: () => this._versions.turn,
       confirmWhole: () => this._versions.confirmWhole(),
       onLooked: () => this._stepVersions(),
+      onStartedAgain: () => { this._versions.recover() },
       pool: () => this._poolDescription,
       timeToWhole: () => this._versions.timeToWhole(this._linkRate),
       onLoad: load => this._publisher.publish(load, performance.now())
