An entry follows 20 engines where there are more than 24, and counts the others' traffic by engine

Change: 12 engines of the own zone and the rest dealt over the others, drawn by the entry's name and theirs; others are asked only where none of these takes a request. Entries tell agents among how many engines they send, agents add up what comes to their engine, and the estimate of what others send is the sum over the engines followed. The number of entries, for the retries, is counted the same way.

--- a/packages/benchmarks/src/lib/policy/policy-model.ts
+++ b/packages/benchmarks/src/lib/policy/policy-model.ts
@@ -98,7 +98,7 @@
     const look = (): void => {
       const { running, waiting, contextTokens } = engine.reading()
       const unreadTokens = unread.observe({ running, contextTokens }, readRate(modelPool), this._time.now)
-      const report = { running, waiting, unreadTokens, version: 1, accepting: engine.accepting, pace: 1, sentRate: this._play.perSecond / 1_000 }
+      const report = { running, waiting, unreadTokens, version: 1, accepting: engine.accepting, pace: 1, sentRate: this._play.perSecond / 1_000 / ENGINES }
       this._time.after(WAY, () => { for (const entry of this._entries) entry.heard(index, report, this._time.now) })
       if (this._time.now < END) this._time.after(LOOK_PAUSE, look)
     }
--- a/packages/benchmarks/src/lib/retries/retry-model.ts
+++ b/packages/benchmarks/src/lib/retries/retry-model.ts
@@ -74,11 +74,11 @@
     return { requested: () => budget.attempted(), trySpend: () => budget.trySpend() }
   },
   'part-of-the-fleet': ({ play }: Fleet) => {
-    const fleet = new FleetSize(() => 1)
+    const fleet = new FleetSize(() => [{ availabilityZone: 'hall', listed: 1, followed: 1 }])
     const allowance = new RetryAllowance(play.terms, now => fleet.estimate(now))
     return {
       requested: (now: number) => {
-        fleet.heard('hall', play.entries, now)
+        fleet.heard('hall', 'agent', play.entries, now)
         allowance.requested(now)
       },
       trySpend: (now: number) => allowance.trySpend('begin', now)
--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -90,10 +90,11 @@
   /**
    * Asks for a sign at once, to measure the way there and back.
    *
-   * `sentRate` tells an agent how many requests in a millisecond the asking entry sends to the pool; nothing for none.
+   * `sentRate` tells an agent how many requests in a millisecond the asking entry sends to the pool, and `followed` among how many
+   * engines; nothing for none.
    * `named` tells it the version that is wanted of its pool, so that not every agent has to watch the store.
    */
-  | { readonly type: 'ping', readonly sentRate?: number | undefined, readonly named?: NamedVersion | undefined }
+  | { readonly type: 'ping', readonly sentRate?: number | undefined, readonly followed?: number | undefined, readonly named?: NamedVersion | undefined }
   /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
   | { readonly type: 'follow-load' }
   /** Asks which chunks of a version the other side holds, now and as more come, as long as the connection lasts. */
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/endpoint-chooser.ts
@@ -130,6 +130,8 @@
   private readonly _rate = new RequestRate()
   private _records: readonly EndpointRecord[] = []
   private _listed: ReadonlySet<string> = new Set()
+  private _followed: readonly EndpointRecord[] = []
+  private _others: readonly EndpointRecord[] = []
   private readonly _plainTime = new UsualTime()
 
   /**
@@ -139,9 +141,15 @@
 
   get records (): readonly EndpointRecord[] { return this._records }
 
-  /** Takes the endpoints that are listed. */
-  setRecords (records: readonly EndpointRecord[]): void {
+  /**
+   * Takes the endpoints that are listed.
+   *
+   * @param isFollowed Whether the load of one is followed; others are only chosen where no followed one can take a request.
+   */
+  setRecords (records: readonly EndpointRecord[], isFollowed: (record: EndpointRecord) => boolean = () => true): void {
     this._records = records
+    this._followed = records.filter(isFollowed)
+    this._others = records.filter(record => !isFollowed(record))
     this._listed = new Set(records.map(startOf))
     this._ejection.retain(this._listed)
     for (const [start, { load }] of this._known) if (!this._listed.has(start) && load.outstanding === 0) this._known.delete(start)
@@ -199,7 +207,11 @@
    * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
    */
   choose (service: ServiceDescription, need: Need, now: number): Choice | undefined {
-    const open = this._records.filter(record => this._open(record, service, need, now))
+    return this._chooseAmong(this._followed, service, need, now) ?? this._chooseAmong(this._others, service, need, now)
+  }
+
+  private _chooseAmong (records: readonly EndpointRecord[], service: ServiceDescription, need: Need, now: number): Choice | undefined {
+    const open = records.filter(record => this._open(record, service, need, now))
     const usable = new Set(this._ejection.usable(open.map(startOf), now))
     const choices = open.filter(record => usable.has(startOf(record)))
       .map(record => this._expect(record, service, need, now, open.length))
@@ -244,16 +256,19 @@
   }
 
   /**
-   * Requests that other entries have sent since the reports that this one holds. An agent counts those entries only that
-   * reach it: taken for as many as before and as busy as this one, they made the entries of a zone that was cut off refuse
-   * half of what its engines could do.
+   * Requests that other entries have sent to the engines that this one follows, since the reports that it holds. An agent counts
+   * those entries only that reach it: taken for as many as before and as busy as this one, they made the entries of a zone that was
+   * cut off refuse half of what its engines could do.
    */
   private _sentByOthers (now: number): number {
     let all = 0
-    for (const { load } of this._known.values()) all = Math.max(all, load.report(now)?.sentRate ?? 0)
+    for (const { load } of this._known.values()) all += load.report(now)?.sentRate ?? 0
     return Math.max(0, all - this.sentRate(now)) * VIEW_AGE
   }
 
+  /** Engines whose load is known. */
+  heardCount (now: number): number { return this._followed.filter(record => this._entryOf(record).load.report(now) !== undefined).length }
+
   /** The version that an endpoint serves, by its fresh report or else by the list. */
   versionOf (record: EndpointRecord, model: string, now: number): number {
     const listed = record.models.find(held => held.model === model)?.version ?? 0
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/endpoint-load.ts
@@ -27,11 +27,11 @@
   readonly closesIn?: number | undefined
   /** Milliseconds until it takes new work on the version that it is to take next; nothing when that is not known. */
   readonly opensIn?: number | undefined
-  /** Requests in a millisecond that all entries which hear these reports send to the pool; nothing when that is not told. */
+  /** Requests in a millisecond that entries which hear these reports send to this engine, if each sends as many to all that it follows; nothing when that is not told. */
   readonly sentRate?: number | undefined
   /** The start of the engine that this is told of; nothing where engines do not tell it. See `EndpointRecord`. */
   readonly born?: number | undefined
-  /** Entries that hear these reports; nothing when that is not told. */
+  /** Entries that hear these reports, each counted by one over the engines that it follows; nothing when that is not told. */
   readonly entries?: number | undefined
 }
 
--- /dev/null
+++ b/packages/core/src/test/lib/routing/followed-engines_test.ts
@@ -0,0 +1,50 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { enginesToFollow, type EngineAt } from '../../../lib/routing/followed-engines.js'
+
+const zones = ['a', 'b', 'c', 'd', 'e']
+
+function engines (perZone: number, names = zones): EngineAt[] {
+  return names.flatMap(availabilityZone => Array.from({ length: perZone }, (_, index) => ({ agent: `${availabilityZone}-${index}`, availabilityZone })))
+}
+
+/** How many engines of each zone an entry of zone a follows. */
+function perZone (list: readonly EngineAt[]): number[] {
+  const followed = enginesToFollow('entry-1', 'a', list)
+  return zones.map(zone => list.filter(({ agent, availabilityZone }) => availabilityZone === zone && followed.has(agent)).length)
+}
+
+describe('enginesToFollow', () => {
+  const cases: [name: string, list: EngineAt[], expected: number[]][] = [
+    ['all of a few', engines(3), [3, 3, 3, 3, 3]],
+    ['a dozen of the own zone and two of each other one', engines(17), [12, 2, 2, 2, 2]],
+    ['more of other zones where there are fewer of them', engines(12, ['a', 'b', 'c']), [12, 4, 4, 0, 0]],
+    ['more of other zones where the own one has few', [...engines(4, ['a']), ...engines(20, ['b', 'c', 'd', 'e'])], [4, 4, 4, 4, 4]],
+    ['others where the own zone has none', engines(20, ['b', 'c', 'd', 'e']), [0, 5, 5, 5, 5]]
+  ]
+  for (const [name, list, expected] of cases) it(`follows ${name}`, () => assert.deepEqual(perZone(list), expected))
+
+  it('moves nobody but the one that leaves and the one that takes its place', () => {
+    const list = engines(24)
+    const before = enginesToFollow('entry-1', 'a', list)
+    const [left = ''] = before
+    const after = enginesToFollow('entry-1', 'a', list.filter(({ agent }) => agent !== left))
+    assert.equal([...after].filter(agent => !before.has(agent)).length, 1)
+  })
+
+  it('gives each of 84 engines about as many of 98 entries as any other', () => {
+    const list = engines(17).slice(0, 84)
+    const followers = new Map<string, number>()
+    for (let entry = 0; entry < 98; entry += 1) {
+      for (const agent of enginesToFollow(`entry-${entry}`, zones[entry % 5] ?? '', list)) followers.set(agent, (followers.get(agent) ?? 0) + 1)
+    }
+    const counts = [...followers.values()]
+    assert.equal(counts.length, 84)
+    assert.ok(Math.min(...counts) >= 15 && Math.max(...counts) <= 34, `${Math.min(...counts)} to ${Math.max(...counts)}`)
+  })
+})
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -63,8 +63,8 @@
 class ShortSightedFleet {
   private _count: number | undefined
 
-  heard (_zone: string, count: number): boolean {
-    this._count = count
+  heard (_zone: string, _agent: string, count: number): boolean {
+    this._count = Math.max(1, count * 3)
     return true
   }
 
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -15,6 +15,8 @@
 export interface AgentNews {
   /** Requests in a millisecond that this process sends to the agent's pool. */
   readonly sentRate: number
+  /** Engines of the pool that it follows and hears. */
+  readonly followed: number
   /** The version that is wanted of the pool; nothing when this process does not know since when. */
   readonly named: NamedVersion | undefined
 }
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -23,8 +23,9 @@
 
 interface Follower {
   readonly responder: Responder
-  /** Requests in a millisecond that it sends to the pool, as it told last. */
+  /** Requests in a millisecond that it sends to the pool, and the engines that it follows there, as it told last. */
   sentRate: number
+  followed: number
   heardAt: number
 }
 
@@ -45,17 +46,18 @@
   /** Adds a follower and tells it the last report. */
   follow (responder: Responder, now: number): void {
     const { connection } = responder
-    const follower = { responder, sentRate: 0, heardAt: now }
+    const follower = { responder, sentRate: 0, followed: 0, heardAt: now }
     this._followers.set(connection, follower)
     connection.onEnd(() => { this._followers.delete(connection) })
     if (this._last !== undefined) tell(follower, { ...this._last, ...this._totals(now) })
   }
 
-  /** A follower told how many requests in a millisecond it sends to the pool. */
-  noteRate (connection: PeerConnection, sentRate: number, now: number): void {
+  /** A follower told how many requests in a millisecond it sends to the pool, among how many engines. */
+  noteRate (connection: PeerConnection, sentRate: number, followed: number, now: number): void {
     const follower = this._followers.get(connection)
     if (follower === undefined) return
     follower.sentRate = sentRate
+    follower.followed = followed
     follower.heardAt = now
   }
 
@@ -69,10 +71,15 @@
     for (const follower of this._followers.values()) tell(follower, told)
   }
 
-  /** What all followers that can be reached send to the pool, and how many they are. */
+  /** What all followers that can be reached send to this engine, and how many they are: see `LoadReport`. */
   private _totals (now: number): Pick<LoadReport, 'sentRate' | 'entries'> {
-    const heard = [...this._followers.values()].filter(({ heardAt }) => now - heardAt <= FOLLOWER_SILENCE)
-    return { sentRate: heard.reduce((sum, follower) => sum + follower.sentRate, 0), entries: heard.length }
+    let [sent, entries] = [0, 0]
+    for (const { sentRate, followed, heardAt } of this._followers.values()) {
+      if (followed < 1 || now - heardAt > FOLLOWER_SILENCE) continue
+      sent += sentRate / followed
+      entries += 1 / followed
+    }
+    return { sentRate: sent, entries }
   }
 }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -83,7 +83,7 @@
     const text = (section: string, key: string): string => _settings.text(section, key)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic)
-    this._units = new ServiceUnits(placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'))
+    this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'))
     this._feed = new PublishedFeed({
       store: platform.store,
       pool: this._pool,
@@ -196,7 +196,7 @@
   private _newsFor (agent: string, now: number): AgentNews {
     const wanted = this._feed.state.wanted(this._units.modelOf(agent) ?? '')
     const named = wanted?.heardAt === undefined ? undefined : { model: wanted.model, version: wanted.version, revision: wanted.revision, age: now - wanted.heardAt }
-    return { sentRate: this._units.sentRate(agent, now), named }
+    return { ...this._units.sentTo(agent, now), named }
   }
 
   /** Seeds read what operators publish from the store, and the others hear it from them. */
@@ -226,7 +226,7 @@
     if (changes.some(({ type }) => type === 'configuration') && state.configuration !== undefined) this._adopt(state.configuration)
     for (const change of changes) this._logChange(change)
     this._units.apply(state)
-    this._follower.follow(this._units.agents)
+    this._follower.follow(this._units.followed)
     if (changes.some(({ type }) => type === 'wanted-version')) this._follower.tellNews()
     if (!this._ready && state.complete) {
       this._ready = true
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -6,7 +6,7 @@
 /**
  * The services that one entry routes to, each with its endpoints and this entry's part of its retries, rebuilt from published state.
  */
-import { EndpointChooser, FleetSize, isEarlierStart, RetryAllowance, startOf, UsualObjective, type EndpointRecord, type LoadReport, type Place, type PublishedState, type RetryTerms, type ServiceDescription } from '@drumdrift/core'
+import { EndpointChooser, enginesToFollow, FleetSize, isEarlierStart, RetryAllowance, startOf, UsualObjective, type EndpointRecord, type LoadReport, type Place, type PublishedState, type RetryTerms, type ServiceDescription, type ZoneOfAgents } from '@drumdrift/core'
 import { parseAddress } from '../settings/address.js'
 
 /** One service at one entry. */
@@ -28,32 +28,58 @@
   private readonly _units = new Map<string, ServiceUnit>()
   /** Endpoints by the address of the agent beside them. */
   private readonly _byAgent = new Map<string, AgentPlace>()
-  private readonly _fleet = new FleetSize(() => new Set([...this._byAgent.values()].map(({ record }) => record.availabilityZone)).size)
+  private _followed: ReadonlySet<string> = new Set()
+  private readonly _fleet = new FleetSize(() => this._zones())
 
   /**
+   * @param _self This entry's name.
    * @param _retryTerms What retries may add to the load of a service.
    * @param _agentPort The port at which agents listen on their instances.
    */
-  constructor (private readonly _place: Place, private readonly _retryTerms: RetryTerms, private readonly _agentPort: number) {}
+  constructor (private readonly _self: string, private readonly _place: Place, private readonly _retryTerms: RetryTerms, private readonly _agentPort: number) {}
 
   get (service: string): ServiceUnit | undefined { return this._units.get(service) }
 
   /** Addresses of the agents beside engines of pools. */
   get agents (): ReadonlySet<string> { return new Set(this._byAgent.keys()) }
+  /** Those of the engines that this entry follows and sends to. */
+  get followed (): ReadonlySet<string> { return this._followed }
 
   /** Takes what is published. */
   apply (state: PublishedState): void {
     const endpoints = state.endpoints()
     this._byAgent.clear()
+    const followed = new Set<string>()
     for (const description of state.configuration?.services ?? []) {
       const unit = this._units.get(description.name) ?? this._newUnit(description)
       unit.description = description
       this._units.set(description.name, unit)
       const records = endpoints.filter(({ service }) => service === description.name)
-      unit.chooser.setRecords(records)
-      if (description.pool === undefined) continue
-      for (const record of records) this._byAgent.set(`${parseAddress(record.address).host}:${this._agentPort}`, { service: description.name, record })
+      if (description.pool === undefined) unit.chooser.setRecords(records)
+      else this._applyPool(unit, records, followed)
     }
+    this._followed = followed
+  }
+
+  private _applyPool ({ description, chooser }: ServiceUnit, records: readonly EndpointRecord[], followed: Set<string>): void {
+    for (const record of records) this._byAgent.set(this._agentOf(record), { service: description.name, record })
+    const engines = records.map(record => ({ agent: this._agentOf(record), availabilityZone: record.availabilityZone }))
+    const chosen = enginesToFollow(this._self, this._place.availabilityZone, engines)
+    for (const agent of chosen) followed.add(agent)
+    chooser.setRecords(records, record => chosen.has(this._agentOf(record)))
+  }
+
+  private _agentOf ({ address }: EndpointRecord): string { return `${parseAddress(address).host}:${this._agentPort}` }
+
+  private _zones (): ZoneOfAgents[] {
+    const zones = new Map<string, { availabilityZone: string, listed: number, followed: number }>()
+    for (const [agent, { record: { availabilityZone } }] of this._byAgent) {
+      const zone = zones.get(availabilityZone) ?? { availabilityZone, listed: 0, followed: 0 }
+      zone.listed += 1
+      if (this._followed.has(agent)) zone.followed += 1
+      zones.set(availabilityZone, zone)
+    }
+    return [...zones.values()]
   }
 
   private _newUnit (description: ServiceDescription): ServiceUnit {
@@ -61,10 +87,10 @@
     return { description, chooser: new EndpointChooser(this._place, Math.random), retries, objective: new UsualObjective() }
   }
 
-  /** Requests in a millisecond that go to the pool of an agent. */
-  sentRate (agent: string, now: number): number {
-    const endpoint = this._byAgent.get(agent)
-    return endpoint === undefined ? 0 : this._units.get(endpoint.service)?.chooser.sentRate(now) ?? 0
+  /** Requests in a millisecond that go to the pool of an agent, and among how many engines. */
+  sentTo (agent: string, now: number): { readonly sentRate: number, readonly followed: number } {
+    const chooser = this._units.get(this._byAgent.get(agent)?.service ?? '')?.chooser
+    return chooser === undefined ? { sentRate: 0, followed: 0 } : { sentRate: chooser.sentRate(now), followed: Math.max(1, chooser.heardCount(now)) }
   }
 
   /** The model that the pool of an agent serves; nothing when it is not known. */
@@ -88,7 +114,7 @@
     const endpoint = this._byAgent.get(agent)
     if (endpoint === undefined) return true
     this._hearLoad(endpoint, load, now)
-    return load.entries === undefined || this._fleet.heard(endpoint.record.availabilityZone, load.entries, now)
+    return load.entries === undefined || this._fleet.heard(endpoint.record.availabilityZone, agent, load.entries, now)
   }
 
   /** A late report of an earlier start says nothing of the one that is listed; one of a later start says that this one is gone. */
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -300,9 +300,9 @@
   }
 
   private readonly _handlers: { readonly [Type in PeerRequest['type']]?: (request: Extract<PeerRequest, { type: Type }>, responder: Responder) => void } = {
-    ping: ({ sentRate, named }, responder) => {
+    ping: ({ sentRate, followed, named }, responder) => {
       if (named !== undefined) this._hearNamed(named)
-      this._publisher.noteRate(responder.connection, Number(sentRate) || 0, performance.now())
+      this._publisher.noteRate(responder.connection, Number(sentRate) || 0, Number(followed) || 0, performance.now())
       responder.send({ type: 'done' })
     },
     news: ({ note, topics }, responder) => responder.send({ type: 'news' }, this._packer.since(note, topics, performance.now())),
