--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -13,9 +13,9 @@
 import type { IssuedKeeper } from './issued-id.js'
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
-import type { LoadReport } from './routing/endpoint-load.js'
-import type { ModelVersion } from './routing/endpoint-record.js'
-import type { PublishedNote, PublishedTopic } from './routing/published-state.js'
+import type { LoadReport } from './routing/choice/endpoint-load.js'
+import type { ModelVersion } from './routing/published/endpoint-record.js'
+import type { PublishedNote, PublishedTopic } from './routing/published/published-state.js'
 import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
 
 /** Raised when a change to the messages would be misread by older processes. */
--- a/packages/core/src/lib/routing/attempt-course.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-course.ts
@@ -7,8 +7,8 @@
  * Decides what follows when an attempt at an endpoint has ended: pass its answer on, try the next endpoint, go on with
  * a broken stream, or give up. It knows nothing of sockets; the shell reports what happened.
  */
-import type { Outcome } from '../failure.js'
-import type { Route } from './routing-configuration.js'
+import type { Outcome } from '../../failure.js'
+import type { Route } from '../published/routing-configuration.js'
 
 /** Why an endpoint certainly did not run a request. */
 export type NotRunReason = 'full' | 'wrong-instance' | 'wrong-version' | 'not-connected' | 'refused'
--- a/packages/core/src/lib/routing/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -7,13 +7,13 @@
  * Chooses the endpoint for a request: the one where the first event, or the answer, is expected soonest, with a price
  * in milliseconds for leaving the availability zone and the region.
  */
-import { Ejection } from '../ejection.js'
+import { Ejection } from '../../ejection.js'
 import { readTime, stepTime } from './engine-model.js'
 import { EndpointLoad, REPORT_LIFETIME, type LoadReport } from './endpoint-load.js'
-import type { Opening } from './early-refusal.js'
+import type { Opening } from '../attempts/early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
-import { startOf, type EndpointRecord } from './endpoint-record.js'
-import type { ServiceDescription } from './routing-configuration.js'
+import { startOf, type EndpointRecord } from '../published/endpoint-record.js'
+import type { ServiceDescription } from '../published/routing-configuration.js'
 import { RequestRate } from './request-rate.js'
 import { UsualTime } from './usual-time.js'
 
--- a/packages/core/src/lib/routing/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -7,9 +7,9 @@
  * What one entry knows of the load of one endpoint: the endpoint's last report, where there is one, corrected by what
  * this entry has sent and seen end since.
  */
-import { decay } from './decay.js'
+import { decay } from '../decay.js'
 import { firstTokenTime, readRate } from './engine-model.js'
-import type { PoolDescription } from './routing-configuration.js'
+import type { PoolDescription } from '../published/routing-configuration.js'
 
 /** What an engine says of itself, taken beside it and passed on at once. */
 export interface LoadReport {
--- a/packages/core/src/lib/routing/engine-model.ts
+++ b/packages/core/src/lib/routing/choice/engine-model.ts
@@ -8,7 +8,7 @@
  * a pass reads some prompt tokens and, where requests write, plays some decoding steps. The figures come from the
  * pool's own description.
  */
-import type { PoolDescription } from './routing-configuration.js'
+import type { PoolDescription } from '../published/routing-configuration.js'
 
 /** What an engine is doing, as far as is known. */
 export interface EngineWork {
--- a/packages/core/src/lib/routing/followed-engines.ts
+++ b/packages/core/src/lib/routing/choice/followed-engines.ts
@@ -8,7 +8,7 @@
  * way to every engine that it follows, so with all pairs followed the load grows with the square of a deployment: an entry took 0.066
  * of a core with 120 engines and 98 entries, 0.029 with 9 and 15. A dozen engines to choose among are nearly as good as all.
  */
-import { hash32 } from '../rendezvous.js'
+import { hash32 } from '../../rendezvous.js'
 
 /** An engine, by the agent beside it. */
 export interface EngineAt {
--- a/packages/core/src/lib/routing/request-rate.ts
+++ b/packages/core/src/lib/routing/choice/request-rate.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** How many requests one entry has sent to the endpoints of a service, lately; those that it refuses do not count. */
-import { decay } from './decay.js'
+import { decay } from '../decay.js'
 
 /** What came counts half after this, in milliseconds: long enough to hold a few tens of requests of a busy entry. */
 const HALF_LIFE = 1_000
--- a/packages/core/src/lib/routing/usual-time.ts
+++ b/packages/core/src/lib/routing/choice/usual-time.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** What the requests of a plain service usually take, whichever endpoint answers. */
-import { decay } from './decay.js'
+import { decay } from '../decay.js'
 
 /** Weight of the newest answer: the mean is that of some tens of answers. */
 const SMOOTHING = 0.05
--- a/packages/core/src/lib/routing/relay-book.ts
+++ b/packages/core/src/lib/routing/published/relay-book.ts
@@ -7,8 +7,8 @@
  * What one process knows of the relays: processes that read what is published from the platform's store and pass it on, so
  * that not every process takes its own copy over a link that a region shares.
  */
-import type { RelayNote } from '../messages.js'
-import type { Place } from './endpoint-chooser.js'
+import type { RelayNote } from '../../messages.js'
+import type { Place } from '../choice/endpoint-chooser.js'
 import type { PublishedNote, PublishedTopic } from './published-state.js'
 
 /** A relay that told nothing for this time is not relied on, in milliseconds: three of its signs of life are missing. */
--- a/packages/core/src/lib/routing/chunk-places.ts
+++ b/packages/core/src/lib/routing/weights/chunk-places.ts
@@ -8,8 +8,8 @@
  * answer from the member list alone, so each chunk is read from the origin once and crosses to each zone once, and
  * nobody coordinates.
  */
-import type { ChunkMember } from '../chunk-tree.js'
-import { rendezvousOrder } from '../rendezvous.js'
+import type { ChunkMember } from '../../chunk-tree.js'
+import { rendezvousOrder } from '../../rendezvous.js'
 
 /** A member's turns for one chunk; 0 is first. */
 export interface ChunkTurn {
--- a/packages/core/src/lib/routing/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/weights/chunk-swarm.ts
@@ -8,9 +8,9 @@
  * a few at a time, so that its link never queues more than those. A chunk is read from the origin by the member whose
  * turn it is, and crosses into a zone by the one whose turn that is; others step in when that takes too long.
  */
-import type { ChunkMember } from '../chunk-tree.js'
-import type { Manifest } from '../documents.js'
-import type { FetchProblem, TransferCourse, TransferEffect } from '../transfer.js'
+import type { ChunkMember } from '../../chunk-tree.js'
+import type { Manifest } from '../../documents.js'
+import type { FetchProblem, TransferCourse, TransferEffect } from '../../transfer.js'
 import { ChunkPlaces } from './chunk-places.js'
 import { OriginSchedule, type OriginView } from './origin-schedule.js'
 import { PullWindow } from './pull-window.js'
--- a/packages/core/src/lib/routing/swarm-peers.ts
+++ b/packages/core/src/lib/routing/weights/swarm-peers.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** What one member knows of the others that bring the same version: what they hold, and how well they deliver. */
-import type { ChunkMember } from '../chunk-tree.js'
+import type { ChunkMember } from '../../chunk-tree.js'
 
 /** One other member. */
 export interface SwarmPeer {
--- a/packages/core/src/lib/routing/version-switch.ts
+++ b/packages/core/src/lib/routing/weights/version-switch.ts
@@ -8,8 +8,8 @@
  * whole and was verified just before, and each engine of a zone at its own time, spread evenly from when the first of them
  * is whole to the bound after which no request may begin on the old one. Every agent works its time out by itself.
  */
-import type { ChunkMember } from '../chunk-tree.js'
-import { rendezvousOrder } from '../rendezvous.js'
+import type { ChunkMember } from '../../chunk-tree.js'
+import { rendezvousOrder } from '../../rendezvous.js'
 
 /** What an engine says of itself. */
 export interface EngineState {
--- a/packages/core/src/test/lib/routing/attempt-course_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/attempt-course_test.ts
@@ -5,8 +5,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { AttemptCourse, type AttemptEnd } from '../../../lib/routing/attempt-course.js'
-import type { Route } from '../../../lib/routing/routing-configuration.js'
+import { AttemptCourse, type AttemptEnd } from '../../../../lib/routing/attempts/attempt-course.js'
+import type { Route } from '../../../../lib/routing/published/routing-configuration.js'
 
 type Bounds = Pick<Route, 'kind' | 'maxAttempts' | 'resumable'>
 
--- a/packages/core/src/test/lib/routing/early-refusal_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/early-refusal_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { decideStart, FirstTries, retryAfter, UsualObjective, type CallerTime, type Opening } from '../../../lib/routing/early-refusal.js'
+import { decideStart, FirstTries, retryAfter, UsualObjective, type CallerTime, type Opening } from '../../../../lib/routing/attempts/early-refusal.js'
 
 describe('decideStart', () => {
   const cases: [name: string, expected: number, objective: number, usualObjective: number, type: string][] = [
--- a/packages/core/src/test/lib/routing/event-splitter_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/event-splitter_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EventSplitter } from '../../../lib/routing/event-splitter.js'
+import { EventSplitter } from '../../../../lib/routing/attempts/event-splitter.js'
 
 const encoder = new TextEncoder()
 const decoder = new TextDecoder()
--- a/packages/core/src/test/lib/routing/fleet-size_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/fleet-size_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { FleetSize, MOST_ENTRIES } from '../../../lib/routing/fleet-size.js'
+import { FleetSize, MOST_ENTRIES } from '../../../../lib/routing/attempts/fleet-size.js'
 
 const MINUTE = 60_000
 
--- a/packages/core/src/test/lib/routing/retry-allowance_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/retry-allowance_test.ts
@@ -5,8 +5,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { RetryPurpose } from '../../../lib/routing/attempt-course.js'
-import { RetryAllowance } from '../../../lib/routing/retry-allowance.js'
+import type { RetryPurpose } from '../../../../lib/routing/attempts/attempt-course.js'
+import { RetryAllowance } from '../../../../lib/routing/attempts/retry-allowance.js'
 
 const terms = { ratio: 0.2, slack: 100, window: 10_000 }
 
--- a/packages/core/src/test/lib/routing/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -5,11 +5,11 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EndpointChooser, type Need } from '../../../lib/routing/endpoint-chooser.js'
-import type { Opening } from '../../../lib/routing/early-refusal.js'
-import type { LoadReport } from '../../../lib/routing/endpoint-load.js'
-import { startOf, type EndpointRecord } from '../../../lib/routing/endpoint-record.js'
-import type { PoolDescription, ServiceDescription } from '../../../lib/routing/routing-configuration.js'
+import { EndpointChooser, type Need } from '../../../../lib/routing/choice/endpoint-chooser.js'
+import type { Opening } from '../../../../lib/routing/attempts/early-refusal.js'
+import type { LoadReport } from '../../../../lib/routing/choice/endpoint-load.js'
+import { startOf, type EndpointRecord } from '../../../../lib/routing/published/endpoint-record.js'
+import type { PoolDescription, ServiceDescription } from '../../../../lib/routing/published/routing-configuration.js'
 
 const pool: PoolDescription = {
   slots: 16, stride: 5, stepTime: 9, stepTimePerRequest: 0.02, stepTimePerThousandTokens: 0.03, promptTokensPerMillisecond: 20, promptTokensPerStep: 2_000, usualPromptTokens: 1_000, usualAnswerTokens: 100, models: [{ name: 'm', warmUp: 300 }], layers: 16, chunks: 96, chunkBytes: 10
--- a/packages/core/src/test/lib/routing/even-choice_test.ts
+++ b/packages/core/src/test/lib/routing/choice/even-choice_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { chooseEvenly, levelOf } from '../../../lib/routing/even-choice.js'
+import { chooseEvenly, levelOf } from '../../../../lib/routing/choice/even-choice.js'
 
 describe('levelOf', () => {
   const cases: [name: string, costs: readonly number[], requests: number, level: number][] = [
--- a/packages/core/src/test/lib/routing/followed-engines_test.ts
+++ b/packages/core/src/test/lib/routing/choice/followed-engines_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { enginesToFollow, type EngineAt } from '../../../lib/routing/followed-engines.js'
+import { enginesToFollow, type EngineAt } from '../../../../lib/routing/choice/followed-engines.js'
 
 const zones = ['a', 'b', 'c', 'd', 'e']
 
--- a/packages/core/src/test/lib/routing/load-news_test.ts
+++ b/packages/core/src/test/lib/routing/choice/load-news_test.ts
@@ -5,8 +5,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { LoadReport } from '../../../lib/routing/endpoint-load.js'
-import { isLoadNews } from '../../../lib/routing/load-news.js'
+import type { LoadReport } from '../../../../lib/routing/choice/endpoint-load.js'
+import { isLoadNews } from '../../../../lib/routing/choice/load-news.js'
 
 const told: LoadReport = { running: 8, waiting: 0, unreadTokens: 3_000, version: 1, accepting: true, pace: 1 }
 
--- a/packages/core/src/test/lib/routing/request-rate_test.ts
+++ b/packages/core/src/test/lib/routing/choice/request-rate_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { RequestRate } from '../../../lib/routing/request-rate.js'
+import { RequestRate } from '../../../../lib/routing/choice/request-rate.js'
 
 describe('RequestRate', () => {
   const cases: [name: string, pause: number, since: number, least: number, most: number][] = [
--- a/packages/core/src/test/lib/routing/unread-tokens_test.ts
+++ b/packages/core/src/test/lib/routing/choice/unread-tokens_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { UnreadTokens, type ContextReading } from '../../../lib/routing/unread-tokens.js'
+import { UnreadTokens, type ContextReading } from '../../../../lib/routing/choice/unread-tokens.js'
 
 /** Tokens that the engine of these cases reads in a millisecond. */
 const READ_RATE = 20
--- a/packages/core/src/test/lib/routing/decay_test.ts
+++ b/packages/core/src/test/lib/routing/decay_test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { decay } from '../../../lib/routing/decay.js'
-import { UsualTime } from '../../../lib/routing/usual-time.js'
+import { UsualTime } from '../../../lib/routing/choice/usual-time.js'
 
 describe('decay', () => {
   const cases: [name: string, elapsed: number, expected: number][] = [
--- a/packages/core/src/test/lib/routing/lapsed-endpoints_test.ts
+++ b/packages/core/src/test/lib/routing/published/lapsed-endpoints_test.ts
@@ -11,7 +11,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PublishedState, type PublishedChange } from '../../../lib/routing/published-state.js'
+import { PublishedState, type PublishedChange } from '../../../../lib/routing/published/published-state.js'
 
 const ALL = ['a', 'b', 'c', 'd', 'e']
 
--- a/packages/core/src/test/lib/routing/relay-book_test.ts
+++ b/packages/core/src/test/lib/routing/published/relay-book_test.ts
@@ -5,9 +5,9 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { RelayNote } from '../../../lib/messages.js'
-import type { PublishedNote } from '../../../lib/routing/published-state.js'
-import { RelayBook } from '../../../lib/routing/relay-book.js'
+import type { RelayNote } from '../../../../lib/messages.js'
+import type { PublishedNote } from '../../../../lib/routing/published/published-state.js'
+import { RelayBook } from '../../../../lib/routing/published/relay-book.js'
 
 const place = { availabilityZone: 'koshi-a', regionOf: (zone: string) => zone.split('-')[0] ?? zone }
 const nobody = new Set<string>()
--- a/packages/core/src/test/lib/routing/routing-configuration_test.ts
+++ b/packages/core/src/test/lib/routing/published/routing-configuration_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { RouteTable, targetOf, type Route, type RoutingConfiguration } from '../../../lib/routing/routing-configuration.js'
+import { RouteTable, targetOf, type Route, type RoutingConfiguration } from '../../../../lib/routing/published/routing-configuration.js'
 
 /** A route with everything that a case does not name. */
 function route (part: Partial<Route>): Route {
--- a/packages/core/src/test/lib/routing/chunk-swarm_test.ts
+++ b/packages/core/src/test/lib/routing/weights/chunk-swarm_test.ts
@@ -5,12 +5,12 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { ChunkMember } from '../../../lib/chunk-tree.js'
-import type { Manifest } from '../../../lib/documents.js'
-import { ChunkPlaces } from '../../../lib/routing/chunk-places.js'
-import { ChunkSwarm } from '../../../lib/routing/chunk-swarm.js'
-import { defaultSwarmPolicy, type SwarmLimit } from '../../../lib/routing/swarm-policy.js'
-import type { TransferEffect } from '../../../lib/transfer.js'
+import type { ChunkMember } from '../../../../lib/chunk-tree.js'
+import type { Manifest } from '../../../../lib/documents.js'
+import { ChunkPlaces } from '../../../../lib/routing/weights/chunk-places.js'
+import { ChunkSwarm } from '../../../../lib/routing/weights/chunk-swarm.js'
+import { defaultSwarmPolicy, type SwarmLimit } from '../../../../lib/routing/weights/swarm-policy.js'
+import type { TransferEffect } from '../../../../lib/transfer.js'
 
 const CHUNKS = 12
 /** By then every member has stepped in at the origin for a chunk that nobody holds. */
--- a/packages/core/src/test/lib/routing/origin-schedule_test.ts
+++ b/packages/core/src/test/lib/routing/weights/origin-schedule_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { OriginSchedule, type OriginView } from '../../../lib/routing/origin-schedule.js'
+import { OriginSchedule, type OriginView } from '../../../../lib/routing/weights/origin-schedule.js'
 
 /** A copy of 40 chunks leaves the origin in 4 s, so each takes 100 ms. */
 const CHUNKS = 40
--- a/packages/core/src/test/lib/routing/pull-window_test.ts
+++ b/packages/core/src/test/lib/routing/weights/pull-window_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PullWindow } from '../../../lib/routing/pull-window.js'
+import { PullWindow } from '../../../../lib/routing/weights/pull-window.js'
 
 describe('PullWindow', () => {
   const cases: [name: string, pulls: readonly (readonly [took: number, now: number])[], size: number][] = [
--- a/packages/core/src/test/lib/routing/swarm-peers_test.ts
+++ b/packages/core/src/test/lib/routing/weights/swarm-peers_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { SwarmPeers } from '../../../lib/routing/swarm-peers.js'
+import { SwarmPeers } from '../../../../lib/routing/weights/swarm-peers.js'
 
 const self = { instance: 'a', availabilityZone: 'koshi' }
 const members = ['a', 'b', 'c', 'd'].map(instance => ({ instance, availabilityZone: 'koshi' }))
--- a/packages/core/src/test/lib/routing/version-overlap_test.ts
+++ b/packages/core/src/test/lib/routing/weights/version-overlap_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { overlapStep, worthFinishing, type OverlapView, type StagedVersion } from '../../../lib/routing/version-overlap.js'
+import { overlapStep, worthFinishing, type OverlapView, type StagedVersion } from '../../../../lib/routing/weights/version-overlap.js'
 
 const staged: StagedVersion = { version: 2, whole: false, progress: 0.8, known: 1 }
 
--- a/packages/core/src/test/lib/routing/version-switch_test.ts
+++ b/packages/core/src/test/lib/routing/weights/version-switch_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { switchPlace, VersionSwitch, type SwitchTurn, type SwitchView } from '../../../lib/routing/version-switch.js'
+import { switchPlace, VersionSwitch, type SwitchTurn, type SwitchView } from '../../../../lib/routing/weights/version-switch.js'
 
 const BOUND = 8_000
 const LEAD = 600
