--- /dev/null
+++ b/packages/node/src/test/lib/routing/service-units_test.ts
@@ -0,0 +1,67 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { PublishedState, startOf, type EndpointRecord, type LoadReport, type PoolDescription } from '@drumdrift/core'
+import { ServiceUnits } from '../../../lib/routing/service-units.js'
+
+const pool: PoolDescription = {
+  slots: 8, stride: 5, stepTime: 9, stepTimePerRequest: 0.02, stepTimePerThousandTokens: 0.03, promptTokensPerMillisecond: 20, promptTokensPerStep: 2_048, usualPromptTokens: 900, usualAnswerTokens: 90, models: [], layers: 16, chunks: 4, chunkBytes: 8
+}
+const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 }
+const load: LoadReport = { running: 1, waiting: 0, version: 1, accepting: true, pace: 1, sentRate: 0, entries: 1 }
+const need = { promptTokens: 500, answerTokens: 0, model: 'm', leastVersion: 0, mustBeginBy: () => undefined, usualObjective: 400, tried: new Set<string>() }
+const AGENT_PORT = 7_700
+
+function engine (index: number, born: number): EndpointRecord {
+  return { id: `engine-${index}`, born, service: 'pool', address: `10.0.0.${index}:80`, availabilityZone: 'hall', slots: 8, draining: false, models: [{ model: 'm', version: 1 }] }
+}
+
+function unitsWith (records: readonly EndpointRecord[]): ServiceUnits {
+  const state = new PublishedState()
+  const configuration = { version: 1, routes: [], services: [{ name: 'pool', maxConnections: 100, pool }], organisations: [], limits }
+  state.take({ type: 'configuration', revision: 1, configuration }, 0)
+  for (const [index, record] of records.entries()) state.take({ type: 'endpoint', revision: 2 + index, record }, 0)
+  const units = new ServiceUnits('entry-1', { availabilityZone: 'hall', regionOf: () => 'here' }, { ratio: 0.2, slack: 100, window: 10_000 }, AGENT_PORT)
+  units.apply(state)
+  return units
+}
+
+describe('ServiceUnits', () => {
+  const agent = `10.0.0.1:${AGENT_PORT}`
+
+  const reports: [name: string, born: number | undefined, known: boolean, chosen: boolean][] = [
+    ['takes a report of the start that is listed', 200, true, true],
+    ['takes a report that tells no start', undefined, true, true],
+    ['drops a late report of an earlier start', 100, false, true],
+    ['passes the listed start over once a later one reports', 300, false, false]
+  ]
+  for (const [name, born, known, chosen] of reports) {
+    it(name, () => {
+      const units = unitsWith([engine(1, 200)])
+      units.heard(agent, { ...load, born }, 10)
+      const { chooser, description } = units.get('pool') ?? assert.fail('no pool')
+      assert.equal(chooser.load(startOf(engine(1, 200))).report(20) !== undefined, known)
+      assert.equal(chooser.choose(description, need, 20) !== undefined, chosen)
+    })
+  }
+
+  it('says which counts of entries cannot be true, and takes the load all the same', () => {
+    const units = unitsWith([engine(1, 200)])
+    assert.equal(units.heard(agent, { ...load, entries: -3 }, 10), false)
+    assert.equal(units.heard(agent, { ...load, entries: 1e9 }, 10), false)
+    assert.equal(units.heard(agent, { ...load, entries: 7 }, 10), true)
+    assert.notEqual(units.get('pool')?.chooser.load(startOf(engine(1, 200))).report(20), undefined)
+  })
+
+  it('follows some of many engines, and sends to those', () => {
+    const units = unitsWith(Array.from({ length: 60 }, (_, index) => engine(index + 1, 200)))
+    assert.deepEqual([units.agents.size, units.followed.size], [60, 12])
+    const { chooser, description } = units.get('pool') ?? assert.fail('no pool')
+    const { record } = chooser.choose(description, need, 20) ?? assert.fail('none chosen')
+    assert.ok(units.followed.has(`${record.address.split(':')[0]}:${AGENT_PORT}`))
+  })
+})
