Sight: attempts that broke off tell which requests are the same

Callers name each attempt anew, so the log could not tell one request that ends endpoints from many that were caught in it. attempt-ended of a broken attempt now carries a keyed fingerprint of organisation, method, path and body.

--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -34,6 +34,19 @@
   | { readonly type: 'refused' | 'failed', readonly failure: RequestFailure }
   | { readonly type: 'abandoned' }
 
+/** An attempt that ended, as it is logged. */
+export interface EndedAttempt {
+  /** Counted from 1. */
+  readonly number: number
+  readonly choice: Choice
+  readonly end: AttemptEnd
+  /** In milliseconds. */
+  readonly took: number
+  readonly next: NextStep
+  /** Told where its endpoint may have ended under the request: see `fingerprintOf`. */
+  readonly fingerprint: string | undefined
+}
+
 /** The record of one request. */
 export class RequestRecord {
   constructor (private readonly _parts: RecordParts, private readonly _request: RecordedRequest) {}
@@ -52,9 +65,9 @@
   firstEvent (now: number): void { this._time('first-token', now - this._request.receivedAt) }
 
   /** An attempt ended, and something follows. */
-  attemptEnded (number: number, choice: Choice, end: AttemptEnd, took: number, next: NextStep): void {
+  attemptEnded ({ number, choice, end, took, next, fingerprint }: EndedAttempt): void {
     this._parts.log.request('attempt-ended', {
-      id: this._request.head.id, attempt: number, endpoint: choice.record.id, outcome: end.type, reason: reasonOf(end), took: Math.round(took), next: next.type
+      id: this._request.head.id, attempt: number, endpoint: choice.record.id, outcome: end.type, reason: reasonOf(end), took: Math.round(took), next: next.type, fingerprint
     })
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -25,6 +25,7 @@
 import { PublishedFeed, type Watch } from './published-feed.js'
 import { ReadinessServer } from './readiness-server.js'
 import { placeOf } from './regions.js'
+import { fingerprintOf } from './request-fingerprint.js'
 import { RouteFront } from './route-front.js'
 import { RoutedRequest, type RoutedRequestParts } from './routed-request.js'
 import { ServiceUnits } from './service-units.js'
@@ -167,6 +168,7 @@
       mustBeginBy: (model, version) => this._mustBeginBy(model, version),
       reserve: this._reserve,
       draw: Math.random,
+      fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), request),
       log: this._log,
       counters: this._counters,
       histograms: this._histograms
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -30,6 +30,8 @@
   readonly mustBeginBy: (model: string, version: number) => number | undefined
   readonly reserve: ConnectionReserve
   readonly draw: () => number
+  /** What makes two requests the same: see `fingerprintOf`. */
+  readonly fingerprint: (request: ReadRequest) => string
 }
 
 /** A request as it was read. */
@@ -60,6 +62,7 @@
   private _attempts = 0
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
+  private readonly _fingerprint = once(() => this._parts.fingerprint(this._request))
   /** When the objective is over, counted from the caller's first try; by this process's clock. */
   private _inTimeUntil = 0
   private _over = false
@@ -167,7 +170,8 @@
     const step = this._course.ended(end, {
       timeLeft: this._deadline > now, elsewhere: () => another() !== undefined, spendRetry: purpose => this._unit?.retries.trySpend(purpose, now) ?? false
     })
-    this._record.attemptEnded(this._attempts, attempt.choice, end, now - attempt.sentAt, step)
+    const fingerprint = end.type === 'broken' ? this._fingerprint() : undefined
+    this._record.attemptEnded({ number: this._attempts, choice: attempt.choice, end, took: now - attempt.sentAt, next: step, fingerprint })
     if (step.type === 'pass-on') return this._passOn(attempt)
     if (step.type === 'give-up') return this._giveUp(end, step.outcome)
     const choice = another()
