--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -33,6 +33,8 @@
 const EVENT_PAUSE = 5
 /** A worker that fails at its deadline does so after this, in milliseconds. */
 const LATE_ERROR_TIME = 500
+/** A worker ends so long after it has begun what it ends under, in milliseconds. */
+const TIME_TO_END = 10
 
 type ModeHandler = (worker: UsersWorkerStandIn, request: IncomingMessage, response: ServerResponse) => void
 
@@ -45,6 +47,10 @@
   abandoned = 0
   /** Milliseconds between the events of a stream. */
   eventPause = EVENT_PAUSE
+  /** The worker ends, and all that runs on it, as soon as it begins a request with this body; nothing for none. */
+  endsUnder: string | undefined
+  /** Whether it has ended so. */
+  ended = false
   version = 1
   running = 0
   busy = false
@@ -71,6 +77,7 @@
     const body = (await readAll(request)).toString('utf8')
     this.arrivals.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
+    if (body === this.endsUnder) return this._end(request, response)
     modeHandlers[this.mode](this, request, response)
   }
 
@@ -79,6 +86,14 @@
     return { 'x-attempt-id': String(request.headers['x-attempt-id']), 'x-server-seal': `seal-of-${this.id}` }
   }
 
+  private _end (request: IncomingMessage, response: ServerResponse): void {
+    response.writeHead(200, { ...this.head(request), 'content-type': 'text/event-stream' }).flushHeaders()
+    setTimeout(() => {
+      this.ended = true
+      this.close()
+    }, TIME_TO_END)
+  }
+
   private _report (response: ServerResponse): void {
     const models = this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
     sendJson(response, { stage: 'both', models, busy: this.busy, seq: this.orders.length, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
