Requests that end endpoints are known by what they hold, and held back by the whole fleet

Cause: nothing told that requests under new ids are the same. Ruled out: retries that crowd endpoints (each ended 40 to 115 ms after the same request began there); endpoints that end by themselves (none ended between the waves). Change: an entry keeps, by fingerprint, the starts of endpoints whose connection was lost under a request. After two it is tried at no other, after three it is refused as not run until the losses lapse, and taken back where it has not begun to answer. A sign of life of the endpoint within 0.7 s, or an answer to the request, clears it. Losses without a sign of life go to agents, who pass them on.

--- a/packages/core/src/lib/routing/attempts/attempt-course.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-course.ts
@@ -19,7 +19,7 @@
   | { readonly type: 'answered', readonly status: number, readonly stream: boolean }
   | { readonly type: 'not-run', readonly reason: NotRunReason }
   /** The connection ended, within a stream or before it, or what came was no answer to this request. It may have run. */
-  | { readonly type: 'broken', readonly detail: string }
+  | { readonly type: 'broken', readonly detail: string, readonly connection: 'lost' | 'open' }
   /** Nothing came for so long that the endpoint counts as dead. It may have run. */
   | { readonly type: 'stalled', readonly detail: string }
 
@@ -38,6 +38,8 @@
 export interface AttemptBounds {
   /** Whether there is still time before the caller's deadline and the route's time-out. */
   readonly timeLeft: boolean
+  /** Whether it may have ended endpoints, and is to be tried at no other. */
+  readonly suspect: boolean
   /** Whether another endpoint can take it. */
   readonly elsewhere: () => boolean
   /** Spends one retry of the service's budget if there is one. */
@@ -100,7 +102,7 @@
    * An attempt has ended.
    *
    * @example
-   * const step = course.ended({ type: 'not-run', reason: 'full' }, { timeLeft: true, elsewhere: () => true, spendRetry: purpose => budget.trySpend(purpose) })
+   * const step = course.ended({ type: 'not-run', reason: 'full' }, { timeLeft: true, suspect: false, elsewhere: () => true, spendRetry: purpose => budget.trySpend(purpose) })
    */
   ended (end: AttemptEnd, bounds: AttemptBounds): NextStep {
     const kind = kindOf(end)
@@ -118,9 +120,9 @@
   }
 
   /** A connection that never opened brought no endpoint any load, and is no attempt. */
-  private _another (kind: EndKind, { timeLeft, elsewhere, spendRetry }: AttemptBounds): boolean {
+  private _another (kind: EndKind, { timeLeft, suspect, elsewhere, spendRetry }: AttemptBounds): boolean {
     const costly = kind !== 'not-connected'
-    if (!timeLeft || (costly && this._sent >= this._route.maxAttempts) || !elsewhere()) return false
+    if (!timeLeft || suspect || (costly && this._sent >= this._route.maxAttempts) || !elsewhere()) return false
     return !costly || spendRetry(this._callerHas === 'events' ? 'go-on' : 'begin')
   }
 
--- a/packages/core/src/test/lib/routing/attempts/attempt-course_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/attempt-course_test.ts
@@ -17,19 +17,19 @@
 
 const full: AttemptEnd = { type: 'not-run', reason: 'full' }
 const unconnected: AttemptEnd = { type: 'not-run', reason: 'not-connected' }
-const broken: AttemptEnd = { type: 'broken', detail: 'reset' }
+const broken: AttemptEnd = { type: 'broken', connection: 'lost', detail: 'reset' }
 const stalled: AttemptEnd = { type: 'stalled', detail: 'silent' }
 
 function answered (status: number, asStream = false): AttemptEnd { return { type: 'answered', status, stream: asStream } }
 
 /** What the last of some attempts leads to. */
-function last (route: Bounds, ends: readonly AttemptEnd[], options: { begun?: boolean, timeLeft?: boolean, elsewhere?: boolean, budget?: number } = {}): string {
+function last (route: Bounds, ends: readonly AttemptEnd[], options: { begun?: boolean, timeLeft?: boolean, suspect?: boolean, elsewhere?: boolean, budget?: number } = {}): string {
   const course = new AttemptCourse(route)
   let budget = options.budget ?? 10
   let step = ''
   for (const end of ends) {
     if (options.begun === true) course.begun()
-    const next = course.ended(end, { timeLeft: options.timeLeft ?? true, elsewhere: () => options.elsewhere ?? true, spendRetry: () => budget-- > 0 })
+    const next = course.ended(end, { timeLeft: options.timeLeft ?? true, suspect: options.suspect ?? false, elsewhere: () => options.elsewhere ?? true, spendRetry: () => budget-- > 0 })
     step = next.type === 'give-up' ? next.outcome : next.type
   }
   return step
@@ -55,6 +55,9 @@
     ['a stream that may not be resumed ends cut', last(fixedStream, [broken], { begun: true }), 'cut'],
     ['a stream that may not be resumed does not start again', last(fixedStream, [broken]), 'unknown'],
     ['without time nothing is tried', last(safe, [full], { timeLeft: false }), 'not-run'],
+    ['what may end endpoints is tried at no other', last(stream, [broken], { suspect: true }), 'unknown'],
+    ['what may end endpoints and did not run is tried at no other', last(safe, [full], { suspect: true }), 'not-run'],
+    ['a stream that may end endpoints is cut', last(stream, [broken], { begun: true, suspect: true }), 'cut'],
     ['without budget nothing is tried', last(safe, [broken], { budget: 0 }), 'unknown'],
     ['without budget a failure is passed on', last(safe, [answered(503)], { budget: 0 }), 'pass-on']
   ]
@@ -62,7 +65,7 @@
 
   it('spends no retry where no other endpoint can take the request', () => {
     let spent = 0
-    new AttemptCourse(safe).ended(full, { timeLeft: true, elsewhere: () => false, spendRetry: () => { spent += 1; return true } })
+    new AttemptCourse(safe).ended(full, { timeLeft: true, suspect: false, elsewhere: () => false, spendRetry: () => { spent += 1; return true } })
     assert.equal(spent, 0)
   })
 })
--- a/packages/fuzz/src/lib/routed-world.ts
+++ b/packages/fuzz/src/lib/routed-world.ts
@@ -157,12 +157,12 @@
 
   private readonly _treatRequest: Record<Treatment, (request: Request) => void> = {
     answer: request => this._writeEvents(request, EVENTS, { type: 'answered', status: 200, stream: true }),
-    cut: request => this._writeEvents(request, Math.min(EVENTS - 1, request.events + 1 + Math.floor(this.world.random() * 3)), { type: 'broken', detail: 'reset' }),
+    cut: request => this._writeEvents(request, Math.min(EVENTS - 1, request.events + 1 + Math.floor(this.world.random() * 3)), { type: 'broken', connection: 'lost', detail: 'reset' }),
     shed: request => this._end(request, { type: 'not-run', reason: 'full' }),
     fail: request => this._end(request, { type: 'answered', status: 500, stream: false }),
     reject: request => this._end(request, { type: 'answered', status: 404, stream: false }),
     'answer-plainly': request => this._end(request, { type: 'answered', status: 200, stream: false }),
-    vanish: request => this._end(request, { type: 'broken', detail: 'reset' })
+    vanish: request => this._end(request, { type: 'broken', connection: 'lost', detail: 'reset' })
   }
 
   private _writeEvents (request: Request, upTo: number, end: AttemptEnd): void {
@@ -178,7 +178,7 @@
     const { world } = this
     world.after(world.between(1, 5), request.process, () => {
       const step = request.course.ended(end, {
-        timeLeft: world.now < request.deadline, elsewhere: () => true, spendRetry: purpose => request.entry.allowance.trySpend(purpose, world.now)
+        timeLeft: world.now < request.deadline, suspect: false, elsewhere: () => true, spendRetry: purpose => request.entry.allowance.trySpend(purpose, world.now)
       })
       this._follow(request, end, step)
     })
--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -47,7 +47,8 @@
   'not-allowed': 403,
   'engine-failed': 502,
   'no-configuration': 503,
-  'records-full': 429
+  'records-full': 429,
+  'ends-endpoints': 503
 }
 
 /**
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -20,7 +20,7 @@
 
 /** Why a request ended as it did. */
 export type RequestCause =
-  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'no-configuration'
+  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'no-configuration'
   | 'not-allowed' | 'endpoint-failed' | 'time-over' | 'caller-left' | 'unfinished'
 
 /** What is known of one request. */
@@ -96,6 +96,7 @@
   'endpoint-slower-than-expected': 'the endpoint or the way to it was slower than known: see load_age, round_trip and its agent\'s log',
   'stream-paused': 'events paused for longer than the objective: look at the endpoint\'s load, and at transfers of weights beside it',
   overloaded: 'refused early, as every endpoint was expected too late or refused it: look at the load of the pool',
+  'ends-endpoints': 'endpoints were lost under this request again and again, so it is held back: see request-held-back, and what its body does to an endpoint',
   'no-endpoint': 'no endpoint may take it: see which are listed, and whether all hold a version that is due to be replaced',
   'no-configuration': 'the process had just started and knew no configuration: see store-lost and its seeds',
   'not-allowed': 'the configuration in force has no such route, key or size: compare its version with the one published',
@@ -105,7 +106,7 @@
   unfinished: 'no final line: the process ended, or lines were left out (log-lines-left-out)'
 }
 
-const refusals: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
+const refusals: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
 
 /** Why a request ended as it did, from its own lines in order. */
 export function causeOf (request: readonly LogLine[]): RequestCause {
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -19,6 +19,8 @@
 /** A stream that pauses longer goes on elsewhere: a few times the longest pause of a sound engine, in milliseconds. */
 const GAP_STALL = 800
 
+const SILENT = 'no event for too long'
+
 /** What an attempt is. */
 export interface AttemptPlan {
   readonly choice: Choice
@@ -45,7 +47,7 @@
   private readonly _call: EndpointCall
   private readonly _pieces: Buffer[] = []
   private _head: AnswerHead | undefined
-  private _takenBack = false
+  private _takenBackFor: string | undefined
   private _stallTimer: NodeJS.Timeout | undefined
   private _beginTimer: NodeJS.Timeout | undefined
   /** Resolves when it has ended, however it ended. */
@@ -66,7 +68,7 @@
     })
     this.ended = this._call.ended.then(end => this._finish(end))
     this._watchForSilence(Math.max(LEAST_STALL, STALL_FACTOR * _plan.choice.expected))
-    if (_plan.beginBy !== undefined) this._beginTimer = setTimeout(() => this._takeBack(), _plan.beginBy - performance.now())
+    if (_plan.beginBy !== undefined) this._beginTimer = setTimeout(() => this.takeBack(SILENT), _plan.beginBy - performance.now())
   }
 
   /** The head of the answer; nothing until it came. */
@@ -77,6 +79,12 @@
   /** Ends the attempt at once; the endpoint sees its connection close. */
   stop (): void { this._call.stop() }
 
+  /** Ends the attempt at once, as one from which nothing more is to come. */
+  takeBack (why: string): void {
+    this._takenBackFor = why
+    this._call.stop()
+  }
+
   private _onData (bytes: Buffer): void {
     const head = this._head
     if (head === undefined) return
@@ -93,30 +101,25 @@
 
   private _watchForSilence (milliseconds: number): void {
     clearTimeout(this._stallTimer)
-    if (this._plan.endsOnSilence) this._stallTimer = setTimeout(() => this._takeBack(), milliseconds)
-  }
-
-  private _takeBack (): void {
-    this._takenBack = true
-    this._call.stop()
+    if (this._plan.endsOnSilence) this._stallTimer = setTimeout(() => this.takeBack(SILENT), milliseconds)
   }
 
   private _finish (end: EndpointCallEnd): AttemptEnd {
     clearTimeout(this._stallTimer)
     clearTimeout(this._beginTimer)
     if (end.type === 'not-run') return end
-    if (this._takenBack) return { type: 'stalled', detail: 'no event for too long' }
+    if (this._takenBackFor !== undefined) return { type: 'stalled', detail: this._takenBackFor }
     if (end.type === 'whole' && this._head !== undefined) return this._answered(this._head, end.framed)
-    return { type: 'broken', detail: end.type === 'broken' ? end.detail : end.type }
+    return end.type === 'broken' ? { type: 'broken', connection: end.connection, detail: end.detail } : { type: 'broken', connection: 'open', detail: end.type }
   }
 
   private _answered (head: AnswerHead, framed: boolean): AttemptEnd {
     const { status } = head
     // A success without a length looks whole when its endpoint crashed in the middle of it, so it is never believed: half an
     // answer that looks whole is worse for its caller than none.
-    if (!framed && status < LEAST_UNSUCCESSFUL_STATUS) return { type: 'broken', detail: 'the answer ended with its connection' }
+    if (!framed && status < LEAST_UNSUCCESSFUL_STATUS) return { type: 'broken', connection: 'lost', detail: 'the answer ended with its connection' }
     const stream = isStream(head)
-    if (stream && this._plan.progress.withinEvent) return { type: 'broken', detail: 'the stream ended within an event' }
+    if (stream && this._plan.progress.withinEvent) return { type: 'broken', connection: 'open', detail: 'the stream ended within an event' }
     return { type: 'answered', status, stream }
   }
 }
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -20,7 +20,7 @@
   | { readonly type: 'whole', readonly framed: boolean }
   | { readonly type: 'not-run', readonly reason: NotRunReason }
   /** No whole answer to this request. `begun` tells whether its head had been taken. */
-  | { readonly type: 'broken', readonly begun: boolean, readonly detail: string }
+  | { readonly type: 'broken', readonly begun: boolean, readonly connection: 'lost' | 'open', readonly detail: string }
   /** This side stopped it. */
   | { readonly type: 'stopped' }
 
@@ -114,7 +114,7 @@
     response.on('error', error => this._lost(error.message))
     response.on('aborted', () => this._lost('the answer was cut off'))
     if (head.type === 'not-run') return this._end({ type: 'not-run', reason: head.reason })
-    if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, detail: head.detail })
+    if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, connection: 'open', detail: head.detail })
     this._begun = true
     this._listener.head(head)
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
@@ -125,7 +125,7 @@
   }
 
   private _lost (detail: string): void {
-    if (this._connected) this._end({ type: 'broken', begun: this._begun, detail })
+    if (this._connected) this._end({ type: 'broken', begun: this._begun, connection: 'lost', detail })
     else this._end({ type: 'not-run', reason: 'not-connected' })
   }
 
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -7,7 +7,7 @@
  * Tells the entries that follow it how loaded the engine beside this agent is: at once when that is news to them, and now
  * and then as a sign of life.
  */
-import { isLoadNews, type LoadReport } from '@drumdrift/core'
+import { isLoadNews, type LoadReport, type PeerReply } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 
 /** Followers hear this often though nothing changes, in milliseconds; they take silence of three times that for loss. */
@@ -61,6 +61,11 @@
     follower.heardAt = now
   }
 
+  /** Tells all followers but one. */
+  tellOthers (reply: PeerReply, except: PeerConnection): void {
+    for (const [connection, { responder }] of this._followers) if (connection !== except) responder.send(reply)
+  }
+
   /** Takes a new report. */
   publish (load: LoadReport, now: number): void {
     const age = now - this._toldAt
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -29,6 +29,7 @@
 import { RouteFront } from './route-front.js'
 import { RoutedRequest, type RoutedRequestParts } from './routed-request.js'
 import { ServiceUnits } from './service-units.js'
+import { SuspectExchange } from './suspect-exchange.js'
 
 /**
  * New connections still come after a stop is ordered, until the balancer has asked twice without a good answer, once a
@@ -69,6 +70,7 @@
   private readonly _feed: PublishedFeed
   private readonly _relay: NewsRelay
   private readonly _follower: LoadFollower
+  private readonly _suspects: SuspectExchange
   private readonly _units: ServiceUnits
   private readonly _reserve = new ConnectionReserve()
   private readonly _front: RouteFront
@@ -105,8 +107,16 @@
       log: _log,
       news: agent => this._newsFor(agent, performance.now()),
       onLoad: (agent, load) => this._hear(agent, load),
+      onSuspects: (losses, agent) => this._suspects.heard(losses, agent),
+      suspects: () => this._suspects.known(),
       onMeasured: (agent, step) => this._units.measured(agent, step, performance.now())
     })
+    this._suspects = new SuspectExchange({
+      log: _log,
+      counters: this._counters,
+      tell: losses => this._follower.tellSuspects(losses),
+      onHeldBack: fingerprint => this._front.holdBack(fingerprint)
+    })
     const requestParts = this._requestParts(platform)
     this._front = new RouteFront({
       address: text('process', 'http-address'),
@@ -155,6 +165,7 @@
     this._feed.close()
     this._relay.close()
     this._follower.close()
+    this._suspects.close()
     this._server.close()
     this._pool.close()
     this._metrics?.close()
@@ -168,6 +179,7 @@
       mustBeginBy: (model, version) => this._mustBeginBy(model, version),
       reserve: this._reserve,
       draw: Math.random,
+      suspects: this._suspects,
       fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), request),
       log: this._log,
       counters: this._counters,
@@ -176,7 +188,10 @@
   }
 
   private _hear (agent: string, load: LoadReport): void {
-    if (this._units.heard(agent, load, performance.now())) return
+    const now = performance.now()
+    const alive = this._units.aliveBy(agent, load, now)
+    if (alive !== undefined) this._suspects.lived(alive.start, alive.at)
+    if (this._units.heard(agent, load, now)) return
     this._counters.add('entries_miscounted')
     if (!this._miscounting.has(agent)) this._log.warn('entries-miscounted', { agent, entries: Number(load.entries) })
     this._miscounting.add(agent)
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -71,6 +71,9 @@
     this._server.headersTimeout = headerTimeout
   }
 
+  /** A request is held back from now on, also where it is in progress. */
+  holdBack (fingerprint: string): void { for (const request of this._requests) request.holdBack(fingerprint) }
+
   /** From now on each answer asks its caller to open a new connection, elsewhere if it can. */
   leave (): void { this._leaving = true }
 
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -18,6 +18,7 @@
 import type { AnswerHead, Dialect } from './ports.js'
 import { RequestRecord, type RecordedRequest, type RecordParts, type RequestResult } from './request-record.js'
 import type { ServiceUnit } from './service-units.js'
+import type { SuspectExchange } from './suspect-exchange.js'
 import { StreamProgress } from './stream-progress.js'
 
 /** What requests work with. */
@@ -32,6 +33,7 @@
   readonly draw: () => number
   /** What makes two requests the same: see `fingerprintOf`. */
   readonly fingerprint: (request: ReadRequest) => string
+  readonly suspects: Pick<SuspectExchange, 'standing' | 'evidence' | 'lost' | 'lived' | 'answered'>
 }
 
 /** A request as it was read. */
@@ -88,6 +90,7 @@
     this._unit?.retries.requested(now)
     this._usualObjective = this._unit?.objective.observe(route.objective) ?? route.objective
     this._inTimeUntil = this._request.receivedAt + route.objective - this._sinceFirstTry()
+    if (this._parts.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
     const choice = this._choose(now)
     if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
     const decision = decideStart({ expected: choice.expectedOfUsual, objective: route.objective, usualObjective: this._usualObjective })
@@ -95,6 +98,11 @@
     this._send(choice, now)
   }
 
+  /** From now on a request is held back: if it is this one, it is taken back from an engine that may not have begun it yet. */
+  holdBack (fingerprint: string): void {
+    if (!this._answer.begun && fingerprint === this._fingerprint()) this._attempt?.takeBack('the request ends endpoints')
+  }
+
   private _sinceFirstTry (): number {
     const { head, route } = this._request
     return head.patience === undefined ? 0 : this._unit?.firstTries.elapsed(route.name, head.patience) ?? 0
@@ -153,6 +161,7 @@
 
   private _passEvents ({ choice }: EndpointAttempt, head: AnswerHead, events: Uint8Array): void {
     const now = performance.now()
+    this._parts.suspects.lived(startOf(choice.record), now)
     this._unit?.chooser.load(startOf(choice.record)).begun(this._request.head.id, choice.expected, now)
     if (!this._answer.begun) this._record.firstEvent(now)
     this._answer.head(head)
@@ -165,10 +174,12 @@
     this._attempt = undefined
     const now = performance.now()
     this._tellChooser(attempt, end, now)
+    this._tellSuspects(attempt, end, now)
     if (this._over) return
+    const suspect = this._parts.suspects.standing(this._fingerprint(), now) !== 'clear'
     const another = once(() => this._choose(now))
     const step = this._course.ended(end, {
-      timeLeft: this._deadline > now, elsewhere: () => another() !== undefined, spendRetry: purpose => this._unit?.retries.trySpend(purpose, now) ?? false
+      timeLeft: this._deadline > now, suspect, elsewhere: () => another() !== undefined, spendRetry: purpose => this._unit?.retries.trySpend(purpose, now) ?? false
     })
     const fingerprint = end.type === 'broken' ? this._fingerprint() : undefined
     this._record.attemptEnded({ number: this._attempts, choice: attempt.choice, end, took: now - attempt.sentAt, next: step, fingerprint })
@@ -189,8 +200,17 @@
     chooser.ended(start, this._request.head.id, this._over && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
   }
 
+  /** A rejection too says that the endpoint lives, but for one that names another instance. */
+  private _tellSuspects ({ choice }: EndpointAttempt, end: AttemptEnd, now: number): void {
+    const { suspects } = this._parts
+    const start = startOf(choice.record)
+    if (end.type === 'broken' && end.connection === 'lost') suspects.lost(this._fingerprint(), start, now)
+    if (end.type === 'answered') suspects.answered(this._fingerprint(), now)
+    if (end.type === 'answered' || (end.type === 'not-run' && end.reason === 'full')) suspects.lived(start, now)
+  }
+
   private _passOn ({ head, body }: EndpointAttempt): void {
-    if (head === undefined) return this._giveUp({ type: 'broken', detail: 'no head' }, 'unknown')
+    if (head === undefined) return this._giveUp({ type: 'broken', connection: 'open', detail: 'no head' }, 'unknown')
     if (this._answer.begun) this._answer.end()
     else this._answer.whole(head, body)
     this._finish({ type: 'answered', status: head.status })
@@ -198,6 +218,8 @@
 
   private _giveUp (end: AttemptEnd, outcome: RequestFailure['outcome']): void {
     const detail = 'detail' in end ? end.detail : end.type
+    const now = performance.now()
+    if (outcome === 'not-run' && this._parts.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
     if (outcome === 'not-run') return this._refuse('overloaded', `endpoints refused it: ${reasonOf(end) ?? detail}`)
     this._fail(requestFailure(outcome === 'cut' ? 'answer-cut' : 'outcome-unknown', outcome, detail))
   }
@@ -218,6 +240,12 @@
     this._fail(requestFailure(code, 'not-run', `${detail} (pool ${opening.type}${told})`, wait))
   }
 
+  /** Endpoints were lost under it again and again. It is not run, and its caller is told when it may be again. */
+  private _refuseSuspect (now: number): void {
+    const { lost, heldBackFor } = this._parts.suspects.evidence(this._fingerprint(), now)
+    this._fail(requestFailure('ends-endpoints', 'not-run', `${lost.length} endpoints were lost under it: ${lost.join(', ')}`, Math.round(heldBackFor)))
+  }
+
   private _fail (failure: RequestFailure): void {
     if (this._over) return
     this._answer.fail(this._parts.dialect.writeFailure(this._request.head.id, failure))
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -18,6 +18,9 @@
   readonly firstTries: FirstTries
 }
 
+/** An agent looks at its engine this often at least, in milliseconds: see the engine switcher's pauses. */
+const LOOK_AGE = 100
+
 /** The endpoint that an agent stands beside. */
 interface AgentPlace {
   readonly service: string
@@ -118,6 +121,17 @@
     return load.entries === undefined || this._fleet.heard(endpoint.record.availabilityZone, agent, load.entries, now)
   }
 
+  /**
+   * Which start a report shows to have lived, and until when: a report is as old as its engine's last look at itself and its way here.
+   * Nothing where it tells of another start than the listed one.
+   */
+  aliveBy (agent: string, { born }: LoadReport, now: number): { readonly start: string, readonly at: number } | undefined {
+    const { record, service } = this._byAgent.get(agent) ?? {}
+    if (record === undefined || record.born !== born) return undefined
+    const way = this._units.get(service ?? '')?.chooser.load(startOf(record)).longestRoundTrip(now) ?? 0
+    return { start: startOf(record), at: now - LOOK_AGE - way }
+  }
+
   /** A late report of an earlier start says nothing of the one that is listed; one of a later start says that this one is gone. */
   private _hearLoad ({ service, record }: AgentPlace, load: LoadReport, now: number): void {
     const chooser = this._units.get(service)?.chooser
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LinkPacer, readRate, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LinkPacer, readLossReports, readRate, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -70,6 +70,8 @@
   private readonly _switcher: EngineSwitcher
   private readonly _published = new HoldingsPublisher(identity => this._versions.known(identity))
   private readonly _publisher = new LoadPublisher(() => ({ readRate: readRate(this._poolDescription), slots: this._poolDescription?.slots ?? Infinity }))
+  /** What entries told of requests that may end endpoints; kept for entries that start again. */
+  private readonly _suspects = new SuspectRequests()
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
@@ -79,6 +81,7 @@
   private _versionsReadAt = -Infinity
   private _recovering = false
   private _recovered = false
+  private _stopped = false
 
   /**
    * @param connect Joins the agent to its platform; reads of weights are to keep to the pacer.
@@ -120,6 +123,7 @@
 
   /** Nothing of an agent needs time to end: the engine goes on by itself. */
   async stop (): Promise<number> {
+    this._stopped = true
     clearInterval(this._refreshTimer)
     this._feed.close()
     this._versions.close()
@@ -258,7 +262,10 @@
     if (this._recovering) return
     this._recovering = true
     this._platform.engine.useModel(model)
-    while (await this._platform.engine.report() === undefined) await pause(ENGINE_PAUSE)
+    while (await this._platform.engine.report() === undefined) {
+      if (this._stopped) return
+      await pause(ENGINE_PAUSE)
+    }
     await this._versions.recover()
     this._recovered = true
     this._log.info('staging-read', { model, staged: this._versions.stagedCount })
@@ -309,7 +316,20 @@
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
     manifest: ({ digest, wait }, responder) => { this._manifest(String(digest), Number(wait) || 0, responder) },
     'follow-chunks': ({ identity }, responder) => this._published.follow(String(identity), responder),
-    'follow-load': (_request, responder) => this._publisher.follow(responder, performance.now())
+    'follow-load': (_request, responder) => {
+      this._publisher.follow(responder, performance.now())
+      const losses = this._suspects.known(performance.now())
+      if (losses.length > 0) responder.send({ type: 'suspects', losses })
+    },
+    suspects: ({ losses }, responder) => { this._passOnSuspects(losses, responder) }
+  }
+
+  /** Entries do not know each other: what one saw of requests that end endpoints reaches the others through agents. */
+  private _passOnSuspects (told: unknown, { connection }: Responder): void {
+    const losses = readLossReports(told)
+    if (losses === undefined) return this._log.warn('peer-malformed', { type: 'suspects', detail: 'it is no list of losses' })
+    const news = this._suspects.heard(losses, performance.now())
+    if (news.length > 0) this._publisher.tellOthers({ type: 'suspects', losses: news }, connection)
   }
 
   private _hearNamed ({ model, version, revision, age }: NamedVersion): void {
--- /dev/null
+++ b/packages/node/src/test/lib/routing/suspect-exchange_test.ts
@@ -0,0 +1,92 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import type { LossReport } from '@drumdrift/core'
+import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
+import { Log } from '../../../lib/observe/log.js'
+import { Counters } from '../../../lib/observe/metrics.js'
+import { SuspectExchange } from '../../../lib/routing/suspect-exchange.js'
+
+const fatal = '00000000000000fa'
+
+function report (start: string): LossReport { return { fingerprint: fatal, start, age: 0 } }
+
+describe('SuspectExchange', () => {
+  let now = 0
+  let told: LossReport[][]
+  let heldBack: string[]
+  let lines: string[]
+  let exchange: SuspectExchange
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setInterval'] })
+    mock.method(performance, 'now', () => now)
+    now = 1_000
+    told = []
+    heldBack = []
+    lines = []
+    const output = new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => {
+      lines.push(bytes.toString('utf8'))
+      callback(null, bytes.length)
+    })
+    exchange = new SuspectExchange({
+      log: new Log('debug', {}, output), counters: new Counters(), tell: losses => told.push([...losses]), onHeldBack: fingerprint => heldBack.push(fingerprint)
+    })
+  })
+  afterEach(() => {
+    exchange.close()
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  function advance (milliseconds: number): void {
+    now += milliseconds
+    mock.timers.tick(milliseconds)
+  }
+
+  it('tells agents of an endpoint that was lost, once it gave no sign of life', () => {
+    exchange.lost(fatal, 'a', now)
+    advance(600)
+    assert.deepEqual(told, [])
+    advance(100)
+    assert.deepEqual(told.flat().map(({ start }) => start), ['a'])
+    advance(1_000)
+    assert.equal(told.length, 1)
+  })
+
+  it('tells nobody of an endpoint that lives', () => {
+    exchange.lost(fatal, 'a', now)
+    exchange.lived('a', now + 100)
+    advance(1_000)
+    assert.deepEqual(told, [])
+  })
+
+  it('says once that a request is held back, whoever saw the losses', () => {
+    exchange.lost(fatal, 'a', now)
+    exchange.heard([report('b')], 'agent-1')
+    assert.deepEqual(heldBack, [])
+    exchange.heard([report('c')], 'agent-2')
+    exchange.heard([report('d')], 'agent-2')
+    assert.deepEqual([heldBack, exchange.standing(fatal, now)], [[fatal], 'held-back'])
+    assert.equal(lines.join('').match(/event=request-held-back .*fingerprint=00000000000000fa source=told lost=a,b,c/g)?.length, 1)
+  })
+
+  it('tells further what makes a request suspect, and nothing that says nothing', () => {
+    exchange.heard([report('a')], 'agent-1')
+    assert.deepEqual(told, [])
+    exchange.heard([report('b')], 'agent-1')
+    assert.deepEqual(told.flat().map(({ start }) => start), ['b'])
+    exchange.heard([report('b')], 'agent-2')
+    assert.equal(told.length, 1)
+  })
+
+  it('takes nothing that it cannot read', () => {
+    exchange.heard([{ ...report('a'), age: 'x' }], 'agent-1')
+    assert.match(lines.join(''), /event=peer-malformed/)
+    assert.deepEqual(exchange.known(), [])
+  })
+})
