--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -9,6 +9,7 @@
 import { RequestWorld } from './request-world.js'
 import { RoutedWorld, type RoutedParts, type Treatment } from './routed-world.js'
 import type { Scenario } from './scenario.js'
+import { SuspectWorld, type SuspectParts } from './suspect-world.js'
 import { WeightsWorld, type WeightsParts } from './weights-world.js'
 
 const IDS = 3
@@ -135,6 +136,25 @@
   ]
 }
 
+const MOST_REPEATS = 40
+const LONGEST_REPEAT = 8_000
+
+/** Requests that end endpoints: the whole fleet holds one back once it has ended three, and nothing else with it. */
+export const suspectScenario: Scenario<SuspectWorld, SuspectParts> = {
+  name: 'suspects',
+  promises: ['few-ends', 'no-innocents'],
+  create: (seed, parts) => new SuspectWorld(seed, parts),
+  actions: [
+    { name: 'load', draws: 2, weight: 4, run: (subject, [count = 0, length = 0]) => subject.load(Math.ceil(count / 1_000 * MOST_REQUESTS), length / 1_000 * LONGEST_LOAD) },
+    { name: 'repeat', draws: 3, weight: 4, run: (subject, [which = 0, count = 0, length = 0]) => subject.repeat(which, Math.ceil(count / 1_000 * MOST_REPEATS), length / 1_000 * LONGEST_REPEAT) },
+    { name: 'reset-connections', draws: 1, weight: 2, run: (subject, [entry = 0]) => subject.resetConnections(entry) },
+    { name: 'end-one', draws: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.endOne(endpoint) },
+    { name: 'restart', draws: 1, weight: 2, run: (subject, [entry = 0]) => subject.restart(entry) },
+    { name: 'cut-zone', draws: 1, run: (subject, [zone = 0]) => subject.cutZone(zone) },
+    { name: 'heal', draws: 0, weight: 2, run: subject => subject.heal() }
+  ]
+}
+
 const serviceStates = ['normal', 'down', 'stale'] as const
 
 /** Configuration: in force within the time allowed, never taken back, never an invalid one. */
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -9,13 +9,14 @@
  */
 import {
   AdmissionDoor, AnswerStream, AttemptCourse, ClaimKeeper, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
-  requestFailure, RetryAllowance, type AttemptBounds, type AttemptEnd, type Configuration, type NextStep, type OnceEffect, type RetryPurpose, type Published, type Checked, type DocumentFailure
+  requestFailure, RetryAllowance, SuspectRequests, type Standing, type AttemptBounds, type AttemptEnd, type Configuration, type NextStep, type OnceEffect, type RetryPurpose, type Published, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { realRoutedParts, type RoutedParts } from './routed-world.js'
-import { configurationScenario, requestScenario, routedScenario, weightsScenario } from './scenarios.js'
+import { configurationScenario, requestScenario, routedScenario, suspectScenario, weightsScenario } from './scenarios.js'
+import { realSuspectParts, type SuspectParts } from './suspect-world.js'
 import { realWeightsParts, type WeightsParts } from './weights-world.js'
 
 /** One variant: what is taken out, and which promise must break. */
@@ -41,6 +42,20 @@
   return { name, promise, run: options => runScenario(routedScenario, { ...realRoutedParts, ...change }, options) }
 }
 
+function suspects (name: string, promise: string, change: Partial<SuspectParts>): Variant {
+  return { name, promise, run: options => runScenario(suspectScenario, { ...realSuspectParts, ...change }, options) }
+}
+
+/** Knows each request by the attempt only, as its caller's ids would have it. */
+class ForgetfulSuspects extends SuspectRequests {
+  override lost (): void {}
+}
+
+/** Holds a request back after its first loss. */
+class HastySuspects extends SuspectRequests {
+  override standing (fingerprint: string, now: number): Standing { return this.lossesOf(fingerprint, now).length > 0 ? 'held-back' : 'clear' }
+}
+
 /** Passes any whole answer on, whatever the caller has. */
 class HastyCourse extends AttemptCourse {
   override ended (end: AttemptEnd, bounds: AttemptBounds): NextStep {
@@ -225,5 +240,9 @@
   routed('any-answer-ends-a-stream', 'whole-stream', { course: route => new HastyCourse(route) }),
   routed('retries-at-birth', 'retry-bound', { allowance: (...given) => new GenerousAllowance(...given) }),
   routed('every-entry-has-all-retries', 'retry-bound', { allowance: (terms, _entries, now) => new RetryAllowance(terms, () => 1, now) }),
-  routed('cut-off-entries-not-counted', 'retry-bound', { fleet: () => new ShortSightedFleet() })
+  routed('cut-off-entries-not-counted', 'retry-bound', { fleet: () => new ShortSightedFleet() }),
+  suspects('losses-forgotten', 'few-ends', { suspects: () => new ForgetfulSuspects() }),
+  suspects('each-entry-for-itself', 'few-ends', { tells: false }),
+  suspects('newcomers-not-told', 'few-ends', { tellsNewcomers: false }),
+  suspects('held-back-at-once', 'no-innocents', { suspects: () => new HastySuspects() })
 ]
