--- a/packages/node/src/lib/entry/carrier.ts
+++ b/packages/node/src/lib/entry/carrier.ts
@@ -7,7 +7,7 @@
  * Carries one started request to its end: chooses endpoints, tries again where that is allowed, and goes on with a
  * broken event stream on another endpoint of the same version.
  */
-import { requestFailure, type AdmissionRefusal, type ForwardedRequest, type InstanceRecord, type PeerRequest, type RequestClass, type RequestFailure } from '@drumdrift/core'
+import { requestFailure, startOf, SuspectRequests, type AdmissionRefusal, type ForwardedRequest, type InstanceRecord, type PeerRequest, type RequestClass, type RequestFailure } from '@drumdrift/core'
 import { match } from 'ts-pattern'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Histograms, Measure } from '../observe/histograms.js'
@@ -26,6 +26,8 @@
   readonly patience: CallPatience
   readonly histograms: Histograms
   readonly counters: Counters
+  /** What makes two requests the same: see `fingerprintOf`. */
+  readonly fingerprint: (request: CallerRequest) => string
 }
 
 const priorities: Record<RequestClass, number> = { interactive: 0, batch: 10 }
@@ -40,6 +42,7 @@
   readonly job: Job
   readonly group: Group<Job>
   readonly tried: Set<string>
+  readonly fingerprint: string
   version: string
   events: number
   refusals: number
@@ -55,14 +58,19 @@
 
 /** Carries requests for one entry. */
 export class RequestCarrier {
+  /** Without it, a request that ends its endpoints is tried at one after the other, ten times in a row, and anew each time it comes. */
+  private readonly _suspects = new SuspectRequests()
+
   constructor (private readonly _parts: CarrierParts) {}
 
   /**
    * Carries a request. Returns the failure to tell the caller, or nothing when it has its whole answer or is gone.
    */
   async carry (job: Job, group: Group<Job>): Promise<RequestFailure | undefined> {
-    const course: Course = { job, group, tried: new Set(), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0, call: undefined }
+    const course: Course = { job, group, tried: new Set(), fingerprint: this._parts.fingerprint(job.request), version: '', events: 0, refusals: 0, sent: false, lastPieceAt: 0, call: undefined }
     job.sink.onGone(() => course.call?.stop())
+    const now = performance.now()
+    if (this._suspects.standing(course.fingerprint, now) === 'held-back') return this._heldBack(course, now)
     group.budget.attempted()
     for (;;) {
       // Looked at before each attempt: an entry that was paused must not begin what its caller has long given up.
@@ -130,11 +138,17 @@
     return match<CallEnd, Next>(end)
       .with({ type: 'whole' }, () => {
         group.limit.succeeded(group.running)
+        this._suspects.answered(course.fingerprint, now)
         job.sink.end()
         return 'done'
       })
       .with({ type: 'stopped' }, () => job.sink.gone ? 'done' : { failure: requestFailure('answer-cut', 'cut', 'the caller reads too slowly') })
       .with({ type: 'refused' }, ({ reason }) => this._refused(course, record, reason, now))
+      .with({ type: 'broken' }, () => {
+        // An agent breaks off at the deadline too; that says nothing of its endpoint. Starts of an endpoint are not told here: each loss is one.
+        if (now < job.request.deadline) this._suspects.lost(course.fingerprint, startOf({ id: record.instance, born: now }), now)
+        return this._failed(course, record, 'the answer broke off')
+      })
       .with({ type: 'silent', admitted: false }, () => this._failed(course, record, 'the endpoint does not answer'))
       .otherwise(() => this._failed(course, record, 'the answer broke off'))
   }
@@ -155,11 +169,17 @@
     course.sent = true
     const resumable = !job.sink.begun || (job.request.streamed && course.version !== '')
     if (!resumable) return { failure: requestFailure('answer-cut', 'cut', detail) }
+    if (this._suspects.standing(course.fingerprint, performance.now()) !== 'clear') return { failure: this._unserved(course, `${detail}, again and again`) }
     if (!group.budget.trySpend()) return { failure: this._unserved(course, `${detail}, and the budget for retries is spent`) }
     this._parts.counters.add(course.events > 0 ? 'answers_resumed' : 'requests_retried')
     return 'again'
   }
 
+  private _heldBack ({ fingerprint }: Course, now: number): RequestFailure {
+    this._parts.counters.add('requests_held_back')
+    return requestFailure('ends-endpoints', 'not-run', 'endpoints were lost under it again and again', this._suspects.heldBackFor(fingerprint, now))
+  }
+
   private _afterOnce (course: Course, record: InstanceRecord, outcome: OnceOutcome): Next {
     const now = performance.now()
     course.group.finished(record.instance, outcome.health, now)
--- a/packages/node/src/lib/entry/entry.ts
+++ b/packages/node/src/lib/entry/entry.ts
@@ -17,6 +17,7 @@
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
 import { HttpPlatform } from '../platform/platform-client.js'
+import { fingerprintOf } from '../request-fingerprint.js'
 import type { Settings } from '../settings/settings.js'
 import { SpreadRunner } from '../spread-runner.js'
 import { spreadSelf } from '../spread-self.js'
@@ -58,7 +59,7 @@
     const once = new OnceCarrier({
       incarnation: this.incarnation, pool: this._pool, patience, agents: () => this._spread.spread.instances.filter(record => record.role === 'agent')
     })
-    const carrier = new RequestCarrier({ pool: this._pool, once, patience, histograms: this._histograms, counters: this._counters })
+    const carrier = new RequestCarrier({ pool: this._pool, once, patience, histograms: this._histograms, counters: this._counters, fingerprint: request => fingerprintOf(text('peers', 'key'), request) })
     const policy = { queueLength: _settings.number('requests', 'queue-length'), longestWait: milliseconds('queue-seconds'), choice: text('requests', 'choice') as ChoicePolicy, queueing: text('requests', 'queueing') as DispatcherPolicy['queueing'], retryRatio: _settings.number('requests', 'retry-percent') / 100 }
     const self = { instance: this._name, availabilityZone: text('process', 'availability-zone') }
     this._dispatcher = new Dispatcher(self, policy, (job, group) => carrier.carry(job, group), this._histograms, this._counters)
--- a/packages/node/src/lib/routing/request-fingerprint.ts
+++ b/packages/node/src/lib/request-fingerprint.ts
@@ -8,10 +8,16 @@
  * attempt anew, so without it a request that ends every endpoint looks like as many requests as there were attempts.
  */
 import { createHmac } from 'node:crypto'
-import type { ReadRequest } from './routed-request.js'
 
 /** What a fingerprint is made of. */
-export type FingerprintParts = Pick<ReadRequest, 'method' | 'path' | 'body' | 'organisation'>
+export interface FingerprintParts {
+  /** Empty where callers have none. */
+  readonly organisation: string
+  readonly method: string
+  /** With the query. */
+  readonly path: string
+  readonly body: Buffer
+}
 
 /** Characters of a fingerprint: 64 bits, so that among a million requests two differing ones meet once in 37 million such crowds. */
 const CHARACTERS = 16
@@ -26,6 +32,6 @@
  */
 export function fingerprintOf (key: string, { method, path, body, organisation }: FingerprintParts): string {
   const hash = createHmac('sha256', key)
-  for (const text of [organisation?.name ?? '', method, path]) hash.update(`${text.length} ${text} `)
+  for (const text of [organisation, method, path]) hash.update(`${text.length} ${text} `)
   return hash.update(body).digest('hex').slice(0, CHARACTERS)
 }
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -16,6 +16,7 @@
 import type { Responder, Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
+import { fingerprintOf } from '../request-fingerprint.js'
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
@@ -25,7 +26,6 @@
 import { PublishedFeed, type Watch } from './published-feed.js'
 import { ReadinessServer } from './readiness-server.js'
 import { placeOf } from './regions.js'
-import { fingerprintOf } from './request-fingerprint.js'
 import { RouteFront } from './route-front.js'
 import { RoutedRequest, type RoutedRequestParts } from './routed-request.js'
 import { ServiceUnits } from './service-units.js'
@@ -180,7 +180,7 @@
       reserve: this._reserve,
       draw: Math.random,
       suspects: this._suspects,
-      fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), request),
+      fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), { ...request, organisation: request.organisation?.name ?? '' }),
       log: this._log,
       counters: this._counters,
       histograms: this._histograms
