What an answer clears is cleared everywhere; only a success shows that an engine survived

Cause: found in reading. Where many callers send the same request and all endpoints that it is at end together of something else, an entry that has just started, told of the losses, would hold it back for ten minutes while all others serve it. And an engine that gives a request up at its deadline may not have begun it, so its 504 clears nothing. Change: an answer voids the losses before it; where it clears a suspect request, others are told as of losses. Messages are bounded.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -13,7 +13,7 @@
 import type { IssuedKeeper } from './issued-id.js'
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
-import type { LossReport } from './routing/attempts/suspect-requests.js'
+import type { SuspectNews } from './routing/attempts/suspect-requests.js'
 import type { LoadReport } from './routing/choice/endpoint-load.js'
 import type { ModelVersion } from './routing/published/endpoint-record.js'
 import type { PublishedNote, PublishedTopic } from './routing/published/published-state.js'
@@ -96,8 +96,8 @@
    * `named` tells it the version that is wanted of its pool, so that not every agent has to watch the store.
    */
   | { readonly type: 'ping', readonly sentRate?: number | undefined, readonly followed?: number | undefined, readonly named?: NamedVersion | undefined }
-  /** Tells an agent which requests were at endpoints that were lost; it passes on what it did not know. */
-  | { readonly type: 'suspects', readonly losses: readonly LossReport[] }
+  /** Tells an agent which requests were at endpoints that were lost, and which were answered after all; it passes on what it did not know. */
+  | { readonly type: 'suspects', readonly news: SuspectNews }
   /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
   | { readonly type: 'follow-load' }
   /** Asks which chunks of a version the other side holds, now and as more come, as long as the connection lasts. */
@@ -157,7 +157,7 @@
   | { readonly type: 'news-note', readonly note: RelayNote }
   | { readonly type: 'load', readonly load: LoadReport }
   /** Tells those who follow the load of an engine which requests were at endpoints that were lost. */
-  | { readonly type: 'suspects', readonly losses: readonly LossReport[] }
+  | { readonly type: 'suspects', readonly news: SuspectNews }
   /** Chunks that are newly held, and those that some other member holds, by their index. */
   | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[] }
   /** Parts of an answer, numbered from 0; the payload is the data. */
--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -22,6 +22,19 @@
   readonly age: number
 }
 
+/** A request that an endpoint answered, as a process tells another: what was lost under it before, ended of something else. */
+export interface AnswerReport {
+  readonly fingerprint: string
+  /** Milliseconds since then. */
+  readonly age: number
+}
+
+/** What processes tell each other. */
+export interface SuspectNews {
+  readonly losses: readonly LossReport[]
+  readonly answers: readonly AnswerReport[]
+}
+
 /** What may be done with a request: anything; this one attempt, but no further one; nothing. */
 export type Standing = 'clear' | 'no-further-attempt' | 'held-back'
 
@@ -45,12 +58,18 @@
 const SIGN_OF_LIFE_WITHIN = 700
 /** What comes sooner after the loss may have been on its way before, in milliseconds. */
 const ON_ITS_WAY = 50
-/** A request that was answered so lately is not held back, in milliseconds: the endpoints that it was at ended of something else. */
+/**
+ * A request that was answered so lately is not held back, in milliseconds: many callers may send the same one, and all endpoints that it is
+ * at may end together of something else.
+ */
 const ANSWERED_LIFETIME = 30_000
 /** Bounds of memory: requests of half a minute at an entry of the largest fleet that is planned for, and accused ones. */
 const MOST_ANSWERED = 4_096
 const MOST_ACCUSED = 512
 
+/** Losses, and answers, in one message: more at a time say nothing of single requests, and a process that tells more is not believed. */
+const MOST_TOLD = 512
+
 /** A loss that this process saw itself, and that a sign of life may still take back. */
 interface FreshLoss {
   readonly fingerprint: string
@@ -73,19 +92,25 @@
   /** An endpoint lived at some time: what was lost to it before was a connection. */
   lived (start: string, at: number): void {
     if (this._fresh.length === 0) return
-    const [takenBack, left] = partition(this._fresh, loss => loss.start === start && loss.at + ON_ITS_WAY <= at)
-    this._fresh = left
+    const takenBack = this._fresh.filter(loss => loss.start === start && loss.at + ON_ITS_WAY <= at)
     for (const { fingerprint } of takenBack) this._remove(fingerprint, start)
   }
 
-  /** An endpoint gave a whole answer to a request. */
-  answered (fingerprint: string, now: number): void {
+  /**
+   * An endpoint ran a request and gave its whole answer.
+   *
+   * @returns Whether the request had been suspect, so that others should know.
+   */
+  answered (fingerprint: string, now: number): boolean {
+    const known = this._answeredAt.get(fingerprint) ?? -Infinity
+    const at = Math.max(known, now)
     this._answeredAt.delete(fingerprint)
-    this._answeredAt.set(fingerprint, now)
+    this._answeredAt.set(fingerprint, at)
     for (const oldest of this._answeredAt.keys()) {
       if (this._answeredAt.size <= MOST_ANSWERED) break
       this._answeredAt.delete(oldest)
     }
+    return this._forgetBefore(fingerprint, at) >= LOSSES_UNTIL_NO_FURTHER
   }
 
   /**
@@ -117,9 +142,9 @@
   /** Losses that this process saw and that no sign of life took back in time; each is returned once, to be told. */
   takeConfirmed (now: number): LossReport[] {
     if (this._fresh.length === 0) return []
-    const [confirmed, left] = partition(this._fresh, ({ at }) => now - at >= SIGN_OF_LIFE_WITHIN)
-    this._fresh = left
-    return confirmed.map(({ fingerprint, start, at }) => ({ fingerprint, start, age: now - at }))
+    const confirmed = this._fresh.filter(({ at }) => now - at >= SIGN_OF_LIFE_WITHIN)
+    this._fresh = this._fresh.filter(({ at }) => now - at < SIGN_OF_LIFE_WITHIN)
+    return confirmed.slice(0, MOST_TOLD).map(({ fingerprint, start, at }) => ({ fingerprint, start, age: now - at }))
   }
 
   /**
@@ -127,10 +152,13 @@
    *
    * @returns What was not known.
    * @example
-   * const news = suspects.heard(reports, now)
+   * const news = suspects.heard({ losses, answers: [] }, now)
    */
-  heard (reports: readonly LossReport[], now: number): LossReport[] {
-    return reports.filter(({ fingerprint, start, age }) => age <= LOSS_LIFETIME && this._add(fingerprint, start, now - age))
+  heard ({ losses, answers }: SuspectNews, now: number): SuspectNews {
+    return {
+      answers: answers.filter(({ fingerprint, age }) => age <= LOSS_LIFETIME && this.answered(fingerprint, now - age)),
+      losses: losses.filter(({ fingerprint, start, age }) => age <= LOSS_LIFETIME && this._add(fingerprint, start, now - age))
+    }
   }
 
   /**
@@ -144,7 +172,7 @@
       const held = [...losses].filter(([start, at]) => now - at <= LOSS_LIFETIME && !this._isFresh(fingerprint, start))
       if (held.length >= least) reports.push(...held.map(([start, at]) => ({ fingerprint, start, age: now - at })))
     }
-    return reports
+    return reports.slice(0, MOST_TOLD)
   }
 
   private _isFresh (fingerprint: string, start: string): boolean {
@@ -152,6 +180,7 @@
   }
 
   private _add (fingerprint: string, start: string, at: number): boolean {
+    if (at <= (this._answeredAt.get(fingerprint) ?? -Infinity)) return false
     const losses = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, at)
     if (losses.has(start) || losses.size >= MOST_LOSSES) return false
     losses.set(start, at)
@@ -177,37 +206,49 @@
     this._losses.delete(least)
   }
 
+  /** Drops what was lost under a request up to some time; tells how many losses that were. */
+  private _forgetBefore (fingerprint: string, time: number): number {
+    const before = [...this._losses.get(fingerprint) ?? []].filter(([, at]) => at <= time)
+    for (const [start] of before) this._remove(fingerprint, start)
+    return before.length
+  }
+
   private _remove (fingerprint: string, start: string): void {
     const losses = this._losses.get(fingerprint)
     losses?.delete(start)
+    this._fresh = this._fresh.filter(loss => loss.fingerprint !== fingerprint || loss.start !== start)
     if (losses?.size === 0) this._losses.delete(fingerprint)
   }
 }
 
-/** Losses in one message; a process that tells more is not believed. */
-const MOST_TOLD = 512
 const FINGERPRINT = /^[0-9a-f]{16}$/
 const LONGEST_START = 200
 
 /**
- * Reads what a process tells of losses.
+ * Reads what a process tells.
  *
  * @returns Nothing when it cannot be read.
  * @example
- * const losses = readLossReports([{ fingerprint: '0123456789abcdef', start: 'engine-7', age: 120 }])
+ * const news = readSuspectNews({ losses: [{ fingerprint: '0123456789abcdef', start: 'engine-7', age: 120 }], answers: [] })
  */
-export function readLossReports (input: unknown): LossReport[] | undefined {
-  if (!Array.isArray(input) || input.length > MOST_TOLD) return undefined
-  return input.every(isLossReport) ? input : undefined
+export function readSuspectNews (input: unknown): SuspectNews | undefined {
+  if (typeof input !== 'object' || input === null) return undefined
+  const { losses, answers } = input as Partial<Record<keyof SuspectNews, unknown>>
+  return isListOf(losses, isLossReport) && isListOf(answers, isAnswerReport) ? { losses, answers } : undefined
 }
 
-function isLossReport (input: unknown): input is LossReport {
+function isListOf<Item> (input: unknown, isItem: (item: unknown) => item is Item): input is Item[] {
+  return Array.isArray(input) && input.length <= MOST_TOLD && input.every(isItem)
+}
+
+function isAnswerReport (input: unknown): input is AnswerReport {
   if (typeof input !== 'object' || input === null) return false
-  const { fingerprint, start, age } = input as Partial<Record<keyof LossReport, unknown>>
-  if (typeof fingerprint !== 'string' || !FINGERPRINT.test(fingerprint)) return false
-  return typeof start === 'string' && start.length <= LONGEST_START && typeof age === 'number' && age >= 0
+  const { fingerprint, age } = input as Partial<Record<keyof AnswerReport, unknown>>
+  return typeof fingerprint === 'string' && FINGERPRINT.test(fingerprint) && typeof age === 'number' && age >= 0
 }
 
-function partition<Item> (items: readonly Item[], belongs: (item: Item) => boolean): [Item[], Item[]] {
-  return [items.filter(belongs), items.filter(item => !belongs(item))]
+function isLossReport (input: unknown): input is LossReport {
+  if (!isAnswerReport(input)) return false
+  const { start } = input as Partial<Record<keyof LossReport, unknown>>
+  return typeof start === 'string' && start.length <= LONGEST_START
 }
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -6,7 +6,7 @@
 /**
  * Follows the load of engines: one connection to the agent beside each, over which the agent tells of every change.
  */
-import { failureOf, type LoadReport, type LossReport, type NamedVersion } from '@drumdrift/core'
+import { failureOf, type LoadReport, type NamedVersion, type SuspectNews } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
@@ -30,9 +30,9 @@
   /** What an agent is told with each measurement. */
   readonly news: (agent: string) => AgentNews
   /** Takes what an agent passes on of requests that may end endpoints. */
-  readonly onSuspects: (losses: unknown, agent: string) => void
+  readonly onSuspects: (news: unknown, agent: string) => void
   /** What an agent is told of these once it is reached. */
-  readonly suspects: () => readonly LossReport[]
+  readonly suspects: () => SuspectNews
   /** A measurement of the way to the agent and back began or ended. */
   readonly onMeasured: (agent: string, step: 'begun' | 'ended') => void
 }
@@ -56,7 +56,7 @@
 /** A measurement that takes longer is given up, in milliseconds; the connection is then taken for lost. */
 const MEASURE_PATIENCE = 3_000
 /**
- * Agents that are told of losses; each tells all entries that follow it. Where an agent has 16 followers of 98 entries, six reach six in
+ * Agents that are told of suspect requests; each tells all entries that follow it. Where an agent has 16 followers of 98 entries, six reach six in
  * ten at once, and those tell further what makes a request suspect.
  */
 const TOLD_AGENTS = 6
@@ -104,11 +104,11 @@
     this._tick()
   }
 
-  /** Tells some agents, drawn at random, which requests were at endpoints that were lost. */
-  tellSuspects (losses: readonly LossReport[]): void {
+  /** Tells some agents, drawn at random, of requests that may end endpoints. */
+  tellSuspects (news: SuspectNews): void {
     const open = [...this._followed.values()].flatMap(({ connection }) => connection?.open === true ? [{ connection, place: Math.random() }] : [])
     open.sort((left, right) => left.place - right.place)
-    for (const { connection } of open.slice(0, TOLD_AGENTS)) connection.tell({ type: 'suspects', losses })
+    for (const { connection } of open.slice(0, TOLD_AGENTS)) connection.tell({ type: 'suspects', news })
   }
 
   close (): void { clearInterval(this._timer) }
@@ -149,7 +149,7 @@
       followed.heardAt = performance.now()
       connection.ask({ type: 'follow-load' }, undefined, {
         reply: reply => {
-          if (reply.type === 'suspects') this._parts.onSuspects(reply.losses, agent)
+          if (reply.type === 'suspects') this._parts.onSuspects(reply.news, agent)
           if (reply.type !== 'load') return
           followed.heardAt = performance.now()
           if (followed.lost) this._parts.log.info('agent-regained', { agent })
@@ -158,8 +158,8 @@
         },
         lost: () => this._lost(agent, followed, 'connection-lost')
       })
-      const losses = this._parts.suspects()
-      if (losses.length > 0) connection.tell({ type: 'suspects', losses })
+      const news = this._parts.suspects()
+      if (news.losses.length > 0) connection.tell({ type: 'suspects', news })
     } catch (error) {
       const failure = failureOf(error)
       this._lost(agent, followed, 'reason' in failure ? failure.reason : failure.type)
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -107,14 +107,14 @@
       log: _log,
       news: agent => this._newsFor(agent, performance.now()),
       onLoad: (agent, load) => this._hear(agent, load),
-      onSuspects: (losses, agent) => this._suspects.heard(losses, agent),
+      onSuspects: (news, agent) => this._suspects.heard(news, agent),
       suspects: () => this._suspects.known(),
       onMeasured: (agent, step) => this._units.measured(agent, step, performance.now())
     })
     this._suspects = new SuspectExchange({
       log: _log,
       counters: this._counters,
-      tell: losses => this._follower.tellSuspects(losses),
+      tell: news => this._follower.tellSuspects(news),
       onHeldBack: fingerprint => this._front.holdBack(fingerprint)
     })
     const requestParts = this._requestParts(platform)
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -8,7 +8,7 @@
  */
 import type { Socket } from 'node:net'
 import {
-  AttemptCourse, decideStart, LEAST_FAILURE_STATUS, requestFailure, retryAfter, startOf, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type RequestFailure
+  AttemptCourse, decideStart, LEAST_FAILURE_STATUS, LEAST_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startOf, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -205,7 +205,8 @@
     const { suspects } = this._parts
     const start = startOf(choice.record)
     if (end.type === 'broken' && end.connection === 'lost') suspects.lost(this._fingerprint(), start, now)
-    if (end.type === 'answered') suspects.answered(this._fingerprint(), now)
+    // An engine gives up at the deadline what it may not have begun: only a success shows that it survived the request.
+    if (end.type === 'answered' && end.status < LEAST_UNSUCCESSFUL_STATUS) suspects.answered(this._fingerprint(), now)
     if (end.type === 'answered' || (end.type === 'not-run' && end.reason === 'full')) suspects.lived(start, now)
   }
 
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LinkPacer, readLossReports, readRate, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LinkPacer, readRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -319,17 +319,17 @@
     'follow-load': (_request, responder) => {
       this._publisher.follow(responder, performance.now())
       const losses = this._suspects.known(performance.now())
-      if (losses.length > 0) responder.send({ type: 'suspects', losses })
+      if (losses.length > 0) responder.send({ type: 'suspects', news: { losses, answers: [] } })
     },
-    suspects: ({ losses }, responder) => { this._passOnSuspects(losses, responder) }
+    suspects: ({ news }, responder) => { this._passOnSuspects(news, responder) }
   }
 
   /** Entries do not know each other: what one saw of requests that end endpoints reaches the others through agents. */
-  private _passOnSuspects (told: unknown, { connection }: Responder): void {
-    const losses = readLossReports(told)
-    if (losses === undefined) return this._log.warn('peer-malformed', { type: 'suspects', detail: 'it is no list of losses' })
-    const news = this._suspects.heard(losses, performance.now())
-    if (news.length > 0) this._publisher.tellOthers({ type: 'suspects', losses: news }, connection)
+  private _passOnSuspects (input: unknown, { connection }: Responder): void {
+    const told = readSuspectNews(input)
+    if (told === undefined) return this._log.warn('peer-malformed', { type: 'suspects', detail: 'it is no news of suspect requests' })
+    const news = this._suspects.heard(told, performance.now())
+    if (news.losses.length + news.answers.length > 0) this._publisher.tellOthers({ type: 'suspects', news }, connection)
   }
 
   private _hearNamed ({ model, version, revision, age }: NamedVersion): void {
