Fuzz: the entry's side of a request stands in a file of its own, and answers are put together in one place

request-world.ts held callers, entries, agents and oracles in 416 lines, and the two kinds of attempt each put an answer together.

--- /dev/null
+++ b/packages/fuzz/src/lib/request-course.ts
@@ -0,0 +1,153 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** What an entry does with a request: attempts at agents, one after the other, each of the kind that the request allows. */
+import type { Admission, AnswerStream, OfferReply, OnceAttempt, OnceEffect, Outcome } from '@drumdrift/core'
+import type { Agent, Entry, FrameSink, Submission } from './request-actors.js'
+import type { RequestParts } from './request-parts.js'
+import type { World } from './world.js'
+
+export const ORGANISATION = 'hall-1'
+const STEP_TIMEOUT = 800
+const ADMISSION_PATIENCE = 1_000
+const ANSWER_PATIENCE = 5_000
+const MOST_TRIES = 3
+
+/** What the course of a request asks of the world that it runs in. */
+export interface RequestHost {
+  readonly world: World
+  readonly agents: readonly Agent[]
+  named (agent: string): Agent | undefined
+  /** The agent's offer to run a request that may not repeat. */
+  offer (agent: Agent): OfferReply
+  /** Hands an admitted request to its endpoint. */
+  dispatch (agent: Agent, run: number, submission: Submission, answer: () => void): void
+  /** The endpoint's answer travels to the entry. */
+  answer (agent: Agent, entry: Entry, id: string, own: FrameSink): void
+  tellCaller (submission: Submission, outcome: Outcome): void
+  tellWhole (submission: Submission, text: string): void
+}
+
+/** What follows from what arrives of an answer. */
+interface Collected {
+  /** Whether nothing of it counts any more. */
+  readonly over: () => boolean
+  readonly whole: (text: string) => void
+  readonly broken: () => void
+}
+
+/** The entry's side of all requests of one run. */
+export class RequestCourse {
+  constructor (private readonly _host: RequestHost, private readonly _parts: RequestParts) {}
+
+  /** Tries a request at one agent after the other. */
+  start (entry: Entry, submission: Submission): void { this._try(entry, submission, new Set(), 1, 0) }
+
+  private _try (entry: Entry, submission: Submission, tried: Set<string>, attempt: number, sent: number): void {
+    const open = this._host.agents.filter(agent => !tried.has(agent.process.name) && !entry.leaving.has(agent.process.name))
+    const agent = this._host.world.pick(open)
+    const late = this._host.world.clock(entry.process) >= submission.deadline
+    if (agent === undefined || attempt > MOST_TRIES || late) return this._host.tellCaller(submission, sent > 0 ? this._parts.lostMeans : 'not-run')
+    tried.add(agent.process.name)
+    const again = (wasSent: boolean): void => this._try(entry, submission, tried, attempt + 1, sent + (wasSent ? 1 : 0))
+    if (submission.neverRepeat) this._tryOnce(entry, submission, agent.process.name, () => again(false))
+    else this._tryRepeatable(entry, submission, agent, again)
+  }
+
+  private _tryRepeatable (entry: Entry, submission: Submission, agent: Agent, again: (sent: boolean) => void): void {
+    const { world } = this._host
+    let ended = false
+    const end = (next: () => void): void => {
+      if (ended) return
+      ended = true
+      next()
+    }
+    const answer = this._collect(entry, {
+      over: () => ended,
+      whole: text => end(() => this._host.tellWhole(submission, text)),
+      broken: () => end(() => again(true))
+    })
+    world.after(ANSWER_PATIENCE, entry.process, () => end(() => answer.text === '' ? again(true) : this._host.tellCaller(submission, 'cut')))
+    world.call(entry.process, agent.process, () => {
+      const admission = agent.door.run()
+      if (admission.type === 'admitted') {
+        this._host.dispatch(agent, admission.run, submission, () => this._host.answer(agent, entry, submission.id, answer.sink))
+      }
+      return admission
+    }, ADMISSION_PATIENCE, reply => {
+      if (reply === 'unreachable') end(() => again(true))
+      else if (reply.type === 'refused') end(() => again(false))
+    })
+  }
+
+  private _tryOnce (entry: Entry, submission: Submission, agentName: string, elsewhere: () => void): void {
+    const names = this._host.agents.map(agent => agent.process.name)
+    const attempt = this._parts.attempt(`${entry.process.incarnation}:${entry.attempts++}`, agentName, this._parts.keepers(names, ORGANISATION, submission.id), 'body')
+    const carryOut = (effects: readonly OnceEffect[]): void => { for (const effect of effects) this._carryOut(effect, attempt, entry, submission, elsewhere, carryOut) }
+    carryOut(attempt.begin())
+  }
+
+  private _carryOut (effect: OnceEffect, attempt: OnceAttempt, entry: Entry, submission: Submission, elsewhere: () => void, carryOut: (effects: readonly OnceEffect[]) => void): void {
+    const { world } = this._host
+    const from = entry.process
+    const agent = this._host.named(attempt.agent)
+    const keeper = 'keeper' in effect ? this._host.named(effect.keeper) : undefined
+    switch (effect.type) {
+      case 'send-offer':
+        return world.call(from, agent?.process, () => this._host.offer(agent as Agent), STEP_TIMEOUT, reply => carryOut(attempt.offered(reply)))
+      case 'send-claim':
+        return world.call(from, keeper?.process, () => (keeper as Agent).keeper.claim(ORGANISATION, submission.id, attempt.attempt, 'body', world.clock((keeper as Agent).process)), STEP_TIMEOUT, reply => carryOut(attempt.claimed(effect.keeper, reply)))
+      case 'send-release':
+        return world.call(from, keeper?.process, () => (keeper as Agent).keeper.release(ORGANISATION, submission.id, attempt.attempt), STEP_TIMEOUT, () => {})
+      case 'send-go':
+        return this._go(effect.ticket, attempt, entry, submission, agent, carryOut)
+      case 'send-cancel':
+        return world.call(from, agent?.process, () => (agent as Agent).door.cancel(effect.ticket), ADMISSION_PATIENCE, reply => carryOut(attempt.cancelled(reply)))
+      case 'try-elsewhere':
+        return elsewhere()
+      case 'give-up':
+        return this._host.tellCaller(submission, effect.failure.outcome)
+      case 'started':
+    }
+  }
+
+  private _go (ticket: string, attempt: OnceAttempt, entry: Entry, submission: Submission, agent: Agent | undefined, carryOut: (effects: readonly OnceEffect[]) => void): void {
+    const { world } = this._host
+    const answer = this._collect(entry, {
+      over: () => submission.told !== undefined,
+      whole: text => this._host.tellWhole(submission, text),
+      broken: () => {}
+    })
+    const admit = (): Admission => {
+      const at = agent as Agent
+      const admission = at.door.go(ticket, world.clock(at.process))
+      if (admission.type === 'admitted') {
+        this._host.dispatch(at, admission.run, submission, () => this._host.answer(at, entry, submission.id, answer.sink))
+      }
+      return admission
+    }
+    world.after(ANSWER_PATIENCE, entry.process, () => { if (submission.told === undefined && !attempt.committed) this._host.tellCaller(submission, this._parts.lostMeans) })
+    world.call(entry.process, agent?.process, admit, ADMISSION_PATIENCE, reply => {
+      if (reply === 'unreachable') carryOut(attempt.lost())
+      else if (reply.type === 'refused') carryOut(attempt.refused(reply.reason))
+      else carryOut(attempt.started())
+    })
+  }
+
+  /** Puts the parts of an answer together as they arrive. */
+  private _collect (entry: Entry, { over, whole, broken }: Collected): { readonly sink: FrameSink, readonly text: string } {
+    const stream = this._parts.stream()
+    let text = ''
+    const take = (progress: ReturnType<AnswerStream<string>['part']>): void => {
+      if (over()) return
+      if (progress.type === 'broken') return broken()
+      text += progress.data.join('')
+      if (progress.whole) whole(text)
+    }
+    const sink: FrameSink = { part: part => take(stream.part(part)), end: count => take(stream.end(count)) }
+    entry.newest = sink
+    return { sink, get text () { return text } }
+  }
+}
--- a/packages/fuzz/src/lib/request-world.ts
+++ b/packages/fuzz/src/lib/request-world.ts
@@ -7,57 +7,16 @@
  * Entries, agents and callers over the fake network, with the real door, keeper, attempts and answer streams. The
  * oracles look only at what endpoints ran and what callers were told.
  */
-import {
-  formatIssuedId, KEEPER_COUNT, type AdmissionDoor, type Admission, type AnswerStream, type ClaimKeeper, type KeeperPolicy, type OfferReply, type OnceAttempt, type OnceEffect, type Outcome
-} from '@drumdrift/core'
+import { formatIssuedId, KEEPER_COUNT, type KeeperPolicy, type OfferReply, type Outcome } from '@drumdrift/core'
+import { partsOf, type Agent, type Entry, type FrameSink, type Submission } from './request-actors.js'
+import { RequestCourse, type RequestHost } from './request-course.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { Process, World } from './world.js'
 
-interface Agent {
-  process: Process
-  door: AdmissionDoor
-  keeper: ClaimKeeper
-  stopping: boolean
-  /** Since when the agent's leaving was known where it could hear of it; Infinity if it is not leaving. */
-  leavingSince: number
-  /** Requests that this incarnation has dispatched and not finished, by the oracle's own count. */
-  unfinished: number
-}
-
-interface Entry {
-  process: Process
-  readonly leaving: Set<string>
-  attempts: number
-  /** Where the frames of the newest call go. */
-  newest: FrameSink | undefined
-}
-
-interface FrameSink {
-  part (part: { sequence: number, data: string }): void
-  end (count: number): void
-}
-
-interface Submission {
-  readonly number: number
-  readonly id: string
-  readonly neverRepeat: boolean
-  /** By the entry's own clock: no attempt begins after it. */
-  readonly deadline: number
-  told: 'whole' | Outcome | undefined
-  /** Runs at endpoints that this submission caused. */
-  runs: number
-  text: string
-}
-
-const ORGANISATION = 'hall-1'
 const ZONES = ['koshi', 'bagmati'] as const
 const AGENTS = 7
 const ENTRIES = 3
 const SLOTS = 6
-const STEP_TIMEOUT = 800
-const ADMISSION_PATIENCE = 1_000
-const ANSWER_PATIENCE = 5_000
-const MOST_TRIES = 3
 /** Long enough for any freeze of an agent in a run, which the page of limits states as a condition. */
 const KEEPER_POLICY: KeeperPolicy = { repeatWindow: 20_000, recordsPerOrganisation: 64 }
 const DEADLINE = 5_000
@@ -70,25 +29,22 @@
 const LARGEST_SKEW = 1e7
 const LIST_LAG = 1_500
 
-/** The answer that a request must get. */
-function partsOf (id: string): string[] {
-  return [0, 1, 2, 3].map(index => `${id}.${index};`)
-}
-
 /** One run's requests. */
-export class RequestWorld {
+export class RequestWorld implements RequestHost {
   readonly world: World
   readonly agents: Agent[] = []
   readonly entries: Entry[] = []
   readonly submissions: Submission[] = []
   private readonly _runsById = new Map<string, number>()
   private readonly _issued: { readonly id: string, readonly at: number }[] = []
+  private readonly _course: RequestCourse
   private _incarnations = 0
   /** The agent that made the newest offer. */
   private _offered: Agent | undefined
 
   constructor (seed: number, private readonly _parts: RequestParts = realRequestParts) {
     this.world = new World(seed)
+    this._course = new RequestCourse(this, _parts)
     for (let index = 0; index < AGENTS; index += 1) this.agents.push(this._agent(`agent-${index}`, ZONES[index % 2] ?? ''))
     for (let index = 0; index < ENTRIES; index += 1) this.entries.push(this._entry(`entry-${index}`, ZONES[index % 2] ?? ''))
     // The fleet has been up for longer than the window, so keepers vouch.
@@ -133,7 +89,7 @@
     const submission: Submission = { number: this.submissions.length, id, neverRepeat, deadline, told: undefined, runs: 0, text: '' }
     this.submissions.push(submission)
     if (!process.alive) return
-    this.world.after(1, process, () => this._try(entry, submission, new Set(), 1, 0))
+    this.world.after(1, process, () => this._course.start(entry, submission))
   }
 
   kill (index: number): void { this.world.kill(this._agentAt(index).process) }
@@ -242,111 +198,9 @@
     }
   }
 
-  // The entry.
-
-  private _try (entry: Entry, submission: Submission, tried: Set<string>, attempt: number, sent: number): void {
-    const open = this.agents.filter(agent => !tried.has(agent.process.name) && !entry.leaving.has(agent.process.name))
-    const agent = this.world.pick(open)
-    const late = this.world.clock(entry.process) >= submission.deadline
-    if (agent === undefined || attempt > MOST_TRIES || late) return this._tellCaller(submission, sent > 0 ? this._parts.lostMeans : 'not-run')
-    tried.add(agent.process.name)
-    const again = (wasSent: boolean): void => this._try(entry, submission, tried, attempt + 1, sent + (wasSent ? 1 : 0))
-    if (submission.neverRepeat) this._tryOnce(entry, submission, agent.process.name, () => again(false))
-    else this._tryRepeatable(entry, submission, agent, again)
-  }
-
-  private _tryRepeatable (entry: Entry, submission: Submission, agent: Agent, again: (sent: boolean) => void): void {
-    const { world } = this
-    let ended = false
-    const end = (next: () => void): void => {
-      if (ended) return
-      ended = true
-      next()
-    }
-    const stream = this._parts.stream()
-    let text = ''
-    const take = (progress: ReturnType<AnswerStream<string>['part']>): void => {
-      if (ended) return
-      if (progress.type === 'broken') return end(() => again(true))
-      text += progress.data.join('')
-      if (progress.whole) end(() => this._tellWhole(submission, text))
-    }
-    const sink: FrameSink = { part: part => take(stream.part(part)), end: count => take(stream.end(count)) }
-    entry.newest = sink
-    world.after(ANSWER_PATIENCE, entry.process, () => end(() => text === '' ? again(true) : this._tellCaller(submission, 'cut')))
-    world.call(entry.process, agent.process, () => {
-      const admission = agent.door.run()
-      if (admission.type === 'admitted') {
-        this._dispatch(agent, admission.run, submission, () => this._answer(agent, entry, submission.id, sink))
-      }
-      return admission
-    }, ADMISSION_PATIENCE, answer => {
-      if (answer === 'unreachable') end(() => again(true))
-      else if (answer.type === 'refused') end(() => again(false))
-    })
-  }
-
-  private _tryOnce (entry: Entry, submission: Submission, agentName: string, elsewhere: () => void): void {
-    const names = this.agents.map(agent => agent.process.name)
-    const attempt = this._parts.attempt(`${entry.process.incarnation}:${entry.attempts++}`, agentName, this._parts.keepers(names, ORGANISATION, submission.id), 'body')
-    const carryOut = (effects: readonly OnceEffect[]): void => { for (const effect of effects) this._carryOut(effect, attempt, entry, submission, elsewhere, carryOut) }
-    carryOut(attempt.begin())
-  }
-
-  private _carryOut (effect: OnceEffect, attempt: OnceAttempt, entry: Entry, submission: Submission, elsewhere: () => void, carryOut: (effects: readonly OnceEffect[]) => void): void {
-    const { world } = this
-    const from = entry.process
-    const agent = this._named(attempt.agent)
-    const keeper = 'keeper' in effect ? this._named(effect.keeper) : undefined
-    switch (effect.type) {
-      case 'send-offer':
-        return world.call(from, agent?.process, () => this._offer(agent as Agent), STEP_TIMEOUT, reply => carryOut(attempt.offered(reply)))
-      case 'send-claim':
-        return world.call(from, keeper?.process, () => (keeper as Agent).keeper.claim(ORGANISATION, submission.id, attempt.attempt, 'body', world.clock((keeper as Agent).process)), STEP_TIMEOUT, reply => carryOut(attempt.claimed(effect.keeper, reply)))
-      case 'send-release':
-        return world.call(from, keeper?.process, () => (keeper as Agent).keeper.release(ORGANISATION, submission.id, attempt.attempt), STEP_TIMEOUT, () => {})
-      case 'send-go':
-        return this._go(effect.ticket, attempt, entry, submission, agent, carryOut)
-      case 'send-cancel':
-        return world.call(from, agent?.process, () => (agent as Agent).door.cancel(effect.ticket), ADMISSION_PATIENCE, reply => carryOut(attempt.cancelled(reply)))
-      case 'try-elsewhere':
-        return elsewhere()
-      case 'give-up':
-        return this._tellCaller(submission, effect.failure.outcome)
-      case 'started':
-    }
-  }
-
-  private _go (ticket: string, attempt: OnceAttempt, entry: Entry, submission: Submission, agent: Agent | undefined, carryOut: (effects: readonly OnceEffect[]) => void): void {
-    const { world } = this
-    const stream = this._parts.stream()
-    let text = ''
-    const take = (progress: ReturnType<AnswerStream<string>['part']>): void => {
-      if (submission.told !== undefined || progress.type === 'broken') return
-      text += progress.data.join('')
-      if (progress.whole) this._tellWhole(submission, text)
-    }
-    const sink: FrameSink = { part: part => take(stream.part(part)), end: count => take(stream.end(count)) }
-    entry.newest = sink
-    const admit = (): Admission => {
-      const at = agent as Agent
-      const admission = at.door.go(ticket, world.clock(at.process))
-      if (admission.type === 'admitted') {
-        this._dispatch(at, admission.run, submission, () => this._answer(at, entry, submission.id, sink))
-      }
-      return admission
-    }
-    world.after(ANSWER_PATIENCE, entry.process, () => { if (submission.told === undefined && !attempt.committed) this._tellCaller(submission, this._parts.lostMeans) })
-    world.call(entry.process, agent?.process, admit, ADMISSION_PATIENCE, answer => {
-      if (answer === 'unreachable') carryOut(attempt.lost())
-      else if (answer.type === 'refused') carryOut(attempt.refused(answer.reason))
-      else carryOut(attempt.started())
-    })
-  }
-
   // The agent.
 
-  private _offer (agent: Agent): OfferReply {
+  offer (agent: Agent): OfferReply {
     this._offered = agent
     return agent.door.offer(this.world.clock(agent.process))
   }
@@ -355,7 +209,7 @@
   private _hears (agent: Agent): void { agent.leavingSince = Math.min(agent.leavingSince, this.world.now) }
 
   /** Hands a request to the endpoint: an event of its own, so that a freeze may come between. */
-  private _dispatch (agent: Agent, run: number, submission: Submission, answer: () => void): void {
+  dispatch (agent: Agent, run: number, submission: Submission, answer: () => void): void {
     const { world } = this
     agent.unfinished += 1
     world.after(world.between(0, 4), agent.process, () => {
@@ -377,7 +231,7 @@
   }
 
   /** Parts travel by themselves: they come late and out of order. */
-  private _answer (agent: Agent, entry: Entry, id: string, own: FrameSink): void {
+  answer (agent: Agent, entry: Entry, id: string, own: FrameSink): void {
     const parts = partsOf(id)
     const sink = (): FrameSink => this._parts.framesByCall ? own : entry.newest ?? own
     parts.forEach((data, sequence) => this.world.send(agent.process, entry.process, () => sink().part({ sequence, data })))
@@ -387,9 +241,9 @@
   // What callers are told.
 
   /** The entry may be gone or frozen; only what it says counts, and only once. */
-  private _tellCaller (submission: Submission, outcome: Outcome): void { submission.told ??= outcome }
+  tellCaller (submission: Submission, outcome: Outcome): void { submission.told ??= outcome }
 
-  private _tellWhole (submission: Submission, text: string): void {
+  tellWhole (submission: Submission, text: string): void {
     if (submission.told !== undefined) return
     submission.told = 'whole'
     submission.text = text
@@ -412,5 +266,5 @@
   }
 
   private _agentAt (index: number): Agent { return this.agents[index % this.agents.length] as Agent }
-  private _named (name: string): Agent | undefined { return this.agents.find(agent => agent.process.name === name) }
+  named (name: string): Agent | undefined { return this.agents.find(agent => agent.process.name === name) }
 }
