--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -17,6 +17,7 @@
   configuration: async () => (await import('./lib/configuration-bench.js')).configurationBench,
   chaos: async () => (await import('./lib/chaos-bench.js')).chaosBench,
   capacity: async () => (await import('./lib/capacity-bench.js')).capacityBench,
+  suspects: async () => (await import('./lib/suspects/suspects-bench.js')).suspectsBench,
   policy: async () => (await import('./lib/policy/policy-bench.js')).policyBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/suspects/suspects-bench.ts
@@ -0,0 +1,45 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Prints what requests that end endpoints cost fleets of three sizes, by policy, number, rate and restarts of entries. */
+import { printFigures, twoDecimals, type BenchOptions } from '../bench-options.js'
+import { playSuspects, suspectFleets, suspectPolicyNames } from './suspect-model.js'
+
+const LOADS = [{ fatal: 1, fatalPerSecond: 1 }, { fatal: 1, fatalPerSecond: 10 }, { fatal: 1, fatalPerSecond: 50 }, { fatal: 5, fatalPerSecond: 10 }] as const
+const RESTARTS = [undefined, 1] as const
+const SECONDS = 20
+const SEEDS = 3
+/** The largest share of ordinary requests that may be held back in the wrong. */
+const MOST_HELD_BACK = 0.01
+
+/** Prints one line for each fleet, load, pace of restarts and policy: means of three seeds, and the most endpoints that ended. */
+export async function suspectsBench ({ seed }: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const fleet of suspectFleets) {
+    for (const load of LOADS) {
+      for (const restartEvery of RESTARTS) {
+        for (const policy of suspectPolicyNames) {
+          const plays = Array.from({ length: SEEDS }, (_, index) => playSuspects({ ...fleet, ...load, policy, seed: seed + index, restartEvery, seconds: SECONDS }))
+          const mean = (figure: (play: (typeof plays)[number]) => number): number => plays.reduce((sum, play) => sum + figure(play), 0) / plays.length
+          if (policy === 'whole-fleet' && mean(play => play.heldBack) > MOST_HELD_BACK) good = false
+          printFigures('suspects', {
+            entries: fleet.entries,
+            endpoints: fleet.endpoints,
+            fatal: load.fatal,
+            per_second: load.fatalPerSecond,
+            restart_every: restartEvery ?? 'never',
+            policy,
+            ended: twoDecimals(mean(play => play.endpointsEnded)),
+            most_ended: Math.max(...plays.map(play => play.endpointsEnded)),
+            unserved: mean(play => play.unserved).toFixed(4),
+            held_back: mean(play => play.heldBack).toFixed(4),
+            last_send_seconds: twoDecimals(mean(play => play.lastSend))
+          })
+        }
+      }
+    }
+  }
+  return good
+}
