--- a/packages/node/src/lib/command-line.ts
+++ b/packages/node/src/lib/command-line.ts
@@ -8,14 +8,13 @@
  */
 import { readFileSync } from 'node:fs'
 import { Command } from 'commander'
-import { DrumdriftError, type SettingsFailure } from '@drumdrift/core'
 import { formatPairs } from './observe/log.js'
 import { askHttp } from './platform/http-client.js'
+import { runDaemon } from './run-daemon.js'
+import { EXIT_WRONG_INPUT, orExit } from './settings/or-exit.js'
 import { settingsPage } from './settings/page.js'
 import { guessRole, readSettings } from './settings/settings.js'
 
-/** Exit code for a wrong settings file or a wrong command. */
-const EXIT_WRONG_INPUT = 2
 const ASK_TIMEOUT = 10_000
 
 /**
@@ -72,7 +71,7 @@
 
 async function start (file: string, role: 'entry' | 'agent'): Promise<void> {
   const settings = orExit(() => readSettings(file, role))
-  const { ownDaemons, runDaemon } = await import('./run-daemon.js')
+  const { ownDaemons } = await import('./own-daemons.js')
   await runDaemon(settings, ownDaemons[role], file)
 }
 
@@ -93,23 +92,3 @@
     process.exitCode = 1
   }
 }
-
-/**
- * Reads settings, or ends the process with one line that names the mistake.
- *
- * @example
- * const settings = orExit(() => readSettings(file, 'entry'))
- */
-export function orExit<Value> (read: () => Value): Value {
-  try {
-    return read()
-  } catch (error) {
-    if (!(error instanceof DrumdriftError) || error.failure.type !== 'settings-failure') throw error
-    process.stderr.write(`${settingsLine(error.failure)}\n`)
-    process.exit(EXIT_WRONG_INPUT)
-  }
-}
-
-function settingsLine ({ file, section, key, expected }: SettingsFailure): string {
-  return formatPairs({ event: 'settings-wrong', file, section, key, expected })
-}
--- a/packages/node/src/lib/run-daemon.ts
+++ b/packages/node/src/lib/run-daemon.ts
@@ -9,8 +9,6 @@
  */
 import { watchFile, unwatchFile } from 'node:fs'
 import { DrumdriftError } from '@drumdrift/core'
-import { AgentProcess } from './agent/agent.js'
-import { EntryProcess } from './entry/entry.js'
 import { Log, type LogLevel } from './observe/log.js'
 import { readSettings, type Settings } from './settings/settings.js'
 
@@ -33,12 +31,6 @@
 /** Makes a daemon from checked settings. The last argument lets the daemon ask to be stopped. */
 export type DaemonMaker = (settings: Settings, log: Log, stop: () => void) => Daemon
 
-/** The daemons that speak the product's own interface. */
-export const ownDaemons: Record<'entry' | 'agent', DaemonMaker> = {
-  entry: (settings, log) => new EntryProcess(settings, log),
-  agent: (settings, log, stop) => new AgentProcess(settings, log, stop)
-}
-
 /**
  * Runs a daemon until it is told to stop.
  *
