--- a/packages/core/src/lib/routing/weights/version-switch.ts
+++ b/packages/core/src/lib/routing/weights/version-switch.ts
@@ -42,6 +42,7 @@
   /** Milliseconds until the wanted version is staged whole, by the rate of the link; nothing when that is not known. */
   readonly wholeIn: number | undefined
   readonly engine: EngineState | undefined
+  /** Read only where it decides: it may be worked out when it is read. */
   readonly turn: SwitchTurn
 }
 
@@ -84,23 +85,26 @@
    * @example
    * if (versionSwitch.step(view, now).type === 'order') await orderLoad()
    */
-  step ({ wanted, heardAt, whole, engine, turn }: SwitchView, now: number): SwitchStep {
+  step (view: SwitchView, now: number): SwitchStep {
+    const { wanted, heardAt, whole, engine } = view
     this._noteWhole(whole, now)
     if (wanted === 0 || whole !== wanted || engine === undefined || engine.busy || now < this._retryAt) return { type: 'wait' }
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
     if (heardAt === undefined || now >= heardAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
-    return now >= this._turnAt(heardAt, turn, this._wholeAt) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+    return now >= this._turnAt(heardAt, view.turn, this._wholeAt) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
   }
 
   /**
    * When the engine's turn comes; nothing while no switch is planned. Shortly before the version is whole it is foretold, by
    * the places that engines will have once all of them hold it.
    */
-  plannedAt ({ wanted, heardAt, whole, wholeIn, engine, turn }: SwitchView, now: number): number | undefined {
+  plannedAt (view: SwitchView, now: number): number | undefined {
+    const { wanted, heardAt, whole, wholeIn, engine } = view
     if (wanted === 0 || heardAt === undefined || engine === undefined || engine.version === 0 || engine.version >= wanted) return undefined
-    if (whole === wanted && this._wholeVersion === wanted) return this._turnAt(heardAt, turn, this._wholeAt)
+    if (whole === wanted && this._wholeVersion === wanted) return this._turnAt(heardAt, view.turn, this._wholeAt)
     if (wholeIn === undefined || wholeIn > LONGEST_NOTICE) return undefined
+    const { turn } = view
     return this._turnAt(heardAt, { ...turn, index: turn.finalIndex }, now + wholeIn)
   }
 
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -87,7 +87,8 @@
   private readonly _manifests = new Map<string, Buffer>()
   private readonly _arrivals = new Arrivals()
   private readonly _manifestSource: ManifestSource
-  private readonly _ticker: NodeJS.Timeout
+  /** Runs while a transfer is under way: a keeper that wants nothing woke its process 20 times a second. */
+  private _ticker: NodeJS.Timeout | undefined
   /** What became of the attempts of the transfer under way, for the log: by source, or by what went wrong. */
   private readonly _outcomes = new Map<string, number>()
   private _startedAt = 0
@@ -96,7 +97,6 @@
     this._manifestSource = new ManifestSource({
       ..._parts, matches: (identity, bytes) => this._matches(identity, bytes), onProblem: problem => this._noteManifestProblem(problem)
     })
-    this._ticker = setInterval(() => this._tick(), TICK)
   }
 
   /** The manifest digest that is wanted; empty for none. */
@@ -111,7 +111,7 @@
   get problem (): WeightsFailure | undefined { return this._problem }
 
   close (): void {
-    clearInterval(this._ticker)
+    this._stopTicking()
     // A manifest that was still looked for would be asked for until the process ends.
     this._wanted = ''
     for (const fetch of this._fetches.values()) fetch.abort()
@@ -157,6 +157,14 @@
     if (this._manifest !== undefined) await this._parts.store.dropExcept(this._wantedDigests, fence)
   }
 
+  /** The list of members may have changed; a version that is whole hears of it only so. */
+  membersChanged (): void {
+    const members = this._parts.members()
+    if (members === this._members) return
+    this._transfer?.setMembers(members)
+    this._members = members
+  }
+
   /**
    * Looks once more whether the engine holds the whole version, as it must right before a load. If chunks are gone they
    * are fetched again.
@@ -209,6 +217,7 @@
     this._transfer = this._parts.newTransfer({
       members: this._members, identity: this._wanted, manifest, held: this._parts.store.staged, originCopies: this._originCopies
     })
+    this._ticker ??= setInterval(() => this._tick(), TICK)
   }
 
   /** The one that is staged already, or else one from a peer or the platform. */
@@ -225,14 +234,17 @@
 
   private _tick (): void {
     const transfer = this._transfer
-    if (transfer === undefined) return
-    const members = this._parts.members()
-    if (members !== this._members) transfer.setMembers(members)
+    if (transfer === undefined || this._wholeDigest !== '') return this._stopTicking()
+    this.membersChanged()
     this._noteLife(transfer)
-    this._members = members
     this._carryOut(transfer.tick(performance.now()))
   }
 
+  private _stopTicking (): void {
+    clearInterval(this._ticker)
+    this._ticker = undefined
+  }
+
   /** A connection over which bytes come is no stalled one, though signs may wait behind other chunks. */
   private _noteLife (transfer: TransferCourse): void {
     const now = performance.now()
--- a/packages/node/src/lib/peer/connection.ts
+++ b/packages/node/src/lib/peer/connection.ts
@@ -154,9 +154,9 @@
   private _write (envelope: Parameters<typeof encodeFrame>[0], payload: Buffer | undefined): void {
     if (!this._open) return
     const parts = encodeFrame(envelope, payload)
-    this._socket.cork()
+    if (parts.length > 1) this._socket.cork()
     for (const part of parts) this._socket.write(part)
-    this._socket.uncork()
+    if (parts.length > 1) this._socket.uncork()
     this._traffic.sent += parts.reduce((sum, part) => sum + part.length, 0) - (payload?.length ?? 0)
   }
 
--- a/packages/node/src/lib/peer/frame.ts
+++ b/packages/node/src/lib/peer/frame.ts
@@ -43,17 +43,19 @@
 const nothing = Buffer.alloc(0)
 
 /**
- * Encodes a frame as buffers to be written in order.
+ * Encodes a frame as buffers to be written in order; one buffer without a payload, since most messages have none and each buffer
+ * is a write.
  *
  * @example
  * for (const part of encodeFrame({ call: 1, request: { type: 'status' } })) socket.write(part)
  */
 export function encodeFrame (envelope: PeerEnvelope, payload: Buffer = nothing): Buffer[] {
   const body = codec.encode(envelope)
-  const header = Buffer.allocUnsafe(HEADER_BYTES)
-  header.writeUInt32BE(body.length, 0)
-  header.writeUInt32BE(payload.length, 4)
-  return payload.length > 0 ? [header, body, payload] : [header, body]
+  const head = Buffer.allocUnsafe(HEADER_BYTES + body.length)
+  head.writeUInt32BE(body.length, 0)
+  head.writeUInt32BE(payload.length, 4)
+  body.copy(head, HEADER_BYTES)
+  return payload.length > 0 ? [head, payload] : [head]
 }
 
 /** Cuts a byte stream into frames. Malformed or oversized input throws a typed failure; the connection is then closed. */
--- a/packages/node/src/lib/routing/chunk-holdings.ts
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -38,6 +38,12 @@
   readonly elsewhere: readonly number[]
 }
 
+/** The same, as the publisher asks for it. */
+export interface OwnChunks extends KnownChunks {
+  /** Nothing more will become known of the version; it may where this is left out. */
+  readonly settled?: boolean
+}
+
 /** Versions that one connection follows at once: the staged one, the one ahead, and one that it just leaves. */
 const MOST_FOLLOWED = 3
 
@@ -48,13 +54,13 @@
 export class HoldingsPublisher {
   /** The followers of each connection, the oldest first. */
   private readonly _followers = new Map<PeerConnection, readonly Follower[]>()
-  /** Runs while there are followers. */
+  /** Runs while there may be something to tell: agents that served their version woke 16 times a second for nothing. */
   private _timer: NodeJS.Timeout | undefined
 
   /**
    * @param _known What is known here of a version's chunks.
    */
-  constructor (private readonly _known: (identity: string) => KnownChunks) {}
+  constructor (private readonly _known: (identity: string) => OwnChunks) {}
 
   close (): void { clearInterval(this._timer) }
 
@@ -66,25 +72,34 @@
     const others = (known ?? []).filter(other => other.identity !== identity)
     this._followers.set(connection, [...others, follower].slice(-MOST_FOLLOWED))
     if (known === undefined) connection.onEnd(() => { this._left(connection) })
-    this._timer ??= setInterval(() => this._tellAll(), TELL_PAUSE)
+    this.wake()
     this._tell(follower, this._known(identity))
   }
 
+  /** Chunks are on their way again. */
+  wake (): void {
+    if (this._followers.size > 0) this._timer ??= setInterval(() => this._tellAll(), TELL_PAUSE)
+  }
+
   private _left (connection: PeerConnection): void {
     this._followers.delete(connection)
-    if (this._followers.size > 0) return
+    if (this._followers.size === 0) this._rest()
+  }
+
+  private _rest (): void {
     clearInterval(this._timer)
     this._timer = undefined
   }
 
   /** What is known of a version is worked out once for all that follow it. */
   private _tellAll (): void {
-    const knownOf = new Map<string, KnownChunks>()
+    const knownOf = new Map<string, OwnChunks>()
     for (const follower of [...this._followers.values()].flat()) {
       const known = knownOf.get(follower.identity) ?? this._known(follower.identity)
       knownOf.set(follower.identity, known)
       this._tell(follower, known)
     }
+    if ([...knownOf.values()].every(({ settled }) => settled === true)) this._rest()
   }
 
   private _tell ({ responder, identity, told, toldElsewhere }: Follower, known: KnownChunks): void {
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -165,13 +165,15 @@
     const { wanted, heardAt, whole } = this._parts.situation()
     if (wanted === undefined) return undefined
     const identity = identityOf(wanted)
+    const { turn } = this._parts
     return {
       wanted: wanted.version,
       heardAt,
       whole: whole === identity ? wanted.version : 0,
       wholeIn: this._parts.timeToWhole(),
       engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
-      turn: this._parts.turn()
+      // Worked out at each look, though no version was on its way, it was a twentieth of what agents did.
+      get turn () { return turn() }
     }
   }
 
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -115,6 +115,7 @@
 
   /** The list of peers has changed. */
   membersChanged (): void {
+    this._weights.membersChanged()
     if (this._following && this._weights.currentManifest !== undefined) this._follow(this.identity)
   }
 
--- a/packages/node/src/lib/routing/versions-under-way.ts
+++ b/packages/node/src/lib/routing/versions-under-way.ts
@@ -13,7 +13,7 @@
 import type { ChunkSource } from '../agent/chunk-server.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { Log } from '../observe/log.js'
-import type { KnownChunks } from './chunk-holdings.js'
+import type { OwnChunks } from './chunk-holdings.js'
 import { MemoryStaging } from './memory-staging.js'
 import { identityOf } from './ports.js'
 import { VersionTransfer, type TransferParts } from './version-transfer.js'
@@ -142,8 +142,9 @@
   }
 
   /** What is known of a version's chunks. */
-  known (identity: string): KnownChunks {
-    return { held: this.held(identity), elsewhere: this._transferOf(identity)?.elsewhere() ?? [] }
+  known (identity: string): OwnChunks {
+    const transfer = this._transferOf(identity)
+    return { held: this.held(identity), elsewhere: transfer?.elsewhere() ?? [], settled: transfer?.whole ?? true }
   }
 
   /** A manifest for a peer, waiting for one that is on its way. */
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -224,6 +224,7 @@
     if (model === undefined) return
     const view = { served: this._switcher.version(model), ordering: this._switcher.ordering, mayBegin: (version: number) => this._mayBegin(model, version) }
     this._versions.step(view, performance.now())
+    if (this._versions.transferring) this._published.wake()
   }
 
   /**
--- a/packages/node/src/test/lib/frame_test.ts
+++ b/packages/node/src/test/lib/frame_test.ts
@@ -29,9 +29,15 @@
 
   it('writes a report of load in fewer bytes than its keys alone would take', () => {
     const load = { running: 9, waiting: 0, unreadTokens: 1_834, version: 1, accepting: true, pace: 1, sentRate: 0.07, entries: 98 }
-    const [, body = Buffer.alloc(0)] = encodeFrame({ call: 1, reply: { type: 'load', load } })
+    const frame = Buffer.concat(encodeFrame({ call: 1, reply: { type: 'load', load } }))
     const keys = ['call', 'reply', 'type', 'load', ...Object.keys(load)].join('').length
-    assert.ok(body.length < keys, `${body.length} is not below ${keys}`)
+    assert.ok(frame.length > 0 && frame.length < keys, `${frame.length} is not below ${keys}`)
+  })
+
+  it('writes a message without a payload as one buffer, and a payload as it is', () => {
+    const payload = Buffer.alloc(100_000)
+    assert.equal(encodeFrame({ call: 1, request: { type: 'status' } }).length, 1)
+    assert.equal(encodeFrame({ call: 1, request: { type: 'status' } }, payload)[1], payload)
   })
 
   const header = (body: number, payload: number): Buffer => {
