Followers are told how busy an engine is as often as they choose, and with each measurement of the way

Cause: every look of an agent that told anything went to all that follow it: an entry that chose 8 times a second was told 125 times a second, and idle ones twice a second of each engine, besides two messages for each measurement of the way. Change: what changes when the engine takes work is told at once; how busy it is, after the mean time between two choices of the follower (200 ms at most). A measurement is answered with the load and the age of the look it rests on, measured every 700 ms in place of 800; a sign of life without one comes after 900 ms in place of 500.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -89,7 +89,7 @@
   /** Asks a relay how far it knows published state, now and whenever that changes, as long as the connection lasts. */
   | { readonly type: 'follow-news' }
   /**
-   * Asks for a sign at once, to measure the way there and back.
+   * Asks for a sign at once, to measure the way there and back. One who follows the load is told it with the answer.
    *
    * `sentRate` tells an agent how many requests in a millisecond the asking entry sends to the pool, and `followed` among how many
    * engines; nothing for none.
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -31,6 +31,8 @@
   readonly sentRate?: number | undefined
   /** The start of the engine that this is told of; nothing where engines do not tell it. See `EndpointRecord`. */
   readonly born?: number | undefined
+  /** Milliseconds from the agent's look at the engine to when it was told; nothing for at once. */
+  readonly age?: number | undefined
   /** Entries that hear these reports, each counted by one over the engines that it follows; nothing when that is not told. */
   readonly entries?: number | undefined
 }
@@ -42,6 +44,11 @@
   begun: boolean
 }
 
+/** How long before it was told a report was made, in milliseconds; 0 where what it says of that cannot be. */
+export function ageOf ({ age }: LoadReport): number {
+  return typeof age === 'number' && age >= 0 && age <= REPORT_LIFETIME ? age : 0
+}
+
 /** A report older than this says nothing any more, in milliseconds: ten of the agents' reports are missing by then. */
 export const REPORT_LIFETIME = 1_000
 /** What is on its way to the endpoint when it reports, in milliseconds: a few network delays. */
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -48,10 +48,11 @@
 const RETRY_PAUSE = 200
 /**
  * The way to each agent is measured this often, in milliseconds: queues of a link grow and go within half a second. While a
- * way is short it is measured less often, until a transfer or a narrowed link shows in it; both in milliseconds.
+ * way is short it is measured less often, until a transfer or a narrowed link shows in it; both in milliseconds. The answer tells
+ * the load, so that it comes before the one before is too old.
  */
 const MEASURE_PAUSE = 400
-const CALM_MEASURE_PAUSE = 800
+const CALM_MEASURE_PAUSE = 700
 const SHORT_WAY = 10
 /** A measurement that takes longer is given up, in milliseconds; the connection is then taken for lost. */
 const MEASURE_PATIENCE = 3_000
@@ -60,7 +61,7 @@
  * ten at once, and those tell further what makes a request suspect.
  */
 const TOLD_AGENTS = 6
-/** A connection without any report for this time is opened anew, in milliseconds: agents report twice a second at least. */
+/** A connection without any report for this time is opened anew, in milliseconds: two measurements of a short way. */
 const SILENCE = 1_600
 
 interface Followed {
@@ -129,7 +130,8 @@
     followed.measuredAt = now
     this._parts.onMeasured(agent, 'begun')
     try {
-      await connection.call({ type: 'ping', ...this._parts.news(agent) }, undefined, MEASURE_PATIENCE)
+      const { reply } = await connection.call({ type: 'ping', ...this._parts.news(agent) }, undefined, MEASURE_PATIENCE)
+      if (reply.type === 'load') this._hear(agent, followed, reply.load)
     } catch (error) {
       this._parts.log.debug('agent-silent', { agent, reason: failureOf(error).type })
       connection.close()
@@ -150,11 +152,7 @@
       connection.ask({ type: 'follow-load' }, undefined, {
         reply: reply => {
           if (reply.type === 'suspects') this._parts.onSuspects(reply.news, agent)
-          if (reply.type !== 'load') return
-          followed.heardAt = performance.now()
-          if (followed.lost) this._parts.log.info('agent-regained', { agent })
-          followed.lost = false
-          this._parts.onLoad(agent, reply.load)
+          if (reply.type === 'load') this._hear(agent, followed, reply.load)
         },
         lost: () => this._lost(agent, followed, 'connection-lost')
       })
@@ -168,6 +166,13 @@
     }
   }
 
+  private _hear (agent: string, followed: Followed, load: LoadReport): void {
+    followed.heardAt = performance.now()
+    if (followed.lost) this._parts.log.info('agent-regained', { agent })
+    followed.lost = false
+    this._parts.onLoad(agent, load)
+  }
+
   private _lost (agent: string, followed: Followed, reason: string): void {
     followed.connection = undefined
     followed.retryAt = performance.now() + RETRY_PAUSE
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -4,14 +4,19 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Tells the entries that follow it how loaded the engine beside this agent is: at once when that is news to them, and now
- * and then as a sign of life.
+ * Tells the entries that follow it how loaded the engine beside this agent is: at once when it takes work or takes none any
+ * more, as often as they choose among engines when it is busier or less busy, and now and then as a sign of life.
  */
-import { isLoadNews, type LoadReport, type PeerReply } from '@drumdrift/core'
+import { isLoadNews, isStateNews, reportPause, type LoadReport, type PeerReply } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 
-/** Followers hear this often though nothing changes, in milliseconds; they take silence of three times that for loss. */
-const SIGN_OF_LIFE = 500
+/**
+ * A follower that neither asked nor was told anything for this long hears the load all the same, in milliseconds: before what it
+ * heard last is too old to say anything. Those that measure the way are told with the answer.
+ */
+const SIGN_OF_LIFE = 900
+/** A look at the engine that is older is not told, in milliseconds: the engine does not answer, or this process was held up. */
+const OLDEST_LOOK = 250
 
 /** The engine that the reports are about. */
 export interface PublishedEngine {
@@ -27,8 +32,14 @@
   sentRate: number
   followed: number
   heardAt: number
+  /** What it was told last, and when; nothing before the first report. */
+  told: LoadReport | undefined
+  toldAt: number
 }
 
+/** Looks of the agent come about so often, in milliseconds: what is due within half of that is told with the look before. */
+const LOOK_PAUSE = 50
+
 /**
  * A follower that was not heard for this long is cut off, and sends nothing here, in milliseconds: entries measure the way
  * twice in this time at least. Its connection may stay open for as long as the cut.
@@ -39,17 +50,29 @@
 export class LoadPublisher {
   private readonly _followers = new Map<PeerConnection, Follower>()
   private _last: LoadReport | undefined
-  private _toldAt = -Infinity
+  private _lastAt = -Infinity
 
   constructor (private readonly _engine: () => PublishedEngine) {}
 
   /** Adds a follower and tells it the last report. */
   follow (responder: Responder, now: number): void {
     const { connection } = responder
-    const follower = { responder, sentRate: 0, followed: 0, heardAt: now }
+    const follower = { responder, sentRate: 0, followed: 0, heardAt: now, told: undefined, toldAt: -Infinity }
     this._followers.set(connection, follower)
     connection.onEnd(() => { this._followers.delete(connection) })
-    if (this._last !== undefined) tell(follower, { ...this._last, ...this._totals(now) })
+    if (this._last !== undefined) tell(follower, { ...this._last, ...this._totals(now) }, now)
+  }
+
+  /**
+   * A follower measures the way, and is told the load with the answer: told by themselves, signs of life were most of what idle
+   * agents and entries did.
+   */
+  answerPing (responder: Responder, now: number): void {
+    const follower = this._followers.get(responder.connection)
+    const age = now - this._lastAt
+    if (follower === undefined || this._last === undefined || age > OLDEST_LOOK) return responder.send({ type: 'done' })
+    note(follower, this._last, this._lastAt)
+    responder.send({ type: 'load', load: { ...this._last, ...this._totals(now), age: Math.round(age) } })
   }
 
   /** A follower told how many requests in a millisecond it sends to the pool, among how many engines. */
@@ -68,12 +91,20 @@
 
   /** Takes a new report. */
   publish (load: LoadReport, now: number): void {
-    const age = now - this._toldAt
-    if (this._last !== undefined && age < SIGN_OF_LIFE && !isLoadNews(load, { told: this._last, age, ...this._engine() })) return
     this._last = load
-    this._toldAt = now
+    this._lastAt = now
+    const due = [...this._followers.values()].filter(follower => this._isDue(follower, load, now))
+    if (due.length === 0) return
     const told = { ...load, ...this._totals(now) }
-    for (const follower of this._followers.values()) tell(follower, told)
+    for (const follower of due) tell(follower, told, now)
+  }
+
+  private _isDue ({ told, toldAt, sentRate }: Follower, load: LoadReport, now: number): boolean {
+    const age = now - toldAt
+    if (told === undefined || age >= SIGN_OF_LIFE) return true
+    const expectation = { told, age, ...this._engine() }
+    if (isStateNews(load, expectation)) return true
+    return age >= reportPause(sentRate) - LOOK_PAUSE / 2 && isLoadNews(load, expectation)
   }
 
   /** What all followers that can be reached send to this engine, and how many they are: see `LoadReport`. */
@@ -88,4 +119,12 @@
   }
 }
 
-function tell ({ responder }: Follower, load: LoadReport): void { responder.send({ type: 'load', load }) }
+function tell (follower: Follower, load: LoadReport, now: number): void {
+  note(follower, load, now)
+  follower.responder.send({ type: 'load', load })
+}
+
+function note (follower: Follower, load: LoadReport, at: number): void {
+  follower.told = load
+  follower.toldAt = at
+}
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * follows the load of engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { publishedTopics, RouteTable, type LoadReport, type PeerRequest, type PublishedChange, type RetryTerms } from '@drumdrift/core'
+import { ageOf, publishedTopics, RouteTable, type LoadReport, type PeerRequest, type PublishedChange, type RetryTerms } from '@drumdrift/core'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -188,7 +188,7 @@
   }
 
   private _hear (agent: string, load: LoadReport): void {
-    const now = performance.now()
+    const now = performance.now() - ageOf(load)
     const alive = this._units.aliveBy(agent, load, now)
     if (alive !== undefined) this._suspects.lived(alive.start, alive.at)
     if (this._units.heard(agent, load, now)) return
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -311,7 +311,7 @@
     ping: ({ sentRate, followed, named }, responder) => {
       if (named !== undefined) this._hearNamed(named)
       this._publisher.noteRate(responder.connection, Number(sentRate) || 0, Number(followed) || 0, performance.now())
-      responder.send({ type: 'done' })
+      this._publisher.answerPing(responder, performance.now())
     },
     news: ({ note, topics }, responder) => responder.send({ type: 'news' }, this._packer.since(note, topics, performance.now())),
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
