--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -49,6 +49,8 @@
   private _head: AnswerHead | undefined
   private _takenBackFor: string | undefined
   private _stallTimer: NodeJS.Timeout | undefined
+  /** The same timer, once events come. */
+  private _gapTimer: NodeJS.Timeout | undefined
   private _beginTimer: NodeJS.Timeout | undefined
   /** Resolves when it has ended, however it ended. */
   readonly ended: Promise<AttemptEnd>
@@ -95,7 +97,7 @@
     const events = this._plan.progress.take(bytes, performance.now())
     if (events === undefined) return
     clearTimeout(this._beginTimer)
-    this._watchForSilence(GAP_STALL)
+    this._watchForGap()
     this._listener.events(head, events)
   }
 
@@ -104,9 +106,21 @@
     if (this._plan.endsOnSilence) this._stallTimer = setTimeout(() => this.takeBack(SILENT), milliseconds)
   }
 
+  /** Each event of a stream begins the same wait anew, so its timer is kept. */
+  private _watchForGap (): void {
+    if (this._gapTimer !== undefined) {
+      this._gapTimer.refresh()
+      return
+    }
+    this._watchForSilence(GAP_STALL)
+    this._gapTimer = this._stallTimer
+  }
+
   private _finish (end: EndpointCallEnd): AttemptEnd {
     clearTimeout(this._stallTimer)
     clearTimeout(this._beginTimer)
+    // A timer that was cleared would run again if it were refreshed.
+    this._gapTimer = undefined
     if (end.type === 'not-run') return end
     if (this._takenBackFor !== undefined) return { type: 'stalled', detail: this._takenBackFor }
     if (end.type === 'whole' && this._head !== undefined) return this._answered(this._head, end.framed)
