What an endpoint costs stands apart from how it is chosen

What a request needs and what is expected of a candidate are in endpoint-choice.ts, the prices of distance, of a planned switch and of what is not known in choice-price.ts; behaviour and tests are as before.

--- a/packages/core/src/lib/routing/published/relay-book.ts
+++ b/packages/core/src/lib/routing/published/relay-book.ts
@@ -8,7 +8,7 @@
  * that not every process takes its own copy over a link that a region shares.
  */
 import type { RelayNote } from '../../messages.js'
-import type { Place } from '../choice/endpoint-chooser.js'
+import type { Place } from '../choice/endpoint-choice.js'
 import type { PublishedNote, PublishedTopic } from './published-state.js'
 
 /** A relay that told nothing for this time is not relied on, in milliseconds: three of its signs of life are missing. */
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -5,7 +5,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EndpointChooser, type Need } from '../../../../lib/routing/choice/endpoint-chooser.js'
+import type { Need } from '../../../../lib/routing/choice/endpoint-choice.js'
+import { EndpointChooser } from '../../../../lib/routing/choice/endpoint-chooser.js'
 import type { Opening } from '../../../../lib/routing/attempts/early-refusal.js'
 import type { LoadReport } from '../../../../lib/routing/choice/endpoint-load.js'
 import { startOf, type EndpointRecord } from '../../../../lib/routing/published/endpoint-record.js'
