--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -28,6 +28,7 @@
 import type { WeightsPlatform } from './ports.js'
 import { NewsPacker } from './packed-news.js'
 import { PublishedFeed } from './published-feed.js'
+import { PublishedReadings } from './published-readings.js'
 import { placeOf } from './regions.js'
 import { VersionsUnderWay, type NewestVersion } from './versions-under-way.js'
 
@@ -36,17 +37,6 @@
 const BYTES_PER_MEGABIT = 125_000
 /** The version that engines start with when none has been named. */
 const FIRST_VERSION = 1
-/** Until the pool's description and the wanted version are known, they are read this often, in milliseconds. */
-const UNKNOWN_PAUSE = 500
-/**
- * The wanted version is read this often, in milliseconds, in case no entry tells of a new one: a third of the time in which a
- * version has to be brought.
- */
-const VERSIONS_PAUSE = 2_700
-/** How often the agent looks whether it must read something, in milliseconds. */
-const REFRESH_PAUSE = 250
-/** The list of endpoints is read this often during a transfer, in milliseconds: members seldom change in its seconds. */
-const LIST_PAUSE = 2_000
 
 /** An engine that is not up yet is asked again after this, in milliseconds. */
 const ENGINE_PAUSE = 100
@@ -64,6 +54,7 @@
   private readonly _pool: PeerPool
   private readonly _server: PeerServer
   private readonly _feed: PublishedFeed
+  private readonly _readings: PublishedReadings
   private readonly _packer: NewsPacker
   private readonly _versions: VersionsUnderWay
   private readonly _chunks: ChunkServer
@@ -75,10 +66,6 @@
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
-  private _refreshTimer: NodeJS.Timeout | undefined
-  private _listReadAt = -Infinity
-  private _poolReadAt = -Infinity
-  private _versionsReadAt = -Infinity
   private _recovering = false
   private _recovered = false
   private _stopped = false
@@ -101,6 +88,7 @@
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic, readPacer)
     this._feed = this._newFeed()
+    this._readings = new PublishedReadings(this._feed, { wantsMembers: () => this._versions.transferring, onFirstVersions: () => this._apply() })
     this._packer = new NewsPacker(this._feed.state)
     this._versions = this._newVersions()
     this._chunks = new ChunkServer(this._versions, { upload: (bytes, now) => pacer().upload(bytes, now) }, digest => this._versions.expects(digest))
@@ -116,15 +104,14 @@
   async start (): Promise<void> {
     await Promise.all([this._server.listen(), this._metrics?.listen()])
     this._feed.start()
-    this._refreshTimer = setInterval(() => { this._refresh() }, REFRESH_PAUSE)
-    this._refresh()
+    this._readings.start()
     this._log.info('agent-started', { service: this._service })
   }
 
   /** Nothing of an agent needs time to end: the engine goes on by itself. */
   async stop (): Promise<number> {
     this._stopped = true
-    clearInterval(this._refreshTimer)
+    this._readings.close()
     this._feed.close()
     this._versions.close()
     this._chunks.close()
@@ -227,34 +214,8 @@
     if (this._versions.transferring) this._published.wake()
   }
 
-  /**
-   * Agents watch nothing: that, with readings that may be old and longer watches of entries, took the calls of the store from
-   * 1,013 to 1,260 a day to 517 to 616, with 15 agents and 9 entries. Entries tell them which version is wanted; it is also
-   * read now and then. The configuration, which is large, is read until the pool is known; the list of endpoints
-   * while there is something to transfer, since only then it matters who the peers are.
-   */
-  private async _refresh (): Promise<void> {
-    const now = performance.now()
-    const { state } = this._feed
-    if (state.configuration === undefined && now - this._poolReadAt >= UNKNOWN_PAUSE) {
-      this._poolReadAt = now
-      await this._feed.refresh('configuration')
-    }
-    const versionsKnown = state.note.versions > 0
-    if (now - this._versionsReadAt >= (versionsKnown ? VERSIONS_PAUSE : UNKNOWN_PAUSE)) {
-      this._versionsReadAt = now
-      await this._feed.refresh('versions')
-      // That none has been named is no news, but it means that the first version is wanted.
-      if (!versionsKnown) this._apply()
-    }
-    const wanting = state.note.endpoints === 0 || this._versions.transferring
-    if (!wanting || now - this._listReadAt < LIST_PAUSE) return
-    this._listReadAt = now
-    await this._feed.refresh('endpoints')
-  }
-
   private _changed (changes: readonly PublishedChange[]): void {
-    if (changes.some(({ type }) => type === 'wanted-version')) this._listReadAt = -Infinity
+    if (changes.some(({ type }) => type === 'wanted-version')) this._readings.membersMatter()
     this._apply()
   }
 
