--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -49,6 +49,8 @@
   eventPause = EVENT_PAUSE
   /** The worker ends, and all that runs on it, as soon as it begins a request with this body; nothing for none. */
   endsUnder: string | undefined
+  /** Requests a second that it says it takes from all entries together, in each answer; nothing for none. */
+  limit: number | undefined
   /** Whether it has ended so. */
   ended = false
   version = 1
@@ -77,6 +79,7 @@
     const body = (await readAll(request)).toString('utf8')
     this.arrivals.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
+    if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
     if (body === this.endsUnder) return this._end(request, response)
     modeHandlers[this.mode](this, request, response)
   }
