Log what endpoints say of the requests that they take; the timeline of limits that were passed over

Logs had what was sent to an endpoint and nothing that it said, so they could not tell whether limits are read by nobody, taken whole by each entry, or broken by what is under way. An answer's own words are read apart from what becomes of the answer, since a refusal, and an answer to another request, say them too; not where another start answers at the address. One line at each change of a limit, one for each endpoint that names what cannot be meant.

--- a/packages/core/src/lib/routing/published/endpoint-record.ts
+++ b/packages/core/src/lib/routing/published/endpoint-record.ts
@@ -41,6 +41,14 @@
   return born === undefined ? id : `${id}@${born}`
 }
 
+/**
+ * The id of the endpoint that a start is one of.
+ *
+ * @example
+ * endpointOf('engine-7@1700000000000') // 'engine-7'
+ */
+export function endpointOf (start: string): string { return start.replace(/@\d+$/, '') }
+
 /**
  * Whether something is told of an earlier start than another thing of the same endpoint. Without a time nothing can be said.
  *
--- /dev/null
+++ b/packages/core/src/test/lib/routing/limits/limit-book_test.ts
@@ -0,0 +1,67 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { isLimit, LimitBook, readLimitNews, type LimitStatement } from '../../../../lib/routing/limits/limit-book.js'
+
+const start = 'engine-7@1700'
+const named: LimitStatement = { limit: 1.1, askedAt: 100, heardAt: 200 }
+
+/** The limit after some statements, each taken when it was heard. */
+function limitAfter (...statements: LimitStatement[]): number | undefined {
+  const book = new LimitBook()
+  for (const statement of statements) book.heard(start, statement, statement.heardAt)
+  return book.limitOf(start, 10_000)
+}
+
+describe('LimitBook', () => {
+  const cases: [name: string, limit: number | undefined, expected: number | undefined][] = [
+    ['nothing of an endpoint that names none', limitAfter({ limit: undefined, askedAt: 0, heardAt: 10 }), undefined],
+    ['what was named', limitAfter(named), 1.1],
+    ['a limit of nothing at all', limitAfter({ ...named, limit: 0 }), 0],
+    ['a lower one, whenever it was asked for', limitAfter(named, { limit: 0.5, askedAt: 90, heardAt: 210 }), 0.5],
+    ['a higher one that was asked for after the limit was heard', limitAfter(named, { limit: 3, askedAt: 201, heardAt: 300 }), 3],
+    ['the limit, when a higher one may have been said before', limitAfter(named, { limit: 3, askedAt: 150, heardAt: 300 }), 1.1],
+    ['no limit any more once an answer that was asked for later names none', limitAfter(named, { limit: undefined, askedAt: 201, heardAt: 300 }), undefined],
+    ['the limit, when an answer without one may have been made before', limitAfter(named, { limit: undefined, askedAt: 150, heardAt: 900 }), 1.1],
+    ['the end of a limit, when an older answer with it comes late', limitAfter(named, { limit: undefined, askedAt: 201, heardAt: 300 }, { limit: 1.1, askedAt: 120, heardAt: 200 }), undefined],
+    ['a limit that is named again after its end', limitAfter(named, { limit: undefined, askedAt: 201, heardAt: 300 }, { limit: 2, askedAt: 301, heardAt: 400 }), 2]
+  ]
+  for (const [name, limit, expected] of cases) it(`holds ${name}`, () => assert.equal(limit, expected))
+
+  it('is told by others, with ages in place of times, and tells that a limit ended too', () => {
+    const [first, second] = [new LimitBook(), new LimitBook()]
+    first.heard(start, named, 200)
+    assert.equal(second.told(first.known(700), 90_700).length, 1)
+    assert.deepEqual([second.limitOf(start, 90_700), second.told(first.known(800), 90_800)], [1.1, []])
+    first.heard(start, { limit: undefined, askedAt: 900, heardAt: 950 }, 950)
+    second.told(first.known(1_000), 91_000)
+    assert.equal(second.limitOf(start, 91_000), undefined)
+  })
+
+  it('forgets after ten minutes', () => {
+    const book = new LimitBook()
+    book.heard(start, named, 200)
+    assert.deepEqual([book.limitOf(start, 700_000), book.known(700_000)], [undefined, []])
+  })
+
+  it('remembers a bounded number of endpoints', () => {
+    const book = new LimitBook()
+    for (let index = 0; index < 2_000; index += 1) book.heard(`engine-${index}`, named, 200)
+    assert.equal(book.known(300).length, 1_024)
+  })
+
+  for (const limit of [-1, Number.NaN, Infinity, 1e9]) it(`takes ${limit} for no limit`, () => assert.equal(isLimit(limit), false))
+
+  const report = { start, limit: 1.1, askedAge: 30, heardAge: 20 }
+  const unreadable: [name: string, input: unknown][] = [
+    ['no list', { ...report }], ['no report', ['engine-7']], ['an endless name', [{ ...report, start: 'x'.repeat(201) }]], ['a limit in words', [{ ...report, limit: 'few' }]],
+    ['a limit below nothing', [{ ...report, limit: -1 }]], ['an age below nothing', [{ ...report, heardAge: -5 }]], ['an answer before its request', [{ ...report, askedAge: 10 }]],
+    ['more than anyone keeps', Array.from({ length: 1_025 }, () => report)]
+  ]
+  for (const [name, input] of unreadable) it(`cannot read ${name}`, () => assert.equal(readLimitNews(input), undefined))
+  it('reads what others tell', () => assert.deepEqual(readLimitNews([report, { ...report, limit: null }])?.length, 2))
+})
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -88,6 +88,12 @@
   readonly resumeAfter: string | undefined
 }
 
+/** What an endpoint says of itself in an answer of any kind, besides the answer. */
+export interface EndpointNotice {
+  /** Requests a second that it takes from all entries together; nothing when it names no limit. */
+  readonly limit: number | 'unreadable' | undefined
+}
+
 /** The head of an endpoint's answer, in the product's terms. */
 export type EndpointHead =
   /** It says that it did not run the request and never will. */
@@ -120,6 +126,8 @@
   /** Headers of a request to an endpoint. */
   writeRequest (head: CallerHead, terms: SendTerms, bodyLength: number): string[]
   readEndpoint (id: string, status: number, headers: IncomingHttpHeaders, rawHeaders: readonly string[]): EndpointHead
+  /** Also for answers that are nobody's: what an endpoint says of itself holds whoever it answers. */
+  readNotice (headers: IncomingHttpHeaders): EndpointNotice
   writeFailure (id: string, failure: RequestFailure): OwnAnswer
 }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -23,6 +23,7 @@
 import { LoadFollower, type AgentNews } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
 import { NewsRelay } from './news-relay.js'
+import { NoticeExchange } from './notice-exchange.js'
 import { PublishedFeed, type Watch } from './published-feed.js'
 import { ReadinessServer } from './readiness-server.js'
 import { placeOf } from './regions.js'
@@ -180,6 +181,7 @@
       reserve: this._reserve,
       draw: Math.random,
       suspects: this._suspects,
+      notices: new NoticeExchange({ log: this._log, counters: this._counters }),
       fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), { ...request, organisation: request.organisation?.name ?? '' }),
       log: this._log,
       counters: this._counters,
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -6,6 +6,7 @@
 /**
  * One caller's request on its way: attempts at endpoints, what follows each, and the one final answer.
  */
+import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
   AttemptCourse, decideStart, LEAST_FAILURE_STATUS, LEAST_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startOf, targetOf, type AttemptEnd, type Choice, type Need, type Opening, type RequestFailure
@@ -15,7 +16,8 @@
 import type { ConnectionReserve } from './connection-reserve.js'
 import { EndpointAttempt } from './endpoint-attempt.js'
 import { connectPatience, type EndpointRequest } from './endpoint-call.js'
-import type { AnswerHead, Dialect } from './ports.js'
+import type { NoticeExchange } from './notice-exchange.js'
+import type { AnswerHead, Dialect, EndpointHead } from './ports.js'
 import { RequestRecord, type RecordedRequest, type RecordParts, type RequestResult } from './request-record.js'
 import type { ServiceUnit } from './service-units.js'
 import type { SuspectExchange } from './suspect-exchange.js'
@@ -33,6 +35,7 @@
   readonly draw: () => number
   /** What makes two requests the same: see `fingerprintOf`. */
   readonly fingerprint: (request: ReadRequest) => string
+  readonly notices: Pick<NoticeExchange, 'heard'>
   readonly suspects: Pick<SuspectExchange, 'standing' | 'evidence' | 'lost' | 'lived' | 'answered'>
 }
 
@@ -133,7 +136,7 @@
       endsOnSilence: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
       beginBy: this._parts.mustBeginBy(head.model, choice.version)
     }, {
-      readHead: response => this._parts.dialect.readEndpoint(head.id, response.statusCode ?? 0, response.headers, response.rawHeaders),
+      readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._passEvents(attempt, answerHead, bytes) }
     })
     this._attempt = attempt
@@ -142,6 +145,15 @@
     attempt.ended.then(end => this._ended(attempt, end))
   }
 
+  /** What an endpoint says of itself holds whatever becomes of its answer, unless another one answers at its address. */
+  private _readHead ({ statusCode = 0, headers, rawHeaders }: IncomingMessage, { record }: Choice, sentAt: number): EndpointHead {
+    const { dialect, notices } = this._parts
+    const endpointHead = dialect.readEndpoint(this._request.head.id, statusCode, headers, rawHeaders)
+    const another = endpointHead.type === 'not-run' && endpointHead.reason === 'wrong-instance'
+    if (!another) notices.heard(startOf(record), dialect.readNotice(headers), sentAt, performance.now())
+    return endpointHead
+  }
+
   private _endpointRequest (choice: Choice, remaining: number): EndpointRequest {
     const { head, method, path, body, organisation, route } = this._request
     const { record, version } = choice
