An endpoint that names a limit gets no more than that from all entries together

What was seen: an endpoint in need named 1.1 requests a second and got 17 in 4 s, where 12 are allowed; callers noticed nothing. Cause: no part of an entry read what an answer says of its endpoint; the limit went on to the caller with the other headers. Ruled out by the log of what endpoints say: several entries that each take the whole (one alone sent 53 in 3 s), and retries or what was under way (all first attempts).

Each entry has its equal part of a limit, by the count of entries that it hears of (400 while it hears none), earned at random places in its own turn and lapsing after a second: what all begin with is what they would have earned anyway, so restarts give out nothing, and a silence saves up nothing. How much of a limit is used follows from how far turns of so many entries can fall together by chance: all of 1.1 a second before 6 entries, 0.55 of it before 24 and more. A turn that would pass is used first where the answer is expected early, so the endpoint gets what it asks for and its entries hear of the end. Who hears of a limit, a change or an end tells the others by way of agents; raised or lifted it is only by an answer to a request that was sent after the limit was heard. Where all endpoints of a service are in need, callers are refused at once with the time of this entry's next turn. It holds because no entry has to know what another sends: the model at 6, 24, 98 and 380 entries and limits of 0 to 20 stays within what is allowed, wanted at any moment and all at once.

The fuzz found two faults of the first draft. Statements grew younger with each process that passed them on, and two of them replaced each other without end: they are dated back by the longest way. One of 98 entries kept a limit that had ended, as it had heard it named in the same moment: entries compare what holds with an agent every 5 s, and are put right.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -14,6 +14,7 @@
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
 import type { SuspectNews } from './routing/attempts/suspect-requests.js'
+import type { LimitNews } from './routing/limits/limit-book.js'
 import type { LoadReport } from './routing/choice/endpoint-load.js'
 import type { ModelVersion } from './routing/published/endpoint-record.js'
 import type { PublishedNote, PublishedTopic } from './routing/published/published-state.js'
@@ -98,6 +99,8 @@
   | { readonly type: 'ping', readonly sentRate?: number | undefined, readonly followed?: number | undefined, readonly named?: NamedVersion | undefined }
   /** Tells an agent which requests were at endpoints that were lost, and which were answered after all; it passes on what it did not know. */
   | { readonly type: 'suspects', readonly news: SuspectNews }
+  /** Tells an agent what endpoints said of the requests that they take; it passes on what it did not know. */
+  | { readonly type: 'limits', readonly news: LimitNews }
   /** Asks for the load of the engine beside the agent, now and whenever it changes, as long as the connection lasts. */
   | { readonly type: 'follow-load' }
   /** Asks which chunks of a version the other side holds, now and as more come, as long as the connection lasts. */
@@ -158,6 +161,8 @@
   | { readonly type: 'load', readonly load: LoadReport }
   /** Tells those who follow the load of an engine which requests were at endpoints that were lost. */
   | { readonly type: 'suspects', readonly news: SuspectNews }
+  /** Tells them what endpoints said of the requests that they take. */
+  | { readonly type: 'limits', readonly news: LimitNews }
   /** Chunks that are newly held, and those that some other member holds, by their index. */
   | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[] }
   /** Parts of an answer, numbered from 0; the payload is the data. */
--- a/packages/core/src/lib/routing/attempts/fleet-size.ts
+++ b/packages/core/src/lib/routing/attempts/fleet-size.ts
@@ -11,6 +11,8 @@
 
 /** More entries than any deployment has; a count beyond it is taken for a mistake of whoever tells it. */
 export const MOST_ENTRIES = 10_000
+/** While no agent was heard, there may be as many entries as the largest deployment that is planned for has, and a few more. */
+export const ASSUMED_ENTRIES = 400
 /**
  * A count holds for this long at least, and twice this at most, in milliseconds: longer than zones are usually cut off, so that an
  * entry that loses sight of others does not take their part.
--- a/packages/core/src/lib/routing/attempts/retry-allowance.ts
+++ b/packages/core/src/lib/routing/attempts/retry-allowance.ts
@@ -13,6 +13,7 @@
  * with 10 retries each made 433 in 10 s, with 413 allowed, when eight of them were killed while endpoints refused 45 in 100 requests.
  */
 import type { RetryPurpose } from './attempt-course.js'
+import { ASSUMED_ENTRIES } from './fleet-size.js'
 
 /** What the operators allow. */
 export interface RetryTerms {
@@ -42,8 +43,6 @@
 const SAVED_SHARE = 0.5
 /** An entry that could not save up one retry could never make any. */
 const LEAST_CAPACITY = 1
-/** While no agent was heard, there may be as many entries as the largest deployment that is planned for has, and a few more. */
-const ASSUMED_ENTRIES = 400
 
 /** What one entry may spend on one service. */
 export class RetryAllowance {
--- a/packages/core/src/lib/routing/choice/choice-price.ts
+++ b/packages/core/src/lib/routing/choice/choice-price.ts
@@ -23,7 +23,7 @@
  * was late, at 150 to 200 1%, at 200 to 250 4 to 9%, with an objective of 300 to 400. While the own zone has an engine that is
  * expected sooner, leaving it costs so many times the usual price: a sixth of the bytes between regions less.
  */
-const COMFORT_SHARE = 0.47
+export const COMFORT_SHARE = 0.47
 const COMFORT_FACTOR = 3
 /**
  * What it costs, in milliseconds, to leave an engine with a millisecond of work when it wants to switch to another
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -9,8 +9,9 @@
  */
 import { Ejection } from '../../ejection.js'
 import type { EndpointCandidate, Choice, Need, Place } from './endpoint-choice.js'
-import { costOf, distanceFactor, tooLate } from './choice-price.js'
+import { COMFORT_SHARE, costOf, distanceFactor, tooLate } from './choice-price.js'
 import { readTime } from './engine-model.js'
+import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
 import type { Opening } from '../attempts/early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
@@ -62,8 +63,9 @@
 
   /**
    * @param _draw Random numbers in [0, 1).
+   * @param _gate What the endpoints ask of those who send to them.
    */
-  constructor (private readonly _place: Place, private readonly _draw: () => number) {}
+  constructor (private readonly _place: Place, private readonly _draw: () => number, private readonly _gate: EndpointGate = openGate) {}
 
   get records (): readonly EndpointRecord[] { return this._records }
 
@@ -110,6 +112,7 @@
     const start = startOf(choice.record)
     this._entry(start).load.sent(request, promptTokens, now)
     this._ejection.chosen(start)
+    this._gate.sent(start, now)
   }
 
   /** A plain request was answered after so many milliseconds. */
@@ -139,15 +142,22 @@
   private _chooseAmong (records: readonly EndpointRecord[], service: ServiceDescription, need: Need, now: number): Choice | undefined {
     const open = records.filter(record => this._open(record, service, need, now))
     const usable = new Set(this._ejection.usable(open.map(startOf), now))
-    const choices = open.filter(record => usable.has(startOf(record)))
+    const inTime = open.filter(record => usable.has(startOf(record)))
       .map(record => this._expect(record, service, need, now, open.length))
       .filter(choice => !tooLate(choice, need, now))
+    const choices = this._dueFirst(inTime, need, now)
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
     const costs = choices.map(choice => costOf(choice, this._entryOf(choice.record).load, view))
     const picked = this._pick(choices, costs, service, now)
     return picked === undefined ? undefined : this._choice(picked, service, need, now)
   }
 
+  /** An endpoint whose turn would pass goes first, where its answer is expected as soon as any caller needs it. */
+  private _dueFirst (choices: readonly EndpointCandidate[], { usualObjective }: Need, now: number): readonly EndpointCandidate[] {
+    const due = choices.filter(({ record, expected }) => this._gate.isDue(startOf(record), now) && expected < COMFORT_SHARE * usualObjective)
+    return due.length > 0 ? due : choices
+  }
+
   /**
    * When some endpoint is expected to take the request, for callers that are refused.
    *
@@ -155,14 +165,34 @@
    * const milliseconds = retryAfter({ patience, objective }, Math.random(), chooser.opening(service, need, now))
    */
   opening (service: ServiceDescription, need: Need, now: number): Opening {
-    if (service.pool === undefined) return { type: 'open' }
+    const takers = this._records.filter(record => this._takes(record, service, { ...need, tried: new Set() }, now))
+    if (service.pool === undefined) return this._openingOf(takers, now) ?? { type: 'open' }
     const heard = this._records.filter(record => this._entryOf(record).load.report(now) !== undefined)
     if (heard.length === 0) return { type: 'silent' }
-    if (heard.some(record => this._open(record, service, { ...need, tried: new Set() }, now))) return { type: 'open' }
     const times = heard.flatMap(record => this._entryOf(record).load.opensAt(now) ?? [])
+    const opening = this._openingOf(takers.filter(record => heard.includes(record)), now)
+    if (opening !== undefined) return opening
     return times.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.max(0, Math.min(...times) - now) }
   }
 
+  /** When the first of some endpoints that could take a request is to be sent one, as they themselves ask; nothing where there is none. */
+  private _openingOf (takers: readonly EndpointRecord[], now: number): Opening | undefined {
+    if (takers.length === 0) return undefined
+    const soonest = Math.min(...takers.map(record => this._gate.opensIn(startOf(record), now)))
+    if (soonest === 0) return { type: 'open' }
+    return soonest === Infinity ? { type: 'unknown' } : { type: 'expected', in: soonest }
+  }
+
+  /** How many endpoints are sent nothing now because they ask for it, by reason. */
+  spared (now: number): ReadonlyMap<SparedFor, number> {
+    const counts = new Map<SparedFor, number>()
+    for (const record of this._records) {
+      const reason = this._gate.sparedFor(startOf(record), now)
+      if (reason !== undefined) counts.set(reason, (counts.get(reason) ?? 0) + 1)
+    }
+    return counts
+  }
+
   /**
    * Draws among pools' engines, whose reports all entries share, and counts what the others send there meanwhile in what
    * is expected; of plain endpoints the best one is taken.
@@ -202,6 +232,11 @@
   }
 
   private _open (record: EndpointRecord, service: ServiceDescription, need: Need, now: number): boolean {
+    return this._takes(record, service, need, now) && this._gate.sparedFor(startOf(record), now) === undefined
+  }
+
+  /** Whether an endpoint could take a request, whatever it asks of those who send to it. */
+  private _takes (record: EndpointRecord, service: ServiceDescription, need: Need, now: number): boolean {
     if (record.draining || need.tried.has(startOf(record))) return false
     const known = this._entryOf(record)
     if (known.avoidUntil > now || known.load.outstanding >= service.maxConnections) return false
--- a/packages/core/src/lib/routing/limits/limit-book.ts
+++ b/packages/core/src/lib/routing/limits/limit-book.ts
@@ -35,6 +35,11 @@
 const GREATEST_LIMIT = 100_000
 /** How long what was said is remembered, in milliseconds: longer than an entry of the largest fleet goes without a turn. */
 const STATEMENT_LIFETIME = 600_000
+/**
+ * What is told is on its way for so long at most, in milliseconds, and was said so much earlier than its age tells. Without that a
+ * statement grew younger with each process that passed it on, and two of them replaced each other without end.
+ */
+const LONGEST_WAY = 1_000
 /** Bounds of memory and of one message: more endpoints than any pool has. */
 const MOST_STATEMENTS = 1_024
 const LONGEST_START = 200
@@ -87,10 +92,18 @@
    */
   told (news: LimitNews, now: number): LimitNews {
     return news.filter(({ start, limit, askedAge, heardAge }) => {
-      return this.heard(start, { limit: limit ?? undefined, askedAt: now - askedAge, heardAt: now - heardAge }, now)
+      return this.heard(start, { limit: limit ?? undefined, askedAt: now - askedAge - LONGEST_WAY, heardAt: now - heardAge }, now)
     })
   }
 
+  /**
+   * What a process that told something should know, since it holds otherwise here. Of two statements that may have been made in either
+   * order it keeps the lower limit, and would keep it until its next turn; a later statement settles it.
+   */
+  corrections (news: LimitNews, now: number): LimitNews {
+    return news.filter(({ start, limit }) => this.limitOf(start, now) !== (limit ?? undefined)).flatMap(({ start }) => this.report(start, now))
+  }
+
   /** What is known of one endpoint, to be told. */
   report (start: string, now: number): LimitNews {
     const statement = this._statements.get(start)
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -7,6 +7,7 @@
 import { describe, it } from 'node:test'
 import type { Need } from '../../../../lib/routing/choice/endpoint-choice.js'
 import { EndpointChooser } from '../../../../lib/routing/choice/endpoint-chooser.js'
+import type { EndpointGate, SparedFor } from '../../../../lib/routing/choice/endpoint-gate.js'
 import type { Opening } from '../../../../lib/routing/attempts/early-refusal.js'
 import type { LoadReport } from '../../../../lib/routing/choice/endpoint-load.js'
 import { startOf, type EndpointRecord } from '../../../../lib/routing/published/endpoint-record.js'
@@ -285,3 +286,42 @@
     })
   }
 })
+
+/** A gate that lets nothing to some endpoints for so long, and has a turn of others that would pass. */
+function gate (closed: Readonly<Record<string, number>>, due: readonly string[] = []): EndpointGate {
+  const sparedFor = (start: string): SparedFor | undefined => closed[start] === undefined ? undefined : 'limited'
+  return { sparedFor, isDue: start => due.includes(start), opensIn: start => closed[start] ?? 0, sent: () => {} }
+}
+
+function gated (records: readonly EndpointRecord[], asked: EndpointGate, loads: Readonly<Record<string, LoadReport>> = {}): EndpointChooser {
+  const made = new EndpointChooser({ availabilityZone: 'koshi', regionOf: () => 'here' }, () => 0, asked)
+  made.setRecords(records)
+  for (const [id, load] of Object.entries(loads)) made.heard(id, load, 1_000)
+  return made
+}
+
+describe('EndpointChooser, where endpoints ask for less', () => {
+  const [a, b] = [record('a'), record('b')]
+  const loads = { a: idle, b: busy }
+  const wide = { usualObjective: 2_000 }
+  const cases: [name: string, chosen: string | undefined, expected: string | undefined][] = [
+    ['sends what one does not take to the other, though it is busier', chosen(gated([a, b], gate({ a: 500 }), loads)), 'b'],
+    ['sends nothing where none takes any', chosen(gated([a, b], gate({ a: 500, b: 700 }), loads)), undefined],
+    ['uses a turn that would pass', chosen(gated([a, b], gate({}, ['b']), loads), wide), 'b'],
+    ['lets it pass where the answer would come late', chosen(gated([a, b], gate({}, ['b']), loads), { usualObjective: 100 }), 'a'],
+    ['does the same for plain endpoints', chosen(gated([a, b], gate({ a: 500 })), {}, desk), 'b']
+  ]
+  for (const [name, id, expected] of cases) it(name, () => assert.equal(id, expected))
+
+  const openings: [name: string, service: ServiceDescription, closed: Record<string, number>, expected: Opening][] = [
+    ['a pool', drafting, { a: 500, b: 700 }, { type: 'expected', in: 500 }],
+    ['a plain service', desk, { a: 500, b: 700 }, { type: 'expected', in: 500 }],
+    ['a plain service with one that takes requests', desk, { a: 500 }, { type: 'open' }],
+    ['a service that all endpoints leave', desk, { a: Infinity, b: Infinity }, { type: 'unknown' }]
+  ]
+  for (const [name, service, closed, expected] of openings) {
+    it(`says when the first takes a request again: ${name}`, () => assert.deepEqual(gated([a, b], gate(closed), { a: idle, b: idle }).opening(service, need, 1_050), expected))
+  }
+
+  it('counts those that it spares', () => assert.deepEqual([...gated([a, b], gate({ a: 500 })).spared(1_050)], [['limited', 1]]))
+})
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -5,6 +5,7 @@
  */
 /** What can happen to each world, and which promises it is there for. */
 import { ConfigurationWorld, type ConfigurationParts } from './configuration-world.js'
+import { LimitWorld, type LimitParts } from './limit-world.js'
 import type { RequestParts } from './request-parts.js'
 import { RequestWorld } from './request-world.js'
 import { RoutedWorld, type RoutedParts, type Treatment } from './routed-world.js'
@@ -155,6 +156,27 @@
   ]
 }
 
+/** What endpoints in need name, in requests a second; the first two as seen in service. */
+const LIMITS = [1.1, 1.7, 0, 0.3, 5, 20] as const
+/** How many times the usual load comes at once after a silence. */
+const LARGEST_BURST = 6
+
+/** Limits that endpoints name: all entries together keep within them, and know when they end. */
+export const limitScenario: Scenario<LimitWorld, LimitParts> = {
+  name: 'limits',
+  promises: ['within-limit', 'limit-ends'],
+  create: (seed, parts) => new LimitWorld(seed, parts),
+  actions: [
+    { name: 'load', draws: 1, weight: 6, run: (subject, [length = 0]) => subject.load(length / 1_000 * 2 * LONGEST_LOAD, 1) },
+    { name: 'burst', draws: 2, weight: 2, run: (subject, [length = 0, factor = 0]) => subject.load(length / 1_000 * LONGEST_LOAD, 1 + factor / 1_000 * LARGEST_BURST) },
+    { name: 'name-limit', draws: 2, weight: 3, run: (subject, [endpoint = 0, limit = 0]) => subject.name(endpoint, LIMITS[limit % LIMITS.length] ?? LIMITS[0]) },
+    { name: 'end-limit', draws: 1, run: (subject, [endpoint = 0]) => subject.end(endpoint) },
+    { name: 'restart', draws: 1, weight: 2, run: (subject, [entry = 0]) => subject.restart(entry) },
+    { name: 'cut-zone', draws: 1, run: (subject, [zone = 0]) => subject.cutZone(zone) },
+    { name: 'heal', draws: 0, weight: 2, run: subject => subject.heal() }
+  ]
+}
+
 const serviceStates = ['normal', 'down', 'stale'] as const
 
 /** Configuration: in force within the time allowed, never taken back, never an invalid one. */
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -8,14 +8,15 @@
  * that is not found out shows that the fuzz is blind there.
  */
 import {
-  AdmissionDoor, AnswerStream, AttemptCourse, ClaimKeeper, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
+  AdmissionDoor, AnswerStream, AttemptCourse, ClaimKeeper, EndpointLimits, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
   requestFailure, RetryAllowance, SuspectRequests, type Standing, type AttemptBounds, type AttemptEnd, type Configuration, type NextStep, type OnceEffect, type RetryPurpose, type Published, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
+import { realLimitParts, type LimitParts } from './limit-world.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { realRoutedParts, type RoutedParts } from './routed-world.js'
-import { configurationScenario, requestScenario, routedScenario, suspectScenario, weightsScenario } from './scenarios.js'
+import { configurationScenario, limitScenario, requestScenario, routedScenario, suspectScenario, weightsScenario } from './scenarios.js'
 import { realSuspectParts, type SuspectParts } from './suspect-world.js'
 import { realWeightsParts, type WeightsParts } from './weights-world.js'
 
@@ -46,6 +47,15 @@
   return { name, promise, run: options => runScenario(suspectScenario, { ...realSuspectParts, ...change }, options) }
 }
 
+function limits (name: string, promise: string, change: Partial<LimitParts>): Variant {
+  return { name, promise, run: options => runScenario(limitScenario, { ...realLimitParts, ...change }, options) }
+}
+
+/** Passes limits on to callers and heeds none. */
+class DeafLimits extends EndpointLimits {
+  override sparedFor (): undefined { return undefined }
+}
+
 /** Knows each request by the attempt only, as its caller's ids would have it. */
 class ForgetfulSuspects extends SuspectRequests {
   override lost (): void {}
@@ -241,6 +251,9 @@
   routed('retries-at-birth', 'retry-bound', { allowance: (...given) => new GenerousAllowance(...given) }),
   routed('every-entry-has-all-retries', 'retry-bound', { allowance: (terms, _entries, now) => new RetryAllowance(terms, () => 1, now) }),
   routed('cut-off-entries-not-counted', 'retry-bound', { fleet: () => new ShortSightedFleet() }),
+  limits('limits-not-heeded', 'within-limit', { limits: (...given) => new DeafLimits(...given) }),
+  limits('each-entry-has-the-whole-limit', 'within-limit', { limits: (_entries, draw) => new EndpointLimits(() => 1, draw) }),
+  limits('ends-of-limits-not-told', 'limit-ends', { tells: false }),
   suspects('losses-forgotten', 'few-ends', { suspects: () => new ForgetfulSuspects() }),
   suspects('each-entry-for-itself', 'few-ends', { tells: false }),
   suspects('newcomers-not-told', 'few-ends', { tellsNewcomers: false }),
--- a/packages/node/src/lib/agent/agent-requests.ts
+++ b/packages/node/src/lib/agent/agent-requests.ts
@@ -53,6 +53,7 @@
     'follow-news': (_request, _payload, responder) => responder.send({ type: 'refused', reason: 'not-supported', detail: 'this agent holds documents, not news' }),
     'follow-load': (_request, _payload, responder) => responder.send({ type: 'refused', reason: 'not-supported', detail: 'this agent tells its load with each answer' }),
     suspects: (_request, _payload, responder) => responder.send({ type: 'refused', reason: 'not-supported', detail: 'entries that ask this agent keep what they saw' }),
+    limits: (_request, _payload, responder) => responder.send({ type: 'refused', reason: 'not-supported', detail: 'this agent keeps the limit of its endpoint itself' }),
     ping: (_request, _payload, responder) => responder.send({ type: 'done' }),
     'follow-chunks': (_request, _payload, responder) => responder.send({ type: 'refused', reason: 'not-supported', detail: 'chunks of this agent are awaited, not followed' }),
     compare: (request, _payload, responder) => this._parts.spread.compared(request, responder),
--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -48,7 +48,8 @@
   'engine-failed': 502,
   'no-configuration': 503,
   'records-full': 429,
-  'ends-endpoints': 503
+  'ends-endpoints': 503,
+  'endpoints-spared': 503
 }
 
 /**
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -20,7 +20,7 @@
 
 /** Why a request ended as it did. */
 export type RequestCause =
-  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'no-configuration'
+  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'endpoints-spared' | 'no-configuration'
   | 'not-allowed' | 'endpoint-failed' | 'time-over' | 'caller-left' | 'unfinished'
 
 /** What is known of one request. */
@@ -41,7 +41,7 @@
 /** Events that change what a process believes, whatever endpoint they are about. */
 const beliefs = new Set(['store-lost', 'store-regained', 'configuration-adopted', 'version-wanted', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
 /** Events about one endpoint or its agent. */
-const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
+const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'endpoint-limited', 'endpoint-limit-ended', 'agent-lost', 'agent-regained'])
 
 const pair = /(\w+)=("(?:[^"\\]|\\.)*"|\S*)/g
 
@@ -97,6 +97,7 @@
   'stream-paused': 'events paused for longer than the objective: look at the endpoint\'s load, and at transfers of weights beside it',
   overloaded: 'refused early, as every endpoint was expected too late or refused it: look at the load of the pool',
   'ends-endpoints': 'endpoints were lost under this request again and again, so it is held back: see request-held-back, and what its body does to an endpoint',
+  'endpoints-spared': 'endpoints are sent less because they ask for it, see spared, and endpoint-limited of each: look at what they are in need of',
   'no-endpoint': 'no endpoint may take it: see which are listed, and whether all hold a version that is due to be replaced',
   'no-configuration': 'the process had just started and knew no configuration: see store-lost and its seeds',
   'not-allowed': 'the configuration in force has no such route, key or size: compare its version with the one published',
@@ -106,7 +107,7 @@
   unfinished: 'no final line: the process ended, or lines were left out (log-lines-left-out)'
 }
 
-const refusals: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
+const refusals: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'endpoints-spared': 'endpoints-spared', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
 
 /** Why a request ended as it did, from its own lines in order. */
 export function causeOf (request: readonly LogLine[]): RequestCause {
@@ -126,7 +127,9 @@
     if (Number(end['status']) >= 500) return 'endpoint-failed'
     const time = Number(end['first'] ?? end['took'])
     if (time > Number(end['objective'])) {
-      const expected = Number(request.filter(({ event }) => event === 'request-sent').at(-1)?.fields['expected'])
+      const sent = request.filter(({ event }) => event === 'request-sent').at(-1)?.fields
+      const expected = Number(sent?.['expected'])
+      if (sent?.['spared'] !== undefined && time <= SLOWER_FACTOR * expected) return 'endpoints-spared'
       return time > SLOWER_FACTOR * expected ? 'endpoint-slower-than-expected' : 'pool-busy'
     }
     return Number(end['gap']) > Number(end['objective']) ? 'stream-paused' : 'in-time'
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -6,7 +6,7 @@
 /**
  * Follows the load of engines: one connection to the agent beside each, over which the agent tells of every change.
  */
-import { failureOf, type LoadReport, type NamedVersion, type SuspectNews } from '@drumdrift/core'
+import { failureOf, type LoadReport, type NamedVersion, type PeerReply, type PeerRequest } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
@@ -21,6 +21,9 @@
   readonly named: NamedVersion | undefined
 }
 
+/** What agents pass on from other entries. */
+export type EntryNews = Extract<PeerReply, { type: 'suspects' | 'limits' }>
+
 /** What the follower works with. */
 export interface LoadFollowerParts {
   readonly pool: PeerPool
@@ -29,10 +32,10 @@
   readonly onLoad: (agent: string, load: LoadReport) => void
   /** What an agent is told with each measurement. */
   readonly news: (agent: string) => AgentNews
-  /** Takes what an agent passes on of requests that may end endpoints. */
-  readonly onSuspects: (news: unknown, agent: string) => void
-  /** What an agent is told of these once it is reached. */
-  readonly suspects: () => SuspectNews
+  /** Takes what an agent passes on from other entries. */
+  readonly onNews: (news: EntryNews, agent: string) => void
+  /** What an agent is told for other entries once it is reached. */
+  readonly known: () => readonly PeerRequest[]
   /** A measurement of the way to the agent and back began or ended. */
   readonly onMeasured: (agent: string, step: 'begun' | 'ended') => void
 }
@@ -57,8 +60,8 @@
 /** A measurement that takes longer is given up, in milliseconds; the connection is then taken for lost. */
 const MEASURE_PATIENCE = 3_000
 /**
- * Agents that are told of suspect requests; each tells all entries that follow it. Where an agent has 16 followers of 98 entries, six reach six in
- * ten at once, and those tell further what makes a request suspect.
+ * Agents that are told what other entries should know; each tells all entries that follow it. Where an agent has 16 followers of 98 entries, six reach six in
+ * ten at once, and those tell further what is news to them.
  */
 const TOLD_AGENTS = 6
 /** A connection without any report for this time is opened anew, in milliseconds: two measurements of a short way. */
@@ -105,11 +108,11 @@
     this._tick()
   }
 
-  /** Tells some agents, drawn at random, of requests that may end endpoints. */
-  tellSuspects (news: SuspectNews): void {
+  /** Tells some agents, drawn at random, what other entries should know. */
+  tellSome (news: PeerRequest, agents = TOLD_AGENTS): void {
     const open = [...this._followed.values()].flatMap(({ connection }) => connection?.open === true ? [{ connection, place: Math.random() }] : [])
     open.sort((left, right) => left.place - right.place)
-    for (const { connection } of open.slice(0, TOLD_AGENTS)) connection.tell({ type: 'suspects', news })
+    for (const { connection } of open.slice(0, agents)) connection.tell(news)
   }
 
   close (): void { clearInterval(this._timer) }
@@ -151,13 +154,12 @@
       followed.heardAt = performance.now()
       connection.ask({ type: 'follow-load' }, undefined, {
         reply: reply => {
-          if (reply.type === 'suspects') this._parts.onSuspects(reply.news, agent)
+          if (reply.type === 'suspects' || reply.type === 'limits') this._parts.onNews(reply, agent)
           if (reply.type === 'load') this._hear(agent, followed, reply.load)
         },
         lost: () => this._lost(agent, followed, 'connection-lost')
       })
-      const news = this._parts.suspects()
-      if (news.losses.length > 0) connection.tell({ type: 'suspects', news })
+      for (const news of this._parts.known()) connection.tell(news)
     } catch (error) {
       const failure = failureOf(error)
       this._lost(agent, followed, 'reason' in failure ? failure.reason : failure.type)
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -81,6 +81,9 @@
     follower.heardAt = now
   }
 
+  /** Tells one follower. */
+  tellOne (reply: PeerReply, connection: PeerConnection): void { this._followers.get(connection)?.responder.send(reply) }
+
   /** Tells all followers but one. */
   tellOthers (reply: PeerReply, except: PeerConnection): void {
     for (const [connection, { responder }] of this._followers) if (connection !== except) responder.send(reply)
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -51,13 +51,17 @@
 export class RequestRecord {
   constructor (private readonly _parts: RecordParts, private readonly _request: RecordedRequest) {}
 
-  /** An attempt was sent. */
-  sent (number: number, choice: Choice, remaining: number, resumeAfter: string | undefined): void {
+  /**
+   * An attempt was sent.
+   *
+   * @param spared Other endpoints that are sent nothing because they ask for it.
+   */
+  sent (number: number, choice: Choice, remaining: number, resumeAfter: string | undefined, spared: string | undefined): void {
     const { head, route } = this._request
     const { record, expected, version, reportAge, roundTrip, candidates } = choice
     this._parts.counters.add('attempts')
     this._parts.log.request('request-sent', {
-      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: finite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, resume_after: resumeAfter
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: finite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, resume_after: resumeAfter, spared
     })
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -20,7 +20,7 @@
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
-import { LoadFollower, type AgentNews } from './load-follower.js'
+import { LoadFollower, type AgentNews, type EntryNews } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
 import { NewsRelay } from './news-relay.js'
 import { NoticeExchange } from './notice-exchange.js'
@@ -72,6 +72,7 @@
   private readonly _relay: NewsRelay
   private readonly _follower: LoadFollower
   private readonly _suspects: SuspectExchange
+  private readonly _notices: NoticeExchange
   private readonly _units: ServiceUnits
   private readonly _reserve = new ConnectionReserve()
   private readonly _front: RouteFront
@@ -87,7 +88,13 @@
     const text = (section: string, key: string): string => _settings.text(section, key)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic)
-    this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'))
+    this._notices = new NoticeExchange({
+      log: _log,
+      counters: this._counters,
+      entries: now => this._units.entries(now),
+      tell: (news, to) => this._follower.tellSome({ type: 'limits', news }, to === 'one' ? 1 : undefined)
+    })
+    this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
     this._feed = new PublishedFeed({
       store: platform.store,
       pool: this._pool,
@@ -108,14 +115,14 @@
       log: _log,
       news: agent => this._newsFor(agent, performance.now()),
       onLoad: (agent, load) => this._hear(agent, load),
-      onSuspects: (news, agent) => this._suspects.heard(news, agent),
-      suspects: () => this._suspects.known(),
+      onNews: (reply, agent) => this._hearNews(reply, agent),
+      known: () => this._known(),
       onMeasured: (agent, step) => this._units.measured(agent, step, performance.now())
     })
     this._suspects = new SuspectExchange({
       log: _log,
       counters: this._counters,
-      tell: news => this._follower.tellSuspects(news),
+      tell: news => this._follower.tellSome({ type: 'suspects', news }),
       onHeldBack: fingerprint => this._front.holdBack(fingerprint)
     })
     const requestParts = this._requestParts(platform)
@@ -167,6 +174,7 @@
     this._relay.close()
     this._follower.close()
     this._suspects.close()
+    this._notices.close()
     this._server.close()
     this._pool.close()
     this._metrics?.close()
@@ -181,7 +189,7 @@
       reserve: this._reserve,
       draw: Math.random,
       suspects: this._suspects,
-      notices: new NoticeExchange({ log: this._log, counters: this._counters }),
+      notices: this._notices,
       fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), { ...request, organisation: request.organisation?.name ?? '' }),
       log: this._log,
       counters: this._counters,
@@ -189,6 +197,21 @@
     }
   }
 
+  private _hearNews (reply: EntryNews, agent: string): void {
+    if (reply.type === 'suspects') this._suspects.heard(reply.news, agent)
+    else this._notices.told(reply.news, agent)
+  }
+
+  /** What an agent is to know for entries that start again. */
+  private _known (): PeerRequest[] {
+    const suspects = this._suspects.known()
+    const limits = this._notices.known()
+    return [
+      ...(suspects.losses.length > 0 ? [{ type: 'suspects', news: suspects } as const] : []),
+      ...(limits.length > 0 ? [{ type: 'limits', news: limits } as const] : [])
+    ]
+  }
+
   private _hear (agent: string, load: LoadReport): void {
     const now = performance.now() - ageOf(load)
     const alive = this._units.aliveBy(agent, load, now)
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -6,7 +6,7 @@
 /**
  * The services that one entry routes to, each with its endpoints and this entry's part of its retries, rebuilt from published state.
  */
-import { EndpointChooser, enginesToFollow, FirstTries, FleetSize, isEarlierStart, RetryAllowance, startOf, UsualObjective, type EndpointRecord, type LoadReport, type Place, type PublishedState, type RetryTerms, type ServiceDescription, type ZoneOfAgents } from '@drumdrift/core'
+import { EndpointChooser, type EndpointGate, enginesToFollow, FirstTries, FleetSize, isEarlierStart, RetryAllowance, startOf, UsualObjective, type EndpointRecord, type LoadReport, type Place, type PublishedState, type RetryTerms, type ServiceDescription, type ZoneOfAgents } from '@drumdrift/core'
 import { parseAddress } from '../settings/address.js'
 
 /** One service at one entry. */
@@ -39,8 +39,12 @@
    * @param _self This entry's name.
    * @param _retryTerms What retries may add to the load of a service.
    * @param _agentPort The port at which agents listen on their instances.
+   * @param _gate What endpoints ask of those who send to them.
    */
-  constructor (private readonly _self: string, private readonly _place: Place, private readonly _retryTerms: RetryTerms, private readonly _agentPort: number) {}
+  constructor (private readonly _self: string, private readonly _place: Place, private readonly _retryTerms: RetryTerms, private readonly _agentPort: number, private readonly _gate: EndpointGate) {}
+
+  /** How many entries the deployment has; nothing while no agent was heard. */
+  entries (now: number): number | undefined { return this._fleet.estimate(now) }
 
   get (service: string): ServiceUnit | undefined { return this._units.get(service) }
 
@@ -87,8 +91,8 @@
   }
 
   private _newUnit (description: ServiceDescription): ServiceUnit {
-    const retries = new RetryAllowance(this._retryTerms, now => this._fleet.estimate(now), performance.now())
-    return { description, chooser: new EndpointChooser(this._place, Math.random), retries, objective: new UsualObjective(), firstTries: new FirstTries() }
+    const retries = new RetryAllowance(this._retryTerms, now => this.entries(now), performance.now())
+    return { description, chooser: new EndpointChooser(this._place, Math.random, this._gate), retries, objective: new UsualObjective(), firstTries: new FirstTries() }
   }
 
   /** Requests in a millisecond that go to the pool of an agent, and among how many engines. */
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LinkPacer, readRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LimitBook, LinkPacer, readLimitNews, readRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -63,6 +63,8 @@
   private readonly _publisher = new LoadPublisher(() => ({ readRate: readRate(this._poolDescription), slots: this._poolDescription?.slots ?? Infinity }))
   /** What entries told of requests that may end endpoints; kept for entries that start again. */
   private readonly _suspects = new SuspectRequests()
+  /** What entries told of the limits of endpoints; kept for the same. */
+  private readonly _limits = new LimitBook()
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
@@ -282,8 +284,11 @@
       this._publisher.follow(responder, performance.now())
       const losses = this._suspects.known(performance.now())
       if (losses.length > 0) responder.send({ type: 'suspects', news: { losses, answers: [] } })
+      const limits = this._limits.known(performance.now())
+      if (limits.length > 0) responder.send({ type: 'limits', news: limits })
     },
-    suspects: ({ news }, responder) => { this._passOnSuspects(news, responder) }
+    suspects: ({ news }, responder) => { this._passOnSuspects(news, responder) },
+    limits: ({ news }, responder) => { this._passOnLimits(news, responder) }
   }
 
   /** Entries do not know each other: what one saw of requests that end endpoints reaches the others through agents. */
@@ -294,6 +299,17 @@
     if (news.losses.length + news.answers.length > 0) this._publisher.tellOthers({ type: 'suspects', news }, connection)
   }
 
+  /** The one who told is put right where it holds otherwise than this agent does. */
+  private _passOnLimits (input: unknown, responder: Responder): void {
+    const told = readLimitNews(input)
+    if (told === undefined) return this._log.warn('peer-malformed', { type: 'limits', detail: 'it is no news of limits' })
+    const now = performance.now()
+    const news = this._limits.told(told, now)
+    if (news.length > 0) this._publisher.tellOthers({ type: 'limits', news }, responder.connection)
+    const corrections = this._limits.corrections(told, now)
+    if (corrections.length > 0) this._publisher.tellOne({ type: 'limits', news: corrections }, responder.connection)
+  }
+
   private _hearNamed ({ model, version, revision, age }: NamedVersion): void {
     if (typeof model !== 'string' || ![version, revision, age].every(Number.isFinite)) {
       return this._log.warn('peer-malformed', { type: 'ping', detail: 'it names no version of a model' })
--- /dev/null
+++ b/packages/node/src/test/lib/routing/notice-exchange_test.ts
@@ -0,0 +1,59 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import type { LimitNews } from '@drumdrift/core'
+import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
+import { Log } from '../../../lib/observe/log.js'
+import { Counters } from '../../../lib/observe/metrics.js'
+import { NoticeExchange } from '../../../lib/routing/notice-exchange.js'
+import type { EndpointNotice } from '../../../lib/routing/ports.js'
+
+const start = 'engine-7@1700'
+
+const made: NoticeExchange[] = []
+
+function exchange (): { readonly notices: NoticeExchange, readonly told: LimitNews[], readonly events: string[], readonly counters: Counters } {
+  const told: LimitNews[] = []
+  const events: string[] = []
+  const counters = new Counters()
+  const log = new Log('debug', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => { callback(null, bytes.length) }))
+  log.warn = event => { events.push(event) }
+  log.info = event => { events.push(event) }
+  const notices = new NoticeExchange({ log, counters, entries: () => 6, tell: news => told.push(news) })
+  made.push(notices)
+  return { notices, told, events, counters }
+}
+
+describe('NoticeExchange', () => {
+  afterEach(() => { for (const notices of made.splice(0)) notices.close() })
+
+  it('logs and tells once that an endpoint names a limit, and that it ends', () => {
+    const { notices, told, events } = exchange()
+    const now = performance.now()
+    for (let count = 0; count < 3; count += 1) notices.heard(start, { limit: 1.1 }, now, now + 10 + count)
+    notices.heard(start, { limit: undefined }, now + 20, now + 30)
+    assert.deepEqual([told.flat().map(({ limit }) => limit), events], [[1.1, null], ['endpoint-limited', 'endpoint-limit-ended']])
+  })
+
+  const absurd: [name: string, notice: EndpointNotice][] = [['a word', { limit: 'unreadable' }], ['more than any fleet sends', { limit: 1e9 }]]
+  for (const [name, notice] of absurd) {
+    it(`heeds no limit that cannot be meant, logs it once, and keeps what it knew: ${name}`, () => {
+      const { notices, events, counters } = exchange()
+      const now = performance.now()
+      notices.heard(start, { limit: 1.1 }, now, now + 10)
+      for (let count = 0; count < 3; count += 1) notices.heard(start, notice, now + 20, now + 30)
+      assert.deepEqual([events, counters.get('endpoint_notices_refused'), notices.known().length], [['endpoint-limited', 'endpoint-notice-refused'], 3, 1])
+    })
+  }
+
+  it('passes on what it is told if that is news to it, and refuses what it cannot read', () => {
+    const { notices, told, events } = exchange()
+    for (let count = 0; count < 2; count += 1) notices.told([{ start, limit: 2, askedAge: 20, heardAge: 10 }], 'agent-1')
+    notices.told('gibberish', 'agent-1')
+    assert.deepEqual([told.length, events], [1, ['endpoint-limited', 'peer-malformed']])
+  })
+})
