--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -51,6 +51,10 @@
   endsUnder: string | undefined
   /** Requests a second that it says it takes from all entries together, in each answer; nothing for none. */
   limit: number | undefined
+  /** Whether it says in each answer that it leaves. */
+  leaving = false
+  /** Seconds for which it wants nothing from a caller that it turns away; nothing where it does not say. */
+  rest: number | undefined
   /** Whether it has ended so. */
   ended = false
   version = 1
@@ -80,6 +84,7 @@
     this.arrivals.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
+    if (this.leaving) response.setHeader('server-leaving', '1')
     if (body === this.endsUnder) return this._end(request, response)
     modeHandlers[this.mode](this, request, response)
   }
@@ -156,7 +161,10 @@
   'late-error': (worker, request, response) => {
     setTimeout(() => response.writeHead(504, worker.head(request)).end('too late'), LATE_ERROR_TIME)
   },
-  sheds: (_worker, _request, response) => { response.writeHead(503, { 'x-not-run': '1' }).end() },
+  sheds: (worker, _request, response) => {
+    const rest = worker.rest === undefined ? {} : { 'retry-after': String(worker.rest) }
+    response.writeHead(503, { 'x-not-run': '1', ...rest }).end()
+  },
   'wrong-instance': (worker, _request, response) => { response.writeHead(421, { 'x-instance-id': worker.id }).end() },
   'wrong-version': (_worker, _request, response) => { response.writeHead(421).end() },
   cut: (worker, request, response) => {
