An endpoint that says that it leaves is sent nothing any more, whatever the list says

What was seen: requests reached an endpoint up to 3 s after it had told the same entry that it leaves; its callers were served until it ended. Cause: entries knew of leaving from the list alone, and the list went on calling it ready while the store took no writes. Ruled out: a later word that takes it back (the list had none after its first, and no answer was read), and requests under way (they came 2.3 s later).

An answer's own word is heeded at once, of this start of the endpoint only: no list and no late answer takes it back, and a successor at the address starts clean. It holds because the mark needs neither the store nor other entries.

--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -7,7 +7,7 @@
  * What endpoints say of themselves in their answers, heeded by one entry and shared with the others by way of the agents that it
  * follows: an entry that sends an endpoint almost nothing hears almost nothing from it, neither of a limit nor of its end.
  */
-import { EndpointLimits, endpointOf, isLimit, readLimitNews, type EndpointGate, type LimitChange, type LimitNews } from '@drumdrift/core'
+import { EndpointAbsences, EndpointLimits, EndpointNotices, endpointOf, isLimit, readLimitNews, type EndpointGate, type LimitChange, type LimitNews } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { EndpointNotice } from './ports.js'
@@ -33,21 +33,27 @@
 /** What the endpoints said, at one entry. */
 export class NoticeExchange {
   private readonly _limits: EndpointLimits
+  private readonly _absences = new EndpointAbsences()
+  /** What the endpoints ask of those who send to them. */
+  readonly gate: EndpointGate
   private readonly _unreadable = new Set<string>()
   private readonly _timer: NodeJS.Timeout
 
   constructor (private readonly _parts: NoticeExchangeParts) {
     this._limits = new EndpointLimits(_parts.entries, Math.random)
+    this.gate = new EndpointNotices(this._limits, this._absences)
     this._timer = setInterval(() => this._tell(this.known(), 'one'), COMPARE_PAUSE)
   }
 
   close (): void { clearInterval(this._timer) }
 
-  /** What the endpoints ask of those who send to them. */
-  get gate (): EndpointGate { return this._limits }
-
   /** An answer said something of its endpoint. What cannot be meant is not heeded, and what was known stays. */
-  heard (start: string, { limit }: EndpointNotice, askedAt: number, now: number): void {
+  heard (start: string, { limit, leaving }: EndpointNotice, askedAt: number, now: number): void {
+    if (leaving && this._absences.leaves(start)) this._noteLeaving(start)
+    this._heardLimit(start, limit, askedAt, now)
+  }
+
+  private _heardLimit (start: string, limit: EndpointNotice['limit'], askedAt: number, now: number): void {
     if (limit === 'unreadable' || (limit !== undefined && !isLimit(limit))) return this._refuse(start, String(limit))
     const change = this._limits.heard(start, { limit, askedAt, heardAt: now }, now)
     if (change === undefined) return
@@ -79,6 +85,11 @@
     else log.warn('endpoint-limited', { endpoint: endpointOf(start), source, limit, share: rounded(share), entries: entries(now) })
   }
 
+  private _noteLeaving (start: string): void {
+    this._parts.counters.add('endpoints_leaving')
+    this._parts.log.warn('endpoint-leaving', { endpoint: endpointOf(start), detail: 'it says so in an answer; this start of it is sent nothing any more' })
+  }
+
   private _refuse (start: string, limit: string): void {
     this._parts.counters.add('endpoint_notices_refused')
     if (this._unreadable.has(start) || this._unreadable.size >= MOST_UNREADABLE) return
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -92,6 +92,8 @@
 export interface EndpointNotice {
   /** Requests a second that it takes from all entries together; nothing when it names no limit. */
   readonly limit: number | 'unreadable' | undefined
+  /** Whether it will end soon and wants no new work. */
+  readonly leaving: boolean
 }
 
 /** The head of an endpoint's answer, in the product's terms. */
--- a/packages/node/src/test/lib/routing/notice-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/notice-exchange_test.ts
@@ -13,6 +13,7 @@
 import type { EndpointNotice } from '../../../lib/routing/ports.js'
 
 const start = 'engine-7@1700'
+const nothing: EndpointNotice = { limit: undefined, leaving: false }
 
 const made: NoticeExchange[] = []
 
@@ -34,22 +35,29 @@
   it('logs and tells once that an endpoint names a limit, and that it ends', () => {
     const { notices, told, events } = exchange()
     const now = performance.now()
-    for (let count = 0; count < 3; count += 1) notices.heard(start, { limit: 1.1 }, now, now + 10 + count)
-    notices.heard(start, { limit: undefined }, now + 20, now + 30)
+    for (let count = 0; count < 3; count += 1) notices.heard(start, { ...nothing, limit: 1.1 }, now, now + 10 + count)
+    notices.heard(start, nothing, now + 20, now + 30)
     assert.deepEqual([told.flat().map(({ limit }) => limit), events], [[1.1, null], ['endpoint-limited', 'endpoint-limit-ended']])
   })
 
-  const absurd: [name: string, notice: EndpointNotice][] = [['a word', { limit: 'unreadable' }], ['more than any fleet sends', { limit: 1e9 }]]
+  const absurd: [name: string, notice: EndpointNotice][] = [['a word', { ...nothing, limit: 'unreadable' }], ['more than any fleet sends', { ...nothing, limit: 1e9 }]]
   for (const [name, notice] of absurd) {
     it(`heeds no limit that cannot be meant, logs it once, and keeps what it knew: ${name}`, () => {
       const { notices, events, counters } = exchange()
       const now = performance.now()
-      notices.heard(start, { limit: 1.1 }, now, now + 10)
+      notices.heard(start, { ...nothing, limit: 1.1 }, now, now + 10)
       for (let count = 0; count < 3; count += 1) notices.heard(start, notice, now + 20, now + 30)
       assert.deepEqual([events, counters.get('endpoint_notices_refused'), notices.known().length], [['endpoint-limited', 'endpoint-notice-refused'], 3, 1])
     })
   }
 
+  it('logs once that an endpoint leaves, and sends this start of it nothing, whatever it says later', () => {
+    const { notices, events } = exchange()
+    const now = performance.now()
+    for (const leaving of [true, true, false]) notices.heard(start, { ...nothing, leaving }, now, now + 10)
+    assert.deepEqual([events, notices.gate.sparedFor(start, now + 60_000), notices.gate.sparedFor('engine-7@1800', now + 20)], [['endpoint-leaving'], 'leaving', undefined])
+  })
+
   it('passes on what it is told if that is news to it, and refuses what it cannot read', () => {
     const { notices, told, events } = exchange()
     for (let count = 0; count < 2; count += 1) notices.told([{ start, limit: 2, askedAge: 20, heardAge: 10 }], 'agent-1')
