An endpoint that turns a request away and asks for rest is given it

Cause: an entry read of such an answer that nothing ran, and passed the endpoint over for 0.1 s, whatever it had asked for. Ruled out: further attempts alone (first attempts went there too), and a later word that takes it back (there was none).

An endpoint is sent nothing until the longest rest that it asked this entry for is over; a shorter one that comes later does not end it, since answers overtake each other. What cannot be meant is not heeded and logged once. It holds because the time runs from when the answer is heard, later than the endpoint counts it, and is kept by this start of the endpoint.

--- a/packages/core/src/lib/routing/choice/endpoint-gate.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-gate.ts
@@ -6,7 +6,7 @@
 /** What endpoints themselves ask of those who send to them, as the choice among them sees it. */
 
 /** Why an endpoint is sent nothing now. */
-export type SparedFor = 'limited' | 'leaving'
+export type SparedFor = 'limited' | 'leaving' | 'resting'
 
 /** Which endpoints may be sent a request. */
 export interface EndpointGate {
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -41,7 +41,7 @@
 /** Events that change what a process believes, whatever endpoint they are about. */
 const beliefs = new Set(['store-lost', 'store-regained', 'configuration-adopted', 'version-wanted', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
 /** Events about one endpoint or its agent. */
-const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'agent-lost', 'agent-regained'])
+const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting', 'agent-lost', 'agent-regained'])
 
 const pair = /(\w+)=("(?:[^"\\]|\\.)*"|\S*)/g
 
@@ -97,7 +97,7 @@
   'stream-paused': 'events paused for longer than the objective: look at the endpoint\'s load, and at transfers of weights beside it',
   overloaded: 'refused early, as every endpoint was expected too late or refused it: look at the load of the pool',
   'ends-endpoints': 'endpoints were lost under this request again and again, so it is held back: see request-held-back, and what its body does to an endpoint',
-  'endpoints-spared': 'endpoints are sent less because they ask for it, see spared, and endpoint-limited or endpoint-leaving of each: look at what they are in need of, and whether their successors have come',
+  'endpoints-spared': 'endpoints are sent less because they ask for it, see spared, and endpoint-limited, endpoint-leaving or endpoint-resting of each: look at what they are in need of, and whether their successors have come',
   'no-endpoint': 'no endpoint may take it: see which are listed, and whether all hold a version that is due to be replaced',
   'no-configuration': 'the process had just started and knew no configuration: see store-lost and its seeds',
   'not-allowed': 'the configuration in force has no such route, key or size: compare its version with the one published',
--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -7,7 +7,7 @@
  * What endpoints say of themselves in their answers, heeded by one entry and shared with the others by way of the agents that it
  * follows: an entry that sends an endpoint almost nothing hears almost nothing from it, neither of a limit nor of its end.
  */
-import { EndpointAbsences, EndpointLimits, EndpointNotices, endpointOf, isLimit, readLimitNews, type EndpointGate, type LimitChange, type LimitNews } from '@drumdrift/core'
+import { EndpointAbsences, EndpointLimits, EndpointNotices, endpointOf, isLimit, isRest, readLimitNews, type EndpointGate, type LimitChange, type LimitNews } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { EndpointNotice } from './ports.js'
@@ -48,13 +48,20 @@
   close (): void { clearInterval(this._timer) }
 
   /** An answer said something of its endpoint. What cannot be meant is not heeded, and what was known stays. */
-  heard (start: string, { limit, leaving }: EndpointNotice, askedAt: number, now: number): void {
+  heard (start: string, { limit, leaving, rest }: EndpointNotice, askedAt: number, now: number): void {
     if (leaving && this._absences.leaves(start)) this._noteLeaving(start)
+    if (rest !== undefined) this._heardRest(start, rest, now)
     this._heardLimit(start, limit, askedAt, now)
   }
 
+  private _heardRest (start: string, rest: number | 'unreadable', now: number): void {
+    if (rest === 'unreadable' || !isRest(rest)) return this._refuse(start, 'rest', String(rest))
+    this._parts.counters.add('endpoint_rests_asked')
+    if (this._absences.rests(start, rest, now)) this._parts.log.warn('endpoint-resting', { endpoint: endpointOf(start), for: Math.round(rest) })
+  }
+
   private _heardLimit (start: string, limit: EndpointNotice['limit'], askedAt: number, now: number): void {
-    if (limit === 'unreadable' || (limit !== undefined && !isLimit(limit))) return this._refuse(start, String(limit))
+    if (limit === 'unreadable' || (limit !== undefined && !isLimit(limit))) return this._refuse(start, 'limit', String(limit))
     const change = this._limits.heard(start, { limit, askedAt, heardAt: now }, now)
     if (change === undefined) return
     this._note(change, 'own', now)
@@ -90,11 +97,11 @@
     this._parts.log.warn('endpoint-leaving', { endpoint: endpointOf(start), detail: 'it says so in an answer; this start of it is sent nothing any more' })
   }
 
-  private _refuse (start: string, limit: string): void {
+  private _refuse (start: string, what: 'limit' | 'rest', value: string): void {
     this._parts.counters.add('endpoint_notices_refused')
     if (this._unreadable.has(start) || this._unreadable.size >= MOST_UNREADABLE) return
     this._unreadable.add(start)
-    this._parts.log.warn('endpoint-notice-refused', { endpoint: endpointOf(start), limit, detail: 'it is no number of requests a second; what was known holds on' })
+    this._parts.log.warn('endpoint-notice-refused', { endpoint: endpointOf(start), what, value, detail: 'it cannot be meant; what was known holds on' })
   }
 }
 
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -94,6 +94,8 @@
   readonly limit: number | 'unreadable' | undefined
   /** Whether it will end soon and wants no new work. */
   readonly leaving: boolean
+  /** Milliseconds for which it wants nothing from this entry, since it turned its request away; nothing when it does not say. */
+  readonly rest: number | 'unreadable' | undefined
 }
 
 /** The head of an endpoint's answer, in the product's terms. */
@@ -129,7 +131,7 @@
   writeRequest (head: CallerHead, terms: SendTerms, bodyLength: number): string[]
   readEndpoint (id: string, status: number, headers: IncomingHttpHeaders, rawHeaders: readonly string[]): EndpointHead
   /** Also for answers that are nobody's: what an endpoint says of itself holds whoever it answers. */
-  readNotice (headers: IncomingHttpHeaders): EndpointNotice
+  readNotice (status: number, headers: IncomingHttpHeaders): EndpointNotice
   writeFailure (id: string, failure: RequestFailure): OwnAnswer
 }
 
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -150,7 +150,7 @@
     const { dialect, notices } = this._parts
     const endpointHead = dialect.readEndpoint(this._request.head.id, statusCode, headers, rawHeaders)
     const another = endpointHead.type === 'not-run' && endpointHead.reason === 'wrong-instance'
-    if (!another) notices.heard(startOf(record), dialect.readNotice(headers), sentAt, performance.now())
+    if (!another) notices.heard(startOf(record), dialect.readNotice(statusCode, headers), sentAt, performance.now())
     return endpointHead
   }
 
--- a/packages/node/src/test/lib/routing/notice-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/notice-exchange_test.ts
@@ -13,7 +13,7 @@
 import type { EndpointNotice } from '../../../lib/routing/ports.js'
 
 const start = 'engine-7@1700'
-const nothing: EndpointNotice = { limit: undefined, leaving: false }
+const nothing: EndpointNotice = { limit: undefined, leaving: false, rest: undefined }
 
 const made: NoticeExchange[] = []
 
@@ -58,6 +58,22 @@
     assert.deepEqual([events, notices.gate.sparedFor(start, now + 60_000), notices.gate.sparedFor('engine-7@1800', now + 20)], [['endpoint-leaving'], 'leaving', undefined])
   })
 
+  it('sends nothing to one that rests until the longest rest that it asked for is over, and logs that it began', () => {
+    const { notices, events } = exchange()
+    const now = performance.now()
+    for (const rest of [3_000, 1_000, 3_500]) notices.heard(start, { ...nothing, rest }, now, now)
+    const spared = [0, 1_500, 3_400, 3_600].map(later => notices.gate.sparedFor(start, now + later))
+    assert.deepEqual([spared, notices.gate.opensIn(start, now + 500), events], [['resting', 'resting', 'resting', undefined], 3_000, ['endpoint-resting']])
+  })
+
+  for (const rest of ['unreadable', 1e12] as const) {
+    it(`heeds no rest that cannot be meant: ${rest}`, () => {
+      const { notices, events } = exchange()
+      notices.heard(start, { ...nothing, rest }, 0, 10)
+      assert.deepEqual([events, notices.gate.sparedFor(start, 20)], [['endpoint-notice-refused'], undefined])
+    })
+  }
+
   it('passes on what it is told if that is news to it, and refuses what it cannot read', () => {
     const { notices, told, events } = exchange()
     for (let count = 0; count < 2; count += 1) notices.told([{ start, limit: 2, askedAge: 20, heardAge: 10 }], 'agent-1')
