A test that fails: an agent sends its endpoint all that entries have, whatever the endpoint asks for

The same cause on the way through agents: an endpoint that names 1.1 requests a second, asks for 5 s of rest, or says that it leaves gets 40 of 40 requests in one go. The symptom only; the mend follows.

--- /dev/null
+++ b/packages/node/src/test/lib/agent/request-runner_test.ts
@@ -0,0 +1,70 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+// An endpoint in need names the requests a second that it takes, asks for rest, or says that it leaves. Agents passed its answers on and
+// read nothing of them, so that it got all that entries had for it: 40 requests in one go where 1.1 a second were named, all 40 after it
+// had asked for rest, and all after it had said that it leaves.
+import assert from 'node:assert/strict'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { AdmissionDoor, LinkPacer, type EndpointStatus, type ForwardedRequest } from '@drumdrift/core'
+import { RequestRunner } from '../../../lib/agent/request-runner.js'
+import { Counters } from '../../../lib/observe/metrics.js'
+import type { PeerConnection, Responder } from '../../../lib/peer/connection.js'
+
+const request: ForwardedRequest = { id: 'r', organisation: 'o', method: 'POST', path: '/', headers: {}, priority: 1, resumeAfter: 0, version: '', remaining: 1_000 }
+const status: EndpointStatus = { incarnation: 'a.1', lifecycle: 'serving', version: '', serving: true, running: 0, slots: 8 }
+const ATTEMPTS = 40
+
+describe('RequestRunner, where the endpoint asks for less', () => {
+  let endpoint: Server
+  let arrivals: number
+  let answer: (response: ServerResponse) => void
+  let door: AdmissionDoor
+  let runner: RequestRunner
+
+  beforeEach(async () => {
+    arrivals = 0
+    endpoint = createServer((_request, response) => {
+      arrivals += 1
+      answer(response)
+    })
+    await new Promise<void>(resolve => { endpoint.listen(0, '127.0.0.1', resolve) })
+    door = new AdmissionDoor('a.1', 8)
+    door.setServing(true)
+    runner = new RequestRunner({
+      endpointAddress: `127.0.0.1:${(endpoint.address() as AddressInfo).port}`, door, pacer: new LinkPacer(1e9, performance.now()), counters: new Counters(), status: () => status, fence: () => 0
+    })
+  })
+  afterEach(() => {
+    endpoint.close()
+    endpoint.closeAllConnections()
+  })
+
+  /** Runs one request if the door lets it in. */
+  async function attempt (): Promise<void> {
+    const admission = door.run()
+    if (admission.type !== 'admitted') return
+    await new Promise<void>(resolve => {
+      const connection = { onEnd: () => () => {}, backlog: 0 } as unknown as PeerConnection
+      const responder = { connection, call: 1, send: reply => { if (reply.type === 'end' || reply.type === 'broken') resolve() } } as Responder
+      runner.start(admission.run, request, Buffer.alloc(0), responder)
+    })
+  }
+
+  const cases: [name: string, status: number, headers: Record<string, string>, most: number][] = [
+    ['names a limit', 200, { 'x-request-limit': '1.1' }, 3],
+    ['asks for rest', 503, { 'retry-after': '5' }, 1],
+    ['says that it leaves', 200, { 'x-leaving': '1' }, 1]
+  ]
+  for (const [name, code, headers, most] of cases) {
+    it(`sends it no more than it wants: it ${name}`, async () => {
+      answer = response => { response.writeHead(code, headers).end('answer') }
+      for (let count = 0; count < ATTEMPTS; count += 1) await attempt()
+      assert.ok(arrivals <= most, `${arrivals} requests reached it`)
+    })
+  }
+})
