An agent keeps to what the endpoint beside it asks for

What was seen: on the way through agents an endpoint that named 1.1 requests a second, asked for 5 s of rest, or said that it leaves got 40 of 40 requests. Cause: the same as on the other way, nothing reads what an answer says of its endpoint. Here all requests of an endpoint pass one door, so the door keeps to it exactly, as the only sender: it refuses what is beyond the limit and during a rest as busy, which is proof that nothing ran, and leaves with an endpoint that leaves, since the two are replaced together. The decisions are those of route entries, and so are log lines and counters; endpoints say it in x-request-limit, x-leaving and retry-after.

--- a/packages/core/src/lib/admission.ts
+++ b/packages/core/src/lib/admission.ts
@@ -8,6 +8,7 @@
  * bounds what runs at once, and refuses everything new once the agent is leaving. Each refusal given here is proof
  * that the request did not run.
  */
+import { openGate, type EndpointGate, type SparedFor } from './routing/choice/endpoint-gate.js'
 import { joinLifecycle, type Lifecycle } from './lifecycle.js'
 
 /** Why nothing was started. All of these mean "not run". */
@@ -38,6 +39,9 @@
 /** Tickets remembered at most; at the bound offers are refused as busy. */
 const TICKET_LIMIT = 8_192
 
+/** What callers are told of an endpoint that is sent nothing because it asks for it. */
+const refusalsOfSpared: Record<SparedFor, AdmissionRefusal> = { leaving: 'leaving', limited: 'busy', resting: 'busy' }
+
 /** The door of one agent. */
 export class AdmissionDoor {
   private readonly _tickets = new Map<string, Ticket>()
@@ -52,8 +56,9 @@
   /**
    * @param incarnation Names this start of the agent: tickets of another one are unknown here.
    * @param slots Requests that the endpoint runs at once.
+   * @param _gate What the endpoint asks of this door, by its name.
    */
-  constructor (readonly incarnation: string, slots: number) {
+  constructor (readonly incarnation: string, slots: number, private readonly _gate: EndpointGate = openGate, private readonly _endpoint = '') {
     this._slots = slots
   }
 
@@ -85,7 +90,7 @@
    */
   offer (now: number): OfferReply {
     this._forget(now)
-    const reason = this._refusal()
+    const reason = this._refusal(now)
     if (reason !== undefined) return { type: 'refused', reason }
     if (this._tickets.size >= TICKET_LIMIT) return { type: 'refused', reason: 'busy' }
     const ticket = `${this.incarnation}:${this._nextTicket++}`
@@ -98,17 +103,17 @@
     const known = this._tickets.get(ticket)
     if (known === undefined || known.state !== 'offered') return { type: 'refused', reason: 'ticket-unknown' }
     if (known.expiresAt <= now) return this._kill(known, 'ticket-expired')
-    const reason = this._refusal()
+    const reason = this._refusal(now)
     if (reason !== undefined) return this._kill(known, reason)
     known.state = 'started'
-    return this._start()
+    return this._start(now)
   }
 
   /** Starts a request that may repeat. */
-  run (): Admission {
-    const reason = this._refusal()
+  run (now: number): Admission {
+    const reason = this._refusal(now)
     if (reason !== undefined) return { type: 'refused', reason }
-    return this._start()
+    return this._start(now)
   }
 
   /** Asks for the fate of a ticket and kills it if it was not used. */
@@ -123,7 +128,8 @@
   /** A run has ended, however it ended. */
   finished (run: number): void { this._runs.delete(run) }
 
-  private _start (): Admission {
+  private _start (now: number): Admission {
+    this._gate.sent(this._endpoint, now)
     const run = this._nextRun++
     this._runs.add(run)
     return { type: 'admitted', run }
@@ -134,12 +140,13 @@
     return { type: 'refused', reason }
   }
 
-  private _refusal (): AdmissionRefusal | undefined {
+  private _refusal (now: number): AdmissionRefusal | undefined {
     if (this._lifecycle !== 'serving') return 'leaving'
     if (this._switching) return 'switching'
     if (!this._serving) return 'not-serving'
     if (this._runs.size >= this._slots) return 'busy'
-    return undefined
+    const spared = this._gate.sparedFor(this._endpoint, now)
+    return spared === undefined ? undefined : refusalsOfSpared[spared]
   }
 
   private _forget (now: number): void {
--- a/packages/core/src/test/lib/admission_test.ts
+++ b/packages/core/src/test/lib/admission_test.ts
@@ -24,14 +24,14 @@
     ['it switches', door => door.setSwitching(true), 'switching'],
     ['it drains', door => { door.leave('draining') }, 'leaving'],
     ['it has stopped', door => { door.leave('stopped') }, 'leaving'],
-    ['it is full', door => { door.run(); door.run() }, 'busy']
+    ['it is full', door => { door.run(0); door.run(0) }, 'busy']
   ]
   for (const [name, close, reason] of closed) {
     it(`refuses everything when ${name}, tickets given before included`, () => {
       const door = openDoor()
       const ticket = ticketOf(door)
       close(door)
-      assert.deepEqual(door.run(), { type: 'refused', reason })
+      assert.deepEqual(door.run(0), { type: 'refused', reason })
       assert.deepEqual(door.offer(1), { type: 'refused', reason })
       assert.deepEqual(door.go(ticket, 1), { type: 'refused', reason })
     })
@@ -68,10 +68,10 @@
 
   it('makes room when a run ends', () => {
     const door = openDoor(1)
-    const admission = door.run()
-    assert.equal(door.run().type, 'refused')
+    const admission = door.run(0)
+    assert.equal(door.run(0).type, 'refused')
     door.finished(admission.type === 'admitted' ? admission.run : 0)
-    assert.equal(door.run().type, 'admitted')
+    assert.equal(door.run(0).type, 'admitted')
   })
 
   it('leaves one way only', () => {
--- a/packages/core/src/test/lib/engine-switch_test.ts
+++ b/packages/core/src/test/lib/engine-switch_test.ts
@@ -111,16 +111,16 @@
   it('waits for its own requests, then loads, then opens on the engine\'s word', () => {
     const { engineSwitch, door } = taken()
     engineSwitch.step(report(), situation({ target: undefined }), 5_000)
-    const run = door.run()
+    const run = door.run(0)
     assert.deepEqual(types(engineSwitch.step(report(), situation(), SETTLED)), ['began'])
-    assert.equal(door.run().type, 'refused')
+    assert.equal(door.run(0).type, 'refused')
     door.finished(run.type === 'admitted' ? run.run : 0)
     assert.deepEqual(types(engineSwitch.step(report(), situation(), SETTLED + 200)), ['order-load'])
     engineSwitch.loadAnswered('v2', 'ordered', SETTLED + 210)
     assert.deepEqual(engineSwitch.step(report({ loading: 'v2' }), situation(), SETTLED + 400), [])
-    assert.equal(door.run().type, 'refused')
+    assert.equal(door.run(0).type, 'refused')
     assert.deepEqual(types(engineSwitch.step(report({ version: 'v2' }), situation(), SETTLED + 600)), ['switched'])
-    assert.equal(door.run().type, 'admitted')
+    assert.equal(door.run(0).type, 'admitted')
   })
 
   const answers: [result: 'stale-fence' | 'refused' | 'refused-here' | 'unreachable', open: boolean][] = [['stale-fence', true], ['refused', true], ['refused-here', true], ['unreachable', false]]
@@ -129,7 +129,7 @@
       const { engineSwitch, door } = taken()
       engineSwitch.step(report(), situation(), SETTLED)
       engineSwitch.loadAnswered('v2', result, SETTLED)
-      assert.equal(door.run().type === 'admitted', open)
+      assert.equal(door.run(0).type === 'admitted', open)
     })
   }
 
@@ -138,7 +138,7 @@
     engineSwitch.step(report(), situation(), SETTLED)
     engineSwitch.loadAnswered('v2', 'ordered', SETTLED)
     assert.deepEqual(types(engineSwitch.step(report({ failed: 'v2' }), situation(), SETTLED + 400)), ['load-failed'])
-    assert.equal(door.run().type, 'admitted')
+    assert.equal(door.run(0).type, 'admitted')
     assert.equal(engineSwitch.progress('v2'), 'failed')
     assert.deepEqual(engineSwitch.step(report({ failed: 'v2' }), situation(), SETTLED + 60_000), [])
   })
--- a/packages/fuzz/src/lib/request-course.ts
+++ b/packages/fuzz/src/lib/request-course.ts
@@ -71,7 +71,7 @@
     })
     world.after(ANSWER_PATIENCE, entry.process, () => end(() => answer.text === '' ? again(true) : this._host.tellCaller(submission, 'cut')))
     world.call(entry.process, agent.process, () => {
-      const admission = agent.door.run()
+      const admission = agent.door.run(world.now)
       if (admission.type === 'admitted') {
         this._host.dispatch(agent, admission.run, submission, () => this._host.answer(agent, entry, submission.id, answer.sink))
       }
--- a/packages/fuzz/src/lib/weights-world.ts
+++ b/packages/fuzz/src/lib/weights-world.ts
@@ -114,7 +114,7 @@
   request (index: number): void {
     const member = this._at(index)
     this.world.after(1, member.process, () => {
-      const admission = member.door.run()
+      const admission = member.door.run(this.world.now)
       if (admission.type !== 'admitted') return
       // The engine refuses what comes with an old fence: it did not run.
       if (this._parts.takesOver && member.engineSwitch.fence < member.engine.fence) member.door.finished(admission.run)
--- a/packages/node/src/lib/agent/agent-requests.ts
+++ b/packages/node/src/lib/agent/agent-requests.ts
@@ -105,7 +105,7 @@
   private _run ({ endpoint, request }: Extract<PeerRequest, { type: 'run' }>, payload: Buffer, responder: Responder): void {
     const status = this._parts.endpointStatus()
     const fits = endpoint === this._parts.endpoint && (request.version === '' || request.version === status.version)
-    const admission = fits ? this._parts.door.run() : { type: 'refused', reason: 'not-serving' } as const
+    const admission = fits ? this._parts.door.run(performance.now()) : { type: 'refused', reason: 'not-serving' } as const
     responder.send({ type: 'admitted', admission, status: this._parts.endpointStatus() })
     if (admission.type === 'admitted') this._parts.runner.start(admission.run, request, payload, responder)
   }
--- a/packages/node/src/lib/agent/agent.ts
+++ b/packages/node/src/lib/agent/agent.ts
@@ -9,7 +9,7 @@
  */
 import { randomBytes } from 'node:crypto'
 import {
-  AdmissionDoor, ClaimKeeper, defaultTransferPolicy, LinkPacer, Transfer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
+  AdmissionDoor, EndpointLimits, EndpointNotices, ClaimKeeper, defaultTransferPolicy, LinkPacer, Transfer, wantedDigest, type ChunkMember, type EndpointStatus, type InstanceRecord,
   type ProcessStatus, type SpreadStrategy, type SwitchTarget, type TransferPolicy
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
@@ -17,6 +17,7 @@
 import { Histograms } from '../observe/histograms.js'
 import { Counters } from '../observe/metrics.js'
 import { MetricsServer } from '../observe/metrics-server.js'
+import { NoticeLog } from '../observe/notice-log.js'
 import type { ReadPacer, Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
@@ -75,7 +76,8 @@
     this._self = { instance: this._name, availabilityZone: this._text('process', 'availability-zone') }
     this._pacer = new LinkPacer(this._number('weights', 'link-megabytes-per-second') * MEBIBYTE, performance.now())
     const readPacer = { received: (bytes: number): number => this._pacer.received(bytes, performance.now()) }
-    this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS)
+    const notices = new EndpointNotices(new EndpointLimits(() => 1, () => 0))
+    this._door = new AdmissionDoor(this.incarnation, DEFAULT_SLOTS, notices, this._endpoint)
     this._door.setServing(!this._model)
     this._keeper = this._newKeeper()
     this._pool = new PeerPool({ instance: this._name, key: this._text('peers', 'key') }, this._traffic, readPacer)
@@ -90,6 +92,9 @@
     if (!this._model) this._switcher.close()
     this._runner = new RequestRunner({
       endpointAddress: this._text('endpoint', 'address'),
+      endpoint: this._endpoint,
+      notices,
+      noticeLog: new NoticeLog(_log, this._counters),
       door: this._door,
       pacer: this._pacer,
       counters: this._counters,
--- /dev/null
+++ b/packages/node/src/lib/agent/endpoint-words.ts
@@ -0,0 +1,50 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** The headers in which an endpoint beside an agent says something of itself (docs/PROTOCOLS.md). */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { EndpointNotice } from '@drumdrift/core'
+
+const LIMIT = 'x-request-limit'
+const LEAVING = 'x-leaving'
+const TURNED_AWAY = 503
+const MILLISECONDS_PER_SECOND = 1_000
+const DECIMAL = /^\d+(\.\d+)?$/
+
+/**
+ * Reads a decimal number that is not below nothing.
+ *
+ * @example
+ * readDecimal('1.1') // 1.1
+ */
+export function readDecimal (text: string | string[] | undefined): number | 'unreadable' | undefined {
+  if (text === undefined) return undefined
+  return typeof text === 'string' && DECIMAL.test(text) ? Number(text) : 'unreadable'
+}
+
+/**
+ * Reads seconds as milliseconds.
+ *
+ * @example
+ * readSeconds('0.25') // 250
+ */
+export function readSeconds (text: string | string[] | undefined): number | 'unreadable' | undefined {
+  const seconds = readDecimal(text)
+  return typeof seconds === 'number' ? seconds * MILLISECONDS_PER_SECOND : seconds
+}
+
+/**
+ * What an endpoint says of itself in an answer.
+ *
+ * @example
+ * const { limit } = readNotice(200, { 'x-request-limit': '1.1' })
+ */
+export function readNotice (status: number, headers: IncomingHttpHeaders): EndpointNotice {
+  return {
+    limit: readDecimal(headers[LIMIT]),
+    leaving: headers[LEAVING] === '1',
+    rest: status === TURNED_AWAY ? readSeconds(headers['retry-after']) : undefined
+  }
+}
--- a/packages/node/src/lib/agent/request-runner.ts
+++ b/packages/node/src/lib/agent/request-runner.ts
@@ -8,15 +8,22 @@
  * are cut only between whole events, so that an answer can be resumed elsewhere at an event's edge.
  */
 import type { IncomingMessage } from 'node:http'
-import type { AdmissionDoor, EndpointStatus, ForwardedRequest, LinkPacer } from '@drumdrift/core'
+import type { AdmissionDoor, EndpointNotices, EndpointStatus, ForwardedRequest, LinkPacer } from '@drumdrift/core'
 import { failureOf } from '@drumdrift/core'
 import type { Counters } from '../observe/metrics.js'
+import type { NoticeLog } from '../observe/notice-log.js'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 import { openHttp } from '../platform/http-client.js'
+import { readNotice } from './endpoint-words.js'
 
 /** What the runner works with. */
 export interface RequestRunnerParts {
   readonly endpointAddress: string
+  /** Names the endpoint in `notices`. */
+  readonly endpoint: string
+  /** What the endpoint asks of those who send to it; the door keeps to it. */
+  readonly notices: EndpointNotices
+  readonly noticeLog: NoticeLog
   readonly door: AdmissionDoor
   readonly pacer: LinkPacer
   readonly counters: Counters
@@ -68,10 +75,12 @@
 
   private async _carry (request: ForwardedRequest, body: Buffer, responder: Responder, signal: AbortSignal): Promise<void> {
     const { status } = this._parts
+    const askedAt = performance.now()
     try {
       const response = await openHttp(this._parts.endpointAddress, {
         method: request.method, path: request.path, headers: outgoingHeaders(request, body, this._parts.fence()), body, signal, timeout: Math.max(1, request.remaining)
       })
+      this._hear(response, askedAt)
       responder.send({ type: 'head', head: { status: response.statusCode ?? 502, headers: incomingHeaders(response), version: versionOf(response) } })
       const count = await this._stream(response, responder)
       this._parts.counters.add('answers_whole')
@@ -83,6 +92,15 @@
     }
   }
 
+  /** One that leaves is left by its agent too: both are replaced together. */
+  private _hear ({ statusCode = 0, headers }: IncomingMessage, askedAt: number): void {
+    const { endpoint, notices, noticeLog, door } = this._parts
+    for (const change of notices.heard(endpoint, readNotice(statusCode, headers), askedAt, performance.now())) {
+      noticeLog.note(change)
+      if (change.type === 'leaving') door.leave('draining')
+    }
+  }
+
   private async _stream (response: IncomingMessage, responder: Responder): Promise<number> {
     const events = String(response.headers['content-type'] ?? '').startsWith('text/event-stream')
     let sequence = 0
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -8,7 +8,7 @@
  * path, header or field of any platform.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { DocumentFailure, EndpointRecord, ModelVersion, NotRunReason, OrderResult, PublishedChange, PublishedTopic, RequestFailure } from '@drumdrift/core'
+import type { DocumentFailure, EndpointNotice, EndpointRecord, ModelVersion, NotRunReason, OrderResult, PublishedChange, PublishedTopic, RequestFailure } from '@drumdrift/core'
 import type { ChunkDigest } from '../agent/digest.js'
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { WeightsSource } from '../platform/platform-client.js'
@@ -88,16 +88,6 @@
   readonly resumeAfter: string | undefined
 }
 
-/** What an endpoint says of itself in an answer of any kind, besides the answer. */
-export interface EndpointNotice {
-  /** Requests a second that it takes from all entries together; nothing when it names no limit. */
-  readonly limit: number | 'unreadable' | undefined
-  /** Whether it will end soon and wants no new work. */
-  readonly leaving: boolean
-  /** Milliseconds for which it wants nothing from this entry, since it turned its request away; nothing when it does not say. */
-  readonly rest: number | 'unreadable' | undefined
-}
-
 /** The head of an endpoint's answer, in the product's terms. */
 export type EndpointHead =
   /** It says that it did not run the request and never will. */
--- a/packages/node/src/test/lib/agent/request-runner_test.ts
+++ b/packages/node/src/test/lib/agent/request-runner_test.ts
@@ -4,20 +4,24 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 // An endpoint in need names the requests a second that it takes, asks for rest, or says that it leaves. Agents passed its answers on and
-// read nothing of them, so that it got all that entries had for it: 40 requests in one go where 1.1 a second were named, all 40 after it
-// had asked for rest, and all after it had said that it leaves.
+// read nothing of them, so that it got all that entries had for it: 40 of 40 requests in one go where 1.1 a second were named, 40 after
+// it had asked for 5 s of rest, and 40 after it had said that it leaves. The door of an agent knew of slots and switches alone.
 import assert from 'node:assert/strict'
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { AdmissionDoor, LinkPacer, type EndpointStatus, type ForwardedRequest } from '@drumdrift/core'
+import { AdmissionDoor, EndpointLimits, EndpointNotices, LinkPacer, type EndpointStatus, type ForwardedRequest } from '@drumdrift/core'
 import { RequestRunner } from '../../../lib/agent/request-runner.js'
+import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
+import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
+import { NoticeLog } from '../../../lib/observe/notice-log.js'
 import type { PeerConnection, Responder } from '../../../lib/peer/connection.js'
 
 const request: ForwardedRequest = { id: 'r', organisation: 'o', method: 'POST', path: '/', headers: {}, priority: 1, resumeAfter: 0, version: '', remaining: 1_000 }
 const status: EndpointStatus = { incarnation: 'a.1', lifecycle: 'serving', version: '', serving: true, running: 0, slots: 8 }
 const ATTEMPTS = 40
+const log = new Log('debug', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => { callback(null, bytes.length) }))
 
 describe('RequestRunner, where the endpoint asks for less', () => {
   let endpoint: Server
@@ -33,10 +37,11 @@
       answer(response)
     })
     await new Promise<void>(resolve => { endpoint.listen(0, '127.0.0.1', resolve) })
-    door = new AdmissionDoor('a.1', 8)
+    const notices = new EndpointNotices(new EndpointLimits(() => 1, () => 0))
+    door = new AdmissionDoor('a.1', 8, notices, 'desk')
     door.setServing(true)
     runner = new RequestRunner({
-      endpointAddress: `127.0.0.1:${(endpoint.address() as AddressInfo).port}`, door, pacer: new LinkPacer(1e9, performance.now()), counters: new Counters(), status: () => status, fence: () => 0
+      endpointAddress: `127.0.0.1:${(endpoint.address() as AddressInfo).port}`, endpoint: 'desk', notices, noticeLog: new NoticeLog(log, new Counters()), door, pacer: new LinkPacer(1e9, performance.now()), counters: new Counters(), status: () => status, fence: () => 0
     })
   })
   afterEach(() => {
@@ -46,7 +51,7 @@
 
   /** Runs one request if the door lets it in. */
   async function attempt (): Promise<void> {
-    const admission = door.run()
+    const admission = door.run(performance.now())
     if (admission.type !== 'admitted') return
     await new Promise<void>(resolve => {
       const connection = { onEnd: () => () => {}, backlog: 0 } as unknown as PeerConnection
--- a/packages/node/src/test/lib/routing/notice-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/notice-exchange_test.ts
@@ -5,12 +5,11 @@
  */
 import assert from 'node:assert/strict'
 import { afterEach, describe, it } from 'node:test'
-import type { LimitNews } from '@drumdrift/core'
+import type { EndpointNotice, LimitNews } from '@drumdrift/core'
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
 import { NoticeExchange } from '../../../lib/routing/notice-exchange.js'
-import type { EndpointNotice } from '../../../lib/routing/ports.js'
 
 const start = 'engine-7@1700'
 const nothing: EndpointNotice = { limit: undefined, leaving: false, rest: undefined }
