Ways of sharing a limit in a model, 6 to 380 entries; nothing is asked of endpoints one by one while none asks for anything

The gate of the choice says whether any endpoint asks for anything, so that the usual case costs one look a request.

--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -18,6 +18,7 @@
   chaos: async () => (await import('./lib/chaos-bench.js')).chaosBench,
   capacity: async () => (await import('./lib/capacity-bench.js')).capacityBench,
   suspects: async () => (await import('./lib/suspects/suspects-bench.js')).suspectsBench,
+  limits: async () => (await import('./lib/limits/limits-bench.js')).limitsBench,
   policy: async () => (await import('./lib/policy/policy-bench.js')).policyBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/limits/limit-model.ts
@@ -0,0 +1,125 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/**
+ * A model of one endpoint that takes few requests from all entries together, before fleets of several sizes, by ways of sharing what
+ * it takes. Nobody sees what another entry sends.
+ */
+import { LimitShare } from '@drumdrift/core'
+import { seededRandom } from '../seeded-random.js'
+
+/** What one entry does about the limit. */
+interface Sharer {
+  maySend (now: number): boolean
+  sent (now: number): void
+}
+
+/** What a sharer is made from. */
+interface Terms {
+  /** In requests a second. */
+  readonly limit: number
+  readonly entries: number
+  readonly draw: () => number
+  /** When its entry starts, in milliseconds. */
+  readonly startedAt: number
+}
+
+/** Ways of sharing a limit. */
+export type LimitWay = 'whole-for-each' | 'parts-saved' | 'parts-begun-empty' | 'few-holders' | 'parts-that-lapse'
+
+const MILLISECONDS_PER_SECOND = 1_000
+/** Entries that hold the whole limit together, as hashing of names would choose them: each is one with this chance in all. */
+const EXPECTED_HOLDERS = 3
+
+/** One request saved at most, earned at a rate. */
+class Saver implements Sharer {
+  private _lookedAt: number
+
+  constructor (private readonly _rate: number, private _saved: number, now: number) { this._lookedAt = now }
+
+  maySend (now: number): boolean {
+    this._saved = Math.min(1, this._saved + this._rate * (now - this._lookedAt) / MILLISECONDS_PER_SECOND)
+    this._lookedAt = now
+    return this._saved >= 1
+  }
+
+  sent (): void { this._saved -= 1 }
+}
+
+const never: Sharer = { maySend: () => false, sent: () => {} }
+
+const ways: Record<LimitWay, (terms: Terms) => Sharer> = {
+  'whole-for-each': ({ limit, startedAt }) => new Saver(limit, 1, startedAt),
+  'parts-saved': ({ limit, entries, startedAt }) => new Saver(limit / entries, 1, startedAt),
+  'parts-begun-empty': ({ limit, entries, startedAt }) => new Saver(limit / entries, 0, startedAt),
+  'few-holders': ({ limit, entries, draw, startedAt }) => draw() < EXPECTED_HOLDERS / entries ? new Saver(limit / EXPECTED_HOLDERS, 0, startedAt) : never,
+  'parts-that-lapse': ({ limit, entries, draw, startedAt }) => new LimitShare(limit, () => entries, draw(), startedAt)
+}
+
+/** Every way. */
+export const limitWays = Object.keys(ways) as LimitWay[]
+
+/** One play. */
+export interface LimitPlay {
+  readonly way: LimitWay
+  readonly entries: number
+  readonly limit: number
+  /** Requests a second that each entry would send there. */
+  readonly wanted: number
+  /** How long nobody wants anything, out of every 20 s; then all do at once. In milliseconds. */
+  readonly silence: number
+  /** Seconds between two restarts of an entry; nothing for none. */
+  readonly restartEvery: number | undefined
+  readonly seed: number
+}
+
+/** What came of it. */
+export interface LimitFigures {
+  /** The most requests in 4 s. */
+  readonly most: number
+  /** What may reach the endpoint in 4 s. */
+  readonly allowed: number
+  /** The share of the limit that was used while it was wanted. */
+  readonly used: number
+}
+
+const STRETCH = 4_000
+const PERIOD = 20_000
+const LENGTH = 120_000
+const TICK = 20
+
+/**
+ * Plays two minutes.
+ *
+ * @example
+ * const { most, allowed } = playLimit({ way: 'parts-that-lapse', entries: 98, limit: 1.1, wanted: 1, silence: 0, restartEvery: undefined, seed: 7 })
+ */
+export function playLimit ({ way, entries, limit, wanted, silence, restartEvery, seed }: LimitPlay): LimitFigures {
+  const draw = seededRandom(seed)
+  const start = (startedAt: number): Sharer => ways[way]({ limit, entries, draw, startedAt })
+  const sharers = Array.from({ length: entries }, () => start(0))
+  const arrivals: number[] = []
+  let restartAt = (restartEvery ?? Infinity) * MILLISECONDS_PER_SECOND
+  for (let now = 0; now < LENGTH; now += TICK) {
+    if (now >= restartAt) {
+      restartAt += (restartEvery ?? Infinity) * MILLISECONDS_PER_SECOND
+      sharers[Math.floor(draw() * entries)] = start(now)
+    }
+    if (now % PERIOD < silence) continue
+    for (const sharer of sharers) {
+      if (draw() >= wanted * TICK / MILLISECONDS_PER_SECOND || !sharer.maySend(now)) continue
+      sharer.sent(now)
+      arrivals.push(now)
+    }
+  }
+  const most = Math.max(0, ...arrivals.map((from, index) => countBefore(arrivals, index, from + STRETCH)))
+  return { most, allowed: 1.5 * limit * STRETCH / MILLISECONDS_PER_SECOND + 5, used: arrivals.length / (limit * LENGTH / MILLISECONDS_PER_SECOND * (1 - silence / PERIOD)) }
+}
+
+function countBefore (times: readonly number[], index: number, until: number): number {
+  let last = index
+  while (last < times.length && (times[last] ?? 0) < until) last += 1
+  return last - index
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/limits/limits-bench.ts
@@ -0,0 +1,36 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Prints what an endpoint gets that takes few requests from all entries together, by fleet, load and way of sharing. */
+import { printFigures, twoDecimals, type BenchOptions } from '../bench-options.js'
+import { limitWays, playLimit } from './limit-model.js'
+
+const FLEETS = [6, 24, 98, 380] as const
+const LIMITS = [1.1, 5] as const
+const LOADS = [
+  { load: 'steady', wanted: 1, silence: 0, restartEvery: undefined },
+  { load: 'after-silences', wanted: 1, silence: 15_000, restartEvery: undefined },
+  { load: 'with-restarts', wanted: 1, silence: 0, restartEvery: 0.25 }
+] as const
+
+/** Prints one line for each: the most requests in 4 s of all seeds, the seeds in which that was too many, the mean share used. */
+export async function limitsBench ({ seed, seeds }: BenchOptions): Promise<boolean> {
+  let good = true
+  for (const entries of FLEETS) {
+    for (const limit of LIMITS) {
+      for (const { load, ...terms } of LOADS) {
+        for (const way of limitWays) {
+          const plays = Array.from({ length: seeds }, (_, index) => playLimit({ way, entries, limit, ...terms, seed: seed + index }))
+          const broken = plays.filter(({ most, allowed }) => most > allowed).length
+          if (way === 'parts-that-lapse' && broken > 0) good = false
+          printFigures('limits', {
+            entries, limit, load, way, most: Math.max(...plays.map(({ most }) => most)), allowed: twoDecimals(plays[0]?.allowed ?? 0), broken, plays: seeds, used: twoDecimals(plays.reduce((sum, { used }) => sum + used, 0) / seeds)
+          })
+        }
+      }
+    }
+  }
+  return good
+}
--- /dev/null
+++ b/packages/benchmarks/src/test/lib/limits/limit-model_test.ts
@@ -0,0 +1,28 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { playLimit, type LimitPlay } from '../../../lib/limits/limit-model.js'
+
+const play: LimitPlay = { way: 'parts-that-lapse', entries: 98, limit: 1.1, wanted: 1, silence: 0, restartEvery: undefined, seed: 7 }
+
+describe('playLimit', () => {
+  const cases: [name: string, part: Partial<LimitPlay>, keeps: boolean][] = [
+    ['parts that lapse keep to it', {}, true],
+    ['parts that lapse keep to it after silences', { silence: 15_000 }, true],
+    ['parts that lapse keep to it while entries restart', { restartEvery: 0.25 }, true],
+    ['the whole for each breaks it', { way: 'whole-for-each' }, false],
+    ['one request saved by each breaks it after a silence', { way: 'parts-saved', silence: 15_000 }, false]
+  ]
+  for (const [name, part, keeps] of cases) {
+    it(name, () => {
+      const { most, allowed } = playLimit({ ...play, ...part })
+      assert.equal(most <= allowed, keeps, `${most} in 4 s, ${allowed} allowed`)
+    })
+  }
+
+  it('is the same each time', () => assert.deepEqual(playLimit(play), playLimit(play)))
+})
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -154,6 +154,7 @@
 
   /** An endpoint whose turn would pass goes first, where its answer is expected as soon as any caller needs it. */
   private _dueFirst (choices: readonly EndpointCandidate[], { usualObjective }: Need, now: number): readonly EndpointCandidate[] {
+    if (this._gate.quiet) return choices
     const due = choices.filter(({ record, expected }) => this._gate.isDue(startOf(record), now) && expected < COMFORT_SHARE * usualObjective)
     return due.length > 0 ? due : choices
   }
@@ -186,6 +187,7 @@
   /** How many endpoints are sent nothing now because they ask for it, by reason. */
   spared (now: number): ReadonlyMap<SparedFor, number> {
     const counts = new Map<SparedFor, number>()
+    if (this._gate.quiet) return counts
     for (const record of this._records) {
       const reason = this._gate.sparedFor(startOf(record), now)
       if (reason !== undefined) counts.set(reason, (counts.get(reason) ?? 0) + 1)
@@ -232,7 +234,7 @@
   }
 
   private _open (record: EndpointRecord, service: ServiceDescription, need: Need, now: number): boolean {
-    return this._takes(record, service, need, now) && this._gate.sparedFor(startOf(record), now) === undefined
+    return this._takes(record, service, need, now) && (this._gate.quiet || this._gate.sparedFor(startOf(record), now) === undefined)
   }
 
   /** Whether an endpoint could take a request, whatever it asks of those who send to it. */
--- a/packages/core/src/lib/routing/choice/endpoint-gate.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-gate.ts
@@ -10,6 +10,8 @@
 
 /** Which endpoints may be sent a request. */
 export interface EndpointGate {
+  /** Whether no endpoint asks for anything, as nearly always: then nobody has to ask for each endpoint. */
+  readonly quiet: boolean
   /** Why a start of an endpoint is sent nothing now; nothing when it may be sent a request. */
   sparedFor (start: string, now: number): SparedFor | undefined
   /** Whether it is to be sent the next request that it suits: it takes few, and this entry's turn would pass. */
@@ -21,4 +23,4 @@
 }
 
 /** The gate where no endpoint asks for anything. */
-export const openGate: EndpointGate = { sparedFor: () => undefined, isDue: () => false, sent: () => {}, opensIn: () => 0 }
+export const openGate: EndpointGate = { quiet: true, sparedFor: () => undefined, isDue: () => false, sent: () => {}, opensIn: () => 0 }
--- a/packages/core/src/lib/routing/limits/endpoint-absences.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-absences.ts
@@ -24,11 +24,13 @@
 export function isRest (milliseconds: number): boolean { return milliseconds >= 0 && milliseconds <= LONGEST_REST }
 
 /** The endpoints that want nothing, as one entry heard it. */
-export class EndpointAbsences implements Pick<EndpointGate, 'sparedFor' | 'opensIn'> {
+export class EndpointAbsences implements Pick<EndpointGate, 'quiet' | 'sparedFor' | 'opensIn'> {
   private readonly _leaving = new Set<string>()
   /** Until when each endpoint wants nothing from this entry. */
   private readonly _restsUntil = new Map<string, number>()
 
+  get quiet (): boolean { return this._leaving.size === 0 && this._restsUntil.size === 0 }
+
   /**
    * An endpoint said that it leaves. No list takes that back, nor an answer that was made before: a start that leaves is never sent to
    * again.
@@ -52,7 +54,7 @@
     const until = now + milliseconds
     const known = this._restsUntil.get(start) ?? -Infinity
     if (until <= known) return false
-    this._restsUntil.delete(start)
+    for (const [other, over] of this._restsUntil) if (over <= now) this._restsUntil.delete(other)
     this._restsUntil.set(start, until)
     dropOldest(this._restsUntil)
     return known <= now
--- a/packages/core/src/lib/routing/limits/endpoint-limits.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-limits.ts
@@ -53,18 +53,20 @@
   /** What a process should know that starts, or was cut off. */
   known (now: number): LimitNews { return this._book.known(now) }
 
+  get quiet (): boolean { return this._shares.size === 0 }
+
   sparedFor (start: string, now: number): SparedFor | undefined {
-    if (this._shares.size === 0) return undefined
+    if (this.quiet) return undefined
     return this._shareOf(start, now)?.maySend(now) === false ? 'limited' : undefined
   }
 
   /** Every entry's turn counts: it is how an endpoint gets what it takes, and how its entries hear that it takes more. */
   isDue (start: string, now: number): boolean {
-    return this._shares.size > 0 && this._shareOf(start, now)?.maySend(now) === true
+    return !this.quiet && this._shareOf(start, now)?.maySend(now) === true
   }
 
   sent (start: string, now: number): void {
-    if (this._shares.size > 0) this._shareOf(start, now)?.sent(now)
+    if (!this.quiet) this._shareOf(start, now)?.sent(now)
   }
 
   opensIn (start: string, now: number): number { return this._shareOf(start, now)?.nextIn(now) ?? 0 }
--- a/packages/core/src/lib/routing/limits/endpoint-notices.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-notices.ts
@@ -55,6 +55,8 @@
     return changes.filter(change => change !== undefined)
   }
 
+  get quiet (): boolean { return this._absences.quiet && this.limits.quiet }
+
   sparedFor (start: string, now: number): SparedFor | undefined {
     return this._absences.sparedFor(start, now) ?? this.limits.sparedFor(start, now)
   }
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -290,7 +290,7 @@
 /** A gate that lets nothing to some endpoints for so long, and has a turn of others that would pass. */
 function gate (closed: Readonly<Record<string, number>>, due: readonly string[] = []): EndpointGate {
   const sparedFor = (start: string): SparedFor | undefined => closed[start] === undefined ? undefined : 'limited'
-  return { sparedFor, isDue: start => due.includes(start), opensIn: start => closed[start] ?? 0, sent: () => {} }
+  return { quiet: false, sparedFor, isDue: start => due.includes(start), opensIn: start => closed[start] ?? 0, sent: () => {} }
 }
 
 function gated (records: readonly EndpointRecord[], asked: EndpointGate, loads: Readonly<Record<string, LoadReport>> = {}): EndpointChooser {
