An agent that has just started and counts no entries yet is not called miscounting

Entries warned of agents that had just been added: 12 lines entries-miscounted with entries=0 at three of six entries within a second in which six engines came, so that the warning said nothing when it meant something. None is a count that can be true; it still enters no estimate.

--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -122,7 +122,8 @@
     const endpoint = this._byAgent.get(agent)
     if (endpoint === undefined) return true
     this._hearLoad(endpoint, load, now)
-    return load.entries === undefined || this._fleet.heard(endpoint.record.availabilityZone, agent, load.entries, now)
+    // An agent that has just started counts none yet, which is no mistake.
+    return load.entries === undefined || load.entries === 0 || this._fleet.heard(endpoint.record.availabilityZone, agent, load.entries, now)
   }
 
   /**
--- a/packages/node/src/test/lib/routing/service-units_test.ts
+++ b/packages/node/src/test/lib/routing/service-units_test.ts
@@ -54,6 +54,7 @@
     assert.equal(units.heard(agent, { ...load, entries: -3 }, 10), false)
     assert.equal(units.heard(agent, { ...load, entries: 1e9 }, 10), false)
     assert.equal(units.heard(agent, { ...load, entries: 7 }, 10), true)
+    assert.equal(units.heard(agent, { ...load, entries: 0 }, 10), true, 'an agent that has just started counts none yet')
     assert.notEqual(units.get('pool')?.chooser.load(startOf(engine(1, 200))).report(20), undefined)
   })
 
