Bytes that are no answer of an endpoint's own do not end its limit

Found by reading: an answer to another request, or one without a signature, that names no limit was taken for the end of one, so an endpoint in need that also spoils answers would have been sent everything until its next sound answer. A limit or a leaving that such bytes do name is still heeded, as the more careful reading. A rest of no time is no rest, and not logged as one.

--- a/packages/core/src/lib/routing/limits/endpoint-notices.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-notices.ts
@@ -14,8 +14,11 @@
 
 /** What an endpoint says of itself in an answer of any kind, besides the answer. */
 export interface EndpointNotice {
-  /** Requests a second that it takes from all entries together; nothing when it names no limit. */
-  readonly limit: number | 'unreadable' | undefined
+  /**
+   * Requests a second that it takes from all entries together; nothing when it names no limit. `unsaid`: that it names none says nothing,
+   * since what came is no answer of its own.
+   */
+  readonly limit: number | 'unreadable' | 'unsaid' | undefined
   /** Whether it will end soon and wants no new work. */
   readonly leaving: boolean
   /** Milliseconds for which it wants nothing from this process, since it turned its request away; nothing when it does not say. */
@@ -73,10 +76,11 @@
 
   private _heardRest (start: string, rest: number | 'unreadable', now: number): NoticeChange | undefined {
     if (rest === 'unreadable' || !isRest(rest)) return { type: 'refused', start, what: 'rest', value: String(rest) }
-    return this._absences.rests(start, rest, now) ? { type: 'resting', start, rest } : undefined
+    return rest > 0 && this._absences.rests(start, rest, now) ? { type: 'resting', start, rest } : undefined
   }
 
   private _heardLimit (start: string, limit: EndpointNotice['limit'], askedAt: number, now: number): NoticeChange | undefined {
+    if (limit === 'unsaid') return undefined
     if (limit === 'unreadable' || (limit !== undefined && !isLimit(limit))) return { type: 'refused', start, what: 'limit', value: String(limit) }
     const change = this.limits.heard(start, { limit, askedAt, heardAt: now }, now)
     return change === undefined ? undefined : { type: 'limit', change }
--- a/packages/core/src/test/lib/routing/limits/endpoint-notices_test.ts
+++ b/packages/core/src/test/lib/routing/limits/endpoint-notices_test.ts
@@ -25,6 +25,8 @@
     ['a limit, once for as long as it stays the same', changes({ limit: 1.1 }, { limit: 1.1 }, { limit: 2 }, {}), ['limit', 'limit', 'limit']],
     ['leaving, once', changes({ leaving: true }, { leaving: true }, {}), ['leaving']],
     ['a rest, and another after its end', changes({ rest: 3_000 }, { rest: 3_000 }, {}, {}, {}, { rest: 500 }), ['resting', 'resting']],
+    ['no end of a limit by an answer that is nobody\'s', changes({ limit: 1.1 }, { limit: 'unsaid' }, { limit: 'unsaid' }), ['limit']],
+    ['no rest of no time', changes({ rest: 0 }), []],
     ['all three at once', changes({ limit: 1.1, leaving: true, rest: 100 }), ['leaving', 'resting', 'limit']],
     ['what cannot be meant', changes({ limit: 'unreadable' }, { limit: 1e9 }, { rest: 'unreadable' }, { rest: -1 }), ['refused', 'refused', 'refused', 'refused']]
   ]
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -145,12 +145,18 @@
     attempt.ended.then(end => this._ended(attempt, end))
   }
 
-  /** What an endpoint says of itself holds whatever becomes of its answer, unless another one answers at its address. */
+  /**
+   * What an endpoint says of itself holds whatever becomes of its answer, unless another one answers at its address. Bytes that are no
+   * answer of its own end no limit by naming none: endpoints that spoil answers are in need too.
+   */
   private _readHead ({ statusCode = 0, headers, rawHeaders }: IncomingMessage, { record }: Choice, sentAt: number): EndpointHead {
     const { dialect, notices } = this._parts
     const endpointHead = dialect.readEndpoint(this._request.head.id, statusCode, headers, rawHeaders)
     const another = endpointHead.type === 'not-run' && endpointHead.reason === 'wrong-instance'
-    if (!another) notices.heard(startOf(record), dialect.readNotice(statusCode, headers), sentAt, performance.now())
+    if (another) return endpointHead
+    const notice = dialect.readNotice(statusCode, headers)
+    const limit = endpointHead.type === 'foreign' ? notice.limit ?? 'unsaid' : notice.limit
+    notices.heard(startOf(record), { ...notice, limit }, sentAt, performance.now())
     return endpointHead
   }
 
