explain shows what endpoints had asked for where a request was sent elsewhere or refused for it

Found by reading: the lines of an endpoint were shown only where the request was sent to it, and 3 s back, but what a request is kept from is another endpoint, and a limit may have been named a minute before. An explanation of such a request named the cause and none of the endpoints. It has their lines now, of the entries that took the request. Only the operators' command changes.

--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -41,7 +41,9 @@
 /** Events that change what a process believes, whatever endpoint they are about. */
 const beliefs = new Set(['store-lost', 'store-regained', 'configuration-adopted', 'version-wanted', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
 /** Events about one endpoint or its agent. */
-const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting', 'agent-lost', 'agent-regained'])
+const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
+/** What endpoints said of themselves, which holds for long and keeps requests from those that it is about. */
+const noticeEvents = new Set(['endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting'])
 
 const pair = /(\w+)=("(?:[^"\\]|\\.)*"|\S*)/g
 
@@ -79,8 +81,14 @@
   const about = new Set(request.flatMap(({ fields }) => fields['endpoint'] ?? []))
   const hosts = new Set(lines.filter(({ event, fields }) => event === 'endpoint-listed' && about.has(fields['endpoint'] ?? '')).map(({ fields }) => hostOf(fields['address'])))
   const instances = new Set(request.map(({ fields }) => fields['instance']))
-  const around = lines.filter(line => line.time >= first.time - AROUND_BEFORE && line.time <= last.time && instances.has(line.fields['instance']) &&
-    (beliefs.has(line.event) || (endpointEvents.has(line.event) && (about.has(line.fields['endpoint'] ?? '') || hosts.has(hostOf(line.fields['agent']))))))
+  const spared = request.some(({ fields }) => fields['spared'] !== undefined || fields['code'] === 'endpoints-spared')
+  const isAround = ({ time, event, fields }: LogLine): boolean => {
+    if (spared && noticeEvents.has(event)) return true
+    if (time < first.time - AROUND_BEFORE) return false
+    const ofEndpoint = endpointEvents.has(event) || noticeEvents.has(event)
+    return beliefs.has(event) || (ofEndpoint && (about.has(fields['endpoint'] ?? '') || hosts.has(hostOf(fields['agent']))))
+  }
+  const around = lines.filter(line => line.time <= last.time && instances.has(line.fields['instance']) && isAround(line))
   const cause = causeOf(request)
   return { cause, advice: advices[cause], request, around: around.sort((left, right) => left.time - right.time) }
 }
--- a/packages/node/src/test/lib/operator/explain_test.ts
+++ b/packages/node/src/test/lib/operator/explain_test.ts
@@ -45,12 +45,14 @@
   const cases: [name: string, lines: LogLine[], cause: RequestCause][] = [
     ['an answer in time', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=130 objective=400 gap=60']), 'in-time'],
     ['a late answer that was expected late', lines([1, 'request-sent id=r1 endpoint=e1 expected=480'], [2, 'request-ended id=r1 result=answered status=200 first=500 objective=400']), 'pool-busy'],
+    ['a late answer that was expected late, while endpoints asked for less', lines([1, 'request-sent id=r1 endpoint=e1 expected=480 spared=limited:1'], [2, 'request-ended id=r1 result=answered status=200 first=500 objective=400']), 'endpoints-spared'],
     ['a late answer that was expected in time', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=900 objective=400']), 'endpoint-slower-than-expected'],
     ['a late plain answer', lines(sent, [2, 'request-ended id=r1 result=answered status=200 took=900 objective=400']), 'endpoint-slower-than-expected'],
     ['a pause', lines(sent, [2, 'request-ended id=r1 result=answered status=200 first=130 objective=400 gap=700']), 'stream-paused'],
     ['an error of the endpoint', lines(sent, [2, 'request-ended id=r1 result=answered status=500 took=30 objective=400']), 'endpoint-failed'],
     ['a refusal for load', lines([1, 'request-ended id=r1 result=refused code=overloaded']), 'overloaded'],
     ['a refusal without endpoints', lines([1, 'request-ended id=r1 result=refused code=no-endpoint']), 'no-endpoint'],
+    ['a refusal where all endpoints ask for less', lines([1, 'request-ended id=r1 result=refused code=endpoints-spared detail="no endpoint of r can take it (pool expected, spared resting:3)"']), 'endpoints-spared'],
     ['a refusal before the first configuration', lines([1, 'request-ended id=r1 result=refused code=no-configuration']), 'no-configuration'],
     ['an unknown key', lines([1, 'request-ended id=r1 result=refused code=unknown-organisation']), 'not-allowed'],
     ['an answer that was cut', lines(sent, [2, 'request-ended id=r1 result=failed code=answer-cut']), 'endpoint-failed'],
@@ -80,6 +82,19 @@
       assert.equal(explainRequest('r1', given)?.around.length, shown ? 1 : 0)
     })
   }
+
+  const noticeCases: [name: string, request: string, instance: string, shown: boolean][] = [
+    ['of a request that was sent elsewhere for it', 'request-sent id=r1 endpoint=e1 spared=limited:1', 'entry-1', true],
+    ['of one that was refused for it', 'request-ended id=r1 result=refused code=endpoints-spared', 'entry-1', true],
+    ['of a request that it had nothing to do with', 'request-sent id=r1 endpoint=e1', 'entry-1', false],
+    ['that another entry heard', 'request-sent id=r1 endpoint=e1 spared=limited:1', 'entry-2', false]
+  ]
+  for (const [name, request, instance, shown] of noticeCases) {
+    it(`${shown ? 'shows' : 'leaves out'} what another endpoint had asked for long before, ${name}`, () => {
+      const given = lines([-60, `endpoint-limited endpoint=e2 limit=1.1 instance=${instance}`], [1, request])
+      assert.equal(explainRequest('r1', given)?.around.length, shown ? 1 : 0)
+    })
+  }
 })
 
 describe('explainFiles', () => {
