--- a/packages/fuzz/src/lib/limit-world.ts
+++ b/packages/fuzz/src/lib/limit-world.ts
@@ -32,9 +32,8 @@
 
 interface Endpoint {
   limit: number | undefined
-  /** Since when entries have had to heed what it names, the limit that counts, and the lowest that it has named since it began. */
+  /** Since when entries have had to heed what it names, and the lowest that it has named since it began. */
   since: number
-  allowedFor: number
   lowest: number
   /** When it named a limit for the last time. */
   endedAt: number
@@ -79,7 +78,7 @@
     this.world = new World(seed)
     const entries = this.world.pick(FLEETS) ?? FLEETS[0]
     for (let index = 0; index < entries; index += 1) this._entries.push(this._start(index, entries))
-    for (let index = 0; index < ENDPOINTS; index += 1) this._endpoints.push({ limit: undefined, since: 0, allowedFor: 0, lowest: 0, endedAt: -Infinity, arrivals: [] })
+    for (let index = 0; index < ENDPOINTS; index += 1) this._endpoints.push({ limit: undefined, since: 0, lowest: 0, endedAt: -Infinity, arrivals: [] })
     if (_parts.tells) this._compare()
   }
 
@@ -93,9 +92,8 @@
   name (index: number, limit: number): void {
     const endpoint = this._endpoints[index % ENDPOINTS] as Endpoint
     // After each change for the lower entries are given the time to take notice anew.
-    if (endpoint.limit === undefined || limit < endpoint.allowedFor) endpoint.since = this.world.now
+    if (endpoint.limit === undefined || limit < endpoint.limit) endpoint.since = this.world.now
     endpoint.lowest = endpoint.limit === undefined ? limit : Math.min(endpoint.lowest, limit)
-    endpoint.allowedFor = limit
     endpoint.limit = limit
   }
 
@@ -196,7 +194,7 @@
     endpoint.arrivals.push({ at: now, entry, process })
     if (endpoint.limit === undefined || now < endpoint.since + NOTICE_TIME) return
     const counted = endpoint.arrivals.filter(arrival => arrival.at >= endpoint.since + NOTICE_TIME && this._counts(arrival, index))
-    const allowed = ALLOWED_FACTOR * endpoint.allowedFor * STRETCH / 1_000 + ALLOWED_BEYOND
+    const allowed = ALLOWED_FACTOR * endpoint.limit * STRETCH / 1_000 + ALLOWED_BEYOND
     if (counted.length > allowed) this.world.violate(`within-limit: ${counted.length} requests reached an endpoint that takes ${endpoint.limit} a second, of ${this._entries.length} entries`)
   }
 
