--- a/packages/stand-ins/src/lib/http-service.ts
+++ b/packages/stand-ins/src/lib/http-service.ts
@@ -45,6 +45,9 @@
     this._server.closeAllConnections()
   }
 
+  /** Sets the headers that all answers have. */
+  protected mark (_response: ServerResponse): void {}
+
   protected abstract answer (request: IncomingMessage, response: ServerResponse): void | Promise<void>
 
   private _take (request: IncomingMessage, response: ServerResponse): void {
@@ -53,6 +56,7 @@
       request.socket.destroy()
       return
     }
+    this.mark(response)
     if (!this._bucket.trySpend(1, performance.now())) {
       response.writeHead(429).end()
       return
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -24,6 +24,13 @@
   readonly timer: NodeJS.Timeout
 }
 
+/** Everything that the store holds at one moment. */
+interface StoreCopy {
+  readonly items: readonly StoreEvent[]
+  readonly history: readonly StoreEvent[]
+  readonly revision: number
+}
+
 /** What the store does with calls, besides `behaviour`: answer, turn away, or hear and say nothing. */
 export type StoreMode = 'answers' | 'turns-away' | 'silent'
 
@@ -32,9 +39,12 @@
   mode: StoreMode = 'answers'
   /** Items in one page of a read. */
   pageSize = 500
-  private readonly _items = new Map<string, StoreEvent>()
+  /** Names the store's epoch in all its answers; nothing where it tells none. */
+  epoch: number | undefined = 1
+  private _items = new Map<string, StoreEvent>()
   /** What readings get that may be old; the same as others without. */
-  private _old: { readonly items: readonly StoreEvent[], readonly revision: number } | undefined
+  private _old: StoreCopy | undefined
+  private _copy: StoreCopy | undefined
   private _history: StoreEvent[] = []
   private _revision = 1
   private _forgottenUpTo = 0
@@ -51,12 +61,32 @@
   }
 
   /** From now on readings that may be old get what is here now. */
-  keepOld (): void { this._old = { items: [...this._items.values()], revision: this._revision } }
+  keepOld (): void { this._old = this._copyOfAll() }
+
+  /** Makes the copy that the store may be restored from. */
+  makeCopy (): void { this._copy = this._copyOfAll() }
+
+  /** Goes back to the copy, in the next epoch: what was written since is gone, and its revisions are given out again. */
+  restore (): void {
+    if (this._copy === undefined) throw new Error('there is no copy')
+    const { items, history, revision } = this._copy
+    this._items = new Map(items.map(item => [item.key, item]))
+    this._history = [...history]
+    this._revision = revision
+    this.epoch = (this.epoch ?? 0) + 1
+    this._cutWatches()
+  }
 
   /** Forgets its history and cuts all watches. */
   compact (): void {
     this._forgottenUpTo = this._revision
     this._history = []
+    this._cutWatches()
+  }
+
+  private _copyOfAll (): StoreCopy { return { items: [...this._items.values()], history: [...this._history], revision: this._revision } }
+
+  private _cutWatches (): void {
     for (const waiting of this._waiting) {
       clearTimeout(waiting.timer)
       waiting.response.destroy()
@@ -69,24 +99,28 @@
     super.close()
   }
 
+  protected override mark (response: ServerResponse): void {
+    if (this.epoch !== undefined) response.setHeader('store-era', String(this.epoch))
+  }
+
   protected answer (request: IncomingMessage, response: ServerResponse): void {
     if (this.mode === 'silent') return
     if (this.mode === 'turns-away') return sendJson(response, {}, 503)
     const url = new URL(request.url ?? '/', 'http://store')
     const prefix = url.searchParams.get('pathPrefix') ?? ''
     const old = url.searchParams.get('allowStale') === '1' ? this._old : undefined
-    if (url.pathname === '/api/kv-range') this._range(old ?? { items: [...this._items.values()], revision: this._revision }, prefix, url.searchParams.get('sinceRev') ?? '', response)
+    if (url.pathname === '/api/kv-range') this._range(old ?? this._copyOfAll(), prefix, url.searchParams.get('sinceRev') ?? '', response)
     else if (url.pathname === '/api/kv-watch') this._watch(prefix, Number(url.searchParams.get('sinceRev')), Number(url.searchParams.get('waitMs')), response)
     else sendJson(response, {}, 404)
   }
 
-  private _range (held: { readonly items: readonly StoreEvent[], readonly revision: number }, prefix: string, afterKey: string, response: ServerResponse): void {
+  private _range (held: StoreCopy, prefix: string, afterKey: string, response: ServerResponse): void {
     const items = held.items.filter(({ key }) => key.startsWith(prefix) && key > afterKey).sort((left, right) => left.key < right.key ? -1 : 1)
     sendJson(response, { items: items.slice(0, this.pageSize), truncated: items.length > this.pageSize, storeRevision: held.revision })
   }
 
   private _watch (prefix: string, after: number, wait: number, response: ServerResponse): void {
-    if (after < this._forgottenUpTo) return sendJson(response, {}, 410)
+    if (after < this._forgottenUpTo || after > this._revision) return sendJson(response, {}, 410)
     if (this._tell(prefix, after, response)) return
     const waiting: Waiting = {
       prefix,
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -62,6 +62,7 @@
   busy = false
   readonly orders: unknown[] = []
   readonly staged = new Map<number, Buffer>()
+  private _written = 0
 
   /**
    * @param id Names this start of the worker.
@@ -69,10 +70,11 @@
    */
   constructor (readonly id: string, readonly model = '') { super() }
 
-  /** What the worker's entry in the store says. */
+  /** What the worker writes of itself in the store now. */
   entry (service: string, zone: string, state = 'ready'): unknown {
+    this._written += 1
     const models = this.model === '' || this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
-    return { service, address: this.address, zone, version: 'v1', slots: 16, state, coldRemainingMs: 0, stage: 'both', models, seq: 1 }
+    return { service, address: this.address, zone, version: 'v1', slots: 16, state, coldRemainingMs: 0, stage: 'both', models, seq: this._written }
   }
 
   protected async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
