What a restored store publishes is ordered by its epoch, and across epochs by the counts of its writers

Callers saw: requests run by a configuration that three acknowledged ones had replaced, a revoked key that still worked, and requests to an endpoint more than 2 s after it had said that it drains.

Cause: entries and agents ordered everything by the store's revision alone. A store that comes back from an older copy gives revisions out again: what was written then counted as old until the revisions had come past those of before, and a watch that went on from the old revision skipped what lay below it.

The store's epoch is read from all its answers. A reading in a later epoch, or news of a peer in one, begins it: what is held is carried over below all revisions of it, so nothing is lost and everything new counts. What the copy lacks is known by the writers' own counts: versions of configurations and models rise, and an endpoint counts what it writes. Endpoints that the copy does not list have a heartbeat's time to write themselves again. A version that an entry names to an agent has no revision any more: it would be of an epoch that the message does not name.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -17,11 +17,11 @@
 import type { LimitNews } from './routing/limits/limit-book.js'
 import type { LoadReport } from './routing/choice/endpoint-load.js'
 import type { ModelVersion } from './routing/published/endpoint-record.js'
-import type { PublishedNote, PublishedTopic } from './routing/published/published-state.js'
+import type { PublishedNote, PublishedTopic } from './routing/published/published-change.js'
 import type { SpreadDocuments, SpreadNote, Topic } from './spread.js'
 
 /** Raised when a change to the messages would be misread by older processes. */
-export const PROTOCOL_VERSION = 3
+export const PROTOCOL_VERSION = 4
 
 /** A caller's request as it goes to an agent, without its body. */
 export interface ForwardedRequest {
@@ -49,7 +49,6 @@
 
 /** A version that was named, as a process tells it to another. */
 export interface NamedVersion extends ModelVersion {
-  readonly revision: number
   /** Milliseconds since the teller heard of it. */
   readonly age: number
 }
--- a/packages/core/src/lib/routing/published/endpoint-record.ts
+++ b/packages/core/src/lib/routing/published/endpoint-record.ts
@@ -20,6 +20,8 @@
    * compared with nothing else.
    */
   readonly born?: number | undefined
+  /** Counts what this start has written of itself; nothing where that is not told. */
+  readonly writings?: number | undefined
   readonly service: string
   readonly address: string
   readonly availabilityZone: string
@@ -58,3 +60,28 @@
 export function isEarlierStart (born: number | undefined, than: number | undefined): boolean {
   return born !== undefined && than !== undefined && born < than
 }
+
+/** A start of an endpoint, and how often it had written; nothing where that is not known. */
+export type LastWriting = Partial<Pick<EndpointRecord, 'born' | 'writings'>>
+
+/**
+ * How much later a start of an endpoint wrote one thing than another, in writings. Nothing can be said of different starts, or without
+ * counts.
+ *
+ * @example
+ * const isEarlier = (writingsBetween(held.record, record) ?? 0) < 0
+ */
+export function writingsBetween (one: LastWriting, other: LastWriting): number | undefined {
+  if (one.born !== other.born || one.writings === undefined || other.writings === undefined) return undefined
+  return other.writings - one.writings
+}
+
+/**
+ * Whether two records say the same of an endpoint, however often it has written.
+ *
+ * @example
+ * if (!isSameListing(held.record, record)) rebuildChoices()
+ */
+export function isSameListing (left: EndpointRecord, right: EndpointRecord): boolean {
+  return JSON.stringify({ ...left, writings: 0 }) === JSON.stringify({ ...right, writings: 0 })
+}
--- a/packages/core/src/lib/routing/published/held-endpoints.ts
+++ b/packages/core/src/lib/routing/published/held-endpoints.ts
@@ -9,7 +9,10 @@
 /** One endpoint as it was published last. */
 export interface HeldEndpoint {
   readonly record: EndpointRecord
+  /** 0 for what was carried over from an earlier epoch of the store. */
   readonly revision: number
+  /** Whether it was heard in an earlier epoch. */
+  readonly carried: boolean
   /** Set while the entry is missing after an outage of the store, until when it is still taken as alive. */
   lapsesAt: number | undefined
 }
@@ -43,6 +46,17 @@
     if (claimsAddress) this._idAt.set(address, id)
   }
 
+  /** The store begins another epoch. */
+  carryOver (): void {
+    for (const [id, held] of this._byId) this._byId.set(id, { ...held, revision: 0, carried: true })
+  }
+
+  /** The store has nothing newer of an endpoint up to a revision; nothing happens when it is not held. */
+  confirm (id: string, revision: number): void {
+    const held = this._byId.get(id)
+    if (held !== undefined) this._byId.set(id, { ...held, revision, lapsesAt: undefined })
+  }
+
   /** Takes an endpoint away; nothing happens when it is not held. */
   drop (id: string): void {
     const held = this._byId.get(id)
--- a/packages/core/src/lib/routing/published/lapse-grace.ts
+++ b/packages/core/src/lib/routing/published/lapse-grace.ts
@@ -13,6 +13,8 @@
  * the platform's operators say; half a second is added for the way of that news. In milliseconds.
  */
 const GRACE = 2_500
+/** Endpoints that a restored store lacks write themselves again with their next heartbeat, in milliseconds. */
+const REWRITE_TIME = 1_500
 /**
  * When few are missing, in milliseconds: with an outage of the store itself most entries lapse, so these have left. Kept for the
  * whole grace, they were sent requests 3.1 s after they had said so, with 3 s allowed.
@@ -29,6 +31,10 @@
   private _decideAt = 0
   /** Removals up to this revision may be lapses. */
   private _upTo = 0
+  /** Until when the store may lack endpoints that it listed before it was restored from an older copy. */
+  private _rewrittenBy = 0
+  /** Removals up to this revision may be of that kind. */
+  private _restoredUpTo = 0
 
   /** The store cannot be reached: entries that vanish now may have lapsed only because of that. */
   lost (): void {
@@ -48,6 +54,15 @@
     this._upTo = upTo
   }
 
+  /** The store has been restored from an older copy: endpoints that began since are missing in it, few as they may be. */
+  restored (now: number): void {
+    this._rewrittenBy = now + REWRITE_TIME
+    this._restoredUpTo = Infinity
+  }
+
+  /** All endpoints were read up to a revision: removals that are told later are no lack of the copy. */
+  readUpTo (revision: number): void { this._restoredUpTo = Math.min(this._restoredUpTo, revision) }
+
   /**
    * Until when an endpoint whose entry is missing since a revision is kept.
    *
@@ -56,11 +71,12 @@
    * const lapsesAt = grace.keptUntil(revision, now)
    */
   keptUntil (revision: number, now: number): number | undefined {
+    if (now < this._rewrittenBy && revision <= this._restoredUpTo) return Math.max(this._rewrittenBy, this._until)
     return now < this._until && revision <= this._upTo ? this._until : undefined
   }
 
   /** Whether an endpoint that is kept until then is to go now. */
-  isOver (lapsesAt: number, now: number): boolean { return now >= Math.min(lapsesAt, this._until) }
+  isOver (lapsesAt: number, now: number): boolean { return now >= Math.max(this._rewrittenBy, Math.min(lapsesAt, this._until)) }
 
   /** Decides, once for each outage, whether few or most endpoints are missing. */
   decide (missing: number, all: number, now: number): void {
--- a/packages/core/src/lib/routing/published/named-versions.ts
+++ b/packages/core/src/lib/routing/published/named-versions.ts
@@ -8,6 +8,7 @@
 
 /** A wanted version, with the local time at which this process first heard of it. */
 export interface WantedVersion extends ModelVersion {
+  /** Up to which the store names nothing newer; 0 for what was heard in an earlier epoch of it, or without a revision. */
   readonly revision: number
   /** Nothing when it was there already when this process began to follow. */
   readonly heardAt: number | undefined
@@ -31,11 +32,19 @@
   take (wanted: ModelVersion, revision: number, heardAt: number | undefined): boolean {
     const named = this._versions.get(wanted.model) ?? []
     const newest = named.at(-1)
-    if (newest !== undefined && (revision <= newest.revision || wanted.version <= newest.version)) return false
-    this._versions.set(wanted.model, [...named.slice(1 - MOST_NAMED), { ...wanted, revision, heardAt }])
+    if (newest !== undefined && wanted.version <= newest.version) {
+      this._versions.set(wanted.model, [...named.slice(0, -1), { ...newest, revision: Math.max(revision, newest.revision) }])
+      return false
+    }
+    this._versions.set(wanted.model, [...named.slice(1 - MOST_NAMED), { ...wanted, revision: Math.max(revision, newest?.revision ?? 0), heardAt }])
     return true
   }
 
+  /** The store begins another epoch. */
+  carryOver (): void {
+    for (const [model, named] of this._versions) this._versions.set(model, named.map(version => ({ ...version, revision: 0 })))
+  }
+
   /** The newest of a model. */
   newest (model: string): WantedVersion | undefined { return this._versions.get(model)?.at(-1) }
 
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -7,44 +7,27 @@
  * What the platform has published, as one process holds it: the configuration, the versions that are wanted, and the
  * list of endpoints. Changes come from the platform's store or from peers, in any order; each carries the store's
  * revision of its item, and an older one never replaces a newer one.
+ *
+ * When the store begins another epoch, what is held is carried over at revision 0, below everything that the new epoch tells. A
+ * restored store tells older things too; those are known by the counts of their writers: the version of a configuration, the
+ * version of a model, and how often an endpoint has written.
  */
-import { isEarlierStart, type EndpointRecord, type ModelVersion } from './endpoint-record.js'
+import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord } from './endpoint-record.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
 import { NamedVersions, type WantedVersion } from './named-versions.js'
+import { publishedTopics, topicOf, type PublishedChange, type PublishedDelta, type PublishedNote, type PublishedTopic } from './published-change.js'
 import { Removals } from './removals.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
-/** Parts of what is published. */
-export type PublishedTopic = 'configuration' | 'versions' | 'endpoints'
-export const publishedTopics: readonly PublishedTopic[] = ['configuration', 'versions', 'endpoints']
-
-/** One change of one item. */
-export type PublishedChange =
-  | { readonly type: 'configuration', readonly revision: number, readonly configuration: RoutingConfiguration }
-  /** `age`: milliseconds since the teller heard of it, in news between processes; nothing where that is not known. */
-  | { readonly type: 'wanted-version', readonly revision: number, readonly wanted: ModelVersion, readonly age?: number | undefined }
-  | { readonly type: 'endpoint', readonly revision: number, readonly record: EndpointRecord }
-  /** `certain`: it names no endpoint to use any more, whatever became of the store meanwhile; otherwise it may only have lapsed. */
-  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined }
-
-/** How far a process has followed each topic: the store's revision up to which it has seen every change. */
-export type PublishedNote = Readonly<Record<PublishedTopic, number>>
-
-/** Changes on their way to a peer. */
-export interface PublishedDelta {
-  readonly upTo: PublishedNote
-  readonly changes: readonly PublishedChange[]
-  /** Topics that `changes` holds in whole: what it lacks of them is gone. */
-  readonly whole: readonly PublishedTopic[]
-}
-
 /**
  * A version that a peer heard of longer ago counts from when this process hears of it, as after an outage, in milliseconds:
  * a few times the pause in which a relay does not watch the store.
  */
 const LONGEST_AGE = 1_000
 
+const NOTHING_SEEN: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0 }
+
 /** The published state of one process. */
 export class PublishedState {
   private _configuration: { readonly revision: number, readonly configuration: RoutingConfiguration } | undefined
@@ -54,23 +37,31 @@
   private readonly _removals = new Removals()
   private _newestEndpoint = 0
   private _edition = 0
-  private readonly _seen: Record<PublishedTopic, number> = { configuration: 0, versions: 0, endpoints: 0 }
+  private _epoch = 0
+  private _seen: Readonly<Record<PublishedTopic, number>> = NOTHING_SEEN
+  /** Topics that were followed in this epoch or an earlier one. */
+  private readonly _known = new Set<PublishedTopic>()
 
   get configuration (): RoutingConfiguration | undefined { return this._configuration?.configuration }
   get configurationRevision (): number { return this._configuration?.revision ?? 0 }
   /** Whether both a configuration and the endpoints are known. */
-  get complete (): boolean { return this._configuration !== undefined && this._seen.endpoints > 0 }
-  /** How far each topic has been followed. */
-  get note (): PublishedNote { return { ...this._seen } }
+  get complete (): boolean { return this._configuration !== undefined && this.knows('endpoints') }
+  /** The epoch of the store that is followed; 0 before the first. */
+  get epoch (): number { return this._epoch }
+  /** How far each topic has been followed in this epoch. */
+  get note (): PublishedNote { return { epoch: this._epoch, ...this._seen } }
   /**
    * The revision of the newest thing that is held of each topic. Two processes that hold the same have the same, however far
    * they have followed.
    */
   get held (): PublishedNote {
     const versions = Math.max(0, ...this._versions.newestOfAll().map(({ revision }) => revision))
-    return { configuration: this.configurationRevision, versions, endpoints: this._newestEndpoint }
+    return { epoch: this._epoch, configuration: this.configurationRevision, versions, endpoints: this._newestEndpoint }
   }
 
+  /** Whether a topic has been followed, in whichever epoch. */
+  knows (topic: PublishedTopic): boolean { return this._known.has(topic) }
+
   /** Rises with everything that this process would tell differently to a peer. */
   get edition (): number { return this._edition }
 
@@ -124,7 +115,10 @@
    */
   takeWhole (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
     const news = changes.flatMap(change => this.take(change, now))
-    if (topic === 'endpoints') news.push(...this._takeMissing(changes, upTo, now))
+    if (topic === 'endpoints') {
+      news.push(...this._takeMissing(changes, upTo, now))
+      this._grace.readUpTo(upTo)
+    }
     this.followed(topic, upTo)
     return news
   }
@@ -133,7 +127,29 @@
   followed (topic: PublishedTopic, upTo: number): void {
     if (upTo <= this._seen[topic]) return
     this._edition += 1
-    this._seen[topic] = upTo
+    this._known.add(topic)
+    this._seen = { ...this._seen, [topic]: upTo }
+  }
+
+  /**
+   * Begins to follow another epoch of the store. What is held stays until its writer says otherwise.
+   *
+   * @returns Whether the epoch is a later one; nothing happens otherwise.
+   * @example
+   * if (state.enter(answer.epoch, now)) log.warn('epoch-began', { epoch: state.epoch })
+   */
+  enter (epoch: number, now: number): boolean {
+    if (epoch <= this._epoch) return false
+    this._epoch = epoch
+    this._edition += 1
+    this._seen = NOTHING_SEEN
+    this._newestEndpoint = 0
+    if (this._configuration !== undefined) this._configuration = { ...this._configuration, revision: 0 }
+    this._versions.carryOver()
+    this._endpoints.carryOver()
+    this._removals.carryOver()
+    if (this._known.size > 0) this._grace.restored(now)
+    return true
   }
 
   /** The store cannot be reached: entries that vanish now may have lapsed only because of that. */
@@ -154,7 +170,7 @@
     for (const { record: { id }, lapsesAt } of endpoints) {
       if (lapsesAt === undefined || !this._grace.isOver(lapsesAt, now)) continue
       this._endpoints.drop(id)
-      gone.push({ type: 'endpoint-gone', id, revision: this._removals.revisionOf(id) || this._seen.endpoints })
+      gone.push({ type: 'endpoint-gone', id, revision: this._removals.get(id)?.removal.revision ?? this._seen.endpoints })
     }
     return gone
   }
@@ -167,29 +183,34 @@
    * const delta = state.since(note, performance.now(), ['versions'])
    */
   since (note: PublishedNote, now: number, topics: readonly PublishedTopic[] = publishedTopics): PublishedDelta {
-    const known = { ...this.note }
-    for (const topic of publishedTopics) if (!topics.includes(topic)) known[topic] = note[topic]
-    const delta = this._since(note, now)
-    return { upTo: known, changes: delta.changes.filter(change => topics.includes(topicOf(change))), whole: delta.whole.filter(topic => topics.includes(topic)) }
+    if (note.epoch > this._epoch) return { upTo: { ...NOTHING_SEEN, epoch: this._epoch }, changes: [], whole: [] }
+    const from: PublishedNote = note.epoch === this._epoch ? note : { ...NOTHING_SEEN, epoch: this._epoch }
+    const unasked = publishedTopics.filter(topic => !topics.includes(topic))
+    const upTo: PublishedNote = { ...this.note, ...Object.fromEntries(unasked.map(topic => [topic, from[topic]])) }
+    const delta = this._since(from, now)
+    return { upTo, changes: delta.changes.filter(change => topics.includes(topicOf(change))), whole: delta.whole.filter(topic => topics.includes(topic)) }
   }
 
   private _since (note: PublishedNote, now: number): Pick<PublishedDelta, 'changes' | 'whole'> {
     const whole = publishedTopics.filter(topic => note[topic] < this._seen[topic] && this._tellsWhole(topic, note))
     const changes: PublishedChange[] = []
+    // What was carried over is at revision 0, and belongs to the whole.
+    const from = (topic: PublishedTopic): number => whole.includes(topic) ? -1 : note[topic]
     const held = this._configuration
-    if (held !== undefined && held.revision > note.configuration) changes.push({ type: 'configuration', ...held })
+    if (held !== undefined && held.revision > from('configuration')) changes.push({ type: 'configuration', ...held })
     for (const { revision, model, version, heardAt } of this._versions.newestOfAll()) {
       const age = heardAt === undefined ? undefined : now - heardAt
-      if (revision > note.versions) changes.push({ type: 'wanted-version', revision, wanted: { model, version }, age })
+      if (revision > from('versions')) changes.push({ type: 'wanted-version', revision, wanted: { model, version }, age })
     }
-    const from = whole.includes('endpoints') ? 0 : note.endpoints
-    for (const { record, revision } of this._endpoints.values()) if (revision > from) changes.push({ type: 'endpoint', revision, record })
-    changes.push(...this._removals.after(from))
+    for (const { record, revision } of this._endpoints.values()) if (revision > from('endpoints')) changes.push({ type: 'endpoint', revision, record })
+    changes.push(...this._removals.after(from('endpoints')))
     return { changes, whole }
   }
 
-  /** Takes what a peer told. Returns the changes that were news. */
+  /** Takes what a peer told, unless it follows an earlier epoch. Returns the changes that were news. */
   takeDelta (delta: PublishedDelta, now: number): PublishedChange[] {
+    if (delta.upTo.epoch < this._epoch) return []
+    this.enter(delta.upTo.epoch, now)
     const news: PublishedChange[] = []
     for (const topic of publishedTopics) {
       const changes = delta.changes.filter(change => topicOf(change) === topic)
@@ -204,26 +225,55 @@
 
   private readonly _takers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number) => boolean } = {
     configuration: ({ revision, configuration }) => {
-      if (revision <= this.configurationRevision) return false
-      this._configuration = { revision, configuration }
-      return true
+      const held = this._configuration
+      if (held !== undefined && revision <= held.revision) return false
+      const isOlder = held !== undefined && configuration.version < held.configuration.version
+      const isNews = !isOlder && (held === undefined || !isSameDocument(held.configuration, configuration))
+      this._configuration = { revision, configuration: isNews ? configuration : held?.configuration ?? configuration }
+      return isNews
     },
     'wanted-version': ({ revision, wanted, age = 0 }, now) => {
-      const heardAt = this._seen.versions === 0 ? undefined : now - (age <= LONGEST_AGE ? age : 0)
+      const heardAt = !this.knows('versions') ? undefined : now - (age <= LONGEST_AGE ? age : 0)
       return this._versions.take(wanted, revision, heardAt)
     },
-    endpoint: ({ revision, record }) => {
+    endpoint: change => {
+      const { revision, record } = change
       const held = this._endpoints.get(record.id)
-      const known = Math.max(held?.revision ?? 0, this._removals.revisionOf(record.id))
-      if (revision <= known || this._isReplaced(record, revision)) return false
-      if (isEarlierStart(record.born, held?.record.born ?? this._removals.bornOf(record.id))) return false
-      this._endpoints.hold({ record, revision, lapsesAt: undefined }, this._isNamed(record.service))
+      if (revision <= this._knownRevision(record.id) || this._isReplaced(record, revision)) return false
+      if (isEarlierStart(record.born, held?.record.born ?? this._removals.get(record.id)?.born)) return false
+      if (this._isFromBefore(record)) return this._confirm(record.id, revision)
+      this._endpoints.hold({ record, revision, carried: false, lapsesAt: undefined }, this._isNamed(record.service))
       this._removals.forget(record.id)
-      return true
+      return held === undefined || !isSameListing(held.record, record)
     },
     'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
+  /** The revision of what is known of an endpoint; below all others where nothing is. */
+  private _knownRevision (id: string): number {
+    return Math.max(this._endpoints.get(id)?.revision ?? -1, this._removals.get(id)?.removal.revision ?? -1)
+  }
+
+  /**
+   * Whether a restored store lists an endpoint as it was before something that was heard of it in an earlier epoch. The revision does
+   * not tell that, but the endpoint counts what it writes.
+   */
+  private _isFromBefore (record: EndpointRecord): boolean {
+    const held = this._endpoints.get(record.id)
+    if (held !== undefined) return held.carried && (writingsBetween(held.record, record) ?? 0) < 0
+    const gone = this._removals.get(record.id)
+    if (gone === undefined || !gone.carried) return false
+    const successor = this._endpoints.at(record.address)
+    return successor?.carried === true || (writingsBetween(gone, record) ?? 1) <= 0
+  }
+
+  /** The store has nothing newer of an endpoint at a revision than what was carried over. */
+  private _confirm (id: string, revision: number): false {
+    this._endpoints.confirm(id, revision)
+    this._removals.confirm(id, revision)
+    return false
+  }
+
   /** Whether another start of an endpoint was listed at the same address later. */
   private _isReplaced ({ id, address }: EndpointRecord, revision: number): boolean {
     const held = this._endpoints.at(address)
@@ -242,10 +292,10 @@
    */
   private _replaced (earlier: HeldEndpoint | undefined, { revision, record }: Extract<PublishedChange, { type: 'endpoint' }>): PublishedChange[] {
     if (earlier === undefined || earlier.record.id === record.id || !this._isNamed(record.service)) return []
-    const { id, born } = earlier.record
+    const { id } = earlier.record
     const gone = { type: 'endpoint-gone', id, revision } as const
     this._endpoints.drop(id)
-    this._removals.note(gone, born)
+    this._removals.note(gone, earlier.record)
     return [gone]
   }
 
@@ -257,8 +307,8 @@
   private _remove (gone: Extract<PublishedChange, { type: 'endpoint-gone' }>, now: number): boolean {
     const { id, revision, certain = false } = gone
     const held = this._endpoints.get(id)
-    if (revision <= Math.max(held?.revision ?? 0, this._removals.revisionOf(id))) return false
-    this._removals.note(gone, held?.record.born ?? this._removals.bornOf(id))
+    if (revision <= this._knownRevision(id)) return false
+    this._removals.note(gone, held?.record ?? this._removals.get(id) ?? {})
     if (held === undefined) return false
     const keptUntil = certain ? undefined : this._grace.keptUntil(revision, now)
     if (keptUntil !== undefined) {
@@ -276,12 +326,4 @@
   }
 }
 
-const topicsOfChanges: Record<PublishedChange['type'], PublishedTopic> = {
-  configuration: 'configuration',
-  'wanted-version': 'versions',
-  endpoint: 'endpoints',
-  'endpoint-gone': 'endpoints'
-}
-
-/** The topic that a change belongs to. */
-export function topicOf (change: PublishedChange): PublishedTopic { return topicsOfChanges[change.type] }
+function isSameDocument (left: RoutingConfiguration, right: RoutingConfiguration): boolean { return JSON.stringify(left) === JSON.stringify(right) }
--- a/packages/core/src/lib/routing/published/relay-book.ts
+++ b/packages/core/src/lib/routing/published/relay-book.ts
@@ -9,7 +9,7 @@
  */
 import type { RelayNote } from '../../messages.js'
 import type { Place } from '../choice/endpoint-choice.js'
-import type { PublishedNote, PublishedTopic } from './published-state.js'
+import type { PublishedNote, PublishedTopic } from './published-change.js'
 
 /** A relay that told nothing for this time is not relied on, in milliseconds: three of its signs of life are missing. */
 const NOTE_LIFETIME = 1_500
@@ -46,8 +46,8 @@
   /** The connection to a relay ended. */
   lost (address: string): void { this._relays.delete(address) }
 
-  /** Whether some relay is known to follow the store now. */
-  confirmed (now: number): boolean { return this._live(now).some(({ note }) => note.fresh) }
+  /** Whether some relay is known to follow the store now, in the epoch that this process follows or a later one. */
+  confirmed (epoch: number, now: number): boolean { return this._live(now).some(({ note }) => note.fresh && note.held.epoch >= epoch) }
 
   /**
    * The relay to take news from: the nearest that holds more than this process of one of some topics. Where a nearer one
@@ -59,9 +59,9 @@
    * const address = book.ahead(state.held, ['versions'], new Set(), now)
    */
   ahead (held: PublishedNote, topics: readonly PublishedTopic[], passedOver: ReadonlySet<string>, now: number): string | undefined {
-    const usable = this._usable(passedOver, now)
+    const usable = this._usable(held.epoch, passedOver, now)
     const nearest = usable[0]
-    const better = usable.find(({ note }) => topics.some(topic => note.held[topic] > held[topic]))
+    const better = usable.find(({ note }) => note.held.epoch > held.epoch || topics.some(topic => note.held[topic] > held[topic]))
     if (nearest === undefined || better === undefined) {
       this._aheadSince = undefined
       return undefined
@@ -72,13 +72,13 @@
   }
 
   /** The nearest relay that follows the store now; nothing when there is none. */
-  nearest (passedOver: ReadonlySet<string>, now: number): string | undefined {
-    return this._usable(passedOver, now).find(({ note }) => note.fresh)?.address
+  nearest (epoch: number, passedOver: ReadonlySet<string>, now: number): string | undefined {
+    return this._usable(epoch, passedOver, now).find(({ note }) => note.fresh)?.address
   }
 
   /** How far this process may count a topic as followed: a relay that holds no more says up to where nothing is new. */
   followedBy (held: PublishedNote, topic: PublishedTopic, now: number): number {
-    const same = this._live(now).filter(({ note }) => note.fresh && note.held[topic] === held[topic])
+    const same = this._live(now).filter(({ note }) => note.fresh && note.held.epoch === held.epoch && note.held[topic] === held[topic])
     return Math.max(0, ...same.map(({ note }) => note.followed[topic]))
   }
 
@@ -86,9 +86,9 @@
     return [...this._relays.values()].filter(({ heardAt }) => now - heardAt <= NOTE_LIFETIME)
   }
 
-  /** The nearest first. */
-  private _usable (passedOver: ReadonlySet<string>, now: number): Relay[] {
-    return this._live(now).filter(({ address }) => !passedOver.has(address)).sort((left, right) => this._distance(left) - this._distance(right))
+  /** Those that do not follow an earlier epoch, the nearest first. */
+  private _usable (epoch: number, passedOver: ReadonlySet<string>, now: number): Relay[] {
+    return this._live(now).filter(({ address, note }) => note.held.epoch >= epoch && !passedOver.has(address)).sort((left, right) => this._distance(left) - this._distance(right))
   }
 
   /** 0 in the own zone, 1 in the own region, 2 elsewhere. */
--- a/packages/core/src/lib/routing/published/removals.ts
+++ b/packages/core/src/lib/routing/published/removals.ts
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Endpoints that have gone, so that older news of them is not believed, and peers that are behind can be told. */
+import type { LastWriting } from './endpoint-record.js'
 
 /** One removal. */
 export interface Removal {
@@ -13,10 +14,11 @@
   readonly certain?: boolean | undefined
 }
 
-interface Noted {
+/** A removal, and the newest start of the endpoint that was known when it went. */
+export interface NotedRemoval extends LastWriting {
   readonly removal: Removal
-  /** The newest start of the endpoint that was known. */
-  readonly born: number | undefined
+  /** Whether it was heard in an earlier epoch of the store; its revision is 0 then. */
+  readonly carried: boolean
 }
 
 /** Removals kept to be told to peers. Beyond that, a peer that is further behind gets the whole list. */
@@ -25,17 +27,14 @@
 /** The newest removals, one of each endpoint. */
 export class Removals {
   /** The oldest first. */
-  private readonly _noted = new Map<string, Noted>()
+  private readonly _noted = new Map<string, NotedRemoval>()
   private _forgottenUpTo = 0
 
   /** Removals up to this revision may have been forgotten; 0 for none. */
   get forgottenUpTo (): number { return this._forgottenUpTo }
 
-  /** The revision of an endpoint's removal; 0 for none. */
-  revisionOf (id: string): number { return this._noted.get(id)?.removal.revision ?? 0 }
-
-  /** The newest start of an endpoint that was known when it went; nothing where that is not known. */
-  bornOf (id: string): number | undefined { return this._noted.get(id)?.born }
+  /** The removal of an endpoint; nothing for one that has not gone. */
+  get (id: string): NotedRemoval | undefined { return this._noted.get(id) }
 
   /** Those after a revision. */
   after (revision: number): Removal[] {
@@ -45,12 +44,11 @@
   /**
    * An endpoint has gone.
    *
-   * @param born The newest start of it that was known.
    * @example
-   * removals.note({ type: 'endpoint-gone', id: 'engine-7', revision: 12 }, record.born)
+   * removals.note({ type: 'endpoint-gone', id: 'engine-7', revision: 12 }, held.record)
    */
-  note (removal: Removal, born: number | undefined): void {
-    this._noted.set(removal.id, { removal, born })
+  note (removal: Removal, { born, writings }: LastWriting): void {
+    this._noted.set(removal.id, { removal, born, writings, carried: false })
     for (const [oldest, { removal: { revision } }] of this._noted) {
       if (this._noted.size <= MOST_REMOVALS) return
       this._noted.delete(oldest)
@@ -58,6 +56,18 @@
     }
   }
 
+  /** The store begins another epoch. */
+  carryOver (): void {
+    this._forgottenUpTo = 0
+    for (const [id, noted] of this._noted) this._noted.set(id, { ...noted, removal: { ...noted.removal, revision: 0 }, carried: true })
+  }
+
+  /** The store has nothing newer of an endpoint up to a revision; nothing happens when it has not gone. */
+  confirm (id: string, revision: number): void {
+    const noted = this._noted.get(id)
+    if (noted !== undefined) this._noted.set(id, { ...noted, removal: { ...noted.removal, revision } })
+  }
+
   /** An endpoint is back. */
   forget (id: string): void { this._noted.delete(id) }
 }
--- a/packages/core/src/test/lib/routing/published/lapsed-endpoints_test.ts
+++ b/packages/core/src/test/lib/routing/published/lapsed-endpoints_test.ts
@@ -11,7 +11,8 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PublishedState, type PublishedChange } from '../../../../lib/routing/published/published-state.js'
+import type { PublishedChange } from '../../../../lib/routing/published/published-change.js'
+import { PublishedState } from '../../../../lib/routing/published/published-state.js'
 
 const ALL = ['a', 'b', 'c', 'd', 'e']
 
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -6,7 +6,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { EndpointRecord } from '../../../../lib/routing/published/endpoint-record.js'
-import { PublishedState, type PublishedChange } from '../../../../lib/routing/published/published-state.js'
+import type { PublishedChange } from '../../../../lib/routing/published/published-change.js'
+import { PublishedState } from '../../../../lib/routing/published/published-state.js'
 import type { RoutingConfiguration } from '../../../../lib/routing/published/routing-configuration.js'
 
 const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 }
--- a/packages/core/src/test/lib/routing/published/relay-book_test.ts
+++ b/packages/core/src/test/lib/routing/published/relay-book_test.ts
@@ -6,13 +6,13 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { RelayNote } from '../../../../lib/messages.js'
-import type { PublishedNote } from '../../../../lib/routing/published/published-state.js'
+import type { PublishedNote } from '../../../../lib/routing/published/published-change.js'
 import { RelayBook } from '../../../../lib/routing/published/relay-book.js'
 
 const place = { availabilityZone: 'koshi-a', regionOf: (zone: string) => zone.split('-')[0] ?? zone }
 const nobody = new Set<string>()
 
-function held (configuration: number): PublishedNote { return { configuration, versions: 1, endpoints: 1 } }
+function held (configuration: number): PublishedNote { return { epoch: 1, configuration, versions: 1, endpoints: 1 } }
 
 function note (availabilityZone: string, configuration: number, fresh = true): RelayNote {
   return { availabilityZone, followed: held(100 + configuration), held: held(configuration), fresh }
@@ -50,7 +50,7 @@
     it(`relies on ${name}`, () => {
       const book = new RelayBook(place)
       change(book)
-      assert.deepEqual([book.confirmed(at), book.nearest(nobody, at) !== undefined], [expected, expected])
+      assert.deepEqual([book.confirmed(1, at), book.nearest(1, nobody, at) !== undefined], [expected, expected])
     })
   }
 
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -25,15 +25,29 @@
   endpoints: ['endpoints']
 }
 
-/** Why the store gave no answer. */
-export interface StoreFailure {
+/** What each answer of a store may tell of it. */
+export interface StoreAnswer {
+  /**
+   * Rises when the store comes back from an older copy of itself. Nothing where it is not told; a store that never tells it is in one
+   * epoch all the time.
+   */
+  readonly epoch?: number | undefined
+}
+
+/** The store forgot its history, or never had the revision that was named. */
+export interface HistoryLost extends StoreAnswer {
+  readonly type: 'history-lost'
+}
+
+/** Why the store gave no answer that can be used. */
+export interface StoreFailure extends StoreAnswer {
   readonly type: 'store-failure'
-  readonly reason: 'unreachable' | 'timed-out' | 'turned-away' | 'malformed'
+  readonly reason: 'unreachable' | 'timed-out' | 'turned-away' | 'malformed' | 'earlier-epoch'
   readonly detail: string
 }
 
 /** Changes as the store tells them, up to its revision `upTo`. */
-export interface StoreChanges {
+export interface StoreChanges extends StoreAnswer {
   readonly type: 'changes'
   readonly changes: readonly PublishedChange[]
   readonly upTo: number
@@ -55,7 +69,7 @@
    *
    * @param wait Milliseconds that the store may hold the call.
    */
-  awaitChanges (scope: StoreScope, after: number, wait: number): Promise<StoreChanges | { readonly type: 'history-lost' } | StoreFailure>
+  awaitChanges (scope: StoreScope, after: number, wait: number): Promise<StoreChanges | HistoryLost | StoreFailure>
 }
 
 /** The head of a caller's request, in the product's terms. */
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -7,14 +7,14 @@
  * Keeps published state up to date: follows the store by watches, and asks peers while the store does not answer.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { failureOf, PublishedState, topicOf, type Place, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
+import { failureOf, PublishedState, topicOf, type ModelVersion, type Place, type PublishedChange, type PublishedDelta, type PublishedNote, type PublishedTopic } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
 import { unpackNews } from './packed-news.js'
 import { RefusedDocuments } from './refused-documents.js'
 import { RelayFollower, waitUntil } from './relay-follower.js'
-import { topicsOfScope, type PublishedStore, type ReadFreshness, type StoreChanges, type StoreFailure, type StoreScope } from './ports.js'
+import { topicsOfScope, type HistoryLost, type PublishedStore, type ReadFreshness, type StoreAnswer, type StoreChanges, type StoreFailure, type StoreScope } from './ports.js'
 
 /** A scope that is watched all the time. */
 export interface Watch {
@@ -152,7 +152,9 @@
     }
     if (await this._relays.take(topicsOfScope[scope])) return
     const askedAt = performance.now()
-    const answer = await this._read(scope, 'may-be-old')
+    let answer = this._inEpoch(await this._read(scope, 'may-be-old'))
+    // Only a reading that may be old may be as old as that.
+    if (answer.type === 'store-failure' && answer.reason === 'earlier-epoch') answer = this._inEpoch(await this._read(scope, 'newest'))
     if (this._closed) return
     if (answer.type === 'store-failure') return this._failed(scope, answer, askedAt)
     // An old reading does not tell which revision the store has come to.
@@ -161,12 +163,12 @@
   }
 
   /**
-   * A peer told one change.
+   * A peer told that a version is wanted, and not up to which revision that holds.
    *
    * @param heardAt When the peer heard of it, by this process's clock.
    */
-  told (change: PublishedChange, heardAt: number): void {
-    this._tell(this.state.take(change, heardAt))
+  told (wanted: ModelVersion, heardAt: number): void {
+    this._tell(this.state.take({ type: 'wanted-version', revision: 0, wanted }, heardAt))
   }
 
   /** While this process starts, relays may tell it everything. */
@@ -178,7 +180,7 @@
   /** A scope is left to the relays until none of them follows the store any more. */
   private async _leaveToRelays (scope: StoreScope): Promise<void> {
     this._answering.delete(scope)
-    this._answered(scope, Math.max(...Object.values(this.state.note)))
+    this._answered(scope, Math.max(...topicsOfScope[scope].map(topic => this.state.note[topic])))
     await waitUntil(() => this._closed || !this._relays.confirmed, Infinity, RELAY_STEP)
   }
 
@@ -186,20 +188,23 @@
     const { scope, pause: rest, relayed } = watch
     await this._awaitRelays(scope)
     let backoff = FIRST_BACKOFF
-    let read = this._followed(scope) > 0
+    /** Whether the store's history does not reach to what was followed. */
+    let lost = false
     let restedFrom: number | undefined
     while (!this._closed) {
       if (relayed && this._relays.confirmed) {
         await this._leaveToRelays(scope)
-        read = this._followed(scope) > 0
+        lost = false
         restedFrom = undefined
         continue
       }
       const askedAt = performance.now()
       const notBefore = restedFrom ?? askedAt
       restedFrom = undefined
-      const answer = read ? await this._watch(watch) : await this._read(scope, 'newest')
+      const watched = !lost && this._followed(scope) > 0
+      const answer = this._inEpoch(watched ? await this._watch(watch) : await this._read(scope, 'newest'))
       if (this._closed) return
+      if (watched && this._isOfLaterEpoch(answer)) lost = true
       if (answer.type === 'store-failure') {
         this._failed(scope, answer, askedAt)
         await pause(backoff * (0.5 + Math.random()))
@@ -207,18 +212,19 @@
         continue
       }
       backoff = FIRST_BACKOFF
-      if (answer.type === 'history-lost') {
-        this._parts.log.warn('history-lost', { scope, revision: this._followed(scope) })
-        read = false
+      if (answer.type === 'history-lost' || (watched && lost)) {
+        this._parts.log.warn('history-lost', { scope, revision: this._followed(scope), epoch: this.state.epoch, told: answer.epoch })
+        lost = true
+        this._answering.delete(scope)
         // All processes lose it at one moment; a relay reads everything again in some hundred milliseconds.
         if (relayed) await waitUntil(() => this._closed || this._relays.confirmed, START_PATIENCE, START_STEP)
         continue
       }
       this._answered(scope, answer.upTo)
       this._answering.add(scope)
-      if (read) this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
+      if (watched) this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
       else this._takeWhole(scope, answer, askedAt)
-      read = true
+      lost = false
       if (answer.changes.length === 0 || rest === 0) continue
       restedFrom = performance.now()
       await pause(rest)
@@ -230,11 +236,20 @@
     return await this._parts.store.readWhole(scope, freshness)
   }
 
-  private async _watch (watch: Watch): Promise<StoreChanges | { readonly type: 'history-lost' } | StoreFailure> {
+  private async _watch (watch: Watch): Promise<StoreChanges | HistoryLost | StoreFailure> {
     this._parts.counters.add('store_watches')
     return await this._parts.store.awaitChanges(watch.scope, this._followed(watch.scope), this._watchWait(watch))
   }
 
+  /** An answer, unless it was given in an epoch before the one that is followed: what it says may have been lost since. */
+  private _inEpoch<Answer extends StoreAnswer> (answer: Answer): Answer | StoreFailure {
+    const { epoch } = answer
+    if (epoch === undefined || epoch >= this.state.epoch) return answer
+    return { type: 'store-failure', reason: 'earlier-epoch', detail: `epoch ${epoch}, and ${this.state.epoch} is followed`, epoch }
+  }
+
+  private _isOfLaterEpoch ({ epoch }: StoreAnswer): boolean { return epoch !== undefined && epoch > this.state.epoch }
+
   /** How long the store may hold a watch, in milliseconds. */
   private _watchWait ({ scope, wait }: Watch): number {
     if (performance.now() - this._failedAt >= UNSTEADY_TIME) return wait
@@ -250,15 +265,19 @@
 
   private _takeWhole (scope: StoreScope, answer: StoreChanges, askedAt: number): void {
     const now = performance.now()
+    const before = this.state.note
+    if (answer.epoch !== undefined && this.state.enter(answer.epoch, now)) this._logEpoch(before, answer.upTo, 'store')
+    this._logOlder(answer)
     const news = topicsOfScope[scope].flatMap(topic => this.state.takeWhole(topic, answer.changes.filter(change => topicOf(change) === topic), answer.upTo, now))
     this._refused(answer)
-    this._parts.log.info('published-read', { scope, revision: answer.upTo, items: answer.changes.length, news: news.length, took: Math.round(now - askedAt), bytes: answer.bytes })
+    this._parts.log.info('published-read', { scope, epoch: this.state.epoch, revision: answer.upTo, items: answer.changes.length, news: news.length, took: Math.round(now - askedAt), bytes: answer.bytes })
     this._tell(news)
   }
 
   private _takeChanges (scope: StoreScope, answer: StoreChanges, changedAt: number): void {
     const news = answer.changes.flatMap(change => this.state.take(change, changedAt))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, answer.upTo)
+    this._logOlder(answer)
     this._refused(answer)
     this._tell(news)
   }
@@ -267,6 +286,23 @@
     for (const failure of refused) this._refusedDocuments.note(failure, performance.now())
   }
 
+  /** Operators only raise the version of a configuration; a restored store tells an older one until it is written again. */
+  private _logOlder ({ changes, upTo }: StoreChanges): void {
+    const held = this.state.configuration?.version ?? 0
+    for (const change of changes) {
+      if (change.type !== 'configuration' || change.configuration.version >= held) continue
+      this._parts.counters.add('configurations_older')
+      this._parts.log.warn('configuration-older', { version: change.configuration.version, held, epoch: this.state.epoch, revision: upTo })
+    }
+  }
+
+  /** Tells when this process follows another epoch of the store than before. */
+  private _logEpoch (before: PublishedNote, revision: number, by: string): void {
+    if (!this.state.knows('configuration') && !this.state.knows('endpoints')) return
+    this._parts.counters.add('epochs_begun')
+    this._parts.log.warn('epoch-began', { from: before.epoch, epoch: this.state.epoch, before: Math.max(before.configuration, before.versions, before.endpoints), revision, by })
+  }
+
   private _tell (news: readonly PublishedChange[]): void {
     if (news.length > 0) this._parts.onChanges(news)
   }
@@ -322,9 +358,12 @@
   }
 
   private _takeNews (address: string, delta: PublishedDelta, took: number): void {
+    const before = this.state.note
     const news = this.state.takeDelta(delta, performance.now())
+    const { configuration, versions, endpoints } = delta.upTo
+    if (this.state.epoch > before.epoch) this._logEpoch(before, Math.max(configuration, versions, endpoints), address)
     if (news.length === 0) return
-    this._parts.log.info('published-from-peer', { address, news: news.length, configuration: delta.upTo.configuration, endpoints: delta.upTo.endpoints, took })
+    this._parts.log.info('published-from-peer', { address, epoch: this.state.epoch, news: news.length, configuration, endpoints, took })
     this._tell(news)
   }
 }
--- a/packages/node/src/lib/routing/published-readings.ts
+++ b/packages/node/src/lib/routing/published-readings.ts
@@ -64,7 +64,7 @@
   }
 
   private async _readVersions (now: number): Promise<void> {
-    const known = this._feed.state.note.versions > 0
+    const known = this._feed.state.knows('versions')
     if (now - this._versionsReadAt < (known ? VERSIONS_PAUSE : UNKNOWN_PAUSE)) return
     this._versionsReadAt = now
     await this._feed.refresh('versions')
@@ -72,7 +72,7 @@
   }
 
   private async _readMembers (now: number): Promise<void> {
-    const wanting = this._feed.state.note.endpoints === 0 || this._parts.wantsMembers()
+    const wanting = !this._feed.state.knows('endpoints') || this._parts.wantsMembers()
     if (!wanting || now - this._listReadAt < LIST_PAUSE) return
     this._listReadAt = now
     await this._feed.refresh('endpoints')
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -76,7 +76,7 @@
   }
 
   /** Whether some relay follows the store now and is heard. */
-  get confirmed (): boolean { return this._book.confirmed(performance.now()) }
+  get confirmed (): boolean { return this._book.confirmed(this._parts.state.epoch, performance.now()) }
 
   close (): void { clearInterval(this._timer) }
 
@@ -87,7 +87,7 @@
    */
   async take (topics: readonly PublishedTopic[]): Promise<boolean> {
     const now = performance.now()
-    const address = this._book.nearest(this._passedOver(now), now)
+    const address = this._book.nearest(this._parts.state.epoch, this._passedOver(now), now)
     return address !== undefined && await this._takeFrom(address, topics)
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -237,7 +237,7 @@
 
   private _newsFor (agent: string, now: number): AgentNews {
     const wanted = this._feed.state.wanted(this._units.modelOf(agent) ?? '')
-    const named = wanted?.heardAt === undefined ? undefined : { model: wanted.model, version: wanted.version, revision: wanted.revision, age: now - wanted.heardAt }
+    const named = wanted?.heardAt === undefined ? undefined : { model: wanted.model, version: wanted.version, age: now - wanted.heardAt }
     return { ...this._units.sentTo(agent, now), named }
   }
 
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -141,8 +141,8 @@
 
   /** Versions always, the others until they are known. */
   private _relayedTopics (): PublishedTopic[] {
-    const { configuration, note } = this._feed.state
-    return ['versions', ...(configuration === undefined ? ['configuration' as const] : []), ...(note.endpoints === 0 ? ['endpoints' as const] : [])]
+    const { state } = this._feed
+    return ['versions', ...(state.configuration === undefined ? ['configuration' as const] : []), ...(state.knows('endpoints') ? [] : ['endpoints' as const])]
   }
 
   private _newVersions (): VersionsUnderWay {
@@ -239,7 +239,7 @@
   /** The version that this pool's model is to serve. */
   private _wanted (): NewestVersion | undefined {
     const model = this._poolDescription?.models[0]?.name
-    if (model === undefined || this._feed.state.note.versions === 0) return undefined
+    if (model === undefined || !this._feed.state.knows('versions')) return undefined
     const wanted = this._feed.state.wanted(model)
     return { model, version: wanted?.version ?? FIRST_VERSION, heardAt: wanted?.heardAt }
   }
@@ -262,7 +262,7 @@
    * likely only the manifest is missing: after a loss of power everywhere, with narrow links between regions, the list of 105
    * endpoints came 0.7 s later than the configuration.
    */
-  private _mayFetch (): boolean { return this._feed.state.note.endpoints > 0 || this._versions.stagedCount > 0 }
+  private _mayFetch (): boolean { return this._feed.state.knows('endpoints') || this._versions.stagedCount > 0 }
 
   private _answer (request: PeerRequest, responder: Responder): void {
     const handler = Object.hasOwn(this._handlers, request.type) ? this._handlers[request.type] : undefined
@@ -310,11 +310,11 @@
     if (corrections.length > 0) this._publisher.tellOne({ type: 'limits', news: corrections }, responder.connection)
   }
 
-  private _hearNamed ({ model, version, revision, age }: NamedVersion): void {
-    if (typeof model !== 'string' || ![version, revision, age].every(Number.isFinite)) {
+  private _hearNamed ({ model, version, age }: NamedVersion): void {
+    if (typeof model !== 'string' || ![version, age].every(Number.isFinite)) {
       return this._log.warn('peer-malformed', { type: 'ping', detail: 'it names no version of a model' })
     }
-    this._feed.told({ type: 'wanted-version', revision, wanted: { model, version } }, performance.now() - age)
+    this._feed.told({ model, version }, performance.now() - age)
   }
 
   private async _manifest (identity: string, wait: number, responder: Responder): Promise<void> {
--- a/packages/node/src/test/lib/routing/packed-news_test.ts
+++ b/packages/node/src/test/lib/routing/packed-news_test.ts
@@ -13,7 +13,7 @@
 const record = { id: 'a', service: 'pool', address: '10.0.0.1:80', availabilityZone: 'koshi', slots: 4, draining: false, models: [{ model: 'm', version: 2 }] }
 const listed: PublishedChange = { type: 'endpoint', revision: 2, record }
 const named: PublishedChange = { type: 'wanted-version', revision: 3, wanted: { model: 'm', version: 2 } }
-const nothing = { configuration: 0, versions: 0, endpoints: 0 }
+const nothing = { epoch: 0, configuration: 0, versions: 0, endpoints: 0 }
 
 function known (): PublishedState {
   const state = new PublishedState()
@@ -30,7 +30,7 @@
 
   it('hold the topics that were asked for, and say nothing of the others', () => {
     const delta = unpackNews(new NewsPacker(known()).since({ ...nothing, endpoints: 1 }, ['versions'], 0))
-    assert.deepEqual([delta.changes.map(({ type }) => type), delta.upTo], [['wanted-version'], { configuration: 0, versions: 3, endpoints: 1 }])
+    assert.deepEqual([delta.changes.map(({ type }) => type), delta.upTo], [['wanted-version'], { epoch: 0, configuration: 0, versions: 3, endpoints: 1 }])
   })
 
   it('are packed anew when something has changed', () => {
--- a/packages/node/src/test/lib/routing/weights-agent_test.ts
+++ b/packages/node/src/test/lib/routing/weights-agent_test.ts
@@ -129,7 +129,7 @@
 
   it('hears from an entry which version is wanted, and watches nothing', async () => {
     const { store, lines, ask } = await begin()
-    await ask({ type: 'ping', named: { model: 'm', version: 2, revision: 9, age: 50 } })
+    await ask({ type: 'ping', named: { model: 'm', version: 2, age: 50 } })
     assert.ok(lines.join('').includes('version=2'))
     assert.deepEqual([store.watches, new Set(store.readings.map(([, freshness]) => freshness))], [0, new Set(['may-be-old'])])
   })
@@ -149,10 +149,10 @@
   }
 
   const unheeded: [name: string, named: unknown, told: boolean][] = [
-    ['an older version', { model: 'm', version: 1, revision: 9, age: 50 }, false],
-    ['a version without a number', { model: 'm', revision: 9, age: 50 }, true],
-    ['a version without a model', { version: 2, revision: 9, age: 50 }, true],
-    ['a version without an age', { model: 'm', version: 2, revision: 9 }, true]
+    ['an older version', { model: 'm', version: 1, age: 50 }, false],
+    ['a version without a number', { model: 'm', age: 50 }, true],
+    ['a version without a model', { version: 2, age: 50 }, true],
+    ['a version without an age', { model: 'm', version: 2 }, true]
   ]
   for (const [name, named, told] of unheeded) {
     it(`does not heed ${name}`, async () => {
