The epoch of the store in log lines, metrics and explanations; readings and relays of two epochs by test

epoch-began says from which epoch, up to which revision it had been followed, and who told it; configuration-older, what a restored store told below what is held. explain shows the configuration and the epoch that decided a request, however long ago they began.

--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -39,7 +39,9 @@
 /** An answer that took this many times what was expected was held up where nobody expected it. */
 const SLOWER_FACTOR = 1.5
 /** Events that change what a process believes, whatever endpoint they are about. */
-const beliefs = new Set(['store-lost', 'store-regained', 'configuration-adopted', 'version-wanted', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
+const beliefs = new Set(['store-lost', 'store-regained', 'epoch-began', 'history-lost', 'configuration-older', 'configuration-adopted', 'version-wanted', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
+/** Events that say by what a process goes on until the next one of the kind, however long that takes. */
+const standingEvents: ReadonlySet<string> = new Set(['epoch-began', 'configuration-adopted'])
 /** Events about one endpoint or its agent. */
 const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
 /** What endpoints said of themselves, which holds for long and keeps requests from those that it is about. */
@@ -88,11 +90,23 @@
     const ofEndpoint = endpointEvents.has(event) || noticeEvents.has(event)
     return beliefs.has(event) || (ofEndpoint && (about.has(fields['endpoint'] ?? '') || hosts.has(hostOf(fields['agent']))))
   }
-  const around = lines.filter(line => line.time <= last.time && instances.has(line.fields['instance']) && isAround(line))
+  const before = lines.filter(({ time, fields }) => time <= last.time && instances.has(fields['instance']))
+  const standing = lastOfEach(before.filter(({ event, time }) => standingEvents.has(event) && time < first.time))
+  const around = before.filter(line => standing.has(line) || isAround(line))
   const cause = causeOf(request)
   return { cause, advice: advices[cause], request, around: around.sort((left, right) => left.time - right.time) }
 }
 
+/** The last line of each event of each instance. */
+function lastOfEach (lines: readonly LogLine[]): ReadonlySet<LogLine> {
+  const last = new Map<string, LogLine>()
+  for (const line of lines) {
+    const key = `${line.fields['instance']} ${line.event}`
+    if (line.time >= (last.get(key)?.time ?? -Infinity)) last.set(key, line)
+  }
+  return new Set(last.values())
+}
+
 /** Fields of the line that closes an explanation. */
 export function explanationFields ({ cause, advice, request }: Explanation): LogFields {
   return { event: 'explained', id: request[0]?.fields['id'], cause, lines: request.length, advice }
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -275,9 +275,9 @@
   }
 
   private _takeChanges (scope: StoreScope, answer: StoreChanges, changedAt: number): void {
+    this._logOlder(answer)
     const news = answer.changes.flatMap(change => this.state.take(change, changedAt))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, answer.upTo)
-    this._logOlder(answer)
     this._refused(answer)
     this._tell(news)
   }
@@ -298,8 +298,8 @@
 
   /** Tells when this process follows another epoch of the store than before. */
   private _logEpoch (before: PublishedNote, revision: number, by: string): void {
+    this._parts.counters.add('store_epoch', this.state.epoch - before.epoch)
     if (!this.state.knows('configuration') && !this.state.knows('endpoints')) return
-    this._parts.counters.add('epochs_begun')
     this._parts.log.warn('epoch-began', { from: before.epoch, epoch: this.state.epoch, before: Math.max(before.configuration, before.versions, before.endpoints), revision, by })
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -280,16 +280,16 @@
     this._table = new RouteTable(configuration)
     this._front.applyLimits(this._table)
     this._log.info('configuration-adopted', {
-      version: configuration.version, revision: this._feed.state.configurationRevision, routes: configuration.routes.length, organisations: configuration.organisations.length
+      version: configuration.version, epoch: this._feed.state.epoch, revision: this._feed.state.configurationRevision, routes: configuration.routes.length, organisations: configuration.organisations.length
     })
   }
 
   private _logChange (change: PublishedChange): void {
     if (change.type === 'wanted-version') this._log.info('version-wanted', { model: change.wanted.model, version: change.wanted.version, revision: change.revision })
-    if (change.type === 'endpoint-gone') this._log.info('endpoint-gone', { endpoint: change.id, revision: change.revision })
+    if (change.type === 'endpoint-gone') this._log.info('endpoint-gone', { endpoint: change.id, epoch: this._feed.state.epoch, revision: change.revision })
     if (change.type !== 'endpoint') return
     const { id, service, address, availabilityZone, draining } = change.record
-    this._log.info('endpoint-listed', { endpoint: id, service, address, zone: availabilityZone, draining, revision: change.revision })
+    this._log.info('endpoint-listed', { endpoint: id, service, address, zone: availabilityZone, draining, epoch: this._feed.state.epoch, revision: change.revision })
   }
 
   private _answer (request: PeerRequest, responder: Responder): void {
--- a/packages/node/src/test/lib/operator/explain_test.ts
+++ b/packages/node/src/test/lib/operator/explain_test.ts
@@ -74,6 +74,9 @@
     ['the end of another endpoint', 1, 'endpoint-gone endpoint=e2', false],
     ['what another entry learned', 1, 'store-lost scope=operator instance=entry-2', false],
     ['what was long before', -60, 'store-lost scope=operator', false],
+    ['by which configuration it was decided, however old that is', -60, 'configuration-adopted version=20 epoch=2', true],
+    ['by which configuration another entry decided', -60, 'configuration-adopted version=20 epoch=2 instance=entry-2', false],
+    ['in which epoch of the store', -60, 'epoch-began from=1 epoch=2', true],
     ['what came after', 60, 'store-lost scope=operator', false]
   ]
   for (const [name, second, text, shown] of aroundCases) {
@@ -83,6 +86,11 @@
     })
   }
 
+  it('leaves out configurations before the one that decided', () => {
+    const given = lines([-90, 'configuration-adopted version=18'], [-60, 'configuration-adopted version=20'], sent)
+    assert.deepEqual(explainRequest('r1', given)?.around.map(({ fields }) => fields['version']), ['20'])
+  })
+
   const noticeCases: [name: string, request: string, instance: string, shown: boolean][] = [
     ['of a request that was sent elsewhere for it', 'request-sent id=r1 endpoint=e1 spared=limited:1', 'entry-1', true],
     ['of one that was refused for it', 'request-ended id=r1 result=refused code=endpoints-spared', 'entry-1', true],
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -41,6 +41,8 @@
   pageSize = 500
   /** Names the store's epoch in all its answers; nothing where it tells none. */
   epoch: number | undefined = 1
+  private _onPage: (page: number) => void = () => {}
+  private _pages = 0
   private _items = new Map<string, StoreEvent>()
   /** What readings get that may be old; the same as others without. */
   private _old: StoreCopy | undefined
@@ -56,6 +58,12 @@
     return this._change({ key, revision: ++this._revision, value })
   }
 
+  /** Has something done after each page of a reading, by how many there were since. */
+  eachPage (run: (page: number) => void): void {
+    this._onPage = run
+    this._pages = 0
+  }
+
   remove (key: string): number {
     return this._change({ key, revision: ++this._revision, removed: true })
   }
@@ -117,6 +125,7 @@
   private _range (held: StoreCopy, prefix: string, afterKey: string, response: ServerResponse): void {
     const items = held.items.filter(({ key }) => key.startsWith(prefix) && key > afterKey).sort((left, right) => left.key < right.key ? -1 : 1)
     sendJson(response, { items: items.slice(0, this.pageSize), truncated: items.length > this.pageSize, storeRevision: held.revision })
+    this._onPage(++this._pages)
   }
 
   private _watch (prefix: string, after: number, wait: number, response: ServerResponse): void {
