Following the store: whether to watch or to read again is decided in the core; asking peers and telling of epochs in modules of their own

published-feed.ts had grown to 380 lines and three jobs. No change of behaviour: the tests of the feed, the store and restored stores pass as before.

--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -7,11 +7,12 @@
  * Keeps published state up to date: follows the store by watches, and asks peers while the store does not answer.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { failureOf, PublishedState, topicOf, type ModelVersion, type Place, type PublishedChange, type PublishedDelta, type PublishedNote, type PublishedTopic } from '@drumdrift/core'
+import { PublishedState, StoreCursor, topicOf, type ModelVersion, type Place, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
-import { unpackNews } from './packed-news.js'
+import { EpochLog } from './epoch-log.js'
+import { PeerNews } from './peer-news.js'
 import { RefusedDocuments } from './refused-documents.js'
 import { RelayFollower, waitUntil } from './relay-follower.js'
 import { topicsOfScope, type HistoryLost, type PublishedStore, type ReadFreshness, type StoreAnswer, type StoreChanges, type StoreFailure, type StoreScope } from './ports.js'
@@ -71,13 +72,6 @@
 const QUICK_ANSWER = 500
 /** Peers are asked this often while the store does not answer, in milliseconds. */
 const PEER_PAUSE = 250
-/** One peer's time to answer, in milliseconds: a few network delays and a busy process. */
-const PEER_TIMEOUT = 400
-/**
- * The same for a process that knows nothing yet, since the answer is everything. Given up after 400 ms and asked for again, it
- * crossed the link between regions several times for each process.
- */
-const WHOLE_PEER_TIMEOUT = 2_000
 /**
  * A process that starts waits so long for relays to tell it everything before it reads the store itself, in milliseconds: when
  * all start at once, a relay is up after 0.3 s and has read everything 0.2 s later. A process that restarts alone is told in
@@ -100,17 +94,19 @@
   private readonly _answering = new Set<StoreScope>()
   private readonly _refreshing = new Set<StoreScope>()
   private readonly _refusedDocuments: RefusedDocuments
+  private readonly _epochs: EpochLog
+  private readonly _peerNews: PeerNews
   private _failedAt = -Infinity
   private _closed = false
-  private _askingPeer = false
 
   constructor (private readonly _parts: PublishedFeedParts) {
     this._peerTimer = setInterval(() => { this._tick() }, PEER_PAUSE)
-    const { pool, log, counters, relays: { addresses, place, topics } } = _parts
+    const { pool, log, counters, peers, relays: { addresses, place, topics } } = _parts
+    const onNews = (address: string, delta: PublishedDelta, took: number): void => { if (!this._closed) this._takeNews(address, delta, took) }
     this._refusedDocuments = new RefusedDocuments(log, counters)
-    this._relays = new RelayFollower({
-      relays: addresses, place, pool, log, counters, state: this.state, topics, onNews: (address, delta, took) => { if (!this._closed) this._takeNews(address, delta, took) }
-    })
+    this._epochs = new EpochLog(this.state, log, counters)
+    this._peerNews = new PeerNews({ state: this.state, pool, log, counters, peers, onNews })
+    this._relays = new RelayFollower({ relays: addresses, place, pool, log, counters, state: this.state, topics, onNews })
   }
 
   /** Begins to follow; returns at once. */
@@ -188,23 +184,22 @@
     const { scope, pause: rest, relayed } = watch
     await this._awaitRelays(scope)
     let backoff = FIRST_BACKOFF
-    /** Whether the store's history does not reach to what was followed. */
-    let lost = false
+    const cursor = new StoreCursor(this.state, topicsOfScope[scope])
     let restedFrom: number | undefined
     while (!this._closed) {
       if (relayed && this._relays.confirmed) {
         await this._leaveToRelays(scope)
-        lost = false
+        cursor.caughtUp()
         restedFrom = undefined
         continue
       }
       const askedAt = performance.now()
       const notBefore = restedFrom ?? askedAt
       restedFrom = undefined
-      const watched = !lost && this._followed(scope) > 0
-      const answer = this._inEpoch(watched ? await this._watch(watch) : await this._read(scope, 'newest'))
+      const call = cursor.next
+      const answer = this._inEpoch(call === 'watch' ? await this._watch(watch) : await this._read(scope, 'newest'))
       if (this._closed) return
-      if (watched && this._isOfLaterEpoch(answer)) lost = true
+      const verdict = cursor.judge(call, answer)
       if (answer.type === 'store-failure') {
         this._failed(scope, answer, askedAt)
         await pause(backoff * (0.5 + Math.random()))
@@ -212,9 +207,8 @@
         continue
       }
       backoff = FIRST_BACKOFF
-      if (answer.type === 'history-lost' || (watched && lost)) {
-        this._parts.log.warn('history-lost', { scope, revision: this._followed(scope), epoch: this.state.epoch, told: answer.epoch })
-        lost = true
+      if (answer.type === 'history-lost' || verdict === 'read-whole') {
+        this._parts.log.warn('history-lost', { scope, revision: cursor.followed, epoch: this.state.epoch, told: answer.epoch })
         this._answering.delete(scope)
         // All processes lose it at one moment; a relay reads everything again in some hundred milliseconds.
         if (relayed) await waitUntil(() => this._closed || this._relays.confirmed, START_PATIENCE, START_STEP)
@@ -222,9 +216,8 @@
       }
       this._answered(scope, answer.upTo)
       this._answering.add(scope)
-      if (watched) this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
+      if (call === 'watch') this._takeChanges(scope, answer, changedFrom(notBefore, askedAt, performance.now()))
       else this._takeWhole(scope, answer, askedAt)
-      lost = false
       if (answer.changes.length === 0 || rest === 0) continue
       restedFrom = performance.now()
       await pause(rest)
@@ -248,8 +241,6 @@
     return { type: 'store-failure', reason: 'earlier-epoch', detail: `epoch ${epoch}, and ${this.state.epoch} is followed`, epoch }
   }
 
-  private _isOfLaterEpoch ({ epoch }: StoreAnswer): boolean { return epoch !== undefined && epoch > this.state.epoch }
-
   /** How long the store may hold a watch, in milliseconds. */
   private _watchWait ({ scope, wait }: Watch): number {
     if (performance.now() - this._failedAt >= UNSTEADY_TIME) return wait
@@ -258,16 +249,14 @@
   }
 
   /** The revision up to which every topic of a scope has been followed. */
-  private _followed (scope: StoreScope): number {
-    const { note } = this.state
-    return Math.min(...topicsOfScope[scope].map(topic => note[topic]))
-  }
+  private _followed (scope: StoreScope): number { return new StoreCursor(this.state, topicsOfScope[scope]).followed }
 
   private _takeWhole (scope: StoreScope, answer: StoreChanges, askedAt: number): void {
     const now = performance.now()
     const before = this.state.note
-    if (answer.epoch !== undefined && this.state.enter(answer.epoch, now)) this._logEpoch(before, answer.upTo, 'store')
-    this._logOlder(answer)
+    if (answer.epoch !== undefined) this.state.enter(answer.epoch, now)
+    this._epochs.followed(before, answer.upTo, 'store')
+    this._epochs.told(answer.changes)
     const news = topicsOfScope[scope].flatMap(topic => this.state.takeWhole(topic, answer.changes.filter(change => topicOf(change) === topic), answer.upTo, now))
     this._refused(answer)
     this._parts.log.info('published-read', { scope, epoch: this.state.epoch, revision: answer.upTo, items: answer.changes.length, news: news.length, took: Math.round(now - askedAt), bytes: answer.bytes })
@@ -275,7 +264,7 @@
   }
 
   private _takeChanges (scope: StoreScope, answer: StoreChanges, changedAt: number): void {
-    this._logOlder(answer)
+    this._epochs.told(answer.changes)
     const news = answer.changes.flatMap(change => this.state.take(change, changedAt))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, answer.upTo)
     this._refused(answer)
@@ -286,23 +275,6 @@
     for (const failure of refused) this._refusedDocuments.note(failure, performance.now())
   }
 
-  /** Operators only raise the version of a configuration; a restored store tells an older one until it is written again. */
-  private _logOlder ({ changes, upTo }: StoreChanges): void {
-    const held = this.state.configuration?.version ?? 0
-    for (const change of changes) {
-      if (change.type !== 'configuration' || change.configuration.version >= held) continue
-      this._parts.counters.add('configurations_older')
-      this._parts.log.warn('configuration-older', { version: change.configuration.version, held, epoch: this.state.epoch, revision: upTo })
-    }
-  }
-
-  /** Tells when this process follows another epoch of the store than before. */
-  private _logEpoch (before: PublishedNote, revision: number, by: string): void {
-    this._parts.counters.add('store_epoch', this.state.epoch - before.epoch)
-    if (!this.state.knows('configuration') && !this.state.knows('endpoints')) return
-    this._parts.log.warn('epoch-began', { from: before.epoch, epoch: this.state.epoch, before: Math.max(before.configuration, before.versions, before.endpoints), revision, by })
-  }
-
   private _tell (news: readonly PublishedChange[]): void {
     if (news.length > 0) this._parts.onChanges(news)
   }
@@ -335,33 +307,14 @@
     this._tell(this.state.expire(performance.now()))
     const starting = this._parts.relays.addresses.length > 0 && performance.now() - this._startedAt < START_PATIENCE
     const wanting = !this.storeAnswers || !this.state.complete
-    if (wanting && !starting && !this._askingPeer) this._askPeer()
-  }
-
-  private async _askPeer (): Promise<void> {
-    const addresses = this._parts.peers()
-    const address = addresses[Math.floor(Math.random() * addresses.length)]
-    if (address === undefined) return
-    this._askingPeer = true
-    const askedAt = performance.now()
-    this._parts.counters.add('peer_news_asked')
-    try {
-      const timeout = this.state.complete ? PEER_TIMEOUT : WHOLE_PEER_TIMEOUT
-      const { reply, payload } = await this._parts.pool.call(address, { type: 'news', note: this.state.note }, { timeout })
-      if (reply.type === 'news' && !this._closed) this._takeNews(address, unpackNews(payload), Math.round(performance.now() - askedAt))
-    } catch (error) {
-      this._parts.counters.add('peer_news_failures')
-      this._parts.log.debug('peer-silent', { address, reason: failureOf(error).type, took: Math.round(performance.now() - askedAt) })
-    } finally {
-      this._askingPeer = false
-    }
+    if (wanting && !starting) this._peerNews.ask()
   }
 
   private _takeNews (address: string, delta: PublishedDelta, took: number): void {
     const before = this.state.note
     const news = this.state.takeDelta(delta, performance.now())
     const { configuration, versions, endpoints } = delta.upTo
-    if (this.state.epoch > before.epoch) this._logEpoch(before, Math.max(configuration, versions, endpoints), address)
+    this._epochs.followed(before, Math.max(configuration, versions, endpoints), address)
     if (news.length === 0) return
     this._parts.log.info('published-from-peer', { address, epoch: this.state.epoch, news: news.length, configuration, endpoints, took })
     this._tell(news)
