A reading that is older than what was followed lists no endpoint that is not known

Callers could be sent to an endpoint that had gone: an entry that starts takes the list from a relay while its own reading of the store is under way, and the reading is the older one. An endpoint in it that went in between was never known, so no removal spoke against it.

The new case of published-state_test failed ('a' was listed) and passes. Everything up to the revision that was followed has been heard: what is not known of up to there has gone.

--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -239,7 +239,7 @@
     endpoint: change => {
       const { revision, record } = change
       const held = this._endpoints.get(record.id)
-      if (revision <= this._knownRevision(record.id) || this._isReplaced(record, revision)) return false
+      if (revision <= this._knownRevision(record.id) || this._isReplaced(record, revision) || this._hasGone(record.id, revision)) return false
       if (isEarlierStart(record.born, held?.record.born ?? this._removals.get(record.id)?.born)) return false
       if (this._isFromBefore(record)) return this._confirm(record.id, revision)
       this._endpoints.hold({ record, revision, carried: false, lapsesAt: undefined }, this._isNamed(record.service))
@@ -249,6 +249,9 @@
     'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
+  /** Everything up to what was followed has been heard, so what nothing is known of has gone, and its removal is forgotten or was never heard. */
+  private _hasGone (id: string, revision: number): boolean { return this._knownRevision(id) < 0 && revision <= this._seen.endpoints }
+
   /** The revision of what is known of an endpoint; below all others where nothing is. */
   private _knownRevision (id: string): number {
     return Math.max(this._endpoints.get(id)?.revision ?? -1, this._removals.get(id)?.removal.revision ?? -1)
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -100,6 +100,13 @@
     assert.deepEqual([ids(state), state.note.endpoints], [['b', 'c'], 5])
   })
 
+  it('takes no endpoint that it never knew from a reading that is older than what it has followed', () => {
+    const state = new PublishedState()
+    state.takeWhole('endpoints', [listed('b', 2)], 5, 0)
+    state.takeWhole('endpoints', [listed('a', 1), listed('b', 2)], 3, 0)
+    assert.deepEqual(ids(state), ['b'])
+  })
+
   it('never goes back to an older configuration', () => {
     const state = new PublishedState()
     assert.deepEqual(state.take(configuration(7, 20), 0), [configuration(7, 20)])
