An endpoint that went while a relay was away is told to those who rely on it

Callers could be sent to an endpoint that had gone, for as long as nothing else of the list changed. A relay that starts reads a list without it, and never hears its removal. It took what it holds for what the others hold, since the newest revision was the same, vouched for the later revision, and they were told removals from there on only.

A whole reading counts up to its revision now, also by what it leaves out, and who is behind it gets the whole list.

--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -118,6 +118,9 @@
     if (topic === 'endpoints') {
       news.push(...this._takeMissing(changes, upTo, now))
       this._grace.readUpTo(upTo)
+      // What went before is not in the reading, and its removal was never heard: only the whole list tells it.
+      this._newestEndpoint = Math.max(this._newestEndpoint, upTo)
+      this._removals.forgetUpTo(upTo)
     }
     this.followed(topic, upTo)
     return news
--- a/packages/core/src/lib/routing/published/removals.ts
+++ b/packages/core/src/lib/routing/published/removals.ts
@@ -52,7 +52,7 @@
     for (const [oldest, { removal: { revision } }] of this._noted) {
       if (this._noted.size <= MOST_REMOVALS) return
       this._noted.delete(oldest)
-      this._forgottenUpTo = Math.max(this._forgottenUpTo, revision)
+      this.forgetUpTo(revision)
     }
   }
 
@@ -68,6 +68,9 @@
     if (noted !== undefined) this._noted.set(id, { ...noted, removal: { ...noted.removal, revision } })
   }
 
+  /** Removals up to a revision were not all heard. */
+  forgetUpTo (revision: number): void { this._forgottenUpTo = Math.max(this._forgottenUpTo, revision) }
+
   /** An endpoint is back. */
   forget (id: string): void { this._noted.delete(id) }
 }
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -178,6 +178,15 @@
     assert.deepEqual(asker.takeDelta(teller.since(asker.note, 0), 100), [])
   })
 
+  it('tells a peer of an endpoint that went before it began to follow itself', () => {
+    const [teller, asker] = [new PublishedState(), new PublishedState()]
+    asker.takeWhole('endpoints', [listed('a', 1), listed('b', 2)], 7, 0)
+    teller.takeWhole('endpoints', [listed('b', 2)], 8, 0)
+    assert.ok(teller.held.endpoints > asker.held.endpoints)
+    asker.takeDelta(teller.since(asker.note, 0), 0)
+    assert.deepEqual([ids(asker), asker.held], [['b'], teller.held])
+  })
+
   it('gives everything to a peer that has nothing', () => {
     const [teller, asker] = [new PublishedState(), new PublishedState()]
     teller.takeWhole('endpoints', [listed('a', 1)], 3, 0)
