Fuzz: processes that follow a store which comes back from older copies, with four variants

The real decisions (what is held, where the store is followed from, which relay is believed) in fleets of 6 and 24 processes: the store is away, restored twice in a row, restored while processes start and zones are cut off; answers of earlier epochs come late; everybody writes again within 0.6 s. What was acknowledged 2 s before holds at all that are in touch, and nothing goes back.

Found out: epochs ignored, watches that go on in another epoch, copies taken for all, writings not counted.

--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -12,7 +12,7 @@
 const program = new Command('fuzz')
   .option('--seed <number>', 'seed of everything that is drawn', Number, 7)
   .option('--runs <number>', 'runs of each scenario', Number, DEFAULT_RUNS)
-  .option('--scenario <name>', 'only weights, requests, configuration, routed, suspects or limits')
+  .option('--scenario <name>', 'only weights, requests, configuration, routed, suspects, limits or published')
   .option('--replay <path>', 'replays the case that a violation named')
   .option('--negatives', 'runs the variants, each of which must be found out')
   .action((options: { seed: number, runs: number, scenario?: string, replay?: string, negatives?: boolean }) => {
--- /dev/null
+++ b/packages/fuzz/src/lib/restorable-store.ts
@@ -0,0 +1,71 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** A store of what is published that can go back to an older copy of itself. */
+import { topicOf, type PublishedChange } from '@drumdrift/core'
+
+interface Copy {
+  readonly at: number
+  readonly revision: number
+  readonly items: ReadonlyMap<string, PublishedChange>
+  readonly history: readonly PublishedChange[]
+}
+
+/** Older ones are not gone back to, in milliseconds. */
+const COPIES_KEPT = 20_000
+
+/** Items with revisions, and copies of all of them after each change. */
+export class RestorableStore {
+  epoch = 1
+  private _copies: Copy[]
+
+  constructor (private readonly _clock: { readonly now: number }) {
+    this._copies = [{ at: _clock.now, revision: 1, items: new Map(), history: [] }]
+  }
+
+  get revision (): number { return this._newest.revision }
+
+  /** Everything that it holds. */
+  items (): PublishedChange[] { return [...this._newest.items.values()] }
+
+  /** Endpoints that it lists. */
+  endpoints (): string[] { return [...this._newest.items].flatMap(([key, item]) => topicOf(item) === 'endpoints' ? [key] : []) }
+
+  /** Changes after a revision; nothing where it does not have that revision. */
+  since (revision: number): PublishedChange[] | undefined {
+    return revision > this.revision ? undefined : this._newest.history.filter(change => change.revision > revision)
+  }
+
+  put (key: string, write: (revision: number) => PublishedChange): void {
+    const change = write(this.revision + 1)
+    this._change(change, new Map([...this._newest.items, [key, change]]))
+  }
+
+  remove (key: string): void {
+    const left = new Map(this._newest.items)
+    if (left.delete(key)) this._change({ type: 'endpoint-gone', revision: this.revision + 1, id: key }, left)
+  }
+
+  /**
+   * Goes back to what it held some time ago, in the next epoch.
+   *
+   * @param age In milliseconds.
+   */
+  restore (age: number): void {
+    const asOf = this._clock.now - age
+    const copy = this._copies.filter(({ at }) => at <= asOf).at(-1) ?? this._copies[0]
+    if (copy === undefined) return
+    this.epoch += 1
+    this._copies = [{ ...copy, at: this._clock.now }]
+  }
+
+  private get _newest (): Copy { return this._copies.at(-1) as Copy }
+
+  private _change (change: PublishedChange, items: ReadonlyMap<string, PublishedChange>): void {
+    const { now } = this._clock
+    this._copies.push({ at: now, revision: change.revision, items, history: [...this._newest.history, change] })
+    if (this._copies.length > 1 && (this._copies[1]?.at ?? now) < now - COPIES_KEPT) this._copies.shift()
+  }
+}
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -6,6 +6,8 @@
 /** What can happen to each world, and which promises it is there for. */
 import { ConfigurationWorld, type ConfigurationParts } from './configuration-world.js'
 import { LimitWorld, type LimitParts } from './limit-world.js'
+import type { PublishedParts } from './published-parts.js'
+import { PublishedWorld } from './published-world.js'
 import type { RequestParts } from './request-parts.js'
 import { RequestWorld } from './request-world.js'
 import { RoutedWorld, type RoutedParts, type Treatment } from './routed-world.js'
@@ -177,6 +179,25 @@
   ]
 }
 
+/** A store that comes back from older copies: what was acknowledged is in force in time, and nothing goes back. */
+export const publishedScenario: Scenario<PublishedWorld, PublishedParts> = {
+  name: 'published',
+  promises: ['in-force-after-restore', 'never-back'],
+  create: (seed, parts) => new PublishedWorld(seed, parts),
+  actions: [
+    { name: 'publish', draws: 0, weight: 4, run: subject => subject.publish() },
+    { name: 'name', draws: 0, run: subject => subject.name() },
+    { name: 'begin', draws: 0, weight: 2, run: subject => subject.begin() },
+    { name: 'drain', draws: 1, weight: 3, run: (subject, [endpoint = 0]) => subject.drain(endpoint) },
+    { name: 'leave', draws: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.leave(endpoint) },
+    { name: 'interrupt', draws: 1, run: (subject, [away = 0]) => subject.interrupt(away / 1_000) },
+    { name: 'restore', draws: 2, weight: 3, run: (subject, [away = 0, age = 0]) => subject.restore(away / 1_000, age / 1_000) },
+    { name: 'restart', draws: 1, run: (subject, [member = 0]) => subject.restart(member) },
+    { name: 'cut-zone', draws: 1, run: (subject, [zone = 0]) => subject.cutZone(zone) },
+    { name: 'heal', draws: 0, weight: 2, run: subject => subject.heal() }
+  ]
+}
+
 const serviceStates = ['normal', 'down', 'stale'] as const
 
 /** Configuration: in force within the time allowed, never taken back, never an invalid one. */
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -8,15 +8,16 @@
  * that is not found out shows that the fuzz is blind there.
  */
 import {
-  AdmissionDoor, AnswerStream, AttemptCourse, ClaimKeeper, EndpointLimits, OnceAttempt, RevisionLedger, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type CancelReply, type ClaimReply,
-  requestFailure, RetryAllowance, SuspectRequests, type Standing, type AttemptBounds, type AttemptEnd, type Configuration, type NextStep, type OnceEffect, type RetryPurpose, type Published, type Checked, type DocumentFailure
+  AdmissionDoor, AnswerStream, AttemptCourse, ClaimKeeper, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
+  requestFailure, RetryAllowance, SuspectRequests, type Standing, type StoreAnswerKind, type StoreCall, type AttemptBounds, type AttemptEnd, type Configuration, type NextStep, type OnceEffect, type RetryPurpose, type Published, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
 import { realLimitParts, type LimitParts } from './limit-world.js'
+import { realPublishedParts, type PublishedParts } from './published-parts.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { realRoutedParts, type RoutedParts } from './routed-world.js'
-import { configurationScenario, limitScenario, requestScenario, routedScenario, suspectScenario, weightsScenario } from './scenarios.js'
+import { configurationScenario, limitScenario, publishedScenario, requestScenario, routedScenario, suspectScenario, weightsScenario } from './scenarios.js'
 import { realSuspectParts, type SuspectParts } from './suspect-world.js'
 import { realWeightsParts, type WeightsParts } from './weights-world.js'
 
@@ -51,6 +52,20 @@
   return { name, promise, run: options => runScenario(limitScenario, { ...realLimitParts, ...change }, options) }
 }
 
+function published (name: string, promise: string, change: Partial<PublishedParts>): Variant {
+  return { name, promise, run: options => runScenario(publishedScenario, { ...realPublishedParts, ...change }, options) }
+}
+
+/** Orders everything by revisions alone. */
+class EpochlessState extends PublishedState {
+  override enter (): false { return false }
+}
+
+/** Goes on with a watch in whatever epoch it is answered. */
+class HastyCursor extends StoreCursor {
+  override judge (_call: StoreCall, { type }: StoreAnswerKind): AnswerVerdict { return type === 'changes' ? 'take' : super.judge('watch', { type }) }
+}
+
 /** Passes limits on to callers and heeds none. */
 class DeafLimits extends EndpointLimits {
   override sparedFor (): undefined { return undefined }
@@ -254,6 +269,10 @@
   limits('limits-not-heeded', 'within-limit', { limits: (...given) => new DeafLimits(...given) }),
   limits('each-entry-has-the-whole-limit', 'within-limit', { limits: (_entries, draw) => new EndpointLimits(() => 1, draw) }),
   limits('ends-of-limits-not-told', 'limit-ends', { tells: false }),
+  published('epochs-ignored', 'in-force-after-restore', { state: () => new EpochlessState() }),
+  published('watches-go-on', 'in-force-after-restore', { cursor: state => new HastyCursor(state, publishedTopics) }),
+  published('copies-taken-for-all', 'never-back', { carries: false }),
+  published('writings-not-counted', 'never-back', { counts: false }),
   suspects('losses-forgotten', 'few-ends', { suspects: () => new ForgetfulSuspects() }),
   suspects('each-entry-for-itself', 'few-ends', { tells: false }),
   suspects('newcomers-not-told', 'few-ends', { tellsNewcomers: false }),
