--- a/packages/fuzz/src/lib/published-world.ts
+++ b/packages/fuzz/src/lib/published-world.ts
@@ -70,8 +70,6 @@
 /** One run's store and processes. */
 export class PublishedWorld {
   readonly world: World
-  /** Readings of everything, and news taken from relays. */
-  readonly calls = { readings: 0, watches: 0, news: 0 }
   private readonly _store: RestorableStore
   private readonly _members: Member[] = []
   private readonly _platform = new Process('store', 'platform', 'store', 0)
@@ -267,7 +265,6 @@
     const relay = this._members.find(other => other.process.name === address)
     if (relay === undefined || member.awaits.relay) return
     member.awaits.relay = true
-    this.calls.news += 1
     const { note } = state
     this.world.call(process, relay.process, () => relay.state.since(note, this.world.now), NEWS_TIMEOUT, delta => {
       member.awaits.relay = false
@@ -284,10 +281,9 @@
     if (member.awaits.store || !this._reachesStore(member)) return
     member.awaits.store = true
     const call = member.cursor.next
-    this.calls[call === 'read' ? 'readings' : 'watches'] += 1
     const answer = this._answer(call, member.cursor.followed)
-    const slow = this.world.random() < OVERTAKEN
-    this.world.after(this.world.between(1, slow ? LONGEST_ANSWER : USUAL_ANSWER), member.process, () => this._take(member, call, answer))
+    const longest = this.world.random() < OVERTAKEN ? LONGEST_ANSWER : USUAL_ANSWER
+    this.world.after(this.world.between(1, longest), member.process, () => this._take(member, call, answer))
   }
 
   private _answer (call: StoreCall, after: number): StoreAnswer {
