A process that has followed as far as a relay does not ask it again and again

Callers saw nothing; each process that relies on relays asked for news five times a second, from the restart of a relay until the next change of the list.

Cause: a whole reading counts up to its revision since the commit that tells who is behind of what left before it. A process for which another relay had vouched for that revision was told nothing, held less by its own count, and asked again.

The new case of published-state_test failed and passes. News name what the teller holds, and who has taken them holds as much.

--- a/packages/core/src/lib/routing/published/published-change.ts
+++ b/packages/core/src/lib/routing/published/published-change.ts
@@ -29,6 +29,8 @@
 /** Changes on their way to a peer. */
 export interface PublishedDelta {
   readonly upTo: PublishedNote
+  /** The revision of the newest thing that the teller holds of each topic; 0 for those that it was not asked for. */
+  readonly held: PublishedNote
   readonly changes: readonly PublishedChange[]
   /** Topics that `changes` holds in whole: what it lacks of them is gone. */
   readonly whole: readonly PublishedTopic[]
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -186,12 +186,12 @@
    * const delta = state.since(note, performance.now(), ['versions'])
    */
   since (note: PublishedNote, now: number, topics: readonly PublishedTopic[] = publishedTopics): PublishedDelta {
-    if (note.epoch > this._epoch) return { upTo: { ...NOTHING_SEEN, epoch: this._epoch }, changes: [], whole: [] }
-    const from: PublishedNote = note.epoch === this._epoch ? note : { ...NOTHING_SEEN, epoch: this._epoch }
-    const unasked = publishedTopics.filter(topic => !topics.includes(topic))
-    const upTo: PublishedNote = { ...this.note, ...Object.fromEntries(unasked.map(topic => [topic, from[topic]])) }
+    const nothing: PublishedNote = { ...NOTHING_SEEN, epoch: this._epoch }
+    if (note.epoch > this._epoch) return { upTo: nothing, held: nothing, changes: [], whole: [] }
+    const from = note.epoch === this._epoch ? note : nothing
+    const asked = (told: PublishedNote, otherwise: PublishedNote): PublishedNote => ({ ...otherwise, ...Object.fromEntries(topics.map(topic => [topic, told[topic]])) })
     const delta = this._since(from, now)
-    return { upTo, changes: delta.changes.filter(change => topics.includes(topicOf(change))), whole: delta.whole.filter(topic => topics.includes(topic)) }
+    return { upTo: asked(this.note, from), held: asked(this.held, nothing), changes: delta.changes.filter(change => topics.includes(topicOf(change))), whole: delta.whole.filter(topic => topics.includes(topic)) }
   }
 
   private _since (note: PublishedNote, now: number): Pick<PublishedDelta, 'changes' | 'whole'> {
@@ -223,6 +223,7 @@
         this.followed(topic, delta.upTo[topic])
       }
     }
+    this._newestEndpoint = Math.max(this._newestEndpoint, delta.held.endpoints)
     return news
   }
 
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -187,6 +187,15 @@
     assert.deepEqual([ids(asker), asker.held], [['b'], teller.held])
   })
 
+  it('leaves a peer that has followed as far with nothing to ask for', () => {
+    const [teller, asker] = [new PublishedState(), new PublishedState()]
+    asker.takeWhole('endpoints', [listed('a', 1)], 6, 0)
+    teller.takeWhole('endpoints', [listed('a', 1)], 8, 0)
+    for (const state of [teller, asker]) state.followed('endpoints', 9)
+    asker.takeDelta(teller.since(asker.note, 0), 0)
+    assert.deepEqual(asker.held, teller.held)
+  })
+
   it('gives everything to a peer that has nothing', () => {
     const [teller, asker] = [new PublishedState(), new PublishedState()]
     teller.takeWhole('endpoints', [listed('a', 1)], 3, 0)
--- a/packages/node/src/lib/routing/packed-news.ts
+++ b/packages/node/src/lib/routing/packed-news.ts
@@ -48,7 +48,7 @@
 function isDelta (value: unknown): value is PublishedDelta {
   const delta = value as Partial<PublishedDelta> | null
   if (typeof delta !== 'object' || delta === null) return false
-  return Array.isArray(delta.changes) && Array.isArray(delta.whole) && [...publishedTopics, 'epoch' as const].every(part => Number.isFinite(delta.upTo?.[part]))
+  return Array.isArray(delta.changes) && Array.isArray(delta.whole) && [...publishedTopics, 'epoch' as const].every(part => Number.isFinite(delta.upTo?.[part]) && Number.isFinite(delta.held?.[part]))
 }
 
 /**
