--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -117,12 +117,12 @@
     const url = new URL(request.url ?? '/', 'http://store')
     const prefix = url.searchParams.get('pathPrefix') ?? ''
     const old = url.searchParams.get('allowStale') === '1' ? this._old : undefined
-    if (url.pathname === '/api/kv-range') this._range(old ?? this._copyOfAll(), prefix, url.searchParams.get('sinceRev') ?? '', response)
+    if (url.pathname === '/api/kv-range') this._range(old ?? { items: [...this._items.values()], revision: this._revision }, prefix, url.searchParams.get('sinceRev') ?? '', response)
     else if (url.pathname === '/api/kv-watch') this._watch(prefix, Number(url.searchParams.get('sinceRev')), Number(url.searchParams.get('waitMs')), response)
     else sendJson(response, {}, 404)
   }
 
-  private _range (held: StoreCopy, prefix: string, afterKey: string, response: ServerResponse): void {
+  private _range (held: Pick<StoreCopy, 'items' | 'revision'>, prefix: string, afterKey: string, response: ServerResponse): void {
     const items = held.items.filter(({ key }) => key.startsWith(prefix) && key > afterKey).sort((left, right) => left.key < right.key ? -1 : 1)
     sendJson(response, { items: items.slice(0, this.pageSize), truncated: items.length > this.pageSize, storeRevision: held.revision })
     this._onPage(++this._pages)
