The test of the longest rest takes a whole moment, not a reading of the clock

The cause is the test's. It took performance.now() for the moment at which the rest was asked for, a fraction, and compared a difference of two sums of it exactly: of 10,000 random moments 711 give another number than 3000. The moments are arguments, so a fixed one serves; what is compared, and how, is as before.

--- a/packages/node/src/test/lib/routing/notice-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/notice-exchange_test.ts
@@ -59,7 +59,7 @@
 
   it('sends nothing to one that rests until the longest rest that it asked for is over, and logs that it began', () => {
     const { notices, events } = exchange()
-    const now = performance.now()
+    const now = 1_000
     for (const rest of [3_000, 1_000, 3_500]) notices.heard(start, { ...nothing, rest }, now, now)
     const spared = [0, 1_500, 3_400, 3_600].map(later => notices.gate.sparedFor(start, now + later))
     assert.deepEqual([spared, notices.gate.opensIn(start, now + 500), events], [['resting', 'resting', 'resting', undefined], 3_000, ['endpoint-resting']])
