A soak: the real entries under faults from outside, judged by callers and endpoints

Nothing yet ran the real programs against faults in series that overlap: the fuzz drives the core, the demo plays one script, and a store that is restored was met by one entry at a time.

Links can delay and swallow one way now; what the small deployment's callers and operators say moved from the adapter's tests to the stand-ins, and the seeded generator too.

--- a/packages/benchmarks/src/lib/bench-options.ts
+++ b/packages/benchmarks/src/lib/bench-options.ts
@@ -48,4 +48,4 @@
 export function twoDecimals (value: number): string { return value.toFixed(2) }
 
 /** A seeded generator of numbers in [0, 1), the same for one seed everywhere. */
-export { seededRandom } from './seeded-random.js'
+export { seededRandom } from '@drumdrift/stand-ins'
--- a/packages/benchmarks/src/lib/limits/limit-model.ts
+++ b/packages/benchmarks/src/lib/limits/limit-model.ts
@@ -8,7 +8,7 @@
  * it takes. Nobody sees what another entry sends.
  */
 import { LimitShare } from '@drumdrift/core'
-import { seededRandom } from '../seeded-random.js'
+import { seededRandom } from '@drumdrift/stand-ins'
 
 /** What one entry does about the limit. */
 interface Sharer {
--- a/packages/benchmarks/src/lib/policy/policy-model.ts
+++ b/packages/benchmarks/src/lib/policy/policy-model.ts
@@ -9,7 +9,7 @@
  */
 import { type EngineWork, type PoolDescription, readRate, retryAfter, UnreadTokens } from '@drumdrift/core'
 import { quantile } from '../bench-options.js'
-import { seededRandom } from '../seeded-random.js'
+import { seededRandom } from '@drumdrift/stand-ins'
 import { entryPolicies, type EntryPolicy, type PlacedRequest, type PolicyName } from './policies.js'
 import { VirtualEngine } from './virtual-engine.js'
 import { VirtualTime } from './virtual-time.js'
--- a/packages/benchmarks/src/lib/retries/retry-model.ts
+++ b/packages/benchmarks/src/lib/retries/retry-model.ts
@@ -8,7 +8,7 @@
  * to the load of the service, against the bound that its operators set, and how many requests are served in the end.
  */
 import { FleetSize, RetryAllowance, RetryBudget, type RetryTerms } from '@drumdrift/core'
-import { seededRandom } from '../seeded-random.js'
+import { seededRandom } from '@drumdrift/stand-ins'
 
 /** Stretch of time for which the bound holds, in milliseconds. */
 const WINDOW = 10_000
--- a/packages/benchmarks/src/lib/suspects/suspect-model.ts
+++ b/packages/benchmarks/src/lib/suspects/suspect-model.ts
@@ -9,7 +9,7 @@
  */
 import { SuspectRequests, type Standing, type SuspectNews } from '@drumdrift/core'
 import { VirtualTime } from '../policy/virtual-time.js'
-import { seededRandom } from '../seeded-random.js'
+import { seededRandom } from '@drumdrift/stand-ins'
 
 /** Entries, endpoints and their traffic. */
 export interface SuspectFleet {
--- /dev/null
+++ b/packages/soak/src/lib/deployment.ts
@@ -0,0 +1,158 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** A small deployment on loopback: the store, endpoints and callers' configuration in this process, each entry in one of its own. */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
+import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration } from '@drumdrift/stand-ins'
+import { EndpointStarts } from './endpoint-starts.js'
+import { EntryProcess } from './entry-process.js'
+import type { ConfigurationWrite, EndpointEnd } from './journal.js'
+import { GRACE } from './promises.js'
+
+const AVAILABILITY_ZONES = ['koshi', 'bagmati', 'gandaki'] as const
+const ENDPOINTS_OF_SERVICE = 3
+const SERVICES = ['desk', 'archive', 'pool'] as const
+/** Entries that read the store for the others, one in each zone where there are enough. */
+const RELAYS = 3
+const LOOK_PAUSE = 500
+/** A copy of the store is made so often, in milliseconds. */
+const COPY_PAUSE = 1_500
+const START_PATIENCE = 30_000
+/** Stops end before the platform would end the process, in milliseconds. */
+const GRACE_RESERVE = 2_000
+/** A key that every configuration knows. */
+export const STEADY_KEY = 'key-steady'
+
+/** The key of a turn: all are revoked but that of the newest. */
+export function keyOfTurn (turn: number): string { return `key-turn-${turn}` }
+
+/** What makes a soak end before it has begun. */
+export type SoakFailure = { readonly type: 'not-ready', readonly entries: readonly string[] }
+
+/** The deployment. */
+export class Deployment {
+  readonly store = new KeyValueStoreStandIn(10_000)
+  readonly entries: EntryProcess[] = []
+  readonly endpoints: EndpointStarts[] = SERVICES.flatMap(service => Array.from({ length: ENDPOINTS_OF_SERVICE }, (_, index) => new EndpointStarts(`${service}-${index + 1}`, service, AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '')))
+  readonly ends: EndpointEnd[] = []
+  readonly configurations: ConfigurationWrite[] = []
+  /** How often a key has been revoked. */
+  turn = 1
+  readonly directory = mkdtempSync(join(tmpdir(), 'drumdrift-soak-'))
+  /** The newest configuration, and what each endpoint that is listed says of itself. */
+  private _configuration: unknown
+  private readonly _listed = new Map<string, unknown>()
+  private readonly _removed = new Set<string>()
+  private readonly _ways: Link[] = []
+  private readonly _timers: NodeJS.Timeout[] = []
+  /** Leaves no process behind when this one ends early. */
+  private readonly _killAll = (): void => { for (const entry of this.entries) entry.signal('SIGKILL') }
+
+  /** Starts everything. Returns why it cannot be used, or nothing. */
+  async start (processes: number): Promise<SoakFailure | undefined> {
+    await this.store.listen(0)
+    await this._prepareEntries(processes)
+    for (const endpoint of this.endpoints) {
+      await endpoint.start()
+      this.list(endpoint, 'ready')
+    }
+    this.configure('desk')
+    this.store.makeCopy()
+    process.once('exit', this._killAll)
+    for (const entry of this.entries) entry.start()
+    this._timers.push(setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE), setInterval(() => this.store.makeCopy(), COPY_PAUSE))
+    const ready = await this.until(() => this.entries.every(entry => entry.ready), START_PATIENCE)
+    return ready ? undefined : { type: 'not-ready', entries: this.entries.filter(entry => !entry.ready).map(({ instance }) => instance) }
+  }
+
+  /** Writes the next configuration. */
+  configure (movingTo: string): void {
+    const version = (this.configurations.at(-1)?.version ?? 0) + 1
+    const keys = [STEADY_KEY, keyOfTurn(this.turn)]
+    this._configuration = movingConfiguration(version, movingTo, keys)
+    this.store.putConfiguration(this._configuration)
+    this.configurations.push({ version, at: performance.now(), movingTo, keys })
+  }
+
+  /** Lists an endpoint, as it does itself. */
+  list (endpoint: EndpointStarts, state: 'ready' | 'draining'): void {
+    const { id } = endpoint.worker
+    const entry = endpoint.entry(state)
+    this._listed.set(id, entry)
+    this.store.putWorker(id, entry)
+    if (state === 'draining') this.ends.push({ endpoint: id, says: 'draining', at: performance.now() })
+  }
+
+  /** Takes an endpoint off the list. */
+  unlist (endpoint: EndpointStarts): void {
+    const { id } = endpoint.worker
+    this._listed.delete(id)
+    this._removed.add(id)
+    this.store.removeWorker(id)
+    this.ends.push({ endpoint: id, says: 'gone', at: performance.now() })
+  }
+
+  /** The operator and the endpoints write again what a copy may lack. */
+  writeAgain (): void {
+    this.store.putConfiguration(this._configuration)
+    for (const [id, entry] of this._listed) this.store.putWorker(id, entry)
+  }
+
+  /** Entries that a copy still has of endpoints that have gone lapse. */
+  lapse (): void {
+    for (const id of this._removed) this.store.removeWorker(id)
+    this._removed.clear()
+  }
+
+  /** Waits until something holds; returns whether it does. */
+  async until (holds: () => boolean, patience: number): Promise<boolean> {
+    const end = performance.now() + patience
+    while (performance.now() < end) {
+      if (holds()) return true
+      await pause(20)
+    }
+    return holds()
+  }
+
+  /** Stops every entry in order. */
+  async stopEntries (): Promise<void> {
+    await Promise.all(this.entries.map(entry => entry.stop()))
+  }
+
+  /**
+   * Ends all that is left.
+   *
+   * @param keepLogs Whether the directory of settings and logs stays.
+   */
+  async close (keepLogs: boolean): Promise<void> {
+    for (const timer of this._timers) clearInterval(timer)
+    await Promise.all(this.entries.map(entry => entry.kill()))
+    process.off('exit', this._killAll)
+    for (const way of this._ways) way.close()
+    for (const endpoint of this.endpoints) endpoint.end()
+    this.store.close()
+    if (!keepLogs) rmSync(this.directory, { recursive: true, force: true })
+  }
+
+  private async _prepareEntries (count: number): Promise<void> {
+    const ports = await freePorts(count * 5 + 1)
+    const port = (): number => ports.pop() ?? 0
+    const agent = port()
+    const storePort = Number(this.store.address.split(':')[1])
+    const peers = Array.from({ length: count }, port)
+    const seeds = peers.slice(0, RELAYS).map(peer => `127.0.0.1:${peer}`)
+    for (const [index, peer] of peers.entries()) {
+      const storeWay = new Link(port(), storePort)
+      await storeWay.listen()
+      this._ways.push(storeWay)
+      this.entries.push(new EntryProcess({
+        instance: `entry-${index + 1}`, availabilityZone: AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '', availabilityZones: AVAILABILITY_ZONES, directory: this.directory, ports: { http: port(), readiness: port(), peer, agent }, seeds, storeWay, stopPatience: (GRACE - GRACE_RESERVE) / 1_000
+      }))
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/soak-run.ts
@@ -0,0 +1,145 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** One soak: a deployment under load, the faults that its seed draws, and the verdict. */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { setTimeout as pause } from 'node:timers/promises'
+import { seededRandom } from '@drumdrift/stand-ins'
+import type { LogFields } from 'drumdrift'
+import { Callers } from './callers.js'
+import { Deployment } from './deployment.js'
+import { faultHandlers } from './fault-handlers.js'
+import { drawPlan, type FaultAim, type PlannedFault } from './fault-plan.js'
+import type { Disturbance, Journal } from './journal.js'
+import { judge, type Violation } from './promises.js'
+import type { SoakOptions } from './soak-options.js'
+
+const MILLISECONDS_PER_MINUTE = 60_000
+/** How long callers are served before the first fault and after the last one, in milliseconds. */
+const WARM_UP = 2_000
+const CALM = 8_000
+const NANOSECONDS_PER_MILLISECOND = 1e6
+/** Numbers of the generator that are skipped. */
+const FIRST_NUMBERS = 20
+
+type Print = (fields: LogFields) => void
+
+/** The part of a target that a fault takes; two faults of one part do not overlap. */
+const targetOf: Record<FaultAim, (deployment: Deployment, fault: PlannedFault) => string> = {
+  entry: ({ entries }, { which }) => entries[Math.floor(which * entries.length)]?.instance ?? '',
+  endpoint: ({ endpoints }, { which }) => endpoints[Math.floor(which * endpoints.length)]?.name ?? '',
+  store: () => 'store',
+  operator: () => 'operator'
+}
+
+/**
+ * Runs one soak.
+ *
+ * @param print Takes each fault, each broken promise and the verdict.
+ * @returns Whether every promise was kept.
+ * @example
+ * const kept = await runSoak(options, fields => log.info('soak', fields))
+ */
+export async function runSoak (options: SoakOptions, print: Print): Promise<boolean> {
+  const deployment = new Deployment()
+  const lag = monitorEventLoopDelay()
+  lag.enable()
+  let kept = false
+  try {
+    const failure = await deployment.start(options.processes)
+    if (failure !== undefined) {
+      print({ event: 'not-ready', entries: failure.entries.join(','), logs: deployment.directory })
+      return false
+    }
+    const journal = await play(deployment, options, print)
+    const violations = judge(journal)
+    kept = violations.length === 0
+    report(journal, violations, options, lag.max / NANOSECONDS_PER_MILLISECOND, print)
+    if (!kept) print({ event: 'logs-kept', directory: deployment.directory })
+    return kept
+  } finally {
+    await deployment.close(!kept)
+  }
+}
+
+async function play (deployment: Deployment, { seed, minutes, rate, pause: meanPause }: SoakOptions, print: Print): Promise<Journal> {
+  const random = warmedUp(seededRandom(seed))
+  const plan = drawPlan(random, { length: minutes * MILLISECONDS_PER_MINUTE, pause: meanPause })
+  const callers = new Callers(deployment, random)
+  callers.start(rate)
+  await pause(WARM_UP)
+  const disturbances = await causeFaults(deployment, plan, print)
+  const calmFrom = performance.now()
+  await pause(CALM)
+  const unready = deployment.entries.filter(({ ready }) => !ready).map(({ instance }) => instance)
+  await callers.stop()
+  await deployment.stopEntries()
+  return {
+    calls: callers.records,
+    arrivals: deployment.endpoints.flatMap(({ arrivals }) => arrivals),
+    ends: deployment.ends,
+    configurations: deployment.configurations,
+    disturbances,
+    processEnds: deployment.entries.flatMap(({ ends }) => ends),
+    calmFrom,
+    unready
+  }
+}
+
+/** The first numbers of neighbouring seeds are alike. */
+function warmedUp (random: () => number): () => number {
+  for (let count = 0; count < FIRST_NUMBERS; count += 1) random()
+  return random
+}
+
+async function causeFaults (deployment: Deployment, plan: readonly PlannedFault[], print: Print): Promise<Disturbance[]> {
+  const startedAt = performance.now()
+  const disturbances: Disturbance[] = []
+  const busy = new Map<string, Promise<void>>()
+  for (const fault of plan) {
+    await pause(Math.max(0, startedAt + fault.at - performance.now()))
+    const target = targetOf[fault.aim](deployment, fault)
+    const part = `${target}/${fault.kind.includes('-way-')}`
+    if (busy.has(part)) continue
+    print({ event: 'fault', kind: fault.kind, target, at: Math.round(performance.now()) })
+    const disturbance = { kind: fault.kind, target, from: performance.now(), to: Infinity }
+    disturbances.push(disturbance)
+    const under = causeFault(deployment, fault).then(() => {
+      disturbance.to = performance.now()
+      busy.delete(part)
+    })
+    busy.set(part, under)
+  }
+  await Promise.all(busy.values())
+  return disturbances
+}
+
+async function causeFault (deployment: Deployment, fault: PlannedFault): Promise<void> {
+  const { entries, endpoints } = deployment
+  const entry = entries[Math.floor(fault.which * entries.length)]
+  const endpoint = endpoints[Math.floor(fault.which * endpoints.length)]
+  if (entry !== undefined && endpoint !== undefined) await faultHandlers[fault.kind]({ deployment, fault, entry, endpoint })
+}
+
+function report ({ calls, arrivals, disturbances }: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
+  for (const { promise, at, detail } of violations) print({ event: 'broken', promise, at: Math.round(at), detail })
+  const count = (holds: (status: number, whole: boolean) => boolean): number => calls.filter(({ answer }) => holds(answer.status, answer.whole)).length
+  print({
+    event: 'soak',
+    seed: options.seed,
+    minutes: options.minutes,
+    processes: options.processes,
+    faults: disturbances.length,
+    calls: calls.length,
+    served: count((status, whole) => status === 200 && whole),
+    refused: count(status => status === 503),
+    failed: count(status => status >= 500 && status !== 503),
+    cut: count((status, whole) => status === 0 || !whole),
+    arrivals: arrivals.length,
+    longest_pause_milliseconds: Math.round(longestPause),
+    broken: violations.length,
+    result: violations.length === 0 ? 'pass' : 'fail'
+  })
+}
--- /dev/null
+++ b/packages/soak/src/test/lib/fault-plan_test.ts
@@ -0,0 +1,32 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { seededRandom } from '@drumdrift/stand-ins'
+import { drawPlan } from '../../lib/fault-plan.js'
+
+const options = { length: 600_000, pause: 500 }
+
+describe('drawPlan', () => {
+  it('draws the same for a seed, and something else for another', () => {
+    assert.deepEqual(drawPlan(seededRandom(7), options), drawPlan(seededRandom(7), options))
+    assert.notDeepEqual(drawPlan(seededRandom(7), options), drawPlan(seededRandom(8), options))
+  })
+
+  it('draws faults of every kind in the order of time, all within its length', () => {
+    const plan = drawPlan(seededRandom(7), options)
+    const times = plan.map(({ at }) => at)
+    assert.deepEqual(times, [...times].sort((left, right) => left - right))
+    assert.ok(times.every(at => at >= 0 && at < options.length))
+    assert.equal(new Set(plan.map(({ kind }) => kind)).size, 25)
+  })
+
+  it('draws series that go through their targets', () => {
+    const plan = drawPlan(seededRandom(7), options)
+    const series = plan.filter((fault, index) => plan.slice(index + 1, index + 6).some(next => next.kind === fault.kind && next.lasts === fault.lasts && next.which !== fault.which))
+    assert.ok(series.length > plan.length / 5, `${series.length} of ${plan.length}`)
+  })
+})
--- a/packages/stand-ins/src/lib/link.ts
+++ b/packages/stand-ins/src/lib/link.ts
@@ -3,25 +3,40 @@
  * Copyright 2026 the drumdrift contributors
  * SPDX-License-Identifier: BSD-3-Clause
  */
-/** Stand-in for a link between two processes: a relay that can corrupt, stall or cut what passes. */
+/** Stand-in for a link between two processes: a relay that can corrupt, delay, stall, swallow or cut what passes. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net'
 
-/** What the link does to what passes. */
-export type LinkMode = 'pass' | 'corrupt' | 'stall' | 'cut'
+/**
+ * What the link does to what passes. `deaf` and `mute` swallow what goes to the target and what comes from it, and `delay` holds
+ * each piece for a while.
+ */
+export type LinkMode = 'pass' | 'corrupt' | 'stall' | 'cut' | 'deaf' | 'mute' | 'delay'
 
 /** Only large pieces are corrupted, in their middle: those are weights. */
 const LEAST_CORRUPTED = 16_384
+/** How long each piece is held, in milliseconds. */
+const DELAY = 300
+
+/** Where a piece goes. */
+type Direction = 'to-target' | 'from-target'
+
+const swallows: Partial<Record<LinkMode, Direction>> = { deaf: 'to-target', mute: 'from-target' }
 
 /** A link to one address. */
 export class Link {
   /** Pieces corrupted so far. */
   corrupted = 0
+  /** Where callers of the target connect. */
+  readonly address: string
   private _mode: LinkMode = 'pass'
   private _corruptions = 0
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
+  /** Sockets of which something was swallowed: nothing that follows on them makes sense. */
+  private readonly _incomplete = new Set<Socket>()
 
   constructor (private readonly _port: number, private readonly _target: number) {
+    this.address = `127.0.0.1:${_port}`
     this._server = createServer(socket => this._join(socket))
   }
 
@@ -46,7 +61,7 @@
     this._mode = mode
     this._corruptions = corruptions
     for (const socket of this._sockets) {
-      if (mode === 'cut') socket.destroy()
+      if (mode === 'cut' || this._incomplete.has(socket)) socket.destroy()
       else if (mode === 'stall') socket.pause()
       else socket.resume()
     }
@@ -58,17 +73,33 @@
       return
     }
     const far = createConnection({ host: '127.0.0.1', port: this._target })
-    for (const [from, to] of [[near, far], [far, near]] as const) {
-      this._sockets.add(from)
-      from.on('data', bytes => { if (!to.write(this._spoil(bytes)) && this._mode !== 'stall') from.pause() })
-      to.on('drain', () => { if (this._mode !== 'stall') from.resume() })
-      from.on('error', () => from.destroy())
-      from.on('close', () => {
-        this._sockets.delete(from)
-        to.destroy()
-      })
-      if (this._mode === 'stall') from.pause()
+    this._forward(near, far, 'to-target')
+    this._forward(far, near, 'from-target')
+  }
+
+  private _forward (from: Socket, to: Socket, direction: Direction): void {
+    let held = 0
+    const inOrder = (run: () => void): void => {
+      if (this._mode !== 'delay' && held === 0) return run()
+      held += 1
+      setTimeout(() => {
+        held -= 1
+        run()
+      }, DELAY)
     }
+    this._sockets.add(from)
+    from.on('data', bytes => {
+      if (swallows[this._mode] === direction) this._incomplete.add(from)
+      else inOrder(() => { if (to.writable && !to.write(this._spoil(bytes)) && this._mode !== 'stall') from.pause() })
+    })
+    to.on('drain', () => { if (this._mode !== 'stall') from.resume() })
+    from.on('error', () => from.destroy())
+    from.on('close', () => {
+      this._sockets.delete(from)
+      this._incomplete.delete(from)
+      inOrder(() => to.destroySoon())
+    })
+    if (this._mode === 'stall') from.pause()
   }
 
   private _spoil (bytes: Buffer): Buffer {
--- /dev/null
+++ b/packages/stand-ins/src/lib/users-platform/caller.ts
@@ -0,0 +1,78 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Stands in for one of the users' callers. */
+import { request as openRequest, type Agent, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+
+/** An answer as a caller sees it. */
+export interface SeenAnswer {
+  /** 0 when the connection ended without a head. */
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  readonly whole: boolean
+  /** Whether the connection had carried a request before. */
+  readonly reused: boolean
+}
+
+/** What a caller sends. */
+export interface Asked {
+  readonly path: string
+  readonly method?: string
+  readonly body?: string
+  readonly headers?: Record<string, string>
+  /** Keeps connections; a connection for each request without. */
+  readonly agent?: Agent | undefined
+  /** Hangs up when it is aborted. */
+  readonly signal?: AbortSignal
+}
+
+/** A request of one of the kinds that `movingConfiguration` has a route for. */
+export interface Call {
+  readonly id: string
+  readonly kind: CallKind
+  readonly key: string
+  readonly agent?: Agent | undefined
+  readonly signal: AbortSignal
+}
+
+/** Kinds of requests: those that may be repeated or not, streams, and those whose route moves between services. */
+export type CallKind = 'safe' | 'unsafe' | 'stream' | 'moving'
+
+/** What the head of a kind says besides. */
+const headersOf: Partial<Record<CallKind, Record<string, string>>> = { stream: { 'x-model': 'm', 'x-token-usage': '100,30' } }
+
+/** Sends one request of a kind. */
+export async function call (address: string, { id, kind, key, agent, signal }: Call): Promise<SeenAnswer> {
+  return await ask(address, { path: `/${kind}/${id}`, agent, signal, headers: { 'x-attempt-id': id, 'x-credential': key, ...headersOf[kind] } })
+}
+
+/** Asks an entry whether it takes new callers, as the platform does. */
+export async function isReady (readinessAddress: string, signal: AbortSignal): Promise<boolean> {
+  return (await ask(readinessAddress, { path: '/api/ready', method: 'GET', body: '', signal })).status === 200
+}
+
+/** The worker that signed an answer; nothing where none did. */
+export function signerOf ({ headers }: SeenAnswer): string | undefined { return /^seal-of-(.*)$/.exec(String(headers['x-server-seal']))?.[1] }
+
+/** Sends one request as a caller, and collects what comes. */
+export function ask (address: string, { path, method = 'POST', body = 'question', headers = {}, agent, signal }: Asked): Promise<SeenAnswer> {
+  const [host, port] = address.split(':')
+  const all = { host: 'halls.example', 'x-attempt-id': 'attempt-1', 'x-credential': 'key-1', 'x-deadline-ms': '3000', 'content-length': String(Buffer.byteLength(body)), ...headers }
+  return new Promise(resolve => {
+    const outgoing = openRequest({ host, port, path, method, headers: all, agent: agent ?? false, signal }, response => { collect(response, outgoing.reusedSocket, resolve) })
+    outgoing.on('error', () => resolve({ status: 0, headers: {}, body: '', whole: false, reused: outgoing.reusedSocket }))
+    outgoing.end(body)
+  })
+}
+
+function collect (response: IncomingMessage, reused: boolean, resolve: (answer: SeenAnswer) => void): void {
+  let body = ''
+  const seen = (whole: boolean): void => resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole, reused })
+  response.on('data', (bytes: Buffer) => { body += bytes.toString('utf8') })
+  response.on('end', () => seen(response.complete))
+  response.on('error', () => seen(false))
+  response.on('aborted', () => seen(false))
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/users-platform/configuration.ts
@@ -0,0 +1,43 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** What the users' operators write for a small deployment. */
+const engine = {
+  slots: 16, stride: 5, step_ms: 9, per_seq_ms: 0.02, context_per_k: 0.03, read_per_s: 20_000, chunk: 2_048, usual: { prompt: 900, answer: 90 }, models: [{ name: 'm', warmS: 0.3 }], layers: 16, chunks: 4, chunkBytes: 8
+}
+
+/** The operators' configuration of the small deployment. */
+export function wireConfiguration (version: number, part: Record<string, unknown> = {}): Record<string, unknown> {
+  const route = { host: 'halls.example', timeoutMs: 2_000, targetLatencyMs: 400, priority: 1, maxAttempts: 2, public: false, sticky: false, resumable: false }
+  return {
+    version,
+    routes: [
+      { ...route, name: 'safe', pathPrefix: '/safe/', kind: 'safe', service: 'desk' },
+      { ...route, name: 'unsafe', pathPrefix: '/unsafe/', kind: 'unsafe', service: 'desk' },
+      { ...route, name: 'stream', pathPrefix: '/stream/', kind: 'streaming', service: 'pool', resumable: true, gapAimMs: 400 },
+      { ...route, name: 'patient-stream', pathPrefix: '/patient-stream/', kind: 'streaming', service: 'pool', resumable: true, gapAimMs: 400, maxAttempts: 3 },
+      { ...route, name: 'short', pathPrefix: '/short/', kind: 'unsafe', service: 'desk', timeoutMs: 200 }
+    ],
+    services: [
+      { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false },
+      { name: 'pool', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine }
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 64, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    tenants: [{ name: 'branch', apiKeys: ['key-1'] }],
+    ...part
+  }
+}
+
+/**
+ * The same with a route that moves between the services `desk` and `archive`.
+ *
+ * @param keys What callers may prove themselves with.
+ */
+export function movingConfiguration (version: number, movingTo: string, keys: readonly string[]): Record<string, unknown> {
+  const whole = wireConfiguration(version, { tenants: [{ name: 'branch', apiKeys: keys }] })
+  const routes = whole.routes as Record<string, unknown>[]
+  const services = whole.services as Record<string, unknown>[]
+  return { ...whole, routes: [...routes, { ...routes[0], name: 'moving', pathPrefix: '/moving/', service: movingTo }], services: [...services, { ...services[0], name: 'archive' }] }
+}
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -68,6 +68,14 @@
     return this._change({ key, revision: ++this._revision, removed: true })
   }
 
+  /** Writes the operators' configuration. */
+  putConfiguration (document: unknown): number { return this.put('op/config', document) }
+
+  /** Writes what a worker says of itself. */
+  putWorker (id: string, entry: unknown): number { return this.put(`servers/${id}`, entry) }
+
+  removeWorker (id: string): number { return this.remove(`servers/${id}`) }
+
   /** From now on readings that may be old get what is here now. */
   keepOld (): void { this._old = this._copyOfAll() }
 
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -20,14 +20,20 @@
 
 /** A request that reached the worker. */
 export interface Arrival {
+  readonly id: string
   readonly method: string
   readonly path: string
   readonly headers: IncomingMessage['headers']
   readonly body: string
+  /** When it came, by the clock of `performance`. */
+  readonly at: number
+  /** Whether the worker began to run it. */
+  readonly ran: boolean
 }
 
+const turningAway: ReadonlySet<WorkerMode> = new Set(['sheds', 'wrong-instance', 'wrong-version'])
 /** Events of a stream. */
-const EVENTS = 6
+export const EVENTS = 6
 /** Events that come before a stream is cut. */
 const EVENTS_BEFORE_CUT = 3
 const EVENT_PAUSE = 5
@@ -83,7 +89,7 @@
     if (url.pathname.startsWith('/api/stage-')) return await this._stage(url, request, response)
     if (url.pathname === '/api/order') return await this._order(request, response)
     const body = (await readAll(request)).toString('utf8')
-    this.arrivals.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
+    this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), ran: !turningAway.has(this.mode) })
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
     if (this.leaving) response.setHeader('server-leaving', '1')
--- /dev/null
+++ b/packages/stand-ins/src/test/lib/link_test.ts
@@ -0,0 +1,76 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { createConnection, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { Link, type LinkMode } from '../../lib/link.js'
+import { freePorts } from '../../lib/ports.js'
+
+describe('Link', () => {
+  let server: Server
+  let link: Link
+  let near: Socket
+  /** What the target and the caller heard. */
+  let heard: { target: string, caller: string }
+
+  beforeEach(async () => {
+    heard = { target: '', caller: '' }
+    server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', bytes => {
+        heard.target += bytes.toString('utf8')
+        socket.write(bytes)
+      })
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const [port = 0] = await freePorts(1)
+    link = new Link(port, (server.address() as AddressInfo).port)
+    await link.listen()
+    near = createConnection({ host: '127.0.0.1', port })
+    near.on('data', bytes => { heard.caller += bytes.toString('utf8') })
+    near.on('error', () => {})
+  })
+  afterEach(() => {
+    near.destroy()
+    link.close()
+    server.close()
+  })
+
+  async function until (holds: () => boolean): Promise<void> {
+    for (let tries = 0; tries < 250 && !holds(); tries += 1) await new Promise(resolve => setTimeout(resolve, 20))
+    assert.ok(holds(), JSON.stringify(heard))
+  }
+
+  it('passes both ways', async () => {
+    near.write('a')
+    await until(() => heard.caller === 'a')
+  })
+
+  const swallowing: [mode: LinkMode, target: string][] = [['deaf', 'a'], ['mute', 'ab']]
+  for (const [mode, target] of swallowing) {
+    it(`swallows one way when it is ${mode}, and closes what lacks something when it passes again`, async () => {
+      near.write('a')
+      await until(() => heard.caller === 'a')
+      link.set(mode)
+      near.write('b')
+      await until(() => heard.target === target)
+      await new Promise(resolve => setTimeout(resolve, 60))
+      assert.deepEqual([heard, near.closed], [{ target, caller: 'a' }, false])
+      link.set('pass')
+      await until(() => near.closed)
+    })
+  }
+
+  it('keeps the order of what it delays and what follows', async () => {
+    link.set('delay')
+    near.write('a')
+    await new Promise(resolve => setTimeout(resolve, 60))
+    assert.equal(heard.target, '')
+    link.set('pass')
+    near.write('b')
+    await until(() => heard.caller === 'ab')
+  })
+})
