--- /dev/null
+++ b/packages/soak/src/test/lib/soak-run_test.ts
@@ -0,0 +1,17 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { runSoak } from '../../lib/soak-run.js'
+
+describe('runSoak', () => {
+  it('keeps all promises while entries stop and die, ways break, endpoints go, and the store is restored', async () => {
+    const lines: string[] = []
+    const kept = await runSoak({ seed: 2910, minutes: 0.3, processes: 3, rate: 30, pause: 800 }, fields => { lines.push(JSON.stringify(fields)) })
+    assert.ok(kept, lines.join('\n'))
+    for (const kind of ['entry-stops', 'entry-killed', 'endpoint-drains', 'key-revoked', 'route-moves', 'store-way-cut', 'store-restored']) assert.ok(lines.some(line => line.includes(`"${kind}"`)), kind)
+  })
+})
--- a/packages/stand-ins/src/lib/http-service.ts
+++ b/packages/stand-ins/src/lib/http-service.ts
@@ -62,7 +62,16 @@
       return
     }
     const delay = this.behaviour === 'slow' ? SLOW_DELAY : 0
-    setTimeout(() => { this.answer(request, response) }, delay)
+    setTimeout(() => { this._answer(request, response) }, delay)
+  }
+
+  /** A caller who is gone before its request has been read gets no answer. */
+  private async _answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await this.answer(request, response)
+    } catch (error) {
+      if (!request.destroyed) throw error
+    }
   }
 }
 
