The soak's store goes back behind what entries follow

Endpoints write themselves eight times between the copy and the restore now, and entries hear of it.

--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -9,7 +9,7 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration } from '@drumdrift/stand-ins'
-import { EndpointStarts } from './endpoint-starts.js'
+import { EndpointStarts, type EndpointState } from './endpoint-starts.js'
 import { EntryProcess } from './entry-process.js'
 import type { ConfigurationWrite, EndpointEnd } from './journal.js'
 import { GRACE } from './promises.js'
@@ -20,8 +20,6 @@
 /** Entries that read the store for the others, one in each zone where there are enough. */
 const RELAYS = 3
 const LOOK_PAUSE = 500
-/** A copy of the store is made so often, in milliseconds. */
-const COPY_PAUSE = 1_500
 const START_PATIENCE = 30_000
 /** Stops end before the platform would end the process, in milliseconds. */
 const GRACE_RESERVE = 2_000
@@ -44,12 +42,12 @@
   /** How often a key has been revoked. */
   turn = 1
   readonly directory = mkdtempSync(join(tmpdir(), 'drumdrift-soak-'))
-  /** The newest configuration, and what each endpoint that is listed says of itself. */
   private _configuration: unknown
-  private readonly _listed = new Map<string, unknown>()
+  /** Endpoints that are listed, with what they say, by the id of their start. */
+  private readonly _listed = new Map<string, { readonly endpoint: EndpointStarts, readonly state: EndpointState }>()
   private readonly _removed = new Set<string>()
   private readonly _ways: Link[] = []
-  private readonly _timers: NodeJS.Timeout[] = []
+  private _lookTimer: NodeJS.Timeout | undefined
   /** Leaves no process behind when this one ends early. */
   private readonly _killAll = (): void => { for (const entry of this.entries) entry.signal('SIGKILL') }
 
@@ -62,10 +60,9 @@
       this.list(endpoint, 'ready')
     }
     this.configure('desk')
-    this.store.makeCopy()
     process.once('exit', this._killAll)
     for (const entry of this.entries) entry.start()
-    this._timers.push(setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE), setInterval(() => this.store.makeCopy(), COPY_PAUSE))
+    this._lookTimer = setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE)
     const ready = await this.until(() => this.entries.every(entry => entry.ready), START_PATIENCE)
     return ready ? undefined : { type: 'not-ready', entries: this.entries.filter(entry => !entry.ready).map(({ instance }) => instance) }
   }
@@ -80,11 +77,10 @@
   }
 
   /** Lists an endpoint, as it does itself. */
-  list (endpoint: EndpointStarts, state: 'ready' | 'draining'): void {
+  list (endpoint: EndpointStarts, state: EndpointState): void {
     const { id } = endpoint.worker
-    const entry = endpoint.entry(state)
-    this._listed.set(id, entry)
-    this.store.putWorker(id, entry)
+    this._listed.set(id, { endpoint, state })
+    this.store.putWorker(id, endpoint.entry(state))
     if (state === 'draining') this.ends.push({ endpoint: id, says: 'draining', at: performance.now() })
   }
 
@@ -100,7 +96,12 @@
   /** The operator and the endpoints write again what a copy may lack. */
   writeAgain (): void {
     this.store.putConfiguration(this._configuration)
-    for (const [id, entry] of this._listed) this.store.putWorker(id, entry)
+    this.writeEndpoints()
+  }
+
+  /** All endpoints that are listed write themselves once more. */
+  writeEndpoints (): void {
+    for (const [id, { endpoint, state }] of this._listed) this.store.putWorker(id, endpoint.entry(state))
   }
 
   /** Entries that a copy still has of endpoints that have gone lapse. */
@@ -130,7 +131,7 @@
    * @param keepLogs Whether the directory of settings and logs stays.
    */
   async close (keepLogs: boolean): Promise<void> {
-    for (const timer of this._timers) clearInterval(timer)
+    clearInterval(this._lookTimer)
     await Promise.all(this.entries.map(entry => entry.kill()))
     process.off('exit', this._killAll)
     for (const way of this._ways) way.close()
--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -7,6 +7,9 @@
 import { freePorts, Link, UsersWorkerStandIn } from '@drumdrift/stand-ins'
 import type { EndpointArrival } from './journal.js'
 
+/** What an endpoint says of itself in the list. */
+export type EndpointState = 'ready' | 'draining'
+
 /** One endpoint, over all its starts. */
 export class EndpointStarts {
   private readonly _workers: UsersWorkerStandIn[] = []
@@ -38,7 +41,7 @@
   }
 
   /** What the newest start writes of itself in the store now. */
-  entry (state: 'ready' | 'draining'): Record<string, unknown> {
+  entry (state: EndpointState): Record<string, unknown> {
     return { ...this.worker.entry(this.service, this.availabilityZone, state) as object, address: this.way.address }
   }
 
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -30,6 +30,10 @@
 const LAPSE_TIME = 3_000
 /** An endpoint starts again so long after it has gone, in milliseconds. */
 const SUCCESSOR_PAUSE = 500
+/** How often all endpoints have written since the copy was made, so that its revisions lie far behind what entries follow. */
+const WRITINGS_SINCE_COPY = 8
+/** By then entries have heard of it, in milliseconds. */
+const HEARING_TIME = 400
 /** The store is away for a moment when it is restored, in milliseconds. */
 const LONGEST_DRILL = 1_000
 /** All is written again so long after a restore, in milliseconds. */
@@ -72,6 +76,10 @@
   'store-forgets': async ({ deployment }) => { deployment.store.compact() },
   'store-restored': async ({ deployment, fault }) => {
     const { store } = deployment
+    store.makeCopy()
+    await pause(fault.lasts)
+    for (let count = 0; count < WRITINGS_SINCE_COPY; count += 1) deployment.writeEndpoints()
+    await pause(HEARING_TIME)
     store.behaviour = 'down'
     store.restore()
     await pause(Math.min(LONGEST_DRILL, fault.lasts))
