The soak has agents beside its engines

Engines keep their address over all their starts, each with an agent as a process of its own, which is stopped, killed and paused too. A process of either role is started, ended and watched by one class.

--- /dev/null
+++ b/packages/soak/src/lib/agent-process.ts
@@ -0,0 +1,44 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** The agent beside an engine, as a process of its own. */
+import { DaemonProcess } from './daemon-process.js'
+import type { EndpointPlan } from './endpoint-starts.js'
+import type { SharedPlan } from './entry-process.js'
+
+/** As in the users' deployment, in megabytes. */
+const HEAP = 96
+
+/**
+ * Prepares the agent of an engine.
+ *
+ * @param storeAddress Where it reads what is published.
+ * @example
+ * const agent = agentProcess(endpoint.plan, store.address, shared)
+ */
+export function agentProcess ({ name, service, availabilityZone, host, port }: EndpointPlan, storeAddress: string, shared: SharedPlan): DaemonProcess {
+  const settings = `
+[process]
+instance = agent-${name}
+availability-zone = ${availabilityZone}
+address = ${host}:${shared.agentPort}
+stop-patience-seconds = ${shared.stopPatience}
+[platform]
+availability-zones = ${shared.availabilityZones.join(', ')}
+store-address = ${storeAddress}
+[peers]
+seeds = ${shared.seeds.join(', ')}
+key = soak
+agent-port = ${shared.agentPort}
+[endpoint]
+name = ${service}
+address = ${host}:${port}
+[weights]
+link-megabits-per-second = 10
+link-percent = 75
+memory-megabytes = 8
+`
+  return new DaemonProcess({ instance: `agent-${name}`, role: 'weights-agent', directory: shared.directory, heap: HEAP, settings })
+}
--- /dev/null
+++ b/packages/soak/src/lib/daemon-process.ts
@@ -0,0 +1,73 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** One process of the product, over all its starts. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { closeSync, openSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import type { ProcessEnd } from './journal.js'
+
+const PROGRAM = createRequire(import.meta.url).resolve('@drumdrift/platform/main')
+
+/** What a process is started with. */
+export interface DaemonPlan {
+  readonly instance: string
+  readonly role: 'route-entry' | 'weights-agent'
+  readonly directory: string
+  /** In megabytes, as in the users' deployment. */
+  readonly heap: number
+  /** In INI. */
+  readonly settings: string
+}
+
+/** One process. */
+export class DaemonProcess {
+  readonly ends: ProcessEnd[] = []
+  private _child: ChildProcess | undefined
+  private _asked: ProcessEnd['asked'] = 'nothing'
+  private _askedAt = 0
+  private readonly _settingsFile: string
+
+  constructor (private readonly _plan: DaemonPlan) {
+    this._settingsFile = `${_plan.directory}/${_plan.instance}.ini`
+    writeFileSync(this._settingsFile, _plan.settings)
+  }
+
+  get instance (): string { return this._plan.instance }
+
+  start (): void {
+    const { role, heap } = this._plan
+    const output = openSync(`${this._settingsFile}.log`, 'a')
+    const child = spawn(process.execPath, [`--max-old-space-size=${heap}`, PROGRAM, role, this._settingsFile], { stdio: ['ignore', output, output] })
+    closeSync(output)
+    this._child = child
+    this._asked = 'nothing'
+    child.once('exit', code => { this._ended(code) })
+  }
+
+  /** Asks the process to stop, and waits until it has. */
+  async stop (): Promise<void> { await this._end('stop', 'SIGTERM') }
+
+  /** Ends the process at once. */
+  async kill (): Promise<void> { await this._end('kill', 'SIGKILL') }
+
+  signal (signal: NodeJS.Signals): void { this._child?.kill(signal) }
+
+  private async _end (asked: 'stop' | 'kill', signal: NodeJS.Signals): Promise<void> {
+    const child = this._child
+    if (child === undefined) return
+    const exited = new Promise(resolve => child.once('exit', resolve))
+    this._asked = asked
+    this._askedAt = performance.now()
+    child.kill(signal)
+    await exited
+  }
+
+  private _ended (code: number | null): void {
+    const at = performance.now()
+    this._child = undefined
+    this.ends.push({ process: this.instance, at, asked: this._asked, code, took: this._asked === 'nothing' ? 0 : at - this._askedAt })
+  }
+}
--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -9,14 +9,18 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration } from '@drumdrift/stand-ins'
+import { agentProcess } from './agent-process.js'
+import type { DaemonProcess } from './daemon-process.js'
 import { EndpointStarts, type EndpointState } from './endpoint-starts.js'
-import { EntryProcess } from './entry-process.js'
+import { EntryProcess, type SharedPlan } from './entry-process.js'
 import type { ConfigurationWrite, EndpointEnd } from './journal.js'
 import { GRACE } from './promises.js'
 
 const AVAILABILITY_ZONES = ['koshi', 'bagmati', 'gandaki'] as const
 const ENDPOINTS_OF_SERVICE = 3
 const SERVICES = ['desk', 'archive', 'pool'] as const
+/** The last part of the address of the first engine. */
+const FIRST_ENGINE = 11
 /** Entries that read the store for the others, one in each zone where there are enough. */
 const RELAYS = 3
 const LOOK_PAUSE = 500
@@ -36,7 +40,9 @@
 export class Deployment {
   readonly store = new KeyValueStoreStandIn(10_000)
   readonly entries: EntryProcess[] = []
-  readonly endpoints: EndpointStarts[] = SERVICES.flatMap(service => Array.from({ length: ENDPOINTS_OF_SERVICE }, (_, index) => new EndpointStarts(`${service}-${index + 1}`, service, AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '')))
+  readonly endpoints: EndpointStarts[] = []
+  /** One beside each engine. */
+  readonly agents: DaemonProcess[] = []
   readonly ends: EndpointEnd[] = []
   readonly configurations: ConfigurationWrite[] = []
   /** How often a key has been revoked. */
@@ -49,24 +55,27 @@
   private readonly _ways: Link[] = []
   private _lookTimer: NodeJS.Timeout | undefined
   /** Leaves no process behind when this one ends early. */
-  private readonly _killAll = (): void => { for (const entry of this.entries) entry.signal('SIGKILL') }
+  private readonly _killAll = (): void => { for (const daemon of this.daemons) daemon.signal('SIGKILL') }
 
   /** Starts everything. Returns why it cannot be used, or nothing. */
   async start (processes: number): Promise<SoakFailure | undefined> {
     await this.store.listen(0)
-    await this._prepareEntries(processes)
+    await this._prepare(processes)
     for (const endpoint of this.endpoints) {
       await endpoint.start()
       this.list(endpoint, 'ready')
     }
     this.configure('desk')
     process.once('exit', this._killAll)
-    for (const entry of this.entries) entry.start()
+    for (const daemon of this.daemons) daemon.start()
     this._lookTimer = setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE)
     const ready = await this.until(() => this.entries.every(entry => entry.ready), START_PATIENCE)
     return ready ? undefined : { type: 'not-ready', entries: this.entries.filter(entry => !entry.ready).map(({ instance }) => instance) }
   }
 
+  /** Every process. */
+  get daemons (): DaemonProcess[] { return [...this.entries.map(({ daemon }) => daemon), ...this.agents] }
+
   /** Writes the next configuration. */
   configure (movingTo: string): void {
     const version = (this.configurations.at(-1)?.version ?? 0) + 1
@@ -120,9 +129,9 @@
     return holds()
   }
 
-  /** Stops every entry in order. */
-  async stopEntries (): Promise<void> {
-    await Promise.all(this.entries.map(entry => entry.stop()))
+  /** Stops every process in order. */
+  async stop (): Promise<void> {
+    await Promise.all(this.daemons.map(daemon => daemon.stop()))
   }
 
   /**
@@ -132,7 +141,7 @@
    */
   async close (keepLogs: boolean): Promise<void> {
     clearInterval(this._lookTimer)
-    await Promise.all(this.entries.map(entry => entry.kill()))
+    await Promise.all(this.daemons.map(daemon => daemon.kill()))
     process.off('exit', this._killAll)
     for (const way of this._ways) way.close()
     for (const endpoint of this.endpoints) endpoint.end()
@@ -140,20 +149,33 @@
     if (!keepLogs) rmSync(this.directory, { recursive: true, force: true })
   }
 
-  private async _prepareEntries (count: number): Promise<void> {
-    const ports = await freePorts(count * 5 + 1)
+  private async _prepare (entries: number): Promise<void> {
+    const ports = await freePorts(1 + entries + SERVICES.length * ENDPOINTS_OF_SERVICE)
     const port = (): number => ports.pop() ?? 0
-    const agent = port()
-    const storePort = Number(this.store.address.split(':')[1])
-    const peers = Array.from({ length: count }, port)
+    const agentPort = port()
+    const peers = Array.from({ length: entries }, port)
     const seeds = peers.slice(0, RELAYS).map(peer => `127.0.0.1:${peer}`)
-    for (const [index, peer] of peers.entries()) {
-      const storeWay = new Link(port(), storePort)
-      await storeWay.listen()
-      this._ways.push(storeWay)
-      this.entries.push(new EntryProcess({
-        instance: `entry-${index + 1}`, availabilityZone: AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '', availabilityZones: AVAILABILITY_ZONES, directory: this.directory, ports: { http: port(), readiness: port(), peer, agent }, seeds, storeWay, stopPatience: (GRACE - GRACE_RESERVE) / 1_000
-      }))
-    }
+    const shared = { directory: this.directory, availabilityZones: AVAILABILITY_ZONES, seeds, agentPort, stopPatience: (GRACE - GRACE_RESERVE) / 1_000 }
+    for (const [index, peer] of peers.entries()) await this._addEntry(index, peer, shared)
+    for (const service of SERVICES) for (let index = 0; index < ENDPOINTS_OF_SERVICE; index += 1) this._addEndpoint(service, index, port(), shared)
+  }
+
+  private async _addEntry (index: number, peer: number, shared: SharedPlan): Promise<void> {
+    const [way = 0, http = 0, readiness = 0] = await freePorts(3)
+    const storeWay = new Link(way, Number(this.store.address.split(':')[1]))
+    await storeWay.listen()
+    this._ways.push(storeWay)
+    this.entries.push(new EntryProcess({ instance: `entry-${index + 1}`, availabilityZone: zoneOf(index), shared, ports: { http, readiness, peer }, storeWay }))
+  }
+
+  /** An engine keeps its address over all its starts, since its agent has to know it; agents share one port. */
+  private _addEndpoint (service: typeof SERVICES[number], index: number, port: number, shared: SharedPlan): void {
+    const isEngine = service === 'pool'
+    const host = isEngine ? `127.0.0.${FIRST_ENGINE + index}` : '127.0.0.1'
+    const endpoint = new EndpointStarts({ name: `${service}-${index + 1}`, service, availabilityZone: zoneOf(index), host, port: isEngine ? port : undefined })
+    this.endpoints.push(endpoint)
+    if (isEngine) this.agents.push(agentProcess(endpoint.plan, this.store.address, shared))
   }
 }
+
+function zoneOf (index: number): string { return AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '' }
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -6,6 +6,7 @@
 /** What each fault does, from its begin until what it concerns is well again. */
 import { setTimeout as pause } from 'node:timers/promises'
 import type { LinkMode, StoreMode } from '@drumdrift/stand-ins'
+import type { DaemonProcess } from './daemon-process.js'
 import type { Deployment } from './deployment.js'
 import type { EndpointStarts } from './endpoint-starts.js'
 import type { EntryProcess } from './entry-process.js'
@@ -18,14 +19,13 @@
   readonly fault: PlannedFault
   readonly entry: EntryProcess
   readonly endpoint: EndpointStarts
+  readonly agent: DaemonProcess
 }
 
 /** Does a fault and undoes it. */
 export type FaultHandler = (scene: FaultScene) => Promise<void>
 
 const READY_PATIENCE = 15_000
-/** A process that was killed is started again after this, in milliseconds. */
-const RESTART_PAUSE = 500
 /** The entry of an endpoint that ended without a word lapses after this, in milliseconds. */
 const LAPSE_TIME = 3_000
 /** An endpoint starts again so long after it has gone, in milliseconds. */
@@ -42,20 +42,24 @@
 /** The handler of each fault. */
 export const faultHandlers: Record<FaultKind, FaultHandler> = {
   'entry-stops': async ({ deployment, entry }) => {
-    await entry.stop()
-    await startAgain(deployment, entry)
+    await entry.restart('stop')
+    await deployment.until(() => entry.ready, READY_PATIENCE)
   },
   'entry-killed': async ({ deployment, entry }) => {
-    await entry.kill()
-    await pause(RESTART_PAUSE)
-    await startAgain(deployment, entry)
+    await entry.restart('kill')
+    await deployment.until(() => entry.ready, READY_PATIENCE)
   },
-  'entry-paused': async ({ fault, entry }) => {
-    entry.signal('SIGSTOP')
-    await pause(fault.lasts)
-    entry.signal('SIGCONT')
+  'entry-paused': async ({ fault, entry }) => { await pauseProcess(entry.daemon, fault) },
+  'agent-stops': async ({ agent }) => {
+    await agent.stop()
+    agent.start()
+  },
+  'agent-killed': async ({ agent }) => {
+    await agent.kill()
+    agent.start()
   },
-  'entry-reloads': async ({ entry }) => { entry.signal('SIGHUP') },
+  'agent-paused': async ({ fault, agent }) => { await pauseProcess(agent, fault) },
+  'entry-reloads': async ({ entry }) => { entry.daemon.signal('SIGHUP') },
   'store-way-cut': onStoreWay('cut'),
   'store-way-stalls': onStoreWay('stall'),
   'store-way-deaf': onStoreWay('deaf'),
@@ -148,9 +152,10 @@
   }
 }
 
-async function startAgain (deployment: Deployment, entry: EntryProcess): Promise<void> {
-  entry.start()
-  await deployment.until(() => entry.ready, READY_PATIENCE)
+async function pauseProcess (daemon: DaemonProcess, fault: PlannedFault): Promise<void> {
+  daemon.signal('SIGSTOP')
+  await pause(fault.lasts)
+  daemon.signal('SIGCONT')
 }
 
 async function succeed (deployment: Deployment, endpoint: EndpointStarts): Promise<void> {
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -9,17 +9,18 @@
 const entryFaults = ['entry-stops', 'entry-killed', 'entry-paused', 'entry-reloads', 'store-way-cut', 'store-way-stalls', 'store-way-deaf', 'store-way-mute', 'store-way-slow'] as const
 const storeFaults = ['store-down', 'store-silent', 'store-turns-away', 'store-slow', 'store-forgets', 'store-restored'] as const
 const endpointFaults = ['endpoint-drains', 'endpoint-crashes', 'endpoint-sheds', 'endpoint-mute', 'endpoint-way-cut', 'endpoint-way-stalls', 'endpoint-way-slow'] as const
+const agentFaults = ['agent-stops', 'agent-killed', 'agent-paused'] as const
 const operatorActs = ['route-moves', 'key-revoked', 'configuration-written'] as const
 
 /** What the soak does from outside. */
-export type FaultKind = typeof entryFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof operatorActs[number]
+export type FaultKind = typeof entryFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActs[number]
 
 /** What a fault is aimed at. */
-export type FaultAim = 'entry' | 'store' | 'endpoint' | 'operator'
+export type FaultAim = 'entry' | 'store' | 'endpoint' | 'agent' | 'operator'
 
-const kindsOf: Record<FaultAim, readonly FaultKind[]> = { entry: entryFaults, store: storeFaults, endpoint: endpointFaults, operator: operatorActs }
+const kindsOf: Record<FaultAim, readonly FaultKind[]> = { entry: entryFaults, store: storeFaults, endpoint: endpointFaults, agent: agentFaults, operator: operatorActs }
 /** How often each is aimed at; the store has one place, entries and endpoints many. */
-const weights: Record<FaultAim, number> = { entry: 4, store: 1, endpoint: 3, operator: 2 }
+const weights: Record<FaultAim, number> = { entry: 4, store: 1, endpoint: 3, agent: 1, operator: 2 }
 
 /** One fault to come. */
 export interface PlannedFault {
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -44,7 +44,7 @@
   readonly keys: readonly string[]
 }
 
-/** Whom a fault concerns: the store, an entry by its instance, or an endpoint by its name. */
+/** Whom a fault concerns: the store, a process by its instance, or an endpoint by its name. */
 export type FaultTarget = 'store' | string
 
 /** A fault while it lasted, and until what it concerns was well again. */
@@ -55,9 +55,10 @@
   readonly to: number
 }
 
-/** An end of an entry's process. */
+/** An end of a process. */
 export interface ProcessEnd {
-  readonly entry: string
+  /** The instance. */
+  readonly process: string
   readonly at: number
   /** Whether the soak asked for it, and how. */
   readonly asked: 'stop' | 'kill' | 'nothing'
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -108,10 +108,10 @@
     const took = call.endedAt - call.sentAt
     return call.kind !== 'stream' && took > ROUTE_TIMEOUT + ANSWER_SLACK && isInTouch(journal, call.entry, call.endedAt)
   }).map(call => found(call, `ended after ${Math.round(call.endedAt - call.sentAt)} ms`)),
-  process: ({ processEnds }) => processEnds.flatMap(({ entry, at, asked, code, took }) => {
+  process: ({ processEnds }) => processEnds.flatMap(({ process, at, asked, code, took }) => {
     if (asked === 'kill') return []
-    if (asked === 'nothing') return [{ at, detail: `${entry} ended by itself, code ${code}` }]
-    return took > GRACE || code !== 0 ? [{ at, detail: `${entry} ended with code ${code}, ${Math.round(took)} ms after it was told to` }] : []
+    if (asked === 'nothing') return [{ at, detail: `${process} ended by itself, code ${code}` }]
+    return took > GRACE || code !== 0 ? [{ at, detail: `${process} ended with code ${code}, ${Math.round(took)} ms after it was told to` }] : []
   }),
   served: ({ calls, configurations, calmFrom }) => {
     const keys = configurations.at(-1)?.keys ?? []
@@ -182,7 +182,7 @@
 
 /** Calls that a process handled by an older configuration than one that it had shown before. */
 function goingBack (calls: readonly CallRecord[], { configurations, processEnds }: Journal, entry: string, services: ReadonlyMap<string, string>): Omit<Violation, 'promise'>[] {
-  const starts = processEnds.filter(end => end.entry === entry).map(({ at }) => at)
+  const starts = processEnds.filter(({ process }) => process === entry).map(({ at }) => at)
   const broken: Omit<Violation, 'promise'>[] = []
   const shown: { version: number, at: number }[] = []
   for (const call of [...calls].sort((left, right) => left.endedAt - right.endedAt)) {
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -26,10 +26,14 @@
 
 type Print = (fields: LogFields) => void
 
+/** The one of several that a fault is aimed at. */
+function chosen<Target> (targets: readonly Target[], { which }: PlannedFault): Target | undefined { return targets[Math.floor(which * targets.length)] }
+
 /** The part of a target that a fault takes; two faults of one part do not overlap. */
 const targetOf: Record<FaultAim, (deployment: Deployment, fault: PlannedFault) => string> = {
-  entry: ({ entries }, { which }) => entries[Math.floor(which * entries.length)]?.instance ?? '',
-  endpoint: ({ endpoints }, { which }) => endpoints[Math.floor(which * endpoints.length)]?.name ?? '',
+  entry: ({ entries }, fault) => chosen(entries, fault)?.instance ?? '',
+  endpoint: ({ endpoints }, fault) => chosen(endpoints, fault)?.name ?? '',
+  agent: ({ agents }, fault) => chosen(agents, fault)?.instance ?? '',
   store: () => 'store',
   operator: () => 'operator'
 }
@@ -75,14 +79,14 @@
   await pause(CALM)
   const unready = deployment.entries.filter(({ ready }) => !ready).map(({ instance }) => instance)
   await callers.stop()
-  await deployment.stopEntries()
+  await deployment.stop()
   return {
     calls: callers.records,
     arrivals: deployment.endpoints.flatMap(({ arrivals }) => arrivals),
     ends: deployment.ends,
     configurations: deployment.configurations,
     disturbances,
-    processEnds: deployment.entries.flatMap(({ ends }) => ends),
+    processEnds: deployment.daemons.flatMap(({ ends }) => ends),
     calmFrom,
     unready
   }
@@ -117,10 +121,11 @@
 }
 
 async function causeFault (deployment: Deployment, fault: PlannedFault): Promise<void> {
-  const { entries, endpoints } = deployment
-  const entry = entries[Math.floor(fault.which * entries.length)]
-  const endpoint = endpoints[Math.floor(fault.which * endpoints.length)]
-  if (entry !== undefined && endpoint !== undefined) await faultHandlers[fault.kind]({ deployment, fault, entry, endpoint })
+  const { entries, endpoints, agents } = deployment
+  const entry = chosen(entries, fault)
+  const endpoint = chosen(endpoints, fault)
+  const agent = chosen(agents, fault)
+  if (entry !== undefined && endpoint !== undefined && agent !== undefined) await faultHandlers[fault.kind]({ deployment, fault, entry, endpoint, agent })
 }
 
 function report ({ calls, arrivals, disturbances }: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -30,7 +30,7 @@
     ends: [],
     configurations: [{ version: 1, at: 0, movingTo: 'desk', keys: ['steady'] }],
     disturbances: [],
-    processEnds: [{ entry: 'entry-1', at: 60_000, asked: 'stop', code: 0, took: 100 }],
+    processEnds: [{ process: 'entry-1', at: 60_000, asked: 'stop', code: 0, took: 100 }],
     calmFrom: 50_000,
     unready: [],
     ...part
@@ -44,7 +44,7 @@
 const storeAway: Disturbance = { kind: 'store-down', target: 'store', from: 9_000, to: 9_500 }
 const moved = call({ id: 'call-2', kind: 'moving', sentAt: 6_000, endedAt: 6_050, answer: answer(200, { headers: { 'x-server-seal': 'seal-of-archive-1.1' }, body: 'answer of archive-1.1' }) })
 const movedThere = arrival({ id: 'call-2', endpoint: 'archive-1.1', service: 'archive', at: 6_020 })
-const ownEnd = { entry: 'entry-1', at: 20_000, asked: 'nothing', code: 1, took: 0 } as const
+const ownEnd = { process: 'entry-1', at: 20_000, asked: 'nothing', code: 1, took: 0 } as const
 
 describe('judge', () => {
   const cases: [name: string, part: Partial<Journal>, broken: string[]][] = [
@@ -71,7 +71,7 @@
     ['a key that is refused after its end', { calls: [call({ key: 'old', answer: answer(401) })], arrivals: [] }, []],
     ['a route that is not found', { calls: [call({ answer: answer(404) })], arrivals: [] }, ['in-force']],
     ['a process that goes back', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedThere, arrival({ at: 6_220 })], configurations: toArchive }, ['never-back']],
-    ['a process that starts again and has not heard yet', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedThere, arrival({ at: 6_220 })], configurations: toArchive, processEnds: [{ entry: 'entry-1', at: 6_100, asked: 'kill', code: null, took: 1 }] }, []],
+    ['a process that starts again and has not heard yet', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedThere, arrival({ at: 6_220 })], configurations: toArchive, processEnds: [{ process: 'entry-1', at: 6_100, asked: 'kill', code: null, took: 1 }] }, []],
     ['a call that a stop cuts off', { calls: [cutOff], disturbances: [stop] }, ['finished']],
     ['one that never reached an endpoint', { calls: [cutOff], arrivals: [], disturbances: [stop] }, []],
     ['one whose endpoint fails too', { calls: [cutOff], disturbances: [stop, { kind: 'endpoint-crashes', target: 'desk-1', from: 10_000, to: 14_000 }] }, []],
--- a/packages/stand-ins/src/lib/http-service.ts
+++ b/packages/stand-ins/src/lib/http-service.ts
@@ -12,6 +12,7 @@
 export type Behaviour = 'normal' | 'down' | 'slow' | 'stale'
 
 const SLOW_DELAY = 1_000
+const LOOPBACK = '127.0.0.1'
 
 /** A stand-in that speaks HTTP on loopback. */
 export abstract class HttpService {
@@ -30,15 +31,18 @@
     this._server.keepAliveTimeout = 30_000
   }
 
-  listen (port: number): Promise<void> {
+  listen (port: number, host = LOOPBACK): Promise<void> {
     return new Promise((resolve, reject) => {
       this._server.once('error', reject)
-      this._server.listen(port, '127.0.0.1', () => resolve())
+      this._server.listen(port, host, () => resolve())
     })
   }
 
   /** Where it listens, once it does. */
-  get address (): string { return `127.0.0.1:${(this._server.address() as AddressInfo).port}` }
+  get address (): string {
+    const { address, port } = this._server.address() as AddressInfo
+    return `${address}:${port}`
+  }
 
   close (): void {
     this._server.close()
--- a/packages/stand-ins/src/lib/link.ts
+++ b/packages/stand-ins/src/lib/link.ts
@@ -35,15 +35,18 @@
   /** Sockets of which something was swallowed: nothing that follows on them makes sense. */
   private readonly _incomplete = new Set<Socket>()
 
-  constructor (private readonly _port: number, private readonly _target: number) {
-    this.address = `127.0.0.1:${_port}`
+  /**
+   * @param _host The address of both ends.
+   */
+  constructor (private readonly _port: number, private readonly _target: number, private readonly _host = '127.0.0.1') {
+    this.address = `${_host}:${_port}`
     this._server = createServer(socket => this._join(socket))
   }
 
   listen (): Promise<void> {
     return new Promise((resolve, reject) => {
       this._server.once('error', reject)
-      this._server.listen(this._port, '127.0.0.1', () => resolve())
+      this._server.listen(this._port, this._host, () => resolve())
     })
   }
 
@@ -72,7 +75,7 @@
       near.destroy()
       return
     }
-    const far = createConnection({ host: '127.0.0.1', port: this._target })
+    const far = createConnection({ host: this._host, port: this._target })
     this._forward(near, far, 'to-target')
     this._forward(far, near, 'from-target')
   }
