Soaks side by side share no address; an address that is taken ends one with a reason

Three soaks at once: two ended by a fault of their own, since engines of all listened at the same addresses, and the clean-up hid why. Engines have a network of their process's number now, a taken address is a typed failure, and the clean-up takes what never started.

--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -19,7 +19,8 @@
 const AVAILABILITY_ZONES = ['koshi', 'bagmati', 'gandaki'] as const
 const ENDPOINTS_OF_SERVICE = 3
 const SERVICES = ['desk', 'archive', 'pool'] as const
-/** The last part of the address of the first engine. */
+/** The first three parts of the addresses of engines, and the last of the first one. Soaks that run side by side share no address. */
+const ownNetwork = `127.${1 + (process.pid >> 8) % 254}.${process.pid & 255}`
 const FIRST_ENGINE = 11
 /** Entries that read the store for the others, one in each zone where there are enough. */
 const RELAYS = 3
@@ -34,7 +35,9 @@
 export function keyOfTurn (turn: number): string { return `key-turn-${turn}` }
 
 /** What makes a soak end before it has begun. */
-export type SoakFailure = { readonly type: 'not-ready', readonly entries: readonly string[] }
+export type SoakFailure =
+  | { readonly type: 'not-ready', readonly detail: string }
+  | { readonly type: 'address-taken', readonly detail: string }
 
 /** The deployment. */
 export class Deployment {
@@ -59,18 +62,27 @@
 
   /** Starts everything. Returns why it cannot be used, or nothing. */
   async start (processes: number): Promise<SoakFailure | undefined> {
-    await this.store.listen(0)
-    await this._prepare(processes)
-    for (const endpoint of this.endpoints) {
-      await endpoint.start()
-      this.list(endpoint, 'ready')
+    try {
+      await this._listen(processes)
+    } catch (error) {
+      if (!(error instanceof Error) || (error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error
+      return { type: 'address-taken', detail: error.message }
     }
     this.configure('desk')
     process.once('exit', this._killAll)
     for (const daemon of this.daemons) daemon.start()
     this._lookTimer = setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE)
     const ready = await this.until(() => this.entries.every(entry => entry.ready), START_PATIENCE)
-    return ready ? undefined : { type: 'not-ready', entries: this.entries.filter(entry => !entry.ready).map(({ instance }) => instance) }
+    return ready ? undefined : { type: 'not-ready', detail: this.entries.filter(entry => !entry.ready).map(({ instance }) => instance).join(', ') }
+  }
+
+  private async _listen (processes: number): Promise<void> {
+    await this.store.listen(0)
+    await this._prepare(processes)
+    for (const endpoint of this.endpoints) {
+      await endpoint.start()
+      this.list(endpoint, 'ready')
+    }
   }
 
   /** Every process. */
@@ -171,7 +183,7 @@
   /** An engine keeps its address over all its starts, since its agent has to know it; agents share one port. */
   private _addEndpoint (service: typeof SERVICES[number], index: number, port: number, shared: SharedPlan): void {
     const isEngine = service === 'pool'
-    const host = isEngine ? `127.0.0.${FIRST_ENGINE + index}` : '127.0.0.1'
+    const host = isEngine ? `${ownNetwork}.${FIRST_ENGINE + index}` : '127.0.0.1'
     const endpoint = new EndpointStarts({ name: `${service}-${index + 1}`, service, availabilityZone: zoneOf(index), host, port: isEngine ? port : undefined })
     this.endpoints.push(endpoint)
     if (isEngine) this.agents.push(agentProcess(endpoint.plan, this.store.address, shared))
--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -47,8 +47,8 @@
 
   /** Ends the newest start, and all that runs on it. */
   end (): void {
-    this.worker.close()
-    this.way.close()
+    this._workers.at(-1)?.close()
+    this._ways.at(-1)?.close()
   }
 
   /** What the newest start writes of itself in the store now. */
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -54,7 +54,7 @@
   try {
     const failure = await deployment.start(options.processes)
     if (failure !== undefined) {
-      print({ event: 'not-ready', entries: failure.entries.join(','), logs: deployment.directory })
+      print({ event: 'not-started', reason: failure.type, detail: failure.detail, logs: deployment.directory })
       return false
     }
     const journal = await play(deployment, options, print)
