The soak names versions; an origin of weights stands beside its store

Engines that start again hold no weights, agents bring what is named from an origin stand-in, and two more promises are judged: no request begins on a version 8 s after a newer one was named, and an engine takes over whole versions only.

--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -8,12 +8,12 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
-import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration } from '@drumdrift/stand-ins'
+import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration, WeightsOriginStandIn } from '@drumdrift/stand-ins'
 import { agentProcess } from './agent-process.js'
 import type { DaemonProcess } from './daemon-process.js'
 import { EndpointStarts, type EndpointState } from './endpoint-starts.js'
 import { EntryProcess, type SharedPlan } from './entry-process.js'
-import type { ConfigurationWrite, EndpointEnd } from './journal.js'
+import type { ConfigurationWrite, EndpointEnd, VersionNamed } from './journal.js'
 import { GRACE } from './promises.js'
 
 const AVAILABILITY_ZONES = ['koshi', 'bagmati', 'gandaki'] as const
@@ -25,6 +25,8 @@
 /** Entries that read the store for the others, one in each zone where there are enough. */
 const RELAYS = 3
 const LOOK_PAUSE = 500
+/** More than the processes of a soak ask of a stand-in. */
+const CALLS_PER_SECOND = 10_000
 const START_PATIENCE = 30_000
 /** Stops end before the platform would end the process, in milliseconds. */
 const GRACE_RESERVE = 2_000
@@ -41,13 +43,15 @@
 
 /** The deployment. */
 export class Deployment {
-  readonly store = new KeyValueStoreStandIn(10_000)
+  readonly store = new KeyValueStoreStandIn(CALLS_PER_SECOND)
+  readonly origin = new WeightsOriginStandIn(CALLS_PER_SECOND)
   readonly entries: EntryProcess[] = []
   readonly endpoints: EndpointStarts[] = []
   /** One beside each engine. */
   readonly agents: DaemonProcess[] = []
   readonly ends: EndpointEnd[] = []
   readonly configurations: ConfigurationWrite[] = []
+  readonly versions: VersionNamed[] = []
   /** How often a key has been revoked. */
   turn = 1
   readonly directory = mkdtempSync(join(tmpdir(), 'drumdrift-soak-'))
@@ -69,6 +73,7 @@
       return { type: 'address-taken', detail: error.message }
     }
     this.configure('desk')
+    this.nameVersion()
     process.once('exit', this._killAll)
     for (const daemon of this.daemons) daemon.start()
     this._lookTimer = setInterval(() => { for (const entry of this.entries) entry.look() }, LOOK_PAUSE)
@@ -78,6 +83,7 @@
 
   private async _listen (processes: number): Promise<void> {
     await this.store.listen(0)
+    await this.origin.listen(0)
     await this._prepare(processes)
     for (const endpoint of this.endpoints) {
       await endpoint.start()
@@ -92,11 +98,18 @@
   configure (movingTo: string): void {
     const version = (this.configurations.at(-1)?.version ?? 0) + 1
     const keys = [STEADY_KEY, keyOfTurn(this.turn)]
-    this._configuration = movingConfiguration(version, movingTo, keys)
+    this._configuration = movingConfiguration({ version, movingTo, keys, origin: this.origin.address })
     this.store.putConfiguration(this._configuration)
     this.configurations.push({ version, at: performance.now(), movingTo, keys })
   }
 
+  /** Names the next version of the engines' model. */
+  nameVersion (): void {
+    const version = (this.versions.at(-1)?.version ?? 0) + 1
+    this.store.putVersion('m', version)
+    this.versions.push({ version, at: performance.now() })
+  }
+
   /** Lists an endpoint, as it does itself. */
   list (endpoint: EndpointStarts, state: EndpointState): void {
     const { id } = endpoint.worker
@@ -117,6 +130,7 @@
   /** The operator and the endpoints write again what a copy may lack. */
   writeAgain (): void {
     this.store.putConfiguration(this._configuration)
+    this.store.putVersion('m', this.versions.length)
     this.writeEndpoints()
   }
 
@@ -158,6 +172,7 @@
     for (const way of this._ways) way.close()
     for (const endpoint of this.endpoints) endpoint.end()
     this.store.close()
+    this.origin.close()
     if (!keepLogs) rmSync(this.directory, { recursive: true, force: true })
   }
 
--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -5,7 +5,7 @@
  */
 /** An endpoint that starts again and again, with the way to it. */
 import { freePorts, Link, UsersWorkerStandIn } from '@drumdrift/stand-ins'
-import type { EndpointArrival } from './journal.js'
+import type { EndpointArrival, VersionLoad } from './journal.js'
 
 /** What an endpoint says of itself in the list. */
 export type EndpointState = 'ready' | 'draining'
@@ -39,12 +39,21 @@
     const port = this.plan.port ?? ownPort
     const worker = new UsersWorkerStandIn(`${name}.${this._workers.length + 1}`, service === 'pool' ? 'm' : '')
     const way = new Link(wayPort, port, host)
+    this._inherit(worker)
     await worker.listen(port, host)
     await way.listen()
     this._workers.push(worker)
     this._ways.push(way)
   }
 
+  /** What is staged outlasts a crash, the weights that were taken over do not. */
+  private _inherit (worker: UsersWorkerStandIn): void {
+    const former = this._workers.at(-1)
+    if (former === undefined) return
+    for (const [index, piece] of former.staged) worker.staged.set(index, piece)
+    if (worker.model !== '') worker.version = 0
+  }
+
   /** Ends the newest start, and all that runs on it. */
   end (): void {
     this._workers.at(-1)?.close()
@@ -59,6 +68,11 @@
   /** Requests that reached any start. */
   get arrivals (): EndpointArrival[] {
     const { service } = this.plan
-    return this._workers.flatMap(({ id: endpoint, arrivals }) => arrivals.map(({ id, at, ran }) => ({ id, endpoint, service, at, ran })))
+    return this._workers.flatMap(({ id: endpoint, arrivals }) => arrivals.map(({ id, at, ran, version }) => ({ id, endpoint, service, at, ran, version })))
+  }
+
+  /** Versions that any start took over. */
+  get loads (): VersionLoad[] {
+    return this._workers.flatMap(({ id: endpoint, versionsTaken }) => versionsTaken.map(({ version, whole }) => ({ endpoint, version, whole })))
   }
 }
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -115,7 +115,8 @@
     deployment.turn += 1
     deployment.configure(deployment.configurations.at(-1)?.movingTo ?? 'desk')
   },
-  'configuration-written': async ({ deployment }) => { deployment.configure(deployment.configurations.at(-1)?.movingTo ?? 'desk') }
+  'configuration-written': async ({ deployment }) => { deployment.configure(deployment.configurations.at(-1)?.movingTo ?? 'desk') },
+  'version-named': async ({ deployment }) => { deployment.nameVersion() }
 }
 
 function onStoreWay (mode: LinkMode): FaultHandler {
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -10,7 +10,7 @@
 const storeFaults = ['store-down', 'store-silent', 'store-turns-away', 'store-slow', 'store-forgets', 'store-restored'] as const
 const endpointFaults = ['endpoint-drains', 'endpoint-crashes', 'endpoint-sheds', 'endpoint-mute', 'endpoint-way-cut', 'endpoint-way-stalls', 'endpoint-way-slow'] as const
 const agentFaults = ['agent-stops', 'agent-killed', 'agent-paused'] as const
-const operatorActs = ['route-moves', 'key-revoked', 'configuration-written'] as const
+const operatorActs = ['route-moves', 'key-revoked', 'configuration-written', 'version-named'] as const
 
 /** What the soak does from outside. */
 export type FaultKind = typeof entryFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActs[number]
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -26,6 +26,8 @@
   readonly service: string
   readonly at: number
   readonly ran: boolean
+  /** The version of the endpoint's weights; 1 where it has none. */
+  readonly version: number
 }
 
 /** Something that the store has acknowledged of an endpoint. */
@@ -44,6 +46,20 @@
   readonly keys: readonly string[]
 }
 
+/** A version that was named. */
+export interface VersionNamed {
+  readonly version: number
+  readonly at: number
+}
+
+/** A version that an engine took over. */
+export interface VersionLoad {
+  readonly endpoint: string
+  readonly version: number
+  /** Whether all of it was there, unspoilt. */
+  readonly whole: boolean
+}
+
 /** Whom a fault concerns: the store, a process by its instance, or an endpoint by its name. */
 export type FaultTarget = 'store' | string
 
@@ -74,6 +90,8 @@
   readonly arrivals: readonly EndpointArrival[]
   readonly ends: readonly EndpointEnd[]
   readonly configurations: readonly ConfigurationWrite[]
+  readonly versions: readonly VersionNamed[]
+  readonly loads: readonly VersionLoad[]
   readonly disturbances: readonly Disturbance[]
   readonly processEnds: readonly ProcessEnd[]
   /** From when on no fault was caused any more. */
@@ -86,11 +104,21 @@
 export const CONTACT = 3_000
 
 /**
- * Whether something disturbed an entry or the store within the contact time before a moment.
+ * Whether something disturbed one of some targets in a span.
+ *
+ * @example
+ * const calm = !isDisturbed(journal, ['store', 'entry-1'], named.at, arrival.at)
+ */
+export function isDisturbed ({ disturbances }: Pick<Journal, 'disturbances'>, targets: readonly FaultTarget[], since: number, until: number): boolean {
+  return disturbances.some(({ target, from, to }) => targets.includes(target) && from <= until && to >= since)
+}
+
+/**
+ * Whether nothing disturbed an entry or the store within the contact time before a moment.
  *
  * @example
  * const bound = isInTouch(journal, call.entry, call.sentAt)
  */
-export function isInTouch ({ disturbances }: Pick<Journal, 'disturbances'>, entry: string, at: number): boolean {
-  return !disturbances.some(({ target, from, to }) => (target === entry || target === 'store') && from <= at && to >= at - CONTACT)
+export function isInTouch (journal: Pick<Journal, 'disturbances'>, entry: string, at: number): boolean {
+  return !isDisturbed(journal, [entry, 'store'], at - CONTACT, at)
 }
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -5,7 +5,7 @@
  */
 /** The promises that a soak judges, each by what callers, endpoints and the store saw. */
 import { EVENTS, signerOf } from '@drumdrift/stand-ins'
-import { CONTACT, isInTouch, type CallRecord, type ConfigurationWrite, type EndpointArrival, type Journal } from './journal.js'
+import { CONTACT, isDisturbed, isInTouch, type CallRecord, type ConfigurationWrite, type EndpointArrival, type Journal } from './journal.js'
 
 /** A broken promise. */
 export interface Violation {
@@ -28,6 +28,10 @@
   | 'in-force'
   /** A process that has handled a request by a configuration handles none by an older one afterwards. */
   | 'never-back'
+  /** No request begins on a version long after a newer one was named. */
+  | 'version'
+  /** An engine takes over whole versions only. */
+  | 'whole-version'
   /** An entry that is told to stop finishes what it has passed on. */
   | 'finished'
   /** A call is answered by the time-out of its route. */
@@ -42,6 +46,7 @@
 /** Bounds of the users' platform, in milliseconds. */
 export const DRAIN_BOUND = 2_000
 export const IN_FORCE_BOUND = 2_000
+export const VERSION_BOUND = 8_000
 export const GRACE = 8_000
 /** The time-out of all routes, and how much later an answer may end. */
 export const ROUTE_TIMEOUT = 2_000
@@ -94,6 +99,16 @@
     const services = servicesOf(journal)
     return [...groupBy(journal.calls, ({ entry }) => entry)].flatMap(([entry, calls]) => goingBack(calls, journal, entry, services))
   },
+  version: journal => {
+    const calls = new Map(journal.calls.map(call => [call.id, call]))
+    return journal.arrivals.filter(({ service, ran }) => service === 'pool' && ran).flatMap(({ id, endpoint, at, version }) => {
+      const call = calls.get(id)
+      const due = journal.versions.filter(named => named.version > version && named.at + VERSION_BOUND < at).at(0)
+      if (call === undefined || due === undefined || isDisturbed(journal, [call.entry, 'store', nameOf(endpoint)], due.at - CONTACT, at)) return []
+      return [found({ ...call, endedAt: at }, `began on version ${version} at ${endpoint}, ${Math.round(at - due.at)} ms after version ${due.version} was named`)]
+    })
+  },
+  'whole-version': ({ loads, calmFrom }) => loads.filter(({ whole }) => !whole).map(({ endpoint, version }) => ({ at: calmFrom, detail: `${endpoint} took version ${version}, which was not whole` })),
   finished: journal => {
     const reached = groupBy(journal.arrivals, ({ id }) => id)
     const stops = journal.disturbances.filter(({ kind }) => kind === 'entry-stops')
@@ -139,6 +154,9 @@
   return { at: endedAt, detail: `${kind} ${id} by ${entry}, sent at ${Math.round(sentAt)}: ${detail}` }
 }
 
+/** The endpoint whose start has an id. */
+function nameOf (start: string): string { return start.replace(/\.\d+$/, '') }
+
 function mayRepeat (kind: CallRecord['kind']): boolean { return kind !== 'unsafe' }
 
 /** Why a success is none; nothing when it is one. */
@@ -155,7 +173,7 @@
 
 /** Something else than the stop may have ended the call: another fault, the endpoint's, or the route's time-out. */
 function isExcused ({ disturbances }: Journal, call: CallRecord, arrivals: readonly EndpointArrival[]): boolean {
-  const endpoints = new Set(arrivals.map(({ endpoint }) => endpoint.replace(/\.\d+$/, '')))
+  const endpoints = new Set(arrivals.map(({ endpoint }) => nameOf(endpoint)))
   const others = disturbances.filter(({ kind, target }) => (target === call.entry && kind !== 'entry-stops') || endpoints.has(target))
   if (others.some(({ from, to }) => from <= call.endedAt && to >= call.sentAt - CONTACT)) return true
   return call.endedAt - call.sentAt >= ROUTE_TIMEOUT - ANSWER_SLACK
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -85,6 +85,8 @@
     arrivals: deployment.endpoints.flatMap(({ arrivals }) => arrivals),
     ends: deployment.ends,
     configurations: deployment.configurations,
+    versions: deployment.versions,
+    loads: deployment.endpoints.flatMap(({ loads }) => loads),
     disturbances,
     processEnds: deployment.daemons.flatMap(({ ends }) => ends),
     calmFrom,
@@ -128,7 +130,7 @@
   if (entry !== undefined && endpoint !== undefined && agent !== undefined) await faultHandlers[fault.kind]({ deployment, fault, entry, endpoint, agent })
 }
 
-function report ({ calls, arrivals, disturbances }: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
+function report ({ calls, arrivals, versions, loads, disturbances }: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
   for (const { promise, at, detail } of violations) print({ event: 'broken', promise, at: Math.round(at), detail })
   const count = (holds: (status: number, whole: boolean) => boolean): number => calls.filter(({ answer }) => holds(answer.status, answer.whole)).length
   print({
@@ -143,6 +145,8 @@
     failed: count(status => status >= 500 && status !== 503),
     cut: count((status, whole) => status === 0 || !whole),
     arrivals: arrivals.length,
+    versions: versions.length,
+    loads: loads.length,
     longest_pause_milliseconds: Math.round(longestPause),
     broken: violations.length,
     result: violations.length === 0 ? 'pass' : 'fail'
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -20,7 +20,7 @@
 }
 
 function arrival (part: Partial<EndpointArrival> = {}): EndpointArrival {
-  return { id: 'call-1', endpoint: 'desk-1.1', service: 'desk', at: 10_020, ran: true, ...part }
+  return { id: 'call-1', endpoint: 'desk-1.1', service: 'desk', at: 10_020, ran: true, version: 1, ...part }
 }
 
 function journal (part: Partial<Journal>): Journal {
@@ -29,6 +29,8 @@
     arrivals: [arrival()],
     ends: [],
     configurations: [{ version: 1, at: 0, movingTo: 'desk', keys: ['steady'] }],
+    versions: [],
+    loads: [],
     disturbances: [],
     processEnds: [{ process: 'entry-1', at: 60_000, asked: 'stop', code: 0, took: 100 }],
     calmFrom: 50_000,
@@ -44,6 +46,7 @@
 const storeAway: Disturbance = { kind: 'store-down', target: 'store', from: 9_000, to: 9_500 }
 const moved = call({ id: 'call-2', kind: 'moving', sentAt: 6_000, endedAt: 6_050, answer: answer(200, { headers: { 'x-server-seal': 'seal-of-archive-1.1' }, body: 'answer of archive-1.1' }) })
 const movedThere = arrival({ id: 'call-2', endpoint: 'archive-1.1', service: 'archive', at: 6_020 })
+const inPool = arrival({ service: 'pool' })
 const ownEnd = { process: 'entry-1', at: 20_000, asked: 'nothing', code: 1, took: 0 } as const
 
 describe('judge', () => {
@@ -72,6 +75,11 @@
     ['a route that is not found', { calls: [call({ answer: answer(404) })], arrivals: [] }, ['in-force']],
     ['a process that goes back', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedThere, arrival({ at: 6_220 })], configurations: toArchive }, ['never-back']],
     ['a process that starts again and has not heard yet', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedThere, arrival({ at: 6_220 })], configurations: toArchive, processEnds: [{ process: 'entry-1', at: 6_100, asked: 'kill', code: null, took: 1 }] }, []],
+    ['a request that begins on a version that was replaced long ago', { arrivals: [inPool], versions: [{ version: 2, at: 2_000 }] }, ['version']],
+    ['one that begins within the bound', { arrivals: [inPool], versions: [{ version: 2, at: 2_500 }] }, []],
+    ['one whose engine was hard to reach meanwhile', { arrivals: [inPool], versions: [{ version: 2, at: 2_000 }], disturbances: [{ kind: 'endpoint-way-slow', target: 'desk-1', from: 4_000, to: 5_000 }] }, []],
+    ['a version that is taken over and lacks a piece', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: false }] }, ['whole-version']],
+    ['a whole version that is taken over', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: true }] }, []],
     ['a call that a stop cuts off', { calls: [cutOff], disturbances: [stop] }, ['finished']],
     ['one that never reached an endpoint', { calls: [cutOff], arrivals: [], disturbances: [stop] }, []],
     ['one whose endpoint fails too', { calls: [cutOff], disturbances: [stop, { kind: 'endpoint-crashes', target: 'desk-1', from: 10_000, to: 14_000 }] }, []],
--- a/packages/stand-ins/src/lib/users-platform/configuration.ts
+++ b/packages/stand-ins/src/lib/users-platform/configuration.ts
@@ -4,6 +4,11 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** What the users' operators write for a small deployment. */
+import { PIECE_BYTES, PIECES } from './weights-origin.js'
+
+/** The link of the origin, in megabits a second. */
+const ORIGIN_MEGABITS = 10
+
 const engine = {
   slots: 16, stride: 5, step_ms: 9, per_seq_ms: 0.02, context_per_k: 0.03, read_per_s: 20_000, chunk: 2_048, usual: { prompt: 900, answer: 90 }, models: [{ name: 'm', warmS: 0.3 }], layers: 16, chunks: 4, chunkBytes: 8
 }
@@ -30,14 +35,27 @@
   }
 }
 
-/**
- * The same with a route that moves between the services `desk` and `archive`.
- *
- * @param keys What callers may prove themselves with.
- */
-export function movingConfiguration (version: number, movingTo: string, keys: readonly string[]): Record<string, unknown> {
+/** What differs between configurations of `movingConfiguration`. */
+export interface MovingPart {
+  readonly version: number
+  /** The service that the route `moving` leads to: `desk` or `archive`. */
+  readonly movingTo: string
+  /** What callers may prove themselves with. */
+  readonly keys: readonly string[]
+  /** The address that weights come from. */
+  readonly origin: string
+}
+
+/** The same with a route that moves between two services, and an origin of weights. */
+export function movingConfiguration ({ version, movingTo, keys, origin }: MovingPart): Record<string, unknown> {
   const whole = wireConfiguration(version, { tenants: [{ name: 'branch', apiKeys: keys }] })
   const routes = whole.routes as Record<string, unknown>[]
-  const services = whole.services as Record<string, unknown>[]
-  return { ...whole, routes: [...routes, { ...routes[0], name: 'moving', pathPrefix: '/moving/', service: movingTo }], services: [...services, { ...services[0], name: 'archive' }] }
+  const [desk, pool] = whole.services as Record<string, unknown>[]
+  const services = [
+    desk,
+    { ...desk, name: 'archive' },
+    { ...pool, engine: { ...engine, chunks: PIECES, chunkBytes: PIECE_BYTES } },
+    { name: 'weights', origin, zone: 'koshi', linkMbps: ORIGIN_MEGABITS, maxConns: 48 }
+  ]
+  return { ...whole, routes: [...routes, { ...routes[0], name: 'moving', pathPrefix: '/moving/', service: movingTo }], services }
 }
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -71,6 +71,9 @@
   /** Writes the operators' configuration. */
   putConfiguration (document: unknown): number { return this.put('op/config', document) }
 
+  /** Names a version of a model. */
+  putVersion (model: string, version: number): number { return this.put(`op/version/${model}`, { model, version }) }
+
   /** Writes what a worker says of itself. */
   putWorker (id: string, entry: unknown): number { return this.put(`servers/${id}`, entry) }
 
--- /dev/null
+++ b/packages/stand-ins/src/lib/users-platform/weights-origin.ts
@@ -0,0 +1,39 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Stands in for the service that weights come from: manifests and pieces of any version of the model `m`. */
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { HttpService, sendJson } from '../http-service.js'
+
+/** The pieces of one version, and the bytes of each. */
+export const PIECES = 8
+export const PIECE_BYTES = 4_096
+
+/** The digest by which the users name a piece of weights. */
+function pieceDigest (bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex')
+}
+
+/** A piece of a version. */
+export function pieceOf (version: number, index: number): Buffer {
+  return Buffer.alloc(PIECE_BYTES, `piece ${index} of version ${version}; `)
+}
+
+/** The origin on loopback. */
+export class WeightsOriginStandIn extends HttpService {
+  protected answer (request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://origin')
+    const version = Number(url.searchParams.get('version'))
+    if (url.pathname === '/api/manifest/m') this._manifest(version, response)
+    else if (url.pathname === '/api/piece/m') response.writeHead(200).end(pieceOf(version, Number(url.searchParams.get('sampleCount'))))
+    else sendJson(response, {}, 404)
+  }
+
+  private _manifest (version: number, response: ServerResponse): void {
+    const digests = Array.from({ length: PIECES }, (_, index) => pieceDigest(pieceOf(version, index)))
+    sendJson(response, { model: 'm', version, chunkBytes: PIECE_BYTES, layers: 1, digests })
+  }
+}
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -7,9 +7,9 @@
  * Stands in for one of the users' workers: answers with its signature, or misbehaves in one of the ways that their
  * pages tell of; holds staged pieces and takes orders.
  */
-import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { HttpService, readAll, sendJson } from '../http-service.js'
+import { pieceOf, PIECES } from './weights-origin.js'
 
 /** What the worker does with a request. */
 export type WorkerMode =
@@ -29,6 +29,15 @@
   readonly at: number
   /** Whether the worker began to run it. */
   readonly ran: boolean
+  /** The version of the worker's weights then. */
+  readonly version: number
+}
+
+/** A version that a worker took over. */
+export interface VersionTaken {
+  readonly version: number
+  /** Whether every piece of it lay in the staging memory, unspoilt. */
+  readonly whole: boolean
 }
 
 const turningAway: ReadonlySet<WorkerMode> = new Set(['sheds', 'wrong-instance', 'wrong-version'])
@@ -67,6 +76,7 @@
   running = 0
   busy = false
   readonly orders: unknown[] = []
+  readonly versionsTaken: VersionTaken[] = []
   readonly staged = new Map<number, Buffer>()
   private _written = 0
 
@@ -89,7 +99,7 @@
     if (url.pathname.startsWith('/api/stage-')) return await this._stage(url, request, response)
     if (url.pathname === '/api/order') return await this._order(request, response)
     const body = (await readAll(request)).toString('utf8')
-    this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), ran: !turningAway.has(this.mode) })
+    this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), ran: !turningAway.has(this.mode), version: this.version })
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
     if (this.leaving) response.setHeader('server-leaving', '1')
@@ -127,10 +137,15 @@
     else response.writeHead(200).end(piece)
   }
 
+  private _holdsWhole (version: number): boolean {
+    return Array.from({ length: PIECES }, (_, index) => index).every(index => this.staged.get(index)?.equals(pieceOf(version, index)) === true)
+  }
+
   private async _order (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const order = JSON.parse((await readAll(request)).toString('utf8')) as { version: number }
     this.orders.push(order)
     this.version = order.version
+    this.versionsTaken.push({ version: order.version, whole: this._holdsWhole(order.version) })
     sendJson(response, {}, 202)
   }
 }
@@ -202,8 +217,3 @@
     request.socket.end(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nanswer of ${worker.id}`)
   }
 }
-
-/** The digest by which the users name a piece of weights. */
-export function pieceDigest (bytes: Buffer): string {
-  return createHash('sha256').update(bytes).digest('hex')
-}
