The soak takes no process that is not up yet for one that stops badly

Its log holds no line of that start: the runtime had not come to the program yet, so the signal ended it, and there was nothing to finish. Only that is allowed now: ended by the stop's signal with nothing written since its start; a stop that ends one that is up by its signal is judged as before, and so is an end that nobody asked for.

--- a/packages/soak/src/lib/daemon-process.ts
+++ b/packages/soak/src/lib/daemon-process.ts
@@ -5,7 +5,7 @@
  */
 /** One process of the product, over all its starts. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { closeSync, openSync, writeFileSync } from 'node:fs'
+import { closeSync, openSync, statSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import type { ProcessEnd } from './journal.js'
 
@@ -28,6 +28,8 @@
   private _child: ChildProcess | undefined
   private _asked: ProcessEnd['asked'] = 'nothing'
   private _askedAt = 0
+  /** How much all starts before this one have written, in bytes. */
+  private _writtenBefore = 0
   private readonly _settingsFile: string
 
   constructor (private readonly _plan: DaemonPlan) {
@@ -36,10 +38,12 @@
   }
 
   get instance (): string { return this._plan.instance }
+  private get _logFile (): string { return `${this._settingsFile}.log` }
 
   start (): void {
     const { role, heap } = this._plan
-    const output = openSync(`${this._settingsFile}.log`, 'a')
+    const output = openSync(this._logFile, 'a')
+    this._writtenBefore = statSync(this._logFile).size
     const child = spawn(process.execPath, [`--max-old-space-size=${heap}`, PROGRAM, role, this._settingsFile], { stdio: ['ignore', output, output] })
     closeSync(output)
     this._child = child
@@ -68,6 +72,6 @@
   private _ended (code: number | null): void {
     const at = performance.now()
     this._child = undefined
-    this.ends.push({ process: this.instance, at, asked: this._asked, code, took: this._asked === 'nothing' ? 0 : at - this._askedAt })
+    this.ends.push({ process: this.instance, at, asked: this._asked, code, took: this._asked === 'nothing' ? 0 : at - this._askedAt, up: statSync(this._logFile).size > this._writtenBefore })
   }
 }
--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -134,9 +134,9 @@
     this.writeEndpoints()
   }
 
-  /** All endpoints that are listed write themselves once more. */
+  /** All endpoints that are listed and up write themselves once more. */
   writeEndpoints (): void {
-    for (const [id, { endpoint, state }] of this._listed) this.store.putWorker(id, endpoint.entry(state))
+    for (const [id, { endpoint, state }] of this._listed) if (endpoint.isUp) this.store.putWorker(id, endpoint.entry(state))
   }
 
   /** Entries that a copy still has of endpoints that have gone lapse. */
--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -23,6 +23,8 @@
 
 /** One endpoint, over all its starts. */
 export class EndpointStarts {
+  /** Whether the newest start has not ended. */
+  isUp = false
   private readonly _workers: UsersWorkerStandIn[] = []
   private readonly _ways: Link[] = []
 
@@ -44,6 +46,7 @@
     await way.listen()
     this._workers.push(worker)
     this._ways.push(way)
+    this.isUp = true
   }
 
   /** What is staged outlasts a crash, the weights that were taken over do not. */
@@ -56,6 +59,7 @@
 
   /** Ends the newest start, and all that runs on it. */
   end (): void {
+    this.isUp = false
     this._workers.at(-1)?.close()
     this._ways.at(-1)?.close()
   }
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -82,6 +82,8 @@
   readonly code: number | null
   /** Since it was asked to stop; 0 when it was not. */
   readonly took: number
+  /** Whether it had come up: it had written something since it was started. */
+  readonly up: boolean
 }
 
 /** Everything that is judged. */
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -123,8 +123,10 @@
     const took = call.endedAt - call.sentAt
     return call.kind !== 'stream' && took > ROUTE_TIMEOUT + ANSWER_SLACK && isInTouch(journal, call.entry, call.endedAt)
   }).map(call => found(call, `ended after ${Math.round(call.endedAt - call.sentAt)} ms`)),
-  process: ({ processEnds }) => processEnds.flatMap(({ process, at, asked, code, took }) => {
-    if (asked === 'kill') return []
+  process: ({ processEnds }) => processEnds.flatMap(({ process, at, asked, code, took, up }) => {
+    // One that has not come up heeds no signal yet, and has nothing to finish.
+    const endedBySignal = asked === 'stop' && code === null && !up
+    if (asked === 'kill' || endedBySignal) return []
     if (asked === 'nothing') return [{ at, detail: `${process} ended by itself, code ${code}` }]
     return took > GRACE || code !== 0 ? [{ at, detail: `${process} ended with code ${code}, ${Math.round(took)} ms after it was told to` }] : []
   }),
