--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -103,7 +103,7 @@
 }
 
 /** How long an entry and the store have to have been undisturbed before a bound on time is held against the entry. */
-export const CONTACT = 3_000
+export const SETTLE_TIME = 3_000
 
 /**
  * Whether something disturbed one of some targets in a span.
@@ -116,11 +116,11 @@
 }
 
 /**
- * Whether nothing disturbed an entry or the store within the contact time before a moment.
+ * Whether nothing disturbed an entry or the store within the settle time before a moment.
  *
  * @example
- * const bound = isInTouch(journal, call.entry, call.sentAt)
+ * if (isSettled(journal, call.entry, call.sentAt)) holdToBounds(call)
  */
-export function isInTouch (journal: Pick<Journal, 'disturbances'>, entry: string, at: number): boolean {
-  return !isDisturbed(journal, [entry, 'store'], at - CONTACT, at)
+export function isSettled (journal: Pick<Journal, 'disturbances'>, entry: string, at: number): boolean {
+  return !isDisturbed(journal, [entry, 'store'], at - SETTLE_TIME, at)
 }
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -5,7 +5,7 @@
  */
 /** The promises that a soak judges, each by what callers, endpoints and the store saw. */
 import { EVENTS, signerOf } from '@drumdrift/stand-ins'
-import { CONTACT, isDisturbed, isInTouch, type CallRecord, type ConfigurationWrite, type EndpointArrival, type Journal } from './journal.js'
+import { SETTLE_TIME, isDisturbed, isSettled, type CallRecord, type ConfigurationWrite, type EndpointArrival, type Journal } from './journal.js'
 
 /** A broken promise. */
 export interface Violation {
@@ -83,13 +83,13 @@
     return journal.arrivals.flatMap(({ id, endpoint, at }) => {
       const call = calls.get(id)
       const since = Math.min(...(ends.get(endpoint) ?? []).map(end => end.at))
-      const isLate = call !== undefined && at > since + DRAIN_BOUND && isInTouch(journal, call.entry, at)
+      const isLate = call !== undefined && at > since + DRAIN_BOUND && isSettled(journal, call.entry, at)
       return isLate ? [found({ ...call, endedAt: at }, `reached ${endpoint} ${Math.round(at - since)} ms after its end was acknowledged`)] : []
     })
   },
   'in-force': journal => {
     const services = servicesOf(journal)
-    return journal.calls.filter(call => isInTouch(journal, call.entry, call.sentAt) && isInTouch(journal, call.entry, call.endedAt)).flatMap(call => {
+    return journal.calls.filter(call => isSettled(journal, call.entry, call.sentAt) && isSettled(journal, call.entry, call.endedAt)).flatMap(call => {
       const allowed = mayBeInForce(journal.configurations, call.sentAt - IN_FORCE_BOUND, call.endedAt)
       if (allowed.some(configuration => isAllowed(call, configuration, services))) return []
       return [found(call, `answered ${call.answer.status} by a configuration before version ${allowed[0]?.version}`)]
@@ -104,7 +104,7 @@
     return journal.arrivals.filter(({ service, ran }) => service === 'pool' && ran).flatMap(({ id, endpoint, at, version }) => {
       const call = calls.get(id)
       const due = journal.versions.filter(named => named.version > version && named.at + VERSION_BOUND < at).at(0)
-      if (call === undefined || due === undefined || isDisturbed(journal, [call.entry, 'store', nameOf(endpoint)], due.at - CONTACT, at)) return []
+      if (call === undefined || due === undefined || isDisturbed(journal, [call.entry, 'store', nameOf(endpoint)], due.at - SETTLE_TIME, at)) return []
       return [found({ ...call, endedAt: at }, `began on version ${version} at ${endpoint}, ${Math.round(at - due.at)} ms after version ${due.version} was named`)]
     })
   },
@@ -121,7 +121,7 @@
   },
   answered: journal => journal.calls.filter(call => {
     const took = call.endedAt - call.sentAt
-    return call.kind !== 'stream' && took > ROUTE_TIMEOUT + ANSWER_SLACK && isInTouch(journal, call.entry, call.endedAt)
+    return call.kind !== 'stream' && took > ROUTE_TIMEOUT + ANSWER_SLACK && isSettled(journal, call.entry, call.endedAt)
   }).map(call => found(call, `ended after ${Math.round(call.endedAt - call.sentAt)} ms`)),
   process: ({ processEnds }) => processEnds.flatMap(({ process, at, asked, code, took, up }) => {
     // One that has not come up heeds no signal yet, and has nothing to finish.
@@ -177,7 +177,7 @@
 function isExcused ({ disturbances }: Journal, call: CallRecord, arrivals: readonly EndpointArrival[]): boolean {
   const endpoints = new Set(arrivals.map(({ endpoint }) => nameOf(endpoint)))
   const others = disturbances.filter(({ kind, target }) => (target === call.entry && kind !== 'entry-stops') || endpoints.has(target))
-  if (others.some(({ from, to }) => from <= call.endedAt && to >= call.sentAt - CONTACT)) return true
+  if (others.some(({ from, to }) => from <= call.endedAt && to >= call.sentAt - SETTLE_TIME)) return true
   return call.endedAt - call.sentAt >= ROUTE_TIMEOUT - ANSWER_SLACK
 }
 
