The soak ends and restarts processes by one handler a role

Stopping and killing an entry, and an agent, were written out twice each with one word between them.

--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -41,23 +41,11 @@
 
 /** The handler of each fault. */
 export const faultHandlers: Record<FaultKind, FaultHandler> = {
-  'entry-stops': async ({ deployment, entry }) => {
-    await entry.restart('stop')
-    await deployment.until(() => entry.ready, READY_PATIENCE)
-  },
-  'entry-killed': async ({ deployment, entry }) => {
-    await entry.restart('kill')
-    await deployment.until(() => entry.ready, READY_PATIENCE)
-  },
+  'entry-stops': restartEntry('stop'),
+  'entry-killed': restartEntry('kill'),
   'entry-paused': async ({ fault, entry }) => { await pauseProcess(entry.daemon, fault) },
-  'agent-stops': async ({ agent }) => {
-    await agent.stop()
-    agent.start()
-  },
-  'agent-killed': async ({ agent }) => {
-    await agent.kill()
-    agent.start()
-  },
+  'agent-stops': restartAgent('stop'),
+  'agent-killed': restartAgent('kill'),
   'agent-paused': async ({ fault, agent }) => { await pauseProcess(agent, fault) },
   'entry-reloads': async ({ entry }) => { entry.daemon.signal('SIGHUP') },
   'store-way-cut': onStoreWay('cut'),
@@ -119,6 +107,20 @@
   'version-named': async ({ deployment }) => { deployment.nameVersion() }
 }
 
+function restartEntry (how: 'stop' | 'kill'): FaultHandler {
+  return async ({ deployment, entry }) => {
+    await entry.restart(how)
+    await deployment.until(() => entry.ready, READY_PATIENCE)
+  }
+}
+
+function restartAgent (how: 'stop' | 'kill'): FaultHandler {
+  return async ({ agent }) => {
+    await agent[how]()
+    agent.start()
+  }
+}
+
 function onStoreWay (mode: LinkMode): FaultHandler {
   return async ({ entry, fault }) => {
     entry.plan.storeWay.set(mode)
