Measurements of idle links half as often, since agents send their heartbeats unasked

Cause, a third part: an idle agent was asked for the way and its load by 25 entries every 700 ms, and each ping woke it: 39 of the messages that it read a second, 12 of the 20 ms a second of its callbacks, and a wake each (0.3 ms more), by the counters of the processes; 2.9 messages a second for each pair.

Change: on a short way an entry pings every 1.5 s. The agent sends a heartbeat after 750 ms without a report, in the wake of a poll of its engine, so a report never expires between pings; a long way (above 10 ms) is measured every 400 ms as before. An entry that is cut off is not counted after 2 s (1.8 s): one ping and a retransmission, in place of two pings.

Cost: a link that loses bandwidth is noticed by its pings up to 0.8 s later, and the request rates that entries tell agents are that much older.

--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -52,10 +52,10 @@
 /**
  * The pause between pings of an agent, in milliseconds. Queues of a link grow and drain within half a second, so the first applies
  * while the last round trip was long, as it is during a transfer or on a link with reduced bandwidth. The second applies while it
- * was short, up to the third value. Each answer carries the load, so the pause is shorter than the lifetime of a report.
+ * was short, up to the third value. Agents send reports without being asked, so the pause may exceed the lifetime of a report.
  */
 const PING_PAUSE = 400
-const RELAXED_PING_PAUSE = 700
+const RELAXED_PING_PAUSE = 1_500
 const SHORT_ROUND_TRIP = 10
 /** The timeout of a ping, in milliseconds. The connection is then considered lost. */
 const PING_TIMEOUT = 3_000
@@ -64,7 +64,7 @@
  * is followed by 16 of 98 entries, six agents reach 60% of the entries directly, and these relay what is new to them.
  */
 const RELAY_FANOUT = 6
-/** A connection without a report for this time is replaced, in milliseconds: time for two pings at the longer pause. */
+/** A connection without a report for this time is replaced, in milliseconds: time for two heartbeats of the agent. */
 const REPORT_TIMEOUT = 1_600
 
 interface FollowedAgent {
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -5,16 +5,17 @@
  */
 /**
  * Publishes the load of the agent's engine to the entries that follow it: at once if it has changed significantly since a follower's
- * last report, and otherwise with the answers to their pings, as a heartbeat.
+ * last report, and otherwise with the answers to their pings and as a heartbeat.
  */
 import { shouldSendReport, type LoadReport, type PeerReply } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 
 /**
- * A follower that was sent no report for this time is sent one even if the load has not changed, in milliseconds. This is before its
- * last report expires. Followers that ping receive the report with the answer.
+ * A follower that was sent no report for this time is sent one even if the load has not changed, in milliseconds. Reports are sent
+ * after polls of the engine, so this leaves time for one poll before the last report expires. A heartbeat costs a process less than
+ * the answer to a ping, for which it has to wake.
  */
-const HEARTBEAT_INTERVAL = 900
+const HEARTBEAT_INTERVAL = 750
 /**
  * An older report is not sent with the answer to a ping, in milliseconds: the engine has stopped answering, or this process was
  * blocked.
@@ -41,10 +42,11 @@
 }
 
 /**
- * A follower that has not pinged for this time is not counted, in milliseconds: entries ping at least twice in this time. It is
- * partitioned from this agent and sends no requests here, although its connection may stay open for the whole partition.
+ * A follower that has not pinged for this time is not counted, in milliseconds: the longest pause between pings and the time of a
+ * retransmission. It is partitioned from this agent and sends no requests here, although its connection may stay open for the whole
+ * partition.
  */
-const FOLLOWER_TIMEOUT = 1_800
+const FOLLOWER_TIMEOUT = 2_000
 
 /** The followers of one agent. */
 export class LoadPublisher {
@@ -64,8 +66,7 @@
   }
 
   /**
-   * Answers a ping of a follower with the load. When heartbeats were sent as separate messages, they made up most of the work of
-   * idle agents and entries.
+   * Answers a ping of a follower with the load, so that its next heartbeat is due later.
    */
   answerPing (responder: Responder, now: number): void {
     const follower = this._followers.get(responder.connection)
