Transfers tick on the shared timer of the process

The same fault elsewhere: an agent with a version in transfer had a second timer of 50 ms, besides announcements of chunks every 60 ms. Both run in the shared ticks now, so a transfer adds no wakes of its own to those of a busy engine. Not measured by itself.

--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -15,6 +15,7 @@
 import type { Counters } from '../observe/metrics.js'
 import type { PeerConnection } from '../peer/connection.js'
 import type { PeerPool } from '../peer/pool.js'
+import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
 import type { WeightsSource } from '../platform/platform-client.js'
 import { Arrivals } from './arrivals.js'
 import { fetchChunk, type PeerChunkResult } from './chunk-fetch.js'
@@ -91,7 +92,7 @@
   private readonly _arrivals = new Arrivals()
   private readonly _manifestSource: ManifestSource
   /** Runs only during a transfer; otherwise it would wake an idle process 20 times a second. */
-  private _ticker: NodeJS.Timeout | undefined
+  private _ticks: PeriodicTask | undefined
   /** The number of attempts of the current transfer by their source or failure, for the log. */
   private readonly _outcomes = new Map<string, number>()
   private _startedAt = 0
@@ -220,7 +221,7 @@
     this._transfer = this._dependencies.newTransfer({
       members: this._members, identity: this._desiredDigest, manifest, held: this._dependencies.store.staged, originCopies: this._originCopies
     })
-    this._ticker ??= setInterval(() => this._tick(), TICK_INTERVAL)
+    this._ticks ??= runPeriodically(() => this._tick(), TICK_INTERVAL)
   }
 
   /** Returns the staged manifest if it matches; otherwise fetches it from a peer or the platform. */
@@ -244,8 +245,8 @@
   }
 
   private _stopTicking (): void {
-    clearInterval(this._ticker)
-    this._ticker = undefined
+    this._ticks?.close()
+    this._ticks = undefined
   }
 
   /** A connection that receives bytes is not stalled, although keepalives may be queued behind other chunks. */
