Metrics of what a process has used: processor time, wakes of the event loop, memory

The faults before were traced with counters on scratch copies, since nothing in the product tells whether a process spends its time on wakes or on what it does in them. These are read when metrics are asked for, and cost nothing otherwise.

--- a/packages/node/src/lib/observe/metrics.ts
+++ b/packages/node/src/lib/observe/metrics.ts
@@ -7,6 +7,7 @@
  * Formats counters and percentiles in the Prometheus text format. The library is loaded on the first request, so that it
  * takes no memory in a process that is not scraped.
  */
+import { readUsage } from './cost.js'
 import type { Histograms } from './histograms.js'
 import { percentileOf } from './histograms.js'
 
@@ -42,6 +43,9 @@
   for (const [name, count] of counters.all()) {
     new Gauge({ name: `drumdrift_${name}`, help: `Count of ${name.replaceAll('_', ' ')}`, registers: [registry] }).set(count)
   }
+  for (const [name, value] of Object.entries(readUsage())) {
+    new Gauge({ name: `drumdrift_${name}`, help: `Use of resources: ${name.replaceAll('_', ' ')}`, registers: [registry] }).set(value)
+  }
   const latency = new Gauge({
     name: 'drumdrift_milliseconds', help: 'Percentiles of the measured times', labelNames: ['measure', 'organisation', 'class', 'percentile'], registers: [registry]
   })
--- a/packages/node/src/test/lib/histograms_test.ts
+++ b/packages/node/src/test/lib/histograms_test.ts
@@ -39,6 +39,10 @@
     assert.equal(merged.totalCount, 2)
     assert.ok(Math.abs(percentileOf(merged, 50) - 20) < 0.5)
   })
+  it('is exported with what the process has used', async () => {
+    const text = await metricsText(new Counters(), new Histograms())
+    for (const figure of ['processor_user_milliseconds', 'processor_system_milliseconds', 'event_loop_wakes', 'resident_bytes']) assert.match(text, new RegExp(`^drumdrift_${figure} [0-9]+$`, 'm'))
+  })
   it('is exported in the Prometheus text format', async () => {
     const histograms = new Histograms()
     const counters = new Counters()
