--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -73,7 +73,8 @@
   private _unread = new UnreadTokenEstimator()
   private _report: EngineReport | undefined
   private _polling = false
-  private _sinceSwitch = 0
+  /** Milliseconds of polls since transfers and the switch were last evaluated. */
+  private _sinceEvaluation = 0
   private _switchDue = true
   private _ordering = false
   private _reachable = true
@@ -99,8 +100,8 @@
   }
 
   private _tick (): void {
-    this._sinceSwitch += this._interval
-    if (this._sinceSwitch >= LIGHT_LOAD_POLL_INTERVAL) this._switchDue = true
+    this._sinceEvaluation += this._interval
+    if (this._sinceEvaluation >= LIGHT_LOAD_POLL_INTERVAL) this._switchDue = true
     this._poll()
   }
 
@@ -136,7 +137,7 @@
       this._adjustInterval()
       if (!this._switchDue) return
       this._switchDue = false
-      this._sinceSwitch = 0
+      this._sinceEvaluation = 0
       this._dependencies.onPolled()
       await this._stepSwitch()
     } finally {
