--- a/packages/node/src/lib/periodic-tasks.ts
+++ b/packages/node/src/lib/periodic-tasks.ts
@@ -4,8 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * The periodic tasks of this process, which share one timer. Each wake of a process costs several times as much as a check that finds
- * nothing due; with a timer for each task, timers caused half of the wakes of an idle process.
+ * The periodic tasks of this process, which share one timer: a wake of an idle process costs several times as much as a check that finds
+ * nothing due.
  */
 import { PeriodicPlan } from '@drumdrift/core'
 
