--- a/packages/node/src/test/lib/routing/load-follower_test.ts
+++ b/packages/node/src/test/lib/routing/load-follower_test.ts
@@ -22,7 +22,6 @@
   readonly pings: number[] = []
   private readonly _publisher = new LoadPublisher(() => ({ readRate: 20, slots: 16 }))
   private _nextPollAt: number
-  private _listener: ReplyListener | undefined
   readonly connection: PeerConnection
 
   /** @param phase When it polls its engine first, in milliseconds. */
@@ -34,15 +33,12 @@
       notify: () => {},
       close: () => {},
       ask: (_request: PeerRequest, _payload: undefined, listener: ReplyListener) => {
-        this._listener = listener
         this._publisher.follow(this._responder(reply => listener.reply(reply, Buffer.alloc(0))), performance.now())
       },
       call: async () => await this._answerPing()
     } as unknown as PeerConnection
   }
 
-  get followed (): boolean { return this._listener !== undefined }
-
   poll (now: number): void {
     if (now < this._nextPollAt) return
     this._nextPollAt += POLL_INTERVAL
