Log from when the bound of a version counts, and how the process learned of it

The log had the receipt of a version only, so a date that is too late could not be told from a cancellation that came too late, nor a version from the store from one that a peer told. No change of logic.

--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -8,7 +8,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { PublishedState, StoreCursor, topicOf, type ModelVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
-import type { Log } from '../observe/log.js'
+import type { Log, LogFields } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
 import { runPeriodically, waitUntil, type PeriodicTask } from '../periodic-tasks.js'
@@ -164,7 +164,9 @@
    * @param heardAt When the peer learned of it, on this process's clock.
    */
   takeWantedVersion (wanted: ModelVersion, heardAt: number): void {
-    this._emitChanges(this.state.take({ type: 'wanted-version', revision: 0, wanted }, heardAt))
+    const changes = this.state.take({ type: 'wanted-version', revision: 0, wanted }, heardAt)
+    this._logDates(changes, { from: 'entry', by: 'ping' })
+    this._emitChanges(changes)
   }
 
   /** During startup, waits for a relay to deliver the full state. */
@@ -216,7 +218,7 @@
       }
       this._onCallSucceeded(scope, response.upTo)
       this._scopesFromStore.add(scope)
-      if (call === 'watch') this._applyChanges(scope, response, effectiveChangeTime(notBefore, sentAt, performance.now()))
+      if (call === 'watch') this._applyChanges(scope, response, effectiveChangeTime(notBefore, sentAt, performance.now()), sentAt)
       else this._applySnapshot(scope, response, sentAt)
       if (response.changes.length === 0 || interval === 0) continue
       pausedAt = performance.now()
@@ -260,17 +262,30 @@
     const changes = topicsOfScope[scope].flatMap(topic => this.state.takeSnapshot(topic, response.changes.filter(change => topicOf(change) === topic), response.upTo, now))
     this._recordRefused(response)
     this._dependencies.log.info('published-read', { scope, epoch: this.state.epoch, revision: response.upTo, items: response.changes.length, news: changes.length, took: Math.round(now - sentAt), bytes: response.bytes })
+    this._logDates(changes, { from: 'store', by: 'read', took: Math.round(now - sentAt) })
     this._emitChanges(changes)
   }
 
-  private _applyChanges (scope: StoreScope, response: StoreChanges, changedAt: number): void {
+  private _applyChanges (scope: StoreScope, response: StoreChanges, changedAt: number, sentAt: number): void {
     this._epochs.reportOlderConfigurations(response.changes)
     const changes = response.changes.flatMap(change => this.state.take(change, changedAt))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, response.upTo)
     this._recordRefused(response)
+    this._logDates(changes, { from: 'store', by: 'watch', took: Math.round(performance.now() - sentAt) })
     this._emitChanges(changes)
   }
 
+  /** Logs from when the bound of each new version counts, and how this process learned of it. */
+  private _logDates (changes: readonly PublishedChange[], source: LogFields): void {
+    const now = performance.now()
+    for (const change of changes) {
+      if (change.type !== 'wanted-version') continue
+      const { model, version } = change.wanted
+      const datedAt = this.state.firstNewerAt(model, version - 1)
+      this._dependencies.log.info('version-dated', { model, version, ...source, age: datedAt === undefined ? undefined : Math.round(now - datedAt) })
+    }
+  }
+
   private _recordRefused ({ refused }: StoreChanges): void {
     for (const failure of refused) this._refusedDocuments.note(failure, performance.now())
   }
@@ -317,6 +332,7 @@
     this._epochs.reportEpochChange(before, Math.max(configuration, versions, endpoints), address)
     if (changes.length === 0) return
     this._dependencies.log.info('published-from-peer', { address, epoch: this.state.epoch, news: changes.length, configuration, endpoints, took })
+    this._logDates(changes, { from: address, by: 'news', took })
     this._emitChanges(changes)
   }
 }
