Versions are dated by the span in which they may have been published

Callers' requests began on an old version of a model later than the bound after a newer one had been acknowledged. An entry counted the bound from when it received the version. The same happens when a connection goes silent (0.7 to 1.5 s late), when the history is lost, and when a peer tells a version that it has had for over a second, since such ages were dropped.

Each version now carries the span in which it was published: from the last moment at which it is certain that it was not, to the first receipt by any process. Deadlines count from the start of the span. StoreView derives the start from the calls of a process: a watch that the store held for its whole wait, an answer less the latency that such watches showed, else the sending of the call before. Relays tell how old their view is, so that those who rely on them know a start too when all relays fail. Peers tell both ends as ages; the start counts from the request, as the answer's way is unknown. Spans that are told narrow what is known, also later; a process that has just started asks peers for them instead of taking a version for due at once. StallDetector keeps answers that arrived while the process was frozen from being dated at its resumption. A process that could reach neither the store nor a relay counts from its last failed call: it may not have had the weights either.

Two cases of published-feed_test asked that a version counts from its receipt after a store failure, and after any wait. That is the fault: a call that failed may only have been sent over a silent connection.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -52,7 +52,7 @@
 
 /** A named version, as sent from one process to another. */
 export interface NamedVersion extends ModelVersion {
-  /** Milliseconds since the sender received it. */
+  /** Milliseconds since some process first received it. */
   readonly age: number
 }
 
@@ -65,6 +65,8 @@
   readonly held: PublishedRevisions
   /** Whether it reads the operators' documents directly from the store and the store responds. */
   readonly fresh: boolean
+  /** Milliseconds since the relay is known to have received every version published until then; absent if that is unknown. */
+  readonly versionsAge?: number | undefined
 }
 
 /** A request to a peer. `run` and `go` carry the body as the frame's payload. */
--- a/packages/core/src/lib/routing/published/published-change.ts
+++ b/packages/core/src/lib/routing/published/published-change.ts
@@ -14,8 +14,11 @@
 /** A change of one item. */
 export type PublishedChange =
   | { readonly type: 'configuration', readonly revision: number, readonly configuration: RoutingConfiguration }
-  /** `age`: milliseconds since the sending peer first received the version; `undefined` if that is unknown. */
-  | { readonly type: 'wanted-version', readonly revision: number, readonly wanted: ModelVersion, readonly age?: number | undefined }
+  /**
+   * `age`: milliseconds since some process first received the version. `maxAge`: milliseconds since the version is known not to have
+   * been published; `undefined` if that is unknown. Both are set in changes from a peer, and count from when the peer sent them.
+   */
+  | { readonly type: 'wanted-version', readonly revision: number, readonly wanted: ModelVersion, readonly age?: number | undefined, readonly maxAge?: number | undefined }
   | { readonly type: 'endpoint', readonly revision: number, readonly record: EndpointRecord }
   /** `certain`: the endpoint must not be used any more, even if the store was unavailable; otherwise its entry may only have expired. */
   | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined }
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -15,16 +15,16 @@
 import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord } from './endpoint-record.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
-import { WantedVersions, type WantedVersion } from './wanted-versions.js'
+import { WantedVersions, type PublicationSpan, type WantedVersion } from './wanted-versions.js'
 import { publishedTopics, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type PublishedTopic } from './published-change.js'
 import { Removals } from './removals.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
-/**
- * Largest age of a wanted version that is taken over from a peer, in milliseconds: a few times the interval in which a relay does not
- * watch the store. If the peer received the version longer ago, as after an outage, its time counts from its receipt by this process.
- */
-const MAX_VERSION_AGE = 1_000
+/** When a peer's delta was requested, sent and received; times in milliseconds of this process's clock. */
+export interface DeltaTimes {
+  /** When it was requested, which is before the peer sent it. */
+  readonly requestedAt: number
+}
 
 const NO_REVISIONS: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0 }
 
@@ -69,16 +69,16 @@
   wanted (model: string): WantedVersion | undefined { return this._versions.newest(model) }
 
   /**
-   * Returns the local time at which a version above the given one was first received, or `undefined` if there is none or if it
-   * was published before this process began to follow the store. A newer version may be published while engines still switch to this
-   * one, and each version has a deadline of its own.
+   * Returns the earliest time at which a version above the given one may have been published, by this process's clock, or `undefined` if
+   * there is none or if nothing is known about that time. A newer version may be published while engines still switch to this one, and
+   * each version has a deadline of its own.
    */
   firstNewerAt (model: string, version: number): number | undefined {
     return this._versions.firstNewerAt(model, version)
   }
 
   /**
-   * Returns the lowest version that may start a request: the newest one that was received at least `bound` ago.
+   * Returns the lowest version that may start a request: the newest one that may have been published `bound` ago or earlier.
    *
    * @param bound In milliseconds.
    * @returns 0 if any version may.
@@ -92,29 +92,53 @@
   /** Returns the listed endpoints, including draining ones. */
   endpoints (): EndpointRecord[] { return [...this._endpoints.values()].map(({ record }) => record) }
 
+  /** Whether there is a version of which nothing is known about the time of its publication. */
+  get hasUndatedVersion (): boolean { return this._versions.hasUndated }
+
+  /** Records that this process could reach neither the store nor a relay until a time. See `WantedVersions.cutOff`. */
+  cutOff (until: number): void { this._versions.cutOff(until) }
+
+  /** Records that every version published until a time has been received, so that one received later was published after it. */
+  versionsCompleteAt (time: number): void { this._versions.completeAt(time) }
+  /** The last such time; `-Infinity` if none. */
+  get versionsCompleteUntil (): number { return this._versions.completeUntil }
+
   /**
    * Applies one change.
    *
+   * @param now The time of receipt.
+   * @param since The earliest time at which the change may have been made; by default the time of receipt, or `-Infinity` before the
+   *     topic was first followed.
    * @returns The effective changes: none if a newer state of the item is known, several if the change implies others.
    * @example
    * if (state.take({ type: 'endpoint', revision: 7, record }, now).length > 0) rebuildChoices()
    */
-  take (change: PublishedChange, now: number): readonly PublishedChange[] {
+  take (change: PublishedChange, now: number, since = this._defaultSince(topicOf(change), now)): readonly PublishedChange[] {
     const previous = change.type === 'endpoint' ? this._endpoints.atAddress(change.record.address) : undefined
     this._changeCount += 1
     if (topicOf(change) === 'endpoints') this._newestEndpointRevision = Math.max(this._newestEndpointRevision, change.revision)
-    if (!this._appliers[change.type](change as never, now)) return []
+    if (!this._appliers[change.type](change as never, now, since)) return []
     return change.type === 'endpoint' ? [change, ...this._removePredecessor(previous, change)] : [change]
   }
 
+  /**
+   * Applies a version that a peer told, with the span in which the peer knows that it was published. Returns the effective changes.
+   */
+  takeFromPeer (change: Extract<PublishedChange, { type: 'wanted-version' }>, published: PublicationSpan): readonly PublishedChange[] {
+    this._changeCount += 1
+    const span = { ...published, earliest: Math.min(published.earliest, published.latest) }
+    return this._versions.addFromPeer(change.wanted, change.revision, span) === 'known' ? [] : [change]
+  }
+
   /**
    * Applies a complete snapshot of a topic: items that are missing from it have been removed.
    *
    * @param upTo The store's revision of the snapshot.
+   * @param since See `take`.
    * @returns The effective changes.
    */
-  takeSnapshot (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
-    const applied = changes.flatMap(change => this.take(change, now))
+  takeSnapshot (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number, since = this._defaultSince(topic, now)): PublishedChange[] {
+    const applied = changes.flatMap(change => this.take(change, now, since))
     if (topic === 'endpoints') {
       applied.push(...this._removeMissing(changes, upTo, now))
       this._grace.snapshotRead(upTo)
@@ -126,6 +150,9 @@
     return applied
   }
 
+  /** A process that begins to follow a topic does not know how old its items are. */
+  private _defaultSince (topic: PublishedTopic, now: number): number { return this.hasFollowed(topic) ? now : -Infinity }
+
   /** Records that every change of a topic up to a revision has been applied. */
   followed (topic: PublishedTopic, upTo: number): void {
     if (upTo <= this._followed[topic]) return
@@ -201,22 +228,26 @@
     const from = (topic: PublishedTopic): number => whole.includes(topic) ? -1 : note[topic]
     const held = this._configuration
     if (held !== undefined && held.revision > from('configuration')) changes.push({ type: 'configuration', ...held })
-    for (const { revision, model, version, receivedAt } of this._versions.newestOfAll()) {
-      const age = receivedAt === undefined ? undefined : now - receivedAt
-      if (revision > from('versions')) changes.push({ type: 'wanted-version', revision, wanted: { model, version }, age })
-    }
+    for (const version of this._versions.newestOfAll()) if (version.revision > from('versions')) changes.push(toldAt(version, now))
     for (const { record, revision } of this._endpoints.values()) if (revision > from('endpoints')) changes.push({ type: 'endpoint', revision, record })
     changes.push(...this._removals.after(from('endpoints')))
     return { changes, whole }
   }
 
-  /** Applies a peer's delta, unless the peer follows an earlier epoch. Returns the effective changes. */
-  takeDelta (delta: PublishedDelta, now: number): PublishedChange[] {
+  /**
+   * Applies a peer's delta, unless the peer follows an earlier epoch.
+   *
+   * @returns The effective changes.
+   * @example
+   * const changes = state.takeDelta(delta, performance.now(), { requestedAt })
+   */
+  takeDelta (delta: PublishedDelta, now: number, { requestedAt }: DeltaTimes = { requestedAt: now }): PublishedChange[] {
     if (delta.upTo.epoch < this._epoch) return []
     this.enterEpoch(delta.upTo.epoch, now)
     const applied: PublishedChange[] = []
     for (const topic of publishedTopics) {
-      const changes = delta.changes.filter(change => topicOf(change) === topic)
+      const changes = delta.changes.filter(change => topicOf(change) === topic && change.type !== 'wanted-version')
+      if (topic === 'versions') applied.push(...this._takeVersions(delta.changes, now, requestedAt))
       if (delta.whole.includes(topic) && delta.upTo[topic] > this._followed[topic]) applied.push(...this.takeSnapshot(topic, changes, delta.upTo[topic], now))
       else {
         applied.push(...changes.flatMap(change => this.take(change, now)))
@@ -227,7 +258,7 @@
     return applied
   }
 
-  private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number) => boolean } = {
+  private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number, since: number) => boolean } = {
     configuration: ({ revision, configuration }) => {
       const held = this._configuration
       if (held !== undefined && revision <= held.revision) return false
@@ -235,10 +266,7 @@
       this._configuration = { revision, configuration: isNewer ? configuration : held.configuration }
       return isNewer
     },
-    'wanted-version': ({ revision, wanted, age = 0 }, now) => {
-      const receivedAt = !this.hasFollowed('versions') ? undefined : now - (age <= MAX_VERSION_AGE ? age : 0)
-      return this._versions.add(wanted, revision, receivedAt)
-    },
+    'wanted-version': ({ revision, wanted }, now, since) => this._versions.add(wanted, revision, { earliest: Math.min(since, now), latest: now }) === 'newest',
     endpoint: change => {
       const { revision, record } = change
       const held = this._endpoints.get(record.id)
@@ -252,6 +280,13 @@
     'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
+  /** Applies the versions that a peer told. Their ages count from when the peer sent them, which is between the given times. */
+  private _takeVersions (changes: readonly PublishedChange[], sentBefore: number, sentAfter: number): PublishedChange[] {
+    return changes.flatMap(change => change.type !== 'wanted-version'
+      ? []
+      : this.takeFromPeer(change, { earliest: sentAfter - validAge(change.maxAge, Infinity), latest: sentBefore - validAge(change.age, 0) }))
+  }
+
   /** Whether an unknown endpoint was removed before the followed revision: every change up to that revision has been received. */
   private _wasRemoved (id: string, revision: number): boolean { return this._knownRevision(id) < 0 && revision <= this._followed.endpoints }
 
@@ -336,3 +371,10 @@
   if (configuration.version !== other.version) return configuration.version > other.version
   return JSON.stringify(configuration) !== JSON.stringify(other)
 }
+
+/** Returns a version as it is told to a peer. */
+function toldAt ({ revision, model, version, published: { earliest, latest } }: WantedVersion, now: number): PublishedChange {
+  return { type: 'wanted-version', revision, wanted: { model, version }, age: Math.max(0, now - latest), maxAge: earliest === -Infinity ? undefined : Math.max(0, now - earliest) }
+}
+
+function validAge (age: number | undefined, fallback: number): number { return typeof age === 'number' && age >= 0 ? age : fallback }
--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -20,6 +20,9 @@
  */
 const NEARER_RELAY_WAIT = 500
 
+/** Allowance for the time that a note takes over a slow link, in milliseconds. */
+const MAX_NOTE_TRANSIT = 500
+
 interface Relay {
   readonly address: string
   readonly note: RelayNote
@@ -78,8 +81,23 @@
 
   /** Returns the revision up to which a topic counts as followed, by the relays that hold the same revision as this process. */
   followedRevision (held: PublishedRevisions, topic: PublishedTopic, now: number): number {
-    const equalRelays = this._liveRelays(now).filter(({ note }) => note.fresh && note.held.epoch === held.epoch && note.held[topic] === held[topic])
-    return Math.max(0, ...equalRelays.map(({ note }) => note.followed[topic]))
+    return Math.max(0, ...this._equalRelays(held, topic, now).map(({ note }) => note.followed[topic]))
+  }
+
+  /**
+   * Returns the last time at which the store is known to have had no version that this process lacks; `-Infinity` if none.
+   *
+   * @example
+   * state.versionsCompleteAt(relays.versionsCompleteAt(state.held, now))
+   */
+  versionsCompleteAt (held: PublishedRevisions, now: number): number {
+    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge = Infinity }, receivedAt }) => receivedAt - versionsAge - MAX_NOTE_TRANSIT)
+    return Math.max(-Infinity, ...times)
+  }
+
+  /** Returns the live relays that follow the store and hold the same revision of a topic as this process. */
+  private _equalRelays (held: PublishedRevisions, topic: PublishedTopic, now: number): Relay[] {
+    return this._liveRelays(now).filter(({ note }) => note.fresh && note.held.epoch === held.epoch && note.held[topic] === held[topic])
   }
 
   private _liveRelays (now: number): Relay[] {
--- a/packages/core/src/lib/routing/published/wanted-versions.ts
+++ b/packages/core/src/lib/routing/published/wanted-versions.ts
@@ -3,43 +3,110 @@
  * Copyright 2026 the drumdrift contributors
  * SPDX-License-Identifier: BSD-3-Clause
  */
-/** The versions requested of each model, and when this process first received them. */
+/**
+ * The versions requested of each model, and the span in which each was published. A process learns of a version some time after its
+ * publication, and how much later depends on its source, so deadlines count from the earliest possible publication.
+ */
 import type { ModelVersion } from './endpoint-record.js'
 
-/** A wanted version, with the local time at which this process first received it. */
+/** The span in which a version was published, by this process's clock. */
+export interface PublicationSpan {
+  /** The last time at which the version is known not to have been published; `-Infinity` if there is none. */
+  readonly earliest: number
+  /** The earliest time at which any process is known to have received it. */
+  readonly latest: number
+}
+
+/** A wanted version. */
 export interface WantedVersion extends ModelVersion {
   /** Revision up to which the store has no newer version; 0 if it was received in an earlier epoch, or without a revision. */
   readonly revision: number
-  /** `undefined` if the version was already wanted when this process began to follow the store. */
-  readonly receivedAt: number | undefined
+  readonly published: PublicationSpan
+  /** Until when this process was cut off before it received the version; `-Infinity` if it was not. Not valid for other processes. */
+  readonly cutOffUntil: number
 }
 
+/** What a received version adds to those that are known. */
+export type VersionReceipt = 'newest' | 'dated' | 'known'
+
 /** Versions kept per model: those whose adoption deadline may still be ahead. */
 const MAX_VERSIONS_PER_MODEL = 8
+/** Smaller corrections of a span are not reported, in milliseconds: network latencies vary by as much. */
+const MIN_CORRECTION = 20
 
 /** Wanted versions of all models. */
 export class WantedVersions {
   /** By model, in ascending order of version. */
-  private readonly _versions = new Map<string, WantedVersion[]>()
+  private readonly _versions = new Map<string, readonly WantedVersion[]>()
+  private _cutOffUntil = -Infinity
+  private _completeUntil = -Infinity
 
   /**
-   * Adds a wanted version.
+   * Adds a version that the store has. An older version, or one that is written again, tells nothing about its publication.
    *
-   * @returns Whether it is newer than every version known before.
    * @example
-   * versions.add({ model: 'drafting', version: 2 }, 7, now)
+   * versions.add({ model: 'drafting', version: 2 }, 7, { earliest: now - 250, latest: now })
    */
-  add (wanted: ModelVersion, revision: number, receivedAt: number | undefined): boolean {
-    const known = this._versions.get(wanted.model) ?? []
-    const newest = known.at(-1)
-    if (newest !== undefined && wanted.version <= newest.version) {
-      this._versions.set(wanted.model, [...known.slice(0, -1), { ...newest, revision: Math.max(revision, newest.revision) }])
-      return false
+  add (wanted: ModelVersion, revision: number, published: PublicationSpan): VersionReceipt {
+    const newest = this.newest(wanted.model)
+    if (newest === undefined || wanted.version > newest.version) {
+      const span = intersection(published, { earliest: this._completeUntil, latest: Infinity })
+      this._put(wanted.model, { ...wanted, revision: Math.max(revision, newest?.revision ?? 0), published: span, cutOffUntil: this._cutOffUntil })
+      return 'newest'
     }
-    this._versions.set(wanted.model, [...known.slice(1 - MAX_VERSIONS_PER_MODEL), { ...wanted, revision: Math.max(revision, newest?.revision ?? 0), receivedAt }])
-    return true
+    this._confirm(wanted.model, revision)
+    return 'known'
+  }
+
+  /**
+   * Adds a version that a peer has, or narrows the span of a known one. Versions older than the newest are added too, since each has a
+   * deadline of its own.
+   *
+   * @example
+   * versions.addFromPeer({ model: 'drafting', version: 2 }, 7, { earliest: now - 250, latest: now - 40 })
+   */
+  addFromPeer (wanted: ModelVersion, revision: number, published: PublicationSpan): VersionReceipt {
+    if (this.add(wanted, revision, published) === 'newest') return 'newest'
+    const before = this._find(wanted)
+    this._put(wanted.model, before === undefined
+      ? { ...wanted, revision, published, cutOffUntil: this._cutOffUntil }
+      : { ...before, published: intersection(before.published, published) })
+    const after = this._find(wanted)
+    return after === undefined || (before !== undefined && !isCorrection(before.published, after.published)) ? 'known' : 'dated'
+  }
+
+  private _find ({ model, version }: ModelVersion): WantedVersion | undefined {
+    return this._versions.get(model)?.find(known => known.version === version)
+  }
+
+  /** Adds a version in place of the same one, and narrows the spans of the others by it. */
+  private _put (model: string, added: WantedVersion): void {
+    const others = (this._versions.get(model) ?? []).filter(({ version }) => version !== added.version)
+    const ascending = [...others, added].sort((left, right) => left.version - right.version).slice(-MAX_VERSIONS_PER_MODEL)
+    this._versions.set(model, inOrderOfPublication(ascending))
+  }
+
+  /** Records that the store has no newer version at a revision. */
+  private _confirm (model: string, revision: number): void {
+    const known = this._versions.get(model) ?? []
+    this._versions.set(model, known.map((version, index) => index === known.length - 1 ? { ...version, revision: Math.max(revision, version.revision) } : version))
   }
 
+  /**
+   * Records that neither the store nor a relay could be reached until a time. Deadlines of versions received later count from then
+   * at the earliest: the engines that this process reaches could not receive the weights before.
+   */
+  cutOff (until: number): void { this._cutOffUntil = Math.max(until, this._cutOffUntil) }
+
+  /** Records that all versions published until a time have been received. */
+  completeAt (time: number): void { this._completeUntil = Math.max(time, this._completeUntil) }
+
+  /** The last such time; `-Infinity` if none. */
+  get completeUntil (): number { return this._completeUntil }
+
+  /** Whether a version has no lower bound on the time of its publication. */
+  get hasUndated (): boolean { return [...this._versions.values()].flat().some(({ published }) => published.earliest === -Infinity) }
+
   /** Carries all versions over into a new epoch of the store, at revision 0. */
   carryOver (): void {
     for (const [model, named] of this._versions) this._versions.set(model, named.map(version => ({ ...version, revision: 0 })))
@@ -51,14 +118,42 @@
   /** Returns the newest version of each model. */
   newestOfAll (): WantedVersion[] { return [...this._versions.values()].flatMap(named => named.slice(-1)) }
 
+  /** Returns all versions that are kept. */
+  all (): WantedVersion[] { return [...this._versions.values()].flat() }
+
   /** See `PublishedState.firstNewerAt`. */
   firstNewerAt (model: string, version: number): number | undefined {
-    return this._versions.get(model)?.find(named => named.version > version)?.receivedAt
+    const newer = this._versions.get(model)?.find(named => named.version > version)
+    return newer === undefined ? undefined : countsFrom(newer)
   }
 
   /** See `PublishedState.dueVersion`. */
   dueVersion (model: string, bound: number, now: number): number {
-    const due = this._versions.get(model)?.filter(({ receivedAt }) => receivedAt === undefined || now - receivedAt >= bound)
+    const due = this._versions.get(model)?.filter(version => now - (countsFrom(version) ?? -Infinity) >= bound)
     return due?.at(-1)?.version ?? 0
   }
 }
+
+/** Returns the time from which the deadline of a version counts; `undefined` if it may have been published at any time. */
+function countsFrom ({ published: { earliest }, cutOffUntil }: WantedVersion): number | undefined {
+  const from = Math.max(earliest, cutOffUntil)
+  return from === -Infinity ? undefined : from
+}
+
+/** Clocks and latencies are not exact, so bounds that contradict each other are resolved to the earlier one. */
+function intersection (left: PublicationSpan, right: PublicationSpan): PublicationSpan {
+  const latest = Math.min(left.latest, right.latest)
+  return { earliest: Math.min(latest, Math.max(left.earliest, right.earliest)), latest }
+}
+
+/** Narrows the spans by each other: a version is published after all older ones. */
+function inOrderOfPublication (ascending: readonly WantedVersion[]): WantedVersion[] {
+  const spans = ascending.map(({ published }) => published)
+  for (let index = spans.length - 2; index >= 0; index -= 1) spans[index] = intersection(spans[index]!, { earliest: -Infinity, latest: spans[index + 1]!.latest })
+  for (let index = 1; index < spans.length; index += 1) spans[index] = intersection(spans[index]!, { earliest: spans[index - 1]!.earliest, latest: Infinity })
+  return ascending.map((version, index) => ({ ...version, published: spans[index]! }))
+}
+
+function isCorrection (before: PublicationSpan, after: PublicationSpan): boolean {
+  return Math.abs(after.earliest - before.earliest) >= MIN_CORRECTION || Math.abs(after.latest - before.latest) >= MIN_CORRECTION
+}
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -267,3 +267,46 @@
     assert.equal(state.dueVersion('m', bound, 501), 4)
   })
 })
+
+describe('PublishedState.takeDelta', () => {
+  const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0 }
+
+  /** A sender that received version 2 from the store at 1,000 ms, at most 300 ms after its publication. */
+  function newSender (): PublishedState {
+    const state = new PublishedState()
+    state.followed('versions', 1)
+    state.take(wanted(2, 2), 1_000, 700)
+    state.followed('versions', 3)
+    return state
+  }
+
+  const cases: [name: string, sentAt: number, requestedAt: number, receivedAt: number, expected: number][] = [
+    ['a version that the peer has had for 100 ms', 1_100, 1_100, 1_100, 700],
+    ['a version that the peer has had for longer than a second', 2_400, 2_400, 2_400, 700],
+    ['a version that the peer has had for six seconds', 7_000, 7_000, 7_000, 700],
+    ['a version whose delta took 400 ms to arrive', 2_400, 2_390, 2_800, 690]
+  ]
+  for (const [name, sentAt, requestedAt, receivedAt, expected] of cases) {
+    it(`counts the deadline from the earliest publication of ${name}`, () => {
+      const receiver = new PublishedState()
+      receiver.followed('versions', 1)
+      receiver.takeDelta(newSender().deltaSince({ ...noRevisions, versions: 1 }, sentAt), receivedAt, { requestedAt })
+      assert.equal(receiver.firstNewerAt('m', 1), expected)
+    })
+  }
+
+  it('corrects the publication of a version that is known already', () => {
+    const receiver = new PublishedState()
+    receiver.takeSnapshot('versions', [wanted(2, 2)], 3, 4_000)
+    const before = receiver.firstNewerAt('m', 1)
+    const changes = receiver.takeDelta(newSender().deltaSince(noRevisions, 4_100), 4_100)
+    assert.deepEqual([before, receiver.firstNewerAt('m', 1), changes.length], [undefined, 700, 1])
+  })
+
+  it('ignores ages that are no numbers', () => {
+    const receiver = new PublishedState()
+    const delta = newSender().deltaSince(noRevisions, 4_100)
+    receiver.takeDelta({ ...delta, changes: delta.changes.map(change => ({ ...change, age: NaN, maxAge: -5 })) }, 4_100, { requestedAt: 4_100 })
+    assert.deepEqual([receiver.wanted('m')?.version, receiver.firstNewerAt('m', 1)], [2, undefined])
+  })
+})
--- a/packages/core/src/test/lib/routing/published/relay-registry_test.ts
+++ b/packages/core/src/test/lib/routing/published/relay-registry_test.ts
@@ -72,4 +72,18 @@
     for (const [address, relayNote] of [['a', earlier], ['b', later]] as const) book.recordNote(address, relayNote, 0)
     assert.deepEqual([book.followedRevision(held(9), 'configuration', 0), book.followedRevision(held(1), 'configuration', 0)], [0, 0])
   })
+
+  const views: [name: string, notes: (number | undefined)[], expected: number][] = [
+    ['the view that a relay reports, less the time that its note may take', [300], 9_200],
+    ['the latest of several views', [300, 20], 9_480],
+    ['no time if no relay reports its view', [undefined], -Infinity]
+  ]
+  for (const [name, ages, expected] of views) {
+    it(`knows all versions until ${name}`, () => {
+      const book = new RelayRegistry(place)
+      ages.forEach((versionsAge, index) => book.recordNote(`relay-${index}`, { ...note('koshi-a', 1), versionsAge }, 10_000))
+      book.recordNote('ahead', { ...note('koshi-a', 1), held: { ...held(1), versions: 2 }, versionsAge: 0 }, 10_000)
+      assert.equal(book.versionsCompleteAt(held(1), 10_000), expected)
+    })
+  }
 })
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -7,7 +7,7 @@
  * Keeps published state up to date: watches the store, and queries peers while the store is unavailable.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { PublishedState, StoreCursor, topicOf, type ModelVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
+import { PublishedState, StallDetector, StoreCursor, StoreView, topicOf, type DeltaTimes, type ModelVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
 import type { Log, LogFields } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
@@ -65,13 +65,17 @@
 /** Bounds of the exponential backoff after a failed store call, in milliseconds. The store charges for refused calls too. */
 const MIN_BACKOFF = 100
 const MAX_BACKOFF = 800
-/**
- * A watch that returns within this time reports changes made before it was sent, in milliseconds. The store responds within
- * a few milliseconds, or within a few hundred when it is slow.
- */
-const IMMEDIATE_RESPONSE_TIME = 500
 /** Interval between queries to peers while the store is unavailable, in milliseconds. */
 const PEER_QUERY_INTERVAL = 250
+/**
+ * How long peers are queried for the time of a version's publication that this process does not know, in milliseconds. If all
+ * processes have started since, none knows it.
+ */
+const UNDATED_QUERY_PERIOD = 3_000
+/** Interval at which the process notes that it runs, in milliseconds. */
+const STALL_CHECK_INTERVAL = 100
+/** The failures that show that the store, or the network path to it, fails for other processes too or for a while. */
+const outageReasons: ReadonlySet<StoreFailure['reason']> = new Set(['unreachable', 'timed-out', 'turned-away'])
 /**
  * How long a starting process waits for the full state from a relay before it reads the store itself, in milliseconds. When
  * all processes start at once, a relay is up after 0.3 s and has read the full state 0.2 s later. A process that restarts
@@ -88,6 +92,8 @@
   /** Scopes whose last call failed, with the time of the first of the consecutive failures. */
   private readonly _failing = new Map<StoreScope, number>()
   private readonly _ticks: PeriodicTask
+  private readonly _stalls = new StallDetector(STALL_CHECK_INTERVAL)
+  private readonly _stallChecks: PeriodicTask
   private readonly _relays: RelayFollower
   private readonly _startedAt = performance.now()
   /** Scopes that this process follows in the store directly and whose last call succeeded. */
@@ -97,16 +103,19 @@
   private readonly _epochs: EpochLog
   private readonly _peerQueries: PeerStateQueries
   private _lastFailureAt = -Infinity
+  /** Since when there has been a version without a lower bound on the time of its publication. */
+  private _undatedSince: number | undefined
   private _closed = false
 
   constructor (private readonly _dependencies: PublishedFeedDependencies) {
     this._ticks = runPeriodically(() => { this._tick() }, PEER_QUERY_INTERVAL)
+    this._stallChecks = runPeriodically(() => { this._stalls.tick(performance.now()) }, STALL_CHECK_INTERVAL)
     const { pool, log, counters, peers, relays: { addresses, place, topics } } = _dependencies
-    const onDelta = (address: string, delta: PublishedDelta, took: number): void => { if (!this._closed) this._applyPeerDelta(address, delta, took) }
+    const onDelta = (address: string, delta: PublishedDelta, times: DeltaTimes): void => { if (!this._closed) this._applyPeerDelta(address, delta, times) }
     this._refusedDocuments = new RefusedDocuments(log, counters)
     this._epochs = new EpochLog(this.state, log, counters)
     this._peerQueries = new PeerStateQueries({ state: this.state, pool, log, counters, peers, onDelta })
-    this._relays = new RelayFollower({ relays: addresses, place, pool, log, counters, state: this.state, topics, onDelta })
+    this._relays = new RelayFollower({ relays: addresses, place, pool, log, counters, state: this.state, topics, onDelta, arrivedSince: now => this._stalls.arrivedSince(now) })
   }
 
   /** Starts following the watched scopes in the background. */
@@ -118,6 +127,7 @@
   close (): void {
     this._closed = true
     this._ticks.close()
+    this._stallChecks.close()
     this._relays.close()
   }
 
@@ -155,18 +165,19 @@
     if (response.type === 'store-failure') return this._onCallFailed(scope, response, sentAt)
     // A possibly stale read does not show the store's current revision.
     this._onCallSucceeded(scope, Infinity)
-    this._applySnapshot(scope, response, sentAt)
+    this._applySnapshot(scope, response, sentAt, -Infinity)
   }
 
   /**
-   * Records a wanted version reported by a peer without a revision.
+   * Records a wanted version that a peer told without a revision. Peers repeat it, so a correction of its span is no change.
    *
-   * @param heardAt When the peer learned of it, on this process's clock.
+   * @param latest The latest time at which it was published, by this process's clock.
    */
-  takeWantedVersion (wanted: ModelVersion, heardAt: number): void {
-    const changes = this.state.take({ type: 'wanted-version', revision: 0, wanted }, heardAt)
+  takeWantedVersion (wanted: ModelVersion, latest: number): void {
+    const newest = this.state.wanted(wanted.model)?.version ?? 0
+    const changes = this.state.takeFromPeer({ type: 'wanted-version', revision: 0, wanted }, { earliest: -Infinity, latest })
     this._logDates(changes, { from: 'entry', by: 'ping' })
-    this._emitChanges(changes)
+    if (wanted.version > newest) this._emitChanges(changes)
   }
 
   /** During startup, waits for a relay to deliver the full state. */
@@ -187,19 +198,17 @@
     await this._awaitRelayState(scope)
     let backoff = MIN_BACKOFF
     const cursor = new StoreCursor(this.state, topicsOfScope[scope])
-    let pausedAt: number | undefined
+    const view = new StoreView()
     while (!this._closed) {
       if (relayed && this._relays.followsStore) {
         await this._deferToRelays(scope)
         cursor.markCaughtUp()
-        pausedAt = undefined
         continue
       }
       const sentAt = performance.now()
-      const notBefore = pausedAt ?? sentAt
-      pausedAt = undefined
       const call = cursor.next
-      const response = this._rejectEarlierEpoch(call === 'watch' ? await this._watch(watch) : await this._read(scope, 'newest'))
+      const wait = this._watchWait(watch)
+      const response = this._rejectEarlierEpoch(call === 'watch' ? await this._watch(scope, wait) : await this._read(scope, 'newest'))
       if (this._closed) return
       const verdict = cursor.judge(call, response)
       if (response.type === 'store-failure') {
@@ -218,10 +227,10 @@
       }
       this._onCallSucceeded(scope, response.upTo)
       this._scopesFromStore.add(scope)
-      if (call === 'watch') this._applyChanges(scope, response, effectiveChangeTime(notBefore, sentAt, performance.now()), sentAt)
-      else this._applySnapshot(scope, response, sentAt)
+      if (call === 'watch') this._applyChanges(scope, response, sentAt, view.watchAnswered({ sentAt, answeredAt: this._stalls.arrivedSince(performance.now()), wait, empty: response.changes.length === 0 }))
+      else this._applySnapshot(scope, response, sentAt, view.readAnswered(sentAt))
+      if (topicsOfScope[scope].includes('versions')) this.state.versionsCompleteAt(view.completeUntil)
       if (response.changes.length === 0 || interval === 0) continue
-      pausedAt = performance.now()
       await pause(interval)
     }
   }
@@ -231,9 +240,9 @@
     return await this._dependencies.store.readWhole(scope, freshness)
   }
 
-  private async _watch (watch: Watch): Promise<StoreChanges | HistoryLost | StoreFailure> {
+  private async _watch (scope: StoreScope, wait: number): Promise<StoreChanges | HistoryLost | StoreFailure> {
     this._dependencies.counters.add('store_watches')
-    return await this._dependencies.store.awaitChanges(watch.scope, this._followed(watch.scope), this._watchWait(watch))
+    return await this._dependencies.store.awaitChanges(scope, this._followed(scope), wait)
   }
 
   /** Turns a response from an epoch before the current one into a failure: its contents may have been lost since. */
@@ -253,25 +262,26 @@
   /** The revision up to which every topic of a scope is known. */
   private _followed (scope: StoreScope): number { return new StoreCursor(this.state, topicsOfScope[scope]).followed }
 
-  private _applySnapshot (scope: StoreScope, response: StoreChanges, sentAt: number): void {
+  private _applySnapshot (scope: StoreScope, response: StoreChanges, sentAt: number, since: number): void {
     const now = performance.now()
     const before = this.state.note
     if (response.epoch !== undefined) this.state.enterEpoch(response.epoch, now)
     this._epochs.reportEpochChange(before, response.upTo, 'store')
     this._epochs.reportOlderConfigurations(response.changes)
-    const changes = topicsOfScope[scope].flatMap(topic => this.state.takeSnapshot(topic, response.changes.filter(change => topicOf(change) === topic), response.upTo, now))
+    const changes = topicsOfScope[scope].flatMap(topic => this.state.takeSnapshot(topic, response.changes.filter(change => topicOf(change) === topic), response.upTo, now, since))
     this._recordRefused(response)
     this._dependencies.log.info('published-read', { scope, epoch: this.state.epoch, revision: response.upTo, items: response.changes.length, news: changes.length, took: Math.round(now - sentAt), bytes: response.bytes })
     this._logDates(changes, { from: 'store', by: 'read', took: Math.round(now - sentAt) })
     this._emitChanges(changes)
   }
 
-  private _applyChanges (scope: StoreScope, response: StoreChanges, changedAt: number, sentAt: number): void {
+  private _applyChanges (scope: StoreScope, response: StoreChanges, sentAt: number, since: number): void {
+    const now = performance.now()
     this._epochs.reportOlderConfigurations(response.changes)
-    const changes = response.changes.flatMap(change => this.state.take(change, changedAt))
+    const changes = response.changes.flatMap(change => this.state.take(change, now, since))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, response.upTo)
     this._recordRefused(response)
-    this._logDates(changes, { from: 'store', by: 'watch', took: Math.round(performance.now() - sentAt) })
+    this._logDates(changes, { from: 'store', by: 'watch', took: Math.round(now - sentAt) })
     this._emitChanges(changes)
   }
 
@@ -301,6 +311,9 @@
     this._dependencies.counters.add(`store_failures_${failure.reason.replaceAll('-', '_')}`)
     this._dependencies.log.debug('store-call-failed', { scope, reason: failure.reason, took: Math.round(now - sentAt), complete: this.state.complete })
     this._lastFailureAt = now
+    // One call fails if its connection fails; the next one uses a new connection.
+    const isOutage = this._failing.has(scope) && outageReasons.has(failure.reason)
+    if (isOutage && !this._relays.followsStore) this.state.cutOff(sentAt)
     if (!this._failing.has(scope)) {
       this._failing.set(scope, now)
       this._dependencies.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
@@ -319,15 +332,29 @@
   }
 
   private _tick (): void {
-    this._emitChanges(this.state.expire(performance.now()))
-    const awaitingRelays = this._dependencies.relays.addresses.length > 0 && performance.now() - this._startedAt < STARTUP_RELAY_TIMEOUT
+    const now = performance.now()
+    this._emitChanges(this.state.expire(now))
+    const awaitingRelays = this._dependencies.relays.addresses.length > 0 && now - this._startedAt < STARTUP_RELAY_TIMEOUT
     const incomplete = !this.storeAvailable || !this.state.complete
     if (incomplete && !awaitingRelays) this._peerQueries.query()
+    else if (this._needsDates(now)) this._peerQueries.queryVersions()
   }
 
-  private _applyPeerDelta (address: string, delta: PublishedDelta, took: number): void {
+  /** Whether a peer may know better than this process when a version was published. */
+  private _needsDates (now: number): boolean {
+    if (!this.state.hasUndatedVersion) {
+      this._undatedSince = undefined
+      return false
+    }
+    this._undatedSince ??= now
+    return now - this._undatedSince < UNDATED_QUERY_PERIOD
+  }
+
+  private _applyPeerDelta (address: string, delta: PublishedDelta, times: DeltaTimes): void {
     const before = this.state.note
-    const changes = this.state.takeDelta(delta, performance.now())
+    const now = performance.now()
+    const took = Math.round(now - times.requestedAt)
+    const changes = this.state.takeDelta(delta, now, times)
     const { configuration, versions, endpoints } = delta.upTo
     this._epochs.reportEpochChange(before, Math.max(configuration, versions, endpoints), address)
     if (changes.length === 0) return
@@ -336,15 +363,3 @@
     this._emitChanges(changes)
   }
 }
-
-/**
- * Returns the time from which changes in a watch's response count. If the watch returns immediately after a pause, the
- * changes may be as old as the previous response; counted as new, a version named during the pause would get a deadline that
- * is too late by the length of the pause. After a failure, changes count from when they are received, so that a store outage
- * does not shorten the time allowed to transfer a version.
- *
- * @param notBefore When the pause before the watch began or, without a pause, when the watch was sent.
- */
-function effectiveChangeTime (notBefore: number, sentAt: number, now: number): number {
-  return now - sentAt <= IMMEDIATE_RESPONSE_TIME ? notBefore : now
-}
--- a/packages/node/src/lib/routing/published-state-relay.ts
+++ b/packages/node/src/lib/routing/published-state-relay.ts
@@ -61,6 +61,7 @@
 
   private _note (): RelayNote {
     const { state } = this._feed
-    return { availabilityZone: this._availabilityZone, followed: state.note, held: state.held, fresh: this._feed.readsStore }
+    const versionsAge = performance.now() - state.versionsCompleteUntil
+    return { availabilityZone: this._availabilityZone, followed: state.note, held: state.held, fresh: this._feed.readsStore, versionsAge: Number.isFinite(versionsAge) ? Math.round(versionsAge) : undefined }
   }
 }
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -7,7 +7,7 @@
  * The client side of relays: keeps a connection to each relay and fetches published state from them, so that this process
  * need not read the store. The relays are the seeds listed in the settings.
  */
-import { failureOf, RelayRegistry, type EntryLocation, type PublishedDelta, type PublishedState, type PublishedTopic } from '@drumdrift/core'
+import { failureOf, RelayRegistry, type DeltaTimes, type EntryLocation, type PublishedDelta, type PublishedState, type PublishedTopic } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerConnection } from '../peer/connection.js'
@@ -25,7 +25,9 @@
   readonly state: PublishedState
   /** Topics whose changes are fetched as soon as a relay has them. */
   readonly topics: () => readonly PublishedTopic[]
-  readonly onDelta: (address: string, delta: PublishedDelta, took: number) => void
+  readonly onDelta: (address: string, delta: PublishedDelta, times: DeltaTimes) => void
+  /** Returns the earliest time at which a message that is handled now may have arrived. */
+  readonly arrivedSince: (now: number) => number
 }
 
 /** Interval between checks for due work, in milliseconds. */
@@ -109,6 +111,7 @@
     const { state } = this._dependencies
     const { held } = state
     for (const topic of this._dependencies.topics()) state.followed(topic, this._book.followedRevision(held, topic, now))
+    state.versionsCompleteAt(this._book.versionsCompleteAt(held, now))
   }
 
   private _fetchChanges (now: number): void {
@@ -130,7 +133,7 @@
       const { reply, payload } = await this._dependencies.pool.call(address, { type: 'news', note: this._dependencies.state.note, topics }, { timeout: this._dependencies.state.complete ? FETCH_TIMEOUT : FIRST_FETCH_TIMEOUT })
       if (reply.type !== 'news') return false
       this._dependencies.counters.add('relay_news_bytes', payload.length)
-      this._dependencies.onDelta(address, decodeDelta(payload), Math.round(performance.now() - sentAt))
+      this._dependencies.onDelta(address, decodeDelta(payload), { requestedAt: sentAt })
       return true
     } catch (error) {
       this._dependencies.counters.add('relay_news_failures')
@@ -153,7 +156,7 @@
         reply: reply => {
           if (reply.type !== 'news-note') return
           relay.receivedAt = performance.now()
-          this._book.recordNote(address, reply.note, relay.receivedAt)
+          this._book.recordNote(address, reply.note, this._dependencies.arrivedSince(relay.receivedAt))
           this._tick()
         },
         lost: () => this._onDisconnected(address, relay)
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -241,7 +241,7 @@
 
   private _pingContent (agent: string, now: number): PingContent {
     const wanted = this._feed.state.wanted(this._units.modelOf(agent) ?? '')
-    const named = wanted?.receivedAt === undefined ? undefined : { model: wanted.model, version: wanted.version, age: now - wanted.receivedAt }
+    const named = wanted === undefined ? undefined : { model: wanted.model, version: wanted.version, age: Math.max(0, now - wanted.published.latest) }
     return { ...this._units.poolTraffic(agent, now), named }
   }
 
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -241,7 +241,7 @@
     const model = this._poolDescription?.models[0]?.name
     if (model === undefined || !this._feed.state.hasFollowed('versions')) return undefined
     const wanted = this._feed.state.wanted(model)
-    return { model, version: wanted?.version ?? FIRST_VERSION, heardAt: wanted?.receivedAt }
+    return { model, version: wanted?.version ?? FIRST_VERSION, heardAt: wanted?.published.latest }
   }
 
   private _applyState (): void {
--- a/packages/node/src/test/lib/routing/published-feed_test.ts
+++ b/packages/node/src/test/lib/routing/published-feed_test.ts
@@ -10,31 +10,46 @@
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
 import { PeerPool } from '../../../lib/peer/pool.js'
-import type { PublishedStore, StoreChanges, StoreFailure } from '../../../lib/routing/ports.js'
+import type { HistoryLost, PublishedStore, StoreChanges, StoreFailure } from '../../../lib/routing/ports.js'
 import { PublishedFeed } from '../../../lib/routing/published-feed.js'
 
 const PAUSE = 150
+const WAIT = 800
+/** Time that may pass between the sending of a call and its receipt by the store, in milliseconds. */
+const TOLERANCE = 20
 const log = new Log('error', { role: 'test' }, new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => { setImmediate(() => callback(null, bytes.length)) }))
 const record = { id: 'a', service: 'pool', address: '10.0.0.1:80', availabilityZone: 'koshi', slots: 4, draining: false, models: [] }
 const endpointChange: PublishedChange = { type: 'endpoint', revision: 2, record }
 const versionChange: PublishedChange = { type: 'wanted-version', revision: 3, wanted: { model: 'm', version: 2 } }
 
-/** Returns an empty read, then responds to each watch with the next change or failure after a delay; the last watch hangs. */
+/** How the store answers a call: with a change, with nothing after the whole wait, without its history, or not at all. */
+type Answer = PublishedChange | 'empty' | 'history-lost' | 'failure'
+
+/** Answers the first read with nothing, then each call with the next answer after a delay; the last call hangs. */
 class StoreFake implements PublishedStore {
-  readonly respondedAt: number[] = []
+  readonly calls: { readonly sentAt: number, answeredAt: number }[] = []
   private _upTo = 1
 
-  constructor (private readonly _responses: (readonly [after: number, change: PublishedChange | 'failure'])[]) {}
+  constructor (private readonly _answers: (readonly [after: number, answer: Answer])[]) {}
+
+  async readWhole (): Promise<StoreChanges | StoreFailure> {
+    if (this.calls.length > 0) return await this._answer() as StoreChanges
+    this.calls.push({ sentAt: performance.now(), answeredAt: performance.now() })
+    return { type: 'changes', changes: [], upTo: this._upTo, refused: [] }
+  }
 
-  async readWhole (): Promise<StoreChanges> { return { type: 'changes', changes: [], upTo: this._upTo, refused: [] } }
+  async awaitChanges (): Promise<StoreChanges | HistoryLost | StoreFailure> { return await this._answer() }
 
-  async awaitChanges (): Promise<StoreChanges | StoreFailure> {
-    const [after, change] = this._responses.shift() ?? [60_000, endpointChange]
+  private async _answer (): Promise<StoreChanges | HistoryLost | StoreFailure> {
+    const call = { sentAt: performance.now(), answeredAt: 0 }
+    this.calls.push(call)
+    const [after, answer] = this._answers.shift() ?? [60_000, 'empty']
     await new Promise(resolve => { setTimeout(resolve, after).unref() })
-    if (change === 'failure') return { type: 'store-failure', reason: 'timed-out', detail: 'no answer' }
-    this.respondedAt.push(performance.now())
+    call.answeredAt = performance.now()
+    if (answer === 'failure') return { type: 'store-failure', reason: 'timed-out', detail: 'no answer' }
+    if (answer === 'history-lost') return { type: 'history-lost' }
     this._upTo += 1
-    return { type: 'changes', changes: [change], upTo: this._upTo, refused: [] }
+    return { type: 'changes', changes: answer === 'empty' ? [] : [answer], upTo: this._upTo, refused: [] }
   }
 }
 
@@ -42,27 +57,32 @@
   const open: { close (): void }[] = []
   afterEach(() => { for (const each of open.splice(0)) each.close() })
 
-  const cases: [name: string, between: (readonly [after: number, change: 'failure'])[], after: number, expected: 'when the answer before came' | 'when it came'][] = [
-    ['returned immediately after a pause counts from the previous response', [], 0, 'when the answer before came'],
-    ['returned after the watch has waited counts from its response', [], 700, 'when it came'],
-    ['returned after a store failure counts from its response', [[400, 'failure']], 0, 'when it came']
+  /** Range of the date of the version, from the sending of a call to its sending or its answer; calls are counted from the last answer. */
+  type Expected = readonly [call: number, from: number, to: number | 'answer']
+  const cases: [name: string, answers: (readonly [after: number, answer: Answer])[], expected: Expected][] = [
+    ['that comes immediately after a pause counts from the sending of the call before', [[0, endpointChange], [0, versionChange]], [1, 0, 0]],
+    ['that ends a wait counts from within that wait if the latency is known', [[WAIT, 'empty'], [WAIT - 20, versionChange]], [0, 1, 'answer']],
+    ['that may have waited on the network counts from the sending of the call before', [[0, endpointChange], [400, versionChange]], [1, 0, 0]],
+    ['that comes after a call that was not answered counts from the last answered call', [[0, endpointChange], [400, 'failure'], [0, versionChange]], [2, 0, 0]],
+    ['that comes after the history was lost counts from the end of the last wait', [[WAIT, 'empty'], [100, 'history-lost'], [0, versionChange]], [2, WAIT, WAIT]],
+    ['that comes after an outage counts from the last call that failed', [[0, endpointChange], [100, 'failure'], [200, 'failure'], [200, 'failure'], [0, versionChange]], [1, 0, 0]]
   ]
-  for (const [name, between, after, expected] of cases) {
+  for (const [name, answers, [fromLast, from, to]] of cases) {
     it(`a version ${name}`, async () => {
-      const store = new StoreFake([[0, endpointChange], ...between, [after, versionChange]])
+      const store = new StoreFake([...answers])
       const pool = new PeerPool({ instance: 'a', key: 'k' })
       const received = new Promise<void>(resolve => {
         const feed: PublishedFeed = new PublishedFeed({
-          store, pool, log, counters: new Counters(), watches: [{ scope: 'everything', pause: PAUSE, wait: 1_000, relayed: false }], relays: { addresses: [], place: { availabilityZone: 'koshi', regionOf: zone => zone }, topics: () => [] }, peers: () => [], onChanges: () => { if (feed.state.firstNewerAt('m', 1) !== undefined) resolve() }
+          store, pool, log, counters: new Counters(), watches: [{ scope: 'everything', pause: PAUSE, wait: WAIT, relayed: false }], relays: { addresses: [], place: { availabilityZone: 'koshi', regionOf: zone => zone }, topics: () => [] }, peers: () => [], onChanges: () => { if (feed.state.firstNewerAt('m', 1) !== undefined) resolve() }
         })
         open.push(feed, pool)
         feed.start()
       })
       await received
-      const [previous = 0, own = 0] = store.respondedAt
       const at = (open[0] as PublishedFeed).state.firstNewerAt('m', 1) ?? 0
-      const wanted = expected === 'when it came' ? own : previous
-      assert.ok(Math.abs(at - wanted) < PAUSE / 2, `${at} differs from ${wanted}`)
+      const call = store.calls[answers.length - fromLast] ?? { sentAt: NaN, answeredAt: NaN }
+      const [earliest, latest] = [call.sentAt + from, to === 'answer' ? call.answeredAt : call.sentAt + to]
+      assert.ok(at > earliest - TOLERANCE && at < latest + TOLERANCE, `${at} is not from ${earliest} to ${latest}`)
     })
   }
 })
