Peers are told every version whose deadline may be ahead, not only the newest

A process that heard from a peer after two versions had been named, within the 200 ms between two fetches or after it could not hear for a while, learned the newest only. It counted the deadline of all older engines from that one, so that requests begun on an engine two versions back were late by the time between the two. The new case of published-state_test failed before: deadline of version 1 at 2,400 ms in place of 700.

--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -228,7 +228,7 @@
     const from = (topic: PublishedTopic): number => whole.includes(topic) ? -1 : note[topic]
     const held = this._configuration
     if (held !== undefined && held.revision > from('configuration')) changes.push({ type: 'configuration', ...held })
-    for (const version of this._versions.newestOfAll()) if (version.revision > from('versions')) changes.push(toldAt(version, now))
+    for (const version of this._versions.all()) if (version.revision > from('versions')) changes.push(toldAt(version, now))
     for (const { record, revision } of this._endpoints.values()) if (revision > from('endpoints')) changes.push({ type: 'endpoint', revision, record })
     changes.push(...this._removals.after(from('endpoints')))
     return { changes, whole }
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -295,6 +295,15 @@
     })
   }
 
+  it('keeps the deadline of each version that was published since the last delta', () => {
+    const receiver = new PublishedState()
+    receiver.followed('versions', 1)
+    const sender = newSender()
+    sender.take(wanted(3, 4), 2_500, 2_400)
+    receiver.takeDelta(sender.deltaSince({ ...noRevisions, versions: 1 }, 2_600), 2_600)
+    assert.deepEqual([receiver.firstNewerAt('m', 1), receiver.firstNewerAt('m', 2)], [700, 2_400])
+  })
+
   it('corrects the publication of a version that is known already', () => {
     const receiver = new PublishedState()
     receiver.takeSnapshot('versions', [wanted(2, 2)], 3, 4_000)
