Ages in a delta that a relay has encoded before are corrected by the time since

A relay keeps the last encoded delta until its state changes, since many processes ask for the same one after a restart. The ages of versions in it stayed as they were when it was encoded, so that a process that asked 250 ms later dated a version 250 ms too late (a relay changes its state with each answer of the store, which comes after a pause of 250 ms or more). The reply now says how long ago its payload was encoded. The receiver counts ages from then. The new case of delta-codec_test could not be written before (no age was told); with the first part of the change only, the case "encoded 250 ms before" of published-state_test gives 950 ms in place of 700.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -165,8 +165,8 @@
   | { readonly type: 'progress', readonly progress: SwitchProgress }
   | { readonly type: 'status', readonly status: ProcessStatus }
   | { readonly type: 'left', readonly lifecycle: Lifecycle }
-  /** The payload contains the packed changes. */
-  | { readonly type: 'news' }
+  /** The payload contains the packed changes. `encodedFor`: milliseconds since they were encoded; their ages count from then. */
+  | { readonly type: 'news', readonly encodedFor?: number | undefined }
   | { readonly type: 'news-note', readonly note: RelayNote }
   | { readonly type: 'load', readonly load: LoadReport }
   /** Reports to load subscribers which requests were in flight at lost endpoints. */
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -24,6 +24,8 @@
 export interface DeltaTimes {
   /** When it was requested, which is before the peer sent it. */
   readonly requestedAt: number
+  /** How long before it was sent it was encoded, in milliseconds. */
+  readonly encodedFor?: number | undefined
 }
 
 const NO_REVISIONS: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0 }
@@ -241,13 +243,13 @@
    * @example
    * const changes = state.takeDelta(delta, performance.now(), { requestedAt })
    */
-  takeDelta (delta: PublishedDelta, now: number, { requestedAt }: DeltaTimes = { requestedAt: now }): PublishedChange[] {
+  takeDelta (delta: PublishedDelta, now: number, { requestedAt, encodedFor }: DeltaTimes = { requestedAt: now }): PublishedChange[] {
     if (delta.upTo.epoch < this._epoch) return []
     this.enterEpoch(delta.upTo.epoch, now)
     const applied: PublishedChange[] = []
     for (const topic of publishedTopics) {
       const changes = delta.changes.filter(change => topicOf(change) === topic && change.type !== 'wanted-version')
-      if (topic === 'versions') applied.push(...this._takeVersions(delta.changes, now, requestedAt))
+      if (topic === 'versions') applied.push(...this._takeVersions(delta.changes, now - validAge(encodedFor, 0), requestedAt - validAge(encodedFor, 0)))
       if (delta.whole.includes(topic) && delta.upTo[topic] > this._followed[topic]) applied.push(...this.takeSnapshot(topic, changes, delta.upTo[topic], now))
       else {
         applied.push(...changes.flatMap(change => this.take(change, now)))
@@ -280,11 +282,11 @@
     'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
-  /** Applies the versions that a peer told. Their ages count from when the peer sent them, which is between the given times. */
-  private _takeVersions (changes: readonly PublishedChange[], sentBefore: number, sentAfter: number): PublishedChange[] {
+  /** Applies the versions that a peer told. Their ages count from when the peer encoded them, which is between the given times. */
+  private _takeVersions (changes: readonly PublishedChange[], encodedBefore: number, encodedAfter: number): PublishedChange[] {
     return changes.flatMap(change => change.type !== 'wanted-version'
       ? []
-      : this.takeFromPeer(change, { earliest: sentAfter - validAge(change.maxAge, Infinity), latest: sentBefore - validAge(change.age, 0) }))
+      : this.takeFromPeer(change, { earliest: encodedAfter - validAge(change.maxAge, Infinity), latest: encodedBefore - validAge(change.age, 0) }))
   }
 
   /** Whether an unknown endpoint was removed before the followed revision: every change up to that revision has been received. */
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -280,17 +280,18 @@
     return state
   }
 
-  const cases: [name: string, sentAt: number, requestedAt: number, receivedAt: number, expected: number][] = [
-    ['a version that the peer has had for 100 ms', 1_100, 1_100, 1_100, 700],
-    ['a version that the peer has had for longer than a second', 2_400, 2_400, 2_400, 700],
-    ['a version that the peer has had for six seconds', 7_000, 7_000, 7_000, 700],
-    ['a version whose delta took 400 ms to arrive', 2_400, 2_390, 2_800, 690]
+  const cases: [name: string, sentAt: number, requestedAt: number, receivedAt: number, encodedFor: number, expected: number][] = [
+    ['a version that the peer has had for 100 ms', 1_100, 1_100, 1_100, 0, 700],
+    ['a version that the peer has had for longer than a second', 2_400, 2_400, 2_400, 0, 700],
+    ['a version that the peer has had for six seconds', 7_000, 7_000, 7_000, 0, 700],
+    ['a version whose delta took 400 ms to arrive', 2_400, 2_390, 2_800, 0, 690],
+    ['a version whose delta the peer had encoded 250 ms before', 2_400, 2_650, 2_650, 250, 700]
   ]
-  for (const [name, sentAt, requestedAt, receivedAt, expected] of cases) {
+  for (const [name, sentAt, requestedAt, receivedAt, encodedFor, expected] of cases) {
     it(`counts the deadline from the earliest publication of ${name}`, () => {
       const receiver = new PublishedState()
       receiver.followed('versions', 1)
-      receiver.takeDelta(newSender().deltaSince({ ...noRevisions, versions: 1 }, sentAt), receivedAt, { requestedAt })
+      receiver.takeDelta(newSender().deltaSince({ ...noRevisions, versions: 1 }, sentAt), receivedAt, { requestedAt, encodedFor })
       assert.equal(receiver.firstNewerAt('m', 1), expected)
     })
   }
@@ -315,7 +316,7 @@
   it('ignores ages that are no numbers', () => {
     const receiver = new PublishedState()
     const delta = newSender().deltaSince(noRevisions, 4_100)
-    receiver.takeDelta({ ...delta, changes: delta.changes.map(change => ({ ...change, age: NaN, maxAge: -5 })) }, 4_100, { requestedAt: 4_100 })
+    receiver.takeDelta({ ...delta, changes: delta.changes.map(change => ({ ...change, age: NaN, maxAge: -5 })) }, 4_100, { requestedAt: 4_100, encodedFor: NaN })
     assert.deepEqual([receiver.wanted('m')?.version, receiver.firstNewerAt('m', 1)], [2, undefined])
   })
 })
--- a/packages/node/src/lib/routing/delta-codec.ts
+++ b/packages/node/src/lib/routing/delta-codec.ts
@@ -10,6 +10,7 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { publishedTopics, type PublishedDelta, type PublishedRevisions, type PublishedState, type PublishedTopic } from '@drumdrift/core'
 import { Encoder } from 'cbor-x'
+import type { Responder } from '../peer/connection.js'
 import { peerError } from '../peer/frame.js'
 
 /** Maximum decompressed size of a message, in bytes: several times the store's limit for one document. */
@@ -51,21 +52,31 @@
   return Array.isArray(delta.changes) && Array.isArray(delta.whole) && [...publishedTopics, 'epoch' as const].every(part => Number.isFinite(delta.upTo?.[part]) && Number.isFinite(delta.held?.[part]))
 }
 
+/** An encoded delta. */
+export interface EncodedDelta {
+  readonly bytes: Buffer
+  /** Milliseconds since it was encoded. */
+  readonly encodedFor: number
+}
+
 /**
  * Encodes the published state of one process for its peers. After a restart of all processes many peers request the same
  * delta, so the last encoding is cached until the state changes.
  */
 export class DeltaEncoder {
-  private _last: { readonly key: string, readonly encoded: Buffer } | undefined
+  private _last: { readonly key: string, readonly bytes: Buffer, readonly at: number } | undefined
 
   constructor (private readonly _state: PublishedState) {}
 
   /** Returns the encoded changes since the revisions in `note`. */
-  since (note: PublishedRevisions, topics: readonly PublishedTopic[] | undefined, now: number): Buffer {
+  since (note: PublishedRevisions, topics: readonly PublishedTopic[] | undefined, now: number): EncodedDelta {
     const key = JSON.stringify([this._state.changeCount, note, topics])
-    if (this._last?.key === key) return this._last.encoded
-    const encoded = encodeDelta(this._state.deltaSince(note, now, topics))
-    this._last = { key, encoded }
-    return encoded
+    if (this._last?.key !== key) this._last = { key, bytes: encodeDelta(this._state.deltaSince(note, now, topics)), at: now }
+    return { bytes: this._last.bytes, encodedFor: now - this._last.at }
   }
 }
+
+/** Sends an encoded delta as the reply to a peer's request. */
+export function sendNews (responder: Responder, { bytes, encodedFor }: EncodedDelta): void {
+  responder.send({ type: 'news', encodedFor }, bytes)
+}
--- a/packages/node/src/lib/routing/peer-state-queries.ts
+++ b/packages/node/src/lib/routing/peer-state-queries.ts
@@ -58,7 +58,7 @@
     counters.add('peer_news_asked')
     try {
       const { reply, payload } = await pool.call(address, { type: 'news', ...request }, { timeout: state.complete ? QUERY_TIMEOUT : FULL_STATE_TIMEOUT })
-      if (reply.type === 'news') onDelta(address, decodeDelta(payload), { requestedAt: sentAt })
+      if (reply.type === 'news') onDelta(address, decodeDelta(payload), { requestedAt: sentAt, encodedFor: reply.encodedFor })
     } catch (error) {
       counters.add('peer_news_failures')
       log.debug('peer-silent', { address, reason: failureOf(error).type, took: Math.round(performance.now() - sentAt) })
--- a/packages/node/src/lib/routing/published-state-relay.ts
+++ b/packages/node/src/lib/routing/published-state-relay.ts
@@ -10,7 +10,7 @@
 import type { PeerRequest, RelayNote } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
-import { DeltaEncoder } from './delta-codec.js'
+import { DeltaEncoder, sendNews } from './delta-codec.js'
 import type { PublishedFeed } from './published-feed.js'
 
 /** Maximum interval between messages to a follower, in milliseconds. */
@@ -44,7 +44,7 @@
 
   /** Sends a peer the changes that it requested. */
   answer ({ note, topics }: Extract<PeerRequest, { type: 'news' }>, responder: Responder): void {
-    responder.send({ type: 'news' }, this._encoder.since(note, topics, performance.now()))
+    sendNews(responder, this._encoder.since(note, topics, performance.now()))
   }
 
   private _tick (): void {
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -133,7 +133,7 @@
       const { reply, payload } = await this._dependencies.pool.call(address, { type: 'news', note: this._dependencies.state.note, topics }, { timeout: this._dependencies.state.complete ? FETCH_TIMEOUT : FIRST_FETCH_TIMEOUT })
       if (reply.type !== 'news') return false
       this._dependencies.counters.add('relay_news_bytes', payload.length)
-      this._dependencies.onDelta(address, decodeDelta(payload), { requestedAt: sentAt })
+      this._dependencies.onDelta(address, decodeDelta(payload), { requestedAt: sentAt, encodedFor: reply.encodedFor })
       return true
     } catch (error) {
       this._dependencies.counters.add('relay_news_failures')
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -26,7 +26,7 @@
 import { EngineSwitcher } from './engine-switcher.js'
 import { LoadPublisher } from './load-publisher.js'
 import type { WeightsPlatform } from './ports.js'
-import { DeltaEncoder } from './delta-codec.js'
+import { DeltaEncoder, sendNews } from './delta-codec.js'
 import { PublishedFeed } from './published-feed.js'
 import { PublishedStatePoller } from './published-state-poller.js'
 import { placeOf } from './regions.js'
@@ -276,7 +276,7 @@
       this._loadPublisher.recordRate(responder.connection, Number(sentRate) || 0, Number(followed) || 0, performance.now())
       this._loadPublisher.answerPing(responder, performance.now())
     },
-    news: ({ note, topics }, responder) => responder.send({ type: 'news' }, this._encoder.since(note, topics, performance.now())),
+    news: ({ note, topics }, responder) => sendNews(responder, this._encoder.since(note, topics, performance.now())),
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
     manifest: ({ digest, wait }, responder) => { this._sendManifest(String(digest), Number(wait) || 0, responder) },
     'follow-chunks': ({ identity }, responder) => this._holdingsPublisher.follow(String(identity), responder),
--- a/packages/node/src/test/lib/routing/delta-codec_test.ts
+++ b/packages/node/src/test/lib/routing/delta-codec_test.ts
@@ -29,17 +29,22 @@
   })
 
   it('include only the requested topics', () => {
-    const delta = decodeDelta(new DeltaEncoder(stateWithChanges()).since({ ...noRevisions, endpoints: 1 }, ['versions'], 0))
+    const delta = decodeDelta(new DeltaEncoder(stateWithChanges()).since({ ...noRevisions, endpoints: 1 }, ['versions'], 0).bytes)
     assert.deepEqual([delta.changes.map(({ type }) => type), delta.upTo], [['wanted-version'], { epoch: 0, configuration: 0, versions: 3, endpoints: 1 }])
   })
 
   it('invalidate the cached encoding when the state changes', () => {
     const state = stateWithChanges()
     const packer = new DeltaEncoder(state)
-    const before = packer.since(noRevisions, undefined, 0)
-    assert.equal(packer.since(noRevisions, undefined, 0), before)
+    const before = packer.since(noRevisions, undefined, 0).bytes
+    assert.equal(packer.since(noRevisions, undefined, 0).bytes, before)
     state.take({ ...endpointChange, revision: 9, record: { ...record, draining: true } }, 0)
-    assert.equal(decodeDelta(packer.since(noRevisions, undefined, 0)).changes.some(change => change.type === 'endpoint' && change.record.draining), true)
+    assert.equal(decodeDelta(packer.since(noRevisions, undefined, 0).bytes).changes.some(change => change.type === 'endpoint' && change.record.draining), true)
+  })
+
+  it('tell the age of a cached encoding, so that the ages in it can be corrected', () => {
+    const encoder = new DeltaEncoder(stateWithChanges())
+    assert.deepEqual([1_000, 1_400].map(now => encoder.since(noRevisions, undefined, now).encodedFor), [0, 400])
   })
 
   const malformed: [name: string, bytes: Buffer][] = [
