A process counts as stalled after two missed intervals

What arrived during a stall that is not noticed is dated at its handling, late by up to its length. At three intervals of 100 ms that was more than the 200 ms by which attempts are cancelled before their deadline.

--- a/packages/core/src/lib/stall-detector.ts
+++ b/packages/core/src/lib/stall-detector.ts
@@ -9,7 +9,7 @@
  */
 
 /** A process counts as stalled if it has not run for this many intervals. */
-const STALLED_INTERVALS = 3
+const STALLED_INTERVALS = 2
 /** What arrived during a stall may be handled until this long after it, in milliseconds. */
 const SETTLE_TIME = 200
 
--- a/packages/core/src/test/lib/stall-detector_test.ts
+++ b/packages/core/src/test/lib/stall-detector_test.ts
@@ -11,7 +11,7 @@
   const cases: [name: string, ticks: number[], now: number, arrivedSince: number][] = [
     ['a process that has just begun', [], 50, 50],
     ['a process that runs', [0, 100, 200], 250, 250],
-    ['a process whose timers are a little late', [0, 100, 390], 400, 400],
+    ['a process whose timers are a little late', [0, 100, 290], 300, 300],
     ['a process that has just been resumed, before its timers run', [0, 100], 2_600, 100],
     ['a process that has just been resumed, after its timers ran', [0, 100, 2_600], 2_610, 100],
     ['a process that was resumed a while ago', [0, 100, 2_600, 2_700, 2_800], 2_850, 2_850]
