A store that limits the rate of calls does not count as down

A process that cannot reach the store counts the deadline of versions from its last failed call, since nothing can be published through a store that is down. The adapter now tells such rejections apart; they leave the date as it was.

--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -42,7 +42,7 @@
 /** A call to the store gave no usable answer. */
 export interface StoreFailure extends StoreAnswer {
   readonly type: 'store-failure'
-  readonly reason: 'unreachable' | 'timed-out' | 'turned-away' | 'malformed' | 'earlier-epoch'
+  readonly reason: 'unreachable' | 'timed-out' | 'turned-away' | 'rate-limited' | 'malformed' | 'earlier-epoch'
   readonly detail: string
 }
 
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -74,7 +74,7 @@
 const UNDATED_QUERY_PERIOD = 3_000
 /** Interval at which the process notes that it runs, in milliseconds. */
 const STALL_CHECK_INTERVAL = 100
-/** The failures that show that the store, or the network path to it, fails for other processes too or for a while. */
+/** The failures that show that the store, or the network path to it, is down. A store that limits the rate of calls is up. */
 const outageReasons: ReadonlySet<StoreFailure['reason']> = new Set(['unreachable', 'timed-out', 'turned-away'])
 /**
  * How long a starting process waits for the full state from a relay before it reads the store itself, in milliseconds. When
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -29,8 +29,8 @@
   readonly revision: number
 }
 
-/** How the store treats requests, in addition to `behaviour`: answers, refuses with 503, or reads them and never answers. */
-export type StoreMode = 'answers' | 'turns-away' | 'silent'
+/** How the store treats requests, in addition to `behaviour`: answers, refuses with 503 or 429, or reads them and never answers. */
+export type StoreMode = 'answers' | 'turns-away' | 'limits-rate' | 'silent'
 
 /** The store on loopback. */
 export class KeyValueStoreStandIn extends HttpService {
@@ -123,6 +123,7 @@
   protected answer (request: IncomingMessage, response: ServerResponse): void {
     if (this.mode === 'silent') return
     if (this.mode === 'turns-away') return sendJson(response, {}, 503)
+    if (this.mode === 'limits-rate') return sendJson(response, {}, 429)
     const url = new URL(request.url ?? '/', 'http://store')
     const prefix = url.searchParams.get('pathPrefix') ?? ''
     const stale = url.searchParams.get('allowStale') === '1' ? this._staleSnapshot : undefined
