Agents tell entries the wanted version and its age with the answer to a ping

The clock of a process stands still while its machine is suspended, so the time since a version's publication is too short afterwards, by the length of the suspension: its entry would send requests to the old version for that long past the bound. Nothing in the process shows it (the runtime's clock from boot is not the machine's own where we looked), but others know the true age. Entries told agents already; now agents tell entries too, for twice the bound, and what is told can move a date earlier but not later. An entry that neither the store nor a relay reaches also learns of versions this way.

A version that a process first hears from a peer keeps what the store shows when it is first seen there, so that its date does not stay at the last complete view, up to a second earlier than needed (case "from what the store shows" of wanted-versions_test).

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -56,6 +56,18 @@
   readonly age: number
 }
 
+/**
+ * Returns a named version as a peer sent it, or `undefined` if it is malformed.
+ *
+ * @example
+ * const named = readNamedVersion(reply.named)
+ */
+export function readNamedVersion (input: unknown): NamedVersion | undefined {
+  const { model, version, age } = (input ?? {}) as Partial<NamedVersion>
+  const isValid = typeof model === 'string' && Number.isFinite(version) && Number.isFinite(age)
+  return isValid ? { model, version: Number(version), age: Math.max(0, Number(age)) } : undefined
+}
+
 /** The revisions of published state that a relay holds. */
 export interface RelayNote {
   readonly availabilityZone: string
@@ -148,7 +160,8 @@
 export type PeerReply =
   | { readonly type: 'welcome', readonly instance: string }
   | { readonly type: 'documents', readonly documents: SpreadDocuments, readonly note: SpreadNote }
-  | { readonly type: 'done' }
+  /** `named`: in the reply to a ping, the version wanted of the agent's pool. */
+  | { readonly type: 'done', readonly named?: NamedVersion | undefined }
   | { readonly type: 'chunk', readonly digest: string }
   | { readonly type: 'manifest', readonly digest: string }
   /**
@@ -168,7 +181,8 @@
   /** The payload contains the packed changes. `encodedFor`: milliseconds since they were encoded; their ages count from then. */
   | { readonly type: 'news', readonly encodedFor?: number | undefined }
   | { readonly type: 'news-note', readonly note: RelayNote }
-  | { readonly type: 'load', readonly load: LoadReport }
+  /** `named`: see `done`. */
+  | { readonly type: 'load', readonly load: LoadReport, readonly named?: NamedVersion | undefined }
   /** Reports to load subscribers which requests were in flight at lost endpoints. */
   | { readonly type: 'suspects', readonly news: SuspectNews }
   /** Reports to load subscribers the request limits that endpoints announced. */
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -268,7 +268,7 @@
       this._configuration = { revision, configuration: isNewer ? configuration : held.configuration }
       return isNewer
     },
-    'wanted-version': ({ revision, wanted }, now, since) => this._versions.add(wanted, revision, { earliest: Math.min(since, now), latest: now }) === 'newest',
+    'wanted-version': ({ revision, wanted }, now, since) => this._versions.add(wanted, revision, { earliest: Math.min(since, now), latest: now }) !== 'known',
     endpoint: change => {
       const { revision, record } = change
       const held = this._endpoints.get(record.id)
--- a/packages/core/src/lib/routing/published/wanted-versions.ts
+++ b/packages/core/src/lib/routing/published/wanted-versions.ts
@@ -22,6 +22,8 @@
   /** Revision up to which the store has no newer version; 0 if it was received in an earlier epoch, or without a revision. */
   readonly revision: number
   readonly published: PublicationSpan
+  /** Whether this process has received it from the store itself. */
+  readonly seenInStore: boolean
   /** Until when this process was cut off before it received the version; `-Infinity` if it was not. Not valid for other processes. */
   readonly cutOffUntil: number
 }
@@ -42,20 +44,19 @@
   private _completeUntil = -Infinity
 
   /**
-   * Adds a version that the store has. An older version, or one that is written again, tells nothing about its publication.
+   * Adds a version that the store has. One that is older, or that is written again, tells nothing about its publication.
    *
    * @example
    * versions.add({ model: 'drafting', version: 2 }, 7, { earliest: now - 250, latest: now })
    */
   add (wanted: ModelVersion, revision: number, published: PublicationSpan): VersionReceipt {
     const newest = this.newest(wanted.model)
-    if (newest === undefined || wanted.version > newest.version) {
-      const span = intersection(published, { earliest: this._completeUntil, latest: Infinity })
-      this._put(wanted.model, { ...wanted, revision: Math.max(revision, newest?.revision ?? 0), published: span, cutOffUntil: this._cutOffUntil })
-      return 'newest'
-    }
+    const isNewest = newest === undefined || wanted.version > newest.version
+    if (isNewest) this._put(wanted.model, { ...wanted, seenInStore: true, ...this._receipt(revision, published, newest) })
     this._confirm(wanted.model, revision)
-    return 'known'
+    if (isNewest) return 'newest'
+    const before = this._find(wanted)
+    return before === undefined || before.seenInStore ? 'known' : this._narrow({ ...before, seenInStore: true }, published)
   }
 
   /**
@@ -66,13 +67,31 @@
    * versions.addFromPeer({ model: 'drafting', version: 2 }, 7, { earliest: now - 250, latest: now - 40 })
    */
   addFromPeer (wanted: ModelVersion, revision: number, published: PublicationSpan): VersionReceipt {
-    if (this.add(wanted, revision, published) === 'newest') return 'newest'
+    const newest = this.newest(wanted.model)
+    if (newest === undefined || wanted.version > newest.version) {
+      this._put(wanted.model, { ...wanted, seenInStore: false, ...this._receipt(revision, published, newest) })
+      return 'newest'
+    }
+    this._confirm(wanted.model, revision)
     const before = this._find(wanted)
-    this._put(wanted.model, before === undefined
-      ? { ...wanted, revision, published, cutOffUntil: this._cutOffUntil }
-      : { ...before, published: intersection(before.published, published) })
-    const after = this._find(wanted)
-    return after === undefined || (before !== undefined && !isCorrection(before.published, after.published)) ? 'known' : 'dated'
+    if (before !== undefined) return this._narrow(before, published)
+    this._put(wanted.model, { ...wanted, revision, published, seenInStore: false, cutOffUntil: this._cutOffUntil })
+    return this._find(wanted) === undefined ? 'known' : 'dated'
+  }
+
+  /** Returns what the receipt of a newest version tells. */
+  private _receipt (revision: number, published: PublicationSpan, newest: WantedVersion | undefined): Pick<WantedVersion, 'revision' | 'published' | 'cutOffUntil'> {
+    return {
+      revision: Math.max(revision, newest?.revision ?? 0),
+      published: intersection(published, { earliest: this._completeUntil, latest: Infinity }),
+      cutOffUntil: this._cutOffUntil
+    }
+  }
+
+  private _narrow (known: WantedVersion, published: PublicationSpan): VersionReceipt {
+    this._put(known.model, { ...known, published: intersection(known.published, published) })
+    const after = this._find(known)
+    return after !== undefined && isCorrection(known.published, after.published) ? 'dated' : 'known'
   }
 
   private _find ({ model, version }: ModelVersion): WantedVersion | undefined {
--- a/packages/core/src/test/lib/routing/published/wanted-versions_test.ts
+++ b/packages/core/src/test/lib/routing/published/wanted-versions_test.ts
@@ -38,6 +38,7 @@
     ['from what this process knows better than a peer', [['store', 2, 700, 1_000], ['peer', 2, 200, 1_100]], 700],
     ['no later than some process received it', [['store', 2, 980, 1_000], ['peer', 2, 300, 400]], 400],
     ['from the publication, not from when it was written again', [['store', 2, 700, 1_000], ['store', 2, 5_000, 5_100]], 700],
+    ['from what the store shows when it is first seen there', [['peer', 2, -Infinity, 1_000], ['store', 2, 700, 1_100]], 700],
     ['from an older version that only a peer has', [['store', 3, 2_900, 3_000], ['peer', 2, 900, 1_000]], 900],
     ['from an older version that was published before the newest at the latest', [['store', 3, 2_900, 3_000], ['peer', 2, 4_900, 5_000]], 3_000],
     ['from the older version if the publication of the newest is unknown', [['store', 2, 900, 1_000], ['store', 3, -Infinity, 3_000]], 900],
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -37,6 +37,8 @@
   readonly onRelayedMessage: (news: RelayedMessage, agent: string) => void
   /** Returns the messages for other entries that an agent is sent once it is connected. */
   readonly initialMessages: () => readonly PeerRequest[]
+  /** Receives the version that an agent knows to be wanted of its pool. */
+  readonly onNamedVersion: (named: NamedVersion, agent: string) => void
   /** Called when a measurement of the round-trip time to an agent begins or ends. */
   readonly onPing: (agent: string, step: 'begun' | 'ended') => void
 }
@@ -135,6 +137,7 @@
     try {
       const { reply } = await connection.call({ type: 'ping', ...this._dependencies.news(agent) }, undefined, PING_TIMEOUT)
       if (reply.type === 'load') this._onReport(agent, followed, reply.load)
+      if ('named' in reply && reply.named !== undefined) this._dependencies.onNamedVersion(reply.named, agent)
     } catch (error) {
       this._dependencies.log.debug('agent-silent', { agent, reason: failureOf(error).type })
       connection.close()
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -7,7 +7,7 @@
  * Publishes the load of the agent's engine to the entries that follow it: at once if it has changed significantly since a follower's
  * last report, and otherwise with the answers to their pings and as a heartbeat.
  */
-import { shouldSendReport, type LoadReport, type PeerReply } from '@drumdrift/core'
+import { shouldSendReport, type LoadReport, type NamedVersion, type PeerReply } from '@drumdrift/core'
 import type { PeerConnection, Responder } from '../peer/connection.js'
 
 /**
@@ -67,13 +67,16 @@
 
   /**
    * Answers a ping of a follower with the load, so that its next heartbeat is due later.
+   *
+   * @param named The wanted version, for followers that have not received it or were suspended since.
    */
-  answerPing (responder: Responder, now: number): void {
+  answerPing (responder: Responder, now: number, named?: NamedVersion): void {
     const follower = this._followers.get(responder.connection)
     const age = now - this._latestAt
-    if (follower === undefined || this._latest === undefined || age > MAX_PING_REPORT_AGE) return responder.send({ type: 'done' })
+    const optionalNamed = named === undefined ? {} : { named }
+    if (follower === undefined || this._latest === undefined || age > MAX_PING_REPORT_AGE) return responder.send({ type: 'done', ...optionalNamed })
     recordSent(follower, this._latest, this._latestAt)
-    responder.send({ type: 'load', load: { ...this._latest, ...this._totals(now), age: Math.round(age) } })
+    responder.send({ type: 'load', load: { ...this._latest, ...this._totals(now), age: Math.round(age) }, ...optionalNamed })
   }
 
   /** Records how many requests per millisecond a follower sends to the pool, and to how many engines. */
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -7,7 +7,7 @@
  * Keeps published state up to date: watches the store, and queries peers while the store is unavailable.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { PublishedState, StallDetector, StoreCursor, StoreView, topicOf, type DeltaTimes, type ModelVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
+import { PublishedState, StallDetector, StoreCursor, StoreView, topicOf, type DeltaTimes, type NamedVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
 import type { Log, LogFields } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
@@ -169,15 +169,16 @@
   }
 
   /**
-   * Records a wanted version that a peer told without a revision. Peers repeat it, so a correction of its span is no change.
+   * Records a version that a peer told without a revision, and how long ago it was received by some process.
    *
-   * @param latest The latest time at which it was published, by this process's clock.
+   * @param from The peer, for the log.
+   * @returns The effective changes, which the caller applies.
    */
-  takeWantedVersion (wanted: ModelVersion, latest: number): void {
-    const newest = this.state.wanted(wanted.model)?.version ?? 0
-    const changes = this.state.takeFromPeer({ type: 'wanted-version', revision: 0, wanted }, { earliest: -Infinity, latest })
-    this._logDates(changes, { from: 'entry', by: 'ping' })
-    if (wanted.version > newest) this._emitChanges(changes)
+  takeNamedVersion ({ model, version, age }: NamedVersion, from: string): readonly PublishedChange[] {
+    const change = { type: 'wanted-version', revision: 0, wanted: { model, version } } as const
+    const changes = this.state.takeFromPeer(change, { earliest: -Infinity, latest: performance.now() - age })
+    this._logDates(changes, { from, by: 'ping' })
+    return changes
   }
 
   /** During startup, waits for a relay to deliver the full state. */
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * published state, follows the load of the engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ageOf, publishedTopics, RouteTable, type LoadReport, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
+import { ageOf, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -81,6 +81,8 @@
   private _table: RouteTable | undefined
   /** Agents that reported an implausible number of entries; each is logged once. */
   private readonly _implausibleAgents = new Set<string>()
+  /** The newest version of each model that agents have been told. */
+  private readonly _namedVersions = new Map<string, number>()
   private _ready = false
   private _stopping = false
 
@@ -117,6 +119,7 @@
       onLoad: (agent, load) => this._onLoad(agent, load),
       onRelayedMessage: (reply, agent) => this._onRelayedMessage(reply, agent),
       initialMessages: () => this._sharedState(),
+      onNamedVersion: (named, agent) => this._onNamedVersion(named, agent),
       onPing: (agent, step) => this._units.recordPing(agent, step, performance.now())
     })
     this._suspects = new SuspectExchange({
@@ -226,6 +229,14 @@
     this._implausibleAgents.add(agent)
   }
 
+  /** A version that an agent told dates it no later than the agent did, although this process may have been suspended since. */
+  private _onNamedVersion (input: unknown, agent: string): void {
+    const named = readNamedVersion(input)
+    if (named === undefined) return this._log.warn('peer-malformed', { type: 'ping', detail: 'malformed wanted version', agent })
+    const changes = this._feed.takeNamedVersion(named, agent)
+    if (changes.length > 0) this._applyChanges(changes)
+  }
+
   private get _versionBound (): number { return this._settings.number('platform', 'version-bound-milliseconds') }
 
   /** The lowest version that may begin a request: any version until shortly before the bound, then only the wanted one. */
@@ -272,13 +283,20 @@
     for (const change of changes) this._logChange(change)
     this._units.apply(state)
     this._follower.follow(this._units.followed)
-    if (changes.some(({ type }) => type === 'wanted-version')) this._follower.pingAll()
+    if (changes.some(change => change.type === 'wanted-version' && this._isNewlyNamed(change.wanted))) this._follower.pingAll()
     if (!this._ready && state.complete) {
       this._ready = true
       this._log.info('entry-ready', { configuration: state.configuration?.version, endpoints: state.endpoints().length })
     }
   }
 
+  /** Whether a version was not known before, rather than known with another time of publication. */
+  private _isNewlyNamed ({ model, version }: ModelVersion): boolean {
+    const isNew = version > (this._namedVersions.get(model) ?? 0)
+    if (isNew) this._namedVersions.set(model, version)
+    return isNew
+  }
+
   private _applyConfiguration (configuration: RouteTable['configuration']): void {
     this._table = new RouteTable(configuration)
     this._front.applyLimits(this._table)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LimitStatements, LinkPacer, readLimitNews, prefillRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LimitStatements, LinkPacer, readLimitNews, readNamedVersion, prefillRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -38,6 +38,9 @@
 /** The version that engines serve initially, before any version has been named. */
 const FIRST_VERSION = 1
 
+/** Entries are told a version for this many times its bound, since they may have been suspended for a while. */
+const NAMED_FOR_BOUNDS = 2
+
 /** Interval between polls of an engine that is not up yet, in milliseconds. */
 const ENGINE_POLL_INTERVAL = 100
 
@@ -126,6 +129,8 @@
     return 0
   }
 
+  private get _versionBound (): number { return this._settings.number('platform', 'version-bound-milliseconds') }
+
   private _newFeed (): PublishedFeed {
     return new PublishedFeed({
       store: this._platform.store,
@@ -176,7 +181,7 @@
   /** Whether new requests may still start on a version: until the version bound after a newer one is named. */
   private _mayBegin (model: string, version: number): boolean {
     const newerAt = this._feed.state.firstNewerAt(model, version)
-    return newerAt === undefined || performance.now() < newerAt + this._settings.number('platform', 'version-bound-milliseconds')
+    return newerAt === undefined || performance.now() < newerAt + this._versionBound
   }
 
   /** The time that the origin's link takes to send one copy, in milliseconds. */
@@ -190,7 +195,7 @@
       engine: this._platform.engine,
       log: this._log,
       counters: this._counters,
-      versionBound: this._settings.number('platform', 'version-bound-milliseconds'),
+      versionBound: this._versionBound,
       situation: () => {
         const wanted = this._versions.target ?? this._wanted()
         const served = wanted === undefined ? 0 : this._switcher.version(wanted.model)
@@ -274,7 +279,7 @@
     ping: ({ sentRate, followed, named }, responder) => {
       if (named !== undefined) this._onNamedVersion(named)
       this._loadPublisher.recordRate(responder.connection, Number(sentRate) || 0, Number(followed) || 0, performance.now())
-      this._loadPublisher.answerPing(responder, performance.now())
+      this._loadPublisher.answerPing(responder, performance.now(), this._namedVersion(performance.now()))
     },
     news: ({ note, topics }, responder) => sendNews(responder, this._encoder.since(note, topics, performance.now())),
     chunk: ({ digest, wait }, responder) => { this._chunks.serve(String(digest), Number(wait) || 0, responder) },
@@ -310,11 +315,22 @@
     if (corrections.length > 0) this._loadPublisher.sendTo({ type: 'limits', news: corrections }, responder.connection)
   }
 
-  private _onNamedVersion ({ model, version, age }: NamedVersion): void {
-    if (typeof model !== 'string' || ![version, age].every(Number.isFinite)) {
-      return this._log.warn('peer-malformed', { type: 'ping', detail: 'malformed wanted version' })
-    }
-    this._feed.takeWantedVersion({ model, version }, performance.now() - age)
+  private _onNamedVersion (input: unknown): void {
+    const named = readNamedVersion(input)
+    if (named === undefined) return this._log.warn('peer-malformed', { type: 'ping', detail: 'malformed wanted version' })
+    const newest = this._feed.state.wanted(named.model)?.version ?? 0
+    const changes = this._feed.takeNamedVersion(named, 'entry')
+    // A correction of the time of publication is used at the next poll of the engine.
+    if (named.version > newest) this._onChanges(changes)
+  }
+
+  /** The wanted version, as long as its deadline may be ahead. */
+  private _namedVersion (now: number): NamedVersion | undefined {
+    const wanted = this._feed.state.wanted(this._poolDescription?.models[0]?.name ?? '')
+    if (wanted === undefined) return undefined
+    const { model, version, published: { latest } } = wanted
+    const age = Math.max(0, now - latest)
+    return age > NAMED_FOR_BOUNDS * this._versionBound ? undefined : { model, version, age: Math.round(age) }
   }
 
   private async _sendManifest (identity: string, wait: number, responder: Responder): Promise<void> {
--- a/packages/node/src/test/lib/routing/load-follower_test.ts
+++ b/packages/node/src/test/lib/routing/load-follower_test.ts
@@ -59,7 +59,7 @@
     this._publisher.recordRate(this.connection, 0, 1, sentAt)
     while (performance.now() < sentAt + this._roundTrip) await new Promise(resolve => setImmediate(resolve))
     return await new Promise(resolve => {
-      this._publisher.answerPing(this._responder(reply => resolve({ reply })), performance.now())
+      this._publisher.answerPing(this._responder(reply => resolve({ reply })), performance.now(), { model: 'm', version: 2, age: 0 })
     })
   }
 
@@ -70,12 +70,14 @@
   let now = 0
   let follower: LoadFollower
   let reports: Map<string, number[]>
+  let named: Map<string, number>
 
   beforeEach(() => {
     mock.timers.enable({ apis: ['setInterval'] })
     mock.method(performance, 'now', () => now)
     now = 0
     reports = new Map()
+    named = new Map()
   })
   afterEach(() => {
     follower.close()
@@ -93,6 +95,7 @@
       news: () => ({ sentRate: 0, followed: 1, named: undefined }),
       onRelayedMessage: () => {},
       initialMessages: () => [],
+      onNamedVersion: ({ version }, agent) => { named.set(agent, version) },
       onPing: () => {}
     })
     follower.follow(new Set(agents.keys()))
@@ -120,6 +123,7 @@
         const gaps = times.slice(1).map((time, index) => time - (times[index] ?? 0))
         assert.ok(Math.max(...gaps) < REPORT_LIFETIME, `${Math.max(...gaps)} ms without a report`)
         assert.equal(agent.entries(now), 1)
+        assert.equal(named.get(name), 2)
       }
     })
   }
--- a/packages/node/src/test/lib/routing/load-publisher_test.ts
+++ b/packages/node/src/test/lib/routing/load-publisher_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { REPORT_LIFETIME, type LoadReport, type PeerReply } from '@drumdrift/core'
+import { REPORT_LIFETIME, type LoadReport, type PeerReply, type NamedVersion } from '@drumdrift/core'
 import { LoadPublisher } from '../../../lib/routing/load-publisher.js'
 import type { PeerConnection, Responder } from '../../../lib/peer/connection.js'
 
@@ -47,20 +47,24 @@
    * Guards against separate heartbeat messages to followers that ping: the agent of an idle engine sent 55 of them per second to 27
    * followers, besides 35 answers to pings, which was most of the work of idle agents and entries.
    */
-  const answers: [name: string, follows: boolean, age: number, type: PeerReply['type']][] = [
+  const named = { model: 'm', version: 2, age: 400 }
+  const answers: [name: string, follows: boolean, age: number, type: PeerReply['type'], named?: NamedVersion][] = [
     ['sends the load with the answer to a ping', true, 80, 'load'],
     ['sends no stale load when the engine has stopped answering', true, 300, 'done'],
-    ['sends no load to a connection that does not follow', false, 80, 'done']
+    ['sends no load to a connection that does not follow', false, 80, 'done'],
+    ['sends the wanted version with the load', true, 80, 'load', named],
+    ['sends the wanted version without a load', true, 300, 'done', named]
   ]
-  for (const [name, follows, age, type] of answers) {
+  for (const [name, follows, age, type, wanted] of answers) {
     it(name, () => {
       const publisher = createPublisher()
       const follower = new Follower()
       if (follows) publisher.follow(follower, 0)
       publisher.publish(load, 1_000)
       const replies: PeerReply[] = []
-      publisher.answerPing({ connection: follower.connection, call: 2, send: reply => replies.push(reply) }, 1_000 + age)
-      assert.deepEqual(replies, [type === 'load' ? { type, load: { ...load, sentRate: 0, entries: 0, age } } : { type }])
+      publisher.answerPing({ connection: follower.connection, call: 2, send: reply => replies.push(reply) }, 1_000 + age, wanted)
+      const version = wanted === undefined ? {} : { named: wanted }
+      assert.deepEqual(replies, [type === 'load' ? { type, load: { ...load, sentRate: 0, entries: 0, age }, ...version } : { type, ...version }])
     })
   }
 
