--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -15,19 +15,12 @@
 import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord } from './endpoint-record.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
+import { toldSpan, toldVersion, type DeltaTimes } from './told-versions.js'
 import { WantedVersions, type PublicationSpan, type WantedVersion } from './wanted-versions.js'
 import { publishedTopics, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type PublishedTopic } from './published-change.js'
 import { Removals } from './removals.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
-/** When a peer's delta was requested, sent and received; times in milliseconds of this process's clock. */
-export interface DeltaTimes {
-  /** When it was requested, which is before the peer sent it. */
-  readonly requestedAt: number
-  /** How long before it was sent it was encoded, in milliseconds. */
-  readonly encodedFor?: number | undefined
-}
-
 const NO_REVISIONS: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0 }
 
 /** The replica of the published state in one process. */
@@ -128,8 +121,7 @@
    */
   takeFromPeer (change: Extract<PublishedChange, { type: 'wanted-version' }>, published: PublicationSpan): readonly PublishedChange[] {
     this._changeCount += 1
-    const span = { ...published, earliest: Math.min(published.earliest, published.latest) }
-    return this._versions.addFromPeer(change.wanted, change.revision, span) === 'known' ? [] : [change]
+    return this._versions.addFromPeer(change.wanted, change.revision, published) === 'known' ? [] : [change]
   }
 
   /**
@@ -230,7 +222,7 @@
     const from = (topic: PublishedTopic): number => whole.includes(topic) ? -1 : note[topic]
     const held = this._configuration
     if (held !== undefined && held.revision > from('configuration')) changes.push({ type: 'configuration', ...held })
-    for (const version of this._versions.all()) if (version.revision > from('versions')) changes.push(toldAt(version, now))
+    for (const version of this._versions.all()) if (version.revision > from('versions')) changes.push(toldVersion(version, now))
     for (const { record, revision } of this._endpoints.values()) if (revision > from('endpoints')) changes.push({ type: 'endpoint', revision, record })
     changes.push(...this._removals.after(from('endpoints')))
     return { changes, whole }
@@ -243,13 +235,13 @@
    * @example
    * const changes = state.takeDelta(delta, performance.now(), { requestedAt })
    */
-  takeDelta (delta: PublishedDelta, now: number, { requestedAt, encodedFor }: DeltaTimes = { requestedAt: now }): PublishedChange[] {
+  takeDelta (delta: PublishedDelta, now: number, times: DeltaTimes = { requestedAt: now }): PublishedChange[] {
     if (delta.upTo.epoch < this._epoch) return []
     this.enterEpoch(delta.upTo.epoch, now)
     const applied: PublishedChange[] = []
     for (const topic of publishedTopics) {
       const changes = delta.changes.filter(change => topicOf(change) === topic && change.type !== 'wanted-version')
-      if (topic === 'versions') applied.push(...this._takeVersions(delta.changes, now - validAge(encodedFor, 0), requestedAt - validAge(encodedFor, 0)))
+      if (topic === 'versions') applied.push(...delta.changes.flatMap(change => change.type === 'wanted-version' ? this.takeFromPeer(change, toldSpan(change, now, times)) : []))
       if (delta.whole.includes(topic) && delta.upTo[topic] > this._followed[topic]) applied.push(...this.takeSnapshot(topic, changes, delta.upTo[topic], now))
       else {
         applied.push(...changes.flatMap(change => this.take(change, now)))
@@ -282,13 +274,6 @@
     'endpoint-gone': (change, now) => this._remove(change, now)
   }
 
-  /** Applies the versions that a peer told. Their ages count from when the peer encoded them, which is between the given times. */
-  private _takeVersions (changes: readonly PublishedChange[], encodedBefore: number, encodedAfter: number): PublishedChange[] {
-    return changes.flatMap(change => change.type !== 'wanted-version'
-      ? []
-      : this.takeFromPeer(change, { earliest: encodedAfter - validAge(change.maxAge, Infinity), latest: encodedBefore - validAge(change.age, 0) }))
-  }
-
   /** Whether an unknown endpoint was removed before the followed revision: every change up to that revision has been received. */
   private _wasRemoved (id: string, revision: number): boolean { return this._knownRevision(id) < 0 && revision <= this._followed.endpoints }
 
@@ -373,10 +358,3 @@
   if (configuration.version !== other.version) return configuration.version > other.version
   return JSON.stringify(configuration) !== JSON.stringify(other)
 }
-
-/** Returns a version as it is told to a peer. */
-function toldAt ({ revision, model, version, published: { earliest, latest } }: WantedVersion, now: number): PublishedChange {
-  return { type: 'wanted-version', revision, wanted: { model, version }, age: Math.max(0, now - latest), maxAge: earliest === -Infinity ? undefined : Math.max(0, now - earliest) }
-}
-
-function validAge (age: number | undefined, fallback: number): number { return typeof age === 'number' && age >= 0 ? age : fallback }
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -8,7 +8,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { PublishedState, StallDetector, StoreCursor, StoreView, topicOf, type DeltaTimes, type NamedVersion, type EntryLocation, type PublishedChange, type PublishedDelta, type PublishedTopic } from '@drumdrift/core'
-import type { Log, LogFields } from '../observe/log.js'
+import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import type { PeerPool } from '../peer/pool.js'
 import { runPeriodically, waitUntil, type PeriodicTask } from '../periodic-tasks.js'
@@ -17,6 +17,7 @@
 import { RefusedDocuments } from './refused-documents.js'
 import { RelayFollower } from './relay-follower.js'
 import { topicsOfScope, type HistoryLost, type PublishedStore, type ReadFreshness, type StoreAnswer, type StoreChanges, type StoreFailure, type StoreScope } from './ports.js'
+import { VersionDates } from './version-dates.js'
 
 /** A scope of the store that is watched continuously. */
 export interface Watch {
@@ -67,11 +68,6 @@
 const MAX_BACKOFF = 800
 /** Interval between queries to peers while the store is unavailable, in milliseconds. */
 const PEER_QUERY_INTERVAL = 250
-/**
- * How long peers are queried for the time of a version's publication that this process does not know, in milliseconds. If all
- * processes have started since, none knows it.
- */
-const UNDATED_QUERY_PERIOD = 3_000
 /** Interval at which the process notes that it runs, in milliseconds. */
 const STALL_CHECK_INTERVAL = 100
 /** The failures that show that the store, or the network path to it, is down. A store that limits the rate of calls is up. */
@@ -101,10 +97,9 @@
   private readonly _refreshing = new Set<StoreScope>()
   private readonly _refusedDocuments: RefusedDocuments
   private readonly _epochs: EpochLog
+  private readonly _dates: VersionDates
   private readonly _peerQueries: PeerStateQueries
   private _lastFailureAt = -Infinity
-  /** Since when there has been a version without a lower bound on the time of its publication. */
-  private _undatedSince: number | undefined
   private _closed = false
 
   constructor (private readonly _dependencies: PublishedFeedDependencies) {
@@ -114,6 +109,7 @@
     const onDelta = (address: string, delta: PublishedDelta, times: DeltaTimes): void => { if (!this._closed) this._applyPeerDelta(address, delta, times) }
     this._refusedDocuments = new RefusedDocuments(log, counters)
     this._epochs = new EpochLog(this.state, log, counters)
+    this._dates = new VersionDates(this.state, log)
     this._peerQueries = new PeerStateQueries({ state: this.state, pool, log, counters, peers, onDelta })
     this._relays = new RelayFollower({ relays: addresses, place, pool, log, counters, state: this.state, topics, onDelta, arrivedSince: now => this._stalls.arrivedSince(now) })
   }
@@ -177,7 +173,7 @@
   takeNamedVersion ({ model, version, age }: NamedVersion, from: string): readonly PublishedChange[] {
     const change = { type: 'wanted-version', revision: 0, wanted: { model, version } } as const
     const changes = this.state.takeFromPeer(change, { earliest: -Infinity, latest: performance.now() - age })
-    this._logDates(changes, { from, by: 'ping' })
+    this._dates.log(changes, { from, by: 'ping' })
     return changes
   }
 
@@ -272,7 +268,7 @@
     const changes = topicsOfScope[scope].flatMap(topic => this.state.takeSnapshot(topic, response.changes.filter(change => topicOf(change) === topic), response.upTo, now, since))
     this._recordRefused(response)
     this._dependencies.log.info('published-read', { scope, epoch: this.state.epoch, revision: response.upTo, items: response.changes.length, news: changes.length, took: Math.round(now - sentAt), bytes: response.bytes })
-    this._logDates(changes, { from: 'store', by: 'read', took: Math.round(now - sentAt) })
+    this._dates.log(changes, { from: 'store', by: 'read', took: Math.round(now - sentAt) })
     this._emitChanges(changes)
   }
 
@@ -282,21 +278,10 @@
     const changes = response.changes.flatMap(change => this.state.take(change, now, since))
     for (const topic of topicsOfScope[scope]) this.state.followed(topic, response.upTo)
     this._recordRefused(response)
-    this._logDates(changes, { from: 'store', by: 'watch', took: Math.round(now - sentAt) })
+    this._dates.log(changes, { from: 'store', by: 'watch', took: Math.round(now - sentAt) })
     this._emitChanges(changes)
   }
 
-  /** Logs from when the bound of each new version counts, and how this process learned of it. */
-  private _logDates (changes: readonly PublishedChange[], source: LogFields): void {
-    const now = performance.now()
-    for (const change of changes) {
-      if (change.type !== 'wanted-version') continue
-      const { model, version } = change.wanted
-      const datedAt = this.state.firstNewerAt(model, version - 1)
-      this._dependencies.log.info('version-dated', { model, version, ...source, age: datedAt === undefined ? undefined : Math.round(now - datedAt) })
-    }
-  }
-
   private _recordRefused ({ refused }: StoreChanges): void {
     for (const failure of refused) this._refusedDocuments.note(failure, performance.now())
   }
@@ -338,17 +323,7 @@
     const awaitingRelays = this._dependencies.relays.addresses.length > 0 && now - this._startedAt < STARTUP_RELAY_TIMEOUT
     const incomplete = !this.storeAvailable || !this.state.complete
     if (incomplete && !awaitingRelays) this._peerQueries.query()
-    else if (this._needsDates(now)) this._peerQueries.queryVersions()
-  }
-
-  /** Whether a peer may know better than this process when a version was published. */
-  private _needsDates (now: number): boolean {
-    if (!this.state.hasUndatedVersion) {
-      this._undatedSince = undefined
-      return false
-    }
-    this._undatedSince ??= now
-    return now - this._undatedSince < UNDATED_QUERY_PERIOD
+    else if (this._dates.needQuery(now)) this._peerQueries.queryVersions()
   }
 
   private _applyPeerDelta (address: string, delta: PublishedDelta, times: DeltaTimes): void {
@@ -360,7 +335,7 @@
     this._epochs.reportEpochChange(before, Math.max(configuration, versions, endpoints), address)
     if (changes.length === 0) return
     this._dependencies.log.info('published-from-peer', { address, epoch: this.state.epoch, news: changes.length, configuration, endpoints, took })
-    this._logDates(changes, { from: address, by: 'news', took })
+    this._dates.log(changes, { from: address, by: 'news', took })
     this._emitChanges(changes)
   }
 }
