Plain services: a model that the caller names binds no request

Callers saw a 503 on every request to a plain service that carried a model's name, from the moment on at which an entry received the first version of that model while it followed the store, without end.

Cause: the bound of a version was looked up by the caller's model and the endpoint's version, which is 0 for plain endpoints, so that every version counts as newer. They send no load reports, so none could be chosen. An attempt in flight would have been cancelled at the bound as well.

The model now counts only where the service has a pool.

following_test "sends requests that name a model to a plain service" failed before: 503 in place of 200.

--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -117,8 +117,12 @@
     return unit?.chooser.choose(unit.description, this._need(), now)
   }
 
+  /** The model whose versions apply to the request; empty for a plain service, whatever model the caller names. */
+  private get _model (): string { return this._unit?.description.pool === undefined ? '' : this._request.head.model }
+
   private _need (): EndpointRequirements {
-    const { promptTokens, answerTokens, model } = this._request.head
+    const { promptTokens, answerTokens } = this._request.head
+    const model = this._model
     return {
       promptTokens, answerTokens, model, leastVersion: this._dependencies.minimumVersion(model), mustBeginBy: version => this._dependencies.mustBeginBy(model, version), usualObjective: this._usualObjective, tried: this._tried
     }
@@ -135,7 +139,7 @@
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
-      beginBy: this._dependencies.mustBeginBy(head.model, choice.version)
+      beginBy: this._dependencies.mustBeginBy(this._model, choice.version)
     }, {
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
