Requests that wait at an engine heed versions named after they were sent

What could be seen: a request that waited at an engine while a newer version was named began on the old version whenever the engine came to it, up to the timeout of its route. A date of a version that was corrected later on, to an earlier or a later time, was not heeded either.

Cause: the time at which an attempt is cancelled was looked up once, when it was sent, and only if a newer version was known by then.

The attempt now asks for that time, and asks again whenever the published versions change, until the endpoint begins to answer. Several versions in a row need no more: the time is that of the first one above the version that the request was sent to. Services without a model have no such time.

A cancellation for a version now has a reason of its own in the log, where it could not be told from a stall before.

--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -23,6 +23,7 @@
 const EVENT_GAP_TIMEOUT = 800
 
 const EVENT_TIMEOUT_DETAIL = 'timed out waiting for an event'
+const VERSION_TIMEOUT_DETAIL = 'timed out waiting to begin on an old version'
 
 /** The parameters of an attempt. */
 export interface AttemptPlan {
@@ -32,8 +33,8 @@
   readonly progress: StreamProgress
   /** Whether a missing event ends the attempt: only if the request may be retried elsewhere. */
   readonly abortsOnStall: boolean
-  /** When the endpoint must have begun to answer, by this process's clock; `undefined` if there is no bound. */
-  readonly beginBy: number | undefined
+  /** When the attempt is cancelled unless the endpoint has begun to answer, by this process's clock; `undefined` for never. */
+  readonly cancelAt: () => number | undefined
 }
 
 /** Callbacks of an attempt. */
@@ -54,7 +55,9 @@
   private _stallTimer: NodeJS.Timeout | undefined
   /** The same timer, once events arrive. */
   private _gapTimer: NodeJS.Timeout | undefined
-  private _beginTimer: NodeJS.Timeout | undefined
+  private _cancelTimer: NodeJS.Timeout | undefined
+  /** Whether the endpoint may still begin to answer. */
+  private _awaitsBegin = true
   /** Resolves when the attempt has ended, whatever its outcome. */
   readonly ended: Promise<AttemptEnd>
 
@@ -73,7 +76,7 @@
     })
     this.ended = this._call.ended.then(end => this._finish(end))
     this._startStallTimer(Math.max(MIN_STALL_TIMEOUT, STALL_FACTOR * _plan.choice.expected))
-    if (_plan.beginBy !== undefined) this._beginTimer = setTimeout(() => this.abort(EVENT_TIMEOUT_DETAIL), _plan.beginBy - performance.now())
+    this.rescheduleCancellation()
   }
 
   /** The head of the answer; `undefined` until it arrives. */
@@ -90,6 +93,14 @@
     this._call.stop()
   }
 
+  /** Applies the current time of cancellation. To be called when it may have changed. */
+  rescheduleCancellation (): void {
+    if (!this._awaitsBegin) return
+    clearTimeout(this._cancelTimer)
+    const at = this._plan.cancelAt()
+    if (at !== undefined) this._cancelTimer = setTimeout(() => this.abort(VERSION_TIMEOUT_DETAIL), at - performance.now())
+  }
+
   private _onData (bytes: Buffer): void {
     const head = this._head
     if (head === undefined) return
@@ -99,11 +110,16 @@
     }
     const events = this._plan.progress.take(bytes, performance.now())
     if (events === undefined) return
-    clearTimeout(this._beginTimer)
+    this._endCancellation()
     this._restartGapTimer()
     this._listener.events(head, events)
   }
 
+  private _endCancellation (): void {
+    this._awaitsBegin = false
+    clearTimeout(this._cancelTimer)
+  }
+
   private _startStallTimer (milliseconds: number): void {
     clearTimeout(this._stallTimer)
     if (this._plan.abortsOnStall) this._stallTimer = setTimeout(() => this.abort(EVENT_TIMEOUT_DETAIL), milliseconds)
@@ -121,7 +137,7 @@
 
   private _finish (end: EndpointCallEnd): AttemptEnd {
     clearTimeout(this._stallTimer)
-    clearTimeout(this._beginTimer)
+    this._endCancellation()
     // Refreshing a cleared timer would start it again.
     this._gapTimer = undefined
     if (end.type === 'not-run') return end
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -272,13 +272,19 @@
     for (const change of changes) this._logChange(change)
     this._units.apply(state)
     this._follower.follow(this._units.followed)
-    if (changes.some(({ type }) => type === 'wanted-version')) this._follower.pingAll()
+    if (changes.some(({ type }) => type === 'wanted-version')) this._onVersionsChanged()
     if (!this._ready && state.complete) {
       this._ready = true
       this._log.info('entry-ready', { configuration: state.configuration?.version, endpoints: state.endpoints().length })
     }
   }
 
+  /** Attempts that wait at an engine may have been sent before a newer version was known. */
+  private _onVersionsChanged (): void {
+    this._front.rescheduleCancellations()
+    this._follower.pingAll()
+  }
+
   private _applyConfiguration (configuration: RouteTable['configuration']): void {
     this._table = new RouteTable(configuration)
     this._front.applyLimits(this._table)
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -107,6 +107,9 @@
     if (!this._answer.begun && fingerprint === this._fingerprint()) this._attempt?.abort('the request is held back because endpoints were lost while running it')
   }
 
+  /** Applies the current bounds of versions to the attempt in progress. */
+  rescheduleCancellation (): void { this._attempt?.rescheduleCancellation() }
+
   private _elapsedSinceFirstTry (): number {
     const { head, route } = this._request
     return head.patience === undefined ? 0 : this._unit?.firstTries.elapsed(route.name, head.patience) ?? 0
@@ -139,7 +142,7 @@
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
-      beginBy: this._dependencies.mustBeginBy(this._model, choice.version)
+      cancelAt: () => this._dependencies.mustBeginBy(this._model, choice.version)
     }, {
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
