Cancellations for a version leave time for the close to cross a slow link

What could be seen: a request that waited at an engine of an old version was cancelled 200 ms before the bound whatever link led to the engine. Cancelling closes a connection. Where the close queued for longer than that, behind weights for instance, the engine began the request after the bound.

Cause: the margin was fixed, though the delay of the link is measured by the pings to the agent on the same instance.

The margin is now two of the longest recent round trips to the engine, and at least 200 ms as before: the queue may double while the close waits in it. The ping in progress counts with the time that it has taken so far, so the delay is looked at again every 100 ms; this also heeds dates of versions that move without a change being announced. The decision, with the one about what may still be sent, is in version-deadline.ts.

What it costs callers, by reckoning: an engine is chosen only if twice the expected time and six round trips are left before the old margin, so a request whose link stays as it was is cancelled only after more than twice the expected time and four round trips. What can lose is a request whose link fills up after it was sent.

following_test "cancels a request earlier if the link to the engine is slow" failed with the fixed margin: over a link that delays 300 ms each way, with a bound of 2.8 s, the connection was still open 2 s after the version was named. Two cases of version-deadline_test failed as well.

--- a/packages/core/src/lib/routing/choice/choice-price.ts
+++ b/packages/core/src/lib/routing/choice/choice-price.ts
@@ -9,7 +9,7 @@
  */
 import type { ServiceDescription } from '../published/routing-configuration.js'
 import type { EndpointCandidate, EndpointRequirements, EntryLocation } from './endpoint-choice.js'
-import { REPORT_LIFETIME, type EndpointLoad } from './endpoint-load.js'
+import type { EndpointLoad } from './endpoint-load.js'
 import { stepTime } from './engine-model.js'
 
 /**
@@ -36,13 +36,6 @@
  * only be unreachable so far, and without the penalty all entries would consider the engine idle.
  */
 const NO_REPORT_PENALTY = 100
-/**
- * Safety factors on the expected time and on the round trip time for the latest start of a request: engines and links may be slowing
- * down, and the queue of a link whose bandwidth has dropped can double within a moment.
- */
-const EXPECTED_TIME_FACTOR = 2
-const ROUND_TRIP_FACTOR = 6
-
 /** The inputs of a cost, besides the candidate. */
 export interface CostInput {
   readonly place: EntryLocation
@@ -77,19 +70,6 @@
   return soonEnough ? SOON_ENOUGH_DISTANCE_FACTOR : 1
 }
 
-/**
- * Whether a request could start on an old version after the bound for that version. Returns `true` if the agent's last report is too
- * old: the round trip time is then unknown, and the link may have seconds of queue.
- *
- * @example
- * const candidates = expected.filter(candidate => !mayStartTooLate(candidate, need, now))
- */
-export function mayStartTooLate ({ expected, version, roundTrip, reportAge }: EndpointCandidate, { mustBeginBy }: EndpointRequirements, now: number): boolean {
-  const bound = mustBeginBy(version)
-  if (bound === undefined) return false
-  return reportAge > REPORT_LIFETIME || now + EXPECTED_TIME_FACTOR * expected + ROUND_TRIP_FACTOR * roundTrip > bound
-}
-
 function distancePenalty ({ record: { availabilityZone } }: EndpointCandidate, place: EntryLocation): number {
   if (availabilityZone === place.availabilityZone) return 0
   return place.regionOf(availabilityZone) === place.regionOf(place.availabilityZone) ? ZONE_PENALTY : REGION_PENALTY
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -9,7 +9,7 @@
  */
 import { Ejection } from '../../ejection.js'
 import type { EndpointCandidate, ChosenEndpoint, EndpointRequirements, EntryLocation } from './endpoint-choice.js'
-import { SOON_ENOUGH_SHARE, costOf, distanceFactor, mayStartTooLate } from './choice-price.js'
+import { SOON_ENOUGH_SHARE, costOf, distanceFactor } from './choice-price.js'
 import { prefillTime } from './engine-model.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
@@ -19,6 +19,7 @@
 import type { ServiceDescription } from '../published/routing-configuration.js'
 import { RequestRate } from './request-rate.js'
 import { MeanResponseTime } from './mean-response-time.js'
+import { cancellationTime, mayStartTooLate } from './version-deadline.js'
 
 /** The picked candidate, and the estimated extra wait from requests that other entries have sent there since, in milliseconds. */
 interface PickedCandidate {
@@ -107,6 +108,15 @@
     this._stateOfStart(start).skippedUntil = now + skipTimes[why]
   }
 
+  /**
+   * Returns when a request that was sent to an endpoint of an old version is cancelled unless it has begun: see `cancellationTime`.
+   *
+   * @param bound When the endpoint must have begun it.
+   */
+  cancellationTime (start: string, bound: number, now: number): number {
+    return cancellationTime(bound, { roundTrip: this._stateOfStart(start).load.longestRoundTrip(now) })
+  }
+
   /** Records a request that was sent to the chosen endpoint. */
   sent (choice: ChosenEndpoint, request: string, promptTokens: number, now: number): void {
     this._sentRate.sent(now)
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -55,6 +55,7 @@
   private _stallTimer: NodeJS.Timeout | undefined
   /** The same timer, once events arrive. */
   private _gapTimer: NodeJS.Timeout | undefined
+  private _cancelAt: number | undefined
   private _cancelTimer: NodeJS.Timeout | undefined
   /** Whether the endpoint may still begin to answer. */
   private _awaitsBegin = true
@@ -96,8 +97,10 @@
   /** Applies the current time of cancellation. To be called when it may have changed. */
   rescheduleCancellation (): void {
     if (!this._awaitsBegin) return
-    clearTimeout(this._cancelTimer)
     const at = this._plan.cancelAt()
+    if (at === this._cancelAt) return
+    this._cancelAt = at
+    clearTimeout(this._cancelTimer)
     if (at !== undefined) this._cancelTimer = setTimeout(() => this.abort(VERSION_TIMEOUT_DETAIL), at - performance.now())
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -17,6 +17,7 @@
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
 import { fingerprintOf } from '../request-fingerprint.js'
+import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
@@ -55,11 +56,8 @@
  * queue at its endpoint before it begins, so this is several times the queueing delay of a healthy engine.
  */
 const VERSION_CHOICE_MARGIN = 400
-/**
- * How long before the bound a request that has not begun on an old version is cancelled and sent elsewhere, in milliseconds. Both
- * the first event and the close of the connection need time to cross a busy link.
- */
-const CANCEL_MARGIN = 200
+/** How often the cancellations of requests are adjusted to the measured delays of links, in milliseconds. */
+const CANCELLATION_INTERVAL = 100
 
 /** The daemon of a route entry. */
 export class RouteEntry implements Daemon {
@@ -76,6 +74,7 @@
   private readonly _units: ServiceUnits
   private readonly _reserve = new ConnectionReserve()
   private readonly _front: RouteFront
+  private readonly _cancellations: PeriodicTask
   private readonly _readiness: ReadinessServer
   private readonly _metrics: MetricsServer | undefined
   private _table: RouteTable | undefined
@@ -135,6 +134,7 @@
       log: _log,
       counters: this._counters
     })
+    this._cancellations = runPeriodically(() => this._front.rescheduleCancellations(), CANCELLATION_INTERVAL)
     this._readiness = new ReadinessServer(text('process', 'readiness-address'), platform.dialect.readinessPath, () => this._ready && !this._stopping)
     this._server = new PeerServer({
       ...self, address: text('process', 'address'), log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
@@ -171,6 +171,7 @@
   }
 
   private _close (): void {
+    this._cancellations.close()
     this._front.close()
     this._readiness.close()
     this._reserve.close()
@@ -236,7 +237,7 @@
   /** When an endpoint of a version must have begun a request that it was sent. Returns `undefined` for the newest version. */
   private _mustBeginBy (model: string, version: number): number | undefined {
     const namedAt = this._feed.state.firstNewerAt(model, version)
-    return namedAt === undefined ? undefined : namedAt + this._versionBound - CANCEL_MARGIN
+    return namedAt === undefined ? undefined : namedAt + this._versionBound
   }
 
   private _pingContent (agent: string, now: number): PingContent {
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -74,7 +74,7 @@
   /** Holds back a request from now on, including copies of it that are in progress. */
   holdBack (fingerprint: string): void { for (const request of this._requests) request.holdBack(fingerprint) }
 
-  /** Applies the current bounds of versions to all requests in progress. */
+  /** Applies the current bounds of versions, and the current delays of the links, to all requests in progress. */
   rescheduleCancellations (): void { for (const request of this._requests) request.rescheduleCancellation() }
 
   /** From now on, each answer asks its caller to close the connection, so that its next request opens one to another process. */
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -107,7 +107,7 @@
     if (!this._answer.begun && fingerprint === this._fingerprint()) this._attempt?.abort('the request is held back because endpoints were lost while running it')
   }
 
-  /** Applies the current bounds of versions to the attempt in progress. */
+  /** Applies the current bounds of versions, and the current delay of the link, to the attempt in progress. */
   rescheduleCancellation (): void { this._attempt?.rescheduleCancellation() }
 
   private _elapsedSinceFirstTry (): number {
@@ -131,6 +131,12 @@
     }
   }
 
+  /** When a request that has not begun at an endpoint is cancelled; `undefined` for never. */
+  private _cancellationTime ({ record, version }: ChosenEndpoint): number | undefined {
+    const bound = this._dependencies.mustBeginBy(this._model, version)
+    return bound === undefined ? undefined : this._unit?.chooser.cancellationTime(startKeyOf(record), bound, performance.now())
+  }
+
   private _send (choice: ChosenEndpoint, now: number): void {
     const { head, route } = this._request
     this._attempts += 1
@@ -142,7 +148,7 @@
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
-      cancelAt: () => this._dependencies.mustBeginBy(this._model, choice.version)
+      cancelAt: () => this._cancellationTime(choice)
     }, {
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
