--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -114,7 +114,8 @@
    * @param bound When the endpoint must have begun it.
    */
   cancellationTime (start: string, bound: number, now: number): number {
-    return cancellationTime(bound, { roundTrip: this._stateOfStart(start).load.longestRoundTrip(now) })
+    const { load } = this._stateOfStart(start)
+    return cancellationTime(bound, { roundTrip: load.longestRoundTrip(now), reportAge: load.reportAge(now) })
   }
 
   /** Records a request that was sent to the chosen endpoint. */
