Cancellations for a version wait for two measured round trips only, also where the agent is not heard

A ping that is not answered lengthens the measured round trip as it waits, so a link that delivers nothing is noticed without it.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -114,8 +114,7 @@
    * @param bound When the endpoint must have begun it.
    */
   cancellationTime (start: string, bound: number, now: number): number {
-    const { load } = this._stateOfStart(start)
-    return cancellationTime(bound, { roundTrip: load.longestRoundTrip(now), reportAge: load.reportAge(now) })
+    return cancellationTime(bound, this.load(start).longestRoundTrip(now))
   }
 
   /** Records a request that was sent to the chosen endpoint. */
--- a/packages/core/src/lib/routing/choice/version-deadline.ts
+++ b/packages/core/src/lib/routing/choice/version-deadline.ts
@@ -10,21 +10,16 @@
 import type { EndpointCandidate, EndpointRequirements } from './endpoint-choice.js'
 import { REPORT_LIFETIME } from './endpoint-load.js'
 
-/** What is known of the link to an engine. */
-export type EngineLink = Pick<EndpointCandidate, 'roundTrip' | 'reportAge'>
-
 /**
  * The least time from a cancellation to the bound: a cancellation closes a connection, and the close and a first event that it
  * crosses need time even on an idle link.
  */
 const MIN_CANCEL_MARGIN = 200
-/** The time for a close to arrive, in round trips: the queue of a link can double while the close waits in it. */
-const CLOSE_ROUND_TRIPS = 2
 /**
- * The least time from a cancellation to the bound while the agent of the engine is not heard, so that the delay of the link is
- * unknown: as long as an unanswered ping may take before its connection counts as lost.
+ * The time for a close to arrive, in round trips: the queue of a link can double while the close waits in it. The round trip of a ping
+ * that is not answered yet grows, so a link that delivers nothing lengthens the time too.
  */
-const UNHEARD_CANCEL_MARGIN = 3_000
+const CLOSE_ROUND_TRIPS = 2
 /**
  * Safety factors on the expected time and on the round trip time for the latest start of a request: engines and links may be slowing
  * down, and the queue of a link whose bandwidth has dropped can double within a moment.
@@ -37,12 +32,12 @@
  * before the bound.
  *
  * @param bound When an engine of that version must have begun the request.
+ * @param roundTrip The longest recent round-trip time to the engine, in milliseconds.
  * @example
- * cancellationTime(8_000, { roundTrip: 300, reportAge: 50 }) // 7400
+ * cancellationTime(8_000, 300) // 7400
  */
-export function cancellationTime (bound: number, { roundTrip, reportAge }: EngineLink): number {
-  const leastMargin = reportAge > REPORT_LIFETIME ? UNHEARD_CANCEL_MARGIN : MIN_CANCEL_MARGIN
-  return bound - Math.max(leastMargin, CLOSE_ROUND_TRIPS * roundTrip)
+export function cancellationTime (bound: number, roundTrip: number): number {
+  return bound - Math.max(MIN_CANCEL_MARGIN, CLOSE_ROUND_TRIPS * roundTrip)
 }
 
 /**
