Dates of versions rest on what is certain of an answer's way only

A review and the fuzz of published state found dates that were still late, by up to 1.9 s. An answer that took long was taken for one that the store had held, by a latency that was measured on earlier answers; but one answer may be larger, sent again, or the first on a link that has just become full. And a process whose calls failed twice counted from the last failed call as if the store were down, although calls also time out on a full link. Now a version counts from the sending of the last answered call, or the end of a wait without changes; that is up to one wait of a relay and its pause, 1.25 s, early. The first receipt by any process that was heard bounds this: a version counts from 4 s before it at the earliest, so that an outage of the store does not make a version due that is published right after it. Notes of relays may take 1.6 s.

Also from the review: a stall right after another counts as one; ages of peers are finite and not negative; of more versions than are kept, the oldest that is kept counts from when the dropped ones were published; an older version of which a peer knows no date counts from this process's view before the next newer one; versions without a date are asked for each by itself.

--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -12,7 +12,7 @@
  * store also returns outdated items. These are recognised by counters that their writers maintain: the version of a
  * configuration, the version of a model, and the number of times that an endpoint has written its entry.
  */
-import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord } from './endpoint-record.js'
+import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord, type ModelVersion } from './endpoint-record.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
 import { toldSpan, toldVersion, type DeltaTimes } from './told-versions.js'
@@ -87,11 +87,8 @@
   /** Returns the listed endpoints, including draining ones. */
   endpoints (): EndpointRecord[] { return [...this._endpoints.values()].map(({ record }) => record) }
 
-  /** Whether there is a version of which nothing is known about the time of its publication. */
-  get hasUndatedVersion (): boolean { return this._versions.hasUndated }
-
-  /** Records that this process could reach neither the store nor a relay until a time. See `WantedVersions.cutOff`. */
-  cutOff (until: number): void { this._versions.cutOff(until) }
+  /** Returns the versions of which nothing is known about the time of their publication. */
+  undatedVersions (): ModelVersion[] { return this._versions.undated() }
 
   /** Records that every version published until a time has been received, so that one received later was published after it. */
   versionsCompleteAt (time: number): void { this._versions.completeAt(time) }
--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -20,8 +20,8 @@
  */
 const NEARER_RELAY_WAIT = 500
 
-/** Allowance for the time that a note takes over a slow link, in milliseconds. */
-const MAX_NOTE_TRANSIT = 500
+/** Allowance for the time that a note takes over a full link, in milliseconds; beyond it the relay counts as lost. */
+const MAX_NOTE_TRANSIT = 1_600
 
 interface Relay {
   readonly address: string
@@ -91,7 +91,7 @@
    * state.versionsCompleteAt(relays.versionsCompleteAt(state.held, now))
    */
   versionsCompleteAt (held: PublishedRevisions, now: number): number {
-    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge = Infinity }, receivedAt }) => receivedAt - versionsAge - MAX_NOTE_TRANSIT)
+    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge }, receivedAt }) => receivedAt - validAge(versionsAge) - MAX_NOTE_TRANSIT)
     return Math.max(-Infinity, ...times)
   }
 
@@ -115,3 +115,5 @@
     return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? 1 : 2
   }
 }
+
+function validAge (age: number | undefined): number { return Number.isFinite(age) && Number(age) >= 0 ? Number(age) : Infinity }
--- a/packages/core/src/lib/routing/published/told-versions.ts
+++ b/packages/core/src/lib/routing/published/told-versions.ts
@@ -42,4 +42,4 @@
   return { earliest: Math.min(latest, requestedAt - encoded - validAge(maxAge, Infinity)), latest }
 }
 
-function validAge (age: number | undefined, fallback: number): number { return typeof age === 'number' && age >= 0 ? age : fallback }
+function validAge (age: number | undefined, fallback: number): number { return Number.isFinite(age) && Number(age) >= 0 ? Number(age) : fallback }
--- a/packages/core/src/lib/routing/published/wanted-versions.ts
+++ b/packages/core/src/lib/routing/published/wanted-versions.ts
@@ -24,15 +24,20 @@
   readonly published: PublicationSpan
   /** Whether this process has received it from the store itself. */
   readonly seenInStore: boolean
-  /** Until when this process was cut off before it received the version; `-Infinity` if it was not. Not valid for other processes. */
-  readonly cutOffUntil: number
+  /** The last complete view of this process before it received the version; `-Infinity` if there was none. */
+  readonly viewedAt: number
 }
 
 /** What a received version adds to those that are known. */
 export type VersionReceipt = 'newest' | 'dated' | 'known'
 
 /** Versions kept per model: those whose adoption deadline may still be ahead. */
-const MAX_VERSIONS_PER_MODEL = 8
+const MAX_VERSIONS_PER_MODEL = 16
+/**
+ * The longest time for which no process receives a version although the store is up, in milliseconds: relays are given up after
+ * 1.5 s, and a silent connection to the store after as long again. After a longer time the store was down, and published nothing.
+ */
+const MAX_UNHEARD_TIME = 4_000
 /** Smaller corrections of a span are not reported, in milliseconds: network latencies vary by as much. */
 const MIN_CORRECTION = 20
 
@@ -40,7 +45,6 @@
 export class WantedVersions {
   /** By model, in ascending order of version. */
   private readonly _versions = new Map<string, readonly WantedVersion[]>()
-  private _cutOffUntil = -Infinity
   private _completeUntil = -Infinity
 
   /**
@@ -75,16 +79,17 @@
     this._confirm(wanted.model, revision)
     const before = this._find(wanted)
     if (before !== undefined) return this._narrow(before, published)
-    this._put(wanted.model, { ...wanted, revision, published, seenInStore: false, cutOffUntil: this._cutOffUntil })
+    const { viewedAt } = this._versions.get(wanted.model)?.find(({ version }) => version > wanted.version) ?? newest
+    this._put(wanted.model, { ...wanted, revision, published: intersection(published, { earliest: viewedAt, latest: Infinity }), seenInStore: false, viewedAt })
     return this._find(wanted) === undefined ? 'known' : 'dated'
   }
 
   /** Returns what the receipt of a newest version tells. */
-  private _receipt (revision: number, published: PublicationSpan, newest: WantedVersion | undefined): Pick<WantedVersion, 'revision' | 'published' | 'cutOffUntil'> {
+  private _receipt (revision: number, published: PublicationSpan, newest: WantedVersion | undefined): Pick<WantedVersion, 'revision' | 'published' | 'viewedAt'> {
     return {
       revision: Math.max(revision, newest?.revision ?? 0),
       published: intersection(published, { earliest: this._completeUntil, latest: Infinity }),
-      cutOffUntil: this._cutOffUntil
+      viewedAt: this._completeUntil
     }
   }
 
@@ -101,8 +106,8 @@
   /** Adds a version in place of the same one, and narrows the spans of the others by it. */
   private _put (model: string, added: WantedVersion): void {
     const others = (this._versions.get(model) ?? []).filter(({ version }) => version !== added.version)
-    const ascending = [...others, added].sort((left, right) => left.version - right.version).slice(-MAX_VERSIONS_PER_MODEL)
-    this._versions.set(model, inOrderOfPublication(ascending))
+    const ascending = [...others, added].sort((left, right) => left.version - right.version)
+    this._versions.set(model, withoutOldest(inOrderOfPublication(ascending)))
   }
 
   /** Records that the store has no newer version at a revision. */
@@ -111,20 +116,14 @@
     this._versions.set(model, known.map((version, index) => index === known.length - 1 ? { ...version, revision: Math.max(revision, version.revision) } : version))
   }
 
-  /**
-   * Records that neither the store nor a relay could be reached until a time. Deadlines of versions received later count from then
-   * at the earliest: the engines that this process reaches could not receive the weights before.
-   */
-  cutOff (until: number): void { this._cutOffUntil = Math.max(until, this._cutOffUntil) }
-
   /** Records that all versions published until a time have been received. */
   completeAt (time: number): void { this._completeUntil = Math.max(time, this._completeUntil) }
 
   /** The last such time; `-Infinity` if none. */
   get completeUntil (): number { return this._completeUntil }
 
-  /** Whether a version has no lower bound on the time of its publication. */
-  get hasUndated (): boolean { return [...this._versions.values()].flat().some(({ published }) => published.earliest === -Infinity) }
+  /** Returns the versions without a lower bound on the time of their publication. */
+  undated (): ModelVersion[] { return this.all().filter(({ published }) => published.earliest === -Infinity) }
 
   /** Carries all versions over into a new epoch of the store, at revision 0. */
   carryOver (): void {
@@ -154,9 +153,8 @@
 }
 
 /** Returns the time from which the deadline of a version counts; `undefined` if it may have been published at any time. */
-function countsFrom ({ published: { earliest }, cutOffUntil }: WantedVersion): number | undefined {
-  const from = Math.max(earliest, cutOffUntil)
-  return from === -Infinity ? undefined : from
+function countsFrom ({ published: { earliest, latest } }: WantedVersion): number | undefined {
+  return earliest === -Infinity ? undefined : Math.max(earliest, latest - MAX_UNHEARD_TIME)
 }
 
 /** Clocks and latencies are not exact, so bounds that contradict each other are resolved to the earlier one. */
@@ -173,6 +171,13 @@
   return ascending.map((version, index) => ({ ...version, published: spans[index]! }))
 }
 
+/** Drops the oldest versions above the limit. The oldest that is kept counts from when the dropped ones were published. */
+function withoutOldest (ascending: readonly WantedVersion[]): readonly WantedVersion[] {
+  const kept = ascending.slice(-MAX_VERSIONS_PER_MODEL)
+  const [dropped, first] = [ascending.at(-MAX_VERSIONS_PER_MODEL - 1), kept[0]]
+  return dropped === undefined || first === undefined ? kept : [{ ...first, published: dropped.published }, ...kept.slice(1)]
+}
+
 function isCorrection (before: PublicationSpan, after: PublicationSpan): boolean {
   return Math.abs(after.earliest - before.earliest) >= MIN_CORRECTION || Math.abs(after.latest - before.latest) >= MIN_CORRECTION
 }
--- a/packages/core/src/lib/stall-detector.ts
+++ b/packages/core/src/lib/stall-detector.ts
@@ -15,7 +15,7 @@
 
 /** The stalls of this process. */
 export class StallDetector {
-  private _ranAt = -Infinity
+  private _ranAt = Infinity
   private _stall = { from: -Infinity, until: -Infinity }
 
   /** @param _interval The interval of calls to `tick`, in milliseconds. */
@@ -23,7 +23,7 @@
 
   /** Records that the process runs. */
   tick (now: number): void {
-    if (this._isStalled(now)) this._stall = { from: this._ranAt, until: now }
+    if (this._isStalled(now)) this._stall = { from: this._stallStart(now), until: now }
     this._ranAt = now
   }
 
@@ -34,9 +34,14 @@
    * const arrivedAt = stalls.arrivedSince(performance.now())
    */
   arrivedSince (now: number): number {
-    if (this._isStalled(now)) return this._ranAt
+    if (this._isStalled(now)) return this._stallStart(now)
     return now - this._stall.until <= SETTLE_TIME ? this._stall.from : now
   }
 
-  private _isStalled (now: number): boolean { return this._ranAt !== -Infinity && now - this._ranAt > STALLED_INTERVALS * this._interval }
+  /** Messages that arrived during a stall may still wait during the next one. */
+  private _stallStart (now: number): number {
+    return this._ranAt - this._stall.until <= SETTLE_TIME ? this._stall.from : this._ranAt
+  }
+
+  private _isStalled (now: number): boolean { return now - this._ranAt > STALLED_INTERVALS * this._interval }
 }
--- a/packages/core/src/test/lib/stall-detector_test.ts
+++ b/packages/core/src/test/lib/stall-detector_test.ts
@@ -14,6 +14,7 @@
     ['a process whose timers are a little late', [0, 100, 290], 300, 300],
     ['a process that has just been resumed, before its timers run', [0, 100], 2_600, 100],
     ['a process that has just been resumed, after its timers ran', [0, 100, 2_600], 2_610, 100],
+    ['a process that was blocked again after it was resumed', [0, 100, 2_600], 2_950, 100],
     ['a process that was resumed a while ago', [0, 100, 2_600, 2_700, 2_800], 2_850, 2_850]
   ]
   for (const [name, ticks, now, arrivedSince] of cases) {
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -70,8 +70,6 @@
 const PEER_QUERY_INTERVAL = 250
 /** Interval at which the process notes that it runs, in milliseconds. */
 const STALL_CHECK_INTERVAL = 100
-/** The failures that show that the store, or the network path to it, is down. A store that limits the rate of calls is up. */
-const outageReasons: ReadonlySet<StoreFailure['reason']> = new Set(['unreachable', 'timed-out', 'turned-away'])
 /**
  * How long a starting process waits for the full state from a relay before it reads the store itself, in milliseconds. When
  * all processes start at once, a relay is up after 0.3 s and has read the full state 0.2 s later. A process that restarts
@@ -205,6 +203,7 @@
       const sentAt = performance.now()
       const call = cursor.next
       const wait = this._watchWait(watch)
+      const followedBefore = cursor.followed
       const response = this._rejectEarlierEpoch(call === 'watch' ? await this._watch(scope, wait) : await this._read(scope, 'newest'))
       if (this._closed) return
       const verdict = cursor.judge(call, response)
@@ -224,8 +223,15 @@
       }
       this._onCallSucceeded(scope, response.upTo)
       this._scopesFromStore.add(scope)
-      if (call === 'watch') this._applyChanges(scope, response, sentAt, view.watchAnswered({ sentAt, answeredAt: this._stalls.arrivedSince(performance.now()), wait, empty: response.changes.length === 0 }))
-      else this._applySnapshot(scope, response, sentAt, view.readAnswered(sentAt))
+      const since = view.completeUntil
+      if (call === 'watch') {
+        const empty = response.changes.length === 0 && response.upTo === followedBefore
+        view.watchAnswered({ sentAt, answeredAt: this._stalls.arrivedSince(performance.now()), wait, empty })
+        this._applyChanges(scope, response, sentAt, since)
+      } else {
+        view.readAnswered(sentAt)
+        this._applySnapshot(scope, response, sentAt, since)
+      }
       if (topicsOfScope[scope].includes('versions')) this.state.versionsCompleteAt(view.completeUntil)
       if (response.changes.length === 0 || interval === 0) continue
       await pause(interval)
@@ -297,9 +303,6 @@
     this._dependencies.counters.add(`store_failures_${failure.reason.replaceAll('-', '_')}`)
     this._dependencies.log.debug('store-call-failed', { scope, reason: failure.reason, took: Math.round(now - sentAt), complete: this.state.complete })
     this._lastFailureAt = now
-    // One call fails if its connection fails; the next one uses a new connection.
-    const isOutage = this._failing.has(scope) && outageReasons.has(failure.reason)
-    if (isOutage && !this._relays.followsStore) this.state.cutOff(sentAt)
     if (!this._failing.has(scope)) {
       this._failing.set(scope, now)
       this._dependencies.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
--- a/packages/node/src/lib/routing/version-dates.ts
+++ b/packages/node/src/lib/routing/version-dates.ts
@@ -6,6 +6,7 @@
 /** Reports from when the deadlines of versions count, and decides when peers are asked for times that this process does not know. */
 import type { PublishedChange, PublishedState } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
+import { identityOf } from './ports.js'
 
 /** How this process learned of a version. */
 export interface VersionSource {
@@ -24,8 +25,8 @@
 
 /** The dates of versions in one process. */
 export class VersionDates {
-  /** Since when there has been a version without a lower bound on the time of its publication. */
-  private _undatedSince: number | undefined
+  /** Since when each version has had no lower bound on the time of its publication. */
+  private readonly _undatedSince = new Map<string, number>()
 
   constructor (private readonly _state: PublishedState, private readonly _log: Log) {}
 
@@ -42,11 +43,8 @@
 
   /** Whether a peer may know better than this process when a version was published. */
   needQuery (now: number): boolean {
-    if (!this._state.hasUndatedVersion) {
-      this._undatedSince = undefined
-      return false
-    }
-    this._undatedSince ??= now
-    return now - this._undatedSince < QUERY_PERIOD
+    const undated = this._state.undatedVersions().map(identityOf)
+    for (const identity of undated) if (!this._undatedSince.has(identity)) this._undatedSince.set(identity, now)
+    return undated.some(identity => now - (this._undatedSince.get(identity) ?? now) < QUERY_PERIOD)
   }
 }
