Stand-in links: delays of any length, and connections that go silent for good

A link with the mode `delay` stayed slow after its mode had changed, as long as something was sent on the connection more often than the delay lasts: each block waited the whole delay if one before it still did. With heartbeats every 500 ms and a delay of 1,400 ms, it never ended. Now a block waits only for those before it; the test of this fails before (data after the end waits for the new delay of 60 s).

The delay is a field, and `silenceOpenConnections` takes everything from open connections, also their ends, while later ones work.

--- a/packages/stand-ins/src/lib/link.ts
+++ b/packages/stand-ins/src/lib/link.ts
@@ -14,7 +14,8 @@
 
 /** Least size in bytes of a block that is corrupted, at its middle byte. Blocks of this size carry weights. */
 const MIN_CORRUPTED_BYTES = 16_384
-const DELAY_MILLISECONDS = 300
+/** Delay in the mode `delay` unless the link is given another, in milliseconds. */
+const DEFAULT_DELAY_MILLISECONDS = 300
 
 /** Direction of the traffic. */
 type Direction = 'to-target' | 'from-target'
@@ -25,6 +26,8 @@
 export class Link {
   /** Number of blocks corrupted so far. */
   corruptedBlocks = 0
+  /** Delay of each block in the mode `delay`, in milliseconds. */
+  delayMilliseconds = DEFAULT_DELAY_MILLISECONDS
   /** The address that clients connect to. */
   readonly address: string
   private _mode: LinkMode = 'pass'
@@ -33,6 +36,8 @@
   private readonly _sockets = new Set<Socket>()
   /** Sockets from which data was dropped. They are closed at the next change of mode, since the rest of their stream is unusable. */
   private readonly _incomplete = new Set<Socket>()
+  /** Sockets whose connection forwards nothing any more, not even that an end has closed it. */
+  private readonly _silenced = new WeakSet<Socket>()
 
   /**
    * @param _host The address of the proxy and of the target.
@@ -69,6 +74,11 @@
     }
   }
 
+  /** Silences the open connections for good, without closing them. Later connections are not affected. */
+  silenceOpenConnections (): void {
+    for (const socket of this._sockets) this._silenced.add(socket)
+  }
+
   private _accept (client: Socket): void {
     if (this._mode === 'cut') {
       client.destroy()
@@ -80,17 +90,18 @@
   }
 
   private _forward (from: Socket, to: Socket, direction: Direction): void {
-    let delayed = 0
+    const delayed: (() => void)[] = []
+    let dueAt = 0
     const inOrder = (run: () => void): void => {
-      if (this._mode !== 'delay' && delayed === 0) return run()
-      delayed += 1
-      setTimeout(() => {
-        delayed -= 1
-        run()
-      }, DELAY_MILLISECONDS)
+      const now = performance.now()
+      dueAt = Math.max(dueAt, this._mode === 'delay' ? now + this.delayMilliseconds : now)
+      if (this._mode !== 'delay' && delayed.length === 0) return run()
+      delayed.push(run)
+      setTimeout(() => { delayed.shift()?.() }, dueAt - now)
     }
     this._sockets.add(from)
     from.on('data', bytes => {
+      if (this._silenced.has(from)) return
       if (droppedDirections[this._mode] === direction) this._incomplete.add(from)
       else inOrder(() => { if (to.writable && !to.write(this._corruptBlock(bytes)) && this._mode !== 'stall') from.pause() })
     })
@@ -99,7 +110,7 @@
     from.on('close', () => {
       this._sockets.delete(from)
       this._incomplete.delete(from)
-      inOrder(() => to.destroySoon())
+      if (!this._silenced.has(from)) inOrder(() => to.destroySoon())
     })
     if (this._mode === 'stall') from.pause()
   }
--- a/packages/stand-ins/src/test/lib/link_test.ts
+++ b/packages/stand-ins/src/test/lib/link_test.ts
@@ -64,6 +64,30 @@
     })
   }
 
+  it('does not delay data that is sent after the delay ended for longer than the data before it', async () => {
+    link.set('delay')
+    client.write('a')
+    await new Promise(resolve => setTimeout(resolve, 60))
+    link.set('pass')
+    link.delayMilliseconds = 60_000
+    client.write('b')
+    await waitFor(() => received.caller === 'ab')
+  })
+
+  it('silences open connections for good, and forwards the data of later ones', async () => {
+    client.write('a')
+    await waitFor(() => received.caller === 'a')
+    link.silenceOpenConnections()
+    client.write('b')
+    const later = createConnection({ host: '127.0.0.1', port: Number(link.address.split(':')[1]) })
+    later.write('c')
+    await waitFor(() => received.target === 'ac')
+    link.set('pass')
+    later.destroy()
+    await new Promise(resolve => setTimeout(resolve, 60))
+    assert.deepEqual([received, client.closed], [{ target: 'ac', caller: 'a' }, false])
+  })
+
   it('keeps the order of delayed data and data sent after the delay ended', async () => {
     link.set('delay')
     client.write('a')
