Stand-in workers: a queue before requests begin; origin with a delay

A request began as it arrived, so one that is taken back too late could not be seen. With `queueMilliseconds` a request waits before it is handled, and is removed if its connection closes; arrivals tell when they began. Streams of `movingConfiguration` may take 5 s, and those of the new route `waiting-stream` wait at one endpoint, as they have a single attempt.

--- a/packages/stand-ins/src/lib/users-platform/caller.ts
+++ b/packages/stand-ins/src/lib/users-platform/caller.ts
@@ -39,11 +39,12 @@
   readonly signal: AbortSignal
 }
 
-/** Kinds of requests: repeatable, not repeatable, streamed, and those whose route moves between services. */
-export type CallKind = 'safe' | 'unsafe' | 'stream' | 'moving'
+/** Kinds of requests: repeatable, not repeatable, streamed (with several attempts, or one), and those whose route moves between services. */
+export type CallKind = 'safe' | 'unsafe' | 'stream' | 'waiting-stream' | 'moving'
 
+const streamHeaders = { 'x-model': 'm', 'x-token-usage': '100,30', 'x-deadline-ms': '5000' }
 /** Additional headers by kind. */
-const headersOf: Partial<Record<CallKind, Record<string, string>>> = { stream: { 'x-model': 'm', 'x-token-usage': '100,30' } }
+const headersOf: Partial<Record<CallKind, Record<string, string>>> = { stream: streamHeaders, 'waiting-stream': streamHeaders }
 
 /** Sends one request of a kind. */
 export async function call (address: string, { id, kind, key, agent, signal }: Call): Promise<CallerResponse> {
--- a/packages/stand-ins/src/lib/users-platform/weights-origin.ts
+++ b/packages/stand-ins/src/lib/users-platform/weights-origin.ts
@@ -6,6 +6,7 @@
 /** Stand-in for the origin of weights: serves the manifest and pieces of any version of the model `m`. */
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
 import { HttpService, sendJson } from '../http-service.js'
 
 /** Number of pieces of a version, and the size of each. */
@@ -24,7 +25,11 @@
 
 /** The origin of weights, on loopback. */
 export class WeightsOriginStandIn extends HttpService {
-  protected answer (request: IncomingMessage, response: ServerResponse): void {
+  /** Delay of each response, in milliseconds. */
+  delayMilliseconds = 0
+
+  protected async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.delayMilliseconds > 0) await pause(this.delayMilliseconds)
     const url = new URL(request.url ?? '/', 'http://origin')
     const version = Number(url.searchParams.get('version'))
     if (url.pathname === '/api/manifest/m') this._manifest(version, response)
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -8,6 +8,7 @@
  * pieces and accepts orders to switch versions.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setImmediate as nextImmediate, setTimeout as pause } from 'node:timers/promises'
 import { HttpService, readAll, sendJson } from '../http-service.js'
 import { pieceOf, PIECES } from './weights-origin.js'
 
@@ -27,9 +28,11 @@
   readonly body: string
   /** Time of receipt, in milliseconds of `performance.now()`. */
   readonly at: number
+  /** When the worker started to run the request, or refused it, or lost it from its queue. */
+  readonly begunAt: number
   /** Whether the worker started to run it. */
   readonly ran: boolean
-  /** Version of the worker's weights at that time. */
+  /** Version of the worker's weights at `begunAt`. */
   readonly version: number
 }
 
@@ -62,6 +65,8 @@
   abandoned = 0
   /** Milliseconds between the events of a stream. */
   eventPauseMilliseconds = EVENT_PAUSE_MILLISECONDS
+  /** Milliseconds that a new request waits in the queue before the worker handles it. Closing its connection removes it from the queue. */
+  queueMilliseconds = 0
   /** The worker crashes, with all its running requests, when it starts a request with this body; `undefined` for never. */
   crashesOnBody: string | undefined
   /** Limit in requests per second over all entries, announced in each response; `undefined` to announce none. */
@@ -78,6 +83,7 @@
   readonly orders: unknown[] = []
   readonly versionSwitches: VersionSwitch[] = []
   readonly staged = new Map<number, Buffer>()
+  private _waiting = 0
   private _recordSequence = 0
 
   /**
@@ -99,7 +105,11 @@
     if (url.pathname.startsWith('/api/stage-')) return await this._stage(url, request, response)
     if (url.pathname === '/api/order') return await this._order(request, response)
     const body = (await readAll(request)).toString('utf8')
-    this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), ran: !refusingModes.has(this.mode), version: this.version })
+    const at = performance.now()
+    const hasLeft = this.queueMilliseconds > 0 && !await this._passQueue(response)
+    const ran = !hasLeft && !refusingModes.has(this.mode)
+    this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at, begunAt: performance.now(), ran, version: this.version })
+    if (hasLeft) return
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
     if (this.leaving) response.setHeader('server-leaving', '1')
@@ -107,6 +117,16 @@
     modeHandlers[this.mode](this, request, response)
   }
 
+  /** Waits for the turn of a request. Returns whether its connection is still open then. */
+  private async _passQueue (response: ServerResponse): Promise<boolean> {
+    this._waiting += 1
+    await pause(this.queueMilliseconds)
+    // A connection that closed while this process was busy is reported after its timers.
+    await nextImmediate()
+    this._waiting -= 1
+    return !response.destroyed
+  }
+
   /** Returns the headers of each answer: the echoed request id and the worker's signature. */
   head (request: IncomingMessage): Record<string, string> {
     return { 'x-attempt-id': String(request.headers['x-attempt-id']), 'x-server-seal': `seal-of-${this.id}` }
@@ -122,7 +142,7 @@
 
   private _report (response: ServerResponse): void {
     const models = this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
-    sendJson(response, { stage: 'both', models, busy: this.busy, seq: this.orders.length, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
+    sendJson(response, { stage: 'both', models, busy: this.busy, seq: this.orders.length, waiting: this._waiting, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
   }
 
   private async _stage (url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
