Soak: versions are judged by the rule, and named where they can begin late

Now the bound is 3 s, in the settings and the promise; the origin takes 0.4 s for each answer, two engines share a zone, and the origin can be down or slow, so engines serve old versions around each bound. New faults: links to the store and to the seeds delayed by 0.3 to 1.5 s, their open connections silent for good, long queues of engines. The time is counted from the end of a fault of the store (3 s later) or of a cut of the links that the request takes; the entry and connections between processes excuse for 3 s; full links excuse nothing.

The case of an engine with a slow link has other times, as the bound is shorter; it is judged as before. The report tells how many requests began on an older version, and how late at most, so that a run which comes near no bound can be told from one that holds.

--- a/packages/soak/src/lib/agent-process.ts
+++ b/packages/soak/src/lib/agent-process.ts
@@ -28,6 +28,7 @@
 [platform]
 availability-zones = ${shared.availabilityZones.join(', ')}
 store-address = ${storeAddress}
+version-bound-milliseconds = ${shared.versionBound}
 [peers]
 seeds = ${shared.seeds.join(', ')}
 key = soak
--- a/packages/soak/src/lib/callers.ts
+++ b/packages/soak/src/lib/callers.ts
@@ -19,7 +19,8 @@
 const ROTATING_KEY_SHARE = 0.15
 const MILLISECONDS_PER_SECOND = 1_000
 
-const kinds: readonly CallKind[] = ['safe', 'unsafe', 'stream', 'moving']
+/** Kinds of calls, with equal shares. Only streams run on engines, whose versions change. */
+const kinds: readonly CallKind[] = ['safe', 'unsafe', 'stream', 'waiting-stream', 'moving']
 
 /** Sends calls to the entries of a deployment and records the results. */
 export class Callers {
--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -14,10 +14,12 @@
 import { EndpointStarts, type EndpointState } from './endpoint-starts.js'
 import { EntryProcess, type SharedSettings } from './entry-process.js'
 import type { ConfigurationWrite, EndpointDeparture, PublishedVersion } from './journal.js'
-import { GRACE_MILLISECONDS } from './promises.js'
+import { GRACE_MILLISECONDS, VERSION_BOUND_MILLISECONDS } from './promises.js'
 
 const AVAILABILITY_ZONES = ['koshi', 'bagmati', 'gandaki'] as const
 const ENDPOINTS_PER_SERVICE = 3
+/** Engines of one zone switch one after the other, so some serve an old version until shortly before its bound. */
+const ENGINES_PER_ZONE = 2
 const SERVICES = ['desk', 'archive', 'pool'] as const
 /** First three octets of the engines' addresses. They depend on the process id so that concurrent soaks share no address. */
 const engineNetwork = `127.${1 + (process.pid >> 8) % 254}.${process.pid & 255}`
@@ -25,6 +27,8 @@
 const FIRST_ENGINE_OCTET = 11
 /** Number of entries that read the store for the others, one in each availability zone if there are enough entries. */
 const RELAY_COUNT = 3
+/** With this delay, the weights of a version take a good part of its bound, so that old versions are in use until then. */
+const ORIGIN_DELAY_MILLISECONDS = 400
 const READINESS_CHECK_MILLISECONDS = 500
 /** Rate limit of the stand-ins, above the rate that the processes of a soak reach. */
 const CALLS_PER_SECOND = 10_000
@@ -60,6 +64,8 @@
   /** Listed endpoints and their states, by the id of their start. */
   private readonly _listed = new Map<string, { readonly endpoint: EndpointStarts, readonly state: EndpointState }>()
   private readonly _removed = new Set<string>()
+  /** Links to the seeds, which are the first entries. */
+  readonly seedLinks: Link[] = []
   private readonly _storeLinks: Link[] = []
   private _readinessTimer: NodeJS.Timeout | undefined
   /** Kills the child processes when this process exits early. */
@@ -85,6 +91,7 @@
   private async _listen (processes: number): Promise<void> {
     await this.store.listen(0)
     await this.origin.listen(0)
+    this.origin.delayMilliseconds = ORIGIN_DELAY_MILLISECONDS
     await this._prepare(processes)
     for (const endpoint of this.endpoints) {
       await endpoint.start()
@@ -92,6 +99,9 @@
     }
   }
 
+  /** The endpoints that have a queue and weights. */
+  get engines (): EndpointStarts[] { return this.endpoints.filter(({ plan }) => plan.service === 'pool') }
+
   /** All processes of the product. */
   get daemons (): DaemonProcess[] { return [...this.entries.map(({ daemon }) => daemon), ...this.agents] }
 
@@ -170,7 +180,7 @@
     clearInterval(this._readinessTimer)
     await Promise.all(this.daemons.map(daemon => daemon.kill()))
     process.off('exit', this._killAll)
-    for (const link of this._storeLinks) link.close()
+    for (const link of [...this._storeLinks, ...this.seedLinks]) link.close()
     for (const endpoint of this.endpoints) endpoint.end()
     this.store.close()
     this.origin.close()
@@ -182,28 +192,36 @@
     const port = (): number => ports.pop() ?? 0
     const agentPort = port()
     const peers = Array.from({ length: entries }, port)
-    const seeds = peers.slice(0, RELAY_COUNT).map(peer => `127.0.0.1:${peer}`)
-    const shared = { directory: this.directory, availabilityZones: AVAILABILITY_ZONES, seeds, agentPort, stopTimeoutSeconds: (GRACE_MILLISECONDS - STOP_MARGIN_MILLISECONDS) / 1_000 }
+    for (const peer of peers.slice(0, RELAY_COUNT)) this.seedLinks.push(await openLink(peer))
+    const seeds = this.seedLinks.map(({ address }) => address)
+    const versionBound = VERSION_BOUND_MILLISECONDS
+    const shared = { versionBound, directory: this.directory, availabilityZones: AVAILABILITY_ZONES, seeds, agentPort, stopTimeoutSeconds: (GRACE_MILLISECONDS - STOP_MARGIN_MILLISECONDS) / 1_000 }
     for (const [index, peer] of peers.entries()) await this._addEntry(index, peer, shared)
     for (const service of SERVICES) for (let index = 0; index < ENDPOINTS_PER_SERVICE; index += 1) this._addEndpoint(service, index, port(), shared)
   }
 
   private async _addEntry (index: number, peer: number, shared: SharedSettings): Promise<void> {
-    const [linkPort = 0, http = 0, readiness = 0] = await freePorts(3)
-    const storeLink = new Link(linkPort, Number(this.store.address.split(':')[1]))
-    await storeLink.listen()
+    const [http = 0, readiness = 0] = await freePorts(2)
+    const storeLink = await openLink(Number(this.store.address.split(':')[1]))
     this._storeLinks.push(storeLink)
-    this.entries.push(new EntryProcess({ instance: `entry-${index + 1}`, availabilityZone: zoneOf(index), shared, ports: { http, readiness, peer }, storeLink }))
+    this.entries.push(new EntryProcess({ instance: `entry-${index + 1}`, availabilityZone: zoneOf(index), shared, ports: { http, readiness, peer }, storeLink, seedLink: this.seedLinks[index] }))
   }
 
   /** An engine keeps its address over all starts, since the address is part of its agent's settings. All agents use one port. */
   private _addEndpoint (service: typeof SERVICES[number], index: number, port: number, shared: SharedSettings): void {
     const isEngine = service === 'pool'
     const host = isEngine ? `${engineNetwork}.${FIRST_ENGINE_OCTET + index}` : '127.0.0.1'
-    const endpoint = new EndpointStarts({ name: `${service}-${index + 1}`, service, availabilityZone: zoneOf(index), host, port: isEngine ? port : undefined })
+    const endpoint = new EndpointStarts({ name: `${service}-${index + 1}`, service, availabilityZone: zoneOf(isEngine ? Math.floor(index / ENGINES_PER_ZONE) : index), host, port: isEngine ? port : undefined })
     this.endpoints.push(endpoint)
     if (isEngine) this.agents.push(createAgentProcess(endpoint.plan, this.store.address, shared))
   }
 }
 
+async function openLink (target: number): Promise<Link> {
+  const [port = 0] = await freePorts(1)
+  const link = new Link(port, target)
+  await link.listen()
+  return link
+}
+
 function zoneOf (index: number): string { return AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length] ?? '' }
--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -72,7 +72,7 @@
   /** Requests that any start received. */
   get arrivals (): EndpointArrival[] {
     const { service } = this.plan
-    return this._workers.flatMap(({ id: endpoint, arrivals }) => arrivals.map(({ id, at, ran, version }) => ({ id, endpoint, service, at, ran, version })))
+    return this._workers.flatMap(({ id: endpoint, arrivals }) => arrivals.map(({ id, at, begunAt, ran, version }) => ({ id, endpoint, service, at, begunAt, ran, version })))
   }
 
   /** Versions that any start switched to. */
--- a/packages/soak/src/lib/entry-process.ts
+++ b/packages/soak/src/lib/entry-process.ts
@@ -19,6 +19,8 @@
   readonly availabilityZones: readonly string[]
   readonly seeds: readonly string[]
   readonly agentPort: number
+  /** Bound of a version, in milliseconds. */
+  readonly versionBound: number
   /** Time within which a process has to stop, in seconds. */
   readonly stopTimeoutSeconds: number
 }
@@ -30,6 +32,8 @@
   readonly shared: SharedSettings
   readonly ports: { readonly http: number, readonly readiness: number, readonly peer: number }
   readonly storeLink: Link
+  /** Link from the other processes to this one, if it is a seed. */
+  readonly seedLink: Link | undefined
 }
 
 /** An entry. */
@@ -62,12 +66,15 @@
   }
 }
 
-function settingsText ({ instance, availabilityZone, shared, ports, storeLink }: EntryPlan): string {
+function settingsText ({ instance, availabilityZone, shared, ports, storeLink, seedLink }: EntryPlan): string {
+  const address = `127.0.0.1:${ports.peer}`
+  // A relay recognises itself by its own address among the seeds.
+  const seeds = shared.seeds.map(seed => seed === seedLink?.address ? address : seed)
   return `
 [process]
 instance = ${instance}
 availability-zone = ${availabilityZone}
-address = 127.0.0.1:${ports.peer}
+address = ${address}
 http-address = 127.0.0.1:${ports.http}
 readiness-address = 127.0.0.1:${ports.readiness}
 stop-patience-seconds = ${shared.stopTimeoutSeconds}
@@ -75,8 +82,9 @@
 availability-zones = ${shared.availabilityZones.join(', ')}
 store-address = ${storeLink.address}
 watch-seconds = 3
+version-bound-milliseconds = ${shared.versionBound}
 [peers]
-seeds = ${shared.seeds.join(', ')}
+seeds = ${seeds.join(', ')}
 key = soak
 agent-port = ${shared.agentPort}
 [requests]
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -5,7 +5,7 @@
  */
 /** Handlers that inject each fault and wait until its target has recovered. */
 import { setTimeout as pause } from 'node:timers/promises'
-import type { LinkMode, StoreMode } from '@drumdrift/stand-ins'
+import type { Behaviour, HttpService, Link, LinkMode, StoreMode } from '@drumdrift/stand-ins'
 import type { DaemonProcess } from './daemon-process.js'
 import type { Deployment } from './deployment.js'
 import type { EndpointStarts } from './endpoint-starts.js'
@@ -18,6 +18,8 @@
   readonly deployment: Deployment
   readonly fault: PlannedFault
   readonly entry: EntryProcess
+  /** Link to one of the seeds. */
+  readonly seedLink: Link
   readonly endpoint: EndpointStarts
   readonly agent: DaemonProcess
 }
@@ -26,6 +28,8 @@
 export type FaultHandler = (context: FaultContext) => Promise<void>
 
 const READY_TIMEOUT_MILLISECONDS = 15_000
+/** Time that requests wait in a long queue, as a multiple of the time during which they enter it. The longest is beyond the bound of a version. */
+const QUEUE_PER_DURATION = 1.5
 /** Time after which the record of a crashed endpoint expires, in milliseconds. */
 const RECORD_EXPIRY_MILLISECONDS = 3_000
 /** Time between the removal of an endpoint and its next start, in milliseconds. */
@@ -52,19 +56,24 @@
   'store-way-stalls': onStoreLink('stall'),
   'store-way-deaf': onStoreLink('deaf'),
   'store-way-mute': onStoreLink('mute'),
-  'store-way-slow': onStoreLink('delay'),
-  'store-down': async ({ deployment: { store }, fault }) => {
-    store.behaviour = 'down'
-    await pause(fault.durationMilliseconds)
-    store.behaviour = 'normal'
+  'store-way-slow': async ({ entry, fault }) => { await delayLink(entry.plan.storeLink, fault) },
+  'store-way-silent': async ({ entry }) => { entry.plan.storeLink.silenceOpenConnections() },
+  'peers-way-slow': async ({ seedLink, fault }) => { await delayLink(seedLink, fault) },
+  'all-way-slow': async ({ deployment: { entries, seedLinks }, fault }) => {
+    await Promise.all([...entries.map(({ plan }) => plan.storeLink), ...seedLinks].map(link => delayLink(link, fault)))
   },
+  'peers-way-silent': async ({ seedLink }) => { seedLink.silenceOpenConnections() },
+  'store-down': async ({ deployment: { store }, fault }) => { await behave(store, 'down', fault) },
   'store-silent': inStoreMode('silent'),
   'store-turns-away': inStoreMode('turns-away'),
-  'store-slow': async ({ deployment: { store }, fault }) => {
-    store.behaviour = 'slow'
+  'store-slow': async ({ deployment: { store }, fault }) => { await behave(store, 'slow', fault) },
+  'origin-slow': async ({ deployment: { origin }, fault }) => {
+    const usual = origin.delayMilliseconds
+    origin.delayMilliseconds += fault.delayMilliseconds
     await pause(fault.durationMilliseconds)
-    store.behaviour = 'normal'
+    origin.delayMilliseconds = usual
   },
+  'origin-down': async ({ deployment: { origin }, fault }) => { await behave(origin, 'down', fault) },
   'store-forgets': async ({ deployment }) => { deployment.store.compact() },
   'store-restored': async ({ deployment, fault }) => {
     const { store } = deployment
@@ -95,6 +104,11 @@
   },
   'endpoint-sheds': inWorkerMode('sheds'),
   'endpoint-mute': inWorkerMode('mute'),
+  'engine-queues': async ({ endpoint: { worker }, fault }) => {
+    worker.queueMilliseconds = QUEUE_PER_DURATION * fault.durationMilliseconds
+    await pause(fault.durationMilliseconds)
+    worker.queueMilliseconds = 0
+  },
   'endpoint-way-cut': onEndpointLink('cut'),
   'endpoint-way-stalls': onEndpointLink('stall'),
   'endpoint-way-slow': onEndpointLink('delay'),
@@ -121,6 +135,20 @@
   }
 }
 
+async function behave (service: HttpService, behaviour: Behaviour, fault: PlannedFault): Promise<void> {
+  const usual = service.behaviour
+  service.behaviour = behaviour
+  await pause(fault.durationMilliseconds)
+  service.behaviour = usual
+}
+
+async function delayLink (link: Link, { durationMilliseconds, delayMilliseconds }: PlannedFault): Promise<void> {
+  link.delayMilliseconds = delayMilliseconds
+  link.set('delay')
+  await pause(durationMilliseconds)
+  link.set('pass')
+}
+
 function onStoreLink (mode: LinkMode): FaultHandler {
   return async ({ entry, fault }) => {
     entry.plan.storeLink.set(mode)
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -6,21 +6,29 @@
 /** Draws the times, kinds and targets of faults from a seed. */
 
 /** Faults of entry processes and of their links to the store. */
-const entryFaults = ['entry-stops', 'entry-killed', 'entry-paused', 'entry-reloads', 'store-way-cut', 'store-way-stalls', 'store-way-deaf', 'store-way-mute', 'store-way-slow'] as const
+const entryFaults = ['entry-stops', 'entry-killed', 'entry-paused', 'entry-reloads', 'store-way-cut', 'store-way-stalls', 'store-way-deaf', 'store-way-mute', 'store-way-slow', 'store-way-silent'] as const
+/** Faults of the links to a seed, and of all links to the seeds and to the store together. */
+const linksFaults = ['peers-way-slow', 'peers-way-silent', 'all-way-slow'] as const
 const storeFaults = ['store-down', 'store-silent', 'store-turns-away', 'store-slow', 'store-forgets', 'store-restored'] as const
 const endpointFaults = ['endpoint-drains', 'endpoint-crashes', 'endpoint-sheds', 'endpoint-mute', 'endpoint-way-cut', 'endpoint-way-stalls', 'endpoint-way-slow'] as const
 const agentFaults = ['agent-stops', 'agent-killed', 'agent-paused'] as const
-const operatorActions = ['route-moves', 'key-revoked', 'configuration-written', 'version-named'] as const
+const operatorActions = ['route-moves', 'key-revoked', 'configuration-written'] as const
+const versionActions = ['version-named'] as const
+const originFaults = ['origin-down', 'origin-slow'] as const
+/** Faults of endpoints that have a queue. */
+const engineFaults = ['engine-queues'] as const
 
 /** Kinds of faults and of acts of the operator. */
-export type FaultKind = typeof entryFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
+export type FaultKind = typeof entryFaults[number] | typeof linksFaults[number] | typeof versionActions[number] | typeof originFaults[number] | typeof engineFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
 
 /** Kinds of targets. */
-export type TargetKind = 'entry' | 'store' | 'endpoint' | 'agent' | 'operator'
+export type TargetKind = 'entry' | 'links' | 'store' | 'endpoint' | 'engine' | 'agent' | 'operator' | 'versions' | 'origin'
 
-const faultsByTarget: Record<TargetKind, readonly FaultKind[]> = { entry: entryFaults, store: storeFaults, endpoint: endpointFaults, agent: agentFaults, operator: operatorActions }
+const faultsByTarget: Record<TargetKind, readonly FaultKind[]> = {
+  entry: entryFaults, links: linksFaults, store: storeFaults, endpoint: endpointFaults, engine: engineFaults, agent: agentFaults, operator: operatorActions, versions: versionActions, origin: originFaults
+}
 /** Relative frequency of each kind of target. There are many entries and endpoints but one store. */
-const weights: Record<TargetKind, number> = { entry: 4, store: 1, endpoint: 3, agent: 1, operator: 2 }
+const weights: Record<TargetKind, number> = { entry: 4, links: 3, store: 1, endpoint: 3, engine: 2, agent: 1, operator: 2, versions: 2, origin: 2 }
 
 /** A fault to inject. */
 export interface PlannedFault {
@@ -30,6 +38,8 @@
   readonly at: number
   /** Duration in milliseconds. Faults without a duration ignore it. */
   readonly durationMilliseconds: number
+  /** Delay in milliseconds, for faults that delay. */
+  readonly delayMilliseconds: number
   /** Position of the target among those of its kind, as a share of their number. */
   readonly targetPosition: number
 }
@@ -44,12 +54,15 @@
 
 const MIN_FAULT_MILLISECONDS = 200
 const MAX_FAULT_MILLISECONDS = 3_000
+const MIN_DELAY_MILLISECONDS = 300
+const MAX_DELAY_MILLISECONDS = 1_500
 /** Share of faults that start a series. */
 const SERIES_SHARE = 0.2
 /** Number of faults that follow the first of a series. */
 const SERIES_LENGTH = 3
-/** Longest time between two faults of a series, in milliseconds. */
-const MAX_SERIES_PAUSE_MILLISECONDS = 1_200
+/** Shortest and longest time between two faults of a series, in milliseconds. */
+const MIN_SERIES_PAUSE_MILLISECONDS = 100
+const MAX_SERIES_PAUSE_MILLISECONDS = 1_500
 
 /**
  * Draws the faults of one soak. The faults of a series have one kind and go through the targets in turn.
@@ -65,7 +78,7 @@
     if (random() >= SERIES_SHARE) continue
     let next = at
     for (let count = 1; count <= SERIES_LENGTH; count += 1) {
-      next += random() * MAX_SERIES_PAUSE_MILLISECONDS
+      next += drawBetween(random, MIN_SERIES_PAUSE_MILLISECONDS, MAX_SERIES_PAUSE_MILLISECONDS)
       faults.push({ ...first, at: next, targetPosition: (first.targetPosition + count / (SERIES_LENGTH + 1)) % 1 })
     }
   }
@@ -78,9 +91,18 @@
   const targetKind = drawTargetKind(random)
   const kinds = faultsByTarget[targetKind]
   const kind = kinds[Math.floor(random() * kinds.length)] as FaultKind
-  return { kind, targetKind, at, durationMilliseconds: MIN_FAULT_MILLISECONDS + random() * (MAX_FAULT_MILLISECONDS - MIN_FAULT_MILLISECONDS), targetPosition: random() }
+  return {
+    kind,
+    targetKind,
+    at,
+    durationMilliseconds: drawBetween(random, MIN_FAULT_MILLISECONDS, MAX_FAULT_MILLISECONDS),
+    delayMilliseconds: drawBetween(random, MIN_DELAY_MILLISECONDS, MAX_DELAY_MILLISECONDS),
+    targetPosition: random()
+  }
 }
 
+function drawBetween (random: () => number, min: number, max: number): number { return min + random() * (max - min) }
+
 function drawTargetKind (random: () => number): TargetKind {
   const targetKinds = Object.keys(weights) as TargetKind[]
   let left = random() * targetKinds.reduce((sum, targetKind) => sum + weights[targetKind], 0)
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -25,8 +25,10 @@
   readonly endpoint: string
   readonly service: string
   readonly at: number
+  /** When the endpoint started to run the request, after it had waited in its queue. */
+  readonly begunAt: number
   readonly ran: boolean
-  /** Version of the endpoint's weights; 1 for a plain service. */
+  /** Version of the endpoint's weights at `begunAt`; 1 for a plain service. */
   readonly version: number
 }
 
@@ -60,8 +62,8 @@
   readonly whole: boolean
 }
 
-/** Target of a fault: the store, a process by its instance, or an endpoint by its name. */
-export type FaultTarget = 'store' | string
+/** Target of a fault: the store, links that several processes use, a process by its instance, or an endpoint by its name. */
+export type FaultTarget = 'store' | 'links' | string
 
 /** An injected fault, from its start until its target has recovered. */
 export interface Disturbance {
@@ -116,11 +118,11 @@
 }
 
 /**
- * Returns whether no fault affected an entry or the store within the settle time before a point in time.
+ * Returns whether no fault affected an entry, links of several processes or the store within the settle time before a point in time.
  *
  * @example
  * if (isSettled(journal, call.entry, call.sentAt)) holdToBounds(call)
  */
 export function isSettled (journal: Pick<Journal, 'disturbances'>, entry: string, at: number): boolean {
-  return !isDisturbed(journal, [entry, 'store'], at - SETTLE_MILLISECONDS, at)
+  return !isDisturbed(journal, [entry, 'links', 'store'], at - SETTLE_MILLISECONDS, at)
 }
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -5,6 +5,7 @@
  */
 /** The promises that a soak checks, each against the records of callers, endpoints and the store. */
 import { EVENTS_PER_STREAM, signerOf } from '@drumdrift/stand-ins'
+import type { FaultKind } from './fault-plan.js'
 import { SETTLE_MILLISECONDS, isDisturbed, isSettled, type CallRecord, type ConfigurationWrite, type EndpointArrival, type Journal } from './journal.js'
 
 /** A violation of a promise. */
@@ -46,7 +47,7 @@
 /** Bounds of the users' platform, in milliseconds. */
 export const DRAIN_BOUND_MILLISECONDS = 2_000
 export const IN_FORCE_BOUND_MILLISECONDS = 2_000
-export const VERSION_BOUND_MILLISECONDS = 8_000
+export const VERSION_BOUND_MILLISECONDS = 3_000
 export const GRACE_MILLISECONDS = 8_000
 /** Timeout of all routes, in milliseconds. */
 export const ROUTE_TIMEOUT_MILLISECONDS = 2_000
@@ -103,11 +104,13 @@
   },
   version: journal => {
     const calls = new Map(journal.calls.map(call => [call.id, call]))
-    return journal.arrivals.filter(({ service, ran }) => service === 'pool' && ran).flatMap(({ id, endpoint, at, version }) => {
+    return journal.arrivals.filter(({ service, ran }) => service === 'pool' && ran).flatMap(({ id, endpoint, at, begunAt, version }) => {
       const call = calls.get(id)
-      const newer = journal.versions.filter(named => named.version > version && named.at + VERSION_BOUND_MILLISECONDS < at).at(0)
-      if (call === undefined || newer === undefined || isDisturbed(journal, [call.entry, 'store', endpointNameOf(endpoint)], newer.at - SETTLE_MILLISECONDS, at)) return []
-      return [violationOf({ ...call, endedAt: at }, `started on version ${version} at ${endpoint}, ${Math.round(at - newer.at)} ms after version ${newer.version} was published`)]
+      const newer = journal.versions.find(named => named.version > version)
+      if (call === undefined || newer === undefined || hasLostContact(journal, call.entry, begunAt)) return []
+      const late = begunAt - Math.max(newer.at, stableSince(journal, [call.entry, endpointNameOf(endpoint)], begunAt)) - VERSION_BOUND_MILLISECONDS
+      if (late <= 0) return []
+      return [violationOf({ ...call, endedAt: begunAt }, `reached ${endpoint} at ${Math.round(at)} and began ${Math.round(late)} ms late on version ${version}, ${Math.round(begunAt - newer.at)} ms after version ${newer.version} was published`)]
     })
   },
   'whole-version': ({ loads, faultsEndedAt }) => loads.filter(({ whole }) => !whole).map(({ endpoint, version }) => ({ at: faultsEndedAt, detail: `${endpoint} switched to version ${version}, which was incomplete` })),
@@ -123,7 +126,7 @@
   },
   answered: journal => journal.calls.filter(call => {
     const elapsed = call.endedAt - call.sentAt
-    return call.kind !== 'stream' && elapsed > ROUTE_TIMEOUT_MILLISECONDS + ANSWER_SLACK_MILLISECONDS && isSettled(journal, call.entry, call.endedAt)
+    return !isStream(call.kind) && elapsed > ROUTE_TIMEOUT_MILLISECONDS + ANSWER_SLACK_MILLISECONDS && isSettled(journal, call.entry, call.endedAt)
   }).map(call => violationOf(call, `ended after ${Math.round(call.endedAt - call.sentAt)} ms`)),
   process: ({ processExits }) => processExits.flatMap(({ process, at, exitRequest, code, took, startedUp }) => {
     // A process that has not started up does not handle signals yet and has no requests to complete.
@@ -161,13 +164,33 @@
 /** Returns the name of the endpoint from the id of one of its starts. */
 function endpointNameOf (start: string): string { return start.replace(/\.\d+$/, '') }
 
+/** Faults of entries that do not excuse a request that begins late on an old version: a full link, and a reload. */
+const harmlessToVersions: ReadonlySet<FaultKind> = new Set(['store-way-slow', 'peers-way-slow', 'all-way-slow', 'entry-reloads'])
+
+/** Returns whether an entry, or its connections, failed or came back within the settle time before a point in time. */
+function hasLostContact ({ disturbances }: Journal, entry: string, at: number): boolean {
+  const failures = disturbances.filter(({ kind }) => !harmlessToVersions.has(kind))
+  return isDisturbed({ disturbances: failures }, [entry, 'links'], at - SETTLE_MILLISECONDS, at)
+}
+
+/** Returns since when the store has been stable, and the links of some targets have been usable. */
+function stableSince ({ disturbances }: Journal, targets: readonly string[], at: number): number {
+  const ends = disturbances.filter(({ from }) => from <= at).map(({ kind, target, to }) => {
+    if (target === 'store') return to + SETTLE_MILLISECONDS
+    return kind.includes('-way-') && targets.includes(target) && !harmlessToVersions.has(kind) ? to : -Infinity
+  })
+  return Math.max(-Infinity, ...ends)
+}
+
+function isStream (kind: CallRecord['kind']): boolean { return kind === 'stream' || kind === 'waiting-stream' }
+
 function isRepeatable (kind: CallRecord['kind']): boolean { return kind !== 'unsafe' }
 
 /** Returns why a successful response is wrong; `undefined` if it is right. */
 function findAnswerError ({ kind, answer }: CallRecord, arrivals: readonly EndpointArrival[]): string | undefined {
   const signer = signerOf(answer)
   if (!arrivals.some(({ ran, endpoint }) => ran && endpoint === signer)) return `signed by ${signer}, which did not run the request`
-  if (kind !== 'stream') return answer.body === `answer of ${signer}` ? undefined : `the body "${answer.body.slice(0, 40)}" is not from ${signer}, which signed it`
+  if (!isStream(kind)) return answer.body === `answer of ${signer}` ? undefined : `the body "${answer.body.slice(0, 40)}" is not from ${signer}, which signed it`
   const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id))
   const isWhole = ids.length === EVENTS_PER_STREAM && ids.every((id, index) => id === index + 1)
   return isWhole ? undefined : `wrong sequence of events: ${ids.join(',')}`
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -34,8 +34,12 @@
 const targetNames: Record<TargetKind, (deployment: Deployment, fault: PlannedFault) => string> = {
   entry: ({ entries }, fault) => pickTarget(entries, fault)?.instance ?? '',
   endpoint: ({ endpoints }, fault) => pickTarget(endpoints, fault)?.name ?? '',
+  engine: ({ engines }, fault) => pickTarget(engines, fault)?.name ?? '',
   agent: ({ agents }, fault) => pickTarget(agents, fault)?.instance ?? '',
   store: () => 'store',
+  links: () => 'links',
+  versions: () => 'versions',
+  origin: () => 'origin',
   operator: () => 'operator'
 }
 
@@ -62,7 +66,7 @@
     const violations = judge(journal)
     passed = violations.length === 0
     report(journal, violations, options, lag.max / NANOSECONDS_PER_MILLISECOND, print)
-    if (!passed) print({ event: 'logs-kept', directory: deployment.directory })
+    if (!passed) print({ event: 'logs-kept', directory: deployment.directory, times_count_from: new Date(performance.timeOrigin).toISOString() })
     return passed
   } finally {
     await deployment.close(!passed)
@@ -109,7 +113,7 @@
     await pause(Math.max(0, startedAt + fault.at - performance.now()))
     const target = targetNames[fault.targetKind](deployment, fault)
     // Faults of one target do not overlap, except that a fault of its link may overlap with one of the target itself.
-    const part = `${target}/${fault.kind.includes('-way-')}`
+    const part = `${target}/${/^(.*)-way-/.exec(fault.kind)?.[1]}`
     if (busy.has(part)) continue
     print({ event: 'fault', kind: fault.kind, target, at: Math.round(performance.now()) })
     const disturbance = { kind: fault.kind, target, from: performance.now(), to: Infinity }
@@ -125,14 +129,18 @@
 }
 
 async function injectFault (deployment: Deployment, fault: PlannedFault): Promise<void> {
-  const { entries, endpoints, agents } = deployment
+  const { entries, seedLinks, endpoints, engines, agents } = deployment
   const entry = pickTarget(entries, fault)
-  const endpoint = pickTarget(endpoints, fault)
+  const seedLink = pickTarget(seedLinks, fault)
+  const endpoint = pickTarget(fault.targetKind === 'engine' ? engines : endpoints, fault)
   const agent = pickTarget(agents, fault)
-  if (entry !== undefined && endpoint !== undefined && agent !== undefined) await faultHandlers[fault.kind]({ deployment, fault, entry, endpoint, agent })
+  if (entry === undefined || seedLink === undefined || endpoint === undefined || agent === undefined) return
+  await faultHandlers[fault.kind]({ deployment, fault, entry, seedLink, endpoint, agent })
 }
 
-function report ({ calls, arrivals, versions, loads, disturbances }: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
+function report (journal: Journal, violations: readonly Violation[], options: SoakOptions, longestPause: number, print: Print): void {
+  const { calls, arrivals, versions, loads, disturbances } = journal
+  const ages = agesOfOlderVersions(journal)
   for (const { promise, at, detail } of violations) print({ event: 'broken', promise, at: Math.round(at), detail })
   const count = (matches: (status: number, complete: boolean) => boolean): number => calls.filter(({ answer }) => matches(answer.status, answer.whole)).length
   print({
@@ -149,8 +157,18 @@
     arrivals: arrivals.length,
     versions: versions.length,
     loads: loads.length,
+    begun_on_older: ages.length,
+    latest_on_older_milliseconds: Math.round(Math.max(0, ...ages)),
     longest_pause_milliseconds: Math.round(longestPause),
     broken: violations.length,
     result: violations.length === 0 ? 'pass' : 'fail'
   })
 }
+
+/** Returns how long ago a newer version had been published, in milliseconds, for each request that began on an older one. */
+function agesOfOlderVersions ({ arrivals, versions }: Journal): number[] {
+  return arrivals.filter(({ service, ran }) => service === 'pool' && ran).flatMap(({ begunAt, version }) => {
+    const newer = versions.find(named => named.version > version && named.at < begunAt)
+    return newer === undefined ? [] : [begunAt - newer.at]
+  })
+}
--- a/packages/soak/src/test/lib/fault-plan_test.ts
+++ b/packages/soak/src/test/lib/fault-plan_test.ts
@@ -21,7 +21,7 @@
     const times = plan.map(({ at }) => at)
     assert.deepEqual(times, [...times].sort((left, right) => left - right))
     assert.ok(times.every(at => at >= 0 && at < options.length))
-    assert.equal(new Set(plan.map(({ kind }) => kind)).size, 29)
+    assert.equal(new Set(plan.map(({ kind }) => kind)).size, 36)
   })
 
   it('draws series of faults that go through the targets', () => {
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -20,7 +20,7 @@
 }
 
 function arrival (part: Partial<EndpointArrival> = {}): EndpointArrival {
-  return { id: 'call-1', endpoint: 'desk-1.1', service: 'desk', at: 10_020, ran: true, version: 1, ...part }
+  return { id: 'call-1', endpoint: 'desk-1.1', service: 'desk', at: 10_020, begunAt: 10_020, ran: true, version: 1, ...part }
 }
 
 function journal (part: Partial<Journal>): Journal {
@@ -46,6 +46,7 @@
 const storeOutage: Disturbance = { kind: 'store-down', target: 'store', from: 9_000, to: 9_500 }
 const moved = call({ id: 'call-2', kind: 'moving', sentAt: 6_000, endedAt: 6_050, answer: answer(200, { headers: { 'x-server-seal': 'seal-of-archive-1.1' }, body: 'answer of archive-1.1' }) })
 const movedArrival = arrival({ id: 'call-2', endpoint: 'archive-1.1', service: 'archive', at: 6_020 })
+const versions = [{ version: 2, at: 7_000 }]
 const inPool = arrival({ service: 'pool' })
 const selfExit = { process: 'entry-1', at: 20_000, exitRequest: 'nothing', code: 1, took: 0, startedUp: true } as const
 
@@ -75,9 +76,20 @@
     ['a route that is not found', { calls: [call({ answer: answer(404) })], arrivals: [] }, ['in-force']],
     ['a process that returns to an older configuration', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedArrival, arrival({ at: 6_220 })], configurations: configurationsToArchive }, ['never-back']],
     ['a process that applies an older configuration after a restart', { calls: [moved, call({ kind: 'moving', sentAt: 6_200, endedAt: 6_250 })], arrivals: [movedArrival, arrival({ at: 6_220 })], configurations: configurationsToArchive, processExits: [{ process: 'entry-1', at: 6_100, exitRequest: 'kill', code: null, took: 1, startedUp: true }] }, []],
-    ['a request that starts on an old version after the bound', { arrivals: [inPool], versions: [{ version: 2, at: 2_000 }] }, ['version']],
-    ['a request that starts on an old version within the bound', { arrivals: [inPool], versions: [{ version: 2, at: 2_500 }] }, []],
-    ['a request on an old version whose engine had a slow link', { arrivals: [inPool], versions: [{ version: 2, at: 2_000 }], disturbances: [{ kind: 'endpoint-way-slow', target: 'desk-1', from: 4_000, to: 5_000 }] }, []],
+    ['a request that starts on an old version after the bound', { arrivals: [inPool], versions }, ['version']],
+    ['a request that starts on an old version within the bound', { arrivals: [inPool], versions: [{ version: 2, at: 7_500 }] }, []],
+    ['a request that arrives in time and waits until after the bound', { arrivals: [arrival({ service: 'pool', begunAt: 10_600 })], versions: [{ version: 2, at: 7_500 }] }, ['version']],
+    ['a request that starts after the bound of the first of two newer versions', { arrivals: [inPool], versions: [...versions, { version: 3, at: 9_000 }] }, ['version']],
+    ['a request on an old version whose engine had a slow link', { arrivals: [inPool], versions, disturbances: [{ kind: 'endpoint-way-slow', target: 'desk-1', from: 7_500, to: 8_000 }] }, []],
+    ['a request on an old version long after the link of its entry to the store was cut', { arrivals: [inPool], versions: [{ version: 2, at: 3_000 }], disturbances: [{ kind: 'store-way-cut', target: 'entry-1', from: 4_000, to: 6_900 }] }, ['version']],
+    ['a request on an old version within the bound from the end of such a cut', { arrivals: [inPool], versions: [{ version: 2, at: 3_000 }], disturbances: [{ kind: 'store-way-cut', target: 'entry-1', from: 4_000, to: 7_100 }] }, []],
+    ['a request on an old version from an entry that came back before', { arrivals: [inPool], versions, disturbances: [{ kind: 'entry-killed', target: 'entry-1', from: 6_500, to: 7_100 }] }, []],
+    ['a request on an old version long after its entry came back', { arrivals: [inPool], versions: [{ version: 2, at: 6_000 }], disturbances: [{ kind: 'entry-killed', target: 'entry-1', from: 6_500, to: 6_900 }] }, ['version']],
+    ['a request on an old version after the store was down', { arrivals: [inPool], versions, disturbances: [{ ...storeOutage, from: 4_500, to: 5_000 }] }, []],
+    ['a request on an old version long after the store was down', { arrivals: [inPool], versions, disturbances: [{ ...storeOutage, from: 3_500, to: 4_000 }] }, ['version']],
+    ['a request on an old version long after connections went silent', { arrivals: [inPool], versions, disturbances: [{ kind: 'peers-way-silent', target: 'links', from: 6_950, to: 6_950 }] }, ['version']],
+    ['a request on an old version while messages of peers are delayed', { arrivals: [inPool], versions, disturbances: [{ kind: 'peers-way-slow', target: 'links', from: 6_950, to: 9_000 }] }, ['version']],
+    ['a request on an old version while answers of the store are delayed', { arrivals: [inPool], versions, disturbances: [{ kind: 'store-way-slow', target: 'entry-1', from: 6_950, to: 9_000 }] }, ['version']],
     ['a switch to a version that lacks a piece', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: false }] }, ['whole-version']],
     ['a switch to a complete version', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: true }] }, []],
     ['a call that the stop of an entry interrupts', { calls: [interrupted], disturbances: [stop] }, ['finished']],
