--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -52,10 +52,22 @@
 
 /** A named version, as sent from one process to another. */
 export interface NamedVersion extends ModelVersion {
-  /** Milliseconds since the sender received it. */
+  /** Milliseconds since some process first received it. */
   readonly age: number
 }
 
+/**
+ * Returns a named version as a peer sent it, or `undefined` if it is malformed.
+ *
+ * @example
+ * const named = readNamedVersion(reply.named)
+ */
+export function readNamedVersion (input: unknown): NamedVersion | undefined {
+  const { model, version, age } = (input ?? {}) as Partial<NamedVersion>
+  const isValid = typeof model === 'string' && Number.isFinite(version) && Number.isFinite(age)
+  return isValid ? { model, version: Number(version), age: Math.max(0, Number(age)) } : undefined
+}
+
 /** The revisions of published state that a relay holds. */
 export interface RelayNote {
   readonly availabilityZone: string
@@ -65,6 +77,8 @@
   readonly held: PublishedRevisions
   /** Whether it reads the operators' documents directly from the store and the store responds. */
   readonly fresh: boolean
+  /** Milliseconds since the relay is known to have received every version published until then; absent if that is unknown. */
+  readonly versionsAge?: number | undefined
 }
 
 /** A request to a peer. `run` and `go` carry the body as the frame's payload. */
@@ -146,7 +160,8 @@
 export type PeerReply =
   | { readonly type: 'welcome', readonly instance: string }
   | { readonly type: 'documents', readonly documents: SpreadDocuments, readonly note: SpreadNote }
-  | { readonly type: 'done' }
+  /** `named`: in the reply to a ping, the version wanted of the agent's pool. */
+  | { readonly type: 'done', readonly named?: NamedVersion | undefined }
   | { readonly type: 'chunk', readonly digest: string }
   | { readonly type: 'manifest', readonly digest: string }
   /**
@@ -163,10 +178,11 @@
   | { readonly type: 'progress', readonly progress: SwitchProgress }
   | { readonly type: 'status', readonly status: ProcessStatus }
   | { readonly type: 'left', readonly lifecycle: Lifecycle }
-  /** The payload contains the packed changes. */
-  | { readonly type: 'news' }
+  /** The payload contains the packed changes. `encodedFor`: milliseconds since they were encoded; their ages count from then. */
+  | { readonly type: 'news', readonly encodedFor?: number | undefined }
   | { readonly type: 'news-note', readonly note: RelayNote }
-  | { readonly type: 'load', readonly load: LoadReport }
+  /** `named`: see `done`. */
+  | { readonly type: 'load', readonly load: LoadReport, readonly named?: NamedVersion | undefined }
   /** Reports to load subscribers which requests were in flight at lost endpoints. */
   | { readonly type: 'suspects', readonly news: SuspectNews }
   /** Reports to load subscribers the request limits that endpoints announced. */
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -267,3 +267,56 @@
     assert.equal(state.dueVersion('m', bound, 501), 4)
   })
 })
+
+describe('PublishedState.takeDelta', () => {
+  const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0 }
+
+  /** A sender that received version 2 from the store at 1,000 ms, at most 300 ms after its publication. */
+  function newSender (): PublishedState {
+    const state = new PublishedState()
+    state.followed('versions', 1)
+    state.take(wanted(2, 2), 1_000, 700)
+    state.followed('versions', 3)
+    return state
+  }
+
+  const cases: [name: string, sentAt: number, requestedAt: number, receivedAt: number, encodedFor: number, expected: number][] = [
+    ['a version that the peer has had for 100 ms', 1_100, 1_100, 1_100, 0, 700],
+    ['a version that the peer has had for longer than a second', 2_400, 2_400, 2_400, 0, 700],
+    ['a version that the peer has had for six seconds', 7_000, 7_000, 7_000, 0, 700],
+    ['a version whose delta took 400 ms to arrive', 2_400, 2_390, 2_800, 0, 690],
+    ['a version whose delta the peer had encoded 250 ms before', 2_400, 2_650, 2_650, 250, 700]
+  ]
+  for (const [name, sentAt, requestedAt, receivedAt, encodedFor, expected] of cases) {
+    it(`counts the deadline from the earliest publication of ${name}`, () => {
+      const receiver = new PublishedState()
+      receiver.followed('versions', 1)
+      receiver.takeDelta(newSender().deltaSince({ ...noRevisions, versions: 1 }, sentAt), receivedAt, { requestedAt, encodedFor })
+      assert.equal(receiver.firstNewerAt('m', 1), expected)
+    })
+  }
+
+  it('keeps the deadline of each version that was published since the last delta', () => {
+    const receiver = new PublishedState()
+    receiver.followed('versions', 1)
+    const sender = newSender()
+    sender.take(wanted(3, 4), 2_500, 2_400)
+    receiver.takeDelta(sender.deltaSince({ ...noRevisions, versions: 1 }, 2_600), 2_600)
+    assert.deepEqual([receiver.firstNewerAt('m', 1), receiver.firstNewerAt('m', 2)], [700, 2_400])
+  })
+
+  it('corrects the publication of a version that is known already', () => {
+    const receiver = new PublishedState()
+    receiver.takeSnapshot('versions', [wanted(2, 2)], 3, 4_000)
+    const before = receiver.firstNewerAt('m', 1)
+    const changes = receiver.takeDelta(newSender().deltaSince(noRevisions, 4_100), 4_100)
+    assert.deepEqual([before, receiver.firstNewerAt('m', 1), changes.length], [undefined, 700, 1])
+  })
+
+  it('ignores ages that are no numbers', () => {
+    const receiver = new PublishedState()
+    const delta = newSender().deltaSince(noRevisions, 4_100)
+    receiver.takeDelta({ ...delta, changes: delta.changes.map(change => ({ ...change, age: NaN, maxAge: -5 })) }, 4_100, { requestedAt: 4_100, encodedFor: NaN })
+    assert.deepEqual([receiver.wanted('m')?.version, receiver.firstNewerAt('m', 1)], [2, undefined])
+  })
+})
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -107,6 +107,9 @@
     if (!this._answer.begun && fingerprint === this._fingerprint()) this._attempt?.abort('the request is held back because endpoints were lost while running it')
   }
 
+  /** Applies the current bounds of versions, and the current delay of the link, to the attempt in progress. */
+  rescheduleCancellation (): void { this._attempt?.rescheduleCancellation() }
+
   private _elapsedSinceFirstTry (): number {
     const { head, route } = this._request
     return head.patience === undefined ? 0 : this._unit?.firstTries.elapsed(route.name, head.patience) ?? 0
@@ -117,13 +120,23 @@
     return unit?.chooser.choose(unit.description, this._need(), now)
   }
 
+  /** The model whose versions apply to the request; empty for a plain service, whatever model the caller names. */
+  private get _model (): string { return this._unit?.description.pool === undefined ? '' : this._request.head.model }
+
   private _need (): EndpointRequirements {
-    const { promptTokens, answerTokens, model } = this._request.head
+    const { promptTokens, answerTokens } = this._request.head
+    const model = this._model
     return {
       promptTokens, answerTokens, model, leastVersion: this._dependencies.minimumVersion(model), mustBeginBy: version => this._dependencies.mustBeginBy(model, version), usualObjective: this._usualObjective, tried: this._tried
     }
   }
 
+  /** When a request that has not begun at an endpoint is cancelled; `undefined` for never. */
+  private _cancellationTime ({ record, version }: ChosenEndpoint): number | undefined {
+    const bound = this._dependencies.mustBeginBy(this._model, version)
+    return bound === undefined ? undefined : this._unit?.chooser.cancellationTime(startKeyOf(record), bound, performance.now())
+  }
+
   private _send (choice: ChosenEndpoint, now: number): void {
     const { head, route } = this._request
     this._attempts += 1
@@ -135,7 +148,7 @@
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
-      beginBy: this._dependencies.mustBeginBy(head.model, choice.version)
+      cancelAt: () => this._cancellationTime(choice)
     }, {
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
