The fuzz of published state judges from when the bound of a version counts

The world polled the store and knew no watches, silent connections or full links, and no oracle asked when a process thinks that a version was published, so the fuzz could not find requests begun late on an older version. Processes now follow as the product does: watches that the store holds for a second with pauses of 250 ms, notes of relays, fetches, cached deltas, queries for unknown dates. New events: connections of one process or of all go silent, a link between two zones or to the platform is full for up to 4 s (300 to 1,500 ms each way, in order), two versions 100 to 1,500 ms apart, restarts right round a version.

New oracles. version-bound: 8,060 ms after the acknowledgement (the bound and a call with its handling), a process that nothing happened to for 3 s refuses older versions, and dates the first newer one no more than 60 ms late, if the store was stable and all links whole since. version-not-early: a calm process does not refuse an older version more than 2,370 ms before the bound. 1,350 ms, one wait and one pause, was tried and cannot be kept by any dating that relies only on when calls were sent: the watch before may have been held, paused after, and the next one held.

At most eight versions are named within the bound, as many as a process keeps.

--- a/packages/fuzz/src/lib/published-parts.ts
+++ b/packages/fuzz/src/lib/published-parts.ts
@@ -4,16 +4,68 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** The parts of the published world that a variant may replace. */
-import { PublishedState, publishedTopics, StoreCursor } from '@drumdrift/core'
+import { PublishedState, publishedTopics, StoreCursor, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type StoreCall, type StoreView } from '@drumdrift/core'
+
+/** An answer of the store with changes, and the call that it answers; times in milliseconds. */
+export interface AnsweredStoreCall {
+  readonly call: StoreCall
+  readonly sentAt: number
+  readonly answeredAt: number
+  /** How long the store was to hold the call. */
+  readonly wait: number
+  readonly changes: readonly PublishedChange[]
+  readonly upTo: number
+}
+
+/** A delta that a relay sends. */
+export interface SentDelta {
+  readonly delta: PublishedDelta
+  /** How long before it was encoded, in milliseconds. */
+  readonly encodedFor: number
+}
+
+/** Answers a peer that has followed the store up to a note. */
+export type DeltaSource = (note: PublishedRevisions, now: number) => SentDelta
 
 /** The parts whose protections a variant may remove. */
 export interface PublishedParts {
   readonly state: () => PublishedState
-  readonly cursor: (state: PublishedState) => Pick<StoreCursor, 'followed' | 'next' | 'judge'>
+  readonly cursor: (state: PublishedState) => Pick<StoreCursor, 'followed' | 'next' | 'judge' | 'markCaughtUp'>
   /** Whether a process keeps its state when the store begins a new epoch. */
   readonly keepsStateAcrossEpochs: boolean
   /** Whether endpoint records carry the count of their writes. */
   readonly countsWrites: boolean
+  /** Applies and dates the changes of an answer of the store. */
+  readonly takeAnswer: (state: PublishedState, view: StoreView, call: AnsweredStoreCall) => void
+  /** Applies and dates the changes of a relay. */
+  readonly takeDelta: (state: PublishedState, sent: SentDelta, now: number, requestedAt: number) => void
+  readonly deltas: (state: PublishedState) => DeltaSource
+}
+
+function takeAnswer (state: PublishedState, view: StoreView, { call, sentAt, answeredAt, wait, changes, upTo }: AnsweredStoreCall): void {
+  const since = call === 'read' ? view.readAnswered(sentAt) : view.watchAnswered({ sentAt, answeredAt, wait, empty: changes.length === 0 })
+  applyAnswer(state, call, changes, upTo, answeredAt, since)
+  state.versionsCompleteAt(view.completeUntil)
+}
+
+/** Applies the changes of an answer, which were made at a time or later. */
+export function applyAnswer (state: PublishedState, call: StoreCall, changes: readonly PublishedChange[], upTo: number, now: number, since: number): void {
+  for (const topic of publishedTopics) {
+    const topicChanges = changes.filter(change => topicOf(change) === topic)
+    if (call === 'read') state.takeSnapshot(topic, topicChanges, upTo, now, since)
+    else for (const change of topicChanges) state.take(change, now, since)
+    state.followed(topic, upTo)
+  }
+}
+
+/** Keeps the last delta until the state changes. */
+function cachedDeltas (state: PublishedState): DeltaSource {
+  let last: { readonly key: string, readonly delta: PublishedDelta, readonly at: number } | undefined
+  return (note, now) => {
+    const key = JSON.stringify([state.changeCount, note])
+    if (last?.key !== key) last = { key, delta: state.deltaSince(note, now), at: now }
+    return { delta: last.delta, encodedFor: now - last.at }
+  }
 }
 
 /** The product's own parts. */
@@ -21,5 +73,8 @@
   state: () => new PublishedState(),
   cursor: state => new StoreCursor(state, publishedTopics),
   keepsStateAcrossEpochs: true,
-  countsWrites: true
+  countsWrites: true,
+  takeAnswer,
+  takeDelta: (state, { delta, encodedFor }, now, requestedAt) => { state.takeDelta(delta, now, { requestedAt, encodedFor }) },
+  deltas: cachedDeltas
 }
--- a/packages/fuzz/src/lib/restorable-store.ts
+++ b/packages/fuzz/src/lib/restorable-store.ts
@@ -21,6 +21,8 @@
 export class RestorableStore {
   epoch = 1
   private _snapshots: Snapshot[]
+  /** Callbacks of the watches that wait for a change. */
+  private readonly _waiting = new Set<() => void>()
 
   constructor (private readonly _clock: { readonly now: number }) {
     this._snapshots = [{ at: _clock.now, revision: 1, items: new Map(), history: [], compactedRevision: 0 }]
@@ -39,6 +41,23 @@
     return revision > this.revision || revision < this._latest.compactedRevision ? undefined : this._latest.history.filter(change => change.revision > revision)
   }
 
+  /**
+   * Calls back at the next change.
+   *
+   * @returns Ends the wait; returns whether it had not ended before.
+   */
+  awaitChange (onChange: () => void): () => boolean {
+    this._waiting.add(onChange)
+    return () => this._waiting.delete(onChange)
+  }
+
+  /** Ends all waits. */
+  wake (): void {
+    const waiting = [...this._waiting]
+    this._waiting.clear()
+    for (const onChange of waiting) onChange()
+  }
+
   put (key: string, createChange: (revision: number) => PublishedChange): void {
     const change = createChange(this.revision + 1)
     this._append(change, new Map([...this._latest.items, [key, change]]))
@@ -71,5 +90,6 @@
     const { now } = this._clock
     this._snapshots.push({ ...this._latest, at: now, revision: change.revision, items, history: [...this._latest.history, change] })
     if (this._snapshots.length > 1 && (this._snapshots[1]?.at ?? now) < now - SNAPSHOT_RETENTION) this._snapshots.shift()
+    this.wake()
   }
 }
--- a/packages/fuzz/src/lib/world.ts
+++ b/packages/fuzz/src/lib/world.ts
@@ -35,6 +35,10 @@
   constructor (readonly name: string, readonly availabilityZone: string, readonly incarnation: string, readonly skew: number) {}
 }
 
+function linksBetween (from: Process, to: Process): string[] {
+  return [from.name, from.availabilityZone].flatMap(left => [`${left}>${to.name}`, `${left}>${to.availabilityZone}`])
+}
+
 /** The simulated environment of one run. */
 export class World {
   now = 0
@@ -42,6 +46,10 @@
   readonly violations: string[] = []
   private readonly _events: ScheduledEvent[] = []
   private readonly _cuts = new Set<string>()
+  /** Latencies of full links, in milliseconds. */
+  private readonly _latencies = new Map<string, number>()
+  /** Arrival of the last message on a full link between two processes: later messages queue behind it. */
+  private readonly _queuedUntil = new Map<string, number>()
   private _order = 0
   private readonly _generator: ReturnType<typeof xoroshiro128plus>
 
@@ -91,14 +99,23 @@
   /** Cuts the link in one direction between two ends, which are process names, zone names or `platform`. */
   cut (from: string, to: string): void { this._cuts.add(`${from}>${to}`) }
 
-  /** Restores all links. */
-  heal (): void { this._cuts.clear() }
+  /** Restores a link that was cut. */
+  restoreLink (from: string, to: string): void { this._cuts.delete(`${from}>${to}`) }
+
+  /** Delays all messages between two ends, in one direction. */
+  fill (from: string, to: string, latency: number): void { this._latencies.set(`${from}>${to}`, latency) }
+
+  /** Ends the delay of messages between two ends. */
+  drain (from: string, to: string): void { this._latencies.delete(`${from}>${to}`) }
 
-  connected (from: Process, to: Process): boolean {
-    const ends = (process: Process): string[] => [process.name, process.availabilityZone]
-    return !ends(from).some(left => ends(to).some(right => this._cuts.has(`${left}>${right}`)))
+  /** Restores all links. */
+  heal (): void {
+    this._cuts.clear()
+    this._latencies.clear()
   }
 
+  connected (from: Process, to: Process): boolean { return !linksBetween(from, to).some(link => this._cuts.has(link)) }
+
   /** Returns whether a process and the platform reach each other. */
   connectedToPlatform (process: Process): boolean {
     return !this._cuts.has(`platform>${process.availabilityZone}`) && !this._cuts.has(`${process.availabilityZone}>platform`)
@@ -107,7 +124,17 @@
   /** Sends a message one way; it is lost if the link is cut when it is sent or when it is due to arrive. */
   send (from: Process, to: Process, deliver: () => void): void {
     if (!this.connected(from, to)) return
-    this.after(this.uniform(MIN_LATENCY, MAX_LATENCY), to, () => { if (this.connected(from, to)) deliver() })
+    this.after(this._latency(from, to), to, () => { if (this.connected(from, to)) deliver() })
+  }
+
+  private _latency (from: Process, to: Process): number {
+    const latency = this.uniform(MIN_LATENCY, MAX_LATENCY)
+    if (this._latencies.size === 0 && this._queuedUntil.size === 0) return latency
+    const path = `${from.name}>${to.name}`
+    const extra = Math.max(0, ...linksBetween(from, to).map(link => this._latencies.get(link) ?? 0))
+    const arrival = Math.max(this.now + latency + extra, this._queuedUntil.get(path) ?? 0)
+    if (extra > 0) this._queuedUntil.set(path, arrival)
+    return arrival - this.now
   }
 
   /**
