--- a/packages/fuzz/src/lib/published-parts.ts
+++ b/packages/fuzz/src/lib/published-parts.ts
@@ -43,7 +43,9 @@
 }
 
 function takeAnswer (state: PublishedState, view: StoreView, { call, sentAt, answeredAt, wait, changes, upTo }: AnsweredStoreCall): void {
-  const since = call === 'read' ? view.readAnswered(sentAt) : view.watchAnswered({ sentAt, answeredAt, wait, empty: changes.length === 0 })
+  const since = view.completeUntil
+  if (call === 'read') view.readAnswered(sentAt)
+  else view.watchAnswered({ sentAt, answeredAt, wait, empty: changes.length === 0 })
   applyAnswer(state, call, changes, upTo, answeredAt, since)
   state.versionsCompleteAt(view.completeUntil)
 }
--- a/packages/fuzz/src/lib/published-process.ts
+++ b/packages/fuzz/src/lib/published-process.ts
@@ -99,7 +99,7 @@
     const { world } = this._surroundings
     world.after(STEP_INTERVAL, this.process, () => this._step())
     this.state.expire(world.now)
-    if (this.state.hasUndatedVersion && world.now - this._startedAt < UNDATED_QUERY_PERIOD) this._queryDates()
+    if (this.state.undatedVersions().length > 0 && world.now - this._startedAt < UNDATED_QUERY_PERIOD) this._queryDates()
     if (this.isRelay) return
     for (const topic of publishedTopics) this.state.followed(topic, this._relayBook.followedRevision(this.state.held, topic, world.now))
     this.state.versionsCompleteAt(this._relayBook.versionsCompleteAt(this.state.held, world.now))
@@ -116,7 +116,6 @@
       const verdict = answer === 'failed' ? 'failed' : this._cursor.judge(call, answer)
       this._readsStore = verdict === 'take'
       if (verdict === 'failed' || answer === 'failed') {
-        if (answer === 'failed' && this._isFailing && !this._relayBook.followsStore(this.state.epoch, world.now)) this.state.cutOff(sentAt)
         this._isFailing = true
         return this._followAfter(RETRY_DELAY)
       }
--- a/packages/fuzz/src/lib/version-oracles.ts
+++ b/packages/fuzz/src/lib/version-oracles.ts
@@ -23,7 +23,7 @@
 /** Requests may begin on an older version for this time after a newer one was acknowledged, in milliseconds. */
 export const VERSION_BOUND = 8_000
 /** Versions whose times a process keeps. */
-const MAX_VERSIONS = 8
+const MAX_VERSIONS = 16
 /** How long a call and its handling take in the undisturbed network, in milliseconds. */
 const MESSAGE_TIME = 60
 /**
