Engines: a gap of load reports counts as a round trip of the link

The entries had lost the engine's agent for 3.3 s. When it was heard again the engine was idle and the only measurement 48 ms, so all entries sent there at once.

A report that comes after a gap of over a second in which no ping ended now counts the gap as the longest round trip, which fades with a half-life of 2 s as others do. It bounds what is sent to an old version near its bound and when that is cancelled; the expected answer time stays as measured. The new case of endpoint-chooser_test failed before.

--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -67,6 +67,8 @@
 const MAX_SLOWNESS = 20
 /** Without new samples, the slowness decays towards 1 with this half-life, in milliseconds. */
 const SLOWNESS_HALF_LIFE = 2_000
+/** A measurement counts as recent for this time, in milliseconds: the pause between pings of a slow link, and some time for the ping. */
+const RECENT_MEASUREMENT = 500
 /** The half-life of the longest measured round trip time, in milliseconds: a few times the queue of a link with reduced bandwidth. */
 const ROUND_TRIP_HALF_LIFE = 2_000
 /**
@@ -81,8 +83,9 @@
   private _report: LoadReport | undefined
   private _reportedAt = -Infinity
   private _endedSinceReport = 0
-  /** The last measured round trip time, in milliseconds, and the start of the measurement in progress. */
+  /** The last measured round trip time, in milliseconds, when it was measured, and the start of the measurement in progress. */
   private _roundTrip = 0
+  private _roundTripAt = -Infinity
   private _pingStartedAt: number | undefined
   /** The longest recent round trip time, and when it was measured. */
   private _longestRoundTrip = 0
@@ -115,7 +118,14 @@
   /** The age of the last report in milliseconds; infinite if there was none. */
   reportAge (now: number): number { return now - this._reportedAt }
 
+  /**
+   * Stores a report. One that comes after a gap in which nothing was measured shows that nothing crossed the link in the meantime, so
+   * what is sent now may wait for as long: the gap counts as a round trip, although the first measurement after it may be short.
+   */
   heard (report: LoadReport, now: number): void {
+    const gap = now - this._reportedAt
+    const isMeasured = now - this._roundTripAt <= RECENT_MEASUREMENT
+    if (gap > REPORT_LIFETIME && gap < Infinity && !isMeasured) this._recordLongestRoundTrip(gap, now)
     this._report = report
     this._reportedAt = now
     this._endedSinceReport = 0
@@ -129,8 +139,13 @@
     if (this._pingStartedAt === undefined) return
     this._roundTrip = now - this._pingStartedAt
     this._pingStartedAt = undefined
-    if (this._roundTrip < this._decayedLongestRoundTrip(now)) return
-    this._longestRoundTrip = this._roundTrip
+    this._roundTripAt = now
+    this._recordLongestRoundTrip(this._roundTrip, now)
+  }
+
+  private _recordLongestRoundTrip (milliseconds: number, now: number): void {
+    if (milliseconds < this._decayedLongestRoundTrip(now)) return
+    this._longestRoundTrip = milliseconds
     this._longestRoundTripAt = now
   }
 
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -149,6 +149,17 @@
     assert.equal(chosen(chooser, bounded), undefined)
   })
 
+  // Guards against requests that begin after the bound because they queue on a link that had delivered nothing for seconds: as its
+  // engine was idle and the first measurement short, all entries sent there.
+  it('does not choose an old version over a link that has just delivered again after a gap', () => {
+    const chooser = createChooser([record('a')], { a: idle })
+    chooser.heard('a', idle, 4_200)
+    chooser.measured('a', 'begun', 4_205)
+    chooser.measured('a', 'ended', 4_250)
+    const bounded = { mustBeginBy: (): number => 5_500 }
+    assert.deepEqual([chosen(chooser, bounded, drafting, 4_300), chosen(chooser, {}, drafting, 4_300)], [undefined, 'a'])
+  })
+
   it('chooses an old version again once the queue of its link has been short for seconds', () => {
     const chooser = createChooser([record('a')], { a: idle })
     chooser.measured('a', 'begun', 850)
