--- a/packages/core/src/lib/routing/weights/version-switch.ts
+++ b/packages/core/src/lib/routing/weights/version-switch.ts
@@ -35,8 +35,8 @@
 export interface SwitchView {
   /** The wanted version; 0 if none. */
   readonly wanted: number
-  /** Time at which the agent first received it; `undefined` if it was already wanted when the agent started. */
-  readonly receivedAt: number | undefined
+  /** Earliest time at which it may have been published, from which its deadline counts; `undefined` if that is unknown. */
+  readonly publishedAt: number | undefined
   /** The version that is staged completely; 0 if none. */
   readonly whole: number
   /** Estimated milliseconds until the wanted version is staged completely, from the rate of the link; `undefined` if unknown. */
@@ -86,13 +86,13 @@
    * if (versionSwitch.step(view, now).type === 'order') await orderLoad()
    */
   step (view: SwitchView, now: number): SwitchStep {
-    const { wanted, receivedAt, whole, engine } = view
+    const { wanted, publishedAt, whole, engine } = view
     this._recordComplete(whole, now)
     if (wanted === 0 || whole !== wanted || engine === undefined || engine.busy || now < this._retryAt) return { type: 'wait' }
     if (engine.version >= wanted) return { type: 'wait' }
     if (engine.version === 0) return { type: 'order', version: wanted, why: 'empty' }
-    if (receivedAt === undefined || now >= receivedAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
-    return now >= this._switchAt(receivedAt, view.turn, this._completeAt) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
+    if (publishedAt === undefined || now >= publishedAt + this._bound) return { type: 'order', version: wanted, why: 'late' }
+    return now >= this._switchAt(publishedAt, view.turn, this._completeAt) ? { type: 'order', version: wanted, why: 'turn' } : { type: 'wait' }
   }
 
   /**
@@ -100,17 +100,17 @@
    * time is estimated from the position that the engine will have once all engines hold the version.
    */
   plannedAt (view: SwitchView, now: number): number | undefined {
-    const { wanted, receivedAt, whole, wholeIn, engine } = view
-    if (wanted === 0 || receivedAt === undefined || engine === undefined || engine.version === 0 || engine.version >= wanted) return undefined
-    if (whole === wanted && this._completeVersion === wanted) return this._switchAt(receivedAt, view.turn, this._completeAt)
+    const { wanted, publishedAt, whole, wholeIn, engine } = view
+    if (wanted === 0 || publishedAt === undefined || engine === undefined || engine.version === 0 || engine.version >= wanted) return undefined
+    if (whole === wanted && this._completeVersion === wanted) return this._switchAt(publishedAt, view.turn, this._completeAt)
     if (wholeIn === undefined || wholeIn > MAX_NOTICE) return undefined
     const { turn } = view
-    return this._switchAt(receivedAt, { ...turn, index: turn.finalIndex }, now + wholeIn)
+    return this._switchAt(publishedAt, { ...turn, index: turn.finalIndex }, now + wholeIn)
   }
 
   /** Spreads the switches evenly from the time at which the first engine holds the complete version to the latest start of a switch. */
-  private _switchAt (receivedAt: number, { index, of, firstCompleteAt }: SwitchPosition, completeAt: number): number {
-    const interval = Math.max(0, receivedAt + this._bound - this._lead - firstCompleteAt) / Math.max(1, of - 1)
+  private _switchAt (publishedAt: number, { index, of, firstCompleteAt }: SwitchPosition, completeAt: number): number {
+    const interval = Math.max(0, publishedAt + this._bound - this._lead - firstCompleteAt) / Math.max(1, of - 1)
     return Math.max(completeAt + ANNOUNCE_DELAY, firstCompleteAt + index * interval)
   }
 
--- a/packages/core/src/test/lib/routing/weights/version-switch_test.ts
+++ b/packages/core/src/test/lib/routing/weights/version-switch_test.ts
@@ -16,7 +16,7 @@
 /** Returns the position of one of three engines (by default), all of which will hold the version. */
 function turnOf (index: number, firstCompleteAt = COMPLETE_AT, of = 3): SwitchPosition { return { index, finalIndex: index, of, firstCompleteAt } }
 
-const view: SwitchView = { wanted: 2, receivedAt: PUBLISHED_AT, whole: 2, wholeIn: 0, engine: { version: 1, busy: false }, turn: turnOf(1) }
+const view: SwitchView = { wanted: 2, publishedAt: PUBLISHED_AT, whole: 2, wholeIn: 0, engine: { version: 1, busy: false }, turn: turnOf(1) }
 
 const last = turnOf(2)
 
@@ -41,7 +41,7 @@
     ['an immediate switch of the only engine of a zone', { turn: turnOf(0, COMPLETE_AT, 1) }, COMPLETE_AT + 150, 'turn'],
     ['an immediate switch of an empty engine', { engine: { version: 0, busy: false }, turn: last }, COMPLETE_AT, 'empty'],
     ['a switch of any engine after the deadline', { turn: last }, PUBLISHED_AT + BOUND, 'late'],
-    ['a switch of any engine if the time of publication is unknown', { receivedAt: undefined, turn: last }, COMPLETE_AT, 'late'],
+    ['a switch of any engine if the time of publication is unknown', { publishedAt: undefined, turn: last }, COMPLETE_AT, 'late'],
     ['no switch while the version is incomplete', { whole: 0 }, PUBLISHED_AT + BOUND, 'wait'],
     ['no switch while another version is complete', { whole: 1 }, PUBLISHED_AT + BOUND, 'wait'],
     ['no switch while the engine is busy', { engine: { version: 1, busy: true } }, PUBLISHED_AT + BOUND, 'wait'],
@@ -71,7 +71,7 @@
     ['no time if the engine serves the version', { engine: { version: 2, busy: false } }, COMPLETE_AT, undefined],
     ['no time if the engine is empty', { engine: { version: 0, busy: false } }, COMPLETE_AT, undefined],
     ['no time if the engine does not respond', { engine: undefined }, COMPLETE_AT, undefined],
-    ['no time if the time of publication is unknown', { receivedAt: undefined }, COMPLETE_AT, undefined]
+    ['no time if the time of publication is unknown', { publishedAt: undefined }, COMPLETE_AT, undefined]
   ]
   for (const [name, part, now, expected] of plans) {
     it(`plans ${name}`, () => {
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -19,7 +19,8 @@
 export interface SwitchSituation {
   /** The version that the engine is to load next. */
   readonly wanted: ModelVersion | undefined
-  readonly heardAt: number | undefined
+  /** See `SwitchView`. */
+  readonly publishedAt: number | undefined
   /** The identity of the completely staged version; empty for none. */
   readonly whole: string
 }
@@ -176,13 +177,13 @@
   }
 
   private _view (): SwitchView | undefined {
-    const { wanted, heardAt, whole } = this._dependencies.situation()
+    const { wanted, publishedAt, whole } = this._dependencies.situation()
     if (wanted === undefined) return undefined
     const identity = identityOf(wanted)
     const { turn } = this._dependencies
     return {
       wanted: wanted.version,
-      receivedAt: heardAt,
+      publishedAt,
       whole: whole === identity ? wanted.version : 0,
       wholeIn: this._dependencies.timeToWhole(),
       engine: this._report === undefined ? undefined : { version: this.version(wanted.model), busy: this._report.busy },
@@ -219,12 +220,12 @@
   }
 
   private async _stepSwitch (): Promise<void> {
-    const { wanted, heardAt } = this._dependencies.situation()
+    const { wanted, publishedAt } = this._dependencies.situation()
     const view = this._view()
     if (wanted === undefined || view === undefined) return
     const now = performance.now()
     const step = this._switch.step(view, now)
-    if (step.type === 'order') await this._order(wanted, step.why, heardAt === undefined ? undefined : now - heardAt)
+    if (step.type === 'order') await this._order(wanted, step.why, publishedAt === undefined ? undefined : now - publishedAt)
   }
 
   private async _order (wanted: ModelVersion, why: string, age: number | undefined): Promise<void> {
--- a/packages/node/src/lib/routing/load-follower.ts
+++ b/packages/node/src/lib/routing/load-follower.ts
@@ -18,7 +18,7 @@
   readonly sentRate: number
   /** The number of engines of the pool that this process follows and has reports of. */
   readonly followed: number
-  /** The version that is wanted of the pool; `undefined` if this process does not know when it was published. */
+  /** The version that is wanted of the pool; `undefined` if none is known. */
   readonly named: NamedVersion | undefined
 }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -245,7 +245,7 @@
     return this._feed.state.dueVersion(model, this._versionBound - VERSION_CHOICE_MARGIN, performance.now())
   }
 
-  /** When an endpoint of a version must have begun a request that it was sent. Returns `undefined` for the newest version. */
+  /** When an endpoint of a version must have begun a request that it was sent. Returns `undefined` if there is no newer version. */
   private _mustBeginBy (model: string, version: number): number | undefined {
     const namedAt = this._feed.state.firstNewerAt(model, version)
     return namedAt === undefined ? undefined : namedAt + this._versionBound
--- a/packages/node/src/lib/routing/version-transfers.ts
+++ b/packages/node/src/lib/routing/version-transfers.ts
@@ -20,7 +20,7 @@
 
 /** A wanted version. */
 export interface NewestVersion extends ModelVersion {
-  /** When it was named, on this process's clock; `undefined` if unknown. */
+  /** When some process first received it, by this process's clock; `undefined` if unknown. */
   readonly heardAt?: number | undefined
 }
 
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -199,8 +199,8 @@
       situation: () => {
         const wanted = this._versions.target ?? this._wanted()
         const served = wanted === undefined ? 0 : this._switcher.version(wanted.model)
-        const heardAt = wanted === undefined ? undefined : this._feed.state.firstNewerAt(wanted.model, served)
-        return { wanted, heardAt, whole: this._versions.whole }
+        const publishedAt = wanted === undefined ? undefined : this._feed.state.firstNewerAt(wanted.model, served)
+        return { wanted, publishedAt, whole: this._versions.whole }
       },
       turn: () => this._versions.turn,
       confirmWhole: () => this._versions.confirmWhole(),
--- a/packages/node/src/test/lib/routing/engine-switcher_test.ts
+++ b/packages/node/src/test/lib/routing/engine-switcher_test.ts
@@ -25,7 +25,7 @@
     log: new Log('error', { role: 'test' }, new BoundedOutput(1, 1_000, (_descriptor, bytes, callback) => { setImmediate(() => callback(null, bytes.length)) })),
     counters: new Counters(),
     versionBound: 8_000,
-    situation: () => ({ wanted: { model: 'm', version: 1 }, heardAt: undefined, whole: 'm@1' }),
+    situation: () => ({ wanted: { model: 'm', version: 1 }, publishedAt: undefined, whole: 'm@1' }),
     turn: () => ({ index: 0, finalIndex: 0, of: 1, firstCompleteAt: 0 }),
     confirmWhole: async () => true,
     onLoad: load => { loads.push(load) },
