--- a/packages/core/src/lib/routing/choice/choice-price.ts
+++ b/packages/core/src/lib/routing/choice/choice-price.ts
@@ -36,6 +36,7 @@
  * only be unreachable so far, and without the penalty all entries would consider the engine idle.
  */
 const NO_REPORT_PENALTY = 100
+
 /** The inputs of a cost, besides the candidate. */
 export interface CostInput {
   readonly place: EntryLocation
