Stand-in workers refuse requests that demand another version

The engine had been replaced at the same address; the last report of its predecessor, 19 ms old, said version 6, and the entries demanded that version in their requests. A worker of the platform refuses such a request, as its page says; the stand-in ran it. It now refuses, before and after its queue alike.

--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -107,16 +107,24 @@
     const body = (await readAll(request)).toString('utf8')
     const at = performance.now()
     const hasLeft = this.queueMilliseconds > 0 && !await this._passQueue(response)
-    const ran = !hasLeft && !refusingModes.has(this.mode)
+    const hasOtherVersion = this._hasOtherVersion(request)
+    const ran = !hasLeft && !hasOtherVersion && !refusingModes.has(this.mode)
     this.arrivals.push({ id: String(request.headers['x-attempt-id']), method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at, begunAt: performance.now(), ran, version: this.version })
     if (hasLeft) return
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
     if (this.leaving) response.setHeader('server-leaving', '1')
+    if (hasOtherVersion) return modeHandlers['wrong-version'](this, request, response)
     if (body === this.crashesOnBody) return this._crash(request, response)
     modeHandlers[this.mode](this, request, response)
   }
 
+  /** Whether a request demands another version of the weights than this worker serves. */
+  private _hasOtherVersion ({ headers }: IncomingMessage): boolean {
+    const expected = headers['x-expect-version']
+    return expected !== undefined && Number(expected) !== this.version
+  }
+
   /** Waits for the turn of a request. Returns whether its connection is still open then. */
   private async _passQueue (response: ServerResponse): Promise<boolean> {
     this._waiting += 1
--- a/packages/stand-ins/src/test/lib/users-platform/worker_test.ts
+++ b/packages/stand-ins/src/test/lib/users-platform/worker_test.ts
@@ -40,3 +40,18 @@
     })
   }
 })
+
+describe('UsersWorkerStandIn that serves version 2', () => {
+  const cases: [expected: string | undefined, status: number][] = [[undefined, 200], ['2', 200], ['1', 421], ['3', 421]]
+  for (const [expected, status] of cases) {
+    it(`answers ${status} to a request that demands version ${expected ?? 'none'}`, async () => {
+      const worker = new UsersWorkerStandIn('pool-1.1', 'm')
+      worker.version = 2
+      await worker.listen(0)
+      const response = await fetch(`http://${worker.address}/stream/`, { headers: expected === undefined ? {} : { 'x-expect-version': expected } })
+      await response.text()
+      worker.close()
+      assert.deepEqual([response.status, worker.arrivals[0]?.ran], [status, status === 200])
+    })
+  }
+})
