--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -10,6 +10,7 @@
 import type { RelayNote } from '../../messages.js'
 import type { EntryLocation } from '../choice/endpoint-choice.js'
 import type { PublishedRevisions, PublishedTopic } from './published-change.js'
+import { validAge } from './told-versions.js'
 
 /** A relay from which no note was received for this long is ignored, in milliseconds: it has missed three heartbeats. */
 const NOTE_LIFETIME = 1_500
@@ -91,7 +92,7 @@
    * state.versionsCompleteAt(relays.versionsCompleteAt(state.held, now))
    */
   versionsCompleteAt (held: PublishedRevisions, now: number): number {
-    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge }, receivedAt }) => receivedAt - validAge(versionsAge) - MAX_NOTE_TRANSIT)
+    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge }, receivedAt }) => receivedAt - validAge(versionsAge, Infinity) - MAX_NOTE_TRANSIT)
     return Math.max(-Infinity, ...times)
   }
 
@@ -115,5 +116,3 @@
     return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? 1 : 2
   }
 }
-
-function validAge (age: number | undefined): number { return Number.isFinite(age) && Number(age) >= 0 ? Number(age) : Infinity }
--- a/packages/core/src/lib/routing/published/told-versions.ts
+++ b/packages/core/src/lib/routing/published/told-versions.ts
@@ -42,4 +42,5 @@
   return { earliest: Math.min(latest, requestedAt - encoded - validAge(maxAge, Infinity)), latest }
 }
 
-function validAge (age: number | undefined, fallback: number): number { return Number.isFinite(age) && Number(age) >= 0 ? Number(age) : fallback }
+/** Returns an age that a peer told, or the fallback if it is no valid age. */
+export function validAge (age: number | undefined, fallback: number): number { return Number.isFinite(age) && Number(age) >= 0 ? Number(age) : fallback }
