Flow control from callers to endpoints, and a bound on what is buffered for callers

Cause: CallerAnswer ignored the result of write and EndpointCall never paused, so an entry took 64 of 64 MB from an endpoint for a caller that read nothing.

Change: an attempt is paused while its caller is congested. Answers above 64 KB are passed on while they arrive. A fifth of [process] memory-megabytes may wait for callers; past it the callers without progress for the longest time are disconnected and new requests are refused with buffers-full. An endpoint that closes an unread answer is not blamed. The time that a caller takes to read no longer counts as the response time of its endpoint: after one slow caller, ordinary requests were refused.

--- a/packages/core/src/lib/routing/attempts/attempt-tracker.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-tracker.ts
@@ -22,6 +22,8 @@
   | { readonly type: 'broken', readonly detail: string, readonly connection: 'lost' | 'open' }
   /** The endpoint sent nothing until the idle timeout. The request may have run. */
   | { readonly type: 'stalled', readonly detail: string }
+  /** The endpoint cut off an answer that the caller did not read. */
+  | { readonly type: 'unread', readonly detail: string }
 
 /** The action to take after an attempt ends. */
 export type NextAction =
@@ -52,10 +54,13 @@
 export const MIN_FAILURE_STATUS = 500
 
 /** The classes of attempt results that the decision distinguishes. */
-export type ResultKind = 'whole-stream' | 'whole-success' | 'rejection' | 'failure' | 'not-connected' | 'not-run' | 'lost'
+export type ResultKind = 'whole-stream' | 'whole-success' | 'rejection' | 'failure' | 'not-connected' | 'not-run' | 'lost' | 'unread'
 
-/** What was forwarded to the caller. Only complete events are forwarded, and the response head is sent with the first of them. */
-export type Forwarded = 'nothing' | 'events'
+/**
+ * What was forwarded to the caller: complete events of a stream, or the first part of an answer that is too large to buffer. The
+ * response head is sent with the first of either.
+ */
+export type Forwarded = 'nothing' | 'events' | 'body-part'
 
 /**
  * How a result is handled. `final`: it is the answer. `final-if-last`: it is the answer unless a retry is possible. `replace`: it
@@ -68,13 +73,14 @@
  * a broken stream look complete. This happened to 26 to 37 streams in a run in which engines failed half of the resumed streams.
  */
 const verdicts: Record<ResultKind, Record<Forwarded, Verdict>> = {
-  'whole-stream': { nothing: 'final', events: 'final' },
-  'whole-success': { nothing: 'final', events: 'replace' },
-  rejection: { nothing: 'final', events: 'replace' },
-  failure: { nothing: 'final-if-last', events: 'replace' },
-  'not-connected': { nothing: 'replace', events: 'replace' },
-  'not-run': { nothing: 'replace', events: 'replace' },
-  lost: { nothing: 'replace', events: 'replace' }
+  'whole-stream': { nothing: 'final', events: 'final', 'body-part': 'replace' },
+  'whole-success': { nothing: 'final', events: 'replace', 'body-part': 'final' },
+  rejection: { nothing: 'final', events: 'replace', 'body-part': 'final' },
+  failure: { nothing: 'final-if-last', events: 'replace', 'body-part': 'final' },
+  'not-connected': { nothing: 'replace', events: 'replace', 'body-part': 'replace' },
+  'not-run': { nothing: 'replace', events: 'replace', 'body-part': 'replace' },
+  lost: { nothing: 'replace', events: 'replace', 'body-part': 'replace' },
+  unread: { nothing: 'replace', events: 'replace', 'body-part': 'replace' }
 }
 
 /** Results that prove that the endpoint did not run the request, so that any request may be retried. */
@@ -94,8 +100,8 @@
   /** Whether the request may safely run more than once. */
   get repeatable (): boolean { return this._route.kind === 'safe' || (this._route.kind === 'streaming' && this._route.resumable) }
 
-  /** Records that events were forwarded to the caller. */
-  begun (): void { this._forwarded = 'events' }
+  /** Records what was forwarded to the caller. */
+  begun (forwarded: Exclude<Forwarded, 'nothing'> = 'events'): void { this._forwarded = forwarded }
 
   /**
    * Records the result of an attempt and returns the next action.
@@ -114,6 +120,8 @@
   }
 
   private _isRetryable (kind: ResultKind): boolean {
+    // Another endpoint would only repeat work for a caller that does not read, and the rest of a body can't be resumed.
+    if (kind === 'unread' || this._forwarded === 'body-part') return false
     if (notRunKinds.has(kind)) return true
     return this._forwarded === 'events' ? this._route.resumable : this.repeatable
   }
@@ -126,7 +134,7 @@
   }
 
   private _failure (): NextAction {
-    if (this._forwarded === 'events') return { type: 'give-up', outcome: 'cut' }
+    if (this._forwarded !== 'nothing') return { type: 'give-up', outcome: 'cut' }
     return { type: 'give-up', outcome: this._mayHaveRun ? 'unknown' : 'not-run' }
   }
 }
@@ -139,7 +147,8 @@
   },
   'not-run': ({ reason }) => reason === 'not-connected' ? 'not-connected' : 'not-run',
   broken: () => 'lost',
-  stalled: () => 'lost'
+  stalled: () => 'lost',
+  unread: () => 'unread'
 }
 
 function kindOf (end: AttemptEnd): ResultKind { return kindByType[end.type](end as never) }
--- a/packages/core/src/test/lib/routing/attempts/attempt-tracker_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/attempt-tracker_test.ts
@@ -19,16 +19,18 @@
 const unconnected: AttemptEnd = { type: 'not-run', reason: 'not-connected' }
 const broken: AttemptEnd = { type: 'broken', connection: 'lost', detail: 'reset' }
 const stalled: AttemptEnd = { type: 'stalled', detail: 'silent' }
+const unread: AttemptEnd = { type: 'unread', detail: 'reset' }
 
 function answered (status: number, asStream = false): AttemptEnd { return { type: 'answered', status, stream: asStream } }
 
 /** The step, or the outcome of a failure, after the last of some attempts. */
-function last (route: Bounds, ends: readonly AttemptEnd[], options: { begun?: boolean, timeLeft?: boolean, suspect?: boolean, elsewhere?: boolean, budget?: number } = {}): string {
+function last (route: Bounds, ends: readonly AttemptEnd[], options: { begun?: boolean, part?: boolean, timeLeft?: boolean, suspect?: boolean, elsewhere?: boolean, budget?: number } = {}): string {
   const course = new AttemptTracker(route)
   let budget = options.budget ?? 10
   let step = ''
   for (const end of ends) {
     if (options.begun === true) course.begun()
+    if (options.part === true) course.begun('body-part')
     const next = course.ended(end, { timeLeft: options.timeLeft ?? true, suspect: options.suspect ?? false, elsewhere: () => options.elsewhere ?? true, spendRetry: () => budget-- > 0 })
     step = next.type === 'give-up' ? next.outcome : next.type
   }
@@ -54,6 +56,10 @@
     ['resumes a stream that broke later at another endpoint', last(stream, [broken], { begun: true }), 'resume'],
     ['reports a broken stream that is not resumable as cut', last(fixedStream, [broken], { begun: true }), 'cut'],
     ['does not restart a stream that is not resumable', last(fixedStream, [broken]), 'unknown'],
+    ['does not repeat a stream that its caller did not read', last(stream, [unread], { begun: true }), 'cut'],
+    ['does not retry a large body after its first part was forwarded', last(safe, [broken], { part: true }), 'cut'],
+    ['completes a large body of which a part was forwarded', last(safe, [answered(200)], { part: true }), 'pass-on'],
+    ['completes a large failure of which a part was forwarded', last(safe, [answered(500)], { part: true }), 'pass-on'],
     ['does not retry after the deadline', last(safe, [full], { timeLeft: false }), 'not-run'],
     ['does not retry a suspect request', last(stream, [broken], { suspect: true }), 'unknown'],
     ['does not retry a suspect request that did not run', last(safe, [full], { suspect: true }), 'not-run'],
--- /dev/null
+++ b/packages/core/src/test/lib/routing/attempts/buffer-budget_test.ts
@@ -0,0 +1,35 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { BufferBudget, type BufferAccount } from '../../../../lib/routing/attempts/buffer-budget.js'
+
+describe('BufferBudget', () => {
+  /** Opens accounts at times 0, 1, ... and applies the steps; returns the indices of those that were ended, in order. */
+  function play (bound: number, accounts: number, steps: (open: readonly BufferAccount[]) => void): { ended: number[], held: number, accepts: boolean } {
+    const budget = new BufferBudget(bound)
+    const ended: number[] = []
+    const open = Array.from({ length: accounts }, (_, index) => budget.open(() => ended.push(index), index))
+    steps(open)
+    return { ended, held: budget.held, accepts: budget.accepts }
+  }
+  const answer = (bytes: number): { request: number, awaitingCaller: number } => ({ request: 0, awaitingCaller: bytes })
+  const request = (bytes: number): { request: number, awaitingCaller: number } => ({ request: bytes, awaitingCaller: 0 })
+
+  // Without a bound, 500 callers that read nothing exhaust the memory of an entry, and all other callers lose their answers.
+  const cases: [name: string, result: ReturnType<typeof play>, expected: ReturnType<typeof play>][] = [
+    ['ends nothing below the bound', play(100, 2, ([first, second]) => { first?.set(answer(50)); second?.set(answer(50)) }), { ended: [], held: 100, accepts: false }],
+    ['ends the caller without progress for the longest time', play(100, 3, open => open.forEach(account => account.set(answer(40)))), { ended: [0], held: 80, accepts: false }],
+    ['spares a caller that read something meanwhile', play(100, 3, open => { open[0]?.progressed(9); open.forEach(account => account.set(answer(40))) }), { ended: [1], held: 80, accepts: false }],
+    ['ends as many as needed', play(100, 4, open => open.forEach((account, index) => account.set(answer(index < 3 ? 30 : 95)))), { ended: [0, 1, 2], held: 95, accepts: false }],
+    ['never ends a request that is being answered', play(100, 2, ([first, second]) => { first?.set(request(90)); second?.set(answer(20)) }), { ended: [1], held: 90, accepts: false }],
+    ['refuses new requests while only requests that are being answered exceed the bound', play(100, 1, ([only]) => only?.set(request(300))), { ended: [], held: 300, accepts: false }],
+    ['accepts new requests once buffers are released', play(100, 2, ([first, second]) => { first?.set(answer(60)); second?.set(answer(30)); first?.close() }), { ended: [], held: 30, accepts: true }],
+    ['counts a change of the same exchange once', play(100, 1, ([only]) => { only?.set(answer(60)); only?.set(answer(70)) }), { ended: [], held: 70, accepts: true }],
+    ['has no bound by default', play(Infinity, 1, ([only]) => only?.set(answer(1e12))), { ended: [], held: 1e12, accepts: true }]
+  ]
+  for (const [name, result, expected] of cases) it(name, () => assert.deepEqual(result, expected))
+})
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -20,7 +20,7 @@
 
 /** The cause of a request's result. */
 export type RequestCause =
-  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'endpoints-spared' | 'no-configuration'
+  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'endpoints-spared' | 'buffers-full' | 'no-configuration'
   | 'not-allowed' | 'endpoint-failed' | 'time-over' | 'caller-left' | 'unfinished'
 
 /** The explanation of one request. */
@@ -123,6 +123,7 @@
   overloaded: 'refused early, since every endpoint was expected to answer too late or refused the request: check the load of the pool',
   'ends-endpoints': 'endpoints were lost repeatedly while they ran this request, so it is held back: check request-held-back, and the effect of its body on an endpoint',
   'endpoints-spared': 'endpoints receive fewer requests because they asked for it: check the field spared, and endpoint-limited, endpoint-leaving or endpoint-resting of each; find out what they lack, and whether their replacements have started',
+  'buffers-full': 'the memory for callers that read or send slowly is used up: check answers_paused and answers_reclaimed, and which callers do not read their answers',
   'no-endpoint': 'no endpoint may serve it: check which endpoints are listed, and whether all hold a version that is due to be replaced',
   'no-configuration': 'the process had just started and had no configuration: check store-lost and its seeds',
   'not-allowed': 'the configuration in force does not allow this route, key or size: compare its version with the published one',
@@ -132,7 +133,9 @@
   unfinished: 'the final line is missing: the process ended, or log lines were dropped (see log-lines-left-out)'
 }
 
-const causeByRefusalCode: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'endpoints-spared': 'endpoints-spared', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
+const causeByRefusalCode: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'endpoints-spared': 'endpoints-spared', 'buffers-full': 'buffers-full', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
+
+const causeByFailureCode: Readonly<Record<string, RequestCause>> = { 'timed-out': 'time-over', 'buffers-full': 'buffers-full' }
 
 /** Determines the cause of a request's result from its own lines, oldest first. */
 export function causeOf (request: readonly LogLine[]): RequestCause {
@@ -160,7 +163,7 @@
     return Number(end['gap']) > Number(end['objective']) ? 'stream-paused' : 'in-time'
   },
   refused: end => lookUp(causeByRefusalCode, end['code']) ?? 'not-allowed',
-  failed: end => end['code'] === 'timed-out' ? 'time-over' : 'endpoint-failed',
+  failed: end => lookUp(causeByFailureCode, end['code']) ?? 'endpoint-failed',
   abandoned: () => 'caller-left'
 }
 
--- a/packages/node/src/lib/routing/attempt-outcome.ts
+++ b/packages/node/src/lib/routing/attempt-outcome.ts
@@ -6,7 +6,7 @@
 /** Derives from the end of an attempt the health of its endpoint, the reason to avoid the endpoint, and the reason in the log. */
 import { MIN_FAILURE_STATUS, type AttemptEnd, type SkipReason, type EndpointHealth } from '@drumdrift/core'
 
-const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad' }
+const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad', unread: 'unclear' }
 
 /** Returns what the end of an attempt shows about the health of its endpoint. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -7,6 +7,7 @@
  * Writes the answer to a caller. A broken answer never looks complete to the caller.
  */
 import type { ServerResponse } from 'node:http'
+import { BufferBudget, type BufferAccount } from '@drumdrift/core'
 import type { AnswerHead, LocalAnswer } from './ports.js'
 
 /** The answer to one request. */
@@ -14,13 +15,23 @@
   private _begun = false
   private _ended = false
   private _disconnected = false
+  private _reclaimed = false
   private _onDisconnect: () => void = () => {}
+  private _onDrain: () => void = () => {}
+  private readonly _account: BufferAccount
+  private _requestBytes = 0
+  private _requestComplete = false
+  private _wasCongested = false
 
   /**
    * @param _closeConnection Whether the answer asks the caller to close the connection after it.
+   * @param budget Counts what is buffered for the caller, the request included.
    */
-  constructor (private readonly _response: ServerResponse, private readonly _closeConnection: () => boolean) {
+  constructor (private readonly _response: ServerResponse, private readonly _closeConnection: () => boolean, budget = new BufferBudget(Infinity)) {
+    this._account = budget.open(() => this._reclaim(), performance.now())
+    _response.on('drain', () => this._drained())
     _response.on('close', () => {
+      this._account.close()
       if (this._ended) return
       this._disconnected = true
       this._onDisconnect()
@@ -32,12 +43,28 @@
   get begun (): boolean { return this._begun }
   /** Whether the caller closed its connection before the answer ended. */
   get gone (): boolean { return this._disconnected }
+  /** Whether its buffers were reclaimed because the caller did not read or send for too long. */
+  get reclaimed (): boolean { return this._reclaimed }
   /** Whether the answer has ended, complete or not. */
   get ended (): boolean { return this._ended }
 
   /** Sets the listener for the caller closing its connection before the answer ends. */
   onDisconnect (listener: () => void): void { this._onDisconnect = listener }
 
+  /** Sets the listener for the caller having read what was written. */
+  onDrain (listener: () => void): void { this._onDrain = listener }
+
+  /** Whether the caller has not read what was written, so that nothing more should be written for now. */
+  get congested (): boolean { return !this._isOver() && this._response.writableNeedDrain }
+
+  /** Records how many bytes of the request are buffered, until the answer ends. */
+  holdRequest (bytes: number, complete: boolean): void {
+    this._requestBytes = bytes
+    this._requestComplete = complete
+    this._account.progressed(performance.now())
+    this._count()
+  }
+
   /** Writes the head of an endpoint's answer. A stream that is resumed at another endpoint keeps its first head. */
   head ({ status, headers }: AnswerHead): void {
     if (this._begun || this._isOver()) return
@@ -47,14 +74,16 @@
   }
 
   data (bytes: Uint8Array): void {
-    if (!this._isOver()) this._response.write(bytes)
+    if (!this._isOver() && !this._response.write(bytes)) this._count()
   }
 
   /** Ends an answer that is complete. */
   end (): void {
     if (this._isOver()) return
     this._ended = true
+    this._requestBytes = 0
     this._response.end()
+    this._count()
   }
 
   /** Writes a complete answer. */
@@ -63,14 +92,17 @@
     this._begun = true
     this._ended = true
     const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
+    this._requestBytes = 0
     this._writeHead(status, hasLength ? headers : [...headers, 'Content-Length', String(body.length)])
     this._response.end(body)
+    this._count()
   }
 
   /** Writes a failure that the system itself reports. If an answer has begun, closes its connection instead. */
   fail ({ status, headers, body }: LocalAnswer): void {
     if (this._isOver()) return
     this._ended = true
+    this._requestBytes = 0
     if (this._begun) {
       this._response.destroy()
       return
@@ -79,6 +111,28 @@
     this._response.end(body)
   }
 
+  private _drained (): void {
+    this._account.progressed(performance.now())
+    this._count()
+    this._onDrain()
+  }
+
+  /** Counts what waits for the caller. What the operating system has taken no longer occupies memory of this process. */
+  private _count (): void {
+    const unread = this._response.writableLength
+    const congested = unread > 0
+    if (congested && !this._wasCongested) this._account.progressed(performance.now())
+    this._wasCongested = congested
+    const [request, incomplete] = this._requestComplete ? [this._requestBytes, 0] : [0, this._requestBytes]
+    this._account.set({ request, awaitingCaller: incomplete + unread })
+  }
+
+  /** Closes the connection, so that an answer that has begun does not look complete. */
+  private _reclaim (): void {
+    this._reclaimed = true
+    this._response.destroy()
+  }
+
   private _isOver (): boolean { return this._ended || this._disconnected }
 
   private _writeHead (status: number, headers: readonly string[]): void {
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -22,7 +22,16 @@
 /** A stream that pauses for longer is resumed elsewhere, in milliseconds: several times the longest pause of a healthy engine. */
 const EVENT_GAP_TIMEOUT = 800
 
+/**
+ * An answer that is not a stream is buffered up to this size, in bytes, so that a broken one can be retried elsewhere; a larger one is
+ * passed on while it arrives. Plain services answer with about 1 KB.
+ */
+const MAX_BUFFERED_BODY = 64 * 1024
+/** An endpoint closes a connection on which nothing is read for some seconds; the close can arrive this long after reading resumes, in milliseconds. */
+const UNREAD_CUT_DELAY = 1_000
+
 const EVENT_TIMEOUT_DETAIL = 'timed out waiting for an event'
+const UNFRAMED_DETAIL = 'the answer has no declared length and is too large to buffer'
 const VERSION_TIMEOUT_DETAIL = 'timed out waiting to begin on an old version'
 
 /** The parameters of an attempt. */
@@ -42,6 +51,8 @@
   readHead (response: IncomingMessage): EndpointHead
   /** Receives whole events of a stream. */
   events (head: AnswerHead, bytes: Uint8Array): void
+  /** Receives a part of an answer that is too large to buffer. */
+  bodyPart (head: AnswerHead, bytes: Uint8Array): void
 }
 
 /** An attempt in progress. */
@@ -49,7 +60,12 @@
   readonly choice: ChosenEndpoint
   readonly sentAt = performance.now()
   private readonly _call: EndpointCall
-  private readonly _bodyParts: Buffer[] = []
+  private _bodyParts: Buffer[] = []
+  private _bodyLength = 0
+  private _framed = false
+  /** Since when the answer is not read; `undefined` while it is. */
+  private _pausedAt: number | undefined
+  private _resumedAt = -Infinity
   private _head: AnswerHead | undefined
   private _abortReason: string | undefined
   private _stallTimer: NodeJS.Timeout | undefined
@@ -72,7 +88,10 @@
     this.choice = _plan.choice
     this._call = new EndpointCall(_plan.request, {
       readHead: response => _listener.readHead(response),
-      head: head => { this._head = head },
+      head: (head, framed) => {
+        this._head = head
+        this._framed = framed
+      },
       data: bytes => this._onData(bytes)
     })
     this.ended = this._call.ended.then(end => this._finish(end))
@@ -85,9 +104,29 @@
   /** The body of an answer that is not a stream. */
   get body (): Buffer { return Buffer.concat(this._bodyParts) }
 
+  /** Whether reading the answer was ever paused, so that its duration tells nothing about the endpoint. */
+  get everPaused (): boolean { return this._pausedAt !== undefined || this._resumedAt !== -Infinity }
+
   /** Closes the connection at once. */
   stop (): void { this._call.stop() }
 
+  /** Stops reading the answer. Until it is read again, a missing event is not the fault of the endpoint. */
+  pause (): void {
+    if (this._pausedAt !== undefined) return
+    this._pausedAt = performance.now()
+    clearTimeout(this._stallTimer)
+    this._call.pause()
+  }
+
+  /** Reads the answer again after a pause. */
+  resume (): void {
+    if (this._pausedAt === undefined) return
+    this._pausedAt = undefined
+    this._resumedAt = performance.now()
+    if (this._gapTimer !== undefined) this._gapTimer.refresh()
+    this._call.resume()
+  }
+
   /** Closes the connection at once and ends the attempt as stalled. */
   abort (why: string): void {
     this._abortReason = why
@@ -107,10 +146,7 @@
   private _onData (bytes: Buffer): void {
     const head = this._head
     if (head === undefined) return
-    if (!isStream(head)) {
-      this._bodyParts.push(bytes)
-      return
-    }
+    if (!isStream(head)) return this._onBodyData(head, bytes)
     const events = this._plan.progress.take(bytes, performance.now())
     if (events === undefined) return
     this._endCancellation()
@@ -118,6 +154,16 @@
     this._listener.events(head, events)
   }
 
+  private _onBodyData (head: AnswerHead, bytes: Buffer): void {
+    this._bodyParts.push(bytes)
+    this._bodyLength += bytes.length
+    if (this._bodyLength <= MAX_BUFFERED_BODY) return
+    if (!this._framed) return this.abort(UNFRAMED_DETAIL)
+    const part = this.body
+    this._bodyParts = []
+    this._listener.bodyPart(head, part)
+  }
+
   private _endCancellation (): void {
     this._awaitsBegin = false
     clearTimeout(this._cancelTimer)
@@ -144,11 +190,14 @@
     // Refreshing a cleared timer would start it again.
     this._gapTimer = undefined
     if (end.type === 'not-run') return end
+    if (end.type === 'broken' && this._wasPaused()) return { type: 'unread', detail: end.detail }
     if (this._abortReason !== undefined) return { type: 'stalled', detail: this._abortReason }
     if (end.type === 'whole' && this._head !== undefined) return this._answerEnd(this._head, end.framed)
     return end.type === 'broken' ? { type: 'broken', connection: end.connection, detail: end.detail } : { type: 'broken', connection: 'open', detail: end.type }
   }
 
+  private _wasPaused (): boolean { return this._pausedAt !== undefined || performance.now() - this._resumedAt < UNREAD_CUT_DELAY }
+
   private _answerEnd (head: AnswerHead, framed: boolean): AttemptEnd {
     const { status } = head
     // A success without a length or chunked encoding looks complete even if its endpoint crashed midway, so it is never trusted:
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -41,7 +41,8 @@
 export interface EndpointCallListener {
   /** Parses the head of the answer. */
   readHead (response: IncomingMessage): EndpointHead
-  head (head: AnswerHead): void
+  /** @param framed Whether the answer declares its end: see `EndpointCallEnd`. */
+  head (head: AnswerHead, framed: boolean): void
   data (bytes: Buffer): void
 }
 
@@ -72,6 +73,7 @@
   private _connected = false
   private _begun = false
   private _finished = false
+  private _response: IncomingMessage | undefined
   private _finish: (end: EndpointCallEnd) => void = () => {}
   /** Resolves when the call has ended, whatever its outcome. */
   readonly ended = new Promise<EndpointCallEnd>(resolve => { this._finish = resolve })
@@ -99,6 +101,12 @@
   /** Closes the connection at once. */
   stop (): void { this._end({ type: 'stopped' }) }
 
+  /** Stops reading the answer, so that the endpoint stops sending it once the buffers of the connection are full. */
+  pause (): void { this._response?.pause() }
+
+  /** Reads the answer again. */
+  resume (): void { this._response?.resume() }
+
   private _connectTimedOut (): void {
     if (!this._connected) this._end({ type: 'not-run', reason: 'not-connected' })
   }
@@ -115,7 +123,8 @@
     if (head.type === 'not-run') return this._end({ type: 'not-run', reason: head.reason })
     if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, connection: 'open', detail: head.detail })
     this._begun = true
-    this._listener.head(head)
+    this._response = response
+    this._listener.head(head, isFramed(response))
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
     response.on('end', () => {
       if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -133,6 +133,7 @@
       dialect: platform.dialect,
       table: () => this._table,
       begin: (request, answer) => new RoutedRequest(requestDependencies, request, answer),
+      bufferBound: bufferBoundOf(_settings),
       random: Math.random,
       log: _log,
       counters: this._counters
@@ -327,6 +328,18 @@
   }
 }
 
+/**
+ * The share of the machine's memory that may hold buffers for callers. The process itself needs 70 to 100 MB, 40% of the smallest
+ * entry instances, and the rest is left for connections and for garbage that has not been collected yet.
+ */
+const BUFFER_SHARE_OF_MEMORY = 0.2
+const BYTES_PER_MEGABYTE = 1_000_000
+
+function bufferBoundOf (settings: Settings): number {
+  const memory = settings.number('process', 'memory-megabytes')
+  return memory === 0 ? Infinity : BUFFER_SHARE_OF_MEMORY * memory * BYTES_PER_MEGABYTE
+}
+
 function retryTermsOf (settings: Settings): RetryLimits {
   const number = (key: string): number => settings.number('requests', key)
   return { ratio: number('retry-ratio'), slack: number('retry-slack'), window: number('retry-window-seconds') * 1000 }
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -7,7 +7,7 @@
  * The HTTP server for callers: reads a request within the configured limits, matches it to a route, and starts routing it.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { requestFailure, type RequestFailure, type RouteTable } from '@drumdrift/core'
+import { BufferBudget, requestFailure, type RequestFailure, type RouteTable } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { listenAt } from '../listen.js'
@@ -21,6 +21,8 @@
   readonly dialect: Dialect
   readonly table: () => RouteTable | undefined
   readonly begin: (request: ReadRequest, answer: CallerAnswer) => RoutedRequest
+  /** The largest number of bytes that are buffered for all callers together; infinite for no bound. */
+  readonly bufferBound: number
   /** Random numbers in [0, 1). */
   readonly random: () => number
   readonly log: Log
@@ -51,10 +53,12 @@
   private readonly _server: Server
   private readonly _requests = new Set<RoutedRequest>()
   private readonly _idleListeners = new Set<() => void>()
+  private readonly _buffers: BufferBudget
   private _leaving = false
   private _idleTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly _options: RouteFrontOptions) {
+    this._buffers = new BufferBudget(_options.bufferBound)
     this._server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: READ_TIMEOUT, headersTimeout: DEFAULT_HEADER_TIMEOUT, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT }, (request, response) => { this._handle(request, response) })
     this._server.maxConnections = MAX_CONNECTIONS
   }
@@ -104,7 +108,8 @@
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAt = performance.now()
-    const answer = new CallerAnswer(response, () => this._leaving)
+    response.on('close', () => { if (answer.reclaimed) this._options.counters.add('answers_reclaimed') })
+    const answer = new CallerAnswer(response, () => this._leaving, this._buffers)
     const head = this._options.dialect.readCaller(request.headers, request.rawHeaders)
     const table = this._options.table()
     if (table === undefined) return this._refuse(answer, head, requestFailure('no-configuration', 'not-run', 'no configuration has been received yet', retryDelayWithoutConfiguration(this._options.random())))
@@ -113,7 +118,8 @@
     const match = table.match(host, path.split('?')[0] ?? path, head.key)
     if (match.type === 'unknown-route') return this._refuse(answer, head, requestFailure('unknown-route', 'not-run', `no route matches ${host}${path.slice(0, 100)}`))
     if (match.type === 'unknown-key') return this._refuse(answer, head, requestFailure('unknown-organisation', 'not-run', 'the key does not belong to any organisation'))
-    const body = await this._readBody(request, table.configuration.limits.bodyBytes)
+    if (!this._buffers.accepts) return this._refuse(answer, head, requestFailure('buffers-full', 'not-run', `${this._buffers.held} bytes are buffered for callers that read or send slowly`, retryDelayWithFullBuffers(this._options.random())))
+    const body = await this._readBody(request, table.configuration.limits.bodyBytes, answer)
     if (body === 'too-large') return this._refuse(answer, head, requestFailure('body-too-large', 'not-run', `the body exceeds the limit of ${table.configuration.limits.bodyBytes} bytes`))
     if (body === 'lost') return
     const { route, organisation } = match
@@ -132,7 +138,7 @@
     routed.start()
   }
 
-  private async _readBody (request: IncomingMessage, largest: number): Promise<Buffer | 'too-large' | 'lost'> {
+  private async _readBody (request: IncomingMessage, largest: number, answer: CallerAnswer): Promise<Buffer | 'too-large' | 'lost'> {
     const pieces: Buffer[] = []
     let length = 0
     try {
@@ -140,12 +146,14 @@
         length += (piece as Buffer).length
         if (length > largest) return 'too-large'
         pieces.push(piece as Buffer)
+        answer.holdRequest(length, false)
       }
     } catch (error) {
       this._options.counters.add('requests_unread')
       this._options.log.debug('request-unread', { detail: error instanceof Error ? error.message : 'unknown error' })
       return 'lost'
     }
+    answer.holdRequest(length, true)
     return Buffer.concat(pieces, length)
   }
 
@@ -156,6 +164,17 @@
   }
 }
 
+/**
+ * Bounds of the random retry delay for a caller that is refused because buffers are full, in milliseconds. Buffers become free as soon
+ * as slow callers are disconnected, and the caller's next connection usually reaches another entry.
+ */
+const MIN_RETRY_WITH_FULL_BUFFERS = 50
+const MAX_RETRY_WITH_FULL_BUFFERS = 250
+
+function retryDelayWithFullBuffers (draw: number): number {
+  return Math.round(MIN_RETRY_WITH_FULL_BUFFERS + draw * (MAX_RETRY_WITH_FULL_BUFFERS - MIN_RETRY_WITH_FULL_BUFFERS))
+}
+
 function retryDelayWithoutConfiguration (draw: number): number {
   return Math.round(MIN_RETRY_WITHOUT_CONFIGURATION + draw * (MAX_RETRY_WITHOUT_CONFIGURATION - MIN_RETRY_WITHOUT_CONFIGURATION))
 }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -84,6 +84,7 @@
     this._deadline = receivedAt + Math.min(route.timeout, head.patience ?? route.timeout)
     this._finalTimer = setTimeout(() => this._onDeadline(), this._deadline + DEADLINE_GRACE - performance.now())
     _answer.onDisconnect(() => this._onCallerDisconnect())
+    _answer.onDrain(() => this._attempt?.resume())
   }
 
   /** Makes the first attempt, or refuses the request. */
@@ -151,7 +152,8 @@
       cancelAt: () => this._cancellationTime(choice)
     }, {
       readHead: response => this._readHead(response, choice, now),
-      events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
+      events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) },
+      bodyPart: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardBodyPart(attempt, answerHead, bytes) }
     })
     this._attempt = attempt
     this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
@@ -191,7 +193,8 @@
     return usable ? this._dependencies.reserve.take(record.address, startKeyOf(record)) : undefined
   }
 
-  private _forwardEvents ({ choice }: EndpointAttempt, head: AnswerHead, events: Uint8Array): void {
+  private _forwardEvents (attempt: EndpointAttempt, head: AnswerHead, events: Uint8Array): void {
+    const { choice } = attempt
     const now = performance.now()
     this._dependencies.suspects.recordAlive(startKeyOf(choice.record), now)
     this._unit?.chooser.load(startKeyOf(choice.record)).begun(this._request.head.id, choice.expected, now)
@@ -199,6 +202,21 @@
     this._answer.head(head)
     this._answer.data(events)
     this._course.begun()
+    this._pauseIfCongested(attempt)
+  }
+
+  private _forwardBodyPart (attempt: EndpointAttempt, head: AnswerHead, bytes: Uint8Array): void {
+    this._answer.head(head)
+    this._answer.data(bytes)
+    this._course.begun('body-part')
+    this._pauseIfCongested(attempt)
+  }
+
+  /** Reads no more of an answer than the caller takes: the rest stays with the endpoint. */
+  private _pauseIfCongested (attempt: EndpointAttempt): void {
+    if (!this._answer.congested) return
+    this._dependencies.counters.add('answers_paused')
+    attempt.pause()
   }
 
   private _onAttemptEnded (attempt: EndpointAttempt, end: AttemptEnd): void {
@@ -221,13 +239,15 @@
     if (choice !== undefined) this._send(choice, now)
   }
 
-  private _updateChooser ({ choice, head, sentAt }: EndpointAttempt, end: AttemptEnd, now: number): void {
+  private _updateChooser ({ choice, head, sentAt, everPaused }: EndpointAttempt, end: AttemptEnd, now: number): void {
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
     const start = startKeyOf(choice.record)
     // Failures don't count towards the response time of an endpoint: one at the deadline takes as long as the route allows. When they
-    // did count, 40 of 684 plain requests in a day were refused because their endpoints were taken for slow.
-    if (end.type === 'answered' && end.status < MIN_FAILURE_STATUS && head?.eventStream !== true) chooser.recordPlainAnswer(start, now - sentAt, now)
+    // did count, 40 of 684 plain requests in a day were refused because their endpoints were taken for slow. Neither does the time that
+    // a caller takes to read its answer.
+    const isTimed = end.type === 'answered' && end.status < MIN_FAILURE_STATUS && head?.eventStream !== true && !everPaused
+    if (isTimed) chooser.recordPlainAnswer(start, now - sentAt, now)
     if (end.type === 'not-run') chooser.skip(start, avoidanceOf(end.reason), now)
     chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
   }
@@ -289,7 +309,9 @@
   }
 
   private _onCallerDisconnect (): void {
-    if (!this._finished) this._finish({ type: 'abandoned' })
+    if (this._finished) return
+    if (this._answer.reclaimed) this._finish({ type: 'failed', failure: requestFailure('buffers-full', 'cut', 'the caller did not read its answer while buffers were full') })
+    else this._finish({ type: 'abandoned' })
   }
 
   private _finish (result: RequestResult): void {
--- a/packages/node/src/lib/settings/schema.ts
+++ b/packages/node/src/lib/settings/schema.ts
@@ -52,6 +52,7 @@
   { section: 'process', key: 'http-address', type: 'address', roles: entryRoles, meaning: 'Address at which callers and operators reach this entry (HTTP).' },
   { section: 'process', key: 'readiness-address', type: 'address', roles: routeEntryOnly, meaning: 'Address at which the load balancer checks whether this entry accepts callers (HTTP).' },
   { section: 'process', key: 'metrics-address', type: 'address', defaultValue: '', roles: ['agent', 'route-entry', 'weights-agent'], meaning: 'Address at which metrics are served over HTTP; if empty, they are not served.' },
+  { section: 'process', key: 'memory-megabytes', type: 'number', unit: 'MB', defaultValue: '', minimum: 1, maximum: 1_000_000, roles: routeEntryOnly, meaning: 'Memory of this instance, of which a fifth may hold what callers have not read or not sent completely; if empty, there is no bound.' },
   { section: 'process', key: 'log-level', type: 'choice', choices: ['debug', 'info', 'warn', 'error'], defaultValue: 'info', roles: allRoles, meaning: 'Minimum severity of the log lines that are written.' },
   { section: 'process', key: 'stop-patience-seconds', type: 'number', unit: 'seconds', defaultValue: '120', minimum: 0, maximum: 3600, roles: allRoles, meaning: 'After SIGTERM, how long requests in progress may continue before they are aborted and logged.' },
   { section: 'platform', key: 'availability-zones', type: 'text', roles: allRoles, meaning: 'All availability zones, separated by commas.' },
--- a/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
+++ b/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
@@ -54,7 +54,8 @@
       cancelAt: () => cancelAt
     }, {
       readHead: ({ statusCode = 0 }) => ({ type: 'answer', status: statusCode, headers: [], eventStream: true }),
-      events: onEvents
+      events: onEvents,
+      bodyPart: () => {}
     })
   }
 
