--- a/packages/core/src/lib/routing/choice/endpoint-choice.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-choice.ts
@@ -12,6 +12,8 @@
 export interface EntryLocation {
   readonly availabilityZone: string
   readonly regionOf: (availabilityZone: string) => string
+  /** The region of a zone if the settings name it, for requests that may run in some regions only; by default `regionOf`. */
+  readonly knownRegionOf?: ((availabilityZone: string) => string | undefined) | undefined
 }
 
 /** The requirements of a request on its endpoint. */
@@ -29,8 +31,16 @@
   readonly usualObjective: number
   /** Incarnations of endpoints that this request was already sent to. */
   readonly tried: ReadonlySet<string>
+  /** The regions in which the request may run; `undefined` for all, which is the common case. */
+  readonly allowedRegions?: ReadonlySet<string> | undefined
 }
 
+/**
+ * Why placement rules leave no endpoint for a request, regardless of load and health: none is listed, none is in an allowed region, or
+ * those that are belong to evacuated zones. `possible` if some endpoint is left.
+ */
+export type Placement = 'possible' | 'none-listed' | 'region-not-allowed' | 'zones-evacuated'
+
 /** A chosen endpoint. */
 export interface ChosenEndpoint {
   readonly record: EndpointRecord
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -8,7 +8,7 @@
  * penalty in milliseconds for leaving the availability zone and the region.
  */
 import { Ejection } from '../../ejection.js'
-import type { EndpointCandidate, ChosenEndpoint, EndpointRequirements, EntryLocation } from './endpoint-choice.js'
+import type { EndpointCandidate, ChosenEndpoint, EndpointRequirements, EntryLocation, Placement } from './endpoint-choice.js'
 import { SOON_ENOUGH_SHARE, costOf, distanceFactor } from './choice-price.js'
 import { prefillTime } from './engine-model.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
@@ -46,6 +46,8 @@
 /** The assumed number of slots of a plain endpoint that does not publish it. */
 const ASSUMED_SLOTS = 8
 
+const NO_ZONES: ReadonlySet<string> = new Set()
+
 interface EndpointState {
   readonly load: EndpointLoad
   skippedUntil: number
@@ -57,7 +59,9 @@
   private readonly _states = new Map<string, EndpointState>()
   private readonly _ejection = new Ejection()
   private readonly _sentRate = new RequestRate()
+  /** The listed endpoints outside of evacuated zones. */
   private _records: readonly EndpointRecord[] = []
+  private _evacuated: readonly EndpointRecord[] = []
   private _listed: ReadonlySet<string> = new Set()
   private _followed: readonly EndpointRecord[] = []
   private _others: readonly EndpointRecord[] = []
@@ -69,17 +73,17 @@
    */
   constructor (private readonly _place: EntryLocation, private readonly _random: () => number, private readonly _gate: EndpointGate = openGate) {}
 
-  get records (): readonly EndpointRecord[] { return this._records }
-
   /**
    * Sets the listed endpoints.
    *
    * @param isFollowed Whether the entry receives load reports of an endpoint; others are chosen only if none of these can take a request.
+   * @param evacuatedZones Zones whose endpoints are not chosen. Their requests in progress, and so their state, are kept.
    */
-  setRecords (records: readonly EndpointRecord[], isFollowed: (record: EndpointRecord) => boolean = () => true): void {
-    this._records = records
-    this._followed = records.filter(isFollowed)
-    this._others = records.filter(record => !isFollowed(record))
+  setRecords (records: readonly EndpointRecord[], isFollowed: (record: EndpointRecord) => boolean = () => true, evacuatedZones: ReadonlySet<string> = NO_ZONES): void {
+    this._records = evacuatedZones.size === 0 ? records : records.filter(({ availabilityZone }) => !evacuatedZones.has(availabilityZone))
+    this._evacuated = evacuatedZones.size === 0 ? [] : records.filter(({ availabilityZone }) => evacuatedZones.has(availabilityZone))
+    this._followed = this._records.filter(isFollowed)
+    this._others = this._records.filter(record => !isFollowed(record))
     this._listed = new Set(records.map(startKeyOf))
     this._ejection.retain(this._listed)
     for (const [start, { load }] of this._states) if (!this._listed.has(start) && load.outstanding === 0) this._states.delete(start)
@@ -177,9 +181,10 @@
    * const milliseconds = retryAfter({ patience, objective }, Math.random(), chooser.opening(service, need, now))
    */
   opening (service: ServiceDescription, need: EndpointRequirements, now: number): PoolOpening {
-    const capable = this._records.filter(record => this._canTake(record, service, { ...need, tried: new Set() }, now))
+    const allowed = this._records.filter(record => this._isAllowed(record, need))
+    const capable = allowed.filter(record => this._canTake(record, service, { ...need, tried: new Set() }, now))
     if (service.pool === undefined) return this._openingOf(capable, now) ?? { type: 'open' }
-    const reporting = this._records.filter(record => this._stateOf(record).load.report(now) !== undefined)
+    const reporting = allowed.filter(record => this._stateOf(record).load.report(now) !== undefined)
     if (reporting.length === 0) return { type: 'silent' }
     const times = reporting.flatMap(record => this._stateOf(record).load.opensAt(now) ?? [])
     const opening = this._openingOf(capable.filter(record => reporting.includes(record)), now)
@@ -195,6 +200,25 @@
     return soonest === Infinity ? { type: 'unknown' } : { type: 'expected', in: soonest }
   }
 
+  /**
+   * Returns whether the placement rules leave an endpoint for a request.
+   *
+   * @example
+   * if (chooser.placement(need) === 'region-not-allowed') refuse('region-not-allowed')
+   */
+  placement (need: EndpointRequirements): Placement {
+    if (this._records.some(record => this._isAllowed(record, need))) return 'possible'
+    if (this._evacuated.some(record => this._isAllowed(record, need))) return 'zones-evacuated'
+    return this._records.length + this._evacuated.length === 0 ? 'none-listed' : 'region-not-allowed'
+  }
+
+  /** Whether an endpoint is in a region in which the request may run. */
+  private _isAllowed ({ availabilityZone }: EndpointRecord, { allowedRegions }: EndpointRequirements): boolean {
+    if (allowedRegions === undefined) return true
+    const region = (this._place.knownRegionOf ?? this._place.regionOf)(availabilityZone)
+    return region !== undefined && allowedRegions.has(region)
+  }
+
   /** The number of endpoints that the gate closes now, by reason. */
   spared (now: number): ReadonlyMap<SparedFor, number> {
     const counts = new Map<SparedFor, number>()
@@ -250,7 +274,7 @@
 
   /** Whether an endpoint could take a request, regardless of the gate. */
   private _canTake (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
-    if (record.draining || need.tried.has(startKeyOf(record))) return false
+    if (record.draining || !this._isAllowed(record, need) || need.tried.has(startKeyOf(record))) return false
     const known = this._stateOf(record)
     if (known.skippedUntil > now || known.load.outstanding >= service.maxConnections) return false
     if (service.pool === undefined || need.model === '') return true
--- a/packages/core/src/lib/routing/published/published-change.ts
+++ b/packages/core/src/lib/routing/published/published-change.ts
@@ -8,8 +8,8 @@
 import type { RoutingConfiguration } from './routing-configuration.js'
 
 /** Topics of published state, which are followed separately. */
-export type PublishedTopic = 'configuration' | 'versions' | 'endpoints'
-export const publishedTopics: readonly PublishedTopic[] = ['configuration', 'versions', 'endpoints']
+export type PublishedTopic = 'configuration' | 'versions' | 'endpoints' | 'evacuations'
+export const publishedTopics: readonly PublishedTopic[] = ['configuration', 'versions', 'endpoints', 'evacuations']
 
 /** A change of one item. */
 export type PublishedChange =
@@ -22,6 +22,13 @@
   | { readonly type: 'endpoint', readonly revision: number, readonly record: EndpointRecord }
   /** `certain`: the endpoint must not be used any more, even if the store was unavailable; otherwise its entry may only have expired. */
   | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined }
+  /** The operators have evacuated an availability zone: its endpoints are sent no new requests. */
+  | { readonly type: 'evacuation', readonly revision: number, readonly zone: string }
+  /**
+   * `age`: milliseconds since the evacuation ended, set in changes from a peer and in effective changes; `undefined` if the change was
+   * received just now.
+   */
+  | { readonly type: 'evacuation-ended', readonly revision: number, readonly zone: string, readonly age?: number | undefined }
 
 /** The store's revision, by topic, up to which a process has received every change. */
 export interface PublishedRevisions extends Readonly<Record<PublishedTopic, number>> {
@@ -43,8 +50,22 @@
   configuration: 'configuration',
   'wanted-version': 'versions',
   endpoint: 'endpoints',
-  'endpoint-gone': 'endpoints'
+  'endpoint-gone': 'endpoints',
+  evacuation: 'evacuations',
+  'evacuation-ended': 'evacuations'
 }
 
 /** Returns the topic of a change. */
 export function topicOf (change: PublishedChange): PublishedTopic { return topicByChangeType[change.type] }
+
+/**
+ * Returns revisions that a peer sent, with 0 for topics that it does not know. Processes of an earlier release send no revision of
+ * evacuations.
+ *
+ * @example
+ * state.deltaSince(completeRevisions(request.note), performance.now())
+ */
+export function completeRevisions (revisions: Partial<PublishedRevisions>): PublishedRevisions {
+  const { epoch = 0, configuration = 0, versions = 0, endpoints = 0, evacuations = 0 } = revisions
+  return { epoch, configuration, versions, endpoints, evacuations }
+}
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -4,8 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * One process's replica of the state that the platform publishes: the configuration, the wanted versions and the list of
- * endpoints. Changes come from the platform's store or from peers, in any order. Each carries the store's revision of its item, and
+ * One process's replica of the state that the platform publishes: the configuration, the wanted versions, the list of
+ * endpoints and the evacuated zones. Changes come from the platform's store or from peers, in any order. Each carries the store's revision of its item, and
  * an older revision never replaces a newer one.
  *
  * When the store begins a new epoch, the replica is carried over at revision 0, below every revision of the new epoch. A restored
@@ -13,15 +13,20 @@
  * configuration, the version of a model, and the number of times that an endpoint has written its entry.
  */
 import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord, type ModelVersion } from './endpoint-record.js'
+import { Evacuations } from './evacuations.js'
 import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
-import { toldSpan, toldVersion, type DeltaTimes } from './told-versions.js'
+import { toldSpan, toldVersion, validAge, type DeltaTimes } from './told-versions.js'
 import { WantedVersions, type PublicationSpan, type WantedVersion } from './wanted-versions.js'
-import { publishedTopics, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type PublishedTopic } from './published-change.js'
+import { completeRevisions, publishedTopics, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type PublishedTopic } from './published-change.js'
 import { Removals } from './removals.js'
 import type { RoutingConfiguration } from './routing-configuration.js'
 
-const NO_REVISIONS: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0 }
+const NO_REVISIONS: Readonly<Record<PublishedTopic, number>> = { configuration: 0, versions: 0, endpoints: 0, evacuations: 0 }
+/** Topics whose snapshots from the store show which items have been removed. */
+const listTopics = ['endpoints', 'evacuations'] as const
+type ListTopic = typeof listTopics[number]
+function isListTopic (topic: PublishedTopic): topic is ListTopic { return topic === 'endpoints' || topic === 'evacuations' }
 
 /** The replica of the published state in one process. */
 export class PublishedState {
@@ -30,7 +35,9 @@
   private readonly _grace = new LapseGrace()
   private readonly _endpoints = new HeldEndpoints()
   private readonly _removals = new Removals()
-  private _newestEndpointRevision = 0
+  private readonly _evacuations = new Evacuations()
+  /** The newest revision that is held of each list. */
+  private _newestRevisions: Readonly<Record<ListTopic, number>> = { endpoints: 0, evacuations: 0 }
   private _changeCount = 0
   private _epoch = 0
   private _followed: Readonly<Record<PublishedTopic, number>> = NO_REVISIONS
@@ -39,8 +46,10 @@
 
   get configuration (): RoutingConfiguration | undefined { return this._configuration?.configuration }
   get configurationRevision (): number { return this._configuration?.revision ?? 0 }
-  /** Whether both a configuration and the endpoints are known. */
-  get complete (): boolean { return this._configuration !== undefined && this.hasFollowed('endpoints') }
+  /** Whether a configuration, the endpoints and the evacuated zones are known, so that requests can be routed. */
+  get complete (): boolean { return this._configuration !== undefined && this.hasFollowed('endpoints') && this.hasFollowed('evacuations') }
+  /** The evacuated availability zones. The set is replaced when it changes. */
+  get evacuatedZones (): ReadonlySet<string> { return this._evacuations.zones }
   /** The epoch of the store that is followed; 0 before the first one. */
   get epoch (): number { return this._epoch }
   /** The revision up to which each topic has been followed in this epoch. */
@@ -51,7 +60,7 @@
    */
   get held (): PublishedRevisions {
     const versions = Math.max(0, ...this._versions.newestOfAll().map(({ revision }) => revision))
-    return { epoch: this._epoch, configuration: this.configurationRevision, versions, endpoints: this._newestEndpointRevision }
+    return { epoch: this._epoch, configuration: this.configurationRevision, versions, ...this._newestRevisions }
   }
 
   /** Whether a topic has been followed in any epoch. */
@@ -108,7 +117,7 @@
   take (change: PublishedChange, now: number, since = this._defaultSince(topicOf(change), now)): readonly PublishedChange[] {
     const previous = change.type === 'endpoint' ? this._endpoints.atAddress(change.record.address) : undefined
     this._changeCount += 1
-    if (topicOf(change) === 'endpoints') this._newestEndpointRevision = Math.max(this._newestEndpointRevision, change.revision)
+    this._raiseNewest(topicOf(change), change.revision)
     if (!this._appliers[change.type](change as never, now, since)) return []
     return change.type === 'endpoint' ? [change, ...this._removePredecessor(previous, change)] : [change]
   }
@@ -130,17 +139,22 @@
    */
   takeSnapshot (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number, since = this._defaultSince(topic, now)): PublishedChange[] {
     const applied = changes.flatMap(change => this.take(change, now, since))
+    // Items removed earlier are not in the snapshot, and their removals were never received, so peers need the complete list.
+    this._raiseNewest(topic, upTo)
     if (topic === 'endpoints') {
       applied.push(...this._removeMissing(changes, upTo, now))
       this._grace.snapshotRead(upTo)
-      // Endpoints removed earlier are not in the snapshot, and their removals were never received, so peers need the complete list.
-      this._newestEndpointRevision = Math.max(this._newestEndpointRevision, upTo)
       this._removals.markIncompleteUpTo(upTo)
     }
+    if (topic === 'evacuations') applied.push(...this._endMissingEvacuations(changes, upTo, now))
     this.followed(topic, upTo)
     return applied
   }
 
+  private _raiseNewest (topic: PublishedTopic, revision: number): void {
+    if (isListTopic(topic)) this._newestRevisions = { ...this._newestRevisions, [topic]: Math.max(this._newestRevisions[topic], revision) }
+  }
+
   /** A process that begins to follow a topic does not know how old its items are. */
   private _defaultSince (topic: PublishedTopic, now: number): number { return this.hasFollowed(topic) ? now : -Infinity }
 
@@ -164,11 +178,12 @@
     this._epoch = epoch
     this._changeCount += 1
     this._followed = NO_REVISIONS
-    this._newestEndpointRevision = 0
+    this._newestRevisions = { endpoints: 0, evacuations: 0 }
     if (this._configuration !== undefined) this._configuration = { ...this._configuration, revision: 0 }
     this._versions.carryOver()
     this._endpoints.carryOver()
     this._removals.carryOver()
+    this._evacuations.carryOver(now)
     if (this._knownTopics.size > 0) this._grace.storeRestored(now)
     return true
   }
@@ -183,8 +198,18 @@
    */
   storeRegained (now: number, upTo: number): void { this._grace.storeRegained(now, upTo) }
 
-  /** Removes endpoints whose entries are still missing at the end of the grace period. Returns their removals. */
-  expire (now: number): PublishedChange[] {
+  /**
+   * Removes endpoints whose entries are still missing at the end of the grace period, and ends evacuations that a restored store still
+   * lacks. Returns the effective changes.
+   */
+  expire (now: number): PublishedChange[] { return [...this._expireEndpoints(now), ...this._expireEvacuations(now)] }
+
+  private _expireEvacuations (now: number): PublishedChange[] {
+    const revision = this._followed.evacuations
+    return this._evacuations.lapsed(revision > 0, now).flatMap(zone => this.take({ type: 'evacuation-ended', revision, zone }, now))
+  }
+
+  private _expireEndpoints (now: number): PublishedChange[] {
     const endpoints = [...this._endpoints.values()]
     this._grace.endIfFewMissing(endpoints.filter(({ lapsesAt }) => lapsesAt !== undefined).length, endpoints.length, now)
     const removals: PublishedChange[] = []
@@ -203,7 +228,8 @@
    * @example
    * const delta = state.deltaSince(note, performance.now(), ['versions'])
    */
-  deltaSince (note: PublishedRevisions, now: number, topics: readonly PublishedTopic[] = publishedTopics): PublishedDelta {
+  deltaSince (noteOfPeer: Partial<PublishedRevisions>, now: number, topics: readonly PublishedTopic[] = publishedTopics): PublishedDelta {
+    const note = completeRevisions(noteOfPeer)
     const noRevisions: PublishedRevisions = { ...NO_REVISIONS, epoch: this._epoch }
     if (note.epoch > this._epoch) return { upTo: noRevisions, held: noRevisions, changes: [], whole: [] }
     const from = note.epoch === this._epoch ? note : noRevisions
@@ -222,6 +248,7 @@
     for (const version of this._versions.all()) if (version.revision > from('versions')) changes.push(toldVersion(version, now))
     for (const { record, revision } of this._endpoints.values()) if (revision > from('endpoints')) changes.push({ type: 'endpoint', revision, record })
     changes.push(...this._removals.after(from('endpoints')))
+    changes.push(...this._evacuations.changesAfter(from('evacuations'), now))
     return { changes, whole }
   }
 
@@ -237,7 +264,7 @@
     this.enterEpoch(delta.upTo.epoch, now)
     const applied: PublishedChange[] = []
     for (const topic of publishedTopics) {
-      const changes = delta.changes.filter(change => topicOf(change) === topic && change.type !== 'wanted-version')
+      const changes = delta.changes.filter(change => topicOf(change) === topic && change.type !== 'wanted-version').map(change => sinceEncoding(change, times))
       if (topic === 'versions') applied.push(...delta.changes.flatMap(change => change.type === 'wanted-version' ? this.takeFromPeer(change, toldSpan(change, now, times)) : []))
       if (delta.whole.includes(topic) && delta.upTo[topic] > this._followed[topic]) applied.push(...this.takeSnapshot(topic, changes, delta.upTo[topic], now))
       else {
@@ -245,14 +272,14 @@
         this.followed(topic, delta.upTo[topic])
       }
     }
-    this._newestEndpointRevision = Math.max(this._newestEndpointRevision, delta.held.endpoints)
+    for (const topic of listTopics) this._raiseNewest(topic, delta.held[topic])
     return applied
   }
 
   private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number, since: number) => boolean } = {
     configuration: ({ revision, configuration }) => {
       const held = this._configuration
-      if (held !== undefined && revision <= held.revision) return false
+      if (held !== undefined && revision <= held.revision && !isLaterFormat(held, revision, configuration)) return false
       const isNewer = held === undefined || isNewerConfiguration(configuration, held.configuration)
       this._configuration = { revision, configuration: isNewer ? configuration : held.configuration }
       return isNewer
@@ -268,7 +295,9 @@
       this._removals.delete(record.id)
       return held === undefined || !isSameListing(held.record, record)
     },
-    'endpoint-gone': (change, now) => this._remove(change, now)
+    'endpoint-gone': (change, now) => this._remove(change, now),
+    evacuation: ({ zone, revision }, now) => this._evacuations.begin(zone, revision, this._followed.evacuations, now),
+    'evacuation-ended': ({ zone, revision, age }, now) => this._evacuations.end(zone, revision, this._followed.evacuations, now - validAge(age, 0))
   }
 
   /** Whether an unknown endpoint was removed before the followed revision: every change up to that revision has been received. */
@@ -323,9 +352,12 @@
     return [removal]
   }
 
-  /** Whether a peer needs a complete snapshot: it has nothing of the topic, or is behind the oldest removal that is kept. */
+  /**
+   * Whether a peer needs a complete snapshot: it has nothing of the topic, or is behind the oldest removal that is kept. Evacuations are
+   * few, so they are always sent completely.
+   */
   private _needsSnapshot (topic: PublishedTopic, note: PublishedRevisions): boolean {
-    return note[topic] === 0 || (topic === 'endpoints' && note.endpoints < this._removals.incompleteUpTo)
+    return note[topic] === 0 || topic === 'evacuations' || (topic === 'endpoints' && note.endpoints < this._removals.incompleteUpTo)
   }
 
   private _remove (removal: Extract<PublishedChange, { type: 'endpoint-gone' }>, now: number): boolean {
@@ -343,6 +375,11 @@
     return true
   }
 
+  private _endMissingEvacuations (changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
+    const listed = new Set(changes.flatMap(change => change.type === 'evacuation' ? [change.zone] : []))
+    return this._evacuations.missingFrom(listed, upTo).flatMap(zone => this.take({ type: 'evacuation-ended', revision: upTo, zone }, now))
+  }
+
   private _removeMissing (changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
     const listed = new Set(changes.flatMap(change => change.type === 'endpoint' ? [change.record.id] : []))
     const missing = [...this._endpoints.values()].filter(({ record: { id }, revision }) => !listed.has(id) && revision <= upTo)
@@ -350,6 +387,16 @@
   }
 }
 
+/** Adds the time since a delta was encoded to the age of an ended evacuation in it. */
+function sinceEncoding (change: PublishedChange, { encodedFor }: DeltaTimes): PublishedChange {
+  return change.type === 'evacuation-ended' ? { ...change, age: validAge(change.age, 0) + validAge(encodedFor, 0) } : change
+}
+
+/** Whether a configuration is the held one, with fields that the release of a peer which passed it on did not decode. */
+function isLaterFormat (held: { readonly revision: number, readonly configuration: RoutingConfiguration }, revision: number, { version, format = 0 }: RoutingConfiguration): boolean {
+  return revision === held.revision && version === held.configuration.version && format > (held.configuration.format ?? 0)
+}
+
 /** Operators increase the version with each change. If a change keeps the version, the configuration written last applies. */
 function isNewerConfiguration (configuration: RoutingConfiguration, other: RoutingConfiguration): boolean {
   if (configuration.version !== other.version) return configuration.version > other.version
--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -9,7 +9,7 @@
  */
 import type { RelayNote } from '../../messages.js'
 import type { EntryLocation } from '../choice/endpoint-choice.js'
-import type { PublishedRevisions, PublishedTopic } from './published-change.js'
+import { completeRevisions, publishedTopics, type PublishedRevisions, type PublishedTopic } from './published-change.js'
 import { validAge } from './told-versions.js'
 
 /** A relay from which no note was received for this long is ignored, in milliseconds: it has missed three heartbeats. */
@@ -44,14 +44,15 @@
 
   /** Records a note in which a relay reports the revisions that it holds. */
   recordNote (address: string, note: RelayNote, now: number): void {
-    this._relays.set(address, { address, note, receivedAt: now })
+    const { followed, held } = note
+    this._relays.set(address, { address, note: { ...note, followed: completeRevisions(followed), held: completeRevisions(held) }, receivedAt: now })
   }
 
   /** Removes a relay whose connection ended. */
   lost (address: string): void { this._relays.delete(address) }
 
-  /** Whether some relay currently follows the store, in the epoch that this process follows or a later one. */
-  followsStore (epoch: number, now: number): boolean { return this._liveRelays(now).some(({ note }) => note.fresh && note.held.epoch >= epoch) }
+  /** Whether some relay currently follows all topics in the store, in the epoch that this process follows or a later one. */
+  followsStore (epoch: number, now: number): boolean { return this._liveRelays(now).some(({ note }) => note.fresh && note.held.epoch >= epoch && followsAll(note, publishedTopics)) }
 
   /**
    * Returns the nearest relay that is ahead of this process in one of some topics. Returns `undefined` if there is none, and, for
@@ -75,9 +76,9 @@
     return isNearEnough ? aheadRelay.address : undefined
   }
 
-  /** Returns the nearest relay that currently follows the store, or `undefined` if there is none. */
-  nearestRelay (epoch: number, excluded: ReadonlySet<string>, now: number): string | undefined {
-    return this._candidates(epoch, excluded, now).find(({ note }) => note.fresh)?.address
+  /** Returns the nearest relay that currently follows some topics in the store, or `undefined` if there is none. */
+  nearestRelay (epoch: number, topics: readonly PublishedTopic[], excluded: ReadonlySet<string>, now: number): string | undefined {
+    return this._candidates(epoch, excluded, now).find(({ note }) => note.fresh && followsAll(note, topics))?.address
   }
 
   /** Returns the revision up to which a topic counts as followed, by the relays that hold the same revision as this process. */
@@ -116,3 +117,9 @@
     return this._place.regionOf(availabilityZone) === this._place.regionOf(this._place.availabilityZone) ? 1 : 2
   }
 }
+
+/**
+ * Whether a relay that reads the store follows some topics. A relay of an earlier release reads no evacuations, so processes that need
+ * them read the store themselves while there are only such relays.
+ */
+function followsAll ({ followed }: RelayNote, topics: readonly PublishedTopic[]): boolean { return !topics.includes('evacuations') || followed.evacuations > 0 }
--- a/packages/core/src/lib/routing/published/routing-configuration.ts
+++ b/packages/core/src/lib/routing/published/routing-configuration.ts
@@ -40,6 +40,8 @@
   /** Whether an interrupted stream may be resumed at another endpoint. */
   readonly resumable: boolean
   readonly targets: readonly RouteTarget[]
+  /** The regions in which its requests may run; absent or empty for all. Peers of an earlier release send none. */
+  readonly allowedRegions?: readonly string[] | undefined
 }
 
 /** A model that a pool's engines can load. */
@@ -99,6 +101,8 @@
   readonly keys: readonly string[]
   /** Overrides the priority of the route. */
   readonly priority?: number | undefined
+  /** The regions in which its requests may run, in addition to the restriction of the route; absent or empty for all. */
+  readonly allowedRegions?: readonly string[] | undefined
 }
 
 /** Limits on callers' connections and requests. */
@@ -110,10 +114,18 @@
   readonly idleTimeout: number
 }
 
+/**
+ * Increases when a release decodes further fields that restrict requests. A relay of an earlier release passes a configuration on
+ * without them, so the same configuration replaces it when it arrives in a later format.
+ */
+export const CONFIGURATION_FORMAT = 1
+
 /** The whole configuration of the operators, which is accepted or rejected as a unit. */
 export interface RoutingConfiguration {
   /** Version number assigned by the operators; it only increases. */
   readonly version: number
+  /** See {@link CONFIGURATION_FORMAT}; absent if a process of an earlier release decoded it. */
+  readonly format?: number | undefined
   readonly routes: readonly Route[]
   readonly services: readonly ServiceDescription[]
   readonly origin?: OriginDescription | undefined
@@ -182,3 +194,16 @@
   }
   return route.targets.at(-1)?.service ?? ''
 }
+
+/**
+ * Returns the regions in which a request may run: those that its route and its organisation both allow. Returns `undefined` if neither
+ * restricts it.
+ *
+ * @example
+ * const allowedRegions = allowedRegionsOf(route, organisation)
+ */
+export function allowedRegionsOf ({ allowedRegions: ofRoute = [] }: Route, organisation: OrganisationDescription | undefined): ReadonlySet<string> | undefined {
+  const ofOrganisation = organisation?.allowedRegions ?? []
+  if (ofRoute.length === 0) return ofOrganisation.length === 0 ? undefined : new Set(ofOrganisation)
+  return new Set(ofOrganisation.length === 0 ? ofRoute : ofRoute.filter(region => ofOrganisation.includes(region)))
+}
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { EndpointRequirements } from '../../../../lib/routing/choice/endpoint-choice.js'
+import type { EndpointRequirements, Placement } from '../../../../lib/routing/choice/endpoint-choice.js'
 import { EndpointChooser } from '../../../../lib/routing/choice/endpoint-chooser.js'
 import type { EndpointGate, SparedFor } from '../../../../lib/routing/choice/endpoint-gate.js'
 import type { PoolOpening } from '../../../../lib/routing/attempts/early-refusal.js'
@@ -336,3 +336,69 @@
 
   it('counts closed endpoints', () => assert.deepEqual([...createGatedChooser([a, b], createGate({ a: 500 })).spared(1_050)], [['limited', 1]]))
 })
+
+// Guards against requests in regions that their route or organisation does not allow (148 on one day), and against requests to zones
+// that operators have evacuated.
+describe('EndpointChooser: placement rules', () => {
+  const regions: Readonly<Record<string, string>> = { koshi: 'east', bagmati: 'west' }
+  const [near, west, unknown] = [record('near'), record('west', 'bagmati'), record('unknown', 'gandaki')]
+
+  function createPlacedChooser (records: readonly EndpointRecord[], evacuated: readonly string[] = [], follows: (record: EndpointRecord) => boolean = () => true): EndpointChooser {
+    const chooser = new EndpointChooser({ availabilityZone: 'koshi', regionOf: zone => regions[zone] ?? zone, knownRegionOf: zone => regions[zone] }, () => 0)
+    chooser.setRecords(records, follows, new Set(evacuated))
+    for (const { id } of records) chooser.heard(id, idle, 1_000)
+    return chooser
+  }
+
+  const cases: [name: string, allowed: string[] | undefined, evacuated: string[], expected: string | undefined, placement: Placement][] = [
+    ['any endpoint without rules', undefined, [], 'near', 'possible'],
+    ['an endpoint in an allowed region', ['west'], [], 'west', 'possible'],
+    ['one of several allowed regions', ['west', 'east'], [], 'near', 'possible'],
+    ['none if no region is allowed by both', [], [], undefined, 'region-not-allowed'],
+    ['none in a region without endpoints', ['north'], [], undefined, 'region-not-allowed'],
+    ['none in a zone whose region is not known, even if a region has its name', ['gandaki'], [], undefined, 'region-not-allowed'],
+    ['no endpoint of an evacuated zone', undefined, ['koshi'], 'west', 'possible'],
+    ['none if the only allowed region is evacuated', ['east'], ['koshi'], undefined, 'zones-evacuated'],
+    ['none if all zones are evacuated', undefined, ['koshi', 'bagmati', 'gandaki'], undefined, 'zones-evacuated'],
+    ['an endpoint of a zone without a known region if no region is required', undefined, ['koshi', 'bagmati'], 'unknown', 'possible']
+  ]
+  for (const [name, allowed, evacuated, expected, placement] of cases) {
+    for (const [service, kind] of [[drafting, 'pool'], [desk, 'plain service']] as const) {
+      it(`chooses ${name} (${kind})`, () => {
+        const allowedRegions = allowed === undefined ? undefined : new Set(allowed)
+        const chooser = createPlacedChooser([near, west, unknown], evacuated)
+        assert.deepEqual([chosen(chooser, { allowedRegions }, service), chooser.placement({ ...need, allowedRegions })], [expected, placement])
+      })
+    }
+  }
+
+  it('chooses no other endpoint for a retry when the only allowed one was tried', () => {
+    assert.equal(chosen(createPlacedChooser([near, west]), { allowedRegions: new Set(['west']), tried: new Set(['west']) }), undefined)
+  })
+
+  it('chooses no endpoint of an evacuated zone that it does not follow', () => {
+    assert.equal(chosen(createPlacedChooser([near, west], ['bagmati'], () => false)), 'near')
+    assert.equal(chosen(createPlacedChooser([west], ['bagmati'], () => false)), undefined)
+  })
+
+  it('takes the opening of the pool from endpoints in allowed regions only', () => {
+    const chooser = createPlacedChooser([near, west])
+    chooser.heard('near', { ...idle, accepting: false, opensIn: 700 }, 1_000)
+    chooser.heard('west', { ...idle, accepting: false, opensIn: 200 }, 1_000)
+    const openings = [undefined, new Set(['east']), new Set(['north'])].map(allowedRegions => chooser.opening(drafting, { ...need, allowedRegions }, 1_000))
+    assert.deepEqual(openings, [{ type: 'expected', in: 200 }, { type: 'expected', in: 700 }, { type: 'silent' }])
+  })
+
+  it('keeps the load of an endpoint while its zone is evacuated', () => {
+    const chooser = createPlacedChooser([near, west], ['bagmati'])
+    const outstanding = (): number => chooser.load('west').outstanding
+    chooser.setRecords([near, west])
+    chooser.sent({ record: west, expected: 1, expectedOfUsual: 1, version: 1, reportAge: 0, roundTrip: 0, candidates: 1 }, 'r1', 1, 1_000)
+    chooser.setRecords([near, west], undefined, new Set(['bagmati']))
+    assert.equal(outstanding(), 1)
+    chooser.ended('west', 'r1', 'good', 1_100)
+    assert.equal(outstanding(), 0)
+  })
+
+  it('reports that no endpoint is listed', () => assert.equal(createPlacedChooser([]).placement({ ...need, allowedRegions: new Set(['east']) }), 'none-listed'))
+})
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -201,10 +201,31 @@
     sender.takeSnapshot('endpoints', [listed('a', 1)], 3, 0)
     sender.takeSnapshot('configuration', [configuration(1, 2)], 3, 0)
     receiver.takeDelta(sender.deltaSince(receiver.note, 0), 0)
+    assert.equal(receiver.complete, false, 'the evacuated zones are not known')
+    sender.takeSnapshot('evacuations', [], 3, 0)
+    receiver.takeDelta(sender.deltaSince(receiver.note, 0), 0)
     assert.equal(receiver.complete, true)
   })
 })
 
+// Guards against a restriction that is lost because a relay of the previous release passed the configuration on without it.
+describe('PublishedState: a configuration in a later format', () => {
+  const cases: [name: string, held: number | undefined, revision: number, format: number | undefined, expected: number | undefined][] = [
+    ['replaces the same one in an earlier format', undefined, 5, 1, 1],
+    ['is not replaced by the same one in an earlier format', 1, 5, undefined, 1],
+    ['does not replace a later revision', undefined, 4, 1, undefined]
+  ]
+  for (const [name, held, revision, format, expected] of cases) {
+    it(name, () => {
+      const state = new PublishedState()
+      const value: RoutingConfiguration = { version: 3, routes: [], services: [], organisations: [], limits }
+      state.take({ type: 'configuration', revision: 5, configuration: { ...value, format: held } }, 0)
+      state.take({ type: 'configuration', revision, configuration: { ...value, format } }, 0)
+      assert.equal(state.configuration?.format, expected)
+    })
+  }
+})
+
 describe('PublishedState: an address that is reused', () => {
   const [first, again, elsewhere] = [listedAt('h:80', 'first', 1), listedAt('h:80', 'again', 5), listedAt('i:80', 'other', 6)]
   const cases: [name: string, changes: PublishedChange[], expected: string[]][] = [
@@ -269,7 +290,7 @@
 })
 
 describe('PublishedState.takeDelta', () => {
-  const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0 }
+  const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0, evacuations: 0 }
 
   /** A sender that received version 2 from the store at 1,000 ms, at most 300 ms after its publication. */
   function newSender (): PublishedState {
--- a/packages/core/src/test/lib/routing/published/relay-registry_test.ts
+++ b/packages/core/src/test/lib/routing/published/relay-registry_test.ts
@@ -6,13 +6,13 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { RelayNote } from '../../../../lib/messages.js'
-import type { PublishedRevisions } from '../../../../lib/routing/published/published-change.js'
+import { publishedTopics, type PublishedRevisions } from '../../../../lib/routing/published/published-change.js'
 import { RelayRegistry } from '../../../../lib/routing/published/relay-registry.js'
 
 const place = { availabilityZone: 'koshi-a', regionOf: (zone: string) => zone.split('-')[0] ?? zone }
 const noRelays = new Set<string>()
 
-function held (configuration: number, epoch = 1): PublishedRevisions { return { epoch, configuration, versions: 1, endpoints: 1 } }
+function held (configuration: number, epoch = 1): PublishedRevisions { return { epoch, configuration, versions: 1, endpoints: 1, evacuations: 1 } }
 
 function note (availabilityZone: string, configuration: number, fresh = true, epoch = 1): RelayNote {
   return { availabilityZone, followed: held(100 + configuration, epoch), held: held(configuration, epoch), fresh }
@@ -57,10 +57,19 @@
     it(`relies on ${name}`, () => {
       const book = new RelayRegistry(place)
       change(book)
-      assert.deepEqual([book.followsStore(1, at), book.nearestRelay(1, noRelays, at) !== undefined], [expected, expected])
+      assert.deepEqual([book.followsStore(1, at), book.nearestRelay(1, publishedTopics, noRelays, at) !== undefined], [expected, expected])
     })
   }
 
+  // Guards against a rollout in which a process relies on a relay of the previous release, which reads no evacuations.
+  it('relies on a relay of the previous release for other topics, but not to follow the store', () => {
+    const book = new RelayRegistry(place)
+    const { evacuations: _unknown, ...known } = held(1)
+    book.recordNote('a', { ...note('koshi-a', 1), followed: known as PublishedRevisions, held: { ...known, configuration: 2 } as PublishedRevisions }, 0)
+    assert.deepEqual([book.followsStore(1, 0), book.nearestRelay(1, ['versions'], noRelays, 0), book.nearestRelay(1, publishedTopics, noRelays, 0)], [false, 'a', undefined])
+    assert.deepEqual([book.relayAhead(held(1), publishedTopics, noRelays, 0), book.followedRevision(held(1), 'evacuations', 0)], ['a', 0])
+  })
+
   it('takes over the followed revision of a relay that holds the same revision, and not of one that is ahead', () => {
     const book = new RelayRegistry(place)
     book.recordNote('a', note('koshi-a', 5), 0)
--- a/packages/core/src/test/lib/routing/published/routing-configuration_test.ts
+++ b/packages/core/src/test/lib/routing/published/routing-configuration_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { RouteTable, pickService, type Route, type RoutingConfiguration } from '../../../../lib/routing/published/routing-configuration.js'
+import { RouteTable, allowedRegionsOf, pickService, type Route, type RoutingConfiguration } from '../../../../lib/routing/published/routing-configuration.js'
 
 /** Returns a route with defaults for the properties that are not given. */
 function route (part: Partial<Route>): Route {
@@ -58,3 +58,22 @@
   for (const [draw, expected] of cases) it(`picks ${expected} for ${draw}`, () => assert.equal(pickService(shared, draw), expected))
   it('returns an empty name for a route without targets', () => assert.equal(pickService(route({ targets: [] }), 0.5), ''))
 })
+
+describe('allowedRegionsOf', () => {
+  const cases: [name: string, ofRoute: string[] | undefined, ofOrganisation: string[] | undefined, expected: string[] | undefined][] = [
+    ['all regions without rules', undefined, undefined, undefined],
+    ['all regions for empty lists', [], [], undefined],
+    ['the regions of the route', ['a', 'b'], undefined, ['a', 'b']],
+    ['the regions of the organisation', undefined, ['b'], ['b']],
+    ['the regions of the organisation if the list of the route is empty', [], ['b'], ['b']],
+    ['the regions that both allow', ['a', 'b'], ['b', 'c'], ['b']],
+    ['no region if both allow different ones', ['a'], ['b'], []]
+  ]
+  for (const [name, ofRoute, ofOrganisation, expected] of cases) {
+    it(`allows ${name}`, () => {
+      const allowed = allowedRegionsOf(route({ allowedRegions: ofRoute }), { ...branch, allowedRegions: ofOrganisation })
+      assert.deepEqual(allowed === undefined ? undefined : [...allowed], expected)
+    })
+  }
+  it('allows the regions of the route to callers without an organisation', () => assert.deepEqual(allowedRegionsOf(route({ allowedRegions: ['a'] }), undefined), new Set(['a'])))
+})
--- a/packages/core/src/test/lib/routing/published/store-cursor_test.ts
+++ b/packages/core/src/test/lib/routing/published/store-cursor_test.ts
@@ -9,7 +9,7 @@
 
 /** Returns a cursor in epoch 2 that has followed the configuration up to the given revision and other topics up to revision 30. */
 function cursorAt (followed: number): StoreCursor {
-  return new StoreCursor({ epoch: 2, note: { epoch: 2, configuration: followed, versions: 30, endpoints: 30 } }, ['configuration', 'endpoints'])
+  return new StoreCursor({ epoch: 2, note: { epoch: 2, configuration: followed, versions: 30, endpoints: 30, evacuations: 30 } }, ['configuration', 'endpoints'])
 }
 
 describe('StoreCursor', () => {
--- a/packages/core/src/test/lib/routing/published/store-epochs_test.ts
+++ b/packages/core/src/test/lib/routing/published/store-epochs_test.ts
@@ -28,6 +28,7 @@
   state.takeSnapshot('configuration', [configuration(20, 25)], 30, 0)
   state.takeSnapshot('versions', [wanted(2, 26)], 30, 0)
   state.takeSnapshot('endpoints', [listed('a', 5), listed('b', 6)], 30, 0)
+  state.takeSnapshot('evacuations', [], 30, 0)
   for (const change of changes) state.take(change, 0)
   return state
 }
@@ -89,7 +90,7 @@
     const state = newFollower([])
     state.enterEpoch(2, 1_000)
     assert.deepEqual([state.note, state.held, state.complete, state.hasFollowed('versions')], [
-      { epoch: 2, configuration: 0, versions: 0, endpoints: 0 }, { epoch: 2, configuration: 0, versions: 0, endpoints: 0 }, true, true
+      { epoch: 2, configuration: 0, versions: 0, endpoints: 0, evacuations: 0 }, { epoch: 2, configuration: 0, versions: 0, endpoints: 0, evacuations: 0 }, true, true
     ])
   })
 
@@ -146,7 +147,7 @@
     applyRestoredEndpoints(sender, [listed('a', 5, { draining: true, writings: 2 }), listed('b', 6)])
     sender.takeSnapshot('configuration', [configuration(24, 21)], 22, 1_000)
     synchronise(sender, receiver)
-    assert.deepEqual([summary(receiver), receiver.note], ['24, 2, a drains, b', { epoch: 2, configuration: 22, versions: 0, endpoints: 22 }])
+    assert.deepEqual([summary(receiver), receiver.note], ['24, 2, a drains, b', { epoch: 2, configuration: 22, versions: 0, endpoints: 22, evacuations: 0 }])
   })
 
   it('receive no changes from a sender in an earlier epoch', () => {
--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -49,7 +49,9 @@
   'no-configuration': 503,
   'records-full': 429,
   'ends-endpoints': 503,
-  'endpoints-spared': 503
+  'endpoints-spared': 503,
+  'region-not-allowed': 503,
+  'zones-evacuated': 503
 }
 
 /**
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -20,7 +20,7 @@
 
 /** The cause of a request's result. */
 export type RequestCause =
-  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'endpoints-spared' | 'no-configuration'
+  | 'in-time' | 'pool-busy' | 'endpoint-slower-than-expected' | 'stream-paused' | 'overloaded' | 'no-endpoint' | 'ends-endpoints' | 'endpoints-spared' | 'region-not-allowed' | 'zones-evacuated' | 'no-configuration'
   | 'not-allowed' | 'endpoint-failed' | 'time-over' | 'caller-left' | 'unfinished'
 
 /** The explanation of one request. */
@@ -42,9 +42,9 @@
 /** An answer that took more than this multiple of the expected time was delayed by something that the estimate did not include. */
 const SLOWER_FACTOR = 1.5
 /** Events that change the state by which a process routes, independent of an endpoint. */
-const routingStateEvents = new Set(['store-lost', 'store-regained', 'epoch-began', 'history-lost', 'configuration-older', 'configuration-adopted', 'version-wanted', 'version-dated', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping'])
+const routingStateEvents = new Set(['store-lost', 'store-regained', 'epoch-began', 'history-lost', 'configuration-older', 'configuration-adopted', 'version-wanted', 'version-dated', 'published-from-peer', 'entry-started', 'entry-ready', 'entry-stopping', 'evacuation-began', 'evacuation-ended'])
 /** Events whose state holds until the next event of the same name, however long ago they were logged. */
-const persistentEvents: ReadonlySet<string> = new Set(['epoch-began', 'configuration-adopted'])
+const persistentEvents: ReadonlySet<string> = new Set(['epoch-began', 'configuration-adopted', 'evacuation-began', 'evacuation-ended'])
 /** Events about one endpoint or its agent. */
 const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
 /** Notices that endpoints sent about themselves. They hold for a long time and reduce or stop the requests to those endpoints. */
@@ -124,6 +124,8 @@
   'ends-endpoints': 'endpoints were lost repeatedly while they ran this request, so it is held back: check request-held-back, and the effect of its body on an endpoint',
   'endpoints-spared': 'endpoints receive fewer requests because they asked for it: check the field spared, and endpoint-limited, endpoint-leaving or endpoint-resting of each; find out what they lack, and whether their replacements have started',
   'no-endpoint': 'no endpoint may serve it: check which endpoints are listed, and whether all hold a version that is due to be replaced',
+  'region-not-allowed': 'no listed endpoint is in a region that both the route and the organisation allow: check allowedRegions of both, the setting regions, and which zones endpoint-listed names',
+  'zones-evacuated': 'every endpoint that it may run at is in an evacuated zone: check evacuation-began, and remove the key of the evacuation if it is over',
   'no-configuration': 'the process had just started and had no configuration: check store-lost and its seeds',
   'not-allowed': 'the configuration in force does not allow this route, key or size: compare its version with the published one',
   'endpoint-failed': 'the last endpoint failed or broke off its answer, and the request could not be retried on another endpoint: check the last attempt-ended',
@@ -132,7 +134,7 @@
   unfinished: 'the final line is missing: the process ended, or log lines were dropped (see log-lines-left-out)'
 }
 
-const causeByRefusalCode: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'endpoints-spared': 'endpoints-spared', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
+const causeByRefusalCode: Readonly<Record<string, RequestCause>> = { overloaded: 'overloaded', 'no-endpoint': 'no-endpoint', 'ends-endpoints': 'ends-endpoints', 'endpoints-spared': 'endpoints-spared', 'region-not-allowed': 'region-not-allowed', 'zones-evacuated': 'zones-evacuated', 'no-configuration': 'no-configuration', 'deadline-passed': 'time-over' }
 
 /** Determines the cause of a request's result from its own lines, oldest first. */
 export function causeOf (request: readonly LogLine[]): RequestCause {
--- a/packages/node/src/lib/routing/connection-reserve.ts
+++ b/packages/node/src/lib/routing/connection-reserve.ts
@@ -52,6 +52,11 @@
     return ready ? held.socket : undefined
   }
 
+  /** Closes the connections to some addresses. */
+  closeTo (addresses: ReadonlySet<string>): void {
+    for (const [address, held] of this._connections) if (addresses.has(address)) this._drop(address, held)
+  }
+
   close (): void {
     for (const [address, held] of this._connections) {
       this._release(address, held)
--- a/packages/node/src/lib/routing/delta-codec.ts
+++ b/packages/node/src/lib/routing/delta-codec.ts
@@ -8,7 +8,7 @@
  * 360 KB as the store sends it and 25 KB encoded, which takes 7 ms of processor time.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { publishedTopics, type PublishedDelta, type PublishedRevisions, type PublishedState, type PublishedTopic } from '@drumdrift/core'
+import { completeRevisions, publishedTopics, type PublishedDelta, type PublishedRevisions, type PublishedState, type PublishedTopic } from '@drumdrift/core'
 import { Encoder } from 'cbor-x'
 import type { Responder } from '../peer/connection.js'
 import { peerError } from '../peer/frame.js'
@@ -42,8 +42,15 @@
   } catch (error) {
     throw peerError('malformed', `cannot decode the published state: ${error instanceof Error ? error.message : 'unknown error'}`)
   }
-  if (!isDelta(value)) throw peerError('malformed', 'decoded published state has an invalid structure')
-  return value
+  const delta = withAllTopics(value)
+  if (!isDelta(delta)) throw peerError('malformed', 'decoded published state has an invalid structure')
+  return delta
+}
+
+/** Adds the topics that a peer of an earlier release does not know. */
+function withAllTopics (value: unknown): unknown {
+  const { upTo, held } = (value ?? {}) as Partial<PublishedDelta>
+  return upTo === undefined || held === undefined ? value : { ...value as PublishedDelta, upTo: { ...upTo, evacuations: completeRevisions(upTo).evacuations }, held: { ...held, evacuations: completeRevisions(held).evacuations } }
 }
 
 function isDelta (value: unknown): value is PublishedDelta {
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -14,15 +14,16 @@
 import type { WeightsSource } from '../platform/platform-client.js'
 
 /** The part of the store that one read or watch covers. */
-export type StoreScope = 'everything' | 'operators' | 'configuration' | 'versions' | 'endpoints'
+export type StoreScope = 'everything' | 'operators' | 'configuration' | 'versions' | 'endpoints' | 'evacuations'
 
 /** The topics that a scope covers. */
 export const topicsOfScope: Record<StoreScope, readonly PublishedTopic[]> = {
-  everything: ['configuration', 'versions', 'endpoints'],
-  operators: ['configuration', 'versions'],
+  everything: ['configuration', 'versions', 'endpoints', 'evacuations'],
+  operators: ['configuration', 'versions', 'evacuations'],
   configuration: ['configuration'],
   versions: ['versions'],
-  endpoints: ['endpoints']
+  endpoints: ['endpoints'],
+  evacuations: ['evacuations']
 }
 
 /** The properties that every answer of a store may have. */
--- a/packages/node/src/lib/routing/published-state-poller.ts
+++ b/packages/node/src/lib/routing/published-state-poller.ts
@@ -41,6 +41,7 @@
   private _endpointsReadAt = -Infinity
   private _configurationReadAt = -Infinity
   private _versionsReadAt = -Infinity
+  private _evacuationsReadAt = -Infinity
 
   constructor (private readonly _feed: PublishedFeed, private readonly _dependencies: PublishedStatePollerDependencies) {}
 
@@ -59,6 +60,14 @@
     await this._readConfiguration(now)
     await this._readVersions(now)
     await this._readMembers(now)
+    await this._readEvacuations(now)
+  }
+
+  /** Reads the evacuated zones once. Later changes come from relays; the agent needs them only for entries that ask it. */
+  private async _readEvacuations (now: number): Promise<void> {
+    if (this._feed.state.hasFollowed('evacuations') || now - this._evacuationsReadAt < INITIAL_READ_INTERVAL) return
+    this._evacuationsReadAt = now
+    await this._feed.refresh('evacuations')
   }
 
   private async _readConfiguration (now: number): Promise<void> {
--- a/packages/node/src/lib/routing/regions.ts
+++ b/packages/node/src/lib/routing/regions.ts
@@ -8,7 +8,8 @@
 import type { Settings } from '../settings/settings.js'
 
 /**
- * Returns the availability zone of a process, and the mapping from zones to regions.
+ * Returns the availability zone of a process, and the mapping from zones to regions. A zone that is not listed forms its own region for the
+ * distance to it, but its region is not known to rules that name regions.
  *
  * @example
  * const chooser = new EndpointChooser(placeOf(settings))
@@ -18,5 +19,5 @@
     const [zone = '', region = zone] = pair.split(':')
     return [zone, region] as const
   }))
-  return { availabilityZone: settings.text('process', 'availability-zone'), regionOf: zone => regions.get(zone) ?? zone }
+  return { availabilityZone: settings.text('process', 'availability-zone'), regionOf: zone => regions.get(zone) ?? zone, knownRegionOf: zone => regions.get(zone) }
 }
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -89,7 +89,7 @@
    */
   async fetchState (topics: readonly PublishedTopic[]): Promise<boolean> {
     const now = performance.now()
-    const address = this._book.nearestRelay(this._dependencies.state.epoch, this._excludedRelays(now), now)
+    const address = this._book.nearestRelay(this._dependencies.state.epoch, topics, this._excludedRelays(now), now)
     return address !== undefined && await this._fetchFrom(address, topics)
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -131,7 +131,7 @@
     this._front = new RouteFront({
       address: text('process', 'http-address'),
       dialect: platform.dialect,
-      table: () => this._table,
+      table: () => this._feed.state.hasFollowed('evacuations') ? this._table : undefined,
       begin: (request, answer) => new RoutedRequest(requestDependencies, request, answer),
       random: Math.random,
       log: _log,
@@ -284,6 +284,7 @@
     for (const change of changes) this._logChange(change)
     this._units.apply(state)
     this._follower.follow(this._units.followed)
+    this._applyEvacuations(changes)
     if (changes.some(({ type }) => type === 'wanted-version')) this._onVersionsChanged(changes)
     if (!this._ready && state.complete) {
       this._ready = true
@@ -291,6 +292,36 @@
     }
   }
 
+  /** Logs and counts changes of evacuations, and closes the connections that are kept ready to evacuated endpoints. */
+  private _applyEvacuations (changes: readonly PublishedChange[]): void {
+    const { state } = this._feed
+    const now = performance.now()
+    for (const change of changes) {
+      if (change.type === 'evacuation') this._onZoneEvacuated(change.zone, change.revision)
+      if (change.type === 'evacuation-ended') this._onZoneReopened(change.zone, change.revision, now - (change.age ?? 0))
+    }
+    const { evacuatedZones } = state
+    if (evacuatedZones.size === 0) return
+    this._reserve.closeTo(new Set(state.endpoints().flatMap(({ availabilityZone, address }) => evacuatedZones.has(availabilityZone) ? [address] : [])))
+  }
+
+  private _onZoneEvacuated (zone: string, revision: number): void {
+    this._counters.add('evacuations_began')
+    this._log.warn('evacuation-began', { zone, epoch: this._feed.state.epoch, revision, endpoints: this._endpointsIn(zone) })
+  }
+
+  /**
+   * Called when the evacuation of a zone has ended. Its endpoints may be cold from then on.
+   *
+   * @param at When it ended, by this process's clock; earlier than now if a peer told of it.
+   */
+  private _onZoneReopened (zone: string, revision: number, at: number): void {
+    this._counters.add('evacuations_ended')
+    this._log.warn('evacuation-ended', { zone, epoch: this._feed.state.epoch, revision, endpoints: this._endpointsIn(zone), age: Math.round(performance.now() - at) })
+  }
+
+  private _endpointsIn (zone: string): number { return this._feed.state.endpoints().filter(({ availabilityZone }) => availabilityZone === zone).length }
+
   /** Attempts that wait at an engine may have been sent before a newer version, or the time of its publication, was known. */
   private _onVersionsChanged (changes: readonly PublishedChange[]): void {
     this._front.rescheduleCancellations()
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptTracker, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
+  allowedRegionsOf, AttemptTracker, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -56,11 +56,15 @@
 /** An endpoint counts as reachable if its agent reported within this time, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT_AGE = 350
 
+/** Refusals that are counted by their code, because an operator's rule causes them. */
+const placementCodes: ReadonlySet<string> = new Set(['region-not-allowed', 'zones-evacuated'])
+
 /** The routing of one request, from its acceptance to its final answer. */
 export class RoutedRequest {
   private readonly _course: AttemptTracker
   private readonly _record: RequestRecord
   private readonly _tried = new Set<string>()
+  private readonly _allowedRegions: ReadonlySet<string> | undefined
   private readonly _deadline: number
   private readonly _finalTimer: NodeJS.Timeout
   private readonly _progress: StreamProgress
@@ -77,7 +81,8 @@
   readonly done = new Promise<void>(resolve => { this._resolveDone = resolve })
 
   constructor (private readonly _dependencies: RoutedRequestDependencies, private readonly _request: ReadRequest, private readonly _answer: CallerAnswer) {
-    const { head, route, receivedAt } = _request
+    const { head, route, receivedAt, organisation } = _request
+    this._allowedRegions = allowedRegionsOf(route, organisation)
     this._course = new AttemptTracker(route)
     this._record = new RequestRecord(_dependencies, _request)
     this._progress = new StreamProgress(head.lastEventId)
@@ -96,7 +101,7 @@
     this._objectiveDeadline = this._request.receivedAt + route.objective - this._elapsedSinceFirstTry()
     if (this._dependencies.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
     const choice = this._choose(now)
-    if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
+    if (choice === undefined) return this._refuseWithoutEndpoint()
     const decision = decideAdmission({ expected: choice.expectedOfUsual, objective: route.objective, usualObjective: this._usualObjective })
     if (decision.type === 'refuse') return this._refuse('overloaded', `the expected answer time of ${Math.round(choice.expected)} ms is too long`)
     this._send(choice, now)
@@ -127,7 +132,7 @@
     const { promptTokens, answerTokens } = this._request.head
     const model = this._model
     return {
-      promptTokens, answerTokens, model, leastVersion: this._dependencies.minimumVersion(model), mustBeginBy: version => this._dependencies.mustBeginBy(model, version), usualObjective: this._usualObjective, tried: this._tried
+      promptTokens, answerTokens, model, leastVersion: this._dependencies.minimumVersion(model), mustBeginBy: version => this._dependencies.mustBeginBy(model, version), usualObjective: this._usualObjective, tried: this._tried, allowedRegions: this._allowedRegions
     }
   }
 
@@ -264,7 +269,16 @@
     this._fail(requestFailure(ran ? 'timed-out' : 'deadline-passed', ran ? 'unknown' : 'not-run', 'the deadline has passed'))
   }
 
-  private _refuse (code: 'overloaded' | 'no-endpoint', detail: string): void {
+  private _refuseWithoutEndpoint (): void {
+    const { route, organisation } = this._request
+    const placement = this._unit?.chooser.placement(this._need())
+    const regions = [...this._allowedRegions ?? []].join(',')
+    if (placement === 'region-not-allowed') return this._refuse(placement, `no endpoint is in a region that ${route.name} and ${organisation?.name ?? 'callers without a key'} allow (${regions === '' ? 'none in common' : regions})`)
+    if (placement === 'zones-evacuated') return this._refuse(placement, `every endpoint that ${route.name} may use is in an evacuated zone`)
+    this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
+  }
+
+  private _refuse (code: 'overloaded' | 'no-endpoint' | 'region-not-allowed' | 'zones-evacuated', detail: string): void {
     const now = performance.now()
     const unit = this._unit
     const opening: PoolOpening = unit === undefined ? { type: 'unknown' } : unit.chooser.opening(unit.description, this._need(), now)
@@ -273,6 +287,7 @@
     const wait = retryAfter({ patience: Math.max(0, this._deadline - now), objective: this._objectiveDeadline - now }, this._dependencies.random(), opening)
     const exclusions = excluded === undefined ? '' : `, spared ${excluded}`
     const refusalCode = code === 'no-endpoint' && excluded !== undefined ? 'endpoints-spared' : code
+    if (placementCodes.has(code)) this._dependencies.counters.add(`refused_${code.replaceAll('-', '_')}`)
     this._fail(requestFailure(refusalCode, 'not-run', `${detail} (pool ${opening.type}${opensIn}${exclusions})`, wait))
   }
 
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -64,18 +64,19 @@
       unit.description = description
       this._units.set(description.name, unit)
       const records = endpoints.filter(({ service }) => service === description.name)
-      if (description.pool === undefined) unit.chooser.setRecords(records)
-      else this._applyPool(unit, records, followed)
+      if (description.pool === undefined) unit.chooser.setRecords(records, undefined, state.evacuatedZones)
+      else this._applyPool(unit, records, state.evacuatedZones, followed)
     }
     this._followed = followed
   }
 
-  private _applyPool ({ description, chooser }: ServiceUnit, records: readonly EndpointRecord[], followed: Set<string>): void {
+  /** The engines of evacuated zones are not followed, so that this entry follows as many of the others instead. */
+  private _applyPool ({ description, chooser }: ServiceUnit, records: readonly EndpointRecord[], evacuatedZones: ReadonlySet<string>, followed: Set<string>): void {
     for (const record of records) this._byAgent.set(this._agentAddress(record), { service: description.name, record })
-    const engines = records.map(record => ({ agent: this._agentAddress(record), availabilityZone: record.availabilityZone }))
+    const engines = records.filter(({ availabilityZone }) => !evacuatedZones.has(availabilityZone)).map(record => ({ agent: this._agentAddress(record), availabilityZone: record.availabilityZone }))
     const chosen = enginesToFollow(this._self, this._place.availabilityZone, engines)
     for (const agent of chosen) followed.add(agent)
-    chooser.setRecords(records, record => chosen.has(this._agentAddress(record)))
+    chooser.setRecords(records, record => chosen.has(this._agentAddress(record)), evacuatedZones)
   }
 
   private _agentAddress ({ address }: EndpointRecord): string { return `${parseAddress(address).host}:${this._agentPort}` }
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -144,10 +144,13 @@
     })
   }
 
-  /** The topics fetched from relays: versions always, the others only until they are known. */
+  /**
+   * The topics fetched from relays: versions and evacuations always, the others only until they are known. An agent does not use
+   * evacuations, but it passes them on to entries that reach neither the store nor a relay.
+   */
   private _relayedTopics (): PublishedTopic[] {
     const { state } = this._feed
-    return ['versions', ...(state.configuration === undefined ? ['configuration' as const] : []), ...(state.hasFollowed('endpoints') ? [] : ['endpoints' as const])]
+    return ['versions', 'evacuations', ...(state.configuration === undefined ? ['configuration' as const] : []), ...(state.hasFollowed('endpoints') ? [] : ['endpoints' as const])]
   }
 
   private _newVersions (): VersionTransfers {
--- a/packages/node/src/test/lib/operator/explain_test.ts
+++ b/packages/node/src/test/lib/operator/explain_test.ts
@@ -51,6 +51,8 @@
     ['a pause in a stream', lines(sentLine, [2, 'request-ended id=r1 result=answered status=200 first=130 objective=400 gap=700']), 'stream-paused'],
     ['an error status from the endpoint', lines(sentLine, [2, 'request-ended id=r1 result=answered status=500 took=30 objective=400']), 'endpoint-failed'],
     ['a refusal because of overload', lines([1, 'request-ended id=r1 result=refused code=overloaded']), 'overloaded'],
+    ['a refusal without an endpoint in an allowed region', lines([1, 'request-ended id=r1 result=refused code=region-not-allowed']), 'region-not-allowed'],
+    ['a refusal while all zones are evacuated', lines([1, 'request-ended id=r1 result=refused code=zones-evacuated']), 'zones-evacuated'],
     ['a refusal without endpoints', lines([1, 'request-ended id=r1 result=refused code=no-endpoint']), 'no-endpoint'],
     ['a refusal while all endpoints limit their requests', lines([1, 'request-ended id=r1 result=refused code=endpoints-spared detail="no endpoint of r can take it (pool expected, spared resting:3)"']), 'endpoints-spared'],
     ['a refusal before the first configuration', lines([1, 'request-ended id=r1 result=refused code=no-configuration']), 'no-configuration'],
--- a/packages/node/src/test/lib/routing/delta-codec_test.ts
+++ b/packages/node/src/test/lib/routing/delta-codec_test.ts
@@ -6,14 +6,14 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { deflateRawSync } from 'node:zlib'
-import { failureOf, PublishedState, type PublishedChange } from '@drumdrift/core'
+import { failureOf, PublishedState, type PublishedChange, type PublishedDelta } from '@drumdrift/core'
 import { encode } from 'cbor-x'
 import { DeltaEncoder, encodeDelta, decodeDelta } from '../../../lib/routing/delta-codec.js'
 
 const record = { id: 'a', service: 'pool', address: '10.0.0.1:80', availabilityZone: 'koshi', slots: 4, draining: false, models: [{ model: 'm', version: 2 }] }
 const endpointChange: PublishedChange = { type: 'endpoint', revision: 2, record }
 const versionChange: PublishedChange = { type: 'wanted-version', revision: 3, wanted: { model: 'm', version: 2 } }
-const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0 }
+const noRevisions = { epoch: 0, configuration: 0, versions: 0, endpoints: 0, evacuations: 0 }
 
 function stateWithChanges (): PublishedState {
   const state = new PublishedState()
@@ -30,7 +30,7 @@
 
   it('include only the requested topics', () => {
     const delta = decodeDelta(new DeltaEncoder(stateWithChanges()).since({ ...noRevisions, endpoints: 1 }, ['versions'], 0).bytes)
-    assert.deepEqual([delta.changes.map(({ type }) => type), delta.upTo], [['wanted-version'], { epoch: 0, configuration: 0, versions: 3, endpoints: 1 }])
+    assert.deepEqual([delta.changes.map(({ type }) => type), delta.upTo], [['wanted-version'], { epoch: 0, configuration: 0, versions: 3, endpoints: 1, evacuations: 0 }])
   })
 
   it('invalidate the cached encoding when the state changes', () => {
@@ -47,6 +47,12 @@
     assert.deepEqual([1_000, 1_400].map(now => encoder.since(noRevisions, undefined, now).encodedFor), [0, 400])
   })
 
+  it('decode a delta of a process that knows no evacuations', () => {
+    const { evacuations: _unknown, ...known } = noRevisions
+    const delta = decodeDelta(encodeDelta({ changes: [endpointChange], whole: [], upTo: { ...known, evacuations: undefined }, held: known } as unknown as PublishedDelta))
+    assert.deepEqual([delta.changes, delta.upTo, delta.held], [[endpointChange], noRevisions, noRevisions])
+  })
+
   const malformed: [name: string, bytes: Buffer][] = [
     ['uncompressed bytes', Buffer.from('news')],
     ['a value that is not a delta', deflateRawSync(encode('news'))],
--- a/packages/node/src/test/lib/routing/service-units_test.ts
+++ b/packages/node/src/test/lib/routing/service-units_test.ts
@@ -20,11 +20,12 @@
   return { id: `engine-${index}`, born, service: 'pool', address: `10.0.0.${index}:80`, availabilityZone: 'hall', slots: 8, draining: false, models: [{ model: 'm', version: 1 }] }
 }
 
-function unitsWith (records: readonly EndpointRecord[]): ServiceUnits {
+function unitsWith (records: readonly EndpointRecord[], evacuated: readonly string[] = []): ServiceUnits {
   const state = new PublishedState()
   const configuration = { version: 1, routes: [], services: [{ name: 'pool', maxConnections: 100, pool }], organisations: [], limits }
   state.take({ type: 'configuration', revision: 1, configuration }, 0)
   for (const [index, record] of records.entries()) state.take({ type: 'endpoint', revision: 2 + index, record }, 0)
+  for (const [index, zone] of evacuated.entries()) state.take({ type: 'evacuation', revision: 100 + index, zone }, 0)
   const units = new ServiceUnits('entry-1', { availabilityZone: 'hall', regionOf: () => 'here' }, { ratio: 0.2, slack: 100, window: 10_000 }, AGENT_PORT, openGate)
   units.apply(state)
   return units
@@ -58,6 +59,15 @@
     assert.notEqual(units.get('pool')?.chooser.load(startKeyOf(engine(1, 200))).report(20), undefined)
   })
 
+  it('follows engines of other zones in place of those of an evacuated zone, and sends to none of these', () => {
+    const records = Array.from({ length: 60 }, (_, index) => ({ ...engine(index + 1, 200), availabilityZone: index < 30 ? 'hall' : 'attic' }))
+    const units = unitsWith(records, ['hall'])
+    const followedZones = new Set(records.filter(({ address }) => units.followed.has(`${address.split(':')[0]}:${AGENT_PORT}`)).map(({ availabilityZone }) => availabilityZone))
+    assert.deepEqual([units.agents.size, units.followed.size, [...followedZones]], [60, 20, ['attic']])
+    const { chooser, description } = units.get('pool') ?? assert.fail('no pool')
+    assert.equal(chooser.choose(description, need, 20)?.record.availabilityZone, 'attic')
+  })
+
   it('follows a subset of many engines, and sends only to those', () => {
     const units = unitsWith(Array.from({ length: 60 }, (_, index) => engine(index + 1, 200)))
     assert.deepEqual([units.agents.size, units.followed.size], [60, 12])
--- a/packages/node/src/test/lib/routing/weights-agent_test.ts
+++ b/packages/node/src/test/lib/routing/weights-agent_test.ts
@@ -33,6 +33,7 @@
   operators: [],
   configuration: [{ type: 'configuration', revision: 1, configuration }],
   versions: [],
+  evacuations: [],
   endpoints: [{ type: 'endpoint', revision: 2, record: { id: 'engine-1', service: 'pool', address: '127.0.0.1:1', availabilityZone: 'koshi', slots: 4, draining: false, models: [] } }]
 }
 
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -72,6 +72,12 @@
   /** Publishes the desired version of a model. */
   putVersion (model: string, version: number): number { return this.put(`op/version/${model}`, { model, version }) }
 
+  /** Evacuates a zone. */
+  evacuate (zone: string): number { return this.put(`op/evacuate/${zone}`, {}) }
+
+  /** Ends the evacuation of a zone. */
+  endEvacuation (zone: string): number { return this.remove(`op/evacuate/${zone}`) }
+
   /** Writes the record of a worker. */
   putWorker (id: string, entry: unknown): number { return this.put(`servers/${id}`, entry) }
 
