Fuzz and real entries for regions and evacuations; an evacuation that never ended

Change: the published world evacuates zones, restricts routes and organisations to regions, and makes the choices of a request at every process each 100 ms (promises evacuated-zones and allowed-regions; never-back and in-force-after-restore cover evacuations).

Only an evacuation with a revision counts as listed.

--- a/packages/core/src/lib/routing/published/evacuations.ts
+++ b/packages/core/src/lib/routing/published/evacuations.ts
@@ -33,6 +33,7 @@
 export class Evacuations {
   private readonly _known = new Map<string, KnownZone>()
   private _zones: ReadonlySet<string> = new Set()
+  private _completeUntil = -Infinity
 
   /** The evacuated zones. The set is replaced when it changes. */
   get zones (): ReadonlySet<string> { return this._zones }
@@ -81,15 +82,15 @@
     }
   }
 
+  /** Records that every change until a time has been received. */
+  completeAt (time: number): void { this._completeUntil = Math.max(time, this._completeUntil) }
+
   /**
-   * Returns the zones whose key the restored store still lacks after {@link EVACUATION_REWRITE_TIME}.
-   *
-   * @param isFollowed Whether the store has been read in its present epoch. Until then, the time does not run.
+   * Returns the zones whose key the restored store is known to have lacked for {@link EVACUATION_REWRITE_TIME}. A process that is cut
+   * off from the store does not know that, and keeps them.
    */
-  lapsed (isFollowed: boolean, now: number): string[] {
-    const carried = [...this._known].filter(([, { carriedAt }]) => carriedAt !== undefined)
-    if (!isFollowed) for (const [zone, known] of carried) this._known.set(zone, { ...known, carriedAt: now })
-    return isFollowed ? carried.filter(([, { carriedAt = now }]) => now - carriedAt >= EVACUATION_REWRITE_TIME).map(([zone]) => zone) : []
+  lapsed (): string[] {
+    return [...this._known].filter(([, { carriedAt = Infinity }]) => this._completeUntil - carriedAt >= EVACUATION_REWRITE_TIME).map(([zone]) => zone)
   }
 
   /** Returns the changes after a revision, as they are sent to a peer. */
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -101,7 +101,9 @@
 
   /** Records that every version published until a time has been received, so that one received later was published after it. */
   versionsCompleteAt (time: number): void { this._versions.completeAt(time) }
-  /** The last such time; `-Infinity` if none. */
+  /** Records that every change of an evacuation until a time has been received. */
+  evacuationsCompleteAt (time: number): void { this._evacuations.completeAt(time) }
+  /** The last time for which `versionsCompleteAt` was called; `-Infinity` if none. */
   get versionsCompleteUntil (): number { return this._versions.completeUntil }
 
   /**
@@ -206,7 +208,7 @@
 
   private _expireEvacuations (now: number): PublishedChange[] {
     const revision = this._followed.evacuations
-    return this._evacuations.lapsed(revision > 0, now).flatMap(zone => this.take({ type: 'evacuation-ended', revision, zone }, now))
+    return this._evacuations.lapsed().flatMap(zone => this.take({ type: 'evacuation-ended', revision, zone }, now))
   }
 
   private _expireEndpoints (now: number): PublishedChange[] {
@@ -376,7 +378,8 @@
   }
 
   private _endMissingEvacuations (changes: readonly PublishedChange[], upTo: number, now: number): PublishedChange[] {
-    const listed = new Set(changes.flatMap(change => change.type === 'evacuation' ? [change.zone] : []))
+    // A peer's evacuation at revision 0 is one that the restored store lacked when the peer read it.
+    const listed = new Set(changes.flatMap(change => change.type === 'evacuation' && change.revision > 0 ? [change.zone] : []))
     return this._evacuations.missingFrom(listed, upTo).flatMap(zone => this.take({ type: 'evacuation-ended', revision: upTo, zone }, now))
   }
 
--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -87,13 +87,14 @@
   }
 
   /**
-   * Returns the last time at which the store is known to have had no version that this process lacks; `-Infinity` if none.
+   * Returns the last time at which the store is known to have had no item of a topic that this process lacks; `-Infinity` if none.
    *
    * @example
-   * state.versionsCompleteAt(relays.versionsCompleteAt(state.held, now))
+   * state.versionsCompleteAt(relays.completeAt(state.held, 'versions', now))
    */
-  versionsCompleteAt (held: PublishedRevisions, now: number): number {
-    const times = this._equalRelays(held, 'versions', now).map(({ note: { versionsAge }, receivedAt }) => receivedAt - validAge(versionsAge, Infinity) - MAX_NOTE_TRANSIT)
+  completeAt (held: PublishedRevisions, topic: 'versions' | 'evacuations', now: number): number {
+    const relays = topic === 'versions' ? this._equalRelays(held, topic, now) : this._relaysNotAhead(held, topic, now)
+    const times = relays.filter(({ note }) => followsAll(note, [topic])).map(({ note: { versionsAge }, receivedAt }) => receivedAt - validAge(versionsAge, Infinity) - MAX_NOTE_TRANSIT)
     return Math.max(-Infinity, ...times)
   }
 
@@ -102,6 +103,11 @@
     return this._liveRelays(now).filter(({ note }) => note.fresh && note.held.epoch === held.epoch && note.held[topic] === held[topic])
   }
 
+  /** Returns the live relays that follow the store and hold nothing newer of a topic than this process. */
+  private _relaysNotAhead (held: PublishedRevisions, topic: PublishedTopic, now: number): Relay[] {
+    return this._liveRelays(now).filter(({ note }) => note.fresh && note.held.epoch === held.epoch && note.held[topic] <= held[topic])
+  }
+
   private _liveRelays (now: number): Relay[] {
     return [...this._relays.values()].filter(({ receivedAt }) => now - receivedAt <= NOTE_LIFETIME)
   }
--- a/packages/core/src/test/lib/routing/published/evacuations_test.ts
+++ b/packages/core/src/test/lib/routing/published/evacuations_test.ts
@@ -110,6 +110,12 @@
       return state
     }
 
+    /** Ends what has lapsed at a time until which the process has received every change. */
+    function expireAt (state: PublishedState, now: number): void {
+      state.evacuationsCompleteAt(now)
+      state.expire(now)
+    }
+
     const cases: [name: string, items: PublishedChange[], later: PublishedChange[], before: string, after: string][] = [
       ['keeps an evacuation that the copy lacks until it must have been written again', [], [], 'koshi', ''],
       ['keeps an evacuation that was written again', [], [began(6)], 'koshi', 'koshi'],
@@ -122,9 +128,9 @@
       it(name, () => {
         const state = restored(items)
         for (const change of later) state.take(change, 1_100)
-        assert.deepEqual(state.expire(1_000 + EVACUATION_REWRITE_TIME - 1).filter(({ type }) => type !== 'evacuation-ended'), [])
+        expireAt(state, 1_000 + EVACUATION_REWRITE_TIME - 1)
         assert.equal(zones(state), before)
-        state.expire(1_000 + EVACUATION_REWRITE_TIME)
+        expireAt(state, 1_000 + EVACUATION_REWRITE_TIME)
         assert.equal(zones(state), after)
       })
     }
@@ -136,21 +142,33 @@
       assert.deepEqual([state.takeSnapshot('evacuations', [began(5)], 6, 1_000).length, zones(state)], [1, 'koshi'])
     })
 
-    it('counts the time only once it has read the restored store', () => {
-      const state = newFollower([began(5)])
-      state.enterEpoch(2, 1_000)
-      state.expire(60_000)
+    // Guards against an evacuation that a cut-off process drops although the operators have written its key again.
+    it('keeps an evacuation that the copy lacks at a process that does not follow the store any more', () => {
+      const state = restored([])
+      state.evacuationsCompleteAt(1_000 + EVACUATION_REWRITE_TIME - 1)
+      assert.deepEqual(state.expire(60_000), [])
       assert.equal(zones(state), 'koshi')
-      state.takeSnapshot('evacuations', [], 4, 60_050)
-      state.expire(60_000 + EVACUATION_REWRITE_TIME)
-      assert.equal(zones(state), '')
+    })
+
+    it('returns the end of an evacuation that the copy lacks as an effective change', () => {
+      const state = restored([])
+      state.evacuationsCompleteAt(60_000)
+      assert.deepEqual(state.expire(60_000), [{ type: 'evacuation-ended', revision: 4, zone: 'koshi' }])
+    })
+
+    // Guards against an evacuation that never ends at a process: it had read the key in the restored store, and its relay, which read the
+    // store only after the key was removed, still held the evacuation from the earlier epoch.
+    it('ends an evacuation whose key a peer did not find in the restored store, though the peer still holds it from before', () => {
+      const [follower, relay] = [restored([began(3)]), restored([])]
+      relay.followed('evacuations', 6)
+      assert.deepEqual([tell(relay, follower, 1_200).map(({ type }) => type), zones(follower)], [['evacuation-ended'], ''])
     })
 
     it('tells a starting process of an evacuation that the copy lacks, for as long as it may be written again', () => {
       const receiver = new PublishedState()
       tell(restored([]), receiver, 1_200)
       assert.equal(zones(receiver), 'koshi')
-      receiver.expire(1_200 + EVACUATION_REWRITE_TIME)
+      expireAt(receiver, 1_200 + EVACUATION_REWRITE_TIME)
       assert.equal(zones(receiver), '')
     })
   })
--- a/packages/core/src/test/lib/routing/published/relay-registry_test.ts
+++ b/packages/core/src/test/lib/routing/published/relay-registry_test.ts
@@ -93,7 +93,7 @@
       const book = new RelayRegistry(place)
       ages.forEach((versionsAge, index) => book.recordNote(`relay-${index}`, { ...note('koshi-a', 1), versionsAge }, 10_000))
       book.recordNote('ahead', { ...note('koshi-a', 1), held: { ...held(1), versions: 2 }, versionsAge: 0 }, 10_000)
-      assert.equal(book.versionsCompleteAt(held(1), 10_000), expected)
+      assert.equal(book.completeAt(held(1), 'versions', 10_000), expected)
     })
   }
 })
--- a/packages/fuzz/src/lib/published-parts.ts
+++ b/packages/fuzz/src/lib/published-parts.ts
@@ -4,7 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** The parts of the published world that a variant may replace. */
-import { PublishedState, publishedTopics, StoreCursor, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type StoreCall, type StoreView } from '@drumdrift/core'
+import { allowedRegionsOf, EndpointChooser, PublishedState, publishedTopics, StoreCursor, topicOf, type PublishedChange, type PublishedDelta, type PublishedRevisions, type EndpointRequirements, type EntryLocation, type OrganisationDescription, type Route, type StoreCall, type StoreView } from '@drumdrift/core'
+import { plainRequirements } from './placement-oracle.js'
 
 /** An answer of the store with changes, and the call that it answers; times in milliseconds. */
 export interface AnsweredStoreCall {
@@ -40,6 +41,9 @@
   /** Applies and dates the changes of a relay. */
   readonly takeDelta: (state: PublishedState, sent: SentDelta, now: number, requestedAt: number) => void
   readonly deltas: (state: PublishedState) => DeltaSource
+  /** Chooses endpoints by the state of one process. */
+  readonly requirements: (route: Route, organisation: OrganisationDescription | undefined, tried: ReadonlySet<string>) => EndpointRequirements
+  readonly chooser: (place: EntryLocation, random: () => number) => Pick<EndpointChooser, 'setRecords' | 'choose'>
 }
 
 function takeAnswer (state: PublishedState, view: StoreView, { call, sentAt, answeredAt, wait, changes, upTo }: AnsweredStoreCall): void {
@@ -48,6 +52,7 @@
   else view.watchAnswered({ sentAt, answeredAt, wait, empty: changes.length === 0 })
   applyAnswer(state, call, changes, upTo, answeredAt, since)
   state.versionsCompleteAt(view.completeUntil)
+  state.evacuationsCompleteAt(view.completeUntil)
 }
 
 /** Applies the changes of an answer, which were made at a time or later. */
@@ -78,5 +83,7 @@
   countsWrites: true,
   takeAnswer,
   takeDelta: (state, { delta, encodedFor }, now, requestedAt) => { state.takeDelta(delta, now, { requestedAt, encodedFor }) },
-  deltas: cachedDeltas
+  deltas: cachedDeltas,
+  requirements: (route, organisation, tried) => ({ ...plainRequirements(tried), allowedRegions: allowedRegionsOf(route, organisation) }),
+  chooser: (place, random) => new EndpointChooser(place, random)
 }
--- a/packages/fuzz/src/lib/published-process.ts
+++ b/packages/fuzz/src/lib/published-process.ts
@@ -58,6 +58,10 @@
   configuration = 0
   version = 0
   readonly leaving = new Set<string>()
+  /** When it began to follow the present epoch of the store. */
+  epochEnteredAt = -Infinity
+  /** The zones that it has held as evacuated since operators evacuated them. */
+  readonly evacuated = new Set<string>()
   /** Replaced when a call on it has failed. */
   storeConnection = { silent: false }
   private _exemptUntil = 0
@@ -102,7 +106,8 @@
     if (this.state.undatedVersions().length > 0 && world.now - this._startedAt < UNDATED_QUERY_PERIOD) this._queryDates()
     if (this.isRelay) return
     for (const topic of publishedTopics) this.state.followed(topic, this._relayBook.followedRevision(this.state.held, topic, world.now))
-    this.state.versionsCompleteAt(this._relayBook.versionsCompleteAt(this.state.held, world.now))
+    this.state.versionsCompleteAt(this._relayBook.completeAt(this.state.held, 'versions', world.now))
+    this.state.evacuationsCompleteAt(this._relayBook.completeAt(this.state.held, 'evacuations', world.now))
     this._fetchChanges()
   }
 
@@ -202,6 +207,6 @@
       this._cursor = parts.cursor(this.state)
       this._deltas = parts.deltas(this.state)
     }
-    this.state.enterEpoch(epoch, world.now)
+    if (this.state.enterEpoch(epoch, world.now)) this.epochEnteredAt = world.now
   }
 }
--- a/packages/fuzz/src/lib/published-world.ts
+++ b/packages/fuzz/src/lib/published-world.ts
@@ -6,11 +6,12 @@
 /**
  * Processes that follow a store, which may be unavailable or restored from an older snapshot, over links that may be cut or full;
  * three of the processes are relays for the others. The state, the store cursor and the choice of relays are the real ones. The
- * oracles know the acknowledged changes; they check that each connected process has them in time, that no process reverts, and when
- * each process refuses an older version. Fleets have 6 or 24 processes unless a number
+ * oracles know the acknowledged changes; they check that each connected process has them in time, that no process reverts, when
+ * each process refuses an older version, and that no process chooses an endpoint that a rule excludes. Fleets have 6 or 24 processes unless a number
  * is given.
  */
-import type { EndpointRecord, PublishedState } from '@drumdrift/core'
+import { EVACUATION_REWRITE_TIME, type EndpointRecord, type PublishedState } from '@drumdrift/core'
+import { PlacementOracle, rulesOfVersion } from './placement-oracle.js'
 import { realPublishedParts, type PublishedParts } from './published-parts.js'
 import { PublishedProcess, type PublishedSurroundings, type StoreAnswer, type StoreRequest } from './published-process.js'
 import { RestorableStore } from './restorable-store.js'
@@ -21,7 +22,7 @@
 interface AcknowledgedChange {
   readonly what: string
   readonly at: number
-  readonly holds: (state: PublishedState) => boolean
+  readonly holds: (state: PublishedState, member: PublishedProcess) => boolean
 }
 
 const ZONES = ['koshi', 'bagmati', 'gandaki'] as const
@@ -46,6 +47,13 @@
 const IN_FORCE_WITHIN = 2_000
 const UNDISTURBED_TIME = 3_000
 const CHECK_INTERVAL = 100
+/**
+ * How long after it enters an epoch a process may hold an evacuation that the restored store lacks, in milliseconds: the time in which
+ * the operators write it again, the age of a relay's view of the store, the transit of its note, and a margin.
+ */
+const MAX_CARRIED_TIME = EVACUATION_REWRITE_TIME + 4_000
+/** Time from the end of the evacuation of a zone to its next one, in milliseconds: no late answer of the store has the earlier one then. */
+const EVACUATION_GAP = 3_000
 /** A call to the store times out when its answer is this late, in milliseconds. */
 const CALL_MARGIN = 600
 /** A call over a cut link fails after this time, in milliseconds. */
@@ -69,6 +77,10 @@
   private readonly _members: PublishedProcess[] = []
   private readonly _surroundings: PublishedSurroundings
   private readonly _versionOracles: VersionOracles
+  private readonly _placement: PlacementOracle
+  /** The zones that the operators have evacuated, and when they ended their last evacuation of each of the others. */
+  private readonly _evacuated = new Set<string>()
+  private readonly _evacuationEndedAt = new Map<string, number>()
   private readonly _platform = new Process('store', 'platform', 'store', 0)
   private readonly _acknowledged: AcknowledgedChange[] = []
   private _version = 1
@@ -97,6 +109,7 @@
       onChanged: process => this._checkRegression(process)
     }
     this._versionOracles = new VersionOracles({ world: this.world, model: MODEL, processes: members, stableSince: () => this._stableSince, undisturbedTime: UNDISTURBED_TIME })
+    this._placement = new PlacementOracle(this.world, _parts)
     const fleetSize = this.world.pick(FLEET_SIZES) ?? FLEET_SIZES[0]
     this._writeConfiguration()
     for (let count = 0; count < INITIAL_ENDPOINTS; count += 1) this._startEndpoint()
@@ -200,6 +213,27 @@
     this._acknowledge(`the beginning of ${id}`, state => state.endpoints().some(record => record.id === id) || !this._endpoints.some(record => record.id === id))
   }
 
+  /** Evacuates a zone. Does nothing while a process still holds an earlier evacuation of it, so that the two are not mistaken. */
+  evacuate (index: number): void {
+    const zone = ZONES[index % ZONES.length] ?? ''
+    const isHeld = this._members.some(({ state }) => state.evacuatedZones.has(zone))
+    if (!this._storeUp || isHeld || this._evacuated.has(zone) || this.world.now < (this._evacuationEndedAt.get(zone) ?? -Infinity) + EVACUATION_GAP) return
+    this._evacuated.add(zone)
+    this._store.evacuate(zone)
+    this._acknowledge(`the evacuation of ${zone}`, state => state.evacuatedZones.has(zone) || !this._evacuated.has(zone))
+  }
+
+  /** Ends the evacuation of a zone. */
+  endEvacuation (index: number): void {
+    const zone = [...this._evacuated][index % Math.max(1, this._evacuated.size)]
+    if (!this._storeUp || zone === undefined) return
+    this._evacuated.delete(zone)
+    this._evacuationEndedAt.set(zone, this.world.now)
+    for (const { evacuated } of this._members) evacuated.delete(zone)
+    this._store.endEvacuation(zone)
+    this._acknowledge(`the end of the evacuation of ${zone}`, (state, { epochEnteredAt }) => !state.evacuatedZones.has(zone) || this._evacuated.has(zone) || this.world.now < epochEnteredAt + MAX_CARRIED_TIME)
+  }
+
   /** Makes the store unavailable for some time. */
   interrupt (share: number): void { this._interruptStore(share, () => {}) }
 
@@ -260,7 +294,7 @@
   }
 
   private _writeConfiguration (): void {
-    const configuration = { version: this._version, routes: [], services: [{ name: 'desk', maxConnections: 1 }], organisations: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 } }
+    const configuration = { version: this._version, ...rulesOfVersion(this._version), services: [{ name: 'desk', maxConnections: 1 }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 } }
     this._store.put('configuration', revision => ({ type: 'configuration', revision, configuration }))
   }
 
@@ -294,6 +328,8 @@
     })
     writeLater(() => this._writeConfiguration())
     writeLater(() => this._writeVersion())
+    for (const zone of this._evacuated) writeLater(() => { if (this._evacuated.has(zone)) this._store.evacuate(zone) })
+    for (const zone of this._store.evacuatedZones()) writeLater(() => { if (!this._evacuated.has(zone)) this._store.endEvacuation(zone) })
     for (const { id } of this._endpoints) writeLater(() => this._writeEndpoint(id, {}))
     for (const id of this._store.endpoints().filter(listed => !this._endpoints.some(record => record.id === listed))) writeLater(() => this._store.remove(id))
   }
@@ -360,6 +396,10 @@
     if (version < member.version) this.world.recordViolation(`never-back: ${process.name} reverted from version ${member.version} to ${version}`)
     member.configuration = Math.max(configuration, member.configuration)
     member.version = Math.max(version, member.version)
+    for (const zone of this._evacuated) {
+      if (state.evacuatedZones.has(zone)) member.evacuated.add(zone)
+      else if (member.evacuated.has(zone)) this.world.recordViolation(`never-back: ${process.name} dropped the evacuation of ${zone}, which goes on`)
+    }
     for (const { id, draining } of state.endpoints()) {
       if (draining) member.leaving.add(id)
       else if (member.leaving.has(id)) this.world.recordViolation(`never-back: ${process.name} lists ${id} as ready although it is draining`)
@@ -369,13 +409,17 @@
   private _checkInForce (): void {
     const { now } = this.world
     this.world.after(CHECK_INTERVAL, undefined, () => this._checkInForce())
+    for (const member of this._members) {
+      this._checkRegression(member)
+      this._placement.check(member)
+    }
     // Changes cannot cross a full link in time.
     if (!this._storeUp || now < this._stableFrom || now < this._fullUntil + UNDISTURBED_TIME) return
     const due = this._acknowledged.filter(({ at }) => now - at >= IN_FORCE_WITHIN)
     for (const member of this._members) {
       if (!this.world.connected(member.process, this._platform)) member.exempt(UNDISTURBED_TIME)
       if (!member.isJudged) continue
-      const missing = due.find(({ holds }) => !holds(member.state))
+      const missing = due.find(({ holds }) => !holds(member.state, member))
       if (missing === undefined) continue
       this.world.recordViolation(`in-force-after-restore: ${member.process.name} of ${this._members.length} lacks ${missing.what}, ${Math.round(now - missing.at)} ms after it was acknowledged`)
       member.exempt(Infinity)
--- a/packages/fuzz/src/lib/restorable-store.ts
+++ b/packages/fuzz/src/lib/restorable-store.ts
@@ -58,14 +58,23 @@
     for (const onChange of waiting) onChange()
   }
 
+  /** Returns the evacuated zones. */
+  evacuatedZones (): string[] { return this.items().flatMap(item => item.type === 'evacuation' ? [item.zone] : []) }
+
   put (key: string, createChange: (revision: number) => PublishedChange): void {
     const change = createChange(this.revision + 1)
     this._append(change, new Map([...this._latest.items, [key, change]]))
   }
 
-  remove (key: string): void {
+  remove (key: string): void { this._remove(key, { type: 'endpoint-gone', revision: this.revision + 1, id: key }) }
+
+  evacuate (zone: string): void { this.put(evacuationKey(zone), revision => ({ type: 'evacuation', revision, zone })) }
+
+  endEvacuation (zone: string): void { this._remove(evacuationKey(zone), { type: 'evacuation-ended', revision: this.revision + 1, zone }) }
+
+  private _remove (key: string, change: PublishedChange): void {
     const remaining = new Map(this._latest.items)
-    if (remaining.delete(key)) this._append({ type: 'endpoint-gone', revision: this.revision + 1, id: key }, remaining)
+    if (remaining.delete(key)) this._append(change, remaining)
   }
 
   /** Discards the history, but keeps the items. */
@@ -93,3 +102,5 @@
     this.wake()
   }
 }
+
+function evacuationKey (zone: string): string { return `evacuation of ${zone}` }
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -180,10 +180,10 @@
   ]
 }
 
-/** A store that is restored from older copies: acknowledged changes are in force in time, and no process reverts to older ones. */
+/** A store that is restored from older copies: acknowledged changes are in force in time, no process reverts to older ones, and none uses endpoints that rules exclude. */
 export const publishedScenario: Scenario<PublishedWorld, PublishedParts> = {
   name: 'published',
-  promises: ['in-force-after-restore', 'never-back', 'version-bound', 'version-not-early'],
+  promises: ['in-force-after-restore', 'never-back', 'version-bound', 'version-not-early', 'evacuated-zones', 'allowed-regions'],
   create: (seed, parts) => new PublishedWorld(seed, parts),
   actions: [
     { name: 'publish', valueCount: 0, weight: 4, run: subject => subject.publish() },
@@ -196,6 +196,8 @@
     { name: 'begin', valueCount: 0, weight: 2, run: subject => subject.addEndpoint() },
     { name: 'drain', valueCount: 1, weight: 3, run: (subject, [endpoint = 0]) => subject.drain(endpoint) },
     { name: 'leave', valueCount: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.removeEndpoint(endpoint) },
+    { name: 'evacuate', valueCount: 1, weight: 3, run: (subject, [zone = 0]) => subject.evacuate(zone) },
+    { name: 'end-evacuation', valueCount: 1, weight: 2, run: (subject, [zone = 0]) => subject.endEvacuation(zone) },
     { name: 'interrupt', valueCount: 1, run: (subject, [away = 0]) => subject.interrupt(away / 1_000) },
     { name: 'restore', valueCount: 2, weight: 3, run: (subject, [away = 0, age = 0]) => subject.restore(away / 1_000, age / 1_000) },
     { name: 'forget', valueCount: 0, run: subject => subject.forget() },
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -8,12 +8,13 @@
  * protection serves; a variant that survives shows a gap in the scenario.
  */
 import {
-  AdmissionController, AnswerStream, AttemptTracker, ClaimKeeper, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
-  requestFailure, RetryAllowance, SuspectRequests, type SuspectStatus, type StoreAnswerKind, type StoreCall, type AttemptBounds, type AttemptEnd, type Configuration, type NextAction, type OnceEffect, type RetryPurpose, type Published, type PublishedChange, type Checked, type DocumentFailure
+  AdmissionController, AnswerStream, AttemptTracker, ClaimKeeper, EndpointChooser, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
+  requestFailure, RetryAllowance, SuspectRequests, type SuspectStatus, type StoreAnswerKind, type StoreCall, type AttemptBounds, type AttemptEnd, type Configuration, type NextAction, type OnceEffect, type RetryPurpose, type Published, type PublishedChange, type PublishedTopic, type EndpointRecord, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
 import { realLimitParts, type LimitParts } from './limit-world.js'
 import { applyAnswer, realPublishedParts, type AnsweredStoreCall, type PublishedParts, type SentDelta } from './published-parts.js'
+import { plainRequirements } from './placement-oracle.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
 import { realRoutedParts, type RoutedParts } from './routed-world.js'
@@ -52,7 +53,11 @@
   return { name, promise, run: options => runScenario(limitScenario, { ...realLimitParts, ...change }, options) }
 }
 
+/** The parts that each variant of published state replaces, for tests that play a given course. */
+export const publishedChanges = new Map<string, Partial<PublishedParts>>()
+
 function published (name: string, promise: string, change: Partial<PublishedParts>): Variant {
+  publishedChanges.set(name, change)
   return { name, promise, run: options => runScenario(publishedScenario, { ...realPublishedParts, ...change }, options) }
 }
 
@@ -61,6 +66,29 @@
   override enterEpoch (): false { return false }
 }
 
+/** Does not end evacuations whose key is missing from a snapshot. */
+class EndlessEvacuationState extends PublishedState {
+  override takeSnapshot (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number, since?: number): PublishedChange[] {
+    if (topic !== 'evacuations') return super.takeSnapshot(topic, changes, upTo, now, since)
+    const applied = changes.flatMap(change => this.take(change, now, since))
+    this.followed(topic, upTo)
+    return applied
+  }
+}
+
+/** Takes a restored store at its word at once. */
+class EvacuationDroppingState extends PublishedState {
+  override expire (now: number): PublishedChange[] {
+    this.evacuationsCompleteAt(Infinity)
+    return super.expire(now)
+  }
+}
+
+/** Chooses endpoints of evacuated zones. */
+class EvacuationIgnoringChooser extends EndpointChooser {
+  override setRecords (records: readonly EndpointRecord[], isFollowed?: (record: EndpointRecord) => boolean): void { super.setRecords(records, isFollowed) }
+}
+
 /** Accepts the changes of a watch from any epoch. */
 class EpochIgnoringCursor extends StoreCursor {
   override judge (_call: StoreCall, { type }: StoreAnswerKind): AnswerVerdict { return type === 'changes' ? 'take' : super.judge('watch', { type }) }
@@ -242,6 +270,8 @@
   return { ...sent, delta: { ...sent.delta, changes: change(sent.delta.changes) } }
 }
 
+function withoutEvacuations (changes: readonly PublishedChange[]): PublishedChange[] { return changes.filter(({ type }) => type !== 'evacuation') }
+
 /** Leaves only the newest version in a delta. */
 function onlyNewest (changes: readonly PublishedChange[]): PublishedChange[] {
   const newest = changes.filter(({ type }) => type === 'wanted-version').at(-1)
@@ -298,6 +328,14 @@
   published('only-newest-version-told', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, onlyNewest), ...times) }),
   published('ages-of-cached-deltas-not-renewed', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, { ...sent, encodedFor: 0 }, ...times) }),
   published('long-ages-dropped', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, withoutLongAges), ...times) }),
+  published('regions-not-checked', 'allowed-regions', { requirements: (_route, _organisation, tried) => plainRequirements(tried) }),
+  published('organisations-regions-not-checked', 'allowed-regions', { requirements: (route, _organisation, tried) => realPublishedParts.requirements(route, undefined, tried) }),
+  published('unknown-regions-by-name', 'allowed-regions', { chooser: ({ availabilityZone, regionOf }, random) => new EndpointChooser({ availabilityZone, regionOf }, random) }),
+  published('evacuations-not-checked', 'evacuated-zones', { chooser: (...given) => new EvacuationIgnoringChooser(...given) }),
+  published('evacuations-not-told', 'in-force-after-restore', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, withoutEvacuations), ...times) }),
+  published('starting-processes-not-told-of-evacuations', 'in-force-after-restore', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, state.hasFollowed('evacuations') ? sent : withChanges(sent, withoutEvacuations), ...times) }),
+  published('ends-of-evacuations-lost', 'in-force-after-restore', { state: () => new EndlessEvacuationState(), takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, changes => changes.filter(({ type }) => type !== 'evacuation-ended')), ...times) }),
+  published('evacuations-dropped-at-restore', 'never-back', { state: () => new EvacuationDroppingState() }),
   published('versions-due-at-once', 'version-not-early', { takeAnswer: (state, _view, call) => takeSince(state, call, -Infinity) }),
   suspects('losses-forgotten', 'few-ends', { suspects: () => new NonRecordingSuspects() }),
   suspects('each-entry-for-itself', 'few-ends', { reportsToAgents: false }),
--- a/packages/fuzz/src/test/published_test.ts
+++ b/packages/fuzz/src/test/published_test.ts
@@ -6,8 +6,9 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { fuzzPromises } from '../lib/campaign.js'
+import { realPublishedParts, type PublishedParts } from '../lib/published-parts.js'
 import { PublishedWorld } from '../lib/published-world.js'
-import { variants } from '../lib/variants.js'
+import { publishedChanges, variants } from '../lib/variants.js'
 
 const SEEDS = [1, 7, 21]
 const RUNS = 40
@@ -32,7 +33,8 @@
 
 describe('a removed protection of published state is detected', () => {
   // Only the fast variants run here; `npm run fuzz -- --negatives` runs all.
-  for (const name of ['epochs-ignored', 'copies-taken-for-all', 'versions-dated-at-receipt', 'only-newest-version-told', 'ages-of-cached-deltas-not-renewed', 'long-ages-dropped', 'versions-due-at-once']) {
+  for (const name of ['epochs-ignored', 'copies-taken-for-all', 'versions-dated-at-receipt', 'only-newest-version-told', 'ages-of-cached-deltas-not-renewed', 'long-ages-dropped', 'versions-due-at-once',
+    'regions-not-checked', 'organisations-regions-not-checked', 'unknown-regions-by-name', 'evacuations-not-checked', 'evacuations-not-told']) {
     it(name, () => {
       const variant = variants.find(candidate => candidate.name === name)
       const finding = variant?.run({ seed: 7, runs: NEGATIVE_RUNS })
@@ -92,3 +94,58 @@
     })
   }
 })
+
+describe('an evacuation and its end reach every process', () => {
+  const plays: [name: string, variant: string | undefined, promise: string, play: (subject: PublishedWorld) => void][] = [
+    ['an evacuation that a restored store lacks until the operators write it again', 'evacuations-dropped-at-restore', 'never-back', subject => {
+      subject.evacuate(0)
+      subject.world.advance(1_000)
+      subject.restore(0.1, 0.5)
+    }],
+    ['an evacuation that ends while the links of a zone are cut and the history is lost', 'ends-of-evacuations-lost', 'in-force-after-restore', subject => {
+      subject.evacuate(0)
+      subject.world.advance(3_000)
+      subject.cutZone(1)
+      subject.endEvacuation(0)
+      subject.forget()
+      subject.world.advance(2_000)
+    }],
+    ['an evacuation while a process restarts', 'starting-processes-not-told-of-evacuations', 'in-force-after-restore', subject => {
+      subject.evacuate(0)
+      subject.world.advance(3_000)
+      subject.restart(5)
+    }],
+    ['a restore right after an evacuation ended', undefined, '', subject => {
+      subject.evacuate(0)
+      subject.world.advance(60)
+      subject.endEvacuation(0)
+      subject.restore(0, 0)
+    }],
+    ['an evacuation that ends before the operators have written it again', undefined, '', subject => {
+      subject.evacuate(0)
+      subject.world.advance(100)
+      subject.restore(0.1, 0.1)
+      subject.world.advance(318)
+      subject.endEvacuation(0)
+    }]
+  ]
+
+  function violationsOf (play: (subject: PublishedWorld) => void, parts: Partial<PublishedParts>): string[] {
+    const found: string[] = []
+    for (let seed = 1; seed <= PLAY_SEEDS; seed += 1) {
+      const subject = new PublishedWorld(seed, { ...realPublishedParts, ...parts }, PROCESSES)
+      subject.world.advance(START_TIME)
+      play(subject)
+      subject.world.advance(START_TIME)
+      subject.settle()
+      found.push(...subject.world.violations.map(violation => `seed ${seed}: ${violation}`))
+    }
+    return found
+  }
+
+  for (const [name, variantName, promise, play] of plays) {
+    it(name, () => assert.deepEqual(violationsOf(play, {}), []))
+    const changedParts = publishedChanges.get(variantName ?? '')
+    if (changedParts !== undefined) it(`${name}: ${variantName} is detected`, () => assert.ok(violationsOf(play, changedParts).some(violation => violation.includes(` ms: ${promise}:`))))
+  }
+})
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -233,6 +233,7 @@
         this._applySnapshot(scope, response, sentAt, since)
       }
       if (topicsOfScope[scope].includes('versions')) this.state.versionsCompleteAt(view.completeUntil)
+      if (topicsOfScope[scope].includes('evacuations')) this.state.evacuationsCompleteAt(view.completeUntil)
       if (response.changes.length === 0 || interval === 0) continue
       await pause(interval)
     }
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -111,7 +111,8 @@
     const { state } = this._dependencies
     const { held } = state
     for (const topic of this._dependencies.topics()) state.followed(topic, this._book.followedRevision(held, topic, now))
-    state.versionsCompleteAt(this._book.versionsCompleteAt(held, now))
+    state.versionsCompleteAt(this._book.completeAt(held, 'versions', now))
+    state.evacuationsCompleteAt(this._book.completeAt(held, 'evacuations', now))
   }
 
   private _fetchChanges (now: number): void {
