--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -50,6 +50,8 @@
   'records-full': 429,
   'ends-endpoints': 503,
   'endpoints-spared': 503,
+  'region-not-allowed': 503,
+  'zones-evacuated': 503,
   'buffers-full': 503
 }
 
