LimitShare: the operators' window, the lifetime of permits and the delay of requests are terms

Cause: cold endpoints need the same shares with a window of one second, and the present share keeps a permit for a second over a window of four. Change: what was constant is a parameter (ShareTerms), with a spread of arrivals and a time until which permits are void; the terms of announced limits are the constants of before. The rate is computed once for each number of entries instead of at each call.

--- a/packages/core/src/lib/routing/limits/limit-share.ts
+++ b/packages/core/src/lib/routing/limits/limit-share.ts
@@ -13,24 +13,35 @@
  */
 import { ASSUMED_ENTRIES } from '../attempts/fleet-size.js'
 
-/** The operators' window, in milliseconds, and the requests allowed in it: a multiple of the limit, and a fixed number beyond that. */
-const WINDOW = 4_000
-const ALLOWED_FACTOR = 1.5
-const ALLOWED_SLACK = 5
+/** What operators allow for a limit, and how the permits for it lapse. Times are in milliseconds. */
+export interface ShareTerms {
+  /** The operators' window, and the requests allowed in it: a multiple of the limit, and a fixed number beyond that. */
+  readonly window: number
+  readonly allowedFactor: number
+  readonly allowedSlack: number
+  /** The least rate of requests from all entries together, in requests per second, also for a lower limit. */
+  readonly minRate: number
+  /** How much longer one request may take to the endpoint than another: requests sent in a longer time arrive in one window. */
+  readonly arrivalSpread: number
+  /** How long an unused permit is kept, by the number of entries. */
+  readonly permitLifetime: (entries: number) => number
+  /** The resolution of the used share of a limit, and its minimum. */
+  readonly shareStep: number
+  /** Added to the allowed number for the comparison with the normal distribution: 0.5 for the continuity correction, or 0. */
+  readonly continuity: number
+}
+
 /** An unused permit lapses after this time, in milliseconds: one entry receives requests for a small service about this often. */
 export const PERMIT_LIFETIME = 1_000
+/** The terms of limits that endpoints announce. Without any request, an endpoint could never announce a higher limit, hence the least rate. */
+export const announcedLimitTerms: ShareTerms = {
+  window: 4_000, allowedFactor: 1.5, allowedSlack: 5, minRate: 0.25, arrivalSpread: 0, permitLifetime: () => PERMIT_LIFETIME, shareStep: 0.05, continuity: 0
+}
 /**
  * Permits of many entries coincide by chance. This many standard deviations above the mean must still be allowed; about one window in
  * ten thousand exceeds it.
  */
 const DEVIATIONS = 5
-/**
- * The least rate of requests from all entries together, in requests per second, also for a lower limit: without any request, an
- * endpoint could never announce a higher limit.
- */
-const MIN_RATE = 0.25
-/** The resolution of the used share of a limit, and its minimum. */
-const SHARE_STEP = 0.05
 /** The most permits that an entry may hold at once at high limits; more than it sends in the lifetime of one. */
 const MAX_PERMITS = 64
 const MILLISECONDS_PER_SECOND = 1_000
@@ -43,17 +54,20 @@
  * @example
  * usedShare(1.1, 6) // 1
  */
-export function usedShare (limit: number, entries: number): number {
-  const allowed = ALLOWED_FACTOR * limit * WINDOW / MILLISECONDS_PER_SECOND + ALLOWED_SLACK
-  for (let share = 1; share > SHARE_STEP; share -= SHARE_STEP) {
-    if (likelyMaximum(share * Math.max(MIN_RATE, limit), entries) <= allowed) return share
+export function usedShare (limit: number, entries: number, terms: ShareTerms = announcedLimitTerms): number {
+  const allowed = terms.allowedFactor * limit * terms.window / MILLISECONDS_PER_SECOND + terms.allowedSlack + terms.continuity
+  for (let share = 1; share > terms.shareStep; share -= terms.shareStep) {
+    if (likelyMaximum(share * Math.max(terms.minRate, limit), entries, terms) <= allowed) return share
   }
-  return SHARE_STEP
+  return terms.shareStep
 }
 
-/** An upper bound on the requests in a window that is rarely exceeded. It includes permits earned just before the window. */
-function likelyMaximum (rate: number, entries: number): number {
-  const permitsPerEntry = rate / entries * (WINDOW + PERMIT_LIFETIME) / MILLISECONDS_PER_SECOND
+/**
+ * An upper bound on the requests in a window that is rarely exceeded. It includes permits earned just before the window, and requests
+ * sent just before it that arrive late.
+ */
+function likelyMaximum (rate: number, entries: number, { window, arrivalSpread, permitLifetime }: ShareTerms): number {
+  const permitsPerEntry = rate / entries * (window + arrivalSpread + permitLifetime(entries)) / MILLISECONDS_PER_SECOND
   const fraction = permitsPerEntry % 1
   return entries * permitsPerEntry + DEVIATIONS * Math.sqrt(entries * fraction * (1 - fraction))
 }
@@ -65,13 +79,17 @@
   /** The earned fraction of the next permit. */
   private _earnedFraction: number
   private _updatedAt: number
+  /** Permits earned before this time are void. */
+  private _voidUntil = -Infinity
+  /** The last computed rate, and what it was computed for: the search for the used share takes longer than all else here. */
+  private _computed: { readonly entries: number, readonly limit: number, readonly rate: number } | undefined
 
   /**
    * @param _limit The endpoint's limit for all entries together, in requests per second.
    * @param _entries Returns the number of entries that share the limit, or `undefined` if it is unknown.
    * @param draw A random number in [0, 1).
    */
-  constructor (private _limit: number, private readonly _entries: (now: number) => number | undefined, draw: number, now: number) {
+  constructor (private _limit: number, private readonly _entries: (now: number) => number | undefined, draw: number, now: number, private readonly _terms: ShareTerms = announcedLimitTerms) {
     this._earnedFraction = draw
     this._updatedAt = now
   }
@@ -82,6 +100,9 @@
     this._limit = limit
   }
 
+  /** Voids the permits earned until a time, because requests without permits count in the same window. */
+  voidPermits (until: number): void { this._voidUntil = Math.max(this._voidUntil, until) }
+
   /**
    * Whether a request may be sent now.
    *
@@ -101,22 +122,31 @@
   /** The time until the next request may be sent, in milliseconds. */
   nextPermitIn (now: number): number {
     this._update(now)
-    return this._permits.length > 0 ? 0 : (1 - this._earnedFraction) / this.rate(now)
+    if (this._permits.length > 0) return 0
+    const rate = this.rate(now)
+    const next = (1 - this._earnedFraction) / rate
+    const voidFor = this._voidUntil - now
+    return next >= voidFor ? next : next + Math.ceil((voidFor - next) * rate) / rate
   }
 
   /** The rate at which this entry may send, in requests per millisecond. */
   rate (now: number): number {
     const entries = Math.max(1, this._entries(now) ?? ASSUMED_ENTRIES)
-    return usedShare(this._limit, entries) * Math.max(MIN_RATE, this._limit) / entries / MILLISECONDS_PER_SECOND
+    const limit = this._limit
+    if (this._computed?.entries !== entries || this._computed.limit !== limit) {
+      this._computed = { entries, limit, rate: usedShare(limit, entries, this._terms) * Math.max(this._terms.minRate, limit) / entries / MILLISECONDS_PER_SECOND }
+    }
+    return this._computed.rate
   }
 
   private _update (now: number): void {
     const rate = this.rate(now)
+    const lifetime = this._terms.permitLifetime(Math.max(1, this._entries(now) ?? ASSUMED_ENTRIES))
     const before = this._earnedFraction
     const earned = before + rate * (now - this._updatedAt)
     const wholePermits = Math.floor(earned)
     for (let permit = Math.max(1, wholePermits - MAX_PERMITS + 1); permit <= wholePermits; permit += 1) this._permits.push(this._updatedAt + (permit - before) / rate)
-    this._permits = this._permits.filter(at => now - at <= PERMIT_LIFETIME).slice(-MAX_PERMITS)
+    this._permits = this._permits.filter(at => now - at <= lifetime && at >= this._voidUntil).slice(-MAX_PERMITS)
     this._earnedFraction = earned - wholePermits
     this._updatedAt = now
   }
