Cold endpoints receive a limited rate from all entries together

Cause: coldStartS, coldPerS, coldRemainingMs and X-Cold-Ms were not read, so an endpoint that had just started got its full share of the requests and collapsed. Settings cold-rate-factor and cold-rate-slack; if either is empty, nothing changes.

--- a/packages/core/src/lib/admission.ts
+++ b/packages/core/src/lib/admission.ts
@@ -40,7 +40,7 @@
 const MAX_TICKETS = 8_192
 
 /** The refusal reason for an endpoint that asked not to receive requests. */
-const refusalsBySparedReason: Record<SparedFor, AdmissionRefusal> = { leaving: 'leaving', limited: 'busy', resting: 'busy' }
+const refusalsBySparedReason: Record<SparedFor, AdmissionRefusal> = { leaving: 'leaving', limited: 'busy', resting: 'busy', cold: 'busy' }
 
 /** The admission control of one agent. */
 export class AdmissionController {
--- a/packages/core/src/lib/routing/choice/endpoint-gate.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-gate.ts
@@ -6,7 +6,7 @@
 /** The restrictions that endpoints place on requests to them, as the endpoint chooser sees them. */
 
 /** Why no request may be sent to an endpoint now. */
-export type SparedFor = 'limited' | 'leaving' | 'resting'
+export type SparedFor = 'limited' | 'leaving' | 'resting' | 'cold'
 
 /** Which endpoints may be sent a request. */
 export interface EndpointGate {
--- a/packages/core/src/lib/routing/published/endpoint-record.ts
+++ b/packages/core/src/lib/routing/published/endpoint-record.ts
@@ -28,6 +28,11 @@
   readonly slots: number
   /** Whether it accepts no new requests. */
   readonly draining: boolean
+  /**
+   * How long the endpoint stays cold, in milliseconds from the receipt of the record; 0 if it is not cold, `undefined` if it does not
+   * say.
+   */
+  readonly coldRemaining?: number | undefined
   /** Versions that were loaded when the entry was written, which may be seconds ago. */
   readonly models: readonly ModelVersion[]
 }
@@ -77,11 +82,13 @@
 }
 
 /**
- * Whether two records are equal except for their count of writings.
+ * Whether two records are equal except for their count of writings. Two writings that name a remaining cold time differ even if they
+ * name the same one, because each counts from its receipt.
  *
  * @example
  * if (!isSameListing(held.record, record)) rebuildChoices()
  */
 export function isSameListing (left: EndpointRecord, right: EndpointRecord): boolean {
+  if ((right.coldRemaining ?? 0) > 0 && left.writings !== right.writings) return false
   return JSON.stringify({ ...left, writings: 0 }) === JSON.stringify({ ...right, writings: 0 })
 }
--- a/packages/core/src/lib/routing/published/routing-configuration.ts
+++ b/packages/core/src/lib/routing/published/routing-configuration.ts
@@ -76,6 +76,14 @@
   readonly chunkBytes: number
 }
 
+/** What the endpoints of a service withstand while they are cold. */
+export interface ColdDescription {
+  /** How long an endpoint is cold after a start during traffic, in milliseconds, unless it says otherwise. */
+  readonly duration: number
+  /** Requests per second that a cold endpoint withstands from all entries together. */
+  readonly requestsPerSecond: number
+}
+
 /** A service that routes send requests to. */
 export interface ServiceDescription {
   readonly name: string
@@ -83,6 +91,8 @@
   readonly maxConnections: number
   /** Present for model pools. */
   readonly pool?: PoolDescription | undefined
+  /** Present if endpoints are limited while they are cold. */
+  readonly cold?: ColdDescription | undefined
 }
 
 /** The origin of model weights. */
--- a/packages/node/src/lib/observe/notice-log.ts
+++ b/packages/node/src/lib/observe/notice-log.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Logs and counts the notices that endpoints send about themselves. */
-import { endpointIdOf, type LimitChange, type NoticeChange } from '@drumdrift/core'
+import { endpointIdOf, type ColdChange, type LimitChange, type NoticeChange } from '@drumdrift/core'
 import type { Log } from './log.js'
 import type { Counters } from './metrics.js'
 
@@ -34,6 +34,13 @@
     else this._log.warn('endpoint-limited', { endpoint: endpointIdOf(start), source, limit, share: roundShare(share) })
   }
 
+  /** Records that an endpoint became cold, or that it ended to be cold earlier than expected. */
+  cold ({ start, source, remaining, share }: ColdChange): void {
+    this._counters.add(remaining === 0 ? 'endpoint_colds_ended_early' : 'endpoint_colds')
+    if (remaining === 0) this._log.info('endpoint-cold-ended', { endpoint: endpointIdOf(start), source })
+    else this._log.info('endpoint-cold', { endpoint: endpointIdOf(start), source, for: Math.round(remaining), share: roundShare(share) })
+  }
+
   private readonly _handlers: Handlers = {
     limit: ({ change }) => { this.limit(change, 'own') },
     leaving: ({ start }) => {
@@ -44,6 +51,7 @@
       this._counters.add('endpoint_rests')
       this._log.warn('endpoint-resting', { endpoint: endpointIdOf(start), for: Math.round(rest) })
     },
+    cold: ({ change }) => { this.cold(change) },
     refused: ({ start, what, value }) => {
       this._counters.add('endpoint_notices_refused')
       if (this._refusedStarts.has(start) || this._refusedStarts.size >= MAX_REFUSED_STARTS) return
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -48,7 +48,7 @@
 /** Events about one endpoint or its agent. */
 const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
 /** Notices that endpoints sent about themselves. They hold for a long time and reduce or stop the requests to those endpoints. */
-const noticeEvents = new Set(['endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting'])
+const noticeEvents = new Set(['endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting', 'endpoint-cold', 'endpoint-cold-ended'])
 
 const pairPattern = /(\w+)=("(?:[^"\\]|\\.)*"|\S*)/g
 
@@ -122,7 +122,7 @@
   'stream-paused': 'the pause between two events exceeded the objective: check the load of the endpoint, and weight transfers on its instance',
   overloaded: 'refused early, since every endpoint was expected to answer too late or refused the request: check the load of the pool',
   'ends-endpoints': 'endpoints were lost repeatedly while they ran this request, so it is held back: check request-held-back, and the effect of its body on an endpoint',
-  'endpoints-spared': 'endpoints receive fewer requests because they asked for it: check the field spared, and endpoint-limited, endpoint-leaving or endpoint-resting of each; find out what they lack, and whether their replacements have started',
+  'endpoints-spared': 'endpoints receive fewer requests because they asked for it or are cold: check the field spared, and endpoint-limited, endpoint-leaving, endpoint-resting or endpoint-cold of each; find out what they lack, and whether their replacements have started',
   'no-endpoint': 'no endpoint may serve it: check which endpoints are listed, and whether all hold a version that is due to be replaced',
   'no-configuration': 'the process had just started and had no configuration: check store-lost and its seeds',
   'not-allowed': 'the configuration in force does not allow this route, key or size: compare its version with the published one',
--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -7,7 +7,7 @@
  * Applies the notices that endpoints send with their answers, and shares limits with the other entries through the agents that this
  * entry follows. An entry that sends an endpoint few requests sees few of its answers, and would notice neither a limit nor its end.
  */
-import { EndpointLimits, EndpointNotices, readLimitNews, type EndpointGate, type EndpointNotice, type LimitNews } from '@drumdrift/core'
+import { ColdEndpoints, EndpointLimits, EndpointNotices, readLimitNews, type ColdBounds, type EndpointGate, type EndpointNotice, type LimitNews, type PublishedState } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { NoticeLog } from '../observe/notice-log.js'
@@ -19,6 +19,8 @@
   readonly counters: Counters
   /** Returns the number of entries, or `undefined` if it is not known. */
   readonly entries: (now: number) => number | undefined
+  /** The limit on requests to cold endpoints; `undefined` if the deployment has none. */
+  readonly coldBounds?: ColdBounds | undefined
   /** Sends limits to some agents, or to one. */
   readonly send: (news: LimitNews, to: 'some' | 'one') => void
 }
@@ -32,11 +34,13 @@
 /** The endpoints' notices, as one entry knows them. */
 export class NoticeExchange {
   private readonly _notices: EndpointNotices
+  private readonly _cold: ColdEndpoints
   private readonly _noticeLog: NoticeLog
   private readonly _synchronization: PeriodicTask
 
   constructor (private readonly _dependencies: NoticeExchangeDependencies) {
-    this._notices = new EndpointNotices(new EndpointLimits(_dependencies.entries, Math.random))
+    this._cold = new ColdEndpoints(_dependencies.coldBounds, _dependencies.entries, Math.random, performance.now())
+    this._notices = new EndpointNotices(new EndpointLimits(_dependencies.entries, Math.random), this._cold)
     this._noticeLog = new NoticeLog(_dependencies.log, _dependencies.counters)
     this._synchronization = runPeriodically(() => this._send(this.snapshot(), 'one'), SYNC_INTERVAL)
   }
@@ -46,6 +50,23 @@
   /** Decides which endpoints may be sent requests, according to the limits, pauses and draining that they announce. */
   get gate (): EndpointGate { return this._notices }
 
+  /** Applies the published list of endpoints, from which cold endpoints are known. */
+  apply (state: Pick<PublishedState, 'endpoints' | 'configuration' | 'hasFollowed'>): void {
+    const changes = this._cold.update(state.endpoints(), state.configuration?.services ?? [], state.hasFollowed('endpoints'), performance.now())
+    for (const change of changes) this._noticeLog.cold(change)
+  }
+
+  /** Records that the evacuation of a zone has ended, after the list that was received with it has been applied. */
+  zoneReopened (availabilityZone: string): void {
+    for (const change of this._cold.zoneReopened(availabilityZone, performance.now())) this._noticeLog.cold(change)
+  }
+
+  /** Whether endpoints count as cold until they write their entries again, even if these then say the same as before. */
+  get awaitsEntries (): boolean { return !this._cold.quiet && this._cold.awaitsEntries(performance.now()) }
+
+  /** Whether an endpoint is cold, so that requests to it must not be delayed. */
+  isCold (start: string): boolean { return this._cold.isCold(start, performance.now()) }
+
   /** Records the notice that came with an answer of an endpoint. */
   recordNotice (start: string, notice: EndpointNotice, askedAt: number, now: number): void {
     for (const change of this._notices.heard(start, notice, askedAt, now)) {
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -54,14 +54,15 @@
   /**
    * Records that an attempt was sent.
    *
-   * @param spared Other endpoints that receive no requests because they asked for it, by reason.
+   * @param gate Whether the endpoint is cold, and other endpoints that receive no requests now, by reason.
    */
-  attemptSent (number: number, choice: ChosenEndpoint, remaining: number, resumeAfter: string | undefined, spared: string | undefined): void {
+  attemptSent (number: number, choice: ChosenEndpoint, remaining: number, resumeAfter: string | undefined, { cold, spared }: { readonly cold: boolean, readonly spared: string | undefined }): void {
     const { head, route } = this._request
     const { record, expected, version, reportAge, roundTrip, candidates } = choice
     this._dependencies.counters.add('attempts')
+    if (cold) this._dependencies.counters.add('attempts_at_cold_endpoints')
     this._dependencies.log.request('request-sent', {
-      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: roundedIfFinite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, resume_after: resumeAfter, spared
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: roundedIfFinite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, resume_after: resumeAfter, cold: cold ? true : undefined, spared
     })
   }
 
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * published state, follows the load of the engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ageOf, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
+import { ageOf, publishedTopics, readNamedVersion, RouteTable, type ColdBounds, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -93,6 +93,7 @@
       log: _log,
       counters: this._counters,
       entries: now => this._units.entries(now),
+      coldBounds: coldBoundsOf(_settings),
       send: (news, to) => this._follower.sendToSome({ type: 'limits', news }, to === 'one' ? 1 : undefined)
     })
     this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
@@ -137,7 +138,7 @@
       log: _log,
       counters: this._counters
     })
-    this._cancellations = runPeriodically(() => this._front.rescheduleCancellations(), CANCELLATION_INTERVAL)
+    this._cancellations = runPeriodically(() => this._onCancellationTimer(), CANCELLATION_INTERVAL)
     this._readiness = new ReadinessServer(text('process', 'readiness-address'), platform.dialect.readinessPath, () => this._ready && !this._stopping)
     this._server = new PeerServer({
       ...self, address: text('process', 'address'), log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
@@ -282,6 +283,7 @@
     const { state } = this._feed
     if (changes.some(({ type }) => type === 'configuration') && state.configuration !== undefined) this._applyConfiguration(state.configuration)
     for (const change of changes) this._logChange(change)
+    this._notices.apply(state)
     this._units.apply(state)
     this._follower.follow(this._units.followed)
     if (changes.some(({ type }) => type === 'wanted-version')) this._onVersionsChanged(changes)
@@ -291,6 +293,12 @@
     }
   }
 
+  /** An entry in the list that is written again and says the same is no change of the list, but may say that an endpoint is not cold. */
+  private _onCancellationTimer (): void {
+    this._front.rescheduleCancellations()
+    if (this._notices.awaitsEntries) this._notices.apply(this._feed.state)
+  }
+
   /** Attempts that wait at an engine may have been sent before a newer version, or the time of its publication, was known. */
   private _onVersionsChanged (changes: readonly PublishedChange[]): void {
     this._front.rescheduleCancellations()
@@ -327,6 +335,12 @@
   }
 }
 
+/** The limit on requests to cold endpoints; `undefined` unless both settings are given. */
+function coldBoundsOf (settings: Settings): ColdBounds | undefined {
+  const isGiven = settings.text('requests', 'cold-rate-factor') !== '' && settings.text('requests', 'cold-rate-slack') !== ''
+  return isGiven ? { factor: settings.number('requests', 'cold-rate-factor'), slack: settings.number('requests', 'cold-rate-slack') } : undefined
+}
+
 function retryTermsOf (settings: Settings): RetryLimits {
   const number = (key: string): number => settings.number('requests', key)
   return { ratio: number('retry-ratio'), slack: number('retry-slack'), window: number('retry-window-seconds') * 1000 }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptTracker, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
+  AttemptTracker, COLD_CONNECT_TIMEOUT, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -35,7 +35,7 @@
   readonly random: () => number
   /** Identifies identical requests: see `fingerprintOf`. */
   readonly fingerprint: (request: ReadRequest) => string
-  readonly notices: Pick<NoticeExchange, 'recordNotice'>
+  readonly notices: Pick<NoticeExchange, 'recordNotice' | 'isCold'>
   readonly suspects: Pick<SuspectExchange, 'standing' | 'evidence' | 'lost' | 'recordAlive' | 'answered'>
 }
 
@@ -155,7 +155,7 @@
     })
     this._attempt = attempt
     this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
-    this._record.attemptSent(this._attempts, choice, remaining, this._progress.lastEventId, formatExcludedCounts(this._unit, now))
+    this._record.attemptSent(this._attempts, choice, remaining, this._progress.lastEventId, { cold: this._isCold(choice), spared: formatExcludedCounts(this._unit, now) })
     attempt.ended.then(end => this._onAttemptEnded(attempt, end))
   }
 
@@ -179,9 +179,11 @@
     const { record, version } = choice
     const terms = { endpoint: record, remaining, organisation: organisation?.name, version, resumeAfter: this._progress.lastEventId }
     const headers = this._dependencies.dialect.writeRequest(head, terms, body.length)
-    return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: connectTimeout(route.objective) }
+    return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: this._isCold(choice) ? Math.min(COLD_CONNECT_TIMEOUT, connectTimeout(route.objective)) : connectTimeout(route.objective) }
   }
 
+  private _isCold ({ record }: ChosenEndpoint): boolean { return this._dependencies.notices.isCold(startKeyOf(record)) }
+
   /**
    * A connection that was opened in advance may have failed unnoticed. One is used only if the agent of the endpoint has reported
    * recently, and only for requests that may be retried elsewhere.
