Entries tell each other which endpoints became cold; permits for endpoints that an entry does not follow are used

Change: an entry that hears a new cold time sends it to agents with the message about limits (optional field, ignored by the previous release), and agents forward it; no permit is used for 1,050 ms after an endpoint in use becomes cold, while requests of others that do not know it yet arrive. Also, an entry follows 20 engines of larger pools and prefers those, so its permits for other endpoints lapsed; due endpoints are now chosen among all. Endpoints that announce limits are treated as before.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -14,6 +14,7 @@
 import type { Lifecycle } from './lifecycle.js'
 import type { SwitchProgress } from './rollout.js'
 import type { SuspectNews } from './routing/attempts/suspect-requests.js'
+import type { ColdNews } from './routing/limits/cold-news.js'
 import type { LimitNews } from './routing/limits/limit-statements.js'
 import type { LoadReport } from './routing/choice/endpoint-load.js'
 import type { ModelVersion } from './routing/published/endpoint-record.js'
@@ -118,8 +119,8 @@
    * what is new to it.
    */
   | { readonly type: 'suspects', readonly news: SuspectNews }
-  /** Reports the request limits that endpoints announced. The agent forwards what is new to it. */
-  | { readonly type: 'limits', readonly news: LimitNews }
+  /** Reports the request limits, and the remaining cold times, that endpoints announced. The agent forwards what is new to it. */
+  | { readonly type: 'limits', readonly news: LimitNews, readonly cold?: ColdNews | undefined }
   /** Subscribes to the load of the agent's engine, for the lifetime of the connection. */
   | { readonly type: 'follow-load' }
   /** Subscribes to the set of chunks of a version that the peer holds, for the lifetime of the connection. */
@@ -185,8 +186,8 @@
   | { readonly type: 'load', readonly load: LoadReport, readonly named?: NamedVersion | undefined }
   /** Reports to load subscribers which requests were in flight at lost endpoints. */
   | { readonly type: 'suspects', readonly news: SuspectNews }
-  /** Reports to load subscribers the request limits that endpoints announced. */
-  | { readonly type: 'limits', readonly news: LimitNews }
+  /** Reports to load subscribers the request limits, and the remaining cold times, that endpoints announced. */
+  | { readonly type: 'limits', readonly news: LimitNews, readonly cold?: ColdNews | undefined }
   /** The indexes of chunks that are newly held, and of those that some other member holds. */
   | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[] }
   /** Parts of an answer, numbered from 0. The payload is the data. */
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -147,7 +147,14 @@
    * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
    */
   choose (service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
-    return this._chooseAmong(this._followed, service, need, now) ?? this._chooseAmong(this._others, service, need, now)
+    return this._chooseAmong(this._followedOrDue(now), service, need, now) ?? this._chooseAmong(this._others, service, need, now)
+  }
+
+  /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
+  private _followedOrDue (now: number): readonly EndpointRecord[] {
+    if (this._gate.quiet || this._others.length === 0) return this._followed
+    const due = this._others.filter(record => this._gate.isDueUnfollowed(startKeyOf(record), now))
+    return due.length === 0 ? this._followed : [...this._followed, ...due]
   }
 
   private _chooseAmong (records: readonly EndpointRecord[], service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
--- a/packages/core/src/lib/routing/choice/endpoint-gate.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-gate.ts
@@ -16,6 +16,11 @@
   sparedFor (start: string, now: number): SparedFor | undefined
   /** Whether the endpoint is rate-limited and this entry holds a permit that would lapse, so that the endpoint is preferred. */
   isDue (start: string, now: number): boolean
+  /**
+   * Whether that applies even to an endpoint whose load this entry does not follow. The shares of a limit are equal for all entries, so
+   * those of entries that do not follow the endpoint would be lost.
+   */
+  isDueUnfollowed (start: string, now: number): boolean
   /** Records a request that was sent. */
   sent (start: string, now: number): void
   /** The time until a request may be sent to the endpoint, in milliseconds: 0 for now, infinite for never. */
@@ -23,4 +28,4 @@
 }
 
 /** A gate without restrictions. */
-export const openGate: EndpointGate = { quiet: true, sparedFor: () => undefined, isDue: () => false, sent: () => {}, opensIn: () => 0 }
+export const openGate: EndpointGate = { quiet: true, sparedFor: () => undefined, isDue: () => false, isDueUnfollowed: () => false, sent: () => {}, opensIn: () => 0 }
--- a/packages/core/src/lib/routing/limits/cold-endpoints.ts
+++ b/packages/core/src/lib/routing/limits/cold-endpoints.ts
@@ -11,6 +11,7 @@
 import type { EndpointGate, SparedFor } from '../choice/endpoint-gate.js'
 import { startKeyOf, writingsBetween, type EndpointRecord } from '../published/endpoint-record.js'
 import type { ColdDescription, ServiceDescription } from '../published/routing-configuration.js'
+import { COLD_TIME_EXTENSION, isPlausibleColdTime, MAX_COLD_TIME, type ColdNews } from './cold-news.js'
 import { LimitShare, type ShareTerms } from './limit-share.js'
 
 /** By how much the requests to a cold endpoint may exceed the rate that it withstands: a factor, and a fixed number in one second. */
@@ -19,8 +20,11 @@
   readonly slack: number
 }
 
-/** What made an endpoint cold, or ended it: its start, its entry in the list, one of its answers, or the end of an evacuation. */
-export type ColdSource = 'start' | 'entry' | 'answer' | 'zone'
+/**
+ * What made an endpoint cold, or ended it: its start, its entry in the list, one of its answers to this process (`own`) or to another one
+ * that told it (`told`), or the end of an evacuation.
+ */
+export type ColdSource = 'start' | 'entry' | 'own' | 'told' | 'zone'
 
 /** A cold time that began or was prolonged, or that ended earlier than expected. */
 export interface ColdChange {
@@ -47,28 +51,17 @@
 const MAX_PERMIT_LIFETIME = 1_000
 const PERMIT_LIFETIME_PER_ENTRY = 6.25
 /**
- * Until this time after its start, an entry sends nothing to cold endpoints, in milliseconds: the process before it at the same place may
- * have sent a request just before it ended.
+ * Requests that were sent without a permit arrive within this time, in milliseconds, and no permit is used before. The process before this
+ * one at the same place may have sent one just before it ended, and an endpoint in use has received requests of all entries until they
+ * learned that it is cold.
  */
-const START_PAUSE = WINDOW + COLD_CONNECT_TIMEOUT
-/** The longest plausible cold time that an endpoint may name, in milliseconds. */
-const MAX_COLD_TIME = 3_600_000
-/** A cold time that lasts longer than expected by this many milliseconds is reported again; less is the delay of messages. */
-const REPORTED_EXTENSION = 1_000
+const PAUSE = WINDOW + COLD_CONNECT_TIMEOUT
 /** Bound of memory: the number of starts that are remembered after they have left the list. */
 const MAX_UNLISTED = 1_024
 /** How long the number of entries is used without being estimated again, in milliseconds. */
 const ENTRIES_REFRESH = 250
 const MILLISECONDS_PER_SECOND = 1_000
 
-/**
- * Whether a remaining cold time that an endpoint names, in milliseconds, is plausible; others are ignored.
- *
- * @example
- * isPlausibleColdTime(4_200) // true
- */
-export function isPlausibleColdTime (milliseconds: number): boolean { return milliseconds >= 0 && milliseconds <= MAX_COLD_TIME }
-
 /**
  * Returns the terms under which permits for cold endpoints are earned.
  *
@@ -180,7 +173,30 @@
     if (until < state.answeredUntil && askedAt < state.answeredAt) return []
     state.answeredUntil = until
     state.answeredAt = now
-    return this._evaluate(start, state, 'answer', now)
+    return this._evaluate(start, state, 'own', now, true)
+  }
+
+  /**
+   * Adds the cold times that another process reports.
+   *
+   * @returns The changes, to log and to send on.
+   */
+  told (news: ColdNews, now: number): ColdChange[] {
+    return news.flatMap(({ start, remaining }) => {
+      const state = this._states.get(start)
+      if (state === undefined || now + remaining <= state.answeredUntil) return []
+      state.answeredUntil = now + remaining
+      state.answeredAt = now
+      return this._evaluate(start, state, 'told', now, true)
+    })
+  }
+
+  /** Returns the cold times that endpoints named in answers, for a process that starts or was partitioned. */
+  known (now: number): ColdNews {
+    return [...this._cold].flatMap(start => {
+      const remaining = (this._states.get(start)?.answeredUntil ?? -Infinity) - now
+      return remaining > 0 ? [{ start, remaining }] : []
+    })
   }
 
   /** Whether an endpoint is cold. */
@@ -195,6 +211,8 @@
   /** A permit should not lapse: at the allowed rate, a cold endpoint serves as well as others. */
   isDue (start: string, now: number): boolean { return this._shareOf(start, now)?.maySend(now) === true }
 
+  isDueUnfollowed (start: string, now: number): boolean { return this.isDue(start, now) }
+
   sent (start: string, now: number): void {
     const state = this._states.get(start)
     if (state === undefined) return
@@ -222,11 +240,15 @@
       state.statedUntil = undefined
     }
     if (isNewer && record.coldRemaining !== undefined) state.statedUntil = now + Math.min(MAX_COLD_TIME, record.coldRemaining)
-    return this._evaluate(start, state, state.statedUntil === undefined ? 'start' : 'entry', now)
+    return this._evaluate(start, state, state.statedUntil === undefined ? 'start' : 'entry', now, !isNew)
   }
 
-  /** Updates the share of an endpoint after a change, and reports whether its cold time began, became longer or ended early. */
-  private _evaluate (start: string, state: ColdState, source: ColdSource, now: number): ColdChange[] {
+  /**
+   * Updates the share of an endpoint after a change, and reports whether its cold time began, became longer or ended early.
+   *
+   * @param inUse Whether other entries may still send it requests without permits.
+   */
+  private _evaluate (start: string, state: ColdState, source: ColdSource, now: number, inUse = false): ColdChange[] {
     const description = this._services.get(state.record.service)
     const wasCold = state.until > now
     state.until = this._coldUntil(state, description)
@@ -237,9 +259,9 @@
       return wasCold ? [{ start, source, remaining: 0, share: 0 }] : []
     }
     const share = this._prepareShare(state, description, this._terms, now)
-    if (!wasCold) share.voidPermits(state.lastSentAt + START_PAUSE)
+    if (!wasCold) share.voidPermits((inUse ? now : state.lastSentAt) + PAUSE)
     this._cold.add(start)
-    if (wasCold && until < state.reportedUntil + REPORTED_EXTENSION) return []
+    if (wasCold && until < state.reportedUntil + COLD_TIME_EXTENSION) return []
     state.reportedUntil = until
     return [{ start, source, remaining: until - now, share: share.rate(now) * MILLISECONDS_PER_SECOND }]
   }
@@ -248,7 +270,7 @@
   private _prepareShare (state: ColdState, { requestsPerSecond }: ColdDescription, terms: ShareTerms, now: number): LimitShare {
     if (state.share === undefined) {
       state.share = new LimitShare(requestsPerSecond, at => this._entriesAt(at), this._random(), now, terms)
-      state.share.voidPermits(this._startedAt + START_PAUSE)
+      state.share.voidPermits(this._startedAt + PAUSE)
     }
     state.share.change(requestsPerSecond, now)
     return state.share
--- a/packages/core/src/lib/routing/limits/endpoint-limits.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-limits.ts
@@ -65,6 +65,9 @@
     return !this.quiet && this._shareOf(start, now)?.maySend(now) === true
   }
 
+  /** Limited endpoints that are not followed are used as little as others. */
+  isDueUnfollowed (): boolean { return false }
+
   sent (start: string, now: number): void {
     if (!this.quiet) this._shareOf(start, now)?.sent(now)
   }
--- a/packages/core/src/lib/routing/limits/endpoint-notices.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-notices.ts
@@ -8,7 +8,8 @@
  * gets no requests, whatever its rate limit.
  */
 import type { EndpointGate, SparedFor } from '../choice/endpoint-gate.js'
-import { type ColdChange, type ColdEndpoints, isPlausibleColdTime } from './cold-endpoints.js'
+import type { ColdChange, ColdEndpoints } from './cold-endpoints.js'
+import { isPlausibleColdTime } from './cold-news.js'
 import { EndpointAbsences, isPlausibleRest } from './endpoint-absences.js'
 import type { EndpointLimits, LimitChange } from './endpoint-limits.js'
 import { isPlausibleLimit } from './limit-statements.js'
@@ -73,6 +74,10 @@
     return this.sparedFor(start, now) === undefined && (this.limits.isDue(start, now) || this.cold?.isDue(start, now) === true)
   }
 
+  isDueUnfollowed (start: string, now: number): boolean {
+    return this.sparedFor(start, now) === undefined && this.cold?.isDueUnfollowed(start, now) === true
+  }
+
   sent (start: string, now: number): void {
     this.limits.sent(start, now)
     this.cold?.sent(start, now)
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -301,7 +301,7 @@
 /** A gate that closes some endpoints for the given milliseconds, and holds permits for others that would lapse. */
 function createGate (closed: Readonly<Record<string, number>>, due: readonly string[] = []): EndpointGate {
   const sparedFor = (start: string): SparedFor | undefined => closed[start] === undefined ? undefined : 'limited'
-  return { quiet: false, sparedFor, isDue: start => due.includes(start), opensIn: start => closed[start] ?? 0, sent: () => {} }
+  return { quiet: false, sparedFor, isDue: start => due.includes(start), isDueUnfollowed: start => due.includes(start), opensIn: start => closed[start] ?? 0, sent: () => {} }
 }
 
 function createGatedChooser (records: readonly EndpointRecord[], gate: EndpointGate, loads: Readonly<Record<string, LoadReport>> = {}): EndpointChooser {
@@ -324,6 +324,12 @@
   ]
   for (const [name, id, expected] of cases) it(name, () => assert.equal(id, expected))
 
+  it('uses a permit for an endpoint whose load it does not follow', () => {
+    const chooser = createGatedChooser([a, b], createGate({}, ['b']), loads)
+    chooser.setRecords([a, b], ({ id }) => id === 'a')
+    assert.equal(chosen(chooser, wide), 'b')
+  })
+
   const openings: [name: string, service: ServiceDescription, closed: Record<string, number>, expected: PoolOpening][] = [
     ['a pool', drafting, { a: 500, b: 700 }, { type: 'expected', in: 500 }],
     ['a plain service', desk, { a: 500, b: 700 }, { type: 'expected', in: 500 }],
--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -7,7 +7,7 @@
  * Applies the notices that endpoints send with their answers, and shares limits with the other entries through the agents that this
  * entry follows. An entry that sends an endpoint few requests sees few of its answers, and would notice neither a limit nor its end.
  */
-import { ColdEndpoints, EndpointLimits, EndpointNotices, readLimitNews, type ColdBounds, type EndpointGate, type EndpointNotice, type LimitNews, type PublishedState } from '@drumdrift/core'
+import { ColdEndpoints, EndpointLimits, EndpointNotices, readColdNews, readLimitNews, type ColdBounds, type ColdNews, type ColdReport, type EndpointGate, type EndpointNotice, type LimitNews, type PublishedState } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { NoticeLog } from '../observe/notice-log.js'
@@ -21,8 +21,8 @@
   readonly entries: (now: number) => number | undefined
   /** The limit on requests to cold endpoints; `undefined` if the deployment has none. */
   readonly coldBounds?: ColdBounds | undefined
-  /** Sends limits to some agents, or to one. */
-  readonly send: (news: LimitNews, to: 'some' | 'one') => void
+  /** Sends limits and cold times to some agents, or to one. */
+  readonly send: (news: LimitNews, to: 'some' | 'one', cold: ColdNews) => void
 }
 
 /**
@@ -42,7 +42,7 @@
     this._cold = new ColdEndpoints(_dependencies.coldBounds, _dependencies.entries, Math.random, performance.now())
     this._notices = new EndpointNotices(new EndpointLimits(_dependencies.entries, Math.random), this._cold)
     this._noticeLog = new NoticeLog(_dependencies.log, _dependencies.counters)
-    this._synchronization = runPeriodically(() => this._send(this.snapshot(), 'one'), SYNC_INTERVAL)
+    this._synchronization = runPeriodically(() => this._send(this.snapshot(), 'one', this.coldSnapshot()), SYNC_INTERVAL)
   }
 
   close (): void { this._synchronization.close() }
@@ -72,27 +72,35 @@
     for (const change of this._notices.heard(start, notice, askedAt, now)) {
       this._noticeLog.note(change)
       if (change.type === 'limit') this._send(this._notices.limits.report(start, now), 'some')
+      if (change.type === 'cold') this._send([], 'some', [change.change])
     }
   }
 
   /**
-   * Receives the limits that another entry knows, relayed by an agent. Those that change a limit here are sent on, so that they reach
-   * entries that follow other agents.
+   * Receives the limits and cold times that another entry knows, relayed by an agent. Those that are news here are sent on, so that they
+   * reach entries that follow other agents.
    */
-  receive (input: unknown, agent: string): void {
+  receive (input: unknown, agent: string, coldInput?: unknown): void {
     const now = performance.now()
     const news = readLimitNews(input)
-    if (news === undefined) return this._dependencies.log.warn('peer-malformed', { type: 'limits', agent, detail: 'the payload is not a valid message about limits' })
+    const coldNews = readColdNews(coldInput)
+    if (news === undefined || coldNews === undefined) return this._dependencies.log.warn('peer-malformed', { type: 'limits', agent, detail: 'the payload is not a valid message about limits' })
     const { limits } = this._notices
     const changes = limits.told(news, now)
     for (const change of changes) this._noticeLog.limit(change, 'told')
-    this._send(changes.flatMap(({ start }) => limits.report(start, now)), 'some')
+    const coldChanges = this._cold.told(coldNews, now)
+    for (const change of coldChanges) this._noticeLog.cold(change)
+    this._send(changes.flatMap(({ start }) => limits.report(start, now)), 'some', coldChanges)
   }
 
   /** Returns the limits to send to an agent to which this entry has just connected. */
   snapshot (): LimitNews { return this._notices.limits.known(performance.now()) }
 
-  private _send (news: LimitNews, to: 'some' | 'one'): void {
-    if (news.length > 0) this._dependencies.send(news, to)
+  /** Returns the cold times to send with them. */
+  coldSnapshot (): ColdNews { return this._cold.known(performance.now()) }
+
+  private _send (news: LimitNews, to: 'some' | 'one', cold: readonly ColdReport[] = []): void {
+    const coldNews = cold.filter(({ remaining }) => remaining > 0).map(({ start, remaining }) => ({ start, remaining }))
+    if (news.length + coldNews.length > 0) this._dependencies.send(news, to, coldNews)
   }
 }
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -94,7 +94,7 @@
       counters: this._counters,
       entries: now => this._units.entries(now),
       coldBounds: coldBoundsOf(_settings),
-      send: (news, to) => this._follower.sendToSome({ type: 'limits', news }, to === 'one' ? 1 : undefined)
+      send: (news, to, cold) => this._follower.sendToSome({ type: 'limits', news, ...(cold.length > 0 ? { cold } : {}) }, to === 'one' ? 1 : undefined)
     })
     this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
     this._feed = new PublishedFeed({
@@ -208,16 +208,17 @@
 
   private _onRelayedMessage (reply: RelayedMessage, agent: string): void {
     if (reply.type === 'suspects') this._suspects.receive(reply.news, agent)
-    else this._notices.receive(reply.news, agent)
+    else this._notices.receive(reply.news, agent, reply.cold)
   }
 
   /** The state that a newly connected agent receives and passes on to entries that have restarted. */
   private _sharedState (): PeerRequest[] {
     const suspects = this._suspects.snapshot()
     const limits = this._notices.snapshot()
+    const cold = this._notices.coldSnapshot()
     return [
       ...(suspects.losses.length > 0 ? [{ type: 'suspects', news: suspects } as const] : []),
-      ...(limits.length > 0 ? [{ type: 'limits', news: limits } as const] : [])
+      ...(limits.length + cold.length > 0 ? [{ type: 'limits', news: limits, ...(cold.length > 0 ? { cold } : {}) } as const] : [])
     ]
   }
 
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -9,7 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import {
-  defaultSwarmPolicy, LimitStatements, LinkPacer, readLimitNews, readNamedVersion, prefillRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
+  defaultSwarmPolicy, LimitStatements, ColdTimes, readColdNews, type ColdNews, LinkPacer, readLimitNews, readNamedVersion, prefillRate, readSuspectNews, SuspectRequests, type ChunkMember, type Manifest, type NamedVersion, type PeerReply, type PublishedChange, type PublishedTopic, type PeerRequest, type PoolDescription
 } from '@drumdrift/core'
 import { ChunkServer } from '../agent/chunk-server.js'
 import { Histograms } from '../observe/histograms.js'
@@ -68,6 +68,8 @@
   private readonly _suspects = new SuspectRequests()
   /** Reports by entries of the limits of endpoints; kept for entries that restart. */
   private readonly _limits = new LimitStatements()
+  /** Reports by entries of the cold times of endpoints; kept for entries that restart. */
+  private readonly _coldTimes = new ColdTimes()
   private readonly _metrics: MetricsServer | undefined
   private _members: readonly ChunkMember[] = []
   private _poolDescription: PoolDescription | undefined
@@ -290,10 +292,11 @@
       const losses = this._suspects.known(performance.now())
       if (losses.length > 0) responder.send({ type: 'suspects', news: { losses, answers: [] } })
       const limits = this._limits.known(performance.now())
-      if (limits.length > 0) responder.send({ type: 'limits', news: limits })
+      const cold = this._coldTimes.known(performance.now())
+      if (limits.length + cold.length > 0) responder.send({ type: 'limits', news: limits, ...optionalCold(cold) })
     },
     suspects: ({ news }, responder) => { this._forwardSuspects(news, responder) },
-    limits: ({ news }, responder) => { this._forwardLimits(news, responder) }
+    limits: ({ news, cold }, responder) => { this._forwardLimits(news, cold, responder) }
   }
 
   /** Forwards an entry's reports of crashing requests to the other entries, which are not connected to each other. */
@@ -304,13 +307,15 @@
     if (news.losses.length + news.answers.length > 0) this._loadPublisher.sendToOthers({ type: 'suspects', news }, connection)
   }
 
-  /** Forwards reported limits to the other entries, and sends the sender corrections where its values differ from this agent's. */
-  private _forwardLimits (input: unknown, responder: Responder): void {
+  /** Forwards reported limits and cold times to the other entries, and sends the sender corrections where its values differ from this agent's. */
+  private _forwardLimits (input: unknown, coldInput: unknown, responder: Responder): void {
     const report = readLimitNews(input)
-    if (report === undefined) return this._log.warn('peer-malformed', { type: 'limits', detail: 'malformed report of limits' })
+    const coldReport = readColdNews(coldInput)
+    if (report === undefined || coldReport === undefined) return this._log.warn('peer-malformed', { type: 'limits', detail: 'malformed report of limits' })
     const now = performance.now()
     const news = this._limits.told(report, now)
-    if (news.length > 0) this._loadPublisher.sendToOthers({ type: 'limits', news }, responder.connection)
+    const cold = this._coldTimes.told(coldReport, now)
+    if (news.length + cold.length > 0) this._loadPublisher.sendToOthers({ type: 'limits', news, ...optionalCold(cold) }, responder.connection)
     const corrections = this._limits.corrections(report, now)
     if (corrections.length > 0) this._loadPublisher.sendTo({ type: 'limits', news: corrections }, responder.connection)
   }
@@ -340,3 +345,6 @@
     else responder.send({ type: 'manifest', digest: identity }, bytes)
   }
 }
+
+/** The field of a message about limits; absent if there is nothing to tell, as in an earlier release. */
+function optionalCold (cold: ColdNews): { readonly cold?: ColdNews } { return cold.length > 0 ? { cold } : {} }
