--- a/packages/core/src/lib/routing/limits/cold-endpoints.ts
+++ b/packages/core/src/lib/routing/limits/cold-endpoints.ts
@@ -11,7 +11,7 @@
 import type { EndpointGate, SparedFor } from '../choice/endpoint-gate.js'
 import { startKeyOf, writingsBetween, type EndpointRecord } from '../published/endpoint-record.js'
 import type { ColdDescription, ServiceDescription } from '../published/routing-configuration.js'
-import { COLD_TIME_EXTENSION, isPlausibleColdTime, MAX_COLD_TIME, type ColdNews } from './cold-news.js'
+import { COLD_TIME_EXTENSION, isColdNews, isPlausibleColdTime, MAX_COLD_TIME, type ColdNews } from './cold-news.js'
 import { LimitShare, type ShareTerms } from './limit-share.js'
 
 /** By how much the requests to a cold endpoint may exceed the rate that it withstands: a factor, and a fixed number in one second. */
@@ -114,9 +114,10 @@
    * @param _entries Returns the number of entries that share the limit, or `undefined` if it is unknown.
    * @param _random Returns random numbers in [0, 1).
    * @param _startedAt When this process started.
+   * @param termsOf The terms under which permits are earned, from the bounds.
    */
-  constructor (bounds: ColdBounds | undefined, private readonly _entries: (now: number) => number | undefined, private readonly _random: () => number, private readonly _startedAt: number) {
-    this._terms = bounds === undefined ? undefined : coldTerms(bounds)
+  constructor (bounds: ColdBounds | undefined, private readonly _entries: (now: number) => number | undefined, private readonly _random: () => number, private readonly _startedAt: number, termsOf = coldTerms) {
+    this._terms = bounds === undefined ? undefined : termsOf(bounds)
   }
 
   /**
@@ -177,14 +178,15 @@
   }
 
   /**
-   * Adds the cold times that another process reports.
+   * Adds the cold times that another process reports. A report counts from its receipt, so one that hardly extends what is known is
+   * ignored: otherwise each process that sends it on would prolong it.
    *
    * @returns The changes, to log and to send on.
    */
   told (news: ColdNews, now: number): ColdChange[] {
     return news.flatMap(({ start, remaining }) => {
       const state = this._states.get(start)
-      if (state === undefined || now + remaining <= state.answeredUntil) return []
+      if (state === undefined || !isColdNews(remaining, state.until, now)) return []
       state.answeredUntil = now + remaining
       state.answeredAt = now
       return this._evaluate(start, state, 'told', now, true)
--- a/packages/core/src/lib/routing/limits/cold-news.ts
+++ b/packages/core/src/lib/routing/limits/cold-news.ts
@@ -35,6 +35,18 @@
  */
 export function isPlausibleColdTime (milliseconds: number): boolean { return milliseconds >= 0 && milliseconds <= MAX_COLD_TIME }
 
+/**
+ * Whether a reported cold time is news to a process that knows another end. The rest of a cold time that is shorter than messages may
+ * take is never news: reports of it would go round among processes whose cold time has just ended.
+ *
+ * @param remaining In milliseconds from now.
+ * @example
+ * if (isColdNews(4_200, knownUntil, now)) sendOn()
+ */
+export function isColdNews (remaining: number, knownUntil: number, now: number): boolean {
+  return remaining >= COLD_TIME_EXTENSION && now + remaining >= knownUntil + COLD_TIME_EXTENSION
+}
+
 /** The cold times that an agent has been told, which it forwards. */
 export class ColdTimes {
   private readonly _until = new Map<string, number>()
@@ -50,7 +62,7 @@
     for (const [start, until] of this._until) if (until <= now) this._until.delete(start)
     return news.filter(({ start, remaining }) => {
       const until = now + remaining
-      if (remaining === 0 || until < (this._until.get(start) ?? -Infinity) + COLD_TIME_EXTENSION) return false
+      if (!isColdNews(remaining, this._until.get(start) ?? -Infinity, now)) return false
       if (!this._until.has(start) && this._until.size >= MAX_REPORTS) return false
       this._until.set(start, until)
       return true
--- a/packages/fuzz/src/lib/limit-world.ts
+++ b/packages/fuzz/src/lib/limit-world.ts
@@ -6,9 +6,10 @@
 /**
  * Entries, and endpoints that announce, change and end limits in their answers, with the real decision on what each entry may send.
  * The oracles count the requests that reach an endpoint from entries that it has informed, and check that all entries use an endpoint
- * again after its limit has ended. Fleets have 6, 24 or 98 entries.
+ * again after its limit has ended. Fleets have 6, 24 or 98 entries. Other endpoints become cold: by a start during traffic, again while in
+ * use, or in a zone whose evacuation ends; an oracle counts the requests that reach them in any second.
  */
-import { EndpointLimits, type LimitNews } from '@drumdrift/core'
+import { ColdEndpoints, EndpointLimits, startKeyOf, type ColdBounds, type ColdNews, type EndpointRecord, type LimitNews, type ServiceDescription } from '@drumdrift/core'
 import { Process, World } from './world.js'
 
 /** The parts whose protections a variant may remove. */
@@ -16,14 +17,22 @@
   readonly limits: (entries: (now: number) => number | undefined, draw: () => number) => Pick<EndpointLimits, 'heard' | 'told' | 'corrections' | 'report' | 'known' | 'sparedFor' | 'isDue' | 'sent'>
   /** Whether entries share the limits that they receive. */
   readonly sharesLimits: boolean
+  readonly cold: (bounds: ColdBounds, entries: (now: number) => number | undefined, draw: () => number, startedAt: number) => ColdEndpoints
+  /** Whether entries share the cold times that they receive. */
+  readonly sharesColdTimes: boolean
 }
 
 /** The product's own parts. */
-export const realLimitParts: LimitParts = { limits: (...given) => new EndpointLimits(...given), sharesLimits: true }
+export const realLimitParts: LimitParts = { limits: (...given) => new EndpointLimits(...given), sharesLimits: true, cold: (...given) => new ColdEndpoints(...given), sharesColdTimes: true }
 
 interface Entry {
   process: Process
   limits: ReturnType<LimitParts['limits']>
+  cold: ColdEndpoints
+  readonly startedAt: number
+  /** The endpoints that may become cold, as it knows them, and those whose zone it knows as evacuated. */
+  coldRecords: readonly EndpointRecord[]
+  evacuated: ReadonlySet<string>
   /** When it received the first answer that announces the current limit, by endpoint. */
   readonly limitReceivedAt: Map<number, number>
   /** Requests of this entry do not count until then, because it was restarted or cut off. */
@@ -40,6 +49,20 @@
   arrivals: { readonly at: number, readonly entry: Entry, readonly process: Process }[]
 }
 
+interface ColdEndpoint {
+  record: EndpointRecord
+  coldUntil: number
+  /** Requests that arrive from then on count. */
+  countedSince: number
+  /** Requests of processes that started later do not count, because the list does not say that the endpoint is cold. */
+  knownTo: number
+  /** Whether entries learn that it is cold from answers and from each other only, which they cannot while they are cut off. */
+  unlisted: boolean
+  /** Whether its answers do not say that it is cold. */
+  silent: boolean
+  arrivals: number[]
+}
+
 const ZONES = ['koshi', 'bagmati', 'gandaki'] as const
 const FLEET_SIZES = [6, 24, 98] as const
 const ENDPOINT_COUNT = 4
@@ -69,17 +92,38 @@
 const RECOVERY_TIME = 60_000
 const MIN_RECOVERING_LIMIT = 0.3
 
+/**
+ * The endpoints that become cold, each in another zone, how long they are cold, in milliseconds, and what they withstand in one second.
+ * Requests to one that becomes cold while in use count once all entries had time to learn it.
+ */
+const COLD_ENDPOINT_COUNT = 2
+const COLD_TIME = 8_000
+const COLD_SERVICE: ServiceDescription = { name: 'cold', maxConnections: 64, cold: { duration: COLD_TIME, requestsPerSecond: 14 } }
+const COLD_BOUNDS: ColdBounds = { factor: 1.5, slack: 5 }
+const COLD_ALLOWED = 26
+const COLD_WINDOW = 1_000
+const COLD_NOTICE_TIME = 2_500
+/** Largest delay until an entry receives a change of the list, and the length of an evacuation, in milliseconds. */
+const MAX_LIST_DELAY = 500
+const EVACUATION_TIME = 3_000
+
 /** Simulation of entries and endpoints. */
 export class LimitWorld {
   readonly world: World
   private readonly _entries: Entry[] = []
   private readonly _endpoints: Endpoint[] = []
+  private readonly _coldEndpoints: ColdEndpoint[] = []
+  private _evacuated: ReadonlySet<string> = new Set()
   private _loadUntil = 0
   private _partitioned = false
 
   constructor (seed: number, private readonly _parts: LimitParts = realLimitParts) {
     this.world = new World(seed)
     const entries = this.world.pick(FLEET_SIZES) ?? FLEET_SIZES[0]
+    for (let index = 0; index < COLD_ENDPOINT_COUNT; index += 1) {
+      const record = { id: `cold-${index}`, born: 0, writings: 1, service: COLD_SERVICE.name, address: `10.0.0.${index}:80`, availabilityZone: ZONES[index] ?? '', slots: 12, draining: false, models: [], coldRemaining: 0 }
+      this._coldEndpoints.push({ record, coldUntil: -Infinity, countedSince: 0, knownTo: Infinity, unlisted: false, silent: false, arrivals: [] })
+    }
     for (let index = 0; index < entries; index += 1) this._entries.push(this._startEntry(index, entries))
     for (let index = 0; index < ENDPOINT_COUNT; index += 1) this._endpoints.push({ limit: undefined, since: 0, lowest: 0, endedAt: -Infinity, arrivals: [] })
     if (_parts.sharesLimits) this._compare()
@@ -109,6 +153,62 @@
     for (const entry of this._entries) entry.limitReceivedAt.delete(index % ENDPOINT_COUNT)
   }
 
+  /** An endpoint starts again during traffic; its entry and its answers may not say that it is cold. */
+  startCold (index: number, isStated: boolean): void {
+    const { now } = this.world
+    const endpoint = this._coldEndpoints[index % COLD_ENDPOINT_COUNT] as ColdEndpoint
+    const { record: { coldRemaining: _, ...record } } = endpoint
+    Object.assign(endpoint, { coldUntil: now + COLD_TIME, countedSince: now, knownTo: isStated ? Infinity : now, unlisted: false, silent: !isStated, arrivals: [] })
+    endpoint.record = { ...record, born: Math.round(now) + 1, writings: 1, ...(isStated ? { coldRemaining: COLD_TIME } : {}) }
+    this._publishList()
+  }
+
+  /** An endpoint in use becomes cold again; its entry may not say it, as while the store is down. */
+  becomeColdAgain (index: number, isListed: boolean): void {
+    const { now } = this.world
+    const endpoint = this._coldEndpoints[index % COLD_ENDPOINT_COUNT] as ColdEndpoint
+    if (endpoint.coldUntil > now || this._evacuated.size > 0) return
+    Object.assign(endpoint, { coldUntil: now + COLD_TIME, countedSince: now + COLD_NOTICE_TIME, knownTo: isListed ? Infinity : now, unlisted: !isListed, silent: false })
+    if (isListed) this._write(endpoint, COLD_TIME)
+  }
+
+  /** Evacuates the zone of an endpoint, which is cold when the evacuation ends and does not say so. */
+  evacuate (index: number): void {
+    const endpoint = this._coldEndpoints[index % COLD_ENDPOINT_COUNT] as ColdEndpoint
+    const { availabilityZone } = endpoint.record
+    if (this._evacuated.size > 0) return
+    this._evacuated = new Set([availabilityZone])
+    this._toAll(entry => { entry.evacuated = new Set([availabilityZone]) })
+    this.world.after(EVACUATION_TIME, undefined, () => {
+      const { now } = this.world
+      this._evacuated = new Set()
+      Object.assign(endpoint, { coldUntil: now + COLD_TIME, countedSince: now, knownTo: now, unlisted: false, silent: true })
+      this._toAll(entry => {
+        entry.evacuated = new Set()
+        entry.cold.zoneReopened(availabilityZone, this.world.now)
+      })
+    })
+  }
+
+  private _write (endpoint: ColdEndpoint, coldRemaining: number): void {
+    endpoint.record = { ...endpoint.record, writings: (endpoint.record.writings ?? 0) + 1, coldRemaining }
+    this._publishList()
+  }
+
+  private _publishList (): void {
+    this._toAll(entry => this._receiveList(entry))
+  }
+
+  private _receiveList (entry: Entry): void {
+    entry.coldRecords = this._coldEndpoints.map(({ record }) => record)
+    entry.cold.update(entry.coldRecords, [COLD_SERVICE], true, this.world.now)
+  }
+
+  /** Runs a change at each entry when it is received from the store. */
+  private _toAll (apply: (entry: Entry) => void): void {
+    for (const entry of this._entries) this.world.after(this.world.uniform(5, MAX_LIST_DELAY), entry.process, () => apply(entry))
+  }
+
   /** Kills and restarts an entry. */
   restart (index: number): void {
     const position = index % this._entries.length
@@ -119,6 +219,11 @@
     this._sendKnownLimits(entry)
   }
 
+  /** Restarts all entries, one shortly after the other. */
+  restartAll (): void {
+    for (let index = 0; index < this._entries.length; index += 1) this.world.after(20 * index, undefined, () => this.restart(index))
+  }
+
   /** Partitions a zone from all others. */
   cutZone (index: number): void {
     const zone = ZONES[index % ZONES.length] ?? ''
@@ -155,7 +260,11 @@
 
   private _startEntry (index: number, entries: number): Entry {
     const process = new Process(`entry-${index}`, ZONES[index % ZONES.length] ?? '', `${index}.${this.world.now}`, 0)
-    return { process, limits: this._parts.limits(() => entries, () => this.world.random()), limitReceivedAt: new Map(), exemptUntil: -Infinity }
+    const { now } = this.world
+    const cold = this._parts.cold(COLD_BOUNDS, () => entries, () => this.world.random(), now)
+    const entry: Entry = { process, cold, startedAt: now, coldRecords: [], evacuated: this._evacuated, limits: this._parts.limits(() => entries, () => this.world.random()), limitReceivedAt: new Map(), exemptUntil: -Infinity }
+    this._receiveList(entry)
+    return entry
   }
 
   private _scheduleRequest (until: number, factor: number): void {
@@ -169,6 +278,7 @@
   private _request (entry: Entry): void {
     const { process, limits } = entry
     const askedAt = this.world.now
+    if (this._requestCold(entry)) return
     const candidates = [...this._endpoints.keys()].filter(index => limits.sparedFor(startName(index), askedAt) === undefined)
     const due = candidates.filter(candidate => limits.isDue(startName(candidate), askedAt))
     const index = this.world.pick(due.length > 0 ? due : candidates)
@@ -182,6 +292,55 @@
     })
   }
 
+  /** Sends a request to an endpoint that may be cold, as often as if it were chosen like the others. Returns whether it was sent. */
+  private _requestCold (entry: Entry): boolean {
+    const { now } = this.world
+    const { process, cold } = entry
+    const open = entry.coldRecords.filter(record => !entry.evacuated.has(record.availabilityZone) && cold.sparedFor(startKeyOf(record), now) === undefined)
+    const due = open.filter(record => cold.isDue(startKeyOf(record), now))
+    if (due.length === 0 && this.world.random() > open.length / (open.length + ENDPOINT_COUNT)) return false
+    const record = this.world.pick(due.length > 0 ? due : open)
+    if (record === undefined) return false
+    const start = startKeyOf(record)
+    cold.sent(start, now)
+    this.world.after(this.world.uniform(1, 5), undefined, () => this._arriveCold(entry, start))
+    const endpoint = this._coldEndpoints.find(candidate => candidate.record.id === record.id) as ColdEndpoint
+    this.world.after(this.world.uniform(5, MAX_ANSWER_DELAY), undefined, () => {
+      const remaining = startKeyOf(endpoint.record) === start && !endpoint.silent ? endpoint.coldUntil - this.world.now : 0
+      if (remaining > 0) this.world.after(this.world.uniform(1, 5), process, () => this._heardCold(entry, start, remaining, now))
+    })
+    return true
+  }
+
+  private _heardCold (entry: Entry, start: string, remaining: number, askedAt: number): void {
+    if (entry.cold.heard(start, remaining, askedAt, this.world.now).length > 0) this._broadcastCold(entry, [{ start, remaining }])
+  }
+
+  private _broadcastCold (from: Entry, news: ColdNews): void {
+    if (!this._parts.sharesColdTimes) return
+    for (const entry of this._entries) {
+      if (entry === from || this.world.random() >= BROADCAST_SHARE || !this.world.connected(from.process, entry.process)) continue
+      this._deliverCold(entry, news)
+    }
+  }
+
+  private _deliverCold (entry: Entry, news: ColdNews): void {
+    this.world.after(this.world.uniform(2, 16), entry.process, () => {
+      const changes = entry.cold.told(news, this.world.now)
+      if (changes.length > 0) this._broadcastCold(entry, changes)
+    })
+  }
+
+  private _arriveCold (entry: Entry, start: string): void {
+    const { now } = this.world
+    const endpoint = this._coldEndpoints.find(({ record }) => startKeyOf(record) === start)
+    if (endpoint === undefined || now >= endpoint.coldUntil || now < endpoint.countedSince) return
+    if (entry.startedAt > endpoint.knownTo || (endpoint.unlisted && (this._partitioned || now < entry.exemptUntil))) return
+    endpoint.arrivals = endpoint.arrivals.filter(at => at > now - COLD_WINDOW)
+    endpoint.arrivals.push(now)
+    if (endpoint.arrivals.length > COLD_ALLOWED) this.world.recordViolation(`within-cold-rate: ${endpoint.arrivals.length} requests reached a cold endpoint in one second, in a fleet of ${this._entries.length} entries`)
+  }
+
   private _answered (entry: Entry, index: number, limit: number | undefined, askedAt: number): void {
     const { now } = this.world
     const endpoint = this._endpoints[index] as Endpoint
@@ -221,6 +380,7 @@
     for (const zone of ZONES) {
       const other = this.world.pick(this._entries.filter(({ process }) => process.availabilityZone === zone)) as Entry
       this._deliver(entry, other.limits.known(this.world.now))
+      if (this._parts.sharesColdTimes) this._deliverCold(entry, other.cold.known(this.world.now))
     }
   }
 
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -164,15 +164,19 @@
 /** Largest factor by which a burst exceeds the usual load. */
 const MAX_BURST_FACTOR = 6
 
-/** Limits that endpoints announce: all entries together stay within them, and learn when they end. */
+/** Limits that endpoints announce, and cold endpoints: all entries together stay within them, and learn when limits end. */
 export const limitScenario: Scenario<LimitWorld, LimitParts> = {
   name: 'limits',
-  promises: ['within-limit', 'limit-ends'],
+  promises: ['within-limit', 'limit-ends', 'within-cold-rate'],
   create: (seed, parts) => new LimitWorld(seed, parts),
   actions: [
     { name: 'load', valueCount: 1, weight: 6, run: (subject, [length = 0]) => subject.load(length / 1_000 * 2 * MAX_LOAD_TIME, 1) },
     { name: 'burst', valueCount: 2, weight: 2, run: (subject, [length = 0, factor = 0]) => subject.load(length / 1_000 * MAX_LOAD_TIME, 1 + factor / 1_000 * MAX_BURST_FACTOR) },
     { name: 'name-limit', valueCount: 2, weight: 3, run: (subject, [endpoint = 0, limit = 0]) => subject.setLimit(endpoint, LIMITS[limit % LIMITS.length] ?? LIMITS[0]) },
+    { name: 'start-cold', valueCount: 2, weight: 3, run: (subject, [endpoint = 0, stated = 0]) => subject.startCold(endpoint, stated % 2 === 0) },
+    { name: 'cold-again', valueCount: 2, weight: 2, run: (subject, [endpoint = 0, listed = 0]) => subject.becomeColdAgain(endpoint, listed % 2 === 0) },
+    { name: 'evacuate', valueCount: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.evacuate(endpoint) },
+    { name: 'restart-all', valueCount: 0, run: subject => subject.restartAll() },
     { name: 'end-limit', valueCount: 1, run: (subject, [endpoint = 0]) => subject.endLimit(endpoint) },
     { name: 'restart', valueCount: 1, weight: 2, run: (subject, [entry = 0]) => subject.restart(entry) },
     { name: 'cut-zone', valueCount: 1, run: (subject, [zone = 0]) => subject.cutZone(zone) },
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -8,7 +8,7 @@
  * protection serves; a variant that survives shows a gap in the scenario.
  */
 import {
-  AdmissionController, AnswerStream, AttemptTracker, ClaimKeeper, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
+  AdmissionController, AnswerStream, AttemptTracker, ClaimKeeper, ColdEndpoints, coldTerms, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
   requestFailure, RetryAllowance, SuspectRequests, type SuspectStatus, type StoreAnswerKind, type StoreCall, type AttemptBounds, type AttemptEnd, type Configuration, type NextAction, type OnceEffect, type RetryPurpose, type Published, type PublishedChange, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
@@ -71,6 +71,21 @@
   override sparedFor (): undefined { return undefined }
 }
 
+/** Does not apply the limit on cold endpoints to its own requests. */
+class UnlimitedCold extends ColdEndpoints {
+  override sparedFor (): undefined { return undefined }
+}
+
+/** Takes every endpoint that is new in the list for one of the first list. */
+class UnpresumedCold extends ColdEndpoints {
+  override update (...[records, services, , now]: Parameters<ColdEndpoints['update']>): ReturnType<ColdEndpoints['update']> { return super.update(records, services, false, now) }
+}
+
+/** Ignores that a zone was reopened. */
+class UnreopenedCold extends ColdEndpoints {
+  override zoneReopened (): [] { return [] }
+}
+
 /** Records no losses, as would happen if requests were identified by ids that callers choose anew for each attempt. */
 class NonRecordingSuspects extends SuspectRequests {
   override lost (): void {}
@@ -289,6 +304,13 @@
   routed('cut-off-entries-not-counted', 'retry-bound', { fleet: () => new LatestCountFleet() }),
   limits('limits-not-heeded', 'within-limit', { limits: (...given) => new IgnoredLimits(...given) }),
   limits('each-entry-has-the-whole-limit', 'within-limit', { limits: (_entries, draw) => new EndpointLimits(() => 1, draw) }),
+  limits('cold-not-limited', 'within-cold-rate', { cold: (...given) => new UnlimitedCold(...given) }),
+  limits('each-entry-has-the-whole-cold-rate', 'within-cold-rate', { cold: (bounds, _entries, ...given) => new ColdEndpoints(bounds, () => 1, ...given) }),
+  limits('cold-shares-begin-full', 'within-cold-rate', { cold: (bounds, entries, _draw, _startedAt) => new ColdEndpoints(bounds, entries, () => 0.999, -Infinity) }),
+  limits('cold-permits-as-for-limits', 'within-cold-rate', { cold: (...given) => new ColdEndpoints(...given, bounds => ({ ...coldTerms(bounds), window: 4_000, permitLifetime: () => 1_000 })) }),
+  limits('starts-not-taken-for-cold', 'within-cold-rate', { cold: (...given) => new UnpresumedCold(...given) }),
+  limits('reopened-zones-not-cold', 'within-cold-rate', { cold: (...given) => new UnreopenedCold(...given) }),
+  limits('cold-times-not-told', 'within-cold-rate', { sharesColdTimes: false }),
   limits('ends-of-limits-not-told', 'limit-ends', { sharesLimits: false }),
   published('epochs-ignored', 'in-force-after-restore', { state: () => new EpochIgnoringState() }),
   published('watches-go-on', 'in-force-after-restore', { cursor: state => new EpochIgnoringCursor(state, publishedTopics) }),
--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -7,7 +7,7 @@
  * Applies the notices that endpoints send with their answers, and shares limits with the other entries through the agents that this
  * entry follows. An entry that sends an endpoint few requests sees few of its answers, and would notice neither a limit nor its end.
  */
-import { ColdEndpoints, EndpointLimits, EndpointNotices, readColdNews, readLimitNews, type ColdBounds, type ColdNews, type ColdReport, type EndpointGate, type EndpointNotice, type LimitNews, type PublishedState } from '@drumdrift/core'
+import { isColdNews, ColdEndpoints, EndpointLimits, EndpointNotices, readColdNews, readLimitNews, type ColdBounds, type ColdNews, type ColdReport, type EndpointGate, type EndpointNotice, type LimitNews, type PublishedState } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { NoticeLog } from '../observe/notice-log.js'
@@ -100,7 +100,7 @@
   coldSnapshot (): ColdNews { return this._cold.known(performance.now()) }
 
   private _send (news: LimitNews, to: 'some' | 'one', cold: readonly ColdReport[] = []): void {
-    const coldNews = cold.filter(({ remaining }) => remaining > 0).map(({ start, remaining }) => ({ start, remaining }))
+    const coldNews = cold.filter(({ remaining }) => isColdNews(remaining, -Infinity, 0)).map(({ start, remaining }) => ({ start, remaining }))
     if (news.length + coldNews.length > 0) this._dependencies.send(news, to, coldNews)
   }
 }
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -71,6 +71,8 @@
   crashesOnBody: string | undefined
   /** Limit in requests per second over all entries, announced in each response; `undefined` to announce none. */
   limit: number | undefined
+  /** Until when the worker is cold, in milliseconds of `performance.now()`; each response until then announces the remaining time. */
+  coldUntil = -Infinity
   /** Whether each response announces that the worker is leaving. */
   leaving = false
   /** Value of `retry-after` in refusals, in seconds; `undefined` to send none. */
@@ -96,7 +98,7 @@
   entry (service: string, zone: string, state = 'ready'): unknown {
     this._recordSequence += 1
     const models = this.model === '' || this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
-    return { service, address: this.address, zone, version: 'v1', slots: 16, state, coldRemainingMs: 0, stage: 'both', models, seq: this._recordSequence }
+    return { service, address: this.address, zone, version: 'v1', slots: 16, state, coldRemainingMs: Math.max(0, Math.round(this.coldUntil - performance.now())), stage: 'both', models, seq: this._recordSequence }
   }
 
   protected async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -113,6 +115,7 @@
     if (hasLeft) return
     response.on('close', () => { if (!response.writableFinished) this.abandoned += 1 })
     if (this.limit !== undefined) response.setHeader('server-limit', String(this.limit))
+    if (performance.now() < this.coldUntil) response.setHeader('x-cold-ms', String(Math.round(this.coldUntil - performance.now())))
     if (this.leaving) response.setHeader('server-leaving', '1')
     if (hasOtherVersion) return modeHandlers['wrong-version'](this, request, response)
     if (body === this.crashesOnBody) return this._crash(request, response)
