--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * published state, follows the load of the engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ageOf, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
+import { ageOf, publishedTopics, readNamedVersion, RouteTable, type ColdBounds, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -93,7 +93,8 @@
       log: _log,
       counters: this._counters,
       entries: now => this._units.entries(now),
-      send: (news, to) => this._follower.sendToSome({ type: 'limits', news }, to === 'one' ? 1 : undefined)
+      coldBounds: coldBoundsOf(_settings),
+      send: (news, to, cold) => this._follower.sendToSome({ type: 'limits', news, ...(cold.length > 0 ? { cold } : {}) }, to === 'one' ? 1 : undefined)
     })
     this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
     this._feed = new PublishedFeed({
@@ -138,7 +139,7 @@
       log: _log,
       counters: this._counters
     })
-    this._cancellations = runPeriodically(() => this._front.rescheduleCancellations(), CANCELLATION_INTERVAL)
+    this._cancellations = runPeriodically(() => this._onCancellationTimer(), CANCELLATION_INTERVAL)
     this._readiness = new ReadinessServer(text('process', 'readiness-address'), platform.dialect.readinessPath, () => this._ready && !this._stopping)
     this._server = new PeerServer({
       ...self, address: text('process', 'address'), log: _log, traffic: this._traffic, onRequest: (request, _payload, responder) => this._answer(request, responder)
@@ -208,16 +209,17 @@
 
   private _onRelayedMessage (reply: RelayedMessage, agent: string): void {
     if (reply.type === 'suspects') this._suspects.receive(reply.news, agent)
-    else this._notices.receive(reply.news, agent)
+    else this._notices.receive(reply.news, agent, reply.cold)
   }
 
   /** The state that a newly connected agent receives and passes on to entries that have restarted. */
   private _sharedState (): PeerRequest[] {
     const suspects = this._suspects.snapshot()
     const limits = this._notices.snapshot()
+    const cold = this._notices.coldSnapshot()
     return [
       ...(suspects.losses.length > 0 ? [{ type: 'suspects', news: suspects } as const] : []),
-      ...(limits.length > 0 ? [{ type: 'limits', news: limits } as const] : [])
+      ...(limits.length + cold.length > 0 ? [{ type: 'limits', news: limits, ...(cold.length > 0 ? { cold } : {}) } as const] : [])
     ]
   }
 
@@ -283,6 +285,7 @@
     const { state } = this._feed
     if (changes.some(({ type }) => type === 'configuration') && state.configuration !== undefined) this._applyConfiguration(state.configuration)
     for (const change of changes) this._logChange(change)
+    this._notices.apply(state)
     this._units.apply(state)
     this._follower.follow(this._units.followed)
     this._applyEvacuations(changes)
@@ -318,11 +321,18 @@
    */
   private _onZoneReopened (zone: string, revision: number, at: number): void {
     this._counters.add('evacuations_ended')
+    this._notices.zoneReopened(zone, at)
     this._log.warn('evacuation-ended', { zone, epoch: this._feed.state.epoch, revision, endpoints: this._endpointsIn(zone), age: Math.round(performance.now() - at) })
   }
 
   private _endpointsIn (zone: string): number { return this._feed.state.endpoints().filter(({ availabilityZone }) => availabilityZone === zone).length }
 
+  /** An entry in the list that is written again and says the same is no change of the list, but may say that an endpoint is not cold. */
+  private _onCancellationTimer (): void {
+    this._front.rescheduleCancellations()
+    if (this._notices.awaitsEntries) this._notices.apply(this._feed.state)
+  }
+
   /** Attempts that wait at an engine may have been sent before a newer version, or the time of its publication, was known. */
   private _onVersionsChanged (changes: readonly PublishedChange[]): void {
     this._front.rescheduleCancellations()
@@ -371,6 +381,12 @@
   return memory === 0 ? Infinity : BUFFER_SHARE_OF_MEMORY * memory * BYTES_PER_MEGABYTE
 }
 
+/** The limit on requests to cold endpoints; `undefined` unless both settings are given. */
+function coldBoundsOf (settings: Settings): ColdBounds | undefined {
+  const isGiven = settings.text('requests', 'cold-rate-factor') !== '' && settings.text('requests', 'cold-rate-slack') !== ''
+  return isGiven ? { factor: settings.number('requests', 'cold-rate-factor'), slack: settings.number('requests', 'cold-rate-slack') } : undefined
+}
+
 function retryTermsOf (settings: Settings): RetryLimits {
   const number = (key: string): number => settings.number('requests', key)
   return { ratio: number('retry-ratio'), slack: number('retry-slack'), window: number('retry-window-seconds') * 1000 }
