Admit requests late instead of refusing them, and tell engines urgencies

Cause: a request that could not be in time was refused at once, although its caller waits for 6 s and engines have a queue.

Change: a request that is expected to be answered before its deadline is admitted late and waits in the engine's queue behind those in time, within bounds for each engine and entry. Engines are told urgencies where the requests of a service differ, and expected times leave out the waiting requests that let this one go first. Under shortage the admission bound is lowered for the less urgent, and for an organisation that sends far more than its fair share. Plain requests are sent if they are expected within their deadline.

--- a/packages/benchmarks/src/lib/policy/policies.ts
+++ b/packages/benchmarks/src/lib/policy/policies.ts
@@ -38,8 +38,10 @@
   readonly work: (engine: number) => EngineWork
 }
 
-const MODEL = 'model'
-const ZONE = 'zone'
+/** The name of the simulated pool's model. */
+export const MODEL = 'model'
+/** The availability zone of all simulated processes. */
+export const ZONE = 'zone'
 
 /** The product's chooser with early refusal; `_filterReport` reduces a load report to what the chooser receives. */
 class ChooserPolicy implements EntryPolicy {
@@ -132,6 +134,7 @@
 
 function pickRandom (engines: readonly number[], random: number): number | undefined { return engines[Math.floor(random * engines.length)] }
 
-function recordOf (index: number): EndpointRecord {
+/** The record of a simulated engine. */
+export function recordOf (index: number): EndpointRecord {
   return { id: String(index), service: 'pool', address: `10.0.0.${index}:80`, availabilityZone: ZONE, slots: 0, draining: false, models: [{ model: MODEL, version: 1 }] }
 }
--- a/packages/benchmarks/src/lib/policy/virtual-engine.ts
+++ b/packages/benchmarks/src/lib/policy/virtual-engine.ts
@@ -14,6 +14,10 @@
 export interface EngineJob {
   readonly promptTokens: number
   readonly answerTokens: number
+  /** The order in the queue, the least first; in order of arrival among equals. */
+  readonly urgency?: number | undefined
+  /** When the caller gives up, in virtual time; the engine then drops the request. */
+  readonly deadline?: number | undefined
   readonly onFirstToken: () => void
   readonly onEnd: () => void
 }
@@ -24,6 +28,9 @@
   left: number
 }
 
+/** The urgency of a request that names none. */
+const DEFAULT_URGENCY = 5
+
 /** A simulated engine with continuous batching. */
 export class VirtualEngine {
   private readonly _waiting: EngineJob[] = []
@@ -32,12 +39,14 @@
   /** Whether the engine accepts new requests. */
   accepting = true
 
-  constructor (private readonly _pool: PoolDescription, private readonly _time: VirtualTime) {}
+  /** @param _maxWaiting The length of the queue beyond which requests are rejected. */
+  constructor (private readonly _pool: PoolDescription, private readonly _time: VirtualTime, private readonly _maxWaiting = Infinity) {}
 
   /** Queues a request. Returns false if the engine does not accept requests. */
   send (job: EngineJob): boolean {
-    if (!this.accepting) return false
-    this._waiting.push(job)
+    if (!this.accepting || this._waiting.length >= this._maxWaiting) return false
+    const position = this._waiting.findIndex(other => (other.urgency ?? DEFAULT_URGENCY) > (job.urgency ?? DEFAULT_URGENCY))
+    this._waiting.splice(position < 0 ? this._waiting.length : position, 0, job)
     if (!this._busy) this._startPass()
     return true
   }
@@ -70,10 +79,13 @@
     this._time.after(duration, () => this._endPass(generating, prefilling))
   }
 
+  private _isDue ({ deadline }: EngineJob): boolean { return deadline !== undefined && deadline <= this._time.now }
+
   private _admit (): void {
     while (this._running.length < this._pool.slots) {
       const job = this._waiting.shift()
       if (job === undefined) return
+      if (this._isDue(job)) continue
       this._running.push({ job, unread: job.promptTokens, left: job.answerTokens })
     }
   }
@@ -81,7 +93,7 @@
   private _endPass (generating: readonly RunningJob[], prefilling: readonly RunningJob[]): void {
     for (const request of generating) request.left = Math.max(0, request.left - this._pool.stride)
     const ended = this._running.filter(({ unread, left }) => unread === 0 && left === 0)
-    this._running = this._running.filter(running => !ended.includes(running))
+    this._running = this._running.filter(running => !ended.includes(running) && !this._isDue(running.job))
     for (const { job } of prefilling.filter(({ unread }) => unread === 0)) job.onFirstToken()
     for (const { job } of ended) job.onEnd()
     this._startPass()
--- a/packages/core/src/lib/routing/attempts/early-refusal.ts
+++ b/packages/core/src/lib/routing/attempts/early-refusal.ts
@@ -16,6 +16,8 @@
   readonly objective: number
   /** The mean objective of the service's requests: see `UsualObjective`. */
   readonly usualObjective: number
+  /** The factor on the bound of a request that gives way to others: see `AdmissionOrder`. */
+  readonly boundFactor?: number | undefined
 }
 
 /** An admission decision. */
@@ -69,8 +71,8 @@
  * @example
  * const decision = decideAdmission({ expected: 900, objective: 400, usualObjective: 440 })
  */
-export function decideAdmission ({ expected, objective, usualObjective }: AdmissionInput): AdmissionDecision {
-  if (expected <= Math.min(objective, ADMISSION_SHARE * usualObjective)) return { type: 'start' }
+export function decideAdmission ({ expected, objective, usualObjective, boundFactor = 1 }: AdmissionInput): AdmissionDecision {
+  if (expected <= boundFactor * Math.min(objective, ADMISSION_SHARE * usualObjective)) return { type: 'start' }
   return { type: 'refuse' }
 }
 
--- a/packages/core/src/lib/routing/choice/endpoint-choice.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-choice.ts
@@ -6,6 +6,8 @@
 /**
  * The requirements of a request on its endpoint, and the estimates for an endpoint that may be chosen for it.
  */
+import type { LateTerms } from './late-placement.js'
+import type { QueuePlace } from './queue-mix.js'
 import type { EndpointRecord } from '../published/endpoint-record.js'
 
 /** The location of an entry, and the mapping of availability zones to regions. */
@@ -27,6 +29,12 @@
   readonly mustBeginBy: (version: number) => number | undefined
   /** The mean objective of the service's requests, in milliseconds: see `UsualObjective`. */
   readonly usualObjective: number
+  /** Its place in the queues of engines; `undefined` if the service's requests do not differ and it is in time. */
+  readonly place?: QueuePlace | undefined
+  /** The recent ratio of measured to modelled waits at its place; 1 by default. See `QueueWaits`. */
+  readonly slowness?: number | undefined
+  /** Set for a request that is late and waits behind those in time. */
+  readonly late?: LateTerms | undefined
   /** Incarnations of endpoints that this request was already sent to. */
   readonly tried: ReadonlySet<string>
 }
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -10,13 +10,15 @@
 import { Ejection } from '../../ejection.js'
 import type { EndpointCandidate, ChosenEndpoint, EndpointRequirements, EntryLocation } from './endpoint-choice.js'
 import { SOON_ENOUGH_SHARE, costOf, distanceFactor } from './choice-price.js'
-import { prefillTime } from './engine-model.js'
+import { generationTimeWhenFull, prefillTime } from './engine-model.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import { COMMON_PLACE, QueueMix, type QueuePlace } from './queue-mix.js'
+import { takesLate } from './late-placement.js'
 import type { PoolOpening } from '../attempts/early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
 import { startKeyOf, type EndpointRecord } from '../published/endpoint-record.js'
-import type { ServiceDescription } from '../published/routing-configuration.js'
+import type { PoolDescription, ServiceDescription } from '../published/routing-configuration.js'
 import { RequestRate } from './request-rate.js'
 import { MeanResponseTime } from './mean-response-time.js'
 import { cancellationTime, mayStartTooLate } from './version-deadline.js'
@@ -62,6 +64,7 @@
   private _followed: readonly EndpointRecord[] = []
   private _others: readonly EndpointRecord[] = []
   private readonly _plainTime = new MeanResponseTime()
+  private readonly _mix = new QueueMix()
 
   /**
    * @param _random Returns random numbers in [0, 1).
@@ -118,10 +121,11 @@
   }
 
   /** Records a request that was sent to the chosen endpoint. */
-  sent (choice: ChosenEndpoint, request: string, promptTokens: number, now: number): void {
+  sent (choice: ChosenEndpoint, request: string, promptTokens: number, now: number, place: QueuePlace = COMMON_PLACE): void {
     this._sentRate.sent(now)
+    this._mix.sent(place)
     const start = startKeyOf(choice.record)
-    this._stateOfStart(start).load.sent(request, promptTokens, now)
+    this._stateOfStart(start).load.sent(request, promptTokens, now, place)
     this._ejection.chosen(start)
     this._gate.sent(start, now)
   }
@@ -153,13 +157,14 @@
   private _chooseAmong (records: readonly EndpointRecord[], service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
     const open = records.filter(record => this._isOpen(record, service, need, now))
     const usable = new Set(this._ejection.usable(open.map(startKeyOf), now))
+    if (service.pool !== undefined) this._mix.update(this._states.values(), service.pool, this.sentRate(now), now)
     const inTime = open.filter(record => usable.has(startKeyOf(record)))
       .map(record => this._candidateOf(record, service, need, now, open.length))
-      .filter(choice => !mayStartTooLate(choice, need, now))
+      .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
     const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view))
-    const picked = this._pick(choices, costs, service, now)
+    const picked = this._pick(choices, costs, service, need, now)
     return picked === undefined ? undefined : this._choiceOf(picked, service, need, now)
   }
 
@@ -210,17 +215,18 @@
    * Picks an engine of a pool at random, because all entries act on the same load reports, and adds the requests of other entries to
    * the expected time. For a plain service it picks the cheapest endpoint.
    */
-  private _pick (choices: readonly EndpointCandidate[], costs: readonly number[], { pool }: ServiceDescription, now: number): PickedCandidate | undefined {
+  private _pick (choices: readonly EndpointCandidate[], costs: readonly number[], { pool }: ServiceDescription, { place = COMMON_PLACE }: EndpointRequirements, now: number): PickedCandidate | undefined {
     if (pool === undefined) return pickAt(choices, costs.indexOf(Math.min(...costs)), 0)
     const even = { costs, step: prefillTime(pool, pool.usualPromptTokens), requests: this._sentByOthers(now) }
     const index = chooseEvenly(even, this._random())
-    return pickAt(choices, index, Math.max(0, levelOf(even) - (costs[index] ?? 0)))
+    const level = levelOf({ ...even, requests: even.requests * this._mix.shareUntil(place) })
+    return pickAt(choices, index, Math.max(0, level - (costs[index] ?? 0)))
   }
 
-  private _choiceOf ({ candidate, waitFromOthers }: PickedCandidate, { pool }: ServiceDescription, { promptTokens }: EndpointRequirements, now: number): ChosenEndpoint {
+  private _choiceOf ({ candidate, waitFromOthers }: PickedCandidate, { pool }: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint {
     const expected = candidate.expected + waitFromOthers
-    if (pool === undefined || promptTokens <= pool.usualPromptTokens) return { ...candidate, expected, expectedOfUsual: expected }
-    const usual = this._stateOf(candidate.record).load.expectedFirstEvent(pool, pool.usualPromptTokens, now)
+    if (pool === undefined || need.promptTokens <= pool.usualPromptTokens) return { ...candidate, expected, expectedOfUsual: expected }
+    const usual = this._expectedFirstEvent(this._stateOf(candidate.record).load, pool, need, pool.usualPromptTokens, now)
     return { ...candidate, expected, expectedOfUsual: usual + waitFromOthers }
   }
 
@@ -262,11 +268,27 @@
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
     const { load } = this._stateOf(record)
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
-    const expected = service.pool === undefined ? load.expectedPlainAnswer(slots, this._plainTime.value(now), now) : load.expectedFirstEvent(service.pool, need.promptTokens, now)
+    const expected = service.pool === undefined ? load.expectedPlainAnswer(slots, this._plainTime.value(now), now) : this._expectedFirstEvent(load, service.pool, need, need.promptTokens, now)
     const version = service.pool === undefined ? 0 : this.versionOf(record, need.model, now)
     return { record, expected, version, reportAge: load.reportAge(now), roundTrip: load.longestRoundTrip(now), candidates }
   }
 
+  /** The expected time with the place of the request in the engine's queue. */
+  private _expectedFirstEvent (load: EndpointLoad, pool: PoolDescription, { slowness = 1, place = COMMON_PLACE }: EndpointRequirements, promptTokens: number, now: number): number {
+    return slowness * load.expectedFirstEvent(pool, promptTokens, now, { place, yielding: this._mix.yieldingAt(load, place, now) })
+  }
+
+  /** Whether an engine takes the request if it is late. */
+  private _takesIfLate ({ record, expected }: EndpointCandidate, { pool }: ServiceDescription, { late, answerTokens }: EndpointRequirements, now: number): boolean {
+    if (late === undefined || pool === undefined) return true
+    const { load } = this._stateOf(record)
+    const closesAt = load.closesAt(now)
+    const { ownLate, ownShare, engines } = this._mix
+    return takesLate(pool, {
+      expected, generation: generationTimeWhenFull(pool, answerTokens), waiting: load.waiting(pool, now), closesIn: closesAt === undefined ? undefined : closesAt - now, own: load.waitingLate, ownInAll: ownLate, ownShare, engines
+    }, late)
+  }
+
   private _stateOf (record: EndpointRecord): EndpointState { return this._stateOfStart(startKeyOf(record)) }
 
   private _stateOfStart (start: string): EndpointState {
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -9,6 +9,7 @@
  */
 import { decay } from '../decay.js'
 import { firstTokenTime, prefillRate } from './engine-model.js'
+import { COMMON_PLACE, type QueuePlace } from './queue-mix.js'
 import type { PoolDescription } from '../published/routing-configuration.js'
 
 /** The load of an engine, as reported by its agent. */
@@ -44,9 +45,20 @@
 interface RequestInFlight {
   readonly promptTokens: number
   readonly sentAt: number
+  readonly place: QueuePlace
   begun: boolean
 }
 
+/** How a request passes others in an engine's queue. */
+interface Passing {
+  readonly place: QueuePlace
+  /** The number of reported requests in the queue that let it go first. */
+  readonly yielding: number
+}
+
+/** Of a request that goes behind all that wait. */
+const NO_PASSING: Passing = { place: { urgency: Infinity, late: true }, yielding: 0 }
+
 /** The age of a report when it was sent, in milliseconds; 0 if the reported age is implausible. */
 export function ageOf ({ age }: LoadReport): number {
   return typeof age === 'number' && age >= 0 && age <= REPORT_LIFETIME ? age : 0
@@ -163,8 +175,21 @@
     return Math.max(this._roundTrip, this._pingStartedAt === undefined ? 0 : now - this._pingStartedAt)
   }
 
-  sent (request: string, promptTokens: number, now: number): void {
-    this._sent.set(request, { promptTokens, sentAt: now, begun: false })
+  /** The number of late requests of this entry that wait here. */
+  get waitingLate (): number {
+    let count = 0
+    for (const { late } of this.notBegun()) if (late) count += 1
+    return count
+  }
+
+  /** The places of the requests of this entry that have not begun here, and were sent until the given time. */
+  * notBegun (sentUntil = Infinity): Generator<QueuePlace> {
+    for (const { place, begun, sentAt } of this._sent.values()) if (!begun && sentAt <= sentUntil) yield place
+  }
+
+  /** Records a request, with its place in the engine's queue. */
+  sent (request: string, promptTokens: number, now: number, place = COMMON_PLACE): void {
+    this._sent.set(request, { promptTokens, sentAt: now, place, begun: false })
   }
 
   /**
@@ -176,7 +201,8 @@
     const sent = this._sent.get(request)
     if (sent === undefined || sent.begun) return
     sent.begun = true
-    if (predicted !== undefined && predicted > 0) this._addSlowness((now - sent.sentAt) / predicted, now)
+    // The wait of a late request depends on the more urgent ones that arrive meanwhile, not on the pace of the engine.
+    if (predicted !== undefined && predicted > 0 && !sent.place.late) this._addSlowness((now - sent.sentAt) / predicted, now)
   }
 
   /**
@@ -202,12 +228,13 @@
   /**
    * The expected time to the first event of a request that is sent now, in milliseconds.
    *
+   * @param passes The place of the request in the queue, and the number of requests there that let it go first.
    * @example
    * const wait = load.expectedFirstEvent(pool, 1_290, now)
    */
-  expectedFirstEvent (pool: PoolDescription, promptTokens: number, now: number): number {
+  expectedFirstEvent (pool: PoolDescription, promptTokens: number, now: number, passes = NO_PASSING): number {
     const report = this.report(now)
-    const work = report === undefined ? this._assumedWork(pool) : this._correctedWork(report, pool, now)
+    const work = report === undefined ? this._assumedWork(pool) : this._correctedWork(report, pool, now, passes)
     const pace = Math.max(report?.pace ?? 1, this.slowness(now))
     return pace * firstTokenTime(pool, work, promptTokens) + this.roundTrip(now)
   }
@@ -234,18 +261,25 @@
     return Math.max(0, unreadTokens - this.reportAge(now) * prefillRate(pool))
   }
 
-  private _correctedWork (report: LoadReport, pool: PoolDescription, now: number): { running: number, waiting: number, waitingTokens: number } {
+  /** The number of requests in the engine's queue, with those sent since its last report; 0 if there is none. */
+  waiting (pool: PoolDescription, now: number): number {
+    const report = this.report(now)
+    return report === undefined ? 0 : this._correctedWork(report, pool, now, NO_PASSING).waiting
+  }
+
+  private _correctedWork (report: LoadReport, pool: PoolDescription, now: number, { place, yielding }: Passing): { running: number, waiting: number, waitingTokens: number } {
     let sentSince = 0
     let tokensSince = 0
-    for (const { promptTokens, sentAt, begun } of this._sent.values()) {
-      if (begun || sentAt < this._reportedAt - REPORT_DELAY) continue
+    for (const { promptTokens, sentAt, begun, place: other } of this._sent.values()) {
+      if (begun || other.urgency > place.urgency || sentAt < this._reportedAt - REPORT_DELAY) continue
       sentSince += 1
       tokensSince += promptTokens
     }
+    const waiting = Math.max(0, report.waiting - yielding)
     return {
       running: Math.max(0, report.running - this._endedSinceReport),
-      waiting: report.waiting + sentSince,
-      waitingTokens: report.waiting * pool.usualPromptTokens + tokensSince + this._unreadTokens(report, pool, now)
+      waiting: waiting + sentSince,
+      waitingTokens: waiting * pool.usualPromptTokens + tokensSince + this._unreadTokens(report, pool, now)
     }
   }
 
--- a/packages/core/src/lib/routing/choice/engine-model.ts
+++ b/packages/core/src/lib/routing/choice/engine-model.ts
@@ -39,6 +39,12 @@
   return pool.usualAnswerTokens * stepTime(pool, running) + prompts
 }
 
+/** The time from the first to the last token of an answer in a full engine, in milliseconds; of usual length if its length is unknown. */
+export function generationTimeWhenFull (pool: PoolDescription, answerTokens: number): number {
+  const typical = typicalGenerationTime(pool, pool.slots)
+  return answerTokens > 0 && pool.usualAnswerTokens > 0 ? typical * answerTokens / pool.usualAnswerTokens : typical
+}
+
 /** The prefill rate of an engine, in prompt tokens per millisecond; an assumed rate if its pool is unknown. */
 export function prefillRate (pool: PoolDescription | undefined): number {
   return pool !== undefined && pool.promptTokensPerMillisecond > 0 ? pool.promptTokensPerMillisecond : ASSUMED_PREFILL_RATE
--- a/packages/core/src/lib/routing/published/routing-configuration.ts
+++ b/packages/core/src/lib/routing/published/routing-configuration.ts
@@ -166,6 +166,23 @@
   }
 }
 
+/** The urgency of a request, 0 for the most urgent: the priority of its organisation if it has one, otherwise its route's. */
+export function urgencyOf ({ priority }: Pick<Route, 'priority'>, organisation: Pick<OrganisationDescription, 'priority'> | undefined): number {
+  return organisation?.priority ?? priority
+}
+
+/**
+ * The urgencies that requests to a service may have.
+ *
+ * @example
+ * const differ = new Set(urgenciesOf('drafting', configuration)).size > 1
+ */
+export function urgenciesOf (service: string, configuration: Pick<RoutingConfiguration, 'routes' | 'organisations'> | undefined): number[] {
+  const routes = configuration?.routes.filter(({ targets }) => targets.some(target => target.service === service)) ?? []
+  const organisations = routes.length === 0 ? [] : configuration?.organisations.flatMap(({ priority }) => priority ?? []) ?? []
+  return [...routes.map(({ priority }) => priority), ...organisations]
+}
+
 /**
  * Picks a service of a route at random, in proportion to the weights of its targets.
  *
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -100,6 +100,8 @@
   readonly version: number
   /** The last event that the caller has; `undefined` for a new answer. */
   readonly resumeAfter: string | undefined
+  /** The order in the endpoint's queue, 0 (first) to 9; `undefined` if it is not to be told. */
+  readonly urgency?: number | undefined
 }
 
 /** The head of an endpoint's answer, independent of the platform. */
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -34,6 +34,17 @@
   | { readonly type: 'refused' | 'failed', readonly failure: RequestFailure }
   | { readonly type: 'abandoned' }
 
+/** How an attempt is sent, as it is logged. */
+export interface SentAttempt {
+  /** The time until the deadline, in milliseconds. */
+  readonly remaining: number
+  /** Whether it cannot be in time and waits behind all others. */
+  readonly late: boolean
+  readonly resumeAfter: string | undefined
+  /** Other endpoints that receive no requests because they asked for it, by reason. */
+  readonly spared: string | undefined
+}
+
 /** An attempt that has ended, as it is logged. */
 export interface EndedAttempt {
   /** Counted from 1. */
@@ -53,15 +64,14 @@
 
   /**
    * Records that an attempt was sent.
-   *
-   * @param spared Other endpoints that receive no requests because they asked for it, by reason.
    */
-  attemptSent (number: number, choice: ChosenEndpoint, remaining: number, resumeAfter: string | undefined, spared: string | undefined): void {
+  attemptSent (number: number, choice: ChosenEndpoint, { remaining, late, resumeAfter, spared }: SentAttempt): void {
     const { head, route } = this._request
     const { record, expected, version, reportAge, roundTrip, candidates } = choice
     this._dependencies.counters.add('attempts')
+    if (late && number === 1) this._dependencies.counters.add('requests_admitted_late')
     this._dependencies.log.request('request-sent', {
-      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: roundedIfFinite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, resume_after: resumeAfter, spared
+      id: head.id, route: route.name, attempt: number, endpoint: record.id, zone: record.availabilityZone, expected: Math.round(expected), version, load_age: roundedIfFinite(reportAge), round_trip: Math.round(roundTrip), candidates, prompt: head.promptTokens, remaining, admitted: late ? 'late' : undefined, resume_after: resumeAfter, spared
     })
   }
 
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  AttemptTracker, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
+  AttemptTracker, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -66,6 +66,8 @@
   private readonly _progress: StreamProgress
   private _attempt: EndpointAttempt | undefined
   private _attempts = 0
+  /** Whether it was admitted although it cannot be in time: see `ServiceAdmission`. */
+  private _late = false
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
   private readonly _fingerprint = once(() => this._dependencies.fingerprint(this._request))
@@ -95,11 +97,11 @@
     this._usualObjective = this._unit?.objective.observe(route.objective) ?? route.objective
     this._objectiveDeadline = this._request.receivedAt + route.objective - this._elapsedSinceFirstTry()
     if (this._dependencies.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
-    const choice = this._choose(now)
-    if (choice === undefined) return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
-    const decision = decideAdmission({ expected: choice.expectedOfUsual, objective: route.objective, usualObjective: this._usualObjective })
-    if (decision.type === 'refuse') return this._refuse('overloaded', `the expected answer time of ${Math.round(choice.expected)} ms is too long`)
-    this._send(choice, now)
+    const admission = this._unit?.admission.decide({ ...this._terms(now), service: this._unit.description, objective: route.objective }, now) ?? { type: 'no-endpoint' }
+    if (admission.type === 'no-endpoint') return this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
+    if (admission.type === 'overloaded') return this._refuse('overloaded', `the expected answer time of ${Math.round(admission.expected)} ms is too long`)
+    this._late = admission.type === 'late'
+    this._send(admission.choice, now)
   }
 
   /** Aborts the attempt if this request is held back from now on and its engine may not have begun it yet. */
@@ -117,7 +119,16 @@
 
   private _choose (now: number): ChosenEndpoint | undefined {
     const unit = this._unit
-    return unit?.chooser.choose(unit.description, this._need(), now)
+    return unit?.chooser.choose(unit.description, unit.admission.need(this._terms(now), this._isLate, now), now)
+  }
+
+  /** Whether it waits behind those in time; a stream that is resumed does not. */
+  private get _isLate (): boolean { return this._late && !this._answer.begun }
+
+  private _terms (now: number): Pick<AdmissionRequest, 'need' | 'timeLeft' | 'sinceFirstTry' | 'urgency' | 'organisation'> {
+    const { route, organisation, receivedAt } = this._request
+    const sinceFirstTry = receivedAt + route.objective - this._objectiveDeadline
+    return { need: this._need(), timeLeft: this._deadline - now, sinceFirstTry, urgency: urgencyOf(route, organisation), organisation: organisation?.name }
   }
 
   /** The model whose versions apply to the request; empty for a plain service, whatever model the caller names. */
@@ -154,8 +165,11 @@
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) }
     })
     this._attempt = attempt
-    this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
-    this._record.attemptSent(this._attempts, choice, remaining, this._progress.lastEventId, formatExcludedCounts(this._unit, now))
+    const late = this._isLate
+    const place = this._unit?.admission.order.place(urgencyOf(route, this._request.organisation), late)
+    this._unit?.chooser.sent(choice, head.id, head.promptTokens, now, place)
+    if (place !== undefined) this._unit?.admission.sent(head.id, place, choice.expected, now)
+    this._record.attemptSent(this._attempts, choice, { remaining, late, resumeAfter: this._progress.lastEventId, spared: formatExcludedCounts(this._unit, now) })
     attempt.ended.then(end => this._onAttemptEnded(attempt, end))
   }
 
@@ -177,7 +191,8 @@
   private _endpointRequest (choice: ChosenEndpoint, remaining: number): EndpointRequest {
     const { head, method, path, body, organisation, route } = this._request
     const { record, version } = choice
-    const terms = { endpoint: record, remaining, organisation: organisation?.name, version, resumeAfter: this._progress.lastEventId }
+    const urgency = this._unit?.admission.urgencyFor(urgencyOf(route, organisation), this._isLate)
+    const terms = { endpoint: record, remaining, organisation: organisation?.name, version, urgency, resumeAfter: this._progress.lastEventId }
     const headers = this._dependencies.dialect.writeRequest(head, terms, body.length)
     return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: connectTimeout(route.objective) }
   }
@@ -195,6 +210,7 @@
     const now = performance.now()
     this._dependencies.suspects.recordAlive(startKeyOf(choice.record), now)
     this._unit?.chooser.load(startKeyOf(choice.record)).begun(this._request.head.id, choice.expected, now)
+    this._unit?.admission.begun(this._request.head.id, now)
     if (!this._answer.begun) this._record.firstEvent(now)
     this._answer.head(head)
     this._answer.data(events)
@@ -225,6 +241,7 @@
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
     const start = startKeyOf(choice.record)
+    this._unit?.admission.ended(this._request.head.id, now)
     // Failures don't count towards the response time of an endpoint: one at the deadline takes as long as the route allows. When they
     // did count, 40 of 684 plain requests in a day were refused because their endpoints were taken for slow.
     if (end.type === 'answered' && end.status < MIN_FAILURE_STATUS && head?.eventStream !== true) chooser.recordPlainAnswer(start, now - sentAt, now)
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -7,7 +7,7 @@
  * The services to which one entry routes, each with its endpoints and the entry's share of the retry budget. They follow the
  * published state.
  */
-import { EndpointChooser, type EndpointGate, enginesToFollow, FirstTryEstimator, FleetSize, isEarlierStart, RetryAllowance, startKeyOf, UsualObjective, type EndpointRecord, type LoadReport, type EntryLocation, type PublishedState, type RetryLimits, type ServiceDescription, type AgentZone } from '@drumdrift/core'
+import { EndpointChooser, type EndpointGate, enginesToFollow, FirstTryEstimator, FleetSize, isEarlierStart, RetryAllowance, startKeyOf, ServiceAdmission, urgenciesOf, UsualObjective, type EndpointRecord, type LoadReport, type EntryLocation, type PublishedState, type RetryLimits, type ServiceDescription, type AgentZone } from '@drumdrift/core'
 import { parseAddress } from '../settings/address.js'
 
 /** The routing state of one service at one entry. */
@@ -17,6 +17,7 @@
   readonly retries: RetryAllowance
   readonly objective: UsualObjective
   readonly firstTries: FirstTryEstimator
+  readonly admission: ServiceAdmission
 }
 
 /** The longest interval at which an agent polls its engine, in milliseconds: see the pauses of the engine switcher. */
@@ -62,6 +63,7 @@
     for (const description of state.configuration?.services ?? []) {
       const unit = this._units.get(description.name) ?? this._newUnit(description)
       unit.description = description
+      unit.admission.order.setUrgencies(urgenciesOf(description.name, state.configuration))
       this._units.set(description.name, unit)
       const records = endpoints.filter(({ service }) => service === description.name)
       if (description.pool === undefined) unit.chooser.setRecords(records)
@@ -93,7 +95,8 @@
 
   private _newUnit (description: ServiceDescription): ServiceUnit {
     const retries = new RetryAllowance(this._retryTerms, now => this.entries(now), performance.now())
-    return { description, chooser: new EndpointChooser(this._place, Math.random, this._gate), retries, objective: new UsualObjective(), firstTries: new FirstTryEstimator() }
+    const chooser = new EndpointChooser(this._place, Math.random, this._gate)
+    return { description, chooser, retries, objective: new UsualObjective(), firstTries: new FirstTryEstimator(), admission: new ServiceAdmission(chooser) }
   }
 
   /** Returns the rate of requests to the pool of an agent, per millisecond, and the number of engines that share them. */
