--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -52,7 +52,8 @@
   'endpoints-spared': 503,
   'region-not-allowed': 503,
   'zones-evacuated': 503,
-  'buffers-full': 503
+  'buffers-full': 503,
+  'gave-way': 503
 }
 
 /**
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, COLD_CONNECT_TIMEOUT, decideAdmission, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
+  allowedRegionsOf, AttemptTracker, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -53,6 +53,11 @@
  * its timeout, so this is less.
  */
 const DEADLINE_GRACE = 80
+/**
+ * A late request gives up its turn at an engine after this share of its remaining time: its wait depends on the more urgent requests that
+ * arrive meanwhile, and at another engine it starts at the end of the queue.
+ */
+const LATE_STALL_SHARE = 0.6
 /** An endpoint counts as reachable if its agent reported within this time, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT_AGE = 350
 
@@ -70,6 +75,8 @@
   private readonly _progress: StreamProgress
   private _attempt: EndpointAttempt | undefined
   private _attempts = 0
+  /** Whether it was admitted although it cannot be in time: see `ServiceAdmission`. */
+  private _late = false
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
   private readonly _fingerprint = once(() => this._dependencies.fingerprint(this._request))
@@ -101,11 +108,12 @@
     this._usualObjective = this._unit?.objective.observe(route.objective) ?? route.objective
     this._objectiveDeadline = this._request.receivedAt + route.objective - this._elapsedSinceFirstTry()
     if (this._dependencies.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
-    const choice = this._choose(now)
-    if (choice === undefined) return this._refuseWithoutEndpoint()
-    const decision = decideAdmission({ expected: choice.expectedOfUsual, objective: route.objective, usualObjective: this._usualObjective })
-    if (decision.type === 'refuse') return this._refuse('overloaded', `the expected answer time of ${Math.round(choice.expected)} ms is too long`)
-    this._send(choice, now)
+    const admission = this._unit?.admission.decide({ ...this._terms(now), service: this._unit.description, objective: route.objective }, now) ?? { type: 'no-endpoint' }
+    if (admission.type === 'no-endpoint') return this._refuseWithoutEndpoint()
+    if (admission.type === 'overloaded') return this._refuse('overloaded', `the expected answer time of ${Math.round(admission.expected)} ms is too long`)
+    if (admission.type === 'gave-way') return this._refuse('gave-way', `the pool is short, and the request gives way to others (expected answer time ${Math.round(admission.expected)} ms)`)
+    this._late = admission.type === 'late'
+    this._send(admission.choice, now)
   }
 
   /** Aborts the attempt if this request is held back from now on and its engine may not have begun it yet. */
@@ -123,7 +131,16 @@
 
   private _choose (now: number): ChosenEndpoint | undefined {
     const unit = this._unit
-    return unit?.chooser.choose(unit.description, this._need(), now)
+    return unit?.chooser.choose(unit.description, unit.admission.need(this._terms(now), this._isLate, now), now)
+  }
+
+  /** Whether it waits behind those in time; a stream that is resumed does not. */
+  private get _isLate (): boolean { return this._late && !this._answer.begun }
+
+  private _terms (now: number): Pick<AdmissionRequest, 'need' | 'timeLeft' | 'sinceFirstTry' | 'urgency' | 'organisation'> {
+    const { route, organisation, receivedAt } = this._request
+    const sinceFirstTry = receivedAt + route.objective - this._objectiveDeadline
+    return { need: this._need(), timeLeft: this._deadline - now, sinceFirstTry, urgency: urgencyOf(route, organisation), organisation: organisation?.name }
   }
 
   /** The model whose versions apply to the request; empty for a plain service, whatever model the caller names. */
@@ -154,6 +171,7 @@
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
+      stallTimeout: this._isLate ? LATE_STALL_SHARE * remaining : undefined,
       cancelAt: () => this._cancellationTime(choice)
     }, {
       readHead: response => this._readHead(response, choice, now),
@@ -161,8 +179,11 @@
       bodyPart: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardBodyPart(attempt, answerHead, bytes) }
     })
     this._attempt = attempt
-    this._unit?.chooser.sent(choice, head.id, head.promptTokens, now)
-    this._record.attemptSent(this._attempts, choice, remaining, this._progress.lastEventId, { cold: this._isCold(choice), spared: formatExcludedCounts(this._unit, now) })
+    const late = this._isLate
+    const place = this._unit?.admission.order.place(urgencyOf(route, this._request.organisation), late)
+    this._unit?.chooser.sent(choice, head.id, head.promptTokens, now, place)
+    if (place !== undefined) this._unit?.admission.sent(head.id, place, choice.expected, now)
+    this._record.attemptSent(this._attempts, choice, { remaining, late, urgency: this._unit?.admission.urgencyFor(urgencyOf(route, this._request.organisation), late), cold: this._isCold(choice), resumeAfter: this._progress.lastEventId, spared: formatExcludedCounts(this._unit, now) })
     attempt.ended.then(end => this._onAttemptEnded(attempt, end))
   }
 
@@ -184,7 +205,8 @@
   private _endpointRequest (choice: ChosenEndpoint, remaining: number): EndpointRequest {
     const { head, method, path, body, organisation, route } = this._request
     const { record, version } = choice
-    const terms = { endpoint: record, remaining, organisation: organisation?.name, version, resumeAfter: this._progress.lastEventId }
+    const urgency = this._unit?.admission.urgencyFor(urgencyOf(route, organisation), this._isLate)
+    const terms = { endpoint: record, remaining, organisation: organisation?.name, version, urgency, resumeAfter: this._progress.lastEventId }
     const headers = this._dependencies.dialect.writeRequest(head, terms, body.length)
     return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: this._isCold(choice) ? Math.min(COLD_CONNECT_TIMEOUT, connectTimeout(route.objective)) : connectTimeout(route.objective) }
   }
@@ -205,6 +227,7 @@
     const now = performance.now()
     this._dependencies.suspects.recordAlive(startKeyOf(choice.record), now)
     this._unit?.chooser.load(startKeyOf(choice.record)).begun(this._request.head.id, choice.expected, now)
+    this._unit?.admission.begun(this._request.head.id, now)
     if (!this._answer.begun) this._record.firstEvent(now)
     this._answer.head(head)
     this._answer.data(events)
@@ -250,6 +273,7 @@
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
     const start = startKeyOf(choice.record)
+    this._unit?.admission.ended(this._request.head.id, now)
     // Failures don't count towards the response time of an endpoint: one at the deadline takes as long as the route allows. When they
     // did count, 40 of 684 plain requests in a day were refused because their endpoints were taken for slow. Neither does the time that
     // a caller takes to read its answer.
@@ -300,13 +324,13 @@
     this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
   }
 
-  private _refuse (code: 'overloaded' | 'no-endpoint' | 'region-not-allowed' | 'zones-evacuated', detail: string): void {
+  private _refuse (code: 'overloaded' | 'gave-way' | 'no-endpoint' | 'region-not-allowed' | 'zones-evacuated', detail: string): void {
     const now = performance.now()
     const unit = this._unit
     const opening: PoolOpening = unit === undefined ? { type: 'unknown' } : unit.chooser.opening(unit.description, this._need(), now)
     const excluded = formatExcludedCounts(unit, now)
     const opensIn = opening.type === 'expected' ? `, which opens in ${Math.round(opening.in)} ms` : ''
-    const wait = retryAfter({ patience: Math.max(0, this._deadline - now), objective: this._objectiveDeadline - now }, this._dependencies.random(), opening)
+    const wait = retryAfter({ patience: Math.max(0, this._deadline - now), objective: this._objectiveDeadline - now, position: unit?.admission.order.returnPosition(urgencyOf(this._request.route, this._request.organisation)) }, this._dependencies.random(), opening)
     const exclusions = excluded === undefined ? '' : `, spared ${excluded}`
     const refusalCode = code === 'no-endpoint' && excluded !== undefined ? 'endpoints-spared' : code
     if (placementCodes.has(code)) this._dependencies.counters.add(`refused_${code.replaceAll('-', '_')}`)
