Benchmark of processor time: a start, an idle second, a second with streams

Cause: no benchmark ran the production build (bundle, code cache, options of deploy/system.toml) and read user time, system time and wakes by role; earlier figures came from scratch copies. `--program` measures another build beside it. The stand-in for a worker takes the number of events of a stream.

--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -20,6 +20,7 @@
   suspects: async () => (await import('./lib/suspects/suspects-bench.js')).suspectsBench,
   limits: async () => (await import('./lib/limits/limits-bench.js')).limitsBench,
   policy: async () => (await import('./lib/policy/policy-bench.js')).policyBench,
+  'processor-time': async () => (await import('./lib/processor-time-bench.js')).processorTimeBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
 
@@ -43,6 +44,7 @@
   .option('--seconds <number>', 'duration of the measurement in seconds', Number, 8)
   .option('--window <number>', 'number of chunks in flight at one agent', Number, 32)
   .option('--seeds <number>', 'number of seeds to run a simulation with', Number, 40)
+  .option('--program <file>', 'launcher of another build to measure')
   .option('--plot <file>', 'writes an SVG plot, where the benchmark has one')
   .option('--no-baselines', 'skips the baselines')
   .action(async (name: string, options: BenchOptions) => {
--- a/packages/benchmarks/src/lib/bench-options.ts
+++ b/packages/benchmarks/src/lib/bench-options.ts
@@ -21,6 +21,8 @@
   readonly seeds: number
   /** The file for a plot; `undefined` for no plot. */
   readonly plot: string | undefined
+  /** The launcher of a build to measure; `undefined` to build and measure this working tree. */
+  readonly program: string | undefined
   /** The number of chunks in flight at one agent. */
   readonly window: number
 }
--- a/packages/benchmarks/src/lib/process-reading.ts
+++ b/packages/benchmarks/src/lib/process-reading.ts
@@ -17,6 +17,25 @@
   return (Number(fields[11]) + Number(fields[12])) * MILLISECONDS_PER_TICK
 }
 
+/** What a process has used since its start. */
+export interface ProcessUse {
+  /** Processor time in the process's own code and in the kernel, in milliseconds. */
+  readonly user: number
+  readonly system: number
+  /** The number of times its main thread waited, which for an event loop is about the number of its wakes. */
+  readonly wakes: number
+  /** The most memory that was resident at once, in kilobytes. */
+  readonly resident: number
+}
+
+/** Returns what a process has used since its start. */
+export function readUse (pid: number): ProcessUse {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ')
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  const valueOf = (name: string): number => Number(new RegExp(`^${name}:\\s+(\\d+)`, 'm').exec(status)?.[1])
+  return { user: Number(fields[11]) * MILLISECONDS_PER_TICK, system: Number(fields[12]) * MILLISECONDS_PER_TICK, wakes: valueOf('voluntary_ctxt_switches'), resident: valueOf('VmHWM') }
+}
+
 /** Returns the machine's total processor time and the time stolen by the hypervisor so far, in ticks. */
 export function machineTicks (): { readonly all: number, readonly stolen: number } {
   const ticks = (readFileSync('/proc/stat', 'utf8').split('\n')[0] ?? '').split(/\s+/).slice(1, 9).map(Number)
--- a/packages/stand-ins/src/lib/users-platform/configuration.ts
+++ b/packages/stand-ins/src/lib/users-platform/configuration.ts
@@ -36,6 +36,17 @@
   }
 }
 
+/**
+ * Returns the configuration with long timeouts, distant objectives and one attempt for each request, and engines of some slots. On a busy
+ * machine, refusals and retries would make the requests of two runs cost different work.
+ */
+export function tolerantConfiguration (version: number, slots: number): Record<string, unknown> {
+  const base = wireConfiguration(version)
+  const routes = (base.routes as object[]).map(route => ({ ...route, timeoutMs: LONG_STREAM_TIMEOUT_MILLISECONDS, targetLatencyMs: LONG_STREAM_TIMEOUT_MILLISECONDS / 2, maxAttempts: 1 }))
+  const services = (base.services as Record<string, unknown>[]).map(service => service.engine === undefined ? service : { ...service, engine: { ...engine, slots } })
+  return { ...base, routes, services }
+}
+
 /** Parameters of `movingConfiguration`. */
 export interface MovingOptions {
   readonly version: number
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -44,7 +44,7 @@
 }
 
 const refusingModes: ReadonlySet<WorkerMode> = new Set(['sheds', 'wrong-instance', 'wrong-version'])
-/** Number of events of a complete stream. */
+/** Number of events of a complete stream by default. */
 export const EVENTS_PER_STREAM = 6
 /** Number of events sent before a stream is cut. */
 const EVENTS_BEFORE_CUT = 3
@@ -65,6 +65,8 @@
   abandoned = 0
   /** Milliseconds between the events of a stream. */
   eventPauseMilliseconds = EVENT_PAUSE_MILLISECONDS
+  /** Number of events of a complete stream. */
+  eventsPerStream = EVENTS_PER_STREAM
   /** Milliseconds that a new request waits in the queue before the worker handles it. Closing its connection removes it from the queue. */
   queueMilliseconds = 0
   /** The worker crashes, with all its running requests, when it starts a request with this body; `undefined` for never. */
@@ -205,7 +207,7 @@
 
 const modeHandlers: Record<WorkerMode, ModeHandler> = {
   whole: (worker, request, response) => {
-    if (isStreamed(request)) return sendEvents(worker, request, response, EVENTS_PER_STREAM, () => response.end())
+    if (isStreamed(request)) return sendEvents(worker, request, response, worker.eventsPerStream, () => response.end())
     response.writeHead(200, worker.head(request)).end(`answer of ${worker.id}`)
   },
   error: (worker, request, response) => { response.writeHead(500, worker.head(request)).end('failed') },
