Log: request lines without the logger's streams, writes without another thread

Cause: the three lines of a request each passed through the logger's three streams (5.7 in 100 of an entry's samples under load, perf), and fs.write handed each batch to a thread of the pool, which wakes that thread and then the event loop. Change: request lines go to the bounded output directly, and the common fields are formatted once. A pipe or socket is written by the event loop, a file at once; both without waiting for a reader. Other lines keep their way.

--- a/packages/node/src/lib/observe/bounded-output.ts
+++ b/packages/node/src/lib/observe/bounded-output.ts
@@ -7,7 +7,8 @@
  * Writes lines to a file descriptor without blocking the process. Node writes to a pipe synchronously, so a stalled reader
  * would block the process. Here lines are kept in a bounded buffer; lines that do not fit are dropped and counted.
  */
-import { write } from 'node:fs'
+import { fstatSync, write, writeSync } from 'node:fs'
+import { Socket } from 'node:net'
 import { Writable } from 'node:stream'
 
 /** Maximum number of buffered bytes: the output of a busy process over a few seconds. */
@@ -25,6 +26,33 @@
 /** Writes bytes to a file descriptor; compatible with `fs.write`. */
 export type DescriptorWrite = (descriptor: number, bytes: Buffer, callback: (error: NodeJS.ErrnoException | null, written: number) => void) => void
 
+/**
+ * Returns the cheapest way to write to a descriptor without waiting for a reader. `fs.write` hands each write to another thread and
+ * wakes this one again; a file needs neither, and the event loop writes to a pipe or a socket without blocking.
+ *
+ * @example
+ * const write = descriptorWrite(1)
+ */
+export function descriptorWrite (descriptor: number): DescriptorWrite {
+  const stats = fstatSync(descriptor)
+  if (stats.isFile()) return writeToFile
+  if (!stats.isFIFO() && !stats.isSocket()) return write
+  const socket = new Socket({ fd: descriptor, readable: false, writable: true })
+  // The callback of the write reports the error.
+  socket.on('error', () => {})
+  return (_descriptor, bytes, callback) => { socket.write(bytes, error => callback(error ?? null, error === undefined || error === null ? bytes.length : 0)) }
+}
+
+const writeToFile: DescriptorWrite = (descriptor, bytes, callback) => {
+  let written: number
+  try {
+    written = writeSync(descriptor, bytes)
+  } catch (error) {
+    return callback(error as NodeJS.ErrnoException, 0)
+  }
+  callback(null, written)
+}
+
 /** A stream that writes lines to a file descriptor. */
 export class BoundedOutput extends Writable {
   private _lines: Buffer[] = []
@@ -41,7 +69,7 @@
    * const output = new BoundedOutput(1)
    * output.write('event=started\n')
    */
-  constructor (private readonly _descriptor: number, private readonly _maxBufferedBytes = MAX_BUFFERED_BYTES, private readonly _writeTo: DescriptorWrite = write, private readonly _writeIntervalMilliseconds = 0) {
+  constructor (private readonly _descriptor: number, private readonly _maxBufferedBytes = MAX_BUFFERED_BYTES, private readonly _writeTo: DescriptorWrite = descriptorWrite(_descriptor), private readonly _writeIntervalMilliseconds = 0) {
     super({ decodeStrings: true })
   }
 
--- a/packages/node/src/lib/observe/log.ts
+++ b/packages/node/src/lib/observe/log.ts
@@ -36,8 +36,10 @@
   private readonly _requestLineBudget = new TokenBucket(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, performance.now())
   private _droppedRequestLines = 0
   private _reportedAt = performance.now()
+  private readonly _commonPairs: string
 
   constructor (level: LogLevel, private readonly _commonFields: LogFields, private readonly _output = new BoundedOutput(STANDARD_OUTPUT, undefined, undefined, WRITE_INTERVAL_MILLISECONDS)) {
+    this._commonPairs = formatPairs(_commonFields)
     this._logger = createLogger({
       level,
       format: format.printf(info => String(info.message)),
@@ -48,7 +50,10 @@
   /** Sets the minimum level of the lines that are written. */
   setLevel (level: LogLevel): void { this._logger.level = level }
 
-  /** Writes a line about one request. Lines above the rate limit are dropped and counted. */
+  /**
+   * Writes a line about one request. Lines above the rate limit are dropped and counted. They go to the output directly: the logger's
+   * streams took a twentieth of an entry's processor time for the three lines of each request.
+   */
   request (event: string, fields: LogFields): void {
     const now = performance.now()
     this._reportDroppedLines(now)
@@ -56,7 +61,7 @@
       this._droppedRequestLines += 1
       return
     }
-    this._logger.info(formatLine('info', event, { ...this._commonFields, ...fields }))
+    if (this._logger.level === 'debug' || this._logger.level === 'info') this._output.write(`${this._formatLine('info', event, fields)}\n`)
   }
 
   /** Waits until all logged lines are written, for at most `timeout` milliseconds. */
@@ -70,7 +75,7 @@
     this._reportedAt = now
     const dropped = this._output.takeDropped()
     if (dropped === 0 && this._droppedRequestLines === 0) return
-    this._logger.warn(formatLine('warn', 'log-lines-left-out', { ...this._commonFields, requests: this._droppedRequestLines, unread: dropped }))
+    this._logger.warn(this._formatLine('warn', 'log-lines-left-out', { requests: this._droppedRequestLines, unread: dropped }))
     this._droppedRequestLines = 0
   }
 
@@ -91,11 +96,18 @@
     if (window === undefined || now - window.since > WINDOW_MILLISECONDS) {
       const suppressed = Math.max(0, (window?.lines ?? 0) - LINES_PER_WINDOW)
       this._windows.set(event, { since: now, lines: 1 })
-      this._logger.log(level, formatLine(level, event, { ...this._commonFields, ...fields, suppressed: suppressed > 0 ? suppressed : undefined }))
+      this._logger.log(level, this._formatLine(level, event, { ...fields, suppressed: suppressed > 0 ? suppressed : undefined }))
       return
     }
     window.lines += 1
-    if (window.lines <= LINES_PER_WINDOW) this._logger.log(level, formatLine(level, event, { ...this._commonFields, ...fields }))
+    if (window.lines <= LINES_PER_WINDOW) this._logger.log(level, this._formatLine(level, event, fields))
+  }
+
+  /** Fields of the line replace common fields of the same name. */
+  private _formatLine (level: LogLevel, event: string, fields: LogFields): string {
+    const replaces = Object.keys(this._commonFields).some(key => key in fields)
+    const head = `time=${new Date().toISOString()} level=${level} event=${quote(event)}`
+    return replaces ? joinPairs(head, formatPairs({ ...this._commonFields, ...fields })) : joinPairs(joinPairs(head, this._commonPairs), formatPairs(fields))
   }
 }
 
@@ -106,15 +118,17 @@
  * formatPairs({ event: 'bench', ratio: 1.2 }) // 'event=bench ratio=1.2'
  */
 export function formatPairs (fields: LogFields): string {
-  return Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([key, value]) => `${key}=${quote(String(value))}`)
-    .join(' ')
+  let pairs = ''
+  for (const key of Object.keys(fields)) {
+    const value = fields[key]
+    if (value === undefined) continue
+    const pair = `${key}=${typeof value === 'string' ? quote(value) : value}`
+    pairs = pairs === '' ? pair : `${pairs} ${pair}`
+  }
+  return pairs
 }
 
-function formatLine (level: LogLevel, event: string, fields: LogFields): string {
-  return formatPairs({ time: new Date().toISOString(), level, event, ...fields })
-}
+function joinPairs (left: string, right: string): string { return right === '' ? left : `${left} ${right}` }
 
 function quote (value: string): string {
   return /^[^\s"=]+$/.test(value) ? value : JSON.stringify(value)
--- a/packages/node/src/test/lib/bounded-output_test.ts
+++ b/packages/node/src/test/lib/bounded-output_test.ts
@@ -4,6 +4,11 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 import assert from 'node:assert/strict'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { describe, it } from 'node:test'
 import { BoundedOutput, type DescriptorWrite } from '../../lib/observe/bounded-output.js'
 import { Log } from '../../lib/observe/log.js'
@@ -109,6 +114,39 @@
   })
 })
 
+describe('BoundedOutput on a descriptor of the process', () => {
+  const program = (then: string): string => `
+    import { BoundedOutput } from ${JSON.stringify(new URL('../../lib/observe/bounded-output.js', import.meta.url).href)}
+    const output = new BoundedOutput(1, 1_000_000)
+    for (let line = 0; line < 20_000; line += 1) output.write('a line of the log, with number ' + line + '\\n')
+    ${then}`
+
+  // A write to a pipe that waits for its reader blocks the whole process.
+  it('does not block on a pipe that nobody reads', async () => {
+    const child = spawn(process.execPath, ['--input-type=module', '-e', program('setTimeout(() => process.exit(output.takeDropped() === 0 ? 0 : 7), 50)')], { stdio: ['ignore', 'pipe', 'inherit'] })
+    const timer = setTimeout(() => child.kill('SIGKILL'), 10_000)
+    const [code] = await once(child, 'exit')
+    clearTimeout(timer)
+    assert.equal(code, 0)
+  })
+
+  const kinds: [name: string, stdout: 'pipe' | 'file'][] = [['a pipe', 'pipe'], ['a file', 'file']]
+  for (const [name, kind] of kinds) {
+    it(`writes all lines to ${name} before the end of a flush`, async () => {
+      const directory = mkdtempSync(join(tmpdir(), 'drumdrift-output-'))
+      const file = openSync(join(directory, 'log'), 'w')
+      const child = spawn(process.execPath, ['--input-type=module', '-e', program('await output.flush(5_000)\nprocess.exit()')], { stdio: ['ignore', kind === 'pipe' ? 'pipe' : file, 'inherit'] })
+      let text = ''
+      child.stdout?.on('data', (bytes: Buffer) => { text += bytes.toString('utf8') })
+      await once(child, 'close')
+      closeSync(file)
+      if (kind === 'file') text = readFileSync(join(directory, 'log'), 'utf8')
+      rmSync(directory, { recursive: true })
+      assert.equal(text.split('\n').length, 20_001)
+    })
+  }
+})
+
 describe('Log.request', () => {
   it('drops lines above its rate limit', () => {
     const reader = new Reader()
