Peers: a load report is encoded once for all followers

Cause: an agent encoded each report anew for each of its followers (28 of 39 entries in the deployment), although only the number of the call differs. Change: the encoding of the last reply is kept and put behind the call of each receiver; the bytes on the wire are the same.

--- a/packages/node/src/lib/peer/frame.ts
+++ b/packages/node/src/lib/peer/frame.ts
@@ -49,6 +49,7 @@
  * for (const part of encodeFrame({ call: 1, request: { type: 'status' } })) socket.write(part)
  */
 export function encodeFrame (envelope: PeerEnvelope, payload: Buffer = emptyBuffer): Buffer[] {
+  if ('reply' in envelope && payload.length === 0) return [encodeReplyFrame(envelope.call, envelope.reply)]
   const body = codec.encode(envelope)
   const head = Buffer.allocUnsafe(HEADER_BYTES + body.length)
   head.writeUInt32BE(body.length, 0)
@@ -57,6 +58,32 @@
   return payload.length > 0 ? [head, payload] : [head]
 }
 
+/** The start of the body of a reply's frame: a map of two entries, of which the first key is that of `call`. */
+const replyBodyStart = Buffer.from([0xb9, 0, 2, FREQUENT_KEYS.indexOf('call')])
+const replyKey = Buffer.from([FREQUENT_KEYS.indexOf('reply')])
+/** The last reply without a payload and its encoding: a load report goes to every follower, with another call for each. */
+let lastReply: PeerReply | undefined
+let lastEncoded: Buffer = emptyBuffer
+
+/** Encodes the frame of a reply without a payload, as the codec would, with the encoding of the same reply to another call. */
+function encodeReplyFrame (call: number, reply: PeerReply): Buffer {
+  if (reply !== lastReply) {
+    lastEncoded = Buffer.from(codec.encode(reply))
+    lastReply = reply
+  }
+  const number = codec.encode(call)
+  const bodyLength = replyBodyStart.length + number.length + replyKey.length + lastEncoded.length
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + bodyLength)
+  frame.writeUInt32BE(bodyLength, 0)
+  frame.writeUInt32BE(0, 4)
+  let at = HEADER_BYTES
+  for (const part of [replyBodyStart, number, replyKey, lastEncoded]) {
+    frame.set(part, at)
+    at += part.length
+  }
+  return frame
+}
+
 /** Splits a byte stream into frames. Throws a typed failure on malformed or oversized input, upon which the connection is to be closed. */
 export class FrameReader {
   private _buffers: Buffer[] = []
--- a/packages/node/src/lib/routing/load-publisher.ts
+++ b/packages/node/src/lib/routing/load-publisher.ts
@@ -100,10 +100,14 @@
   publish (load: LoadReport, now: number): void {
     this._latest = load
     this._latestAt = now
-    const due = [...this._followers.values()].filter(follower => this._isDue(follower, load, now))
-    if (due.length === 0) return
-    const report = { ...load, ...this._totals(now) }
-    for (const follower of due) sendReport(follower, report, now)
+    // One reply for all followers, which is encoded once.
+    let reply: { readonly type: 'load', readonly load: LoadReport } | undefined
+    for (const follower of this._followers.values()) {
+      if (!this._isDue(follower, load, now)) continue
+      reply ??= { type: 'load', load: { ...load, ...this._totals(now) } }
+      recordSent(follower, reply.load, now)
+      follower.responder.send(reply)
+    }
   }
 
   private _isDue ({ lastSent, lastSentAt }: Follower, load: LoadReport, now: number): boolean {
--- a/packages/node/src/test/lib/frame_test.ts
+++ b/packages/node/src/test/lib/frame_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { failureOf } from '@drumdrift/core'
+import { failureOf, type PeerReply } from '@drumdrift/core'
 import { encodeFrame, FrameReader, type PeerEnvelope } from '../../lib/peer/frame.js'
 
 const messages: { envelope: PeerEnvelope, payload: Buffer }[] = [
@@ -40,6 +40,15 @@
     assert.equal(encodeFrame({ call: 1, request: { type: 'status' } }, payload)[1], payload)
   })
 
+  // Guards against a shared encoding that leaks the call or the content of the previous receiver.
+  it('encodes a reply that is sent to several calls for each of them, and another reply anew', () => {
+    const first: PeerReply = { type: 'refused', reason: 'not-supported', detail: 'first' }
+    const second: PeerReply = { type: 'refused', reason: 'not-supported', detail: 'second' }
+    const sent = [1, 24, 70_000, 2 ** 33].map(call => ({ call, reply: first })).concat([{ call: 5, reply: second }, { call: 6, reply: first }])
+    const frames = new FrameReader().push(Buffer.concat(sent.flatMap(envelope => encodeFrame(envelope))))
+    assert.deepEqual(frames.map(({ envelope }) => envelope), sent)
+  })
+
   const header = (body: number, payload: number): Buffer => {
     const bytes = Buffer.alloc(8)
     bytes.writeUInt32BE(body, 0)
