Entries: the number of entries is estimated when a count changes, events are read in one call

Cause: each request asked five times for the estimated number of entries, which grouped all agents by zone each time (2.1 in 100 of an entry's samples under load); the bytes of an event were converted one by one. Change: the estimate is kept until a count or the list of zones changes. Events of up to 4,096 bytes are converted in one call.

--- a/packages/core/src/lib/routing/attempts/event-splitter.ts
+++ b/packages/core/src/lib/routing/attempts/event-splitter.ts
@@ -19,6 +19,9 @@
 const NEWLINE = 10
 const CARRIAGE_RETURN = 13
 
+/** A call takes its arguments on the stack, which bounds their number. */
+const MAX_ARGUMENTS = 4_096
+
 /** Splits one stream. */
 export class EventSplitter {
   private _incomplete: Uint8Array = new Uint8Array(0)
@@ -74,7 +77,8 @@
 
 /** Maps each byte to one character: ids are ASCII, and other bytes need not be decoded. */
 function byteString (bytes: Uint8Array): string {
+  if (bytes.length <= MAX_ARGUMENTS) return String.fromCharCode.apply(undefined, bytes as unknown as number[])
   let text = ''
-  for (const byte of bytes) text += String.fromCharCode(byte)
+  for (let at = 0; at < bytes.length; at += MAX_ARGUMENTS) text += byteString(bytes.subarray(at, at + MAX_ARGUMENTS))
   return text
 }
--- a/packages/core/src/lib/routing/attempts/fleet-size.ts
+++ b/packages/core/src/lib/routing/attempts/fleet-size.ts
@@ -39,9 +39,11 @@
 export class FleetSize {
   private readonly _counts = new Map<string, AgentCounts>()
   private _periodStart: number | undefined
+  /** The last estimate and the zones it was made for; `undefined` once a count has changed. Every request asks for it. */
+  private _last: { readonly zones: readonly AgentZone[], readonly estimate: number | undefined } | undefined
 
   /**
-   * @param _zones Returns the availability zones that have agents.
+   * @param _zones Returns the availability zones that have agents. A list must not change once it has been returned.
    */
   constructor (private readonly _zones: () => readonly AgentZone[]) {}
 
@@ -56,7 +58,10 @@
     if (!(count > 0 && count <= MAX_ENTRIES)) return false
     this._rotate(now)
     const counts = this._counts.get(agent) ?? { availabilityZone, current: 0, previous: 0 }
-    counts.current = Math.max(counts.current, count)
+    if (count > counts.current) {
+      counts.current = count
+      this._last = undefined
+    }
     this._counts.set(agent, counts)
     return true
   }
@@ -69,6 +74,11 @@
   estimate (now: number): number | undefined {
     this._rotate(now)
     const zones = this._zones()
+    if (this._last?.zones !== zones) this._last = { zones, estimate: this._estimate(zones) }
+    return this._last.estimate
+  }
+
+  private _estimate (zones: readonly AgentZone[]): number | undefined {
     const reporting = zones.flatMap(zone => {
       const mean = this._meanCountOf(zone.availabilityZone)
       return mean === undefined ? [] : [{ ...zone, mean }]
@@ -93,6 +103,7 @@
       if (counts.previous === 0) this._counts.delete(agent)
     }
     this._periodStart = now
+    this._last = undefined
   }
 }
 
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -34,7 +34,8 @@
   /** Endpoints by the address of their agent. */
   private readonly _byAgent = new Map<string, AgentEndpoint>()
   private _followed: ReadonlySet<string> = new Set()
-  private readonly _fleet = new FleetSize(() => this._zones())
+  private _zones: readonly AgentZone[] = []
+  private readonly _fleet = new FleetSize(() => this._zones)
 
   /**
    * @param _self The name of this entry.
@@ -68,6 +69,7 @@
       else this._applyPool(unit, records, followed)
     }
     this._followed = followed
+    this._zones = this._countZones()
   }
 
   private _applyPool ({ description, chooser }: ServiceUnit, records: readonly EndpointRecord[], followed: Set<string>): void {
@@ -80,7 +82,7 @@
 
   private _agentAddress ({ address }: EndpointRecord): string { return `${parseAddress(address).host}:${this._agentPort}` }
 
-  private _zones (): AgentZone[] {
+  private _countZones (): AgentZone[] {
     const zones = new Map<string, { availabilityZone: string, listed: number, followed: number }>()
     for (const [agent, { record: { availabilityZone } }] of this._byAgent) {
       const zone = zones.get(availabilityZone) ?? { availabilityZone, listed: 0, followed: 0 }
