Relays: nothing is computed at a tick while neither the notes nor the own state have changed

Cause: ten times a second each process compared its revisions with the notes of all relays (6 to 9 in 100 of the samples of an idle process under perf), although only a new note, a loss or a change of its own state can give another result. Change: the registry counts notes and losses. A tick by which no relay was ahead, none was waited for and none was excluded holds until a count changes.

--- a/packages/core/src/lib/routing/published/relay-registry.ts
+++ b/packages/core/src/lib/routing/published/relay-registry.ts
@@ -35,6 +35,7 @@
   private readonly _relays = new Map<string, Relay>()
   /** Time since which some relay has been ahead of this process. */
   private _aheadSince: number | undefined
+  private _changeCount = 0
 
   /**
    * @example
@@ -42,13 +43,20 @@
    */
   constructor (private readonly _place: EntryLocation) {}
 
+  /** Increases with every note and every loss. Without one, no relay can have come ahead of a process whose own state is unchanged. */
+  get changeCount (): number { return this._changeCount }
+
   /** Records a note in which a relay reports the revisions that it holds. */
   recordNote (address: string, note: RelayNote, now: number): void {
+    this._changeCount += 1
     this._relays.set(address, { address, note, receivedAt: now })
   }
 
   /** Removes a relay whose connection ended. */
-  lost (address: string): void { this._relays.delete(address) }
+  lost (address: string): void {
+    this._changeCount += 1
+    this._relays.delete(address)
+  }
 
   /** Whether some relay currently follows the store, in the epoch that this process follows or a later one. */
   followsStore (epoch: number, now: number): boolean { return this._liveRelays(now).some(({ note }) => note.fresh && note.held.epoch >= epoch) }
@@ -75,6 +83,9 @@
     return isNearEnough ? aheadRelay.address : undefined
   }
 
+  /** Whether a relay is ahead of this process, by the last call of `relayAhead`, but a nearer one is waited for. */
+  get waitsForNearer (): boolean { return this._aheadSince !== undefined }
+
   /** Returns the nearest relay that currently follows the store, or `undefined` if there is none. */
   nearestRelay (epoch: number, excluded: ReadonlySet<string>, now: number): string | undefined {
     return this._candidates(epoch, excluded, now).find(({ note }) => note.fresh)?.address
--- a/packages/node/src/lib/routing/relay-follower.ts
+++ b/packages/node/src/lib/routing/relay-follower.ts
@@ -64,6 +64,8 @@
   private _ticks: PeriodicTask | undefined
   private _fetchStartedAt = -Infinity
   private _fetching = false
+  /** The changes of the relays and of the own state by which no relay was ahead; `undefined` if one may be. */
+  private _settledFor: { readonly relays: number, readonly state: number } | undefined
 
   constructor (private readonly _dependencies: RelayFollowerDependencies) {
     this._book = new RelayRegistry(_dependencies.place)
@@ -99,6 +101,8 @@
       if (relay.connection !== undefined && now - relay.receivedAt > IDLE_TIMEOUT) relay.connection.close()
       if (relay.connection === undefined && !relay.connecting && now >= relay.retryAt) this._connect(address, relay)
     }
+    const { state } = this._dependencies
+    if (this._settledFor?.relays === this._book.changeCount && this._settledFor.state === state.changeCount) return
     this._advanceFollowed(now)
     if (!this._fetching && now - this._fetchStartedAt >= MIN_FETCH_INTERVAL) this._fetchChanges(now)
   }
@@ -115,9 +119,12 @@
   }
 
   private _fetchChanges (now: number): void {
+    const { state } = this._dependencies
     const topics = this._dependencies.topics()
-    const address = this._book.relayAhead(this._dependencies.state.held, topics, this._excludedRelays(now), now)
+    const excluded = this._excludedRelays(now)
+    const address = this._book.relayAhead(state.held, topics, excluded, now)
     if (address !== undefined) this._fetchFrom(address, topics)
+    else if (excluded.size === 0 && !this._book.waitsForNearer) this._settledFor = { relays: this._book.changeCount, state: state.changeCount }
   }
 
   private _excludedRelays (now: number): ReadonlySet<string> {
