Entries: the head of a stream goes out with its first event

Cause: the head was flushed by itself, just before the first event of the same callback. Change: the head is written with the first data, in one call.

--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -38,12 +38,11 @@
   /** Sets the listener for the caller closing its connection before the answer ends. */
   onDisconnect (listener: () => void): void { this._onDisconnect = listener }
 
-  /** Writes the head of an endpoint's answer. A stream that is resumed at another endpoint keeps its first head. */
+  /** Writes the head of an endpoint's answer, which is sent with the first data. A stream that is resumed at another endpoint keeps its first head. */
   head ({ status, headers }: AnswerHead): void {
     if (this._begun || this._isOver()) return
     this._begun = true
     this._writeHead(status, headers)
-    this._response.flushHeaders()
   }
 
   data (bytes: Uint8Array): void {
