--- a/packages/benchmarks/src/bench.ts
+++ b/packages/benchmarks/src/bench.ts
@@ -21,6 +21,7 @@
   limits: async () => (await import('./lib/limits/limits-bench.js')).limitsBench,
   policy: async () => (await import('./lib/policy/policy-bench.js')).policyBench,
   overload: async () => (await import('./lib/policy/overload-bench.js')).overloadBench,
+  'processor-time': async () => (await import('./lib/processor-time-bench.js')).processorTimeBench,
   rollout: async () => (await import('./lib/rollout-bench.js')).rolloutBench
 }
 
@@ -44,6 +45,7 @@
   .option('--seconds <number>', 'duration of the measurement in seconds', Number, 8)
   .option('--window <number>', 'number of chunks in flight at one agent', Number, 32)
   .option('--seeds <number>', 'number of seeds to run a simulation with', Number, 40)
+  .option('--program <file>', 'launcher of another build to measure')
   .option('--plot <file>', 'writes an SVG plot, where the benchmark has one')
   .option('--no-baselines', 'skips the baselines')
   .action(async (name: string, options: BenchOptions) => {
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -35,7 +35,8 @@
   /** Endpoints by the address of their agent. */
   private readonly _byAgent = new Map<string, AgentEndpoint>()
   private _followed: ReadonlySet<string> = new Set()
-  private readonly _fleet = new FleetSize(() => this._zones())
+  private _zones: readonly AgentZone[] = []
+  private readonly _fleet = new FleetSize(() => this._zones)
 
   /**
    * @param _self The name of this entry.
@@ -70,6 +71,7 @@
       else this._applyPool(unit, records, state.evacuatedZones, followed)
     }
     this._followed = followed
+    this._zones = this._countZones()
   }
 
   /** The engines of evacuated zones are not followed, so that this entry follows as many of the others instead. */
@@ -83,7 +85,7 @@
 
   private _agentAddress ({ address }: EndpointRecord): string { return `${parseAddress(address).host}:${this._agentPort}` }
 
-  private _zones (): AgentZone[] {
+  private _countZones (): AgentZone[] {
     const zones = new Map<string, { availabilityZone: string, listed: number, followed: number }>()
     for (const [agent, { record: { availabilityZone } }] of this._byAgent) {
       const zone = zones.get(availabilityZone) ?? { availabilityZone, listed: 0, followed: 0 }
