--- a/packages/node/src/lib/routing/notice-exchange.ts
+++ b/packages/node/src/lib/routing/notice-exchange.ts
@@ -100,7 +100,7 @@
   coldSnapshot (): ColdNews { return this._cold.known(performance.now()) }
 
   private _send (news: LimitNews, to: 'some' | 'one', cold: readonly ColdReport[] = []): void {
-    const coldNews = cold.filter(({ remaining }) => isColdNews(remaining, -Infinity, 0)).map(({ start, remaining }) => ({ start, remaining }))
+    const coldNews = cold.filter(({ remaining }) => isColdNews(remaining, -Infinity, 0)).map(({ start, remaining }) => ({ start, remaining: Math.round(remaining) }))
     if (news.length + coldNews.length > 0) this._dependencies.send(news, to, coldNews)
   }
 }
