--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -283,11 +283,12 @@
     if (late === undefined || pool === undefined) return true
     const { load } = this._stateOf(record)
     // The queue of an engine without a report is not known.
-    if (load.report(now) === undefined) return false
+    const report = load.report(now)
+    if (report === undefined) return false
     const closesAt = load.closesAt(now)
     const { ownLate, ownShare, engines } = this._mix
     return takesLate(pool, {
-      expected, generation: generationTimeWhenFull(pool, answerTokens), waiting: load.waiting(pool, now), closesIn: closesAt === undefined ? undefined : closesAt - now, own: load.waitingLate, ownInAll: ownLate, ownShare, engines
+      expected, generation: Math.max(1, report.pace) * generationTimeWhenFull(pool, answerTokens), waiting: load.waiting(pool, now), closesIn: closesAt === undefined ? undefined : closesAt - now, own: load.waitingLate, ownInAll: ownLate, ownShare, engines
     }, late)
   }
 
--- a/packages/core/src/lib/routing/choice/late-placement.ts
+++ b/packages/core/src/lib/routing/choice/late-placement.ts
@@ -73,7 +73,7 @@
  * Whether an engine takes a late request.
  *
  * @example
- * takesLate(pool, { expected: 900, generation: 1_200, waiting: 3, closesIn: undefined, own: 0, ownInAll: 2, ownShare: 0.03, engines: 28 }, { timeLeft: 5_900, slowness: 1, returned: false })
+ * takesLate(pool, { expected: 900, generation: 1_200, waiting: 3, closesIn: undefined, own: 0, ownInAll: 2, ownShare: 0.03, engines: 28 }, { timeLeft: 5_900, returned: false, position: 1, shortage: 0.1 })
  */
 export function takesLate ({ slots }: PoolDescription, candidate: LateCandidate, { timeLeft, returned, position, shortage }: LateTerms): boolean {
   const { expected, generation, waiting, closesIn, own, ownInAll, ownShare, engines } = candidate
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -346,6 +346,7 @@
     ['uses an engine with a short queue', { a: full }, 'a'],
     ['uses no engine with a long queue', { a: { ...full, waiting: 9 }, b: full }, 'b'],
     ['uses no engine that is about to close', { a: { ...full, waiting: 0, closesIn: 900 }, b: full }, 'b'],
+    ['uses no engine that is too slow to end the answer in time', { a: { ...full, waiting: 0, pace: 4 }, b: full }, 'b'],
     ['uses no engine without a report', {}, undefined]
   ]
   for (const [name, loads, expected] of cases) it(name, () => assert.equal(chosen(createChooser([record('a'), record('b')], loads), late), expected))
