Cold endpoints: permits at four standard deviations

Change: the number of deviations is a term of a share: 5 for announced limits as before, 4 for cold endpoints.

--- a/packages/core/src/lib/routing/limits/cold-endpoints.ts
+++ b/packages/core/src/lib/routing/limits/cold-endpoints.ts
@@ -60,6 +60,11 @@
 const MAX_UNLISTED = 1_024
 /** How long the number of entries is used without being estimated again, in milliseconds. */
 const ENTRIES_REFRESH = 250
+/**
+ * Standard deviations above the mean that must be allowed, for permits that all wait until the window begins. Those that are used as they
+ * are earned stay 5 deviations below the bound.
+ */
+const DEVIATIONS = 4
 const MILLISECONDS_PER_SECOND = 1_000
 
 /**
@@ -76,6 +81,7 @@
     minRate: 0,
     arrivalSpread: COLD_CONNECT_TIMEOUT,
     permitLifetime: entries => Math.min(MAX_PERMIT_LIFETIME, Math.max(MIN_PERMIT_LIFETIME, PERMIT_LIFETIME_PER_ENTRY * entries)),
+    deviations: DEVIATIONS,
     shareStep: 0.005,
     continuity: 0.5
   }
--- a/packages/core/src/lib/routing/limits/limit-share.ts
+++ b/packages/core/src/lib/routing/limits/limit-share.ts
@@ -27,6 +27,8 @@
   readonly permitLifetime: (entries: number) => number
   /** The resolution of the used share of a limit, and its minimum. */
   readonly shareStep: number
+  /** Permits of many entries coincide by chance. This many standard deviations above the mean must still be allowed. */
+  readonly deviations: number
   /** Added to the allowed number for the comparison with the normal distribution: 0.5 for the continuity correction, or 0. */
   readonly continuity: number
 }
@@ -35,13 +37,8 @@
 export const PERMIT_LIFETIME = 1_000
 /** The terms of limits that endpoints announce. Without any request, an endpoint could never announce a higher limit, hence the least rate. */
 export const announcedLimitTerms: ShareTerms = {
-  window: 4_000, allowedFactor: 1.5, allowedSlack: 5, minRate: 0.25, arrivalSpread: 0, permitLifetime: () => PERMIT_LIFETIME, shareStep: 0.05, continuity: 0
+  window: 4_000, allowedFactor: 1.5, allowedSlack: 5, minRate: 0.25, arrivalSpread: 0, permitLifetime: () => PERMIT_LIFETIME, deviations: 5, shareStep: 0.05, continuity: 0
 }
-/**
- * Permits of many entries coincide by chance. This many standard deviations above the mean must still be allowed; about one window in
- * ten thousand exceeds it.
- */
-const DEVIATIONS = 5
 /** The most permits that an entry may hold at once at high limits; more than it sends in the lifetime of one. */
 const MAX_PERMITS = 64
 const MILLISECONDS_PER_SECOND = 1_000
@@ -66,10 +63,10 @@
  * An upper bound on the requests in a window that is rarely exceeded. It includes permits earned just before the window, and requests
  * sent just before it that arrive late.
  */
-function likelyMaximum (rate: number, entries: number, { window, arrivalSpread, permitLifetime }: ShareTerms): number {
+function likelyMaximum (rate: number, entries: number, { window, arrivalSpread, permitLifetime, deviations }: ShareTerms): number {
   const permitsPerEntry = rate / entries * (window + arrivalSpread + permitLifetime(entries)) / MILLISECONDS_PER_SECOND
   const fraction = permitsPerEntry % 1
-  return entries * permitsPerEntry + DEVIATIONS * Math.sqrt(entries * fraction * (1 - fraction))
+  return entries * permitsPerEntry + deviations * Math.sqrt(entries * fraction * (1 - fraction))
 }
 
 /** The permits of one entry for one endpoint. */
