Fuzz: variants of version dates keep track of complete views

Cause: two variants replaced all that an answer of the store records, so evacuations of a restored store never ended in them and another promise was reported broken first: the variants were not found. Change: the one dates versions at their receipt and records the rest; the other counts a version as due as soon as it is known.

--- a/packages/fuzz/src/lib/published-parts.ts
+++ b/packages/fuzz/src/lib/published-parts.ts
@@ -46,10 +46,16 @@
   readonly chooser: (place: EntryLocation, random: () => number) => Pick<EndpointChooser, 'setRecords' | 'choose'>
 }
 
-function takeAnswer (state: PublishedState, view: StoreView, { call, sentAt, answeredAt, wait, changes, upTo }: AnsweredStoreCall): void {
-  const since = view.completeUntil
+/** Records until when an answer shows that every change has been received. */
+export function recordView (view: StoreView, { call, sentAt, answeredAt, wait, changes }: AnsweredStoreCall): void {
   if (call === 'read') view.readAnswered(sentAt)
   else view.watchAnswered({ sentAt, answeredAt, wait, empty: changes.length === 0 })
+}
+
+function takeAnswer (state: PublishedState, view: StoreView, answered: AnsweredStoreCall): void {
+  const { call, answeredAt, changes, upTo } = answered
+  const since = view.completeUntil
+  recordView(view, answered)
   applyAnswer(state, call, changes, upTo, answeredAt, since)
   state.versionsCompleteAt(view.completeUntil)
   state.evacuationsCompleteAt(view.completeUntil)
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -9,11 +9,11 @@
  */
 import {
   AdmissionController, AnswerStream, AttemptTracker, ClaimKeeper, EndpointChooser, EndpointLimits, OnceAttempt, PublishedState, publishedTopics, RevisionLedger, StoreCursor, ColdEndpoints, coldTerms, type Acceptance, type Admission, type AnswerPart, type AnswerProgress, type AnswerVerdict, type CancelReply, type ClaimReply,
-  requestFailure, RetryAllowance, SuspectRequests, type SuspectStatus, type StoreAnswerKind, type StoreCall, type AttemptBounds, type AttemptEnd, type Configuration, type NextAction, type OnceEffect, type RetryPurpose, type Published, type PublishedChange, type PublishedTopic, type EndpointRecord, type Checked, type DocumentFailure
+  requestFailure, RetryAllowance, SuspectRequests, type SuspectStatus, type StoreAnswerKind, type StoreCall, type StoreView, type AttemptBounds, type AttemptEnd, type Configuration, type NextAction, type OnceEffect, type RetryPurpose, type Published, type PublishedChange, type PublishedTopic, type EndpointRecord, type Checked, type DocumentFailure
 } from '@drumdrift/core'
 import { realConfigurationParts, type ConfigurationParts } from './configuration-world.js'
 import { realLimitParts, type LimitParts } from './limit-world.js'
-import { applyAnswer, realPublishedParts, type AnsweredStoreCall, type PublishedParts, type SentDelta } from './published-parts.js'
+import { applyAnswer, realPublishedParts, recordView, type AnsweredStoreCall, type PublishedParts, type SentDelta } from './published-parts.js'
 import { plainRequirements } from './placement-oracle.js'
 import { realRequestParts, type RequestParts } from './request-parts.js'
 import { runScenario, type Finding } from './scenario.js'
@@ -277,8 +277,19 @@
   }
 }
 
-/** Applies an answer of the store whose changes were made at a time or later. */
-function takeSince (state: PublishedState, { call, changes, upTo, answeredAt }: AnsweredStoreCall, since: number): void { applyAnswer(state, call, changes, upTo, answeredAt, since) }
+/** Applies an answer of the store whose changes count as made at its receipt. */
+function takeDatedAtReceipt (state: PublishedState, view: StoreView, answered: AnsweredStoreCall): void {
+  const { call, changes, upTo, answeredAt } = answered
+  recordView(view, answered)
+  applyAnswer(state, call, changes, upTo, answeredAt, answeredAt)
+  state.versionsCompleteAt(view.completeUntil)
+  state.evacuationsCompleteAt(view.completeUntil)
+}
+
+/** A state in which a version counts as due as soon as it is known. */
+class DueAtOnceState extends PublishedState {
+  override dueVersion (model: string): number { return this.wanted(model)?.version ?? 0 }
+}
 
 /** Replaces the changes of a delta. */
 function withChanges (sent: SentDelta, change: (changes: readonly PublishedChange[]) => readonly PublishedChange[]): SentDelta {
@@ -345,7 +356,7 @@
   published('watches-go-on', 'in-force-after-restore', { cursor: state => new EpochIgnoringCursor(state, publishedTopics) }),
   published('copies-taken-for-all', 'never-back', { keepsStateAcrossEpochs: false }),
   published('writings-not-counted', 'never-back', { countsWrites: false }),
-  published('versions-dated-at-receipt', 'version-bound', { takeAnswer: (state, _view, call) => takeSince(state, call, call.answeredAt) }),
+  published('versions-dated-at-receipt', 'version-bound', { takeAnswer: takeDatedAtReceipt }),
   published('only-newest-version-told', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, onlyNewest), ...times) }),
   published('ages-of-cached-deltas-not-renewed', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, { ...sent, encodedFor: 0 }, ...times) }),
   published('long-ages-dropped', 'version-bound', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, withoutLongAges), ...times) }),
@@ -357,7 +368,7 @@
   published('starting-processes-not-told-of-evacuations', 'in-force-after-restore', { takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, state.hasFollowed('evacuations') ? sent : withChanges(sent, withoutEvacuations), ...times) }),
   published('ends-of-evacuations-lost', 'in-force-after-restore', { state: () => new EndlessEvacuationState(), takeDelta: (state, sent, ...times) => realPublishedParts.takeDelta(state, withChanges(sent, changes => changes.filter(({ type }) => type !== 'evacuation-ended')), ...times) }),
   published('evacuations-dropped-at-restore', 'never-back', { state: () => new EvacuationDroppingState() }),
-  published('versions-due-at-once', 'version-not-early', { takeAnswer: (state, _view, call) => takeSince(state, call, -Infinity) }),
+  published('versions-due-at-once', 'version-not-early', { state: () => new DueAtOnceState() }),
   suspects('losses-forgotten', 'few-ends', { suspects: () => new NonRecordingSuspects() }),
   suspects('each-entry-for-itself', 'few-ends', { reportsToAgents: false }),
   suspects('newcomers-not-told', 'few-ends', { informsRestartedEntries: false }),
