Entries count engines whose first report is awaited as followed

Cause: an agent counts each entry as one divided by the engines that the entry follows, of which only those heard so far were told. Change: an engine counts from the moment at which it is followed, for a second without a report.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -272,9 +272,6 @@
     return Math.max(0, all - this.sentRate(now)) * VIEW_AGE
   }
 
-  /** The number of followed engines that have a current load report. */
-  reportingCount (now: number): number { return this._followed.filter(record => this._stateOf(record).load.report(now) !== undefined).length }
-
   /** The version that an endpoint serves, from its current load report or else from its record. */
   versionOf (record: EndpointRecord, model: string, now: number): number {
     const listed = record.models.find(held => held.model === model)?.version ?? 0
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -23,6 +23,12 @@
 /** The longest interval at which an agent polls its engine, in milliseconds: see the pauses of the engine switcher. */
 const MAX_POLL_INTERVAL = 100
 
+/**
+ * How long the first report of an engine is awaited, in milliseconds. Until then it counts as one that reports: a process that starts
+ * hears its engines one after the other, and told each agent so far that it shared its requests among very few.
+ */
+const FIRST_REPORT_TIMEOUT = 1_000
+
 /** The endpoint on the instance of an agent, and its service. */
 interface AgentEndpoint {
   readonly service: string
@@ -35,6 +41,8 @@
   /** Endpoints by the address of their agent. */
   private readonly _byAgent = new Map<string, AgentEndpoint>()
   private _followed: ReadonlySet<string> = new Set()
+  /** Since when the engine of each followed agent is followed. */
+  private _followedSince: ReadonlyMap<string, number> = new Map()
   private _zones: readonly AgentZone[] = []
   private readonly _fleet = new FleetSize(() => this._zones)
 
@@ -71,6 +79,8 @@
       else this._applyPool(unit, records, state.evacuatedZones, followed)
     }
     this._followed = followed
+    const now = performance.now()
+    this._followedSince = new Map([...followed].map(agent => [agent, this._followedSince.get(agent) ?? now]))
     this._zones = this._countZones()
   }
 
@@ -104,8 +114,19 @@
 
   /** Returns the rate of requests to the pool of an agent, per millisecond, and the number of engines that share them. */
   poolTraffic (agent: string, now: number): { readonly sentRate: number, readonly followed: number } {
-    const chooser = this._units.get(this._byAgent.get(agent)?.service ?? '')?.chooser
-    return chooser === undefined ? { sentRate: 0, followed: 0 } : { sentRate: chooser.sentRate(now), followed: Math.max(1, chooser.reportingCount(now)) }
+    const unit = this._units.get(this._byAgent.get(agent)?.service ?? '')
+    return unit === undefined ? { sentRate: 0, followed: 0 } : { sentRate: unit.chooser.sentRate(now), followed: Math.max(1, this._sharingCount(unit, now)) }
+  }
+
+  /** The number of followed engines of a service that report, or whose first report is awaited. */
+  private _sharingCount ({ description, chooser }: ServiceUnit, now: number): number {
+    let count = 0
+    for (const [agent, since] of this._followedSince) {
+      const endpoint = this._byAgent.get(agent)
+      if (endpoint?.service !== description.name) continue
+      if (now - since < FIRST_REPORT_TIMEOUT || chooser.load(startKeyOf(endpoint.record)).report(now) !== undefined) count += 1
+    }
+    return count
   }
 
   /** Returns the model that the pool of an agent serves, or `undefined` if it is not known. */
--- a/packages/node/src/test/lib/routing/service-units_test.ts
+++ b/packages/node/src/test/lib/routing/service-units_test.ts
@@ -68,6 +68,17 @@
     assert.equal(chooser.choose(description, need, 20)?.record.availabilityZone, 'attic')
   })
 
+  // An entry that starts told each agent that it follows only the engines heard so far, so agents counted it several times, and every
+  // entry took too small a share of the limits that entries divide.
+  it('counts engines whose first report is awaited as followed, and silent ones no longer', () => {
+    const units = unitsWith(Array.from({ length: 9 }, (_, index) => engine(index + 1, 200)))
+    const startedAt = performance.now()
+    units.recordLoad(agent, load, startedAt)
+    const early = units.poolTraffic(agent, startedAt + 10).followed
+    units.recordLoad(agent, load, startedAt + 1_200)
+    assert.deepEqual([early, units.poolTraffic(agent, startedAt + 1_210).followed], [9, 1])
+  })
+
   it('follows a subset of many engines, and sends only to those', () => {
     const units = unitsWith(Array.from({ length: 60 }, (_, index) => engine(index + 1, 200)))
     assert.deepEqual([units.agents.size, units.followed.size], [60, 12])
