--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * published state, follows the load of the engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ageOf, publishedTopics, readNamedVersion, RouteTable, type ColdBounds, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange, type RetryLimits } from '@drumdrift/core'
+import { ageOf, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange } from '@drumdrift/core'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -21,6 +21,7 @@
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
+import { bufferBoundOf, coldBoundsOf, retryLimitsOf } from './entry-bounds.js'
 import { LoadFollower, type PingContent, type RelayedMessage } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
 import { PublishedStateRelay } from './published-state-relay.js'
@@ -96,7 +97,7 @@
       coldBounds: coldBoundsOf(_settings),
       send: (news, to, cold) => this._follower.sendToSome({ type: 'limits', news, ...(cold.length > 0 ? { cold } : {}) }, to === 'one' ? 1 : undefined)
     })
-    this._units = new ServiceUnits(self.instance, placeOf(_settings), retryTermsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
+    this._units = new ServiceUnits(self.instance, placeOf(_settings), retryLimitsOf(_settings), _settings.number('peers', 'agent-port'), this._notices.gate)
     this._feed = new PublishedFeed({
       store: platform.store,
       pool: this._pool,
@@ -368,26 +369,3 @@
     else responder.send({ type: 'refused', reason: 'not-supported', detail: 'a route entry does not support this request type' })
   }
 }
-
-/**
- * The share of the machine's memory that may hold buffers for callers. The process itself needs 70 to 100 MB, 40% of the smallest
- * entry instances, and the rest is left for connections and for garbage that has not been collected yet.
- */
-const BUFFER_SHARE_OF_MEMORY = 0.2
-const BYTES_PER_MEGABYTE = 1_000_000
-
-function bufferBoundOf (settings: Settings): number {
-  const memory = settings.number('process', 'memory-megabytes')
-  return memory === 0 ? Infinity : BUFFER_SHARE_OF_MEMORY * memory * BYTES_PER_MEGABYTE
-}
-
-/** The limit on requests to cold endpoints; `undefined` unless both settings are given. */
-function coldBoundsOf (settings: Settings): ColdBounds | undefined {
-  const isGiven = settings.text('requests', 'cold-rate-factor') !== '' && settings.text('requests', 'cold-rate-slack') !== ''
-  return isGiven ? { factor: settings.number('requests', 'cold-rate-factor'), slack: settings.number('requests', 'cold-rate-slack') } : undefined
-}
-
-function retryTermsOf (settings: Settings): RetryLimits {
-  const number = (key: string): number => settings.number('requests', key)
-  return { ratio: number('retry-ratio'), slack: number('retry-slack'), window: number('retry-window-seconds') * 1000 }
-}
