--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -27,7 +27,7 @@
  * How long the first report of an engine is awaited, in milliseconds. Until then it counts as one that reports: a process that starts
  * hears its engines one after the other, and told each agent so far that it shared its requests among very few.
  */
-const FIRST_REPORT_TIMEOUT = 1_000
+const FIRST_REPORT_TIMEOUT = 3_000
 
 /** The endpoint on the instance of an agent, and its service. */
 interface AgentEndpoint {
