--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -8,6 +8,7 @@
  * pieces and accepts orders to switch versions.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { setImmediate as nextImmediate, setTimeout as pause } from 'node:timers/promises'
 import { HttpService, readAll, sendJson } from '../http-service.js'
 import { pieceOf, PIECES } from './weights-origin.js'
@@ -15,10 +16,15 @@
 /** How the worker treats a request. */
 export type WorkerMode =
   | 'whole' | 'error' | 'sheds' | 'wrong-instance' | 'wrong-version' | 'cut' | 'cut-in-event' | 'reset-unanswered' | 'mute'
-  | 'unsigned' | 'of-another-request' | 'unframed' | 'late-error'
+  | 'unsigned' | 'of-another-request' | 'late-error'
+  /** Answers without a length or chunks: whole, cut by the end of the connection, by its reset or by a crash of the worker. */
+  | 'unframed' | 'unframed-cut-in-event' | 'unframed-reset' | 'unframed-crash' | 'unframed-large' | 'unframed-large-crash'
   /** Cuts a new stream after some events, and answers a request that resumes a stream with something other than a stream. */
   | 'cut-then-error' | 'cut-then-denied' | 'cut-then-plain' | 'cut-then-not-signed'
 
+/** When a worker crashes under a request: after the head of its answer, within the first event, or after it. */
+export type WorkerCrash = 'after-head' | 'within-event' | 'after-event'
+
 /** A request that the worker received. */
 export interface Arrival {
   readonly id: string
@@ -51,9 +57,14 @@
 const EVENT_PAUSE_MILLISECONDS = 5
 /** Delay of the failure in the mode `late-error`, in milliseconds. */
 const LATE_ERROR_MILLISECONDS = 500
+/** Size of the body in the mode `unframed-large`, in bytes. */
+export const LARGE_BODY_BYTES = 200_000
 /** Time from the start of a request that crashes the worker until the crash, in milliseconds. */
 const CRASH_DELAY_MILLISECONDS = 10
 
+/** What the worker has sent of the body of an answer when it crashes under it. */
+const sentBeforeCrash: Record<WorkerCrash, string> = { 'after-head': '', 'within-event': 'id: 1\ndata: pie', 'after-event': 'id: 1\ndata: piece 1\n\n' }
+
 type ModeHandler = (worker: UsersWorkerStandIn, request: IncomingMessage, response: ServerResponse) => void
 
 /** A worker, on loopback by default. */
@@ -71,6 +82,10 @@
   queueMilliseconds = 0
   /** The worker crashes, with all its running requests, when it starts a request with this body; `undefined` for never. */
   crashesOnBody: string | undefined
+  /** The same for a request whose prompt has this part. */
+  crashesOnPart: string | undefined
+  /** What the worker has sent of an answer when it crashes under it. */
+  crash: WorkerCrash = 'after-head'
   /** Limit in requests per second over all entries, announced in each response; `undefined` to announce none. */
   limit: number | undefined
   /** Until when the worker is cold, in milliseconds of `performance.now()`; each response until then announces the remaining time. */
@@ -120,7 +135,7 @@
     if (performance.now() < this.coldUntil) response.setHeader('x-cold-ms', String(Math.round(this.coldUntil - performance.now())))
     if (this.leaving) response.setHeader('server-leaving', '1')
     if (hasOtherVersion) return modeHandlers['wrong-version'](this, request, response)
-    if (body === this.crashesOnBody) return this._crash(request, response)
+    if (body === this.crashesOnBody || this._hasFatalPart(request)) return this._crash(request, response)
     modeHandlers[this.mode](this, request, response)
   }
 
@@ -130,6 +145,11 @@
     return expected !== undefined && Number(expected) !== this.version
   }
 
+  private _hasFatalPart ({ headers }: IncomingMessage): boolean {
+    const parts = String(headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0])
+    return this.crashesOnPart !== undefined && parts.includes(this.crashesOnPart)
+  }
+
   /** Waits for the turn of a request. Returns whether its connection is still open then. */
   private async _passQueue (response: ServerResponse): Promise<boolean> {
     this._waiting += 1
@@ -147,10 +167,15 @@
 
   private _crash (request: IncomingMessage, response: ServerResponse): void {
     response.writeHead(200, { ...this.head(request), 'content-type': 'text/event-stream' }).flushHeaders()
-    setTimeout(() => {
-      this.crashed = true
-      this.close()
-    }, CRASH_DELAY_MILLISECONDS)
+    const sent = sentBeforeCrash[this.crash]
+    if (sent !== '') response.write(sent)
+    setTimeout(() => this.crashNow(), CRASH_DELAY_MILLISECONDS)
+  }
+
+  /** Ends the worker: closes its connections and accepts no more. */
+  crashNow (): void {
+    this.crashed = true
+    this.close()
   }
 
   private _report (response: ServerResponse): void {
@@ -245,8 +270,22 @@
   'of-another-request': (worker, request, response) => {
     response.writeHead(200, { ...worker.head(request), 'x-attempt-id': 'another' }).end('of another request')
   },
-  unframed: (worker, request) => {
-    const head = Object.entries(worker.head(request)).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-    request.socket.end(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nanswer of ${worker.id}`)
-  }
+  unframed: (worker, request) => { sendUnframed(worker, request, isStreamed(request) ? eventsUpTo(worker, worker.eventsPerStream) : `answer of ${worker.id}`, socket => socket.end()) },
+  'unframed-cut-in-event': (worker, request) => { sendUnframed(worker, request, `${eventsUpTo(worker, EVENTS_BEFORE_CUT)}id: 4\ndata: pie`, socket => socket.end()) },
+  'unframed-reset': (worker, request) => { sendUnframed(worker, request, eventsUpTo(worker, EVENTS_BEFORE_CUT), socket => socket.resetAndDestroy()) },
+  'unframed-crash': (worker, request) => { sendUnframed(worker, request, eventsUpTo(worker, EVENTS_BEFORE_CUT), () => worker.crashNow()) },
+  'unframed-large': (worker, request) => { sendUnframed(worker, request, 'a'.repeat(LARGE_BODY_BYTES), socket => socket.end()) },
+  'unframed-large-crash': (worker, request) => { sendUnframed(worker, request, 'a'.repeat(LARGE_BODY_BYTES), () => worker.crashNow()) }
+}
+
+function eventsUpTo (worker: UsersWorkerStandIn, last: number): string {
+  return Array.from({ length: last }, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1} of ${worker.id}\n\n`).join('')
+}
+
+/** Sends an answer that has neither a length nor chunks, and ends it some time after its body. */
+function sendUnframed (worker: UsersWorkerStandIn, request: IncomingMessage, body: string, end: (socket: Socket) => void): void {
+  const contentType = isStreamed(request) ? { 'content-type': 'text/event-stream' } : {}
+  const head = Object.entries({ ...worker.head(request), ...contentType }).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+  request.socket.write(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\n${body}`)
+  setTimeout(() => end(request.socket), EVENT_PAUSE_MILLISECONDS)
 }
