Log the prompt parts of requests whose endpoint was lost, and for how long it had answered

The log of broken attempts had the fingerprint of the whole request only, so it could not tell a property that several requests share from crashes for causes of their own. attempt-ended of a broken attempt now has keyed fingerprints of the parts that other requests may share, and the time since the first event.

--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -69,6 +69,7 @@
   private _pausedAt: number | undefined
   private _resumedAt = -Infinity
   private _head: AnswerHead | undefined
+  private _firstEventAt: number | undefined
   private _abortReason: string | undefined
   private _stallTimer: NodeJS.Timeout | undefined
   /** The same timer, once events arrive. */
@@ -103,6 +104,8 @@
 
   /** The head of the answer; `undefined` until it arrives. */
   get head (): AnswerHead | undefined { return this._head }
+  /** When the endpoint sent its first whole event; `undefined` before that. */
+  get firstEventAt (): number | undefined { return this._firstEventAt }
   /** The body of an answer that is not a stream. */
   get body (): Buffer { return Buffer.concat(this._bodyParts) }
 
@@ -149,8 +152,10 @@
     const head = this._head
     if (head === undefined) return
     if (!isStream(head)) return this._onBodyData(head, bytes)
-    const events = this._plan.progress.take(bytes, performance.now())
+    const now = performance.now()
+    const events = this._plan.progress.take(bytes, now)
     if (events === undefined) return
+    this._firstEventAt ??= now
     this._endCancellation()
     this._restartGapTimer()
     this._listener.events(head, events)
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -85,6 +85,8 @@
   /** Empty for requests that need no model. */
   readonly model: string
   readonly promptTokens: number
+  /** IDs of the parts of the prompt that other requests may share, in order. A part that only this request has is left out. */
+  readonly promptParts: readonly string[]
   /** The answer length that the caller expects, in tokens; 0 if it does not give one. */
   readonly answerTokens: number
   /** Headers that are passed to the endpoint unchanged, as alternating names and values. */
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Records one request for operators: log lines, counters, and latency histograms by organisation and route. */
-import type { AttemptEnd, ChosenEndpoint, NextAction, OrganisationDescription, RequestFailure, Route } from '@drumdrift/core'
+import type { AttemptEnd, ChosenEndpoint, NextAction, OrganisationDescription, RequestFailure, RequestTrait, Route, TraitKind } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -58,8 +58,10 @@
   /** In milliseconds. */
   readonly took: number
   readonly next: NextAction
-  /** Set if the endpoint may have been lost while running the request: see `fingerprintOf`. */
-  readonly fingerprint: string | undefined
+  /** Set if the endpoint may have been lost while running the request: see `RequestTraits`. */
+  readonly traits: readonly RequestTrait[] | undefined
+  /** Since when the endpoint had been sending events, in milliseconds; `undefined` if it had not begun. */
+  readonly answeredFor: number | undefined
 }
 
 /** The record of one request. */
@@ -84,9 +86,9 @@
   firstEvent (now: number): void { this._recordLatency('first-token', now - this._request.receivedAt) }
 
   /** Records that an attempt ended, and the next step. */
-  attemptEnded ({ number, choice, end, took, next, fingerprint }: EndedAttempt): void {
+  attemptEnded ({ number, choice, end, took, next, traits, answeredFor }: EndedAttempt): void {
     this._dependencies.log.request('attempt-ended', {
-      id: this._request.head.id, attempt: number, endpoint: choice.record.id, outcome: end.type, reason: reasonOf(end), took: Math.round(took), next: next.type, fingerprint
+      id: this._request.head.id, attempt: number, endpoint: choice.record.id, outcome: end.type, reason: reasonOf(end), took: Math.round(took), next: next.type, ...(traits === undefined ? {} : { fingerprint: fingerprintsOf(traits, 'request'), parts: fingerprintsOf(traits, 'prompt-part'), answered_for: roundedIfFinite(answeredFor ?? Infinity) })
     })
   }
 
@@ -108,6 +110,11 @@
   }
 }
 
+/** The fingerprints of a request's properties of one kind, separated by commas; `undefined` if it has none. */
+function fingerprintsOf (traits: readonly RequestTrait[], kind: TraitKind): string | undefined {
+  return traits.filter(trait => trait.kind === kind).map(({ fingerprint }) => fingerprint).join(',') || undefined
+}
+
 function resultFields (result: RequestResult): Record<string, string | number> {
   if (result.type === 'answered') return { status: result.status }
   if (result.type === 'abandoned') return {}
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -16,7 +16,6 @@
 import type { Responder, Traffic } from '../peer/connection.js'
 import { PeerPool } from '../peer/pool.js'
 import { PeerServer } from '../peer/server.js'
-import { fingerprintOf } from '../request-fingerprint.js'
 import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
@@ -29,6 +28,7 @@
 import { PublishedFeed, type Watch } from './published-feed.js'
 import { ReadinessServer } from './readiness-server.js'
 import { placeOf } from './regions.js'
+import { RequestTraits } from './request-traits.js'
 import { RouteFront } from './route-front.js'
 import { RoutedRequest, type RoutedRequestDependencies } from './routed-request.js'
 import { ServiceUnits } from './service-units.js'
@@ -79,6 +79,7 @@
   private readonly _readiness: ReadinessServer
   private readonly _metrics: MetricsServer | undefined
   private _table: RouteTable | undefined
+  private readonly _traits: RequestTraits
   /** Agents that reported an implausible number of entries; each is logged once. */
   private readonly _implausibleAgents = new Set<string>()
   /** The newest version of each model that agents have been told. */
@@ -90,6 +91,7 @@
     const text = (section: string, key: string): string => _settings.text(section, key)
     const self = { instance: text('process', 'instance'), key: text('peers', 'key') }
     this._pool = new PeerPool(self, this._traffic)
+    this._traits = new RequestTraits(self.key)
     this._notices = new NoticeExchange({
       log: _log,
       counters: this._counters,
@@ -201,7 +203,7 @@
       random: Math.random,
       suspects: this._suspects,
       notices: this._notices,
-      fingerprint: request => fingerprintOf(this._settings.text('peers', 'key'), { ...request, organisation: request.organisation?.name ?? '' }),
+      traits: (request, scope) => this._traits.of(request, scope),
       log: this._log,
       counters: this._counters,
       histograms: this._histograms
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure
+  allowedRegionsOf, AttemptTracker, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -33,8 +33,8 @@
   readonly mustBeginBy: (model: string, version: number) => number | undefined
   readonly reserve: ConnectionReserve
   readonly random: () => number
-  /** Identifies identical requests: see `fingerprintOf`. */
-  readonly fingerprint: (request: ReadRequest) => string
+  /** Identifies what requests have in common: see `RequestTraits`. */
+  readonly traits: (request: ReadRequest, scope: string) => SuspectSubject
   readonly notices: Pick<NoticeExchange, 'recordNotice' | 'isCold'>
   readonly suspects: Pick<SuspectExchange, 'standing' | 'evidence' | 'lost' | 'recordAlive' | 'answered'>
 }
@@ -79,7 +79,8 @@
   private _late = false
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
-  private readonly _fingerprint = once(() => this._dependencies.fingerprint(this._request))
+  private readonly _subject = once(() => this._dependencies.traits(this._request, this._model))
+  private readonly _fingerprint = once(() => this._subject().traits.find(({ kind }) => kind === 'request')?.fingerprint ?? '')
   /** When the objective ends, counted from the first try of the caller, by this process's clock. */
   private _objectiveDeadline = 0
   private _finished = false
@@ -261,8 +262,9 @@
     const step = this._course.ended(end, {
       timeLeft: this._deadline > now, suspect, elsewhere: () => nextChoice() !== undefined, spendRetry: purpose => this._unit?.retries.trySpend(purpose, now) ?? false
     })
-    const fingerprint = end.type === 'broken' ? this._fingerprint() : undefined
-    this._record.attemptEnded({ number: this._attempts, choice: attempt.choice, end, took: now - attempt.sentAt, next: step, fingerprint })
+    const traits = end.type === 'broken' ? this._subject().traits : undefined
+    const answeredFor = attempt.firstEventAt === undefined ? undefined : now - attempt.firstEventAt
+    this._record.attemptEnded({ number: this._attempts, choice: attempt.choice, end, took: now - attempt.sentAt, next: step, traits, answeredFor })
     if (step.type === 'pass-on') return this._forwardAnswer(attempt)
     if (step.type === 'give-up') return this._giveUp(end, step.outcome)
     const choice = nextChoice()
