--- a/packages/benchmarks/src/lib/suspects/suspect-model.ts
+++ b/packages/benchmarks/src/lib/suspects/suspect-model.ts
@@ -4,11 +4,11 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Simulates a fleet that receives fatal requests, which crash every endpoint that starts them and arrive repeatedly, beside ordinary
- * requests. Measures how many endpoints crash, how many ordinary requests go unserved or are wrongly held back, and when the last fatal
- * request is sent.
+ * Simulates a fleet that receives fatal requests beside ordinary ones. Each fatal request crashes every endpoint that starts it: either
+ * the same request arrives repeatedly, or all are different and share one part of their prompts. Measures how many endpoints crash, how
+ * many ordinary requests go unserved or are wrongly held back, and how many fatal requests are sent after they should be known.
  */
-import { SuspectRequests, type SuspectStatus, type SuspectNews } from '@drumdrift/core'
+import { CRASH_WINDOW, SuspectRequests, SuspectVerdicts, type LossReport, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject } from '@drumdrift/core'
 import { VirtualTime } from '../policy/virtual-time.js'
 import { seededRandom } from '@drumdrift/stand-ins'
 
@@ -26,14 +26,30 @@
 export const suspectFleets: readonly SuspectFleet[] = [
   { entries: 6, endpoints: 12, followed: 12, perSecond: 60 },
   { entries: 24, endpoints: 24, followed: 24, perSecond: 120 },
-  { entries: 98, endpoints: 120, followed: 20, perSecond: 600 }
+  { entries: 98, endpoints: 120, followed: 20, perSecond: 600 },
+  { entries: 380, endpoints: 480, followed: 20, perSecond: 2_400 }
 ]
 
+/** Prompts of ordinary requests: a part for each organisation, one of many documents, and a part of their own. */
+export interface PromptShape {
+  readonly organisations: number
+  readonly documents: number
+}
+
 /** Parameters of one simulation run. */
 export interface SuspectRun extends SuspectFleet {
   readonly policy: SuspectPolicyName
   readonly seed: number
-  /** Number of different fatal requests, and how often each arrives per second. */
+  /** What fatal requests have in common: everything, or one part of their prompts. */
+  readonly fatalKind: RequestTrait['kind']
+  readonly prompts?: PromptShape | undefined
+  /** When fatal requests begin to arrive, in seconds; from the start if absent. */
+  readonly fatalFrom?: number | undefined
+  /** Endpoints that crash for other causes per second. */
+  readonly otherCrashesPerSecond?: number | undefined
+  /** When all endpoints crash at once, in seconds. */
+  readonly powerLostAt?: number | undefined
+  /** Number of different fatal requests or parts, and how often each arrives per second. */
   readonly fatal: number
   readonly fatalPerSecond: number
   /** Seconds between restarts of one entry in ten; `undefined` for no restarts. */
@@ -47,13 +63,16 @@
   /** Shares of the ordinary requests that were not served and that were held back. */
   readonly unserved: number
   readonly heldBack: number
+  /** Crashes caused by fatal requests, the most of one request or part. */
+  readonly mostCrashes: number
+  /** Fatal requests sent later than the allowed time after five crashes, the most of one request or part. */
+  readonly lateSends: number
+  /** Share of the ordinary requests that were served from twice the allowed time after the fifth crash on, or the last if there were fewer. */
+  readonly servedLater: number
   /** When the last fatal request was sent to an endpoint, in seconds from the start of the run. */
   readonly lastSend: number
 }
 
-/** An entry's record of suspect requests. */
-type SuspectRecords = Pick<SuspectRequests, 'standing' | 'lost' | 'lived' | 'answered' | 'heard' | 'takeConfirmed' | 'known'>
-
 /** Never suspects a request. */
 class NeverSuspects extends SuspectRequests {
   override standing (): SuspectStatus { return 'clear' }
@@ -65,16 +84,25 @@
 }
 
 interface Policy {
-  readonly suspects: () => SuspectRecords
+  readonly suspects: () => SuspectRequests
   /** Whether entries share reports of suspect requests through agents. */
   readonly shares: boolean
+  /** Whether entries confirm the crash of an endpoint by connecting to it. */
+  readonly probes: boolean
+  /** Whether prompts are evaluated by their parts. */
+  readonly parts: boolean
+  /** Whether a request that was lost is retried although a part of its prompt was not answered lately. */
+  readonly retriesUnknownParts: boolean
 }
 
 const policies = {
-  none: { suspects: () => new NeverSuspects(), shares: false },
-  'each-entry-alone': { suspects: () => new SuspectRequests(), shares: false },
-  'whole-fleet': { suspects: () => new SuspectRequests(), shares: true },
-  oracle: { suspects: () => new Omniscient(), shares: false }
+  none: { suspects: () => new NeverSuspects(), shares: false, probes: false, parts: true, retriesUnknownParts: true },
+  'each-entry-alone': { suspects: () => new SuspectRequests(), shares: false, probes: true, parts: true, retriesUnknownParts: true },
+  'whole-requests': { suspects: () => new SuspectRequests(), shares: true, probes: true, parts: false, retriesUnknownParts: true },
+  'crashes-awaited': { suspects: () => new SuspectRequests(), shares: true, probes: false, parts: true, retriesUnknownParts: true },
+  'unknown-parts-once': { suspects: () => new SuspectRequests(), shares: true, probes: true, parts: true, retriesUnknownParts: false },
+  'whole-fleet': { suspects: () => new SuspectRequests(), shares: true, probes: true, parts: true, retriesUnknownParts: true },
+  oracle: { suspects: () => new Omniscient(), shares: false, probes: false, parts: true, retriesUnknownParts: true }
 } satisfies Record<string, Policy>
 
 /** The name of a policy. */
@@ -83,6 +111,7 @@
 
 /** The prefix of the fingerprints of fatal requests. */
 const FATAL = 'fa'
+const FINGERPRINT_LENGTH = 16
 const MAX_ATTEMPTS = 2
 /** How long a request waits before an endpoint starts it, and how long it then runs, in milliseconds. */
 const START_DELAY = 300
@@ -98,9 +127,16 @@
 const EVENT_INTERVAL = 75
 const AGENTS_PER_REPORT = 6
 const RESTARTED_SHARE = 0.1
+/** The number of crashes after which a fatal request or part must be known, and the time allowed after that, in milliseconds. */
+const DECISIVE_CRASHES = 5
+const DETECTION_TIME = 3_000
+/** Requests that are submitted later before the end of a run may not be answered in it, in milliseconds. */
+const SETTLE_TIME = 2_000
+const SCOPE = 'model'
 
 interface Entry {
-  suspects: SuspectRecords
+  suspects: SuspectRequests
+  verdicts: SuspectVerdicts
   /** Incremented at each restart; attempts in flight at a restart are lost. */
   incarnation: number
   readonly followed: readonly number[]
@@ -115,8 +151,19 @@
 }
 
 interface Request {
-  readonly fingerprint: string
+  readonly subject: SuspectSubject
+  /** The fatal request or part; `undefined` for an ordinary request. */
+  readonly fatal: number | undefined
   readonly isRetry: boolean
+  readonly submittedAt: number
+}
+
+/** What has happened because of one fatal request or part. */
+interface FatalHistory {
+  crashes: number
+  /** When it had caused enough crashes to be known, or the last one if there were fewer. */
+  knownAt: number
+  lateSends: number
 }
 
 interface Attempt {
@@ -124,7 +171,8 @@
   readonly entry: Entry
   readonly incarnation: number
   readonly number: number
-  started: boolean
+  startedAt: number | undefined
+  survived: boolean
 }
 
 class SuspectModel {
@@ -138,31 +186,75 @@
   private _heldBack = 0
   private _crashes = 0
   private _lastSend = 0
+  private readonly _fatal: FatalHistory[]
+  /** When ordinary requests were submitted for the first time, and when those that were served at once were. */
+  private readonly _submittedAt: number[] = []
+  private readonly _servedSubmittedAt: number[] = []
 
   constructor (private readonly _run: SuspectRun) {
     this._random = seededRandom(_run.seed)
     this._policy = policies[_run.policy]
+    this._fatal = Array.from({ length: _run.fatal }, () => ({ crashes: 0, knownAt: -Infinity, lateSends: 0 }))
     this._endpoints = Array.from({ length: _run.endpoints }, () => ({ restarts: 0, upAt: 0, agent: new SuspectRequests(), followers: [], running: new Set<Attempt>() }))
     this._entries = Array.from({ length: _run.entries }, (_, index) => this._newEntry(index))
   }
 
   run (): SuspectFigures {
-    const { fatal, fatalPerSecond, perSecond, restartEvery, seconds } = this._run
+    const { fatal, fatalFrom = 0, fatalPerSecond, perSecond, otherCrashesPerSecond = 0, powerLostAt, restartEvery, seconds } = this._run
     this._scheduleArrivals(perSecond, () => {
       this._requestCount += 1
-      this._submit({ fingerprint: this._fingerprint('0', this._requestCount), isRetry: false })
+      this._submitOrdinary()
     })
-    for (let index = 0; index < fatal; index += 1) this._scheduleArrivals(fatalPerSecond, () => this._submit({ fingerprint: this._fingerprint(FATAL, index), isRetry: true }))
+    for (let index = 0; index < fatal; index += 1) this._time.after(fatalFrom * 1_000, () => this._scheduleArrivals(fatalPerSecond, () => this._submit(this._newFatal(index))))
+    if (otherCrashesPerSecond > 0) this._scheduleArrivals(otherCrashesPerSecond, () => this._crash(Math.floor(this._random() * this._endpoints.length)))
+    if (powerLostAt !== undefined) this._time.after(powerLostAt * 1_000, () => { for (const index of this._endpoints.keys()) this._crash(index) })
     if (restartEvery !== undefined) this._repeat(restartEvery * 1_000, () => this._restart())
     this._repeat(SHARE_INTERVAL, () => { for (const entry of this._entries) this._sendReport(entry, { losses: entry.suspects.takeConfirmed(this._time.now), answers: [] }) })
     this._time.runUntil(seconds * 1_000)
-    return { endpointsCrashed: this._crashes, unserved: this._unserved / this._requestCount, heldBack: this._heldBack / this._requestCount, lastSend: this._lastSend / 1_000 }
+    const known = Math.max(...this._fatal.map(({ knownAt }) => knownAt)) + 2 * DETECTION_TIME
+    const countLater = (times: readonly number[]): number => times.filter(at => at > known && at < seconds * 1_000 - SETTLE_TIME).length
+    return {
+      endpointsCrashed: this._crashes,
+      mostCrashes: Math.max(0, ...this._fatal.map(({ crashes }) => crashes)),
+      lateSends: Math.max(0, ...this._fatal.map(({ lateSends }) => lateSends)),
+      unserved: this._unserved / this._requestCount,
+      heldBack: this._heldBack / this._requestCount,
+      servedLater: countLater(this._servedSubmittedAt) / Math.max(1, countLater(this._submittedAt)),
+      lastSend: this._lastSend / 1_000
+    }
+  }
+
+  private _submitOrdinary (): void {
+    const { prompts } = this._run
+    const own: RequestTrait = { kind: 'request', fingerprint: this._fingerprint('0', this._requestCount) }
+    this._submit({ subject: { scope: SCOPE, traits: [own, ...this._sharedParts(prompts)] }, fatal: undefined, isRetry: false, submittedAt: this._time.now })
+  }
+
+  private _newFatal (index: number): Request {
+    const { fatalKind, prompts } = this._run
+    const number = fatalKind === 'request' ? index : Math.floor(this._random() * Number.MAX_SAFE_INTEGER)
+    const own: RequestTrait = { kind: 'request', fingerprint: this._fingerprint(FATAL, number).slice(0, FINGERPRINT_LENGTH) }
+    const part: RequestTrait = { kind: 'prompt-part', fingerprint: this._fingerprint('bad', index) }
+    const traits = fatalKind === 'request' || !this._policy.parts ? [own] : [own, part, ...this._sharedParts(prompts)]
+    return { subject: { scope: SCOPE, traits }, fatal: index, isRetry: true, submittedAt: this._time.now }
+  }
+
+  /** Some organisations and documents are much more popular than others. */
+  private _sharedParts (prompts: PromptShape | undefined): RequestTrait[] {
+    if (prompts === undefined || !this._policy.parts) return []
+    const draw = (count: number): number => Math.floor(count ** this._random()) - 1
+    return [this._fingerprint('1', draw(prompts.organisations)), this._fingerprint('2', draw(prompts.documents))].map(fingerprint => ({ kind: 'prompt-part', fingerprint }))
   }
 
   private _newEntry (index: number): Entry {
     const followed = this._shuffled(this._run.endpoints).slice(0, this._run.followed)
     for (const endpoint of followed) this._endpoints[endpoint]?.followers.push(index)
-    return { suspects: this._policy.suspects(), incarnation: 0, followed }
+    return { ...this._newRecords(), incarnation: 0, followed }
+  }
+
+  private _newRecords (): Pick<Entry, 'suspects' | 'verdicts'> {
+    const suspects = this._policy.suspects()
+    return { suspects, verdicts: new SuspectVerdicts({ evidence: suspects, random: this._random, entries: () => this._run.entries }, this._time.now) }
   }
 
   private _fingerprint (kind: string, number: number): string { return kind + number.toString(16).padStart(16 - kind.length, '0') }
@@ -185,14 +277,15 @@
     for (const entry of this._entries) {
       if (this._random() >= RESTARTED_SHARE) continue
       entry.incarnation += 1
-      entry.suspects = this._policy.suspects()
+      Object.assign(entry, this._newRecords())
       if (this._policy.shares) for (const index of entry.followed) this._receiveReport(entry, { losses: (this._endpoints[index] as Endpoint).agent.known(this._time.now), answers: [] })
     }
   }
 
   private _submit (request: Request): void {
     const entry = this._entries[Math.floor(this._random() * this._entries.length)] as Entry
-    if (entry.suspects.standing(request.fingerprint, this._time.now) !== 'held-back') return this._send(request, entry, 1)
+    if (!request.isRetry) this._submittedAt.push(this._time.now)
+    if (entry.verdicts.admits(request.subject, this._time.now)) return this._send(request, entry, 1)
     if (!isFatal(request)) this._heldBack += 1
   }
 
@@ -200,30 +293,56 @@
     const up = entry.followed.filter(index => (this._endpoints[index] as Endpoint).upAt <= this._time.now)
     const index = up[Math.floor(this._random() * up.length)]
     if (index === undefined) return this._fail(request)
-    if (isFatal(request)) this._lastSend = this._time.now
+    if (request.fatal !== undefined) this._countSend(request.fatal)
     const endpoint = this._endpoints[index] as Endpoint
-    const attempt: Attempt = { request, entry, incarnation: entry.incarnation, number, started: false }
+    const attempt: Attempt = { request, entry, incarnation: entry.incarnation, number, startedAt: undefined, survived: false }
     endpoint.running.add(attempt)
     this._time.after(START_DELAY, () => { if (endpoint.running.has(attempt)) this._start(index, endpoint, attempt) })
   }
 
+  private _countSend (fatal: number): void {
+    const history = this._fatal[fatal] as FatalHistory
+    this._lastSend = this._time.now
+    if (history.crashes >= DECISIVE_CRASHES && this._time.now > history.knownAt + DETECTION_TIME) history.lateSends += 1
+  }
+
   private _start (index: number, endpoint: Endpoint, attempt: Attempt): void {
-    attempt.started = true
-    if (isFatal(attempt.request)) return this._time.after(TIME_TO_CRASH, () => { if (endpoint.running.has(attempt)) this._crash(index, endpoint) })
+    attempt.startedAt = this._time.now
+    const { fatal } = attempt.request
+    if (fatal !== undefined) return this._time.after(TIME_TO_CRASH, () => { if (endpoint.running.has(attempt)) this._crash(index, fatal) })
     this._event(index, endpoint, attempt, this._time.now + RUN_TIME)
   }
 
   private _event (index: number, endpoint: Endpoint, attempt: Attempt, until: number): void {
     if (!endpoint.running.has(attempt)) return
     const { entry, request } = attempt
-    if (entry.incarnation === attempt.incarnation) entry.suspects.lived(endpointName(index, endpoint.restarts), this._time.now)
+    if (entry.incarnation === attempt.incarnation) {
+      entry.suspects.lived(endpointName(index, endpoint.restarts), this._time.now)
+      this._recordSurvival(attempt)
+    }
     if (this._time.now < until) return this._time.after(EVENT_INTERVAL, () => this._event(index, endpoint, attempt, until))
     endpoint.running.delete(attempt)
-    if (entry.incarnation === attempt.incarnation && entry.suspects.answered(request.fingerprint, this._time.now)) this._sendReport(entry, { losses: [], answers: [{ fingerprint: request.fingerprint, age: 0 }] })
+    if (!request.isRetry) this._servedSubmittedAt.push(request.submittedAt)
+    if (entry.incarnation === attempt.incarnation) this._sendAnswers(entry, entry.verdicts.answered(request.subject, this._time.now))
+  }
+
+  private _recordSurvival (attempt: Attempt): void {
+    const { entry, request, startedAt = this._time.now } = attempt
+    if (attempt.survived || this._time.now - startedAt <= CRASH_WINDOW) return
+    attempt.survived = true
+    this._sendAnswers(entry, entry.verdicts.survived(request.subject, this._time.now))
+  }
+
+  private _sendAnswers (entry: Entry, traits: readonly RequestTrait[]): void {
+    this._sendReport(entry, { losses: [], answers: traits.map(({ fingerprint }) => ({ fingerprint, age: 0 })) })
   }
 
-  private _crash (index: number, endpoint: Endpoint): void {
+  /** @param fatal The fatal request or part that causes the crash; `undefined` for another cause. */
+  private _crash (index: number, fatal?: number): void {
+    const endpoint = this._endpoints[index] as Endpoint
+    if (endpoint.upAt > this._time.now) return
     this._crashes += 1
+    if (fatal !== undefined) this._countCrash(fatal)
     const name = endpointName(index, endpoint.restarts)
     const running = [...endpoint.running]
     endpoint.running.clear()
@@ -232,14 +351,32 @@
     for (const attempt of running) this._time.after(LATENCY, () => this._attemptLost(name, attempt))
   }
 
-  private _attemptLost (name: string, { request, entry, incarnation, number }: Attempt): void {
+  private _countCrash (fatal: number): void {
+    const history = this._fatal[fatal] as FatalHistory
+    history.crashes += 1
+    if (history.crashes <= DECISIVE_CRASHES) history.knownAt = this._time.now
+  }
+
+  private _attemptLost (name: string, { request, entry, incarnation, number, startedAt }: Attempt): void {
     if (entry.incarnation !== incarnation) return this._fail(request)
     const { now } = this._time
-    entry.suspects.lost(request.fingerprint, name, now)
-    if (number < MAX_ATTEMPTS && entry.suspects.standing(request.fingerprint, now) === 'clear') this._send(request, entry, number + 1)
+    entry.verdicts.lost(request.subject, name, startedAt === undefined ? 0 : now - startedAt, now)
+    if (this._policy.probes) this._time.after(2 * LATENCY, () => this._confirm(entry, name))
+    const mayRetry = entry.verdicts.standing(request.subject, now) === 'clear' && (this._policy.retriesUnknownParts || this._isKnown(entry, request))
+    if (number < MAX_ATTEMPTS && mayRetry) this._send(request, entry, number + 1)
     else this._fail(request)
   }
 
+  private _confirm (entry: Entry, name: string): void {
+    entry.suspects.confirm(name)
+    this._sendReport(entry, { losses: entry.suspects.takeConfirmed(this._time.now), answers: [] })
+  }
+
+  /** Whether requests with each part of a prompt were answered lately. */
+  private _isKnown ({ suspects }: Entry, { subject }: Request): boolean {
+    return subject.traits.every(({ kind, fingerprint }) => kind === 'request' || suspects.isCleared(fingerprint, this._time.now))
+  }
+
   private _fail (request: Request): void {
     if (isFatal(request)) return
     if (request.isRetry) this._unserved += 1
@@ -259,14 +396,20 @@
 
   private _receiveReport (entry: Entry, report: SuspectNews): void {
     const { losses, answers } = entry.suspects.heard(report, this._time.now)
-    this._sendReport(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, this._time.now) !== 'clear'), answers })
+    this._sendReport(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, this._time.now) !== 'clear'), answers: [...answers, ...this._contradictions(entry, losses)] })
     for (const endpoint of this._endpoints) this._withdraw(endpoint, entry)
   }
 
+  private _contradictions ({ suspects }: Entry, losses: readonly LossReport[]): SuspectNews['answers'] {
+    const { now } = this._time
+    const refuted = losses.filter(({ fingerprint }) => suspects.isCleared(fingerprint, now) && suspects.counts(fingerprint, now).unexplained > 1)
+    return refuted.map(({ fingerprint }) => ({ fingerprint, age: now - suspects.lastAnswer(fingerprint) }))
+  }
+
   /** Removes an entry's attempts that have not started and whose request is now held back. */
   private _withdraw ({ running }: Endpoint, entry: Entry): void {
     for (const attempt of running) {
-      const heldBack = attempt.entry === entry && !attempt.started && entry.suspects.standing(attempt.request.fingerprint, this._time.now) === 'held-back'
+      const heldBack = attempt.entry === entry && attempt.startedAt === undefined && entry.verdicts.standing(attempt.request.subject, this._time.now) === 'held-back'
       if (heldBack) running.delete(attempt)
     }
   }
@@ -277,7 +420,7 @@
   }
 }
 
-function isFatal ({ fingerprint }: Request): boolean { return fingerprint.startsWith(FATAL) }
+function isFatal ({ fatal }: Request): boolean { return fatal !== undefined }
 function endpointName (index: number, restarts: number): string { return `endpoint-${index}@${restarts}` }
 function isEmpty ({ losses, answers }: SuspectNews): boolean { return losses.length + answers.length === 0 }
 
@@ -285,6 +428,6 @@
  * Runs the simulation once.
  *
  * @example
- * const { endpointsCrashed } = simulateSuspects({ ...suspectFleets[0], policy: 'whole-fleet', seed: 7, fatal: 1, fatalPerSecond: 10, restartEvery: undefined, seconds: 20 })
+ * const { endpointsCrashed } = simulateSuspects({ ...suspectFleets[0], policy: 'whole-fleet', seed: 7, fatalKind: 'request', fatal: 1, fatalPerSecond: 10, restartEvery: undefined, seconds: 20 })
  */
 export function simulateSuspects (run: SuspectRun): SuspectFigures { return new SuspectModel(run).run() }
--- a/packages/benchmarks/src/lib/suspects/suspects-bench.ts
+++ b/packages/benchmarks/src/lib/suspects/suspects-bench.ts
@@ -21,7 +21,7 @@
     for (const load of LOADS) {
       for (const restartEvery of RESTARTS) {
         for (const policy of suspectPolicyNames) {
-          const runs = Array.from({ length: SEEDS }, (_, index) => simulateSuspects({ ...fleet, ...load, policy, seed: seed + index, restartEvery, seconds: SECONDS }))
+          const runs = Array.from({ length: SEEDS }, (_, index) => simulateSuspects({ ...fleet, ...load, fatalKind: 'request', policy, seed: seed + index, restartEvery, seconds: SECONDS }))
           const mean = (figure: (run: (typeof runs)[number]) => number): number => runs.reduce((sum, run) => sum + figure(run), 0) / runs.length
           if (policy === 'whole-fleet' && mean(run => run.heldBack) > MAX_HELD_BACK) good = false
           printFigures('suspects', {
--- a/packages/benchmarks/src/test/lib/suspects/suspect-model_test.ts
+++ b/packages/benchmarks/src/test/lib/suspects/suspect-model_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { simulateSuspects, suspectFleets, type SuspectFigures, type SuspectPolicyName } from '../../../lib/suspects/suspect-model.js'
+import { simulateSuspects, suspectFleets, type PromptShape, type SuspectFigures, type SuspectFleet, type SuspectPolicyName, type SuspectRun } from '../../../lib/suspects/suspect-model.js'
 
 // A request that arrives repeatedly, through any entry, crashes every endpoint that starts it. While entries retried it like any other
 // request, it crashed endpoints 26 to 29 times within 10 s in a fleet of 16. Operators allow three crashes, 3 s for detection, and three
@@ -19,7 +19,7 @@
   function run (policy: SuspectPolicyName, entries: number, restartEvery: number | undefined): SuspectFigures {
     const fleet = suspectFleets.find(candidate => candidate.entries === entries)
     if (fleet === undefined) throw new Error(`no fleet of ${entries}`)
-    return simulateSuspects({ ...fleet, policy, seed: 7, fatal: 1, fatalPerSecond: PER_SECOND, restartEvery, seconds: SECONDS })
+    return simulateSuspects({ ...fleet, policy, seed: 7, fatalKind: 'request', fatal: 1, fatalPerSecond: PER_SECOND, restartEvery, seconds: SECONDS })
   }
 
   for (const { entries } of suspectFleets) {
@@ -38,3 +38,46 @@
 
   it('gives the same figures for the same seed', () => assert.deepEqual(run('whole-fleet', 24, 1), run('whole-fleet', 24, 1)))
 })
+
+// Requests that shared one part of their prompts crashed endpoints 46 to 96 times within 13 s. Operators allow five crashes, 3 s for
+// detection, and three sends after that; of the other requests at least half must be served from 6 s after the fifth crash on.
+describe('simulateSuspects with a fatal part of prompts', () => {
+  const WARM_UP = 6
+  const SECONDS = 24
+  const MAX_LATE_SENDS = 3
+  const MIN_SERVED = 0.5
+  const MAX_HELD_BACK = 0.01
+
+  const loads: [name: string, load: Pick<SuspectRun, 'fatal' | 'fatalPerSecond' | 'otherCrashesPerSecond' | 'powerLostAt'>][] = [
+    ['one part, once a second', { fatal: 1, fatalPerSecond: 1 }],
+    ['one part, 4 times a second', { fatal: 1, fatalPerSecond: 4 }],
+    ['one part, 40 times a second', { fatal: 1, fatalPerSecond: 40 }],
+    ['three parts, 4 times a second each', { fatal: 3, fatalPerSecond: 4 }],
+    ['one part beside endpoints that crash for other causes', { fatal: 1, fatalPerSecond: 4, otherCrashesPerSecond: 1 }],
+    ['endpoints that crash for other causes alone', { fatal: 0, fatalPerSecond: 0, otherCrashesPerSecond: 1 }],
+    ['all endpoints crash at once', { fatal: 0, fatalPerSecond: 0, powerLostAt: 8 }]
+  ]
+  const shapes: readonly PromptShape[] = [{ organisations: 10, documents: 10 }, { organisations: 10, documents: 1_000 }, { organisations: 100, documents: 100_000 }]
+
+  function run (policy: SuspectPolicyName, fleet: SuspectFleet, load: (typeof loads)[number][1], prompts: PromptShape): SuspectFigures {
+    return simulateSuspects({ ...fleet, ...load, fatalKind: 'prompt-part', prompts, policy, seed: 7, fatalFrom: WARM_UP, restartEvery: undefined, seconds: SECONDS })
+  }
+
+  for (const fleet of suspectFleets.slice(0, 2)) {
+    for (const [name, load] of loads) {
+      it(`holds back only the fatal part at ${fleet.entries} entries: ${name}`, () => {
+        for (const prompts of shapes) {
+          const { lateSends, heldBack, servedLater } = run('whole-fleet', fleet, load, prompts)
+          assert.ok(lateSends <= MAX_LATE_SENDS, `${lateSends} late sends with ${prompts.documents} documents`)
+          assert.ok(heldBack <= MAX_HELD_BACK, `${heldBack} of the requests were held back with ${prompts.documents} documents`)
+          assert.ok(servedLater >= MIN_SERVED, `${servedLater} were served with ${prompts.documents} documents`)
+        }
+      })
+    }
+  }
+
+  it('sends the part again and again when only whole requests are recognised', () => {
+    const [, load] = loads[1] as (typeof loads)[number]
+    assert.ok(run('whole-requests', suspectFleets[0] as SuspectFleet, load, shapes[0] as PromptShape).lateSends > MAX_LATE_SENDS)
+  })
+})
--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -4,14 +4,17 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Detects requests that may crash the endpoints that run them, and quarantines them. It guards against one request that crashes
- * every endpoint that starts it and is resent repeatedly with new ids through any entry, while each crash interrupts about 15 others.
+ * Detects requests that may crash the endpoints that run them. It guards against one request that crashes every endpoint that starts
+ * it and is resent repeatedly with new ids through any entry, and against requests that crash endpoints because of a property that
+ * they share, while each crash interrupts about 15 others.
  *
- * A request is identified by its fingerprint. Each incarnation of an endpoint that was lost while it ran the request counts against
- * the request, and so against every other request that ran there. Harmless requests are cleared: they are not lost repeatedly, their
- * endpoint is heard again if only the connection was lost, and sooner or later they are answered. Processes share their observations,
- * so that the whole fleet loses no more endpoints than a single entry would.
+ * A request is identified by fingerprints: of the whole request, and of properties that it shares with others (`request-traits.ts`). Each
+ * incarnation of an endpoint that was lost while it ran the request counts against each of them, and so against every other request
+ * that ran there. Harmless ones are cleared: they are not lost repeatedly, their endpoint is heard again if only the connection was
+ * lost, and sooner or later they are answered. The losses of a shared property do not count if another fingerprint explains them.
+ * Processes share their observations, so that the whole fleet loses no more endpoints than a single entry would.
  */
+import { isTraitKind, traitRules, type TraitKind } from './request-traits.js'
 
 /** An endpoint that was lost while it ran a request, as sent to other processes. */
 export interface LossReport {
@@ -20,6 +23,8 @@
   readonly start: string
   /** Milliseconds since the loss. */
   readonly age: number
+  /** What the fingerprint identifies; the whole request if absent. */
+  readonly kind?: TraitKind | undefined
 }
 
 /** A request that an endpoint answered, as sent to other processes: earlier losses under this request had another cause. */
@@ -45,13 +50,13 @@
  */
 const NO_RETRY_LOSSES = 2
 const QUARANTINE_LOSSES = 3
-/** The most losses stored for a request; more would not change how it is handled. */
-const MAX_LOSSES = 8
+/** The most losses stored for a fingerprint; more would not change how it is handled. */
+const MAX_LOSSES = 16
 /**
  * How long a loss counts, in milliseconds. Quarantining a harmless request rejects a body that its caller sends for the fourth time;
  * releasing a harmful one too early costs three more endpoints.
  */
-const LOSS_LIFETIME = 600_000
+export const LOSS_LIFETIME = 600_000
 /**
  * A live endpoint is heard within this time, in milliseconds: its other streams send an event about every 75 ms, and its agent reports
  * at least twice a second. A loss is shared with other processes only after this time.
@@ -63,9 +68,11 @@
  * A request is not restricted for this long after an answer, in milliseconds: many callers may send the same request, and all
  * endpoints that run it may fail together for another reason.
  */
-const ANSWERED_LIFETIME = 30_000
-/** Memory bounds: the requests of half a minute at an entry of the largest supported fleet, and the requests with losses. */
-const MAX_ANSWERED = 4_096
+export const ANSWERED_LIFETIME = 30_000
+/** An answer that changes nothing but the time of the last one is shared at most once in this time, in milliseconds. */
+const ANSWER_NEWS_INTERVAL = 1_000
+/** Memory bounds: the fingerprints of half a minute at an entry of the largest supported fleet, and those with losses. */
+const MAX_ANSWERED = 8_192
 const MAX_SUSPECTS = 512
 
 /** The most losses, and the most answers, in one message: more at a time identify no single request, and a longer message is rejected. */
@@ -76,33 +83,56 @@
   readonly fingerprint: string
   readonly start: string
   readonly at: number
+  /** Whether the endpoint is known to have crashed, so that it is shared at once and never retracted. */
+  confirmed: boolean
+}
+
+/** The losses that count against a fingerprint. */
+interface Losses {
+  readonly kind: TraitKind
+  /** The time at which each incarnation of an endpoint was lost. */
+  readonly starts: Map<string, number>
+}
+
+/** The numbers of losses that count against a fingerprint now. */
+export interface LossCounts {
+  readonly unexplained: number
+  /** Losses of a shared property for which another fingerprint is the more likely cause. */
+  readonly explained: number
+  /** When the last one happened; `-Infinity` if there is none. */
+  readonly newest: number
 }
 
 /** Tracks requests that may crash endpoints, in one process. */
 export class SuspectRequests {
-  /** The time at which each incarnation of an endpoint was lost, by fingerprint. */
-  private readonly _losses = new Map<string, Map<string, number>>()
+  private readonly _losses = new Map<string, Losses>()
   private readonly _answeredAt = new Map<string, number>()
   private _unconfirmed: UnconfirmedLoss[] = []
 
   /** Records that the connection to an endpoint was lost while it ran a request. */
-  lost (fingerprint: string, start: string, now: number): void {
-    if (this._add(fingerprint, start, now)) this._unconfirmed.push({ fingerprint, start, at: now })
+  lost (fingerprint: string, start: string, now: number, kind: TraitKind = 'request'): void {
+    if (this._add(fingerprint, start, now, kind)) this._unconfirmed.push({ fingerprint, start, at: now, confirmed: false })
+  }
+
+  /** Records that an endpoint has crashed, so that its losses need not be awaited any longer. */
+  confirm (start: string): void {
+    for (const loss of this._unconfirmed) if (loss.start === start) loss.confirmed = true
   }
 
   /** Records that an endpoint was alive at a time, so that only the connection was lost before; retracts the losses. */
   lived (start: string, at: number): void {
     if (this._unconfirmed.length === 0) return
-    const retracted = this._unconfirmed.filter(loss => loss.start === start && loss.at + MAX_IN_FLIGHT_TIME <= at)
+    const retracted = this._unconfirmed.filter(loss => loss.start === start && !loss.confirmed && loss.at + MAX_IN_FLIGHT_TIME <= at)
     for (const { fingerprint } of retracted) this._remove(fingerprint, start)
   }
 
   /**
    * Records that an endpoint answered a request completely.
    *
-   * @returns Whether the request was suspect before, so that other processes should be notified.
+   * @returns Whether other processes may suspect the request, so that they should be notified.
    */
   answered (fingerprint: string, now: number): boolean {
+    const isSuspect = (this._losses.get(fingerprint)?.starts.size ?? 0) >= NO_RETRY_LOSSES
     const known = this._answeredAt.get(fingerprint) ?? -Infinity
     const at = Math.max(known, now)
     this._answeredAt.delete(fingerprint)
@@ -111,9 +141,15 @@
       if (this._answeredAt.size <= MAX_ANSWERED) break
       this._answeredAt.delete(oldest)
     }
-    return this._dropBefore(fingerprint, at) >= NO_RETRY_LOSSES
+    return this._dropBefore(fingerprint, at) >= NO_RETRY_LOSSES || (isSuspect && at - known > ANSWER_NEWS_INTERVAL)
   }
 
+  /** When an endpoint last answered a request; `-Infinity` if that is not known. */
+  lastAnswer (fingerprint: string): number { return this._answeredAt.get(fingerprint) ?? -Infinity }
+
+  /** Whether a request was answered so recently that it is not restricted. */
+  isCleared (fingerprint: string, now: number): boolean { return now - this.lastAnswer(fingerprint) <= ANSWERED_LIFETIME }
+
   /**
    * Returns how a request may be handled now.
    *
@@ -121,21 +157,50 @@
    * if (suspects.standing(fingerprint, now) === 'held-back') refuse()
    */
   standing (fingerprint: string, now: number): SuspectStatus {
-    const losses = this.lossesOf(fingerprint, now).length
-    if (losses < NO_RETRY_LOSSES) return 'clear'
-    if (now - (this._answeredAt.get(fingerprint) ?? -Infinity) <= ANSWERED_LIFETIME) return 'clear'
-    return losses < QUARANTINE_LOSSES ? 'no-further-attempt' : 'held-back'
+    if ((this._losses.get(fingerprint)?.starts.size ?? 0) < NO_RETRY_LOSSES || this.isCleared(fingerprint, now)) return 'clear'
+    const { unexplained } = this.counts(fingerprint, now)
+    if (unexplained < NO_RETRY_LOSSES) return 'clear'
+    return unexplained < QUARANTINE_LOSSES ? 'no-further-attempt' : 'held-back'
+  }
+
+  /**
+   * Returns the numbers of losses of a request that count now.
+   *
+   * @param from Losses before this time are left out.
+   * @example
+   * const { unexplained } = suspects.counts(fingerprint, now)
+   */
+  counts (fingerprint: string, now: number, from = -Infinity): LossCounts {
+    const losses = this._losses.get(fingerprint)
+    if (losses === undefined) return { unexplained: 0, explained: 0, newest: -Infinity }
+    const live = [...losses.starts].filter(([, at]) => now - at <= LOSS_LIFETIME && at >= from)
+    const causes = this._likelierCauses(fingerprint, losses, now)
+    const explained = live.filter(([start]) => causes.some(({ starts }) => starts.has(start))).length
+    return { unexplained: live.length - explained, explained, newest: Math.max(...live.map(([, at]) => at)) }
+  }
+
+  /** The fingerprints that explain losses of a shared property: those with more losses, and narrower ones with as many. */
+  private _likelierCauses (fingerprint: string, { kind, starts }: Losses, now: number): Losses[] {
+    const { shared, breadth } = traitRules[kind]
+    const causes: Losses[] = []
+    if (!shared) return causes
+    for (const [other, losses] of this._losses) {
+      const isStrong = losses.starts.size >= Math.max(QUARANTINE_LOSSES, starts.size)
+      if (!isStrong || other === fingerprint || (losses.starts.size === starts.size && traitRules[losses.kind].breadth >= breadth)) continue
+      if (!this.isCleared(other, now)) causes.push(losses)
+    }
+    return causes
   }
 
   /** The incarnations of endpoints that were lost while they ran a request. */
   lossesOf (fingerprint: string, now: number): string[] {
     const losses = this._losses.get(fingerprint)
-    return losses === undefined ? [] : [...losses].flatMap(([start, at]) => now - at <= LOSS_LIFETIME ? [start] : [])
+    return losses === undefined ? [] : [...losses.starts].flatMap(([start, at]) => now - at <= LOSS_LIFETIME ? [start] : [])
   }
 
   /** The time until a request may be started again, in milliseconds. */
   heldBackFor (fingerprint: string, now: number): number {
-    const times = [...this._losses.get(fingerprint)?.values() ?? []].sort((left, right) => right - left)
+    const times = [...this._losses.get(fingerprint)?.starts.values() ?? []].sort((left, right) => right - left)
     const decidingLoss = times[QUARANTINE_LOSSES - 1]
     return decidingLoss === undefined ? 0 : Math.max(0, decidingLoss + LOSS_LIFETIME - now)
   }
@@ -143,9 +208,10 @@
   /** Returns the losses that this process observed and that were not retracted in time, each once, to share them. */
   takeConfirmed (now: number): LossReport[] {
     if (this._unconfirmed.length === 0) return []
-    const confirmed = this._unconfirmed.filter(({ at }) => now - at >= LIVENESS_TIMEOUT)
-    this._unconfirmed = this._unconfirmed.filter(({ at }) => now - at < LIVENESS_TIMEOUT)
-    return confirmed.slice(0, MAX_REPORTS).map(({ fingerprint, start, at }) => ({ fingerprint, start, age: now - at }))
+    const isConfirmed = ({ at, confirmed }: UnconfirmedLoss): boolean => confirmed || now - at >= LIVENESS_TIMEOUT
+    const confirmed = this._unconfirmed.filter(isConfirmed)
+    this._unconfirmed = this._unconfirmed.filter(loss => !isConfirmed(loss))
+    return confirmed.slice(0, MAX_REPORTS).map(({ fingerprint, start, at }) => this._report(fingerprint, start, now - at))
   }
 
   /**
@@ -158,39 +224,46 @@
   heard ({ losses, answers }: SuspectNews, now: number): SuspectNews {
     return {
       answers: answers.filter(({ fingerprint, age }) => age <= LOSS_LIFETIME && this.answered(fingerprint, now - age)),
-      losses: losses.filter(({ fingerprint, start, age }) => age <= LOSS_LIFETIME && this._add(fingerprint, start, now - age))
+      losses: losses.filter(({ fingerprint, start, age, kind }) => age <= LOSS_LIFETIME && this._add(fingerprint, start, now - age, kind ?? 'request'))
     }
   }
 
   /**
-   * Returns the losses to share with all other processes: those of requests that are restricted.
+   * Returns the losses to share with all other processes: those of requests that are restricted and were not answered lately.
    *
    * @param least The least number of losses of a request.
    */
   known (now: number, least = NO_RETRY_LOSSES): LossReport[] {
     const reports: LossReport[] = []
-    for (const [fingerprint, losses] of this._losses) {
-      const held = [...losses].filter(([start, at]) => now - at <= LOSS_LIFETIME && !this._isUnconfirmed(fingerprint, start))
-      if (held.length >= least) reports.push(...held.map(([start, at]) => ({ fingerprint, start, age: now - at })))
+    for (const [fingerprint, { starts }] of this._losses) {
+      if (this.isCleared(fingerprint, now)) continue
+      const held = [...starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && !this._isUnconfirmed(fingerprint, start))
+      if (held.length >= least) reports.push(...held.map(([start, at]) => this._report(fingerprint, start, now - at)))
     }
     return reports.slice(0, MAX_REPORTS)
   }
 
+  /** A report without a kind is one of a whole request, as in earlier releases. */
+  private _report (fingerprint: string, start: string, age: number): LossReport {
+    const kind = this._losses.get(fingerprint)?.kind ?? 'request'
+    return kind === 'request' ? { fingerprint, start, age } : { fingerprint, start, age, kind }
+  }
+
   private _isUnconfirmed (fingerprint: string, start: string): boolean {
-    return this._unconfirmed.some(loss => loss.fingerprint === fingerprint && loss.start === start)
+    return this._unconfirmed.some(loss => loss.fingerprint === fingerprint && loss.start === start && !loss.confirmed)
   }
 
-  private _add (fingerprint: string, start: string, at: number): boolean {
-    if (at <= (this._answeredAt.get(fingerprint) ?? -Infinity)) return false
-    const losses = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, at)
-    if (losses.has(start) || losses.size >= MAX_LOSSES) return false
-    losses.set(start, at)
+  private _add (fingerprint: string, start: string, at: number, kind: TraitKind): boolean {
+    if (at <= this.lastAnswer(fingerprint)) return false
+    const { starts } = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, at, kind)
+    if (starts.has(start) || starts.size >= MAX_LOSSES) return false
+    starts.set(start, at)
     return true
   }
 
-  private _newLosses (fingerprint: string, now: number): Map<string, number> {
+  private _newLosses (fingerprint: string, now: number, kind: TraitKind): Losses {
     if (this._losses.size >= MAX_SUSPECTS) this._evictOne(now)
-    const losses = new Map<string, number>()
+    const losses = { kind, starts: new Map<string, number>() }
     this._losses.set(fingerprint, losses)
     return losses
   }
@@ -198,27 +271,27 @@
   /** Drops expired losses, then the request with the fewest losses, the oldest of these. */
   private _evictOne (now: number): void {
     let [least, fewest] = ['', Infinity]
-    for (const [fingerprint, losses] of this._losses) {
-      for (const [start, at] of losses) if (now - at > LOSS_LIFETIME) losses.delete(start)
-      if (losses.size >= fewest) continue
+    for (const [fingerprint, { starts }] of this._losses) {
+      for (const [start, at] of starts) if (now - at > LOSS_LIFETIME) starts.delete(start)
+      if (starts.size >= fewest) continue
       least = fingerprint
-      fewest = losses.size
+      fewest = starts.size
     }
     this._losses.delete(least)
   }
 
   /** Drops the losses of a request up to a time and returns their number. */
   private _dropBefore (fingerprint: string, time: number): number {
-    const before = [...this._losses.get(fingerprint) ?? []].filter(([, at]) => at <= time)
+    const before = [...this._losses.get(fingerprint)?.starts ?? []].filter(([, at]) => at <= time)
     for (const [start] of before) this._remove(fingerprint, start)
     return before.length
   }
 
   private _remove (fingerprint: string, start: string): void {
-    const losses = this._losses.get(fingerprint)
-    losses?.delete(start)
+    const starts = this._losses.get(fingerprint)?.starts
+    starts?.delete(start)
     this._unconfirmed = this._unconfirmed.filter(loss => loss.fingerprint !== fingerprint || loss.start !== start)
-    if (losses?.size === 0) this._losses.delete(fingerprint)
+    if (starts?.size === 0) this._losses.delete(fingerprint)
   }
 }
 
@@ -234,7 +307,9 @@
 export function readSuspectNews (input: unknown): SuspectNews | undefined {
   if (typeof input !== 'object' || input === null) return undefined
   const { losses, answers } = input as Partial<Record<keyof SuspectNews, unknown>>
-  return isListOf(losses, isLossReport) && isListOf(answers, isAnswerReport) ? { losses, answers } : undefined
+  if (!isListOf(losses, isLossReport) || !isListOf(answers, isAnswerReport)) return undefined
+  // A later release may know more kinds.
+  return { losses: losses.filter(({ kind }) => kind === undefined || isTraitKind(kind)), answers }
 }
 
 function isListOf<Item> (input: unknown, isItem: (item: unknown) => item is Item): input is Item[] {
@@ -249,6 +324,6 @@
 
 function isLossReport (input: unknown): input is LossReport {
   if (!isAnswerReport(input)) return false
-  const { start } = input as Partial<Record<keyof LossReport, unknown>>
-  return typeof start === 'string' && start.length <= MAX_START_LENGTH
+  const { start, kind } = input as Partial<Record<keyof LossReport, unknown>>
+  return typeof start === 'string' && start.length <= MAX_START_LENGTH && (kind === undefined || typeof kind === 'string')
 }
--- /dev/null
+++ b/packages/node/src/lib/routing/endpoint-probe.ts
@@ -0,0 +1,33 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** Checks whether an endpoint still accepts connections, without sending it a request. */
+import { createConnection } from 'node:net'
+import { parseAddress } from '../settings/address.js'
+
+/** `listening`: a connection opened. `refused`: nothing listens at the address. `silent`: neither is known in time. */
+export type ProbeResult = 'listening' | 'refused' | 'silent'
+
+/**
+ * Opens a connection to an endpoint and closes it at once.
+ *
+ * @param timeout In milliseconds.
+ * @example
+ * if (await probeEndpoint('10.0.0.7:8000', 250) === 'refused') markAsCrashed()
+ */
+export function probeEndpoint (address: string, timeout: number): Promise<ProbeResult> {
+  const { host, port } = parseAddress(address)
+  return new Promise(resolve => {
+    const socket = createConnection({ host, port, noDelay: true })
+    const finish = (result: ProbeResult): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(result)
+    }
+    const timer = setTimeout(() => finish('silent'), timeout)
+    socket.once('connect', () => finish('listening'))
+    socket.once('error', (error: NodeJS.ErrnoException) => finish(error.code === 'ECONNREFUSED' ? 'refused' : 'silent'))
+  })
+}
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -20,6 +20,7 @@
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
+import { probeEndpoint } from './endpoint-probe.js'
 import { bufferBoundOf, coldBoundsOf, retryLimitsOf } from './entry-bounds.js'
 import { LoadFollower, type PingContent, type RelayedMessage } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
@@ -59,6 +60,8 @@
 const VERSION_CHOICE_MARGIN = 400
 /** How often the cancellations of requests are adjusted to the measured delays of links, in milliseconds. */
 const CANCELLATION_INTERVAL = 100
+/** How long an endpoint may take to accept a connection that checks whether it is alive, in milliseconds. */
+const PROBE_TIMEOUT = 250
 
 /** The daemon of a route entry. */
 export class RouteEntry implements Daemon {
@@ -129,7 +132,10 @@
       log: _log,
       counters: this._counters,
       send: news => this._follower.sendToSome({ type: 'suspects', news }),
-      onHeldBack: fingerprint => this._front.holdBack(fingerprint)
+      onHeldBack: fingerprint => this._front.holdBack(fingerprint),
+      probe: address => probeEndpoint(address, PROBE_TIMEOUT),
+      random: Math.random,
+      entries: now => this._units.entries(now)
     })
     const requestDependencies = this._requestDependencies(platform)
     this._front = new RouteFront({
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -75,7 +75,7 @@
     this._server.headersTimeout = headerTimeout
   }
 
-  /** Holds back a request from now on, including copies of it that are in progress. */
+  /** Aborts the requests with a fingerprint that are held back from now on and have not begun. */
   holdBack (fingerprint: string): void { for (const request of this._requests) request.holdBack(fingerprint) }
 
   /** Applies the current bounds of versions, and the current delays of the links, to all requests in progress. */
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject
+  allowedRegionsOf, AttemptTracker, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
 } from '@drumdrift/core'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -36,7 +36,7 @@
   /** Identifies what requests have in common: see `RequestTraits`. */
   readonly traits: (request: ReadRequest, scope: string) => SuspectSubject
   readonly notices: Pick<NoticeExchange, 'recordNotice' | 'isCold'>
-  readonly suspects: Pick<SuspectExchange, 'standing' | 'evidence' | 'lost' | 'recordAlive' | 'answered'>
+  readonly suspects: Pick<SuspectExchange, 'standing' | 'admits' | 'evidence' | 'lost' | 'recordAlive' | 'survived' | 'answered'>
 }
 
 /** A request that has been read completely and matched to a route. */
@@ -64,6 +64,12 @@
 /** Refusals that are counted by their code, because an operator's rule causes them. */
 const placementCodes: ReadonlySet<string> = new Set(['region-not-allowed', 'zones-evacuated'])
 
+/** What is held back, for the caller. */
+const suspectDescriptions: Record<TraitKind, (fingerprint: string) => string> = {
+  request: () => 'the request',
+  'prompt-part': fingerprint => `requests with a part of its prompt (fingerprint ${fingerprint})`
+}
+
 /** The routing of one request, from its acceptance to its final answer. */
 export class RoutedRequest {
   private readonly _course: AttemptTracker
@@ -80,9 +86,10 @@
   private _unit: ServiceUnit | undefined
   private _usualObjective = 0
   private readonly _subject = once(() => this._dependencies.traits(this._request, this._model))
-  private readonly _fingerprint = once(() => this._subject().traits.find(({ kind }) => kind === 'request')?.fingerprint ?? '')
   /** When the objective ends, counted from the first try of the caller, by this process's clock. */
   private _objectiveDeadline = 0
+  /** Whether some endpoint has been answering it for longer than it takes to crash. */
+  private _survived = false
   private _finished = false
   private _resolveDone: () => void = () => {}
   /** Resolves once the final answer has been given. */
@@ -108,7 +115,7 @@
     this._unit?.retries.requested(now)
     this._usualObjective = this._unit?.objective.observe(route.objective) ?? route.objective
     this._objectiveDeadline = this._request.receivedAt + route.objective - this._elapsedSinceFirstTry()
-    if (this._dependencies.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
+    if (!this._dependencies.suspects.admits(this._subject(), now)) return this._refuseSuspect(now)
     const admission = this._unit?.admission.decide({ ...this._terms(now), service: this._unit.description, objective: route.objective }, now) ?? { type: 'no-endpoint' }
     if (admission.type === 'no-endpoint') return this._refuseWithoutEndpoint()
     if (admission.type === 'overloaded') return this._refuse('overloaded', `the expected answer time of ${Math.round(admission.expected)} ms is too long`)
@@ -119,7 +126,8 @@
 
   /** Aborts the attempt if this request is held back from now on and its engine may not have begun it yet. */
   holdBack (fingerprint: string): void {
-    if (!this._answer.begun && fingerprint === this._fingerprint()) this._attempt?.abort('the request is held back because endpoints were lost while running it')
+    if (this._answer.begun || !this._subject().traits.some(trait => trait.fingerprint === fingerprint)) return
+    if (this._dependencies.suspects.standing(this._subject(), performance.now()) === 'held-back') this._attempt?.abort('the request is held back because endpoints were lost while running it')
   }
 
   /** Applies the current bounds of versions, and the current delay of the link, to the attempt in progress. */
@@ -227,6 +235,7 @@
     const { choice } = attempt
     const now = performance.now()
     this._dependencies.suspects.recordAlive(startKeyOf(choice.record), now)
+    this._recordSurvival(attempt, now)
     this._unit?.chooser.load(startKeyOf(choice.record)).begun(this._request.head.id, choice.expected, now)
     this._unit?.admission.begun(this._request.head.id, now)
     if (!this._answer.begun) this._record.firstEvent(now)
@@ -236,6 +245,12 @@
     this._pauseIfCongested(attempt)
   }
 
+  private _recordSurvival ({ firstEventAt }: EndpointAttempt, now: number): void {
+    if (this._survived || now - (firstEventAt ?? now) <= CRASH_WINDOW) return
+    this._survived = true
+    this._dependencies.suspects.survived(this._subject(), now)
+  }
+
   private _forwardBodyPart (attempt: EndpointAttempt, head: AnswerHead, bytes: Uint8Array): void {
     this._answer.head(head)
     this._answer.data(bytes)
@@ -257,7 +272,7 @@
     this._updateChooser(attempt, end, now)
     this._updateSuspects(attempt, end, now)
     if (this._finished) return
-    const suspect = this._dependencies.suspects.standing(this._fingerprint(), now) !== 'clear'
+    const suspect = this._dependencies.suspects.standing(this._subject(), now) !== 'clear'
     const nextChoice = once(() => this._choose(now))
     const step = this._course.ended(end, {
       timeLeft: this._deadline > now, suspect, elsewhere: () => nextChoice() !== undefined, spendRetry: purpose => this._unit?.retries.trySpend(purpose, now) ?? false
@@ -286,12 +301,12 @@
   }
 
   /** A rejection shows that the endpoint is alive too, unless it names another instance. */
-  private _updateSuspects ({ choice }: EndpointAttempt, end: AttemptEnd, now: number): void {
+  private _updateSuspects ({ choice: { record }, firstEventAt }: EndpointAttempt, end: AttemptEnd, now: number): void {
     const { suspects } = this._dependencies
-    const start = startKeyOf(choice.record)
-    if (end.type === 'broken' && end.connection === 'lost') suspects.lost(this._fingerprint(), start, now)
+    const start = startKeyOf(record)
+    if (end.type === 'broken' && end.connection === 'lost') suspects.lost(this._subject(), { start, address: record.address }, now - (firstEventAt ?? now), now)
     // An engine rejects at the deadline requests that it may not have begun, so only a success shows that it survived the request.
-    if (end.type === 'answered' && end.status < MIN_UNSUCCESSFUL_STATUS) suspects.answered(this._fingerprint(), now)
+    if (end.type === 'answered' && end.status < MIN_UNSUCCESSFUL_STATUS) suspects.answered(this._subject(), now)
     if (end.type === 'answered' || (end.type === 'not-run' && end.reason === 'full')) suspects.recordAlive(start, now)
   }
 
@@ -305,7 +320,7 @@
   private _giveUp (end: AttemptEnd, outcome: RequestFailure['outcome']): void {
     const detail = 'detail' in end ? end.detail : end.type
     const now = performance.now()
-    if (outcome === 'not-run' && this._dependencies.suspects.standing(this._fingerprint(), now) === 'held-back') return this._refuseSuspect(now)
+    if (outcome === 'not-run' && this._dependencies.suspects.standing(this._subject(), now) === 'held-back') return this._refuseSuspect(now)
     if (outcome === 'not-run') return this._refuse('overloaded', `the endpoints refused the request: ${reasonOf(end) ?? detail}`)
     this._fail(requestFailure(outcome === 'cut' ? 'answer-cut' : 'outcome-unknown', outcome, detail))
   }
@@ -341,8 +356,9 @@
 
   /** Refuses a request that is held back because endpoints were repeatedly lost while running it, and names a retry time. */
   private _refuseSuspect (now: number): void {
-    const { lost, heldBackFor } = this._dependencies.suspects.evidence(this._fingerprint(), now)
-    this._fail(requestFailure('ends-endpoints', 'not-run', `${lost.length} endpoints were lost while running the request: ${lost.join(', ')}`, Math.round(heldBackFor)))
+    const { trait, lost, heldBackFor } = this._dependencies.suspects.evidence(this._subject(), now)
+    const suspect = trait === undefined ? 'the request' : suspectDescriptions[trait.kind](trait.fingerprint)
+    this._fail(requestFailure('ends-endpoints', 'not-run', `${lost.length} endpoints were lost while running ${suspect}: ${lost.join(', ')}`, Math.round(heldBackFor)))
   }
 
   private _fail (failure: RequestFailure): void {
--- a/packages/node/src/lib/routing/suspect-exchange.ts
+++ b/packages/node/src/lib/routing/suspect-exchange.ts
@@ -7,10 +7,11 @@
  * Tracks requests that may crash endpoints, and shares what one entry knows of them with the other entries. Agents relay messages
  * that are new to them to all entries that follow them.
  */
-import { readSuspectNews, SuspectRequests, type SuspectStatus, type SuspectNews } from '@drumdrift/core'
+import { readSuspectNews, SuspectRequests, SuspectVerdicts, type AnswerReport, type LossReport, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject, type TraitKind } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
+import type { ProbeResult } from './endpoint-probe.js'
 
 /** Dependencies of {@link SuspectExchange}. */
 export interface SuspectExchangeDependencies {
@@ -18,48 +19,93 @@
   readonly counters: Counters
   /** Sends a message to some agents. */
   readonly send: (news: SuspectNews) => void
-  /** Called when a request is held back from now on. */
+  /** Called when requests with a fingerprint may be held back from now on. */
   readonly onHeldBack: (fingerprint: string) => void
+  /** Checks whether an endpoint still accepts connections. */
+  readonly probe: (address: string) => Promise<ProbeResult>
+  /** Random numbers in [0, 1). */
+  readonly random: () => number
+  /** The number of entries of the fleet; `undefined` if it is not known. */
+  readonly entries: (now: number) => number | undefined
+}
+
+/** An endpoint that may have crashed. */
+export interface LostEndpoint {
+  /** The incarnation of the endpoint: see `startKeyOf`. */
+  readonly start: string
+  readonly address: string
+}
+
+/** Why a request is held back. */
+export interface SuspectEvidence {
+  readonly trait: RequestTrait | undefined
+  /** The incarnations of endpoints that were lost. */
+  readonly lost: readonly string[]
+  /** The time until the request may be started, in milliseconds. */
+  readonly heldBackFor: number
 }
 
 /** How often confirmed losses are sent, in milliseconds: a small part of the time that an endpoint has to show that it is alive. */
 const SEND_INTERVAL = 100
 
+/** The counter of what is held back, by kind. */
+const counterOf: Record<TraitKind, string> = { request: 'requests_found_fatal', 'prompt-part': 'prompt_parts_found_fatal' }
+
 /** The suspect requests of one entry. */
 export class SuspectExchange {
   private readonly _suspects = new SuspectRequests()
+  private readonly _verdicts: SuspectVerdicts
   private readonly _sharing: PeriodicTask
+  /** The incarnations of endpoints that are being probed. */
+  private readonly _probed = new Set<string>()
+  private _closed = false
 
   constructor (private readonly _dependencies: SuspectExchangeDependencies) {
-    this._sharing = runPeriodically(() => this._send({ losses: this._suspects.takeConfirmed(performance.now()), answers: [] }), SEND_INTERVAL)
+    const { random, entries } = _dependencies
+    this._verdicts = new SuspectVerdicts({ evidence: this._suspects, random, entries }, performance.now())
+    this._sharing = runPeriodically(() => this._sendConfirmed(), SEND_INTERVAL)
   }
 
-  close (): void { this._sharing.close() }
+  close (): void {
+    this._closed = true
+    this._sharing.close()
+  }
+
+  standing (subject: SuspectSubject, now: number): SuspectStatus { return this._verdicts.standing(subject, now) }
 
-  standing (fingerprint: string, now: number): SuspectStatus { return this._suspects.standing(fingerprint, now) }
+  /** Whether a request may be started. */
+  admits (subject: SuspectSubject, now: number): boolean { return this._verdicts.admits(subject, now) }
 
-  /** Returns the endpoints that were lost while running a request, and how long it is held back, in milliseconds. */
-  evidence (fingerprint: string, now: number): { readonly lost: string[], readonly heldBackFor: number } {
-    return { lost: this._suspects.lossesOf(fingerprint, now), heldBackFor: this._suspects.heldBackFor(fingerprint, now) }
+  /** Returns why a request is held back. */
+  evidence (subject: SuspectSubject, now: number): SuspectEvidence {
+    const trait = this._verdicts.decisiveTrait(subject, now)
+    if (trait === undefined) return { trait, lost: [], heldBackFor: 0 }
+    return { trait, lost: this._suspects.lossesOf(trait.fingerprint, now), heldBackFor: this._verdicts.heldBackFor(trait, now) }
   }
 
-  /** Records that the connection to an endpoint was lost while a request was in flight. */
-  lost (fingerprint: string, start: string, now: number): void {
-    const before = this.standing(fingerprint, now)
-    this._suspects.lost(fingerprint, start, now)
-    this._reportIfHeldBack(fingerprint, before, 'own', now)
+  /**
+   * Records that the connection to an endpoint was lost while a request was in flight.
+   *
+   * @param answeredFor How long the endpoint had been answering the request, in milliseconds; 0 if it had not begun.
+   */
+  lost (subject: SuspectSubject, endpoint: LostEndpoint, answeredFor: number, now: number): void {
+    const before = this._standings(subject.traits, now)
+    this._verdicts.lost(subject, endpoint.start, answeredFor, now)
+    this._reportHeldBack(before, 'own', now)
+    this._confirmCrash(endpoint)
   }
 
   /** Records that an endpoint was alive at a time. */
   recordAlive (start: string, at: number): void { this._suspects.lived(start, at) }
 
+  /** Records that an endpoint has been answering a request for longer than it takes to crash because of a part of its prompt. */
+  survived (subject: SuspectSubject, now: number): void { this._sendAnswers(this._verdicts.survived(subject, now)) }
+
   /**
    * Records that an endpoint ran a request and answered it. Shared only if that clears the request: otherwise an entry that has
    * just started would hold back a request that all others serve.
    */
-  answered (fingerprint: string, now: number): void {
-    if (this._suspects.answered(fingerprint, now)) this._send({ losses: [], answers: [{ fingerprint, age: 0 }] })
-  }
+  answered (subject: SuspectSubject, now: number): void { this._sendAnswers(this._verdicts.answered(subject, now)) }
 
   /**
    * Receives what another entry observed, relayed by an agent. Losses and answers that change the standing of a request are sent on,
@@ -69,24 +115,57 @@
     const now = performance.now()
     const news = readSuspectNews(input)
     if (news === undefined) return this._dependencies.log.warn('peer-malformed', { type: 'suspects', agent, detail: 'the payload is not a valid message about suspect requests' })
-    const before = new Map(news.losses.map(({ fingerprint }) => [fingerprint, this.standing(fingerprint, now)]))
+    const before = this._standings(news.losses.map(({ fingerprint, kind = 'request' }) => ({ fingerprint, kind })), now)
     const { losses, answers } = this._suspects.heard(news, now)
-    for (const [fingerprint, standing] of before) this._reportIfHeldBack(fingerprint, standing, 'told', now)
-    this._send({ losses: losses.filter(({ fingerprint }) => this.standing(fingerprint, now) !== 'clear'), answers })
+    this._reportHeldBack(before, 'told', now)
+    this._send({ losses: losses.filter(({ fingerprint }) => this._suspects.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...this._contradictions(losses, now)] })
   }
 
   /** Returns the losses to send to an agent to which this entry has just connected. */
   snapshot (): SuspectNews { return { losses: this._suspects.known(performance.now()), answers: [] } }
 
+  /** The answers that this entry received of requests that another one suspects. */
+  private _contradictions (losses: readonly LossReport[], now: number): AnswerReport[] {
+    const fingerprints = new Set(losses.map(({ fingerprint }) => fingerprint))
+    return [...fingerprints].flatMap(fingerprint => {
+      const isRefuted = this._suspects.isCleared(fingerprint, now) && this._suspects.counts(fingerprint, now).unexplained > 1
+      return isRefuted ? [{ fingerprint, age: Math.max(0, now - this._suspects.lastAnswer(fingerprint)) }] : []
+    })
+  }
+
+  /** An endpoint that accepts no connections has crashed, so that its loss need not be awaited. */
+  private async _confirmCrash ({ start, address }: LostEndpoint): Promise<void> {
+    if (this._probed.has(start)) return
+    this._probed.add(start)
+    const result = await this._dependencies.probe(address)
+    this._probed.delete(start)
+    if (result !== 'refused' || this._closed) return
+    this._suspects.confirm(start)
+    this._sendConfirmed()
+  }
+
+  private _sendConfirmed (): void { this._send({ losses: this._suspects.takeConfirmed(performance.now()), answers: [] }) }
+
+  private _sendAnswers (traits: readonly RequestTrait[]): void {
+    if (traits.length > 0) this._send({ losses: [], answers: traits.map(({ fingerprint }) => ({ fingerprint, age: 0 })) })
+  }
+
   private _send (news: SuspectNews): void {
     if (news.losses.length + news.answers.length > 0) this._dependencies.send(news)
   }
 
-  private _reportIfHeldBack (fingerprint: string, before: SuspectStatus, source: 'own' | 'told', now: number): void {
-    if (before === 'held-back' || this.standing(fingerprint, now) !== 'held-back') return
-    const { lost, heldBackFor } = this.evidence(fingerprint, now)
-    this._dependencies.counters.add('requests_found_fatal')
-    this._dependencies.log.warn('request-held-back', { fingerprint, source, lost: lost.join(','), for: Math.round(heldBackFor) })
-    this._dependencies.onHeldBack(fingerprint)
+  private _standings (traits: readonly RequestTrait[], now: number): ReadonlyMap<RequestTrait, SuspectStatus> {
+    return new Map(traits.map(trait => [trait, this._suspects.standing(trait.fingerprint, now)]))
+  }
+
+  private _reportHeldBack (before: ReadonlyMap<RequestTrait, SuspectStatus>, source: 'own' | 'told', now: number): void {
+    const reported = new Set<string>()
+    for (const [{ kind, fingerprint }, standing] of before) {
+      if (standing === 'held-back' || reported.has(fingerprint) || this._suspects.standing(fingerprint, now) !== 'held-back') continue
+      reported.add(fingerprint)
+      this._dependencies.counters.add(counterOf[kind])
+      this._dependencies.log.warn('request-held-back', { kind, fingerprint, source, lost: this._suspects.lossesOf(fingerprint, now).join(','), for: Math.round(this._suspects.heldBackFor(fingerprint, now)) })
+      this._dependencies.onHeldBack(fingerprint)
+    }
   }
 }
--- a/packages/node/src/test/lib/routing/suspect-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/suspect-exchange_test.ts
@@ -5,13 +5,21 @@
  */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it, mock } from 'node:test'
-import type { SuspectNews } from '@drumdrift/core'
+import type { SuspectNews, SuspectSubject } from '@drumdrift/core'
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
+import type { ProbeResult } from '../../../lib/routing/endpoint-probe.js'
 import { SuspectExchange } from '../../../lib/routing/suspect-exchange.js'
 
 const fingerprint = '00000000000000fa'
+const part = '00000000000000fb'
+const request: SuspectSubject = { scope: 'm', traits: [{ kind: 'request', fingerprint }] }
+
+/** A request of its own that has a part of its prompt in common with others. */
+function requestWithPart (number: number): SuspectSubject {
+  return { scope: 'm', traits: [{ kind: 'request', fingerprint: number.toString(16).padStart(16, '0') }, { kind: 'prompt-part', fingerprint: part }] }
+}
 
 function lossOf (start: string): SuspectNews { return { losses: [{ fingerprint, start, age: 0 }], answers: [] } }
 
@@ -21,6 +29,8 @@
   let heldBack: string[]
   let logLines: string[]
   let exchange: SuspectExchange
+  let probeResult: ProbeResult
+  let probed: string[]
 
   beforeEach(() => {
     mock.timers.enable({ apis: ['setInterval'] })
@@ -29,12 +39,23 @@
     sent = []
     heldBack = []
     logLines = []
+    probeResult = 'listening'
+    probed = []
     const output = new BoundedOutput(1, 1_000_000, (_descriptor, bytes, callback) => {
       logLines.push(bytes.toString('utf8'))
       callback(null, bytes.length)
     })
     exchange = new SuspectExchange({
-      log: new Log('debug', {}, output), counters: new Counters(), send: news => sent.push(news), onHeldBack: held => heldBack.push(held)
+      log: new Log('debug', {}, output),
+      counters: new Counters(),
+      send: news => sent.push(news),
+      onHeldBack: held => heldBack.push(held),
+      random: () => 0.5,
+      entries: () => 1,
+      probe: async address => {
+        probed.push(address)
+        return probeResult
+      }
     })
   })
   afterEach(() => {
@@ -48,11 +69,13 @@
     mock.timers.tick(milliseconds)
   }
 
+  function lose (start: string, at = now, subject = request): void { exchange.lost(subject, { start, address: `address-of-${start}` }, 0, at) }
+
   /** The lost starts in all messages that were sent to agents. */
   function sentLosses (): string[] { return sent.flatMap(({ losses }) => losses.map(({ start }) => start)) }
 
   it('shares the loss of an endpoint once it has not shown in time that it is alive', () => {
-    exchange.lost(fingerprint, 'a', now)
+    lose('a')
     advance(600)
     assert.deepEqual(sent, [])
     advance(100)
@@ -62,19 +85,19 @@
   })
 
   it('does not share the loss of an endpoint that proves to be alive', () => {
-    exchange.lost(fingerprint, 'a', now)
+    lose('a')
     exchange.recordAlive('a', now + 100)
     advance(1_000)
     assert.deepEqual(sent, [])
   })
 
   it('reports once that a request is held back, whichever entries saw the losses', () => {
-    exchange.lost(fingerprint, 'a', now)
+    lose('a')
     exchange.receive(lossOf('b'), 'agent-1')
     assert.deepEqual(heldBack, [])
     exchange.receive(lossOf('c'), 'agent-2')
     exchange.receive(lossOf('d'), 'agent-2')
-    assert.deepEqual([heldBack, exchange.standing(fingerprint, now)], [[fingerprint], 'held-back'])
+    assert.deepEqual([heldBack, exchange.standing(request, now)], [[fingerprint], 'held-back'])
     assert.equal(logLines.join('').match(/event=request-held-back .*fingerprint=00000000000000fa source=told lost=a,b,c/g)?.length, 1)
   })
 
@@ -88,12 +111,12 @@
   })
 
   it('shares an answer that clears a request, and no others', () => {
-    exchange.answered(fingerprint, now)
-    exchange.lost(fingerprint, 'a', now + 10)
-    exchange.answered(fingerprint, now + 20)
+    exchange.answered(request, now)
+    lose('a', now + 10)
+    exchange.answered(request, now + 20)
     assert.deepEqual(sent, [])
-    for (const start of ['b', 'c', 'd']) exchange.lost(fingerprint, start, now + 30)
-    exchange.answered(fingerprint, now + 40)
+    for (const start of ['b', 'c', 'd']) lose(start, now + 30)
+    exchange.answered(request, now + 40)
     assert.deepEqual(sent, [{ losses: [], answers: [{ fingerprint, age: 0 }] }])
   })
 
@@ -103,7 +126,37 @@
     now += 50
     exchange.receive({ losses: [], answers: [{ fingerprint, age: 10 }] }, 'agent-1')
     now += 60_000
-    assert.deepEqual([exchange.standing(fingerprint, now), sent.length], ['clear', 1])
+    assert.deepEqual([exchange.standing(request, now), sent.length], ['clear', 1])
+  })
+
+  it('shares the loss of an endpoint at once if it accepts no connections', async () => {
+    probeResult = 'refused'
+    lose('a')
+    lose('a', now, requestWithPart(1))
+    await new Promise(resolve => setImmediate(resolve))
+    assert.deepEqual([sentLosses(), probed], [['a', 'a', 'a'], ['address-of-a']])
+    exchange.recordAlive('a', now + 100)
+    lose('b')
+    lose('c')
+    assert.equal(exchange.standing(request, now), 'held-back')
+  })
+
+  it('holds back different requests that share a part', () => {
+    exchange.answered({ scope: 'm', traits: [] }, now)
+    for (const [index, start] of ['a', 'b', 'c', 'd'].entries()) lose(start, now, requestWithPart(index))
+    assert.deepEqual(heldBack, [part])
+    assert.equal(exchange.standing(requestWithPart(9), now), 'held-back')
+    assert.equal(exchange.standing({ scope: 'm', traits: requestWithPart(9).traits.slice(0, 1) }, now), 'clear')
+    const { trait, lost, heldBackFor } = exchange.evidence(requestWithPart(9), now)
+    assert.deepEqual([trait?.fingerprint, lost, heldBackFor], [part, ['a', 'b', 'c', 'd'], 600_000])
+    assert.match(logLines.join(''), /event=request-held-back .*kind=prompt-part fingerprint=00000000000000fb source=own/)
+  })
+
+  it('contradicts another entry that suspects a part of requests that were answered here', () => {
+    exchange.answered(requestWithPart(1), now)
+    now += 1_000
+    exchange.receive({ losses: ['a', 'b'].map(start => ({ fingerprint: part, start, age: 0, kind: 'prompt-part' })), answers: [] }, 'agent-1')
+    assert.deepEqual(sent, [{ losses: [], answers: [{ fingerprint: part, age: 1_000 }] }])
   })
 
   it('rejects malformed messages', () => {
