Deliver answers that end with their connection, once their endpoint has shown that it is alive

Callers of endpoints that answer without a length or chunks got none of their streams whole: all events were generated a second time by another endpoint, a plain answer was 502 or repeated, and a large one was aborted. Entries took each such end for a crash, and counted it against the request.

If that is accepted, and no other answer of the endpoint was cut off at that moment, the answer is whole. A reset, an end within an event, a stream without any event, and an endpoint that accepts no connections are crashes. Events are passed on as they come; only the end waits. After reading was paused for a second or more, a crashed endpoint may have started again, so the answer is cut.

--- a/packages/node/src/lib/routing/endpoint-probe.ts
+++ b/packages/node/src/lib/endpoint-probe.ts
@@ -5,7 +5,10 @@
  */
 /** Checks whether an endpoint still accepts connections, without sending it a request. */
 import { createConnection } from 'node:net'
-import { parseAddress } from '../settings/address.js'
+import { parseAddress } from './settings/address.js'
+
+/** The usual timeout of a probe, in milliseconds. */
+export const PROBE_TIMEOUT = 250
 
 /** `listening`: a connection opened. `refused`: nothing listens at the address. `silent`: neither is known in time. */
 export type ProbeResult = 'listening' | 'refused' | 'silent'
@@ -15,9 +18,9 @@
  *
  * @param timeout In milliseconds.
  * @example
- * if (await probeEndpoint('10.0.0.7:8000', 250) === 'refused') markAsCrashed()
+ * if (await probeEndpoint('10.0.0.7:8000') === 'refused') markAsCrashed()
  */
-export function probeEndpoint (address: string, timeout: number): Promise<ProbeResult> {
+export function probeEndpoint (address: string, timeout = PROBE_TIMEOUT): Promise<ProbeResult> {
   const { host, port } = parseAddress(address)
   return new Promise(resolve => {
     const socket = createConnection({ host, port, noDelay: true })
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -29,9 +29,11 @@
 const MAX_BUFFERED_BODY = 64 * 1024
 /** An endpoint closes a connection on which nothing is read for some seconds; the close can arrive this long after reading resumes, in milliseconds. */
 const UNREAD_CUT_DELAY = 1_000
+/** The shortest time in which a crashed endpoint may accept connections again, in milliseconds. */
+const MIN_RESTART_TIME = 1_000
 
 const EVENT_TIMEOUT_DETAIL = 'timed out waiting for an event'
-const UNFRAMED_DETAIL = 'the answer has no declared length and is too large to buffer'
+const UNFRAMED_DETAIL = 'the answer has no declared length, and its endpoint may have crashed when its connection closed'
 const VERSION_TIMEOUT_DETAIL = 'timed out waiting to begin on an old version'
 
 /** The parameters of an attempt. */
@@ -46,6 +48,8 @@
   readonly stallTimeout?: number | undefined
   /** When the attempt is cancelled unless the endpoint has begun to answer, by this process's clock; `undefined` for never. */
   readonly cancelAt: () => number | undefined
+  /** Whether the endpoint is alive after it closed the connection of an answer that has no other end. */
+  readonly outlived: () => Promise<boolean>
 }
 
 /** Callbacks of an attempt. */
@@ -64,10 +68,10 @@
   private readonly _call: EndpointCall
   private _bodyParts: Buffer[] = []
   private _bodyLength = 0
-  private _framed = false
   /** Since when the answer is not read; `undefined` while it is. */
   private _pausedAt: number | undefined
   private _resumedAt = -Infinity
+  private _longestPause = 0
   private _head: AnswerHead | undefined
   private _firstEventAt: number | undefined
   private _abortReason: string | undefined
@@ -91,10 +95,7 @@
     this.choice = _plan.choice
     this._call = new EndpointCall(_plan.request, {
       readHead: response => _listener.readHead(response),
-      head: (head, framed) => {
-        this._head = head
-        this._framed = framed
-      },
+      head: head => { this._head = head },
       data: bytes => this._onData(bytes)
     })
     this.ended = this._call.ended.then(end => this._finish(end))
@@ -126,8 +127,9 @@
   /** Reads the answer again after a pause. */
   resume (): void {
     if (this._pausedAt === undefined) return
-    this._pausedAt = undefined
     this._resumedAt = performance.now()
+    this._longestPause = Math.max(this._longestPause, this._resumedAt - this._pausedAt)
+    this._pausedAt = undefined
     if (this._gapTimer !== undefined) this._gapTimer.refresh()
     this._call.resume()
   }
@@ -165,7 +167,6 @@
     this._bodyParts.push(bytes)
     this._bodyLength += bytes.length
     if (this._bodyLength <= MAX_BUFFERED_BODY) return
-    if (!this._framed) return this.abort(UNFRAMED_DETAIL)
     const part = this.body
     this._bodyParts = []
     this._listener.bodyPart(head, part)
@@ -191,7 +192,7 @@
     this._gapTimer = this._stallTimer
   }
 
-  private _finish (end: EndpointCallEnd): AttemptEnd {
+  private async _finish (end: EndpointCallEnd): Promise<AttemptEnd> {
     clearTimeout(this._stallTimer)
     this._endCancellation()
     // Refreshing a cleared timer would start it again.
@@ -199,23 +200,32 @@
     if (end.type === 'not-run') return end
     if (end.type === 'broken' && this._wasPaused()) return { type: 'unread', detail: end.detail }
     if (this._abortReason !== undefined) return { type: 'stalled', detail: this._abortReason }
-    if (end.type === 'whole' && this._head !== undefined) return this._answerEnd(this._head, end.framed)
+    if (end.type === 'whole' && this._head !== undefined) return end.framed || isFailure(this._head) ? this._answerEnd(this._head) : await this._closedAnswerEnd(this._head)
     return end.type === 'broken' ? { type: 'broken', connection: end.connection, detail: end.detail } : { type: 'broken', connection: 'open', detail: end.type }
   }
 
   private _wasPaused (): boolean { return this._pausedAt !== undefined || performance.now() - this._resumedAt < UNREAD_CUT_DELAY }
 
-  private _answerEnd (head: AnswerHead, framed: boolean): AttemptEnd {
-    const { status } = head
-    // A success without a length or chunked encoding looks complete even if its endpoint crashed midway, so it is never trusted:
-    // for the caller, a truncated answer that looks complete is worse than none.
-    if (!framed && status < MIN_UNSUCCESSFUL_STATUS) return { type: 'broken', connection: 'lost', detail: 'the answer has no declared length and ended when its connection closed' }
+  private _answerEnd (head: AnswerHead): AttemptEnd {
     const stream = isStream(head)
     if (stream && this._plan.progress.withinEvent) return { type: 'broken', connection: 'open', detail: 'the stream ended in the middle of an event' }
-    return { type: 'answered', status, stream }
+    return { type: 'answered', status: head.status, stream }
+  }
+
+  /**
+   * A success without a length or chunks looks complete even if its endpoint crashed midway: for the caller, a truncated answer that
+   * looks complete is worse than none. After a long pause, an endpoint that crashed meanwhile may have started again.
+   */
+  private async _closedAnswerEnd (head: AnswerHead): Promise<AttemptEnd> {
+    if (this._longestPause >= MIN_RESTART_TIME) return { type: 'unread', detail: UNFRAMED_DETAIL }
+    const { withinEvent, lastEventId } = this._plan.progress
+    const isCut = isStream(head) && (withinEvent || lastEventId === undefined)
+    return !isCut && await this._plan.outlived() ? this._answerEnd(head) : { type: 'broken', connection: 'lost', detail: UNFRAMED_DETAIL }
   }
 }
 
+function isFailure ({ status }: AnswerHead): boolean { return status >= MIN_UNSUCCESSFUL_STATUS }
+
 /** Only successes are streamed to callers; rejections and failures are passed on as one answer. */
 function isStream ({ eventStream, status }: AnswerHead): boolean {
   return eventStream && status < MIN_UNSUCCESSFUL_STATUS
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -10,6 +10,7 @@
 import { request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import { createConnection, type Socket } from 'node:net'
 import type { NotRunReason } from '@drumdrift/core'
+import { isFramed } from '../answer-framing.js'
 import { parseAddress } from '../settings/address.js'
 import type { AnswerHead, EndpointHead } from './ports.js'
 
@@ -41,8 +42,7 @@
 export interface EndpointCallListener {
   /** Parses the head of the answer. */
   readHead (response: IncomingMessage): EndpointHead
-  /** @param framed Whether the answer declares its end: see `EndpointCallEnd`. */
-  head (head: AnswerHead, framed: boolean): void
+  head (head: AnswerHead): void
   data (bytes: Buffer): void
 }
 
@@ -124,7 +124,7 @@
     if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, connection: 'open', detail: head.detail })
     this._begun = true
     this._response = response
-    this._listener.head(head, isFramed(response))
+    this._listener.head(head)
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
     response.on('end', () => {
       if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
@@ -145,9 +145,3 @@
     this._finish(end)
   }
 }
-
-/** Whether an answer declares where it ends (RFC 9112, 6.3), so that its end does not depend on the connection closing. */
-function isFramed ({ headers, statusCode = 0 }: IncomingMessage): boolean {
-  const bodiless = statusCode === 204 || statusCode === 304
-  return bodiless || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -9,6 +9,8 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { ageOf, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange } from '@drumdrift/core'
+import { EndpointLiveness } from '../endpoint-liveness.js'
+import { probeEndpoint } from '../endpoint-probe.js'
 import { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import { Counters } from '../observe/metrics.js'
@@ -20,7 +22,6 @@
 import type { Daemon } from '../run-daemon.js'
 import type { Settings } from '../settings/settings.js'
 import { ConnectionReserve } from './connection-reserve.js'
-import { probeEndpoint } from './endpoint-probe.js'
 import { bufferBoundOf, coldBoundsOf, retryLimitsOf } from './entry-bounds.js'
 import { LoadFollower, type PingContent, type RelayedMessage } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
@@ -60,8 +61,6 @@
 const VERSION_CHOICE_MARGIN = 400
 /** How often the cancellations of requests are adjusted to the measured delays of links, in milliseconds. */
 const CANCELLATION_INTERVAL = 100
-/** How long an endpoint may take to accept a connection that checks whether it is alive, in milliseconds. */
-const PROBE_TIMEOUT = 250
 
 /** The daemon of a route entry. */
 export class RouteEntry implements Daemon {
@@ -83,6 +82,7 @@
   private readonly _metrics: MetricsServer | undefined
   private _table: RouteTable | undefined
   private readonly _traits: RequestTraits
+  private readonly _liveness = new EndpointLiveness(probeEndpoint)
   /** Agents that reported an implausible number of entries; each is logged once. */
   private readonly _implausibleAgents = new Set<string>()
   /** The newest version of each model that agents have been told. */
@@ -133,7 +133,7 @@
       counters: this._counters,
       send: news => this._follower.sendToSome({ type: 'suspects', news }),
       onHeldBack: fingerprint => this._front.holdBack(fingerprint),
-      probe: address => probeEndpoint(address, PROBE_TIMEOUT),
+      probe: probeEndpoint,
       random: Math.random,
       entries: now => this._units.entries(now)
     })
@@ -208,6 +208,7 @@
       reserve: this._reserve,
       random: Math.random,
       suspects: this._suspects,
+      liveness: this._liveness,
       notices: this._notices,
       traits: (request, scope) => this._traits.of(request, scope),
       log: this._log,
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -11,6 +11,7 @@
 import {
   allowedRegionsOf, AttemptTracker, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
 } from '@drumdrift/core'
+import type { EndpointLiveness, EndpointStart } from '../endpoint-liveness.js'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { ConnectionReserve } from './connection-reserve.js'
@@ -36,6 +37,7 @@
   /** Identifies what requests have in common: see `RequestTraits`. */
   readonly traits: (request: ReadRequest, scope: string) => SuspectSubject
   readonly notices: Pick<NoticeExchange, 'recordNotice' | 'isCold'>
+  readonly liveness: Pick<EndpointLiveness, 'outlived' | 'recordLoss'>
   readonly suspects: Pick<SuspectExchange, 'standing' | 'admits' | 'evidence' | 'lost' | 'recordAlive' | 'survived' | 'answered'>
 }
 
@@ -181,7 +183,8 @@
       progress: this._progress,
       abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
       stallTimeout: this._isLate ? LATE_STALL_SHARE * remaining : undefined,
-      cancelAt: () => this._cancellationTime(choice)
+      cancelAt: () => this._cancellationTime(choice),
+      outlived: () => this._dependencies.liveness.outlived(endpointStartOf(choice))
     }, {
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) },
@@ -301,10 +304,13 @@
   }
 
   /** A rejection shows that the endpoint is alive too, unless it names another instance. */
-  private _updateSuspects ({ choice: { record }, firstEventAt }: EndpointAttempt, end: AttemptEnd, now: number): void {
+  private _updateSuspects ({ choice, firstEventAt }: EndpointAttempt, end: AttemptEnd, now: number): void {
     const { suspects } = this._dependencies
-    const start = startKeyOf(record)
-    if (end.type === 'broken' && end.connection === 'lost') suspects.lost(this._subject(), { start, address: record.address }, now - (firstEventAt ?? now), now)
+    const { start } = endpointStartOf(choice)
+    if (end.type === 'broken' && end.connection === 'lost') {
+      suspects.lost(this._subject(), endpointStartOf(choice), now - (firstEventAt ?? now), now)
+      this._dependencies.liveness.recordLoss(start, now)
+    }
     // An engine rejects at the deadline requests that it may not have begun, so only a success shows that it survived the request.
     if (end.type === 'answered' && end.status < MIN_UNSUCCESSFUL_STATUS) suspects.answered(this._subject(), now)
     if (end.type === 'answered' || (end.type === 'not-run' && end.reason === 'full')) suspects.recordAlive(start, now)
@@ -382,6 +388,8 @@
   }
 }
 
+function endpointStartOf ({ record }: ChosenEndpoint): EndpointStart { return { start: startKeyOf(record), address: record.address } }
+
 /**
  * The numbers of endpoints that receive no requests now because they asked for it, by reason. Returns `undefined` if there are none.
  */
--- a/packages/node/src/lib/routing/suspect-exchange.ts
+++ b/packages/node/src/lib/routing/suspect-exchange.ts
@@ -11,7 +11,8 @@
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
-import type { ProbeResult } from './endpoint-probe.js'
+import type { EndpointStart } from '../endpoint-liveness.js'
+import type { ProbeResult } from '../endpoint-probe.js'
 
 /** Dependencies of {@link SuspectExchange}. */
 export interface SuspectExchangeDependencies {
@@ -29,13 +30,6 @@
   readonly entries: (now: number) => number | undefined
 }
 
-/** An endpoint that may have crashed. */
-export interface LostEndpoint {
-  /** The incarnation of the endpoint: see `startKeyOf`. */
-  readonly start: string
-  readonly address: string
-}
-
 /** Why a request is held back. */
 export interface SuspectEvidence {
   readonly trait: RequestTrait | undefined
@@ -88,7 +82,7 @@
    *
    * @param answeredFor How long the endpoint had been answering the request, in milliseconds; 0 if it had not begun.
    */
-  lost (subject: SuspectSubject, endpoint: LostEndpoint, answeredFor: number, now: number): void {
+  lost (subject: SuspectSubject, endpoint: EndpointStart, answeredFor: number, now: number): void {
     const before = this._standings(subject.traits, now)
     this._verdicts.lost(subject, endpoint.start, answeredFor, now)
     this._reportHeldBack(before, 'own', now)
@@ -134,7 +128,7 @@
   }
 
   /** An endpoint that accepts no connections has crashed, so that its loss need not be awaited. */
-  private async _confirmCrash ({ start, address }: LostEndpoint): Promise<void> {
+  private async _confirmCrash ({ start, address }: EndpointStart): Promise<void> {
     if (this._probed.has(start)) return
     this._probed.add(start)
     const result = await this._dependencies.probe(address)
--- a/packages/node/src/test/lib/routing/endpoint-probe_test.ts
+++ b/packages/node/src/test/lib/endpoint-probe_test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { createServer, type AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
-import { probeEndpoint } from '../../../lib/routing/endpoint-probe.js'
+import { probeEndpoint } from '../../lib/endpoint-probe.js'
 
 describe('probeEndpoint', () => {
   it('finds an endpoint that accepts connections, and one that has ended', async () => {
--- a/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
+++ b/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
@@ -51,7 +51,8 @@
       request: { address, method: 'GET', path: '/', headers: ['host', 'engine'], body: Buffer.alloc(0), connectTimeout: 5_000 },
       progress: new StreamProgress(undefined),
       abortsOnStall: false,
-      cancelAt: () => cancelAt
+      cancelAt: () => cancelAt,
+      outlived: async () => true
     }, {
       readHead: ({ statusCode = 0 }) => ({ type: 'answer', status: statusCode, headers: [], eventStream: true }),
       events: onEvents,
--- a/packages/node/src/test/lib/routing/suspect-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/suspect-exchange_test.ts
@@ -9,7 +9,7 @@
 import { BoundedOutput } from '../../../lib/observe/bounded-output.js'
 import { Log } from '../../../lib/observe/log.js'
 import { Counters } from '../../../lib/observe/metrics.js'
-import type { ProbeResult } from '../../../lib/routing/endpoint-probe.js'
+import type { ProbeResult } from '../../../lib/endpoint-probe.js'
 import { SuspectExchange } from '../../../lib/routing/suspect-exchange.js'
 
 const fingerprint = '00000000000000fa'
