Agents report a truncated answer without a length as broken

The cause of one is that Node ends such an answer as complete when its connection is reset, and reports the error only to the request. The agent decides by the same rules as an entry.

--- a/packages/node/src/lib/agent/request-runner.ts
+++ b/packages/node/src/lib/agent/request-runner.ts
@@ -10,6 +10,9 @@
 import type { IncomingMessage } from 'node:http'
 import type { AdmissionController, EndpointNotices, EndpointStatus, ForwardedRequest, LinkPacer } from '@drumdrift/core'
 import { failureOf } from '@drumdrift/core'
+import { isFramed } from '../answer-framing.js'
+import { EndpointLiveness } from '../endpoint-liveness.js'
+import { probeEndpoint } from '../endpoint-probe.js'
 import type { Counters } from '../observe/metrics.js'
 import type { NoticeLog } from '../observe/notice-log.js'
 import type { PeerConnection, Responder } from '../peer/connection.js'
@@ -43,6 +46,7 @@
 export class RequestRunner {
   private readonly _calls = new WeakMap<PeerConnection, Map<number, AbortController>>()
   private readonly _idleListeners = new Set<() => void>()
+  private readonly _liveness = new EndpointLiveness(probeEndpoint)
 
   constructor (private readonly _dependencies: RequestRunnerDependencies) {}
 
@@ -86,6 +90,7 @@
       this._dependencies.counters.add('answers_whole')
       responder.send({ type: 'end', count, status: status() })
     } catch (error) {
+      if (!signal.aborted) this._liveness.recordLoss(this._dependencies.endpoint, performance.now())
       const failure = failureOf(error)
       this._dependencies.counters.add(signal.aborted ? 'answers_cancelled' : 'answers_broken')
       responder.send({ type: 'broken', detail: 'detail' in failure ? failure.detail : failure.type, notRun: isConnectionRefused(error), status: status() })
@@ -118,10 +123,17 @@
       partialEvent = bytes.subarray(length)
     }
     if (!response.complete) throw new Error('the connection to the endpoint was lost before the end of the answer')
+    if (!isFramed(response)) await this._confirmEnd(isEventStream && (partialEvent.length > 0 || sequence === 0))
     send(partialEvent)
     return sequence
   }
 
+  /** An answer without a length or chunks ends like one whose endpoint crashed. */
+  private async _confirmEnd (isCut: boolean): Promise<void> {
+    const { endpoint, endpointAddress } = this._dependencies
+    if (isCut || !await this._liveness.outlived({ start: endpoint, address: endpointAddress })) throw new Error('the answer has no declared length, and the endpoint may have crashed before its end')
+  }
+
   private _recordSent (bytes: number, responder: Responder): void {
     const now = performance.now()
     this._dependencies.pacer.live(bytes, now)
--- a/packages/node/src/lib/platform/http-client.ts
+++ b/packages/node/src/lib/platform/http-client.ts
@@ -63,7 +63,11 @@
   const { host, port } = parseAddress(address)
   const { method = 'GET', path, headers = {}, body, timeout = DEFAULT_TIMEOUT, signal, keepAlive: keepConnection = true } = options
   return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, method, path, headers, agent: keepConnection ? connections : false, timeout, signal }, resolve)
+    const outgoing = request({ host, port, method, path, headers, agent: keepConnection ? connections : false, timeout, signal }, response => {
+      // Node ends an answer without a length as if it were complete when its connection is reset.
+      outgoing.on('error', error => { response.destroy(error) })
+      resolve(response)
+    })
     outgoing.on('timeout', () => outgoing.destroy(httpError('timed-out', `${method} ${path}: no answer within ${timeout} ms`)))
     outgoing.on('error', error => reject(error instanceof DrumdriftError ? error : httpError('connection-lost', error.message)))
     outgoing.end(body)
--- a/packages/node/src/test/lib/agent/request-runner_test.ts
+++ b/packages/node/src/test/lib/agent/request-runner_test.ts
@@ -8,7 +8,7 @@
 // 1.1 a second, after it asked for 5 s of rest, and after it announced that it leaves.
 import assert from 'node:assert/strict'
 import { createServer, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { AdmissionController, EndpointLimits, EndpointNotices, LinkPacer, type EndpointStatus, type ForwardedRequest } from '@drumdrift/core'
 import { RequestRunner } from '../../../lib/agent/request-runner.js'
@@ -49,13 +49,13 @@
     endpoint.closeAllConnections()
   })
 
-  /** Runs one request if it is admitted. */
-  async function attempt (): Promise<void> {
+  /** Runs one request if it is admitted. Returns how it ended. */
+  async function attempt (): Promise<'end' | 'broken' | undefined> {
     const admission = admissionController.run(performance.now())
-    if (admission.type !== 'admitted') return
-    await new Promise<void>(resolve => {
+    if (admission.type !== 'admitted') return undefined
+    return await new Promise(resolve => {
       const connection = { onEnd: () => () => {}, backlog: 0 } as unknown as PeerConnection
-      const responder = { connection, call: 1, send: reply => { if (reply.type === 'end' || reply.type === 'broken') resolve() } } as Responder
+      const responder = { connection, call: 1, send: reply => { if (reply.type === 'end' || reply.type === 'broken') resolve(reply.type) } } as Responder
       runner.start(admission.run, request, Buffer.alloc(0), responder)
     })
   }
@@ -72,4 +72,30 @@
       assert.ok(requestCount <= maxRequests, `${requestCount} requests reached the endpoint`)
     })
   }
+
+  // An answer that ended with its connection when its endpoint crashed was taken for whole, even within an event.
+  const EVENT = 'data: piece\n\n'
+  const endings: [name: string, type: string, body: string, end: (socket: Socket) => void, expected: 'end' | 'broken'][] = [
+    ['ends with its connection', 'text/plain', 'answer', socket => socket.end(), 'end'],
+    ['is a stream that ends with its connection', 'text/event-stream', EVENT, socket => socket.end(), 'end'],
+    ['is a stream that ends within an event', 'text/event-stream', `${EVENT}data: pie`, socket => socket.end(), 'broken'],
+    ['is a stream without any event', 'text/event-stream', '', socket => socket.end(), 'broken'],
+    ['ends with a reset', 'text/plain', 'answer', socket => socket.resetAndDestroy(), 'broken'],
+    ['ends with the crash of its endpoint', 'text/plain', 'answer', () => crash(), 'broken'],
+    ['is a stream that ends with the crash of its endpoint', 'text/event-stream', EVENT, () => crash(), 'broken']
+  ]
+  for (const [name, type, body, end, expected] of endings) {
+    it(`reports ${expected} if an answer without a length ${name}`, async () => {
+      answer = ({ socket }) => {
+        socket?.write(`HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n${body}`)
+        setTimeout(() => { if (socket !== null) end(socket) }, 20)
+      }
+      assert.equal(await attempt(), expected)
+    })
+  }
+
+  function crash (): void {
+    endpoint.close()
+    endpoint.closeAllConnections()
+  }
 })
