Suspicions of prompt parts are contradicted, and count confirmed crashes only

Callers of a process that had just started could have been told to wait ten minutes for a part of their prompts that all others were answering.

The losses of a shared property now count once they are confirmed, an answer refutes all its losses of the 30 s that follow, agents contradict the sender of refuted losses, and a process that has received answers for less than 3 s gives others 200 ms to contradict. Three variants without these protections are found out.

The whole-request variant without sharing keeps its promise and no longer evaluates parts, so that it fails for the same reason as before.

--- a/packages/benchmarks/src/lib/suspects/suspect-model.ts
+++ b/packages/benchmarks/src/lib/suspects/suspect-model.ts
@@ -8,7 +8,7 @@
  * the same request arrives repeatedly, or all are different and share one part of their prompts. Measures how many endpoints crash, how
  * many ordinary requests go unserved or are wrongly held back, and how many fatal requests are sent after they should be known.
  */
-import { CRASH_WINDOW, SuspectRequests, SuspectVerdicts, type LossReport, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject } from '@drumdrift/core'
+import { CRASH_WINDOW, SuspectRequests, SuspectVerdicts, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject } from '@drumdrift/core'
 import { VirtualTime } from '../policy/virtual-time.js'
 import { seededRandom } from '@drumdrift/stand-ins'
 
@@ -386,7 +386,13 @@
   private _sendReport (entry: Entry, report: SuspectNews): void {
     if (!this._policy.shares || isEmpty(report)) return
     const agents = this._shuffled(entry.followed.length).slice(0, AGENTS_PER_REPORT).map(position => this._endpoints[entry.followed[position] as number] as Endpoint)
-    for (const { agent, followers } of agents) this._time.after(LATENCY, () => this._forward(followers, agent.heard(report, this._time.now)))
+    for (const { agent, followers } of agents) {
+      this._time.after(LATENCY, () => {
+        this._forward(followers, agent.heard(report, this._time.now))
+        const answers = agent.contradictions(report.losses, this._time.now)
+        if (answers.length > 0) this._time.after(LATENCY, () => this._receiveReport(entry, { losses: [], answers }))
+      })
+    }
   }
 
   private _forward (followers: readonly number[], report: SuspectNews): void {
@@ -396,16 +402,10 @@
 
   private _receiveReport (entry: Entry, report: SuspectNews): void {
     const { losses, answers } = entry.suspects.heard(report, this._time.now)
-    this._sendReport(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, this._time.now) !== 'clear'), answers: [...answers, ...this._contradictions(entry, losses)] })
+    this._sendReport(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, this._time.now) !== 'clear'), answers: [...answers, ...entry.suspects.contradictions(report.losses, this._time.now)] })
     for (const endpoint of this._endpoints) this._withdraw(endpoint, entry)
   }
 
-  private _contradictions ({ suspects }: Entry, losses: readonly LossReport[]): SuspectNews['answers'] {
-    const { now } = this._time
-    const refuted = losses.filter(({ fingerprint }) => suspects.isCleared(fingerprint, now) && suspects.counts(fingerprint, now).unexplained > 1)
-    return refuted.map(({ fingerprint }) => ({ fingerprint, age: now - suspects.lastAnswer(fingerprint) }))
-  }
-
   /** Removes an entry's attempts that have not started and whose request is now held back. */
   private _withdraw ({ running }: Endpoint, entry: Entry): void {
     for (const attempt of running) {
--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -92,9 +92,14 @@
   readonly kind: TraitKind
   /** The time at which each incarnation of an endpoint was lost. */
   readonly starts: Map<string, number>
+  /** The incarnations that may still prove to be alive. */
+  readonly pending: Set<string>
 }
 
-/** The numbers of losses that count against a fingerprint now. */
+/**
+ * The numbers of losses that count against a fingerprint now. One reset of all connections of an entry looks like the loss of all endpoints
+ * to what many requests share, so the losses of a shared property count only once they are confirmed.
+ */
 export interface LossCounts {
   readonly unexplained: number
   /** Losses of a shared property for which another fingerprint is the more likely cause. */
@@ -108,15 +113,23 @@
   private readonly _losses = new Map<string, Losses>()
   private readonly _answeredAt = new Map<string, number>()
   private _unconfirmed: UnconfirmedLoss[] = []
+  /** The number of refuted losses that other processes reported since the last contradiction, by fingerprint. */
+  private readonly _refutedLosses = new Map<string, number>()
 
   /** Records that the connection to an endpoint was lost while it ran a request. */
   lost (fingerprint: string, start: string, now: number, kind: TraitKind = 'request'): void {
-    if (this._add(fingerprint, start, now, kind)) this._unconfirmed.push({ fingerprint, start, at: now, confirmed: false })
+    if (!this._add(fingerprint, start, now, kind)) return
+    this._unconfirmed.push({ fingerprint, start, at: now, confirmed: false })
+    this._losses.get(fingerprint)?.pending.add(start)
   }
 
   /** Records that an endpoint has crashed, so that its losses need not be awaited any longer. */
   confirm (start: string): void {
-    for (const loss of this._unconfirmed) if (loss.start === start) loss.confirmed = true
+    for (const loss of this._unconfirmed) {
+      if (loss.start !== start) continue
+      loss.confirmed = true
+      this._losses.get(loss.fingerprint)?.pending.delete(start)
+    }
   }
 
   /** Records that an endpoint was alive at a time, so that only the connection was lost before; retracts the losses. */
@@ -141,7 +154,7 @@
       if (this._answeredAt.size <= MAX_ANSWERED) break
       this._answeredAt.delete(oldest)
     }
-    return this._dropBefore(fingerprint, at) >= NO_RETRY_LOSSES || (isSuspect && at - known > ANSWER_NEWS_INTERVAL)
+    return this._dropRefuted(fingerprint) >= NO_RETRY_LOSSES || (isSuspect && at - known > ANSWER_NEWS_INTERVAL)
   }
 
   /** When an endpoint last answered a request; `-Infinity` if that is not known. */
@@ -173,7 +186,8 @@
   counts (fingerprint: string, now: number, from = -Infinity): LossCounts {
     const losses = this._losses.get(fingerprint)
     if (losses === undefined) return { unexplained: 0, explained: 0, newest: -Infinity }
-    const live = [...losses.starts].filter(([, at]) => now - at <= LOSS_LIFETIME && at >= from)
+    const { shared } = traitRules[losses.kind]
+    const live = [...losses.starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && at >= from && !(shared && losses.pending.has(start)))
     const causes = this._likelierCauses(fingerprint, losses, now)
     const explained = live.filter(([start]) => causes.some(({ starts }) => starts.has(start))).length
     return { unexplained: live.length - explained, explained, newest: Math.max(...live.map(([, at]) => at)) }
@@ -198,6 +212,12 @@
     return losses === undefined ? [] : [...losses.starts].flatMap(([start, at]) => now - at <= LOSS_LIFETIME ? [start] : [])
   }
 
+  /** When the number of losses of a request reached a count; `Infinity` if it has not. */
+  timeOfLoss (fingerprint: string, count: number): number {
+    const times = [...this._losses.get(fingerprint)?.starts.values() ?? []].sort((left, right) => left - right)
+    return times[count - 1] ?? Infinity
+  }
+
   /** The time until a request may be started again, in milliseconds. */
   heldBackFor (fingerprint: string, now: number): number {
     const times = [...this._losses.get(fingerprint)?.starts.values() ?? []].sort((left, right) => right - left)
@@ -211,6 +231,7 @@
     const isConfirmed = ({ at, confirmed }: UnconfirmedLoss): boolean => confirmed || now - at >= LIVENESS_TIMEOUT
     const confirmed = this._unconfirmed.filter(isConfirmed)
     this._unconfirmed = this._unconfirmed.filter(loss => !isConfirmed(loss))
+    for (const { fingerprint, start } of confirmed) this._losses.get(fingerprint)?.pending.delete(start)
     return confirmed.slice(0, MAX_REPORTS).map(({ fingerprint, start, at }) => this._report(fingerprint, start, now - at))
   }
 
@@ -228,6 +249,33 @@
     }
   }
 
+  /**
+   * Returns the answers that refute what another process suspects, once it has reported several losses that they refute.
+   *
+   * @param losses What the other process reported.
+   * @example
+   * send({ losses: [], answers: suspects.contradictions(news.losses, now) })
+   */
+  contradictions (losses: readonly LossReport[], now: number): AnswerReport[] {
+    const refuted = losses.filter(({ fingerprint, age, kind = 'request' }) => traitRules[kind].shared && this._isRefuted(fingerprint, now - age, kind))
+    const suspected = new Set<string>()
+    for (const { fingerprint } of refuted) {
+      const count = (this._refutedLosses.get(fingerprint) ?? 0) + 1
+      if (this._refutedLosses.size >= MAX_SUSPECTS) this._refutedLosses.clear()
+      this._refutedLosses.set(fingerprint, count % NO_RETRY_LOSSES)
+      if (count >= NO_RETRY_LOSSES) suspected.add(fingerprint)
+    }
+    return [...suspected].map(fingerprint => ({ fingerprint, age: Math.max(0, now - this.lastAnswer(fingerprint)) }))
+  }
+
+  /**
+   * Whether an answer shows that a loss had another cause. What is shared by many requests is still harmless some time after an answer; a
+   * whole request is not, because all endpoints that run its copies may fail at once.
+   */
+  private _isRefuted (fingerprint: string, lostAt: number, kind: TraitKind): boolean {
+    return lostAt <= this.lastAnswer(fingerprint) + (traitRules[kind].shared ? ANSWERED_LIFETIME : 0)
+  }
+
   /**
    * Returns the losses to share with all other processes: those of requests that are restricted and were not answered lately.
    *
@@ -235,9 +283,9 @@
    */
   known (now: number, least = NO_RETRY_LOSSES): LossReport[] {
     const reports: LossReport[] = []
-    for (const [fingerprint, { starts }] of this._losses) {
+    for (const [fingerprint, { starts, pending }] of this._losses) {
       if (this.isCleared(fingerprint, now)) continue
-      const held = [...starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && !this._isUnconfirmed(fingerprint, start))
+      const held = [...starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && !pending.has(start))
       if (held.length >= least) reports.push(...held.map(([start, at]) => this._report(fingerprint, start, now - at)))
     }
     return reports.slice(0, MAX_REPORTS)
@@ -249,12 +297,8 @@
     return kind === 'request' ? { fingerprint, start, age } : { fingerprint, start, age, kind }
   }
 
-  private _isUnconfirmed (fingerprint: string, start: string): boolean {
-    return this._unconfirmed.some(loss => loss.fingerprint === fingerprint && loss.start === start && !loss.confirmed)
-  }
-
   private _add (fingerprint: string, start: string, at: number, kind: TraitKind): boolean {
-    if (at <= this.lastAnswer(fingerprint)) return false
+    if (this._isRefuted(fingerprint, at, kind)) return false
     const { starts } = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, at, kind)
     if (starts.has(start) || starts.size >= MAX_LOSSES) return false
     starts.set(start, at)
@@ -263,7 +307,7 @@
 
   private _newLosses (fingerprint: string, now: number, kind: TraitKind): Losses {
     if (this._losses.size >= MAX_SUSPECTS) this._evictOne(now)
-    const losses = { kind, starts: new Map<string, number>() }
+    const losses: Losses = { kind, starts: new Map(), pending: new Set() }
     this._losses.set(fingerprint, losses)
     return losses
   }
@@ -280,16 +324,18 @@
     this._losses.delete(least)
   }
 
-  /** Drops the losses of a request up to a time and returns their number. */
-  private _dropBefore (fingerprint: string, time: number): number {
-    const before = [...this._losses.get(fingerprint)?.starts ?? []].filter(([, at]) => at <= time)
-    for (const [start] of before) this._remove(fingerprint, start)
-    return before.length
+  /** Drops the losses that the last answer refutes and returns their number. */
+  private _dropRefuted (fingerprint: string): number {
+    const { starts, kind = 'request' } = this._losses.get(fingerprint) ?? {}
+    const refuted = [...starts ?? []].filter(([, at]) => this._isRefuted(fingerprint, at, kind))
+    for (const [start] of refuted) this._remove(fingerprint, start)
+    return refuted.length
   }
 
   private _remove (fingerprint: string, start: string): void {
-    const starts = this._losses.get(fingerprint)?.starts
+    const { starts, pending } = this._losses.get(fingerprint) ?? {}
     starts?.delete(start)
+    pending?.delete(start)
     this._unconfirmed = this._unconfirmed.filter(loss => loss.fingerprint !== fingerprint || loss.start !== start)
     if (starts?.size === 0) this._losses.delete(fingerprint)
   }
--- a/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
@@ -23,6 +23,12 @@
 /** Number of unexplained losses from which a shared property is held back, and on trial. */
 const QUARANTINE_LOSSES = 3
 const TRIAL_LOSSES = 1
+/**
+ * A process that has received answers of a model for less than the first time may not have seen one with each popular property. It gives
+ * other processes the second time to contradict it. In milliseconds.
+ */
+const EXPERIENCE_TIME = 3_000
+const CONTRADICTION_TIME = 200
 /** How long a property is on trial before it is considered harmless, in milliseconds. */
 const TRIAL_PERIOD = 3_600_000
 /** An entry sends at most one request with a property on trial in this time, in milliseconds: its outcome is known everywhere before the next. */
@@ -37,6 +43,12 @@
 const MAX_VERDICTS = 512
 const MAX_SCOPES = 256
 
+/** When the first and the last answer of a model arrived. */
+interface ScopeAnswers {
+  readonly firstAt: number
+  lastAt: number
+}
+
 interface Verdict {
   readonly since: number
   heldUntil: number
@@ -54,7 +66,7 @@
 /** The judgements of one entry. */
 export class SuspectVerdicts {
   private readonly _verdicts = new Map<string, Verdict>()
-  private readonly _lastAnswers = new Map<string, number>()
+  private readonly _answers = new Map<string, ScopeAnswers>()
 
   /**
    * @param _startedAt When the process started: what it has not seen yet is no evidence.
@@ -129,8 +141,9 @@
   }
 
   private _recordAnswer (scope: string, now: number): void {
-    if (!this._lastAnswers.has(scope) && this._lastAnswers.size >= MAX_SCOPES) return
-    this._lastAnswers.set(scope, now)
+    const answers = this._answers.get(scope)
+    if (answers !== undefined) answers.lastAt = now
+    else if (this._answers.size < MAX_SCOPES) this._answers.set(scope, { firstAt: now, lastAt: now })
   }
 
   private _standingOf ({ kind, fingerprint }: RequestTrait, scope: string, now: number): SuspectStatus {
@@ -139,7 +152,7 @@
     if (verdict !== undefined) return this._review(fingerprint, verdict, now)
     const standing = evidence.standing(fingerprint, now)
     if (standing !== 'held-back' || !traitRules[kind].shared) return standing
-    if (!this._othersAreAnswered(scope, now)) return 'no-further-attempt'
+    if (!this._othersAreAnswered(scope, now) || !this._mayJudge(fingerprint, scope, now)) return 'no-further-attempt'
     this._addVerdict(fingerprint, evidence.counts(fingerprint, now).newest, now)
     return 'held-back'
   }
@@ -147,7 +160,7 @@
   private _review (fingerprint: string, verdict: Verdict, now: number): SuspectStatus {
     const { evidence } = this._dependencies
     const { unexplained, explained, newest } = evidence.counts(fingerprint, now, verdict.countFrom)
-    const isRefuted = evidence.lastAnswer(fingerprint) > verdict.since
+    const isRefuted = evidence.lastAnswer(fingerprint) > verdict.since || evidence.isCleared(fingerprint, now)
     const isExplained = !verdict.onTrial && explained > 0 && unexplained < verdict.requiredLosses
     const hasPassed = verdict.onTrial && now > verdict.countFrom + TRIAL_PERIOD
     if (isRefuted || isExplained || hasPassed) {
@@ -164,7 +177,12 @@
 
   /** If nothing of a model is answered, what its requests have in common is not the reason. */
   private _othersAreAnswered (scope: string, now: number): boolean {
-    return now - (this._lastAnswers.get(scope) ?? this._startedAt) <= ANSWERED_LIFETIME
+    return now - (this._answers.get(scope)?.lastAt ?? this._startedAt) <= ANSWERED_LIFETIME
+  }
+
+  private _mayJudge (fingerprint: string, scope: string, now: number): boolean {
+    if (now - (this._answers.get(scope)?.firstAt ?? Infinity) >= EXPERIENCE_TIME) return true
+    return now - this._dependencies.evidence.timeOfLoss(fingerprint, QUARANTINE_LOSSES) >= CONTRADICTION_TIME
   }
 
   private _addVerdict (fingerprint: string, newestLoss: number, now: number): void {
--- a/packages/core/src/test/lib/routing/attempts/suspect-verdicts_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/suspect-verdicts_test.ts
@@ -25,7 +25,9 @@
 
 type Step =
   | readonly ['lost', at: number, start: string, subject: SuspectSubject, answeredFor?: number]
+  | readonly ['reset', at: number, starts: string, subject: SuspectSubject]
   | readonly ['told', at: number, start: string, part: Part]
+  | readonly ['told-answered', at: number, part: Part, age: number]
   | readonly ['survived', at: number, subject: SuspectSubject]
   | readonly ['answered', at: number, subject: SuspectSubject]
   | readonly ['look', at: number, subject: SuspectSubject]
@@ -36,8 +38,13 @@
 }
 
 const run: { readonly [Name in Step[0]]: (judge: Judge, step: Extract<Step, readonly [Name, ...unknown[]]>) => void } = {
-  lost: ({ verdicts }, [, at, start, subject, answeredFor = 0]) => verdicts.lost(subject, start, answeredFor, at),
+  lost: ({ verdicts, evidence }, [, at, start, subject, answeredFor = 0]) => {
+    verdicts.lost(subject, start, answeredFor, at)
+    evidence.confirm(start)
+  },
+  reset: ({ verdicts }, [, at, starts, subject]) => { for (const start of starts) verdicts.lost(subject, start, 0, at) },
   told: ({ evidence }, [, at, start, part]) => { evidence.heard({ losses: [{ ...traitOf(part), start, age: 0 }], answers: [] }, at) },
+  'told-answered': ({ evidence }, [, at, part, age]) => { evidence.heard({ losses: [], answers: [{ fingerprint: fingerprints[part], age }] }, at) },
   survived: ({ verdicts }, [, at, subject]) => { verdicts.survived(subject, at) },
   answered: ({ verdicts }, [, at, subject]) => { verdicts.answered(subject, at) },
   look: ({ verdicts }, [, at, subject]) => { verdicts.standing(subject, at) }
@@ -66,9 +73,13 @@
     ['suspects the fatal part beside one of which a request was answered', [['answered', 0, request('common')], ...losses(SECOND, 'abcd', 'fatal', 'common')], request('fatal', 'common'), 4 * SECOND, 'held-back'],
     ['clears a part when an answer goes on for longer than a crash takes', [...losses(0, 'abc', 'rare'), ['survived', 2 * SECOND, request('rare')]], request('rare'), 2 * SECOND, 'clear'],
     ['clears a part that is held back when a request of it is answered', [...losses(0, 'abc', 'rare'), ['look', 2 * SECOND, request('rare')], ['answered', 3 * SECOND, request('rare')]], request('rare'), 2 * MINUTE, 'clear'],
+    ['clears a part that is held back when another process reports an earlier answer', [...losses(SECOND, 'abc', 'rare'), ['look', 3 * SECOND, request('rare')], ['told-answered', 4 * SECOND, 'rare', 3.5 * SECOND]], request('rare'), 5 * SECOND, 'clear'],
     ['does not count the loss of an endpoint that had been answering for long', [...losses(0, 'ab', 'rare'), ['lost', SECOND, 'c', request('rare'), 600], ['lost', SECOND, 'd', request('rare'), 700]], request('rare'), 2 * SECOND, 'no-further-attempt'],
     ['counts the loss of an endpoint that had just begun to answer', [...losses(0, 'ab', 'rare'), ['lost', SECOND, 'c', request('rare'), 200]], request('rare'), 2 * SECOND, 'held-back'],
-    ['counts losses that other processes report', [['told', 0, 'a', 'fatal'], ['told', 0, 'b', 'fatal'], ['told', 10, 'c', 'fatal']], request('fatal'), 20, 'held-back'],
+    ['counts losses that other processes report', [['told', 0, 'a', 'fatal'], ['told', 0, 'b', 'fatal'], ['told', 10, 'c', 'fatal']], request('fatal'), 300, 'held-back'],
+    ['waits for contradictions before it has experience', losses(0, 'abc', 'fatal'), request('fatal'), SECOND + 100, 'no-further-attempt'],
+    ['does not wait once it has experience', [['answered', 0, request('common')], ...losses(4 * SECOND, 'abc', 'fatal')], request('fatal'), 5 * SECOND, 'held-back'],
+    ['does not blame a part when all connections of an entry are reset', [['reset', 0, 'abcdef', request('rare')]], request('rare'), 500, 'clear'],
     ['releases a part whose losses another part explains', [...losses(0, 'abc', 'fatal', 'rare'), ['look', 2 * SECOND, request('rare')], ...losses(2 * SECOND, 'de', 'fatal')], request('rare'), 4 * SECOND, 'clear'],
     ['holds the explaining part back', [...losses(0, 'abc', 'fatal', 'rare'), ['look', 2 * SECOND, request('rare')], ...losses(2 * SECOND, 'de', 'fatal')], request('fatal'), 4 * SECOND, 'held-back'],
     ['does not blame the parts of a single request that its caller repeats', repeated(request('rare'), 'abc'), request('rare'), 2 * SECOND, 'clear'],
@@ -112,8 +123,11 @@
       const entries = Array.from({ length: 6 }, () => {
         const evidence = new SuspectRequests()
         const verdicts = new SuspectVerdicts({ evidence, random, entries: () => 6 }, 0)
-        for (const [index, start] of [...'abc'].entries()) verdicts.lost(request('fatal'), start, 0, index)
-        verdicts.standing(request('fatal'), 10)
+        for (const [index, start] of [...'abc'].entries()) {
+          verdicts.lost(request('fatal'), start, 0, index)
+          evidence.confirm(start)
+        }
+        verdicts.standing(request('fatal'), SECOND)
         return verdicts
       })
       const sent = entries.filter(verdicts => verdicts.admits(request('fatal'), 11 * MINUTE)).length
@@ -127,10 +141,12 @@
     for (let index = 0; index < 3_000; index += 1) {
       const subject: SuspectSubject = { scope: `model-${index}`, traits: [{ kind: 'prompt-part', fingerprint: `d${index.toString(16).padStart(15, '0')}` }] }
       for (const start of 'abc') verdicts.lost(subject, start, 0, index)
-      assert.equal(verdicts.standing(subject, index), 'held-back')
-      verdicts.answered(subject, index)
+      for (const start of 'abc') evidence.confirm(start)
+      assert.equal(verdicts.standing(subject, index + SECOND), 'held-back')
+      verdicts.answered(subject, index + SECOND)
+      assert.equal(evidence.takeConfirmed(index + SECOND).length, 0)
     }
-    assert.equal(evidence.known(3_000).length, 0)
+    assert.equal(evidence.known(4_000).length, 0)
   })
 })
 
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -143,7 +143,7 @@
 const MAX_REPEATS = 40
 const MAX_REPEAT_TIME = 8_000
 
-/** Requests that crash endpoints: the fleet holds such a request back after three crashes, and holds back no other request. */
+/** Requests and parts of prompts that crash endpoints: the fleet holds them back after few crashes, and holds back no other request. */
 export const suspectScenario: Scenario<SuspectWorld, SuspectParts> = {
   name: 'suspects',
   promises: ['few-ends', 'no-innocents'],
@@ -151,6 +151,7 @@
   actions: [
     { name: 'load', valueCount: 2, weight: 4, run: (subject, [count = 0, length = 0]) => subject.load(Math.ceil(count / 1_000 * MAX_REQUESTS), length / 1_000 * MAX_LOAD_TIME) },
     { name: 'repeat', valueCount: 3, weight: 4, run: (subject, [which = 0, count = 0, length = 0]) => subject.repeat(which, Math.ceil(count / 1_000 * MAX_REPEATS), length / 1_000 * MAX_REPEAT_TIME) },
+    { name: 'repeat-part', valueCount: 3, weight: 4, run: (subject, [which = 0, count = 0, length = 0]) => subject.repeatPart(which, Math.ceil(count / 1_000 * MAX_REPEATS), length / 1_000 * MAX_REPEAT_TIME) },
     { name: 'reset-connections', valueCount: 1, weight: 2, run: (subject, [entry = 0]) => subject.resetConnections(entry) },
     { name: 'end-one', valueCount: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.crashOne(endpoint) },
     { name: 'restart', valueCount: 1, weight: 2, run: (subject, [entry = 0]) => subject.restart(entry) },
--- a/packages/fuzz/src/lib/suspect-world.ts
+++ b/packages/fuzz/src/lib/suspect-world.ts
@@ -5,9 +5,10 @@
  */
 /**
  * Entries, agents and endpoints while some requests crash every endpoint that runs them, with the real evidence on suspect requests.
- * The oracles count the sends of a fatal request after the crashes that suffice to hold it back, and the harmless requests held back.
+ * Fatal requests are copies of one, or different requests that share a fatal part of their prompts. The oracles count the sends of a
+ * fatal request or part after the crashes that suffice to hold it back, and the harmless requests held back.
  */
-import { SuspectRequests, type SuspectNews } from '@drumdrift/core'
+import { SuspectRequests, SuspectVerdicts, type RequestTrait, type SuspectNews, type SuspectSubject } from '@drumdrift/core'
 import { Process, World } from './world.js'
 
 /** The parts whose protections a variant may remove. */
@@ -17,14 +18,19 @@
   readonly reportsToAgents: boolean
   /** Whether agents send the known losses to restarted entries. */
   readonly informsRestartedEntries: boolean
+  /** Whether prompts are evaluated by their parts. */
+  readonly evaluatesParts: boolean
+  /** Whether answers clear the parts of their prompts. */
+  readonly answersClearParts: boolean
 }
 
 /** The product's own parts. */
-export const realSuspectParts: SuspectParts = { suspects: () => new SuspectRequests(), reportsToAgents: true, informsRestartedEntries: true }
+export const realSuspectParts: SuspectParts = { suspects: () => new SuspectRequests(), reportsToAgents: true, informsRestartedEntries: true, evaluatesParts: true, answersClearParts: true }
 
 interface Member {
   process: Process
   suspects: SuspectRequests
+  verdicts: SuspectVerdicts
 }
 
 interface Endpoint {
@@ -34,11 +40,16 @@
   readonly running: Set<Attempt>
 }
 
+interface Request {
+  readonly subject: SuspectSubject
+  /** The fingerprint of the request or part that crashes endpoints; `undefined` if it is harmless. */
+  readonly fatal: string | undefined
+}
+
 interface Attempt {
   readonly entry: Member
   readonly process: Process
-  readonly fingerprint: string
-  readonly fatal: boolean
+  readonly request: Request
   /** Whether this is the caller's repeat of a request that was not answered. */
   readonly isRepeat: boolean
   attempts: number
@@ -48,6 +59,12 @@
 const ENTRY_COUNT = 6
 const ENDPOINT_COUNT = 12
 const FATAL_FINGERPRINTS = ['fa00000000000001', 'fa00000000000002'] as const
+const FATAL_PARTS = ['ba00000000000001', 'ba00000000000002'] as const
+/** A part that the prompts of all harmless requests, and of those with a fatal part, contain. */
+const COMMON_PART: RequestTrait = { kind: 'prompt-part', fingerprint: 'c000000000000001' }
+/** An answer clears a part from the first time after it, when all entries know it, up to the second, in milliseconds. */
+const ANSWER_SHARED_TIME = 1_500
+const ANSWER_LIFETIME = 30_000
 const MAX_ATTEMPTS = 2
 /** How long an endpoint takes to restart, in milliseconds. */
 const RESTART_TIME = 3_000
@@ -59,8 +76,8 @@
 /** Time allowed for the fleet to recognise a fatal request, in milliseconds, and the sends of it allowed after that. */
 const DETECTION_TIME = 3_000
 const MAX_SENDS_AFTER_DETECTION = 3
-/** Number of losses after which a request must be held back. */
-const DECISIVE_LOSSES = 3
+/** Number of crashes after which a request, or a part, must be held back. */
+const DECISIVE_CRASHES: Record<RequestTrait['kind'], number> = { request: 3, 'prompt-part': 5 }
 /** Interval of the entries' reports, in milliseconds, and the number of agents that receive each. */
 const REPORT_INTERVAL = 100
 const AGENTS_PER_REPORT = 6
@@ -76,7 +93,9 @@
   /** By fingerprint: the times of the crashes, and the number of sends after the time allowed since the decisive one. */
   private readonly _crashTimes = new Map<string, number[]>()
   private readonly _sendsAfterDetection = new Map<string, number>()
-  private _harmlessRequests = 0
+  private _requestCount = 0
+  /** When requests with the common part were answered. */
+  private readonly _commonAnsweredAt: number[] = []
   /** Sends do not count while entries or links are disturbed, nor for the time allowed after that. */
   private _disturbedUntil = -Infinity
 
@@ -93,14 +112,24 @@
   /** Schedules harmless requests over a period. */
   load (count: number, milliseconds: number): void {
     for (let index = 0; index < count; index += 1) {
-      this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._request((this._harmlessRequests += 1).toString(16).padStart(16, '0'), false, false))
+      this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._request({ subject: this._subject(this._newRequest(), COMMON_PART), fatal: undefined }, false))
     }
   }
 
   /** Schedules repeats of one fatal request over a period, each through a random entry. */
   repeat (which: number, count: number, milliseconds: number): void {
     const fingerprint = FATAL_FINGERPRINTS[which % FATAL_FINGERPRINTS.length] ?? FATAL_FINGERPRINTS[0]
-    for (let index = 0; index < count; index += 1) this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._request(fingerprint, true, false))
+    const request: Request = { subject: this._subject({ kind: 'request', fingerprint }), fatal: fingerprint }
+    for (let index = 0; index < count; index += 1) this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._request(request, false))
+  }
+
+  /** Schedules different requests with one fatal part over a period, each through a random entry. */
+  repeatPart (which: number, count: number, milliseconds: number): void {
+    const fatal = FATAL_PARTS[which % FATAL_PARTS.length] ?? FATAL_PARTS[0]
+    const part: RequestTrait = { kind: 'prompt-part', fingerprint: fatal }
+    for (let index = 0; index < count; index += 1) {
+      this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._request({ subject: this._subject(this._newRequest(), COMMON_PART, part), fatal }, false))
+    }
   }
 
   /** Resets an entry's connections to all endpoints, which keep running. */
@@ -148,13 +177,33 @@
   private _suspendCounting (): void { this._disturbedUntil = Math.max(this._disturbedUntil, this.world.now + DETECTION_TIME) }
 
   private _startMember (name: string, index: number): Member {
-    return { process: new Process(name, ZONES[index % ZONES.length] ?? '', `${name}.${this.world.now}`, 0), suspects: this._parts.suspects() }
+    const suspects = this._parts.suspects()
+    const verdicts = new SuspectVerdicts({ evidence: suspects, random: () => this.world.random(), entries: () => ENTRY_COUNT }, this.world.now)
+    return { process: new Process(name, ZONES[index % ZONES.length] ?? '', `${name}.${this.world.now}`, 0), suspects, verdicts }
+  }
+
+  private _newRequest (): RequestTrait {
+    this._requestCount += 1
+    return { kind: 'request', fingerprint: this._requestCount.toString(16).padStart(16, '0') }
+  }
+
+  private _subject (...traits: readonly RequestTrait[]): SuspectSubject {
+    return { scope: 'model', traits: traits.filter(({ kind }) => kind === 'request' || this._parts.evaluatesParts) }
   }
 
-  private _request (fingerprint: string, fatal: boolean, isRepeat: boolean): void {
+  private _request (request: Request, isRepeat: boolean): void {
     const entry = this.world.pick(this._entries) as Member
-    if (entry.suspects.standing(fingerprint, this.world.now) !== 'held-back') return this._send({ entry, process: entry.process, fingerprint, fatal, isRepeat, attempts: 0 })
-    if (!fatal) this.world.recordViolation(`no-innocents: request ${fingerprint} is held back when its caller repeats it`)
+    if (entry.verdicts.admits(request.subject, this.world.now)) return this._send({ entry, process: entry.process, request, isRepeat, attempts: 0 })
+    if (request.fatal === undefined) this._checkHeldBack(entry, request.subject)
+  }
+
+  /** A harmless request may be held back because of a part only while no answer has cleared the part. */
+  private _checkHeldBack ({ verdicts }: Member, subject: SuspectSubject): void {
+    const { now } = this.world
+    const trait = verdicts.decisiveTrait(subject, now)
+    if (trait?.kind === 'request') return this.world.recordViolation(`no-innocents: request ${trait.fingerprint} is held back when its caller repeats it`)
+    const isCleared = this._commonAnsweredAt.some(at => now - at >= ANSWER_SHARED_TIME && now - at <= ANSWER_LIFETIME)
+    if (isCleared && now > this._disturbedUntil) this.world.recordViolation('no-innocents: a request is held back because of a part of which another was answered')
   }
 
   private _send (attempt: Attempt): void {
@@ -162,17 +211,20 @@
     const index = this.world.pick(available)
     if (index === undefined) return
     attempt.attempts += 1
-    if (attempt.fatal) this._countSend(attempt.fingerprint)
+    const { fatal, subject } = attempt.request
+    if (fatal !== undefined) this._countSend(fatal)
     const endpoint = this._endpoints[index] as Endpoint
     const { start } = endpoint
     endpoint.running.add(attempt)
-    this.world.after(attempt.fatal ? this.world.uniform(1, MAX_TIME_TO_CRASH) : RUN_TIME, undefined, () => {
+    this.world.after(fatal !== undefined ? this.world.uniform(1, MAX_TIME_TO_CRASH) : RUN_TIME, undefined, () => {
       if (endpoint.start !== start || !endpoint.running.has(attempt)) return
-      if (attempt.fatal) return this._crashEndpoint(index, attempt.fingerprint)
+      if (fatal !== undefined) return this._crashEndpoint(index, fatal)
       endpoint.running.delete(attempt)
       const { now } = this.world
-      const cleared = attempt.entry.suspects.answered(attempt.fingerprint, now)
-      if (cleared) this._reportToAgents(attempt.entry, { losses: [], answers: [{ fingerprint: attempt.fingerprint, age: 0 }] })
+      this._commonAnsweredAt.push(now)
+      const answered = this._parts.answersClearParts ? subject : { ...subject, traits: subject.traits.slice(0, 1) }
+      const cleared = attempt.entry.verdicts.answered(answered, now)
+      this._reportToAgents(attempt.entry, { losses: [], answers: cleared.map(({ fingerprint }) => ({ fingerprint, age: 0 })) })
     })
     this._sendEvents(index, attempt, start)
   }
@@ -193,7 +245,10 @@
     const endpoint = this._endpoints[index] as Endpoint
     if (!this._isUp(index)) return
     if (fingerprint !== undefined) this._crashTimes.set(fingerprint, [...this._crashTimes.get(fingerprint) ?? [], this.world.now])
-    for (const attempt of endpoint.running) this._loseAttempt(index, attempt)
+    for (const attempt of endpoint.running) {
+      this._loseAttempt(index, attempt)
+      this._confirmCrash(attempt, startName(index, endpoint.start))
+    }
     endpoint.start += 1
     endpoint.downUntil = this.world.now + RESTART_TIME
   }
@@ -203,19 +258,29 @@
     running.delete(attempt)
     this.world.after(this.world.uniform(1, 5), attempt.process, () => {
       const { now } = this.world
-      attempt.entry.suspects.lost(attempt.fingerprint, startName(index, start), now)
-      if (attempt.attempts < MAX_ATTEMPTS && attempt.entry.suspects.standing(attempt.fingerprint, now) === 'clear') return this._send(attempt)
-      if (!attempt.fatal && !attempt.isRepeat) this.world.after(CALLER_RETRY_DELAY, undefined, () => this._request(attempt.fingerprint, false, true))
+      const { entry, request: { subject, fatal } } = attempt
+      entry.verdicts.lost(subject, startName(index, start), 0, now)
+      if (attempt.attempts < MAX_ATTEMPTS && entry.verdicts.standing(subject, now) === 'clear') return this._send(attempt)
+      if (fatal === undefined && !attempt.isRepeat) this.world.after(CALLER_RETRY_DELAY, undefined, () => this._request(attempt.request, true))
+    })
+  }
+
+  /** An entry finds out that an endpoint accepts no connections. */
+  private _confirmCrash ({ entry, process }: Attempt, start: string): void {
+    this.world.after(this.world.uniform(6, 15), process, () => {
+      entry.suspects.confirm(start)
+      this._reportToAgents(entry, { losses: entry.suspects.takeConfirmed(this.world.now), answers: [] })
     })
   }
 
   private _countSend (fingerprint: string): void {
     const { now } = this.world
-    const decisive = this._crashTimes.get(fingerprint)?.[DECISIVE_LOSSES - 1]
+    const kind: RequestTrait['kind'] = FATAL_PARTS.some(part => part === fingerprint) ? 'prompt-part' : 'request'
+    const decisive = this._crashTimes.get(fingerprint)?.[DECISIVE_CRASHES[kind] - 1]
     if (decisive === undefined || now - decisive <= DETECTION_TIME || now <= this._disturbedUntil) return
     const sends = (this._sendsAfterDetection.get(fingerprint) ?? 0) + 1
     this._sendsAfterDetection.set(fingerprint, sends)
-    if (sends > MAX_SENDS_AFTER_DETECTION) this.world.recordViolation(`few-ends: a request was sent ${sends} more times, long after it had crashed three endpoints`)
+    if (sends > MAX_SENDS_AFTER_DETECTION) this.world.recordViolation(`few-ends: a request was sent ${sends} more times, long after it had crashed ${DECISIVE_CRASHES[kind]} endpoints`)
   }
 
   private _reportLosses (): void {
@@ -228,7 +293,10 @@
     const candidates = this._agents.filter(({ process }) => this.world.connected(entry.process, process))
     for (let reported = 0; reported < AGENTS_PER_REPORT && candidates.length > 0; reported += 1) {
       const [agent] = candidates.splice(Math.floor(this.world.random() * candidates.length), 1) as [Member]
-      this.world.after(this.world.uniform(1, 8), agent.process, () => this._forward(agent, this._entries, agent.suspects.heard(news, this.world.now)))
+      this.world.after(this.world.uniform(1, 8), agent.process, () => {
+        this._forward(agent, this._entries, agent.suspects.heard(news, this.world.now))
+        this._forward(agent, [entry], { losses: [], answers: agent.suspects.contradictions(news.losses, this.world.now) })
+      })
     }
   }
 
@@ -237,8 +305,9 @@
     for (const entry of entries) {
       if (!this.world.connected(agent.process, entry.process)) continue
       this.world.after(this.world.uniform(1, 8), entry.process, () => {
-        const { losses, answers } = entry.suspects.heard(news, this.world.now)
-        this._reportToAgents(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, this.world.now) !== 'clear'), answers })
+        const { now } = this.world
+        const { losses, answers } = entry.suspects.heard(news, now)
+        this._reportToAgents(entry, { losses: losses.filter(({ fingerprint }) => entry.suspects.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...entry.suspects.contradictions(news.losses, now)] })
       })
     }
   }
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -370,7 +370,10 @@
   published('evacuations-dropped-at-restore', 'never-back', { state: () => new EvacuationDroppingState() }),
   published('versions-due-at-once', 'version-not-early', { state: () => new DueAtOnceState() }),
   suspects('losses-forgotten', 'few-ends', { suspects: () => new NonRecordingSuspects() }),
-  suspects('each-entry-for-itself', 'few-ends', { reportsToAgents: false }),
+  suspects('each-entry-for-itself', 'few-ends', { reportsToAgents: false, evaluatesParts: false }),
+  suspects('suspicions-not-contradicted', 'no-innocents', { reportsToAgents: false }),
   suspects('newcomers-not-told', 'few-ends', { informsRestartedEntries: false }),
+  suspects('parts-not-evaluated', 'few-ends', { evaluatesParts: false }),
+  suspects('answers-clear-no-parts', 'no-innocents', { answersClearParts: false }),
   suspects('held-back-at-once', 'no-innocents', { suspects: () => new FirstLossSuspects() })
 ]
--- a/packages/fuzz/src/test/promises_test.ts
+++ b/packages/fuzz/src/test/promises_test.ts
@@ -31,7 +31,7 @@
 
 describe('a removed protection is detected', () => {
   // Only the fast variants run here; `npm run fuzz -- --negatives` runs all.
-  for (const name of ['chunks-unverified', 'load-before-whole', 'parts-as-they-come', 'keepers-forget', 'any-answer-ends-a-stream', 'retries-at-birth', 'every-entry-has-all-retries', 'losses-forgotten', 'each-entry-for-itself', 'held-back-at-once', 'limits-not-heeded', 'each-entry-has-the-whole-limit', 'cold-not-limited', 'each-entry-has-the-whole-cold-rate', 'starts-not-taken-for-cold', 'reopened-zones-not-cold']) {
+  for (const name of ['chunks-unverified', 'load-before-whole', 'parts-as-they-come', 'keepers-forget', 'any-answer-ends-a-stream', 'retries-at-birth', 'every-entry-has-all-retries', 'losses-forgotten', 'each-entry-for-itself', 'held-back-at-once', 'parts-not-evaluated', 'answers-clear-no-parts', 'suspicions-not-contradicted', 'limits-not-heeded', 'each-entry-has-the-whole-limit', 'cold-not-limited', 'each-entry-has-the-whole-cold-rate', 'starts-not-taken-for-cold', 'reopened-zones-not-cold']) {
     it(name, () => {
       const variant = variants.find(candidate => candidate.name === name)
       const finding = variant?.run({ seed: 7, runs: NEGATIVE_RUNS })
--- a/packages/node/src/lib/routing/suspect-exchange.ts
+++ b/packages/node/src/lib/routing/suspect-exchange.ts
@@ -7,7 +7,7 @@
  * Tracks requests that may crash endpoints, and shares what one entry knows of them with the other entries. Agents relay messages
  * that are new to them to all entries that follow them.
  */
-import { readSuspectNews, SuspectRequests, SuspectVerdicts, type AnswerReport, type LossReport, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject, type TraitKind } from '@drumdrift/core'
+import { readSuspectNews, SuspectRequests, SuspectVerdicts, type LossReport, type RequestTrait, type SuspectNews, type SuspectStatus, type SuspectSubject, type TraitKind } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 import { runPeriodically, type PeriodicTask } from '../periodic-tasks.js'
@@ -42,6 +42,9 @@
 /** How often confirmed losses are sent, in milliseconds: a small part of the time that an endpoint has to show that it is alive. */
 const SEND_INTERVAL = 100
 
+/** Bounds memory. */
+const MAX_REPORTED = 1_024
+
 /** The counter of what is held back, by kind. */
 const counterOf: Record<TraitKind, string> = { request: 'requests_found_fatal', 'prompt-part': 'prompt_parts_found_fatal' }
 
@@ -52,6 +55,8 @@
   private readonly _sharing: PeriodicTask
   /** The incarnations of endpoints that are being probed. */
   private readonly _probed = new Set<string>()
+  /** The fingerprints of what is held back and was reported. */
+  private readonly _reported = new Set<string>()
   private _closed = false
 
   constructor (private readonly _dependencies: SuspectExchangeDependencies) {
@@ -83,9 +88,8 @@
    * @param answeredFor How long the endpoint had been answering the request, in milliseconds; 0 if it had not begun.
    */
   lost (subject: SuspectSubject, endpoint: EndpointStart, answeredFor: number, now: number): void {
-    const before = this._standings(subject.traits, now)
     this._verdicts.lost(subject, endpoint.start, answeredFor, now)
-    this._reportHeldBack(before, 'own', now)
+    this._reportHeldBack(subject.traits, 'own', now)
     this._confirmCrash(endpoint)
   }
 
@@ -109,24 +113,14 @@
     const now = performance.now()
     const news = readSuspectNews(input)
     if (news === undefined) return this._dependencies.log.warn('peer-malformed', { type: 'suspects', agent, detail: 'the payload is not a valid message about suspect requests' })
-    const before = this._standings(news.losses.map(({ fingerprint, kind = 'request' }) => ({ fingerprint, kind })), now)
     const { losses, answers } = this._suspects.heard(news, now)
-    this._reportHeldBack(before, 'told', now)
-    this._send({ losses: losses.filter(({ fingerprint }) => this._suspects.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...this._contradictions(losses, now)] })
+    this._reportHeldBack(losses.map(traitOf), 'told', now)
+    this._send({ losses: losses.filter(({ fingerprint }) => this._suspects.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...this._suspects.contradictions(news.losses, now)] })
   }
 
   /** Returns the losses to send to an agent to which this entry has just connected. */
   snapshot (): SuspectNews { return { losses: this._suspects.known(performance.now()), answers: [] } }
 
-  /** The answers that this entry received of requests that another one suspects. */
-  private _contradictions (losses: readonly LossReport[], now: number): AnswerReport[] {
-    const fingerprints = new Set(losses.map(({ fingerprint }) => fingerprint))
-    return [...fingerprints].flatMap(fingerprint => {
-      const isRefuted = this._suspects.isCleared(fingerprint, now) && this._suspects.counts(fingerprint, now).unexplained > 1
-      return isRefuted ? [{ fingerprint, age: Math.max(0, now - this._suspects.lastAnswer(fingerprint)) }] : []
-    })
-  }
-
   /** An endpoint that accepts no connections has crashed, so that its loss need not be awaited. */
   private async _confirmCrash ({ start, address }: EndpointStart): Promise<void> {
     if (this._probed.has(start)) return
@@ -138,7 +132,12 @@
     this._sendConfirmed()
   }
 
-  private _sendConfirmed (): void { this._send({ losses: this._suspects.takeConfirmed(performance.now()), answers: [] }) }
+  private _sendConfirmed (): void {
+    const now = performance.now()
+    const losses = this._suspects.takeConfirmed(now)
+    this._reportHeldBack(losses.map(traitOf), 'own', now)
+    this._send({ losses, answers: [] })
+  }
 
   private _sendAnswers (traits: readonly RequestTrait[]): void {
     if (traits.length > 0) this._send({ losses: [], answers: traits.map(({ fingerprint }) => ({ fingerprint, age: 0 })) })
@@ -148,18 +147,19 @@
     if (news.losses.length + news.answers.length > 0) this._dependencies.send(news)
   }
 
-  private _standings (traits: readonly RequestTrait[], now: number): ReadonlyMap<RequestTrait, SuspectStatus> {
-    return new Map(traits.map(trait => [trait, this._suspects.standing(trait.fingerprint, now)]))
-  }
-
-  private _reportHeldBack (before: ReadonlyMap<RequestTrait, SuspectStatus>, source: 'own' | 'told', now: number): void {
-    const reported = new Set<string>()
-    for (const [{ kind, fingerprint }, standing] of before) {
-      if (standing === 'held-back' || reported.has(fingerprint) || this._suspects.standing(fingerprint, now) !== 'held-back') continue
-      reported.add(fingerprint)
+  /** Reports each property once when it is held back, and again if it was released in the meantime. */
+  private _reportHeldBack (traits: readonly RequestTrait[], source: 'own' | 'told', now: number): void {
+    for (const { kind, fingerprint } of traits) {
+      const isHeldBack = this._suspects.standing(fingerprint, now) === 'held-back'
+      if (!isHeldBack) this._reported.delete(fingerprint)
+      if (!isHeldBack || this._reported.has(fingerprint)) continue
+      if (this._reported.size >= MAX_REPORTED) this._reported.clear()
+      this._reported.add(fingerprint)
       this._dependencies.counters.add(counterOf[kind])
       this._dependencies.log.warn('request-held-back', { kind, fingerprint, source, lost: this._suspects.lossesOf(fingerprint, now).join(','), for: Math.round(this._suspects.heldBackFor(fingerprint, now)) })
       this._dependencies.onHeldBack(fingerprint)
     }
   }
 }
+
+function traitOf ({ fingerprint, kind = 'request' }: LossReport): RequestTrait { return { kind, fingerprint } }
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -313,12 +313,15 @@
     limits: ({ news, cold }, responder) => { this._forwardLimits(news, cold, responder) }
   }
 
-  /** Forwards an entry's reports of crashing requests to the other entries, which are not connected to each other. */
+  /** Forwards an entry's reports of crashing requests to the other entries, which are not connected to each other, and contradicts wrong ones. */
   private _forwardSuspects (input: unknown, { connection }: Responder): void {
     const report = readSuspectNews(input)
     if (report === undefined) return this._log.warn('peer-malformed', { type: 'suspects', detail: 'malformed report of suspect requests' })
-    const news = this._suspects.heard(report, performance.now())
+    const now = performance.now()
+    const news = this._suspects.heard(report, now)
     if (news.losses.length + news.answers.length > 0) this._loadPublisher.sendToOthers({ type: 'suspects', news }, connection)
+    const answers = this._suspects.contradictions(report.losses, now)
+    if (answers.length > 0) this._loadPublisher.sendTo({ type: 'suspects', news: { losses: [], answers } }, connection)
   }
 
   /** Forwards reported limits and cold times to the other entries, and sends the sender corrections where its values differ from this agent's. */
--- a/packages/node/src/test/lib/routing/suspect-exchange_test.ts
+++ b/packages/node/src/test/lib/routing/suspect-exchange_test.ts
@@ -141,9 +141,12 @@
     assert.equal(exchange.standing(request, now), 'held-back')
   })
 
-  it('holds back different requests that share a part', () => {
+  it('holds back different requests that share a part', async () => {
     exchange.answered({ scope: 'm', traits: [] }, now)
+    probeResult = 'refused'
+    now += 5_000
     for (const [index, start] of ['a', 'b', 'c', 'd'].entries()) lose(start, now, requestWithPart(index))
+    await new Promise(resolve => setImmediate(resolve))
     assert.deepEqual(heldBack, [part])
     assert.equal(exchange.standing(requestWithPart(9), now), 'held-back')
     assert.equal(exchange.standing({ scope: 'm', traits: requestWithPart(9).traits.slice(0, 1) }, now), 'clear')
