--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -150,13 +150,15 @@
     const at = Math.max(known, now)
     this._answeredAt.delete(fingerprint)
     this._answeredAt.set(fingerprint, at)
-    for (const oldest of this._answeredAt.keys()) {
-      if (this._answeredAt.size <= MAX_ANSWERED) break
-      this._answeredAt.delete(oldest)
-    }
+    if (this._answeredAt.size > MAX_ANSWERED) this._forgetOldestAnswer()
     return this._dropRefuted(fingerprint) >= NO_RETRY_LOSSES || (isSuspect && at - known > ANSWER_NEWS_INTERVAL)
   }
 
+  private _forgetOldestAnswer (): void {
+    const [oldest] = this._answeredAt.keys()
+    if (oldest !== undefined) this._answeredAt.delete(oldest)
+  }
+
   /** When an endpoint last answered a request; `-Infinity` if that is not known. */
   lastAnswer (fingerprint: string): number { return this._answeredAt.get(fingerprint) ?? -Infinity }
 
--- a/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
@@ -39,6 +39,8 @@
 const ASSUMED_ENTRIES = 100
 /** How long a caller waits whose request was not chosen for a trial, in milliseconds. */
 const TRIAL_RETRY_DELAY = 60_000
+/** An answer of a shared property is not recorded again within this time, in milliseconds. */
+const ANSWER_RECORD_INTERVAL = 1_000
 /** Memory bounds. */
 const MAX_VERDICTS = 512
 const MAX_SCOPES = 256
@@ -131,13 +133,20 @@
    */
   survived ({ scope, traits }: SuspectSubject, now: number): RequestTrait[] {
     this._recordAnswer(scope, now)
-    return traits.filter(({ kind, fingerprint }) => traitRules[kind].shared && this._dependencies.evidence.answered(fingerprint, now))
+    return traits.filter(trait => traitRules[trait.kind].shared && this._recordTrait(trait, now))
   }
 
   /** Records that an endpoint answered a request completely. Returns the properties of which other processes should be notified. */
   answered ({ scope, traits }: SuspectSubject, now: number): RequestTrait[] {
     this._recordAnswer(scope, now)
-    return traits.filter(({ fingerprint }) => this._dependencies.evidence.answered(fingerprint, now))
+    return traits.filter(trait => this._recordTrait(trait, now))
+  }
+
+  /** Popular properties are answered many times a second, of which one record in a while suffices. */
+  private _recordTrait ({ kind, fingerprint }: RequestTrait, now: number): boolean {
+    const { evidence } = this._dependencies
+    const isKnown = traitRules[kind].shared && now - evidence.lastAnswer(fingerprint) < ANSWER_RECORD_INTERVAL && !this._verdicts.has(fingerprint)
+    return !isKnown && evidence.answered(fingerprint, now)
   }
 
   private _recordAnswer (scope: string, now: number): void {
--- a/packages/node/src/lib/routing/request-traits.ts
+++ b/packages/node/src/lib/routing/request-traits.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Returns the properties of requests that may crash endpoints. Property values are hashed with a key, since they are logged and sent to other processes. */
-import type { SuspectSubject, TraitKind } from '@drumdrift/core'
+import type { RequestTrait, SuspectSubject, TraitKind } from '@drumdrift/core'
 import { fingerprintOf, fingerprintOfValue } from '../request-fingerprint.js'
 import type { ReadRequest } from './routed-request.js'
 
@@ -37,15 +37,18 @@
    * const { traits } = new RequestTraits('key').of(request, 'drafting')
    */
   of (request: ReadRequest, scope: string): SuspectSubject {
-    const cached: CachedFingerprint = (...values) => this._fingerprint(values)
-    return { scope, traits: kinds.flatMap(kind => fingerprintsOf[kind](this._key, request, scope, cached).map(fingerprint => ({ kind, fingerprint }))) }
+    const traits: RequestTrait[] = []
+    for (const kind of kinds) {
+      for (const fingerprint of fingerprintsOf[kind](this._key, request, scope, this._cached)) traits.push({ kind, fingerprint })
+    }
+    return { scope, traits }
   }
 
-  private _fingerprint (values: readonly [TraitKind, string, string]): string {
-    const name = values.join(' ')
+  private readonly _cached: CachedFingerprint = (kind, scope, value) => {
+    const name = `${kind} ${scope} ${value}`
     const known = this._cache.get(name)
     if (known !== undefined) return known
-    const fingerprint = fingerprintOfValue(this._key, values)
+    const fingerprint = fingerprintOfValue(this._key, [kind, scope, value])
     if (this._cache.size >= MAX_CACHED) this._cache.clear()
     this._cache.set(name, fingerprint)
     return fingerprint
