Plain answers that end with their connection are never delivered as whole

Neither the end of the connection nor what else the endpoint does tells them apart, so such an answer is broken again: a safe request goes to another endpoint, another one gets 502. What is kept: streams that end between events, of endpoints that live, and the verdict that an endpoint which lives on did not crash, so that the answer does not count against its request. Agents do the same.

--- a/packages/node/src/lib/agent/request-runner.ts
+++ b/packages/node/src/lib/agent/request-runner.ts
@@ -123,15 +123,20 @@
       partialEvent = bytes.subarray(length)
     }
     if (!response.complete) throw new Error('the connection to the endpoint was lost before the end of the answer')
-    if (!isFramed(response)) await this._confirmEnd(isEventStream && (partialEvent.length > 0 || sequence === 0))
+    if (!isFramed(response)) await this._confirmEnd(isEventStream && partialEvent.length === 0 && sequence > 0)
     send(partialEvent)
     return sequence
   }
 
-  /** An answer without a length or chunks ends like one whose endpoint crashed. */
-  private async _confirmEnd (isCut: boolean): Promise<void> {
+  /**
+   * An answer without a length or chunks ends like one whose endpoint crashed or gave up midway.
+   *
+   * @param endsBetweenEvents Whether it is a stream that ends after a whole event, so that it is complete if the endpoint lives.
+   */
+  private async _confirmEnd (endsBetweenEvents: boolean): Promise<void> {
     const { endpoint, endpointAddress } = this._dependencies
-    if (isCut || !await this._liveness.outlived({ start: endpoint, address: endpointAddress })) throw new Error('the answer has no declared length, and the endpoint may have crashed before its end')
+    const isComplete = endsBetweenEvents && await this._liveness.outlived({ start: endpoint, address: endpointAddress })
+    if (!isComplete) throw new Error('the answer has no declared length and may have ended early')
   }
 
   private _recordSent (bytes: number, responder: Responder): void {
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -33,7 +33,7 @@
 const MIN_RESTART_TIME = 1_000
 
 const EVENT_TIMEOUT_DETAIL = 'timed out waiting for an event'
-const UNFRAMED_DETAIL = 'the answer has no declared length, and its endpoint may have crashed when its connection closed'
+const UNFRAMED_DETAIL = 'the answer has no declared length and may have ended early'
 const VERSION_TIMEOUT_DETAIL = 'timed out waiting to begin on an old version'
 
 /** The parameters of an attempt. */
@@ -68,6 +68,7 @@
   private readonly _call: EndpointCall
   private _bodyParts: Buffer[] = []
   private _bodyLength = 0
+  private _framed = false
   /** Since when the answer is not read; `undefined` while it is. */
   private _pausedAt: number | undefined
   private _resumedAt = -Infinity
@@ -95,7 +96,10 @@
     this.choice = _plan.choice
     this._call = new EndpointCall(_plan.request, {
       readHead: response => _listener.readHead(response),
-      head: head => { this._head = head },
+      head: (head, framed) => {
+        this._head = head
+        this._framed = framed
+      },
       data: bytes => this._onData(bytes)
     })
     this.ended = this._call.ended.then(end => this._finish(end))
@@ -167,6 +171,7 @@
     this._bodyParts.push(bytes)
     this._bodyLength += bytes.length
     if (this._bodyLength <= MAX_BUFFERED_BODY) return
+    if (!this._framed) return this.abort(UNFRAMED_DETAIL)
     const part = this.body
     this._bodyParts = []
     this._listener.bodyPart(head, part)
@@ -213,14 +218,16 @@
   }
 
   /**
-   * A success without a length or chunks looks complete even if its endpoint crashed midway: for the caller, a truncated answer that
-   * looks complete is worse than none. After a long pause, an endpoint that crashed meanwhile may have started again.
+   * A success without a length or chunks looks complete even if its endpoint crashed or gave up midway: for the caller, a truncated answer
+   * that looks complete is worse than none. A stream of a live endpoint that ends between events is complete; nothing tells that of
+   * another answer. After a long pause, an endpoint that crashed meanwhile may have started again.
    */
   private async _closedAnswerEnd (head: AnswerHead): Promise<AttemptEnd> {
     if (this._longestPause >= MIN_RESTART_TIME) return { type: 'unread', detail: UNFRAMED_DETAIL }
+    if (!await this._plan.outlived()) return { type: 'broken', connection: 'lost', detail: UNFRAMED_DETAIL }
     const { withinEvent, lastEventId } = this._plan.progress
-    const isCut = isStream(head) && (withinEvent || lastEventId === undefined)
-    return !isCut && await this._plan.outlived() ? this._answerEnd(head) : { type: 'broken', connection: 'lost', detail: UNFRAMED_DETAIL }
+    const isComplete = isStream(head) && !withinEvent && lastEventId !== undefined
+    return isComplete ? this._answerEnd(head) : { type: 'broken', connection: 'open', detail: UNFRAMED_DETAIL }
   }
 }
 
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -42,7 +42,8 @@
 export interface EndpointCallListener {
   /** Parses the head of the answer. */
   readHead (response: IncomingMessage): EndpointHead
-  head (head: AnswerHead): void
+  /** @param framed Whether the answer declares its end: see `EndpointCallEnd`. */
+  head (head: AnswerHead, framed: boolean): void
   data (bytes: Buffer): void
 }
 
@@ -124,7 +125,7 @@
     if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, connection: 'open', detail: head.detail })
     this._begun = true
     this._response = response
-    this._listener.head(head)
+    this._listener.head(head, isFramed(response))
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
     response.on('end', () => {
       if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
--- a/packages/node/src/test/lib/agent/request-runner_test.ts
+++ b/packages/node/src/test/lib/agent/request-runner_test.ts
@@ -76,7 +76,7 @@
   // An answer that ended with its connection when its endpoint crashed was taken for whole, even within an event.
   const EVENT = 'data: piece\n\n'
   const endings: [name: string, type: string, body: string, end: (socket: Socket) => void, expected: 'end' | 'broken'][] = [
-    ['ends with its connection', 'text/plain', 'answer', socket => socket.end(), 'end'],
+    ['ends with its connection', 'text/plain', 'answer', socket => socket.end(), 'broken'],
     ['is a stream that ends with its connection', 'text/event-stream', EVENT, socket => socket.end(), 'end'],
     ['is a stream that ends within an event', 'text/event-stream', `${EVENT}data: pie`, socket => socket.end(), 'broken'],
     ['is a stream without any event', 'text/event-stream', '', socket => socket.end(), 'broken'],
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -18,7 +18,7 @@
   | 'whole' | 'error' | 'sheds' | 'wrong-instance' | 'wrong-version' | 'cut' | 'cut-in-event' | 'reset-unanswered' | 'mute'
   | 'unsigned' | 'of-another-request' | 'late-error'
   /** Answers without a length or chunks: whole, cut by the end of the connection, by its reset or by a crash of the worker. */
-  | 'unframed' | 'unframed-cut-in-event' | 'unframed-reset' | 'unframed-crash' | 'unframed-large' | 'unframed-large-crash'
+  | 'unframed' | 'unframed-cut' | 'unframed-cut-in-event' | 'unframed-reset' | 'unframed-crash' | 'unframed-large'
   /** Cuts a new stream after some events, and answers a request that resumes a stream with something other than a stream. */
   | 'cut-then-error' | 'cut-then-denied' | 'cut-then-plain' | 'cut-then-not-signed'
 
@@ -58,7 +58,7 @@
 /** Delay of the failure in the mode `late-error`, in milliseconds. */
 const LATE_ERROR_MILLISECONDS = 500
 /** Size of the body in the mode `unframed-large`, in bytes. */
-export const LARGE_BODY_BYTES = 200_000
+const LARGE_BODY_BYTES = 200_000
 /** Time from the start of a request that crashes the worker until the crash, in milliseconds. */
 const CRASH_DELAY_MILLISECONDS = 10
 
@@ -271,11 +271,11 @@
     response.writeHead(200, { ...worker.head(request), 'x-attempt-id': 'another' }).end('of another request')
   },
   unframed: (worker, request) => { sendUnframed(worker, request, isStreamed(request) ? eventsUpTo(worker, worker.eventsPerStream) : `answer of ${worker.id}`, socket => socket.end()) },
+  'unframed-cut': (worker, request) => { sendUnframed(worker, request, 'half of an answ', socket => socket.end()) },
   'unframed-cut-in-event': (worker, request) => { sendUnframed(worker, request, `${eventsUpTo(worker, EVENTS_BEFORE_CUT)}id: 4\ndata: pie`, socket => socket.end()) },
   'unframed-reset': (worker, request) => { sendUnframed(worker, request, eventsUpTo(worker, EVENTS_BEFORE_CUT), socket => socket.resetAndDestroy()) },
   'unframed-crash': (worker, request) => { sendUnframed(worker, request, eventsUpTo(worker, EVENTS_BEFORE_CUT), () => worker.crashNow()) },
-  'unframed-large': (worker, request) => { sendUnframed(worker, request, 'a'.repeat(LARGE_BODY_BYTES), socket => socket.end()) },
-  'unframed-large-crash': (worker, request) => { sendUnframed(worker, request, 'a'.repeat(LARGE_BODY_BYTES), () => worker.crashNow()) }
+  'unframed-large': (worker, request) => { sendUnframed(worker, request, 'a'.repeat(LARGE_BODY_BYTES), socket => socket.end()) }
 }
 
 function eventsUpTo (worker: UsersWorkerStandIn, last: number): string {
