--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -60,7 +60,7 @@
   readonly next: NextAction
   /** Set if the endpoint may have been lost while running the request: see `RequestTraits`. */
   readonly traits: readonly RequestTrait[] | undefined
-  /** Since when the endpoint had been sending events, in milliseconds; `undefined` if it had not begun. */
+  /** For how long the endpoint had been sending events, in milliseconds; `undefined` if it had not begun. */
   readonly answeredFor: number | undefined
 }
 
