--- a/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
@@ -20,7 +20,7 @@
   readonly entries: (now: number) => number | undefined
 }
 
-/** Number of unexplained losses from which a shared property is held back, and on trial. */
+/** Number of unexplained losses from which a shared property is held back, and from which a trial has failed. */
 const QUARANTINE_LOSSES = 3
 const TRIAL_LOSSES = 1
 /**
@@ -55,10 +55,10 @@
   readonly since: number
   heldUntil: number
   onTrial: boolean
-  /** Losses before this time, and fewer than this number, no longer count. */
+  /** Only losses from this time on count, and only if there are this many. */
   countFrom: number
   requiredLosses: number
-  /** The interval for which the last draw was made, and whether it allows a request. */
+  /** The interval for which the last draw was made, and whether that allows one more request. */
   trialInterval: number
   trialAllowed: boolean
 }
@@ -189,6 +189,7 @@
     return now - (this._answers.get(scope)?.lastAt ?? this._startedAt) <= ANSWERED_LIFETIME
   }
 
+  /** Whether this process has seen enough answers to judge, or others have had the time to contradict it. */
   private _mayJudge (fingerprint: string, scope: string, now: number): boolean {
     if (now - (this._answers.get(scope)?.firstAt ?? Infinity) >= EXPERIENCE_TIME) return true
     return now - this._dependencies.evidence.timeOfLoss(fingerprint, QUARANTINE_LOSSES) >= CONTRADICTION_TIME
