One generator of Poisson arrivals for both open loops

sendAtRate repeated the loop of generateLoad, and let delays of the process lower its rate. Both now iterate poissonArrivals, which is generateLoad's loop unchanged.

--- a/packages/benchmarks/src/lib/load.ts
+++ b/packages/benchmarks/src/lib/load.ts
@@ -8,7 +8,7 @@
 import { makeCall, type Call, type CallRecord } from './callers.js'
 import { quantile } from './bench-options.js'
 import { Fleet, organisations, type FleetPlan } from './fleet.js'
-import { generateVersion, type GeneratedVersion } from '@drumdrift/stand-ins'
+import { generateVersion, poissonArrivals, type GeneratedVersion } from '@drumdrift/stand-ins'
 import type { Configuration } from '@drumdrift/core'
 
 /** A period of load at a constant rate. */
@@ -31,21 +31,15 @@
  * const [calm, burst] = await generateLoad([{ seconds: 2, callsPerSecond: 20 }, { seconds: 5, callsPerSecond: 400 }], make, random)
  */
 export async function generateLoad (phases: readonly Phase[], make: CallMaker, random: () => number): Promise<CallRecord[][]> {
-  let due = performance.now()
+  let start = performance.now()
   let number = 0
   const all: Promise<CallRecord>[][] = []
   for (const phase of phases) {
-    const end = due + phase.seconds * 1000
+    const end = start + phase.seconds * 1000
     const calls: Promise<CallRecord>[] = []
     all.push(calls)
-    for (;;) {
-      due += -Math.log(1 - random()) * 1000 / phase.callsPerSecond
-      if (due >= end) break
-      const wait = due - performance.now()
-      if (wait > 1) await pause(wait)
-      calls.push(makeCall({ ...make(number++, random), due }))
-    }
-    due = end
+    for await (const due of poissonArrivals(start, () => end, phase.callsPerSecond, random)) calls.push(makeCall({ ...make(number++, random), due }))
+    start = end
   }
   return await Promise.all(all.map(async calls => await Promise.all(calls)))
 }
--- a/packages/stand-ins/src/lib/users-platform/open-load.ts
+++ b/packages/stand-ins/src/lib/users-platform/open-load.ts
@@ -4,11 +4,11 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Load that arrives at random times, whatever became of earlier requests. */
-import { setTimeout as pause } from 'node:timers/promises'
+import { poissonArrivals } from '../poisson-arrivals.js'
 
 /** What became of a request. */
 export interface LoadOutcome {
-  /** In milliseconds of `performance.now()`. */
+  /** When it was due, in milliseconds of `performance.now()`. */
   readonly submittedAt: number
   readonly served: boolean
 }
@@ -24,11 +24,7 @@
  */
 export async function sendAtRate (until: () => number, perSecond: number, random: () => number, send: () => Promise<boolean>): Promise<LoadOutcome[]> {
   const outcomes: Promise<LoadOutcome>[] = []
-  while (performance.now() < until()) {
-    await pause(-Math.log(1 - random()) / perSecond * 1_000)
-    const submittedAt = performance.now()
-    outcomes.push(send().then(served => ({ submittedAt, served })))
-  }
+  for await (const submittedAt of poissonArrivals(performance.now(), until, perSecond, random)) outcomes.push(send().then(served => ({ submittedAt, served })))
   return await Promise.all(outcomes)
 }
 
