--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -14,31 +14,9 @@
  * lost, and sooner or later they are answered. The losses of a shared property do not count if another fingerprint explains them.
  * Processes share their observations, so that the whole fleet loses no more endpoints than a single entry would.
  */
-import { isTraitKind, traitRules, type TraitKind } from './request-traits.js'
-
-/** An endpoint that was lost while it ran a request, as sent to other processes. */
-export interface LossReport {
-  readonly fingerprint: string
-  /** The incarnation of the endpoint: see `startKeyOf`. */
-  readonly start: string
-  /** Milliseconds since the loss. */
-  readonly age: number
-  /** What the fingerprint identifies; the whole request if absent. */
-  readonly kind?: TraitKind | undefined
-}
-
-/** A request that an endpoint answered, as sent to other processes: earlier losses under this request had another cause. */
-export interface AnswerReport {
-  readonly fingerprint: string
-  /** Milliseconds since the answer. */
-  readonly age: number
-}
-
-/** The observations that processes share. */
-export interface SuspectNews {
-  readonly losses: readonly LossReport[]
-  readonly answers: readonly AnswerReport[]
-}
+import { dropOldest } from '../../drop-oldest.js'
+import { traitRules, type TraitKind } from './request-traits.js'
+import { MAX_SUSPECT_REPORTS, type AnswerReport, type LossReport, type SuspectNews } from './suspect-news.js'
 
 /** How a request may be handled: without restriction, with a single attempt and no retry, or not at all. */
 export type SuspectStatus = 'clear' | 'no-further-attempt' | 'held-back'
@@ -49,7 +27,7 @@
  * their callers may send the request once more.
  */
 const NO_RETRY_LOSSES = 2
-const QUARANTINE_LOSSES = 3
+export const QUARANTINE_LOSSES = 3
 /** The most losses stored for a fingerprint; more would not change how it is handled. */
 const MAX_LOSSES = 16
 /**
@@ -75,25 +53,25 @@
 const MAX_ANSWERED = 8_192
 const MAX_SUSPECTS = 512
 
-/** The most losses, and the most answers, in one message: more at a time identify no single request, and a longer message is rejected. */
-const MAX_REPORTS = 512
+/** The loss of an endpoint under a request. */
+interface Loss {
+  readonly at: number
+  /** Whether the endpoint can no longer prove to be alive. */
+  confirmed: boolean
+}
 
-/** A loss that this process observed itself and that is retracted if the endpoint is heard again in time. */
-interface UnconfirmedLoss {
+/** A loss that this process observed itself and has not shared yet. */
+interface OwnLoss {
   readonly fingerprint: string
+  readonly kind: TraitKind
   readonly start: string
-  readonly at: number
-  /** Whether the endpoint is known to have crashed, so that it is shared at once and never retracted. */
-  confirmed: boolean
+  readonly loss: Loss
 }
 
-/** The losses that count against a fingerprint. */
+/** The losses that count against a fingerprint, by the incarnation of the endpoint. */
 interface Losses {
   readonly kind: TraitKind
-  /** The time at which each incarnation of an endpoint was lost. */
-  readonly starts: Map<string, number>
-  /** The incarnations that may still prove to be alive. */
-  readonly pending: Set<string>
+  readonly starts: Map<string, Loss>
 }
 
 /**
@@ -112,30 +90,25 @@
 export class SuspectRequests {
   private readonly _losses = new Map<string, Losses>()
   private readonly _answeredAt = new Map<string, number>()
-  private _unconfirmed: UnconfirmedLoss[] = []
+  private _unshared: OwnLoss[] = []
   /** The number of refuted losses that other processes reported since the last contradiction, by fingerprint. */
   private readonly _refutedLosses = new Map<string, number>()
 
   /** Records that the connection to an endpoint was lost while it ran a request. */
   lost (fingerprint: string, start: string, now: number, kind: TraitKind = 'request'): void {
-    if (!this._add(fingerprint, start, now, kind)) return
-    this._unconfirmed.push({ fingerprint, start, at: now, confirmed: false })
-    this._losses.get(fingerprint)?.pending.add(start)
+    const loss: Loss = { at: now, confirmed: false }
+    if (this._add(fingerprint, kind, start, loss)) this._unshared.push({ fingerprint, kind, start, loss })
   }
 
   /** Records that an endpoint has crashed, so that its losses need not be awaited any longer. */
   confirm (start: string): void {
-    for (const loss of this._unconfirmed) {
-      if (loss.start !== start) continue
-      loss.confirmed = true
-      this._losses.get(loss.fingerprint)?.pending.delete(start)
-    }
+    for (const own of this._unshared) if (own.start === start) own.loss.confirmed = true
   }
 
   /** Records that an endpoint was alive at a time, so that only the connection was lost before; retracts the losses. */
   lived (start: string, at: number): void {
-    if (this._unconfirmed.length === 0) return
-    const retracted = this._unconfirmed.filter(loss => loss.start === start && !loss.confirmed && loss.at + MAX_IN_FLIGHT_TIME <= at)
+    if (this._unshared.length === 0) return
+    const retracted = this._unshared.filter(own => own.start === start && !own.loss.confirmed && own.loss.at + MAX_IN_FLIGHT_TIME <= at)
     for (const { fingerprint } of retracted) this._remove(fingerprint, start)
   }
 
@@ -146,19 +119,14 @@
    */
   answered (fingerprint: string, now: number): boolean {
     const isSuspect = (this._losses.get(fingerprint)?.starts.size ?? 0) >= NO_RETRY_LOSSES
-    const known = this._answeredAt.get(fingerprint) ?? -Infinity
+    const known = this.lastAnswer(fingerprint)
     const at = Math.max(known, now)
     this._answeredAt.delete(fingerprint)
     this._answeredAt.set(fingerprint, at)
-    if (this._answeredAt.size > MAX_ANSWERED) this._forgetOldestAnswer()
+    dropOldest(this._answeredAt, MAX_ANSWERED)
     return this._dropRefuted(fingerprint) >= NO_RETRY_LOSSES || (isSuspect && at - known > ANSWER_NEWS_INTERVAL)
   }
 
-  private _forgetOldestAnswer (): void {
-    const [oldest] = this._answeredAt.keys()
-    if (oldest !== undefined) this._answeredAt.delete(oldest)
-  }
-
   /** When an endpoint last answered a request; `-Infinity` if that is not known. */
   lastAnswer (fingerprint: string): number { return this._answeredAt.get(fingerprint) ?? -Infinity }
 
@@ -189,10 +157,10 @@
     const losses = this._losses.get(fingerprint)
     if (losses === undefined) return { unexplained: 0, explained: 0, newest: -Infinity }
     const { shared } = traitRules[losses.kind]
-    const live = [...losses.starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && at >= from && !(shared && losses.pending.has(start)))
+    const live = [...losses.starts].filter(([, { at, confirmed }]) => now - at <= LOSS_LIFETIME && at >= from && (confirmed || !shared))
     const causes = this._likelierCauses(fingerprint, losses, now)
     const explained = live.filter(([start]) => causes.some(({ starts }) => starts.has(start))).length
-    return { unexplained: live.length - explained, explained, newest: Math.max(...live.map(([, at]) => at)) }
+    return { unexplained: live.length - explained, explained, newest: Math.max(...live.map(([, { at }]) => at)) }
   }
 
   /** The fingerprints that explain losses of a shared property: those with more losses, and narrower ones with as many. */
@@ -211,30 +179,32 @@
   /** The incarnations of endpoints that were lost while they ran a request. */
   lossesOf (fingerprint: string, now: number): string[] {
     const losses = this._losses.get(fingerprint)
-    return losses === undefined ? [] : [...losses.starts].flatMap(([start, at]) => now - at <= LOSS_LIFETIME ? [start] : [])
+    return losses === undefined ? [] : [...losses.starts].flatMap(([start, { at }]) => now - at <= LOSS_LIFETIME ? [start] : [])
   }
 
   /** When the number of losses of a request reached a count; `Infinity` if it has not. */
   timeOfLoss (fingerprint: string, count: number): number {
-    const times = [...this._losses.get(fingerprint)?.starts.values() ?? []].sort((left, right) => left - right)
-    return times[count - 1] ?? Infinity
+    return this._timesOf(fingerprint)[count - 1] ?? Infinity
   }
 
   /** The time until a request may be started again, in milliseconds. */
   heldBackFor (fingerprint: string, now: number): number {
-    const times = [...this._losses.get(fingerprint)?.starts.values() ?? []].sort((left, right) => right - left)
-    const decidingLoss = times[QUARANTINE_LOSSES - 1]
+    const decidingLoss = this._timesOf(fingerprint).at(-QUARANTINE_LOSSES)
     return decidingLoss === undefined ? 0 : Math.max(0, decidingLoss + LOSS_LIFETIME - now)
   }
 
+  /** When losses of a request happened, in ascending order. */
+  private _timesOf (fingerprint: string): number[] {
+    return [...this._losses.get(fingerprint)?.starts.values() ?? []].map(({ at }) => at).sort((left, right) => left - right)
+  }
+
   /** Returns the losses that this process observed and that were not retracted in time, each once, to share them. */
   takeConfirmed (now: number): LossReport[] {
-    if (this._unconfirmed.length === 0) return []
-    const isConfirmed = ({ at, confirmed }: UnconfirmedLoss): boolean => confirmed || now - at >= LIVENESS_TIMEOUT
-    const confirmed = this._unconfirmed.filter(isConfirmed)
-    this._unconfirmed = this._unconfirmed.filter(loss => !isConfirmed(loss))
-    for (const { fingerprint, start } of confirmed) this._losses.get(fingerprint)?.pending.delete(start)
-    return confirmed.slice(0, MAX_REPORTS).map(({ fingerprint, start, at }) => this._report(fingerprint, start, now - at))
+    if (this._unshared.length === 0) return []
+    for (const { loss } of this._unshared) if (now - loss.at >= LIVENESS_TIMEOUT) loss.confirmed = true
+    const confirmed = this._unshared.filter(({ loss }) => loss.confirmed)
+    this._unshared = this._unshared.filter(({ loss }) => !loss.confirmed)
+    return confirmed.slice(0, MAX_SUSPECT_REPORTS).map(({ fingerprint, kind, start, loss }) => reportOf(fingerprint, kind, start, now - loss.at))
   }
 
   /**
@@ -247,10 +217,22 @@
   heard ({ losses, answers }: SuspectNews, now: number): SuspectNews {
     return {
       answers: answers.filter(({ fingerprint, age }) => age <= LOSS_LIFETIME && this.answered(fingerprint, now - age)),
-      losses: losses.filter(({ fingerprint, start, age, kind }) => age <= LOSS_LIFETIME && this._add(fingerprint, start, now - age, kind ?? 'request'))
+      losses: losses.filter(({ fingerprint, start, age, kind }) => age <= LOSS_LIFETIME && this._add(fingerprint, kind ?? 'request', start, { at: now - age, confirmed: true }))
     }
   }
 
+  /**
+   * Adds the observations that another process sent to an entry.
+   *
+   * @returns What the entry sends on: losses that restrict a request, answers that clear one, and contradictions.
+   * @example
+   * send(suspects.relay(news, now))
+   */
+  relay (news: SuspectNews, now: number): SuspectNews {
+    const { losses, answers } = this.heard(news, now)
+    return { losses: losses.filter(({ fingerprint }) => this.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...this.contradictions(news.losses, now)] }
+  }
+
   /**
    * Returns the answers that refute what another process suspects, once it has reported several losses that they refute.
    *
@@ -275,7 +257,7 @@
    * whole request is not, because all endpoints that run its copies may fail at once.
    */
   private _isRefuted (fingerprint: string, lostAt: number, kind: TraitKind): boolean {
-    return lostAt <= this.lastAnswer(fingerprint) + (traitRules[kind].shared ? ANSWERED_LIFETIME : 0)
+    return traitRules[kind].shared ? this.isCleared(fingerprint, lostAt) : lostAt <= this.lastAnswer(fingerprint)
   }
 
   /**
@@ -285,31 +267,25 @@
    */
   known (now: number, least = NO_RETRY_LOSSES): LossReport[] {
     const reports: LossReport[] = []
-    for (const [fingerprint, { starts, pending }] of this._losses) {
+    for (const [fingerprint, { kind, starts }] of this._losses) {
       if (this.isCleared(fingerprint, now)) continue
-      const held = [...starts].filter(([start, at]) => now - at <= LOSS_LIFETIME && !pending.has(start))
-      if (held.length >= least) reports.push(...held.map(([start, at]) => this._report(fingerprint, start, now - at)))
+      const held = [...starts].filter(([, { at, confirmed }]) => now - at <= LOSS_LIFETIME && confirmed)
+      if (held.length >= least) reports.push(...held.map(([start, { at }]) => reportOf(fingerprint, kind, start, now - at)))
     }
-    return reports.slice(0, MAX_REPORTS)
+    return reports.slice(0, MAX_SUSPECT_REPORTS)
   }
 
-  /** A report without a kind is one of a whole request, as in earlier releases. */
-  private _report (fingerprint: string, start: string, age: number): LossReport {
-    const kind = this._losses.get(fingerprint)?.kind ?? 'request'
-    return kind === 'request' ? { fingerprint, start, age } : { fingerprint, start, age, kind }
-  }
-
-  private _add (fingerprint: string, start: string, at: number, kind: TraitKind): boolean {
-    if (this._isRefuted(fingerprint, at, kind)) return false
-    const { starts } = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, at, kind)
+  private _add (fingerprint: string, kind: TraitKind, start: string, loss: Loss): boolean {
+    if (this._isRefuted(fingerprint, loss.at, kind)) return false
+    const { starts } = this._losses.get(fingerprint) ?? this._newLosses(fingerprint, loss.at, kind)
     if (starts.has(start) || starts.size >= MAX_LOSSES) return false
-    starts.set(start, at)
+    starts.set(start, loss)
     return true
   }
 
   private _newLosses (fingerprint: string, now: number, kind: TraitKind): Losses {
     if (this._losses.size >= MAX_SUSPECTS) this._evictOne(now)
-    const losses: Losses = { kind, starts: new Map(), pending: new Set() }
+    const losses: Losses = { kind, starts: new Map() }
     this._losses.set(fingerprint, losses)
     return losses
   }
@@ -318,7 +294,7 @@
   private _evictOne (now: number): void {
     let [least, fewest] = ['', Infinity]
     for (const [fingerprint, { starts }] of this._losses) {
-      for (const [start, at] of starts) if (now - at > LOSS_LIFETIME) starts.delete(start)
+      for (const [start, { at }] of starts) if (now - at > LOSS_LIFETIME) starts.delete(start)
       if (starts.size >= fewest) continue
       least = fingerprint
       fewest = starts.size
@@ -329,49 +305,20 @@
   /** Drops the losses that the last answer refutes and returns their number. */
   private _dropRefuted (fingerprint: string): number {
     const { starts, kind = 'request' } = this._losses.get(fingerprint) ?? {}
-    const refuted = [...starts ?? []].filter(([, at]) => this._isRefuted(fingerprint, at, kind))
+    const refuted = [...starts ?? []].filter(([, { at }]) => this._isRefuted(fingerprint, at, kind))
     for (const [start] of refuted) this._remove(fingerprint, start)
     return refuted.length
   }
 
   private _remove (fingerprint: string, start: string): void {
-    const { starts, pending } = this._losses.get(fingerprint) ?? {}
+    const starts = this._losses.get(fingerprint)?.starts
     starts?.delete(start)
-    pending?.delete(start)
-    this._unconfirmed = this._unconfirmed.filter(loss => loss.fingerprint !== fingerprint || loss.start !== start)
+    this._unshared = this._unshared.filter(own => own.fingerprint !== fingerprint || own.start !== start)
     if (starts?.size === 0) this._losses.delete(fingerprint)
   }
 }
 
-const FINGERPRINT = /^[0-9a-f]{16}$/
-const MAX_START_LENGTH = 200
-
-/**
- * Validates the observations received from another process; returns `undefined` if they are malformed.
- *
- * @example
- * const news = readSuspectNews({ losses: [{ fingerprint: '0123456789abcdef', start: 'engine-7', age: 120 }], answers: [] })
- */
-export function readSuspectNews (input: unknown): SuspectNews | undefined {
-  if (typeof input !== 'object' || input === null) return undefined
-  const { losses, answers } = input as Partial<Record<keyof SuspectNews, unknown>>
-  if (!isListOf(losses, isLossReport) || !isListOf(answers, isAnswerReport)) return undefined
-  // A later release may know more kinds.
-  return { losses: losses.filter(({ kind }) => kind === undefined || isTraitKind(kind)), answers }
-}
-
-function isListOf<Item> (input: unknown, isItem: (item: unknown) => item is Item): input is Item[] {
-  return Array.isArray(input) && input.length <= MAX_REPORTS && input.every(isItem)
-}
-
-function isAnswerReport (input: unknown): input is AnswerReport {
-  if (typeof input !== 'object' || input === null) return false
-  const { fingerprint, age } = input as Partial<Record<keyof AnswerReport, unknown>>
-  return typeof fingerprint === 'string' && FINGERPRINT.test(fingerprint) && typeof age === 'number' && age >= 0
-}
-
-function isLossReport (input: unknown): input is LossReport {
-  if (!isAnswerReport(input)) return false
-  const { start, kind } = input as Partial<Record<keyof LossReport, unknown>>
-  return typeof start === 'string' && start.length <= MAX_START_LENGTH && (kind === undefined || typeof kind === 'string')
+/** A report without a kind is one of a whole request, as in earlier releases. */
+function reportOf (fingerprint: string, kind: TraitKind, start: string, age: number): LossReport {
+  return kind === 'request' ? { fingerprint, start, age } : { fingerprint, start, age, kind }
 }
--- a/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-verdicts.ts
@@ -8,8 +8,10 @@
  * property that several requests share is held back only while other requests are answered, so that faulty endpoints are not blamed on
  * what their requests have in common; once its losses expire, a few requests of the whole fleet show whether it is still harmful.
  */
-import { ANSWERED_LIFETIME, LOSS_LIFETIME, type SuspectRequests, type SuspectStatus } from './suspect-requests.js'
+import { dropOldest } from '../../drop-oldest.js'
 import { traitRules, type RequestTrait, type SuspectSubject } from './request-traits.js'
+import type { AnswerReport } from './suspect-news.js'
+import { ANSWERED_LIFETIME, LOSS_LIFETIME, QUARANTINE_LOSSES, type SuspectRequests, type SuspectStatus } from './suspect-requests.js'
 
 /** Dependencies of {@link SuspectVerdicts}. */
 export interface SuspectVerdictsDependencies {
@@ -20,8 +22,7 @@
   readonly entries: (now: number) => number | undefined
 }
 
-/** Number of unexplained losses from which a shared property is held back, and from which a trial has failed. */
-const QUARANTINE_LOSSES = 3
+/** Number of unexplained losses from which a trial has failed. */
 const TRIAL_LOSSES = 1
 /**
  * A process that has received answers of a model for less than the first time may not have seen one with each popular property. It gives
@@ -118,28 +119,24 @@
    * @param answeredFor How long the endpoint had been answering the request, in milliseconds; 0 if it had not begun.
    */
   lost ({ traits }: SuspectSubject, start: string, answeredFor: number, now: number): void {
-    const { evidence } = this._dependencies
     for (const { kind, fingerprint } of traits) {
-      const { shared, crashWindow } = traitRules[kind]
-      if (answeredFor > crashWindow || (shared && evidence.isCleared(fingerprint, now))) continue
-      evidence.lost(fingerprint, start, now, kind)
+      if (answeredFor <= traitRules[kind].crashWindow) this._dependencies.evidence.lost(fingerprint, start, now, kind)
     }
   }
 
   /**
    * Records that an endpoint has been answering a request for longer than a crash takes that a shared property causes.
    *
-   * @returns The properties of which other processes should be notified.
+   * @returns What other processes should be told.
    */
-  survived ({ scope, traits }: SuspectSubject, now: number): RequestTrait[] {
-    this._recordAnswer(scope, now)
-    return traits.filter(trait => traitRules[trait.kind].shared && this._recordTrait(trait, now))
+  survived ({ scope, traits }: SuspectSubject, now: number): AnswerReport[] {
+    return this.answered({ scope, traits: traits.filter(({ kind }) => traitRules[kind].shared) }, now)
   }
 
-  /** Records that an endpoint answered a request completely. Returns the properties of which other processes should be notified. */
-  answered ({ scope, traits }: SuspectSubject, now: number): RequestTrait[] {
+  /** Records that an endpoint answered a request completely. Returns what other processes should be told. */
+  answered ({ scope, traits }: SuspectSubject, now: number): AnswerReport[] {
     this._recordAnswer(scope, now)
-    return traits.filter(trait => this._recordTrait(trait, now))
+    return traits.filter(trait => this._recordTrait(trait, now)).map(({ fingerprint }) => ({ fingerprint, age: 0 }))
   }
 
   /** Popular properties are answered many times a second, of which one record in a while suffices. */
@@ -196,11 +193,8 @@
   }
 
   private _addVerdict (fingerprint: string, newestLoss: number, now: number): void {
-    for (const oldest of this._verdicts.keys()) {
-      if (this._verdicts.size < MAX_VERDICTS) break
-      this._verdicts.delete(oldest)
-    }
     this._verdicts.set(fingerprint, { since: now, heldUntil: newestLoss + LOSS_LIFETIME, onTrial: false, countFrom: -Infinity, requiredLosses: QUARANTINE_LOSSES, trialInterval: 0, trialAllowed: false })
+    dropOldest(this._verdicts, MAX_VERDICTS)
   }
 
   /** Entries draw independently of each other, so that the whole fleet sends few requests without an agreement. */
--- a/packages/core/src/lib/routing/limits/endpoint-absences.ts
+++ b/packages/core/src/lib/routing/limits/endpoint-absences.ts
@@ -8,6 +8,7 @@
  * shuts down while the store accepts no writes, so that its record remains ready until it has ended, and overloaded endpoints that
  * reject requests faster than entries choose another one, and ask for a pause of some seconds.
  */
+import { dropOldest } from '../../drop-oldest.js'
 import type { EndpointGate, SparedFor } from '../choice/endpoint-gate.js'
 
 /** The longest accepted pause, in milliseconds: one hour is more than an overloaded endpoint can need. */
@@ -40,7 +41,7 @@
   recordLeaving (start: string): boolean {
     if (this._leaving.has(start)) return false
     this._leaving.add(start)
-    dropOldest(this._leaving)
+    dropOldest(this._leaving, MAX_ENDPOINTS)
     return true
   }
 
@@ -56,7 +57,7 @@
     if (until <= known) return false
     for (const [other, end] of this._restsUntil) if (end <= now) this._restsUntil.delete(other)
     this._restsUntil.set(start, until)
-    dropOldest(this._restsUntil)
+    dropOldest(this._restsUntil, MAX_ENDPOINTS)
     return known <= now
   }
 
@@ -72,10 +73,3 @@
     return Math.max(0, (this._restsUntil.get(start) ?? -Infinity) - now)
   }
 }
-
-function dropOldest (stored: Pick<Set<string>, 'size' | 'delete'> & { keys (): Iterable<string> }): void {
-  for (const oldest of stored.keys()) {
-    if (stored.size <= MAX_ENDPOINTS) return
-    stored.delete(oldest)
-  }
-}
--- a/packages/core/src/lib/routing/limits/limit-statements.ts
+++ b/packages/core/src/lib/routing/limits/limit-statements.ts
@@ -8,6 +8,7 @@
  * order, both on connections of one entry and between processes, so a limit is raised or lifted only by an answer to a request that
  * was sent after the limit was received.
  */
+import { dropOldest } from '../../drop-oldest.js'
 
 /** The rate limit that an answer announced. */
 export interface LimitStatement {
@@ -78,10 +79,7 @@
     if (kept === known) return false
     this._statements.delete(start)
     this._statements.set(start, kept)
-    for (const oldest of this._statements.keys()) {
-      if (this._statements.size <= MAX_STATEMENTS) break
-      this._statements.delete(oldest)
-    }
+    dropOldest(this._statements, MAX_STATEMENTS)
     return this.limitOf(start, now) !== before
   }
 
--- a/packages/node/src/lib/endpoint-liveness.ts
+++ b/packages/node/src/lib/endpoint-liveness.ts
@@ -8,6 +8,7 @@
  * when it is complete and when its endpoint crashes.
  */
 import { setTimeout as pause } from 'node:timers/promises'
+import { dropOldest } from '@drumdrift/core'
 import type { ProbeResult } from './endpoint-probe.js'
 
 /** An incarnation of an endpoint. */
@@ -37,10 +38,7 @@
   recordLoss (start: string, now: number): void {
     this._lostAt.delete(start)
     this._lostAt.set(start, now)
-    for (const oldest of this._lostAt.keys()) {
-      if (this._lostAt.size <= MAX_LOSSES) break
-      this._lostAt.delete(oldest)
-    }
+    dropOldest(this._lostAt, MAX_LOSSES)
   }
 
   /**
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -234,6 +234,4 @@
 function isFailure ({ status }: AnswerHead): boolean { return status >= MIN_UNSUCCESSFUL_STATUS }
 
 /** Only successes are streamed to callers; rejections and failures are passed on as one answer. */
-function isStream ({ eventStream, status }: AnswerHead): boolean {
-  return eventStream && status < MIN_UNSUCCESSFUL_STATUS
-}
+function isStream (head: AnswerHead): boolean { return head.eventStream && !isFailure(head) }
--- a/packages/node/src/lib/routing/refused-documents.ts
+++ b/packages/node/src/lib/routing/refused-documents.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Counts rejected documents, and logs them with a rate limit, since a writer may rewrite the same one repeatedly. */
-import type { DocumentFailure } from '@drumdrift/core'
+import { dropOldest, type DocumentFailure } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
 
@@ -31,8 +31,7 @@
     if (now - (this._loggedAt.get(detail) ?? -Infinity) < LOG_INTERVAL) return
     this._loggedAt.delete(detail)
     this._loggedAt.set(detail, now)
-    const [oldest] = this._loggedAt.keys()
-    if (this._loggedAt.size > MAX_REMEMBERED && oldest !== undefined) this._loggedAt.delete(oldest)
+    dropOldest(this._loggedAt, MAX_REMEMBERED)
     this._log.error('document-refused', { reason, detail })
   }
 }
--- a/packages/node/src/lib/routing/suspect-exchange.ts
+++ b/packages/node/src/lib/routing/suspect-exchange.ts
@@ -97,13 +97,13 @@
   recordAlive (start: string, at: number): void { this._suspects.lived(start, at) }
 
   /** Records that an endpoint has been answering a request for longer than it takes to crash because of a part of its prompt. */
-  survived (subject: SuspectSubject, now: number): void { this._sendAnswers(this._verdicts.survived(subject, now)) }
+  survived (subject: SuspectSubject, now: number): void { this._send({ losses: [], answers: this._verdicts.survived(subject, now) }) }
 
   /**
    * Records that an endpoint ran a request and answered it. Shared only if that clears the request: otherwise an entry that has
    * just started would hold back a request that all others serve.
    */
-  answered (subject: SuspectSubject, now: number): void { this._sendAnswers(this._verdicts.answered(subject, now)) }
+  answered (subject: SuspectSubject, now: number): void { this._send({ losses: [], answers: this._verdicts.answered(subject, now) }) }
 
   /**
    * Receives what another entry observed, relayed by an agent. Losses and answers that change the standing of a request are sent on,
@@ -113,9 +113,9 @@
     const now = performance.now()
     const news = readSuspectNews(input)
     if (news === undefined) return this._dependencies.log.warn('peer-malformed', { type: 'suspects', agent, detail: 'the payload is not a valid message about suspect requests' })
-    const { losses, answers } = this._suspects.heard(news, now)
-    this._reportHeldBack(losses.map(traitOf), 'told', now)
-    this._send({ losses: losses.filter(({ fingerprint }) => this._suspects.standing(fingerprint, now) !== 'clear'), answers: [...answers, ...this._suspects.contradictions(news.losses, now)] })
+    const relayed = this._suspects.relay(news, now)
+    this._reportHeldBack(relayed.losses.map(traitOf), 'told', now)
+    this._send(relayed)
   }
 
   /** Returns the losses to send to an agent to which this entry has just connected. */
@@ -139,10 +139,6 @@
     this._send({ losses, answers: [] })
   }
 
-  private _sendAnswers (traits: readonly RequestTrait[]): void {
-    if (traits.length > 0) this._send({ losses: [], answers: traits.map(({ fingerprint }) => ({ fingerprint, age: 0 })) })
-  }
-
   private _send (news: SuspectNews): void {
     if (news.losses.length + news.answers.length > 0) this._dependencies.send(news)
   }
