Refusals without an endpoint name why each endpoint was excluded

Cause: no-endpoint did not say which endpoints were skipped, draining, tried or full, and not-connected held refused, silent and failed connections, so the logs could not tell the hypotheses of the incident apart.

Change: the detail of no-endpoint lists each endpoint with the reason of its exclusion; an attempt whose connection did not open ends as connection-refused, connection-timed-out or connection-failed, each with a counter. No change of routing.

--- a/packages/core/src/lib/routing/attempts/attempt-tracker.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-tracker.ts
@@ -10,8 +10,16 @@
 import type { Outcome } from '../../failure.js'
 import type { Route } from '../published/routing-configuration.js'
 
+/** Why a connection did not open, so that the request was not sent: refused, not answered in time, or any other error. */
+export type ConnectionFailure = 'connection-refused' | 'connection-timed-out' | 'connection-failed'
+
 /** Why an endpoint is known not to have run a request. */
-export type NotRunReason = 'full' | 'wrong-instance' | 'wrong-version' | 'not-connected' | 'refused'
+export type NotRunReason = 'full' | 'wrong-instance' | 'wrong-version' | 'refused' | ConnectionFailure
+
+const connectionFailures: ReadonlySet<NotRunReason> = new Set<ConnectionFailure>(['connection-refused', 'connection-timed-out', 'connection-failed'])
+
+/** Whether a request was not run because its connection did not open. */
+export function isConnectionFailure (reason: NotRunReason): reason is ConnectionFailure { return connectionFailures.has(reason) }
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -145,7 +153,7 @@
     if (status >= MIN_UNSUCCESSFUL_STATUS) return 'rejection'
     return stream ? 'whole-stream' : 'whole-success'
   },
-  'not-run': ({ reason }) => reason === 'not-connected' ? 'not-connected' : 'not-run',
+  'not-run': ({ reason }) => isConnectionFailure(reason) ? 'not-connected' : 'not-run',
   broken: () => 'lost',
   stalled: () => 'lost',
   unread: () => 'unread'
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -35,6 +35,9 @@
 /** Why an endpoint is skipped temporarily. */
 export type SkipReason = 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version'
 
+/** Why an endpoint cannot take a request now. */
+export type ExclusionReason = 'draining' | 'region-not-allowed' | 'tried' | 'connections-used' | 'old-version' | 'not-accepting' | 'would-start-late' | SkipReason | SparedFor
+
 /**
  * How long an endpoint is skipped, in milliseconds. A full or switching endpoint is retried soon; an unreachable one is skipped
  * for the time that a process takes to restart.
@@ -53,6 +56,7 @@
 interface EndpointState {
   readonly load: EndpointLoad
   skippedUntil: number
+  skippedFor: SkipReason | undefined
 }
 
 /** Chooses among the endpoints of one service, for one entry. */
@@ -112,7 +116,9 @@
 
   /** Skips an endpoint temporarily. */
   skip (start: string, why: SkipReason, now: number): void {
-    this._stateOfStart(start).skippedUntil = now + skipTimes[why]
+    const state = this._stateOfStart(start)
+    state.skippedUntil = now + skipTimes[why]
+    state.skippedFor = why
   }
 
   /**
@@ -278,19 +284,41 @@
     return this._stateOf(record).load.report(now)?.version ?? listed
   }
 
+  /**
+   * Returns why each listed endpoint cannot take a request that `choose` found no endpoint for, by the name of the endpoint.
+   *
+   * @example
+   * if (chooser.choose(service, need, now) === undefined) log.info('no-endpoint', Object.fromEntries(chooser.exclusions(service, need, now)))
+   */
+  exclusions (service: ServiceDescription, need: EndpointRequirements, now: number): ReadonlyMap<string, ExclusionReason> {
+    return new Map(this._records.map(record => [record.id, this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? 'would-start-late']))
+  }
+
   private _isOpen (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
-    return this._canTake(record, service, need, now) && (this._gate.quiet || this._gate.sparedFor(startKeyOf(record), now) === undefined)
+    return this._canTake(record, service, need, now) && this._sparedFor(record, now) === undefined
+  }
+
+  private _sparedFor (record: EndpointRecord, now: number): SparedFor | undefined {
+    return this._gate.quiet ? undefined : this._gate.sparedFor(startKeyOf(record), now)
   }
 
   /** Whether an endpoint could take a request, regardless of the gate. */
   private _canTake (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
-    if (record.draining || !this._isAllowed(record, need) || need.tried.has(startKeyOf(record))) return false
+    return this._exclusionOf(record, service, need, now) === undefined
+  }
+
+  /** Why an endpoint cannot take a request, regardless of the gate; `undefined` if it can. */
+  private _exclusionOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): ExclusionReason | undefined {
+    if (record.draining) return 'draining'
+    if (!this._isAllowed(record, need)) return 'region-not-allowed'
+    if (need.tried.has(startKeyOf(record))) return 'tried'
     const known = this._stateOf(record)
-    if (known.skippedUntil > now || known.load.outstanding >= service.maxConnections) return false
-    if (service.pool === undefined || need.model === '') return true
+    if (known.skippedUntil > now) return known.skippedFor
+    if (known.load.outstanding >= service.maxConnections) return 'connections-used'
+    if (service.pool === undefined || need.model === '') return undefined
     const version = this.versionOf(record, need.model, now)
-    if (version === 0 || version < need.leastVersion) return false
-    return known.load.report(now)?.accepting !== false
+    if (version === 0 || version < need.leastVersion) return 'old-version'
+    return known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
   }
 
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
@@ -323,7 +351,7 @@
   private _stateOf (record: EndpointRecord): EndpointState { return this._stateOfStart(startKeyOf(record)) }
 
   private _stateOfStart (start: string): EndpointState {
-    const known = this._states.get(start) ?? { load: new EndpointLoad(), skippedUntil: -Infinity }
+    const known = this._states.get(start) ?? { load: new EndpointLoad(), skippedUntil: -Infinity, skippedFor: undefined }
     this._states.set(start, known)
     return known
   }
--- a/packages/core/src/test/lib/routing/attempts/attempt-tracker_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/attempt-tracker_test.ts
@@ -16,7 +16,7 @@
 const fixedStream: Bounds = { kind: 'streaming', maxAttempts: 2, resumable: false }
 
 const full: AttemptEnd = { type: 'not-run', reason: 'full' }
-const unconnected: AttemptEnd = { type: 'not-run', reason: 'not-connected' }
+const unconnected: AttemptEnd = { type: 'not-run', reason: 'connection-timed-out' }
 const broken: AttemptEnd = { type: 'broken', connection: 'lost', detail: 'reset' }
 const stalled: AttemptEnd = { type: 'stalled', detail: 'silent' }
 const unread: AttemptEnd = { type: 'unread', detail: 'reset' }
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -126,7 +126,7 @@
   'ends-endpoints': 'endpoints were lost repeatedly while they ran this request, so it is held back: check request-held-back, and the effect of its body on an endpoint',
   'endpoints-spared': 'endpoints receive fewer requests because they asked for it or are cold: check the field spared, and endpoint-limited, endpoint-leaving, endpoint-resting or endpoint-cold of each; find out what they lack, and whether their replacements have started',
   'buffers-full': 'the memory for callers that read or send slowly is used up: check answers_paused and answers_reclaimed, and which callers do not read their answers',
-  'no-endpoint': 'no endpoint may serve it: check which endpoints are listed, and whether all hold a version that is due to be replaced',
+  'no-endpoint': 'no endpoint may serve it: check which endpoints are listed, and why each of them is excluded (detail)',
   'region-not-allowed': 'no listed endpoint is in a region that both the route and the organisation allow: check allowedRegions of both, the setting regions, and which zones endpoint-listed names',
   'zones-evacuated': 'every endpoint that it may run at is in an evacuated zone: check evacuation-began, and remove the key of the evacuation if it is over',
   'no-configuration': 'the process had just started and had no configuration: check store-lost and its seeds',
--- a/packages/node/src/lib/routing/attempt-outcome.ts
+++ b/packages/node/src/lib/routing/attempt-outcome.ts
@@ -4,20 +4,20 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Derives from the end of an attempt the health of its endpoint, the reason to avoid the endpoint, and the reason in the log. */
-import { MIN_FAILURE_STATUS, type AttemptEnd, type SkipReason, type EndpointHealth } from '@drumdrift/core'
+import { isConnectionFailure, MIN_FAILURE_STATUS, type AttemptEnd, type SkipReason, type EndpointHealth } from '@drumdrift/core'
 
 const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad', unread: 'unclear' }
 
 /** Returns what the end of an attempt shows about the health of its endpoint. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
   if (outcome.type === 'answered' && outcome.status >= MIN_FAILURE_STATUS) return 'bad'
-  if (outcome.type === 'not-run' && outcome.reason === 'not-connected') return 'bad'
+  if (outcome.type === 'not-run' && isConnectionFailure(outcome.reason)) return 'bad'
   return healthOfOutcome[outcome.type]
 }
 
 /** Returns why an endpoint that did not run a request is avoided for a while. */
 export function avoidanceOf (reason: Extract<AttemptEnd, { type: 'not-run' }>['reason']): SkipReason {
-  if (reason === 'not-connected') return 'unreachable'
+  if (isConnectionFailure(reason)) return 'unreachable'
   return reason === 'wrong-instance' || reason === 'wrong-version' ? reason : 'refused'
 }
 
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -9,7 +9,7 @@
  */
 import { request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import { createConnection, type Socket } from 'node:net'
-import type { NotRunReason } from '@drumdrift/core'
+import type { ConnectionFailure, NotRunReason } from '@drumdrift/core'
 import { isFramed } from '../answer-framing.js'
 import { parseAddress } from '../settings/address.js'
 import type { AnswerHead, EndpointHead } from './ports.js'
@@ -67,6 +67,8 @@
   return Math.min(MAX_CONNECT_TIMEOUT, Math.max(MIN_CONNECT_TIMEOUT, CONNECT_SHARE * objective))
 }
 
+const failuresByErrorCode: Readonly<Record<string, ConnectionFailure>> = { ECONNREFUSED: 'connection-refused', ETIMEDOUT: 'connection-timed-out' }
+
 /** A call in progress. */
 export class EndpointCall {
   private readonly _request: ClientRequest
@@ -94,7 +96,7 @@
       if (socket.connecting) socket.once('connect', () => this._onConnect())
       else this._onConnect()
     })
-    this._request.on('error', error => this._onConnectionLost(error.message))
+    this._request.on('error', error => this._onConnectionLost(error))
     this._request.on('response', response => this._onResponse(response))
     this._request.end(body)
   }
@@ -109,7 +111,7 @@
   resume (): void { this._response?.resume() }
 
   private _connectTimedOut (): void {
-    if (!this._connected) this._end({ type: 'not-run', reason: 'not-connected' })
+    if (!this._connected) this._end({ type: 'not-run', reason: 'connection-timed-out' })
   }
 
   private _onConnect (): void {
@@ -119,8 +121,8 @@
 
   private _onResponse (response: IncomingMessage): void {
     const head = this._listener.readHead(response)
-    response.on('error', error => this._onConnectionLost(error.message))
-    response.on('aborted', () => this._onConnectionLost('the answer was cut off'))
+    response.on('error', error => this._onConnectionLost(error))
+    response.on('aborted', () => this._onConnectionLost(new Error('the answer was cut off')))
     if (head.type === 'not-run') return this._end({ type: 'not-run', reason: head.reason })
     if (head.type === 'foreign') return this._end({ type: 'broken', begun: false, connection: 'open', detail: head.detail })
     this._begun = true
@@ -129,13 +131,13 @@
     response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
     response.on('end', () => {
       if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
-      else this._onConnectionLost('the answer is incomplete')
+      else this._onConnectionLost(new Error('the answer is incomplete'))
     })
   }
 
-  private _onConnectionLost (detail: string): void {
-    if (this._connected) this._end({ type: 'broken', begun: this._begun, connection: 'lost', detail })
-    else this._end({ type: 'not-run', reason: 'not-connected' })
+  private _onConnectionLost (error: NodeJS.ErrnoException): void {
+    if (this._connected) this._end({ type: 'broken', begun: this._begun, connection: 'lost', detail: error.message })
+    else this._end({ type: 'not-run', reason: failuresByErrorCode[error.code ?? ''] ?? 'connection-failed' })
   }
 
   private _end (end: EndpointCallEnd): void {
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Records one request for operators: log lines, counters, and latency histograms by organisation and route. */
-import type { AttemptEnd, ChosenEndpoint, NextAction, OrganisationDescription, RequestFailure, RequestTrait, Route, TraitKind } from '@drumdrift/core'
+import { isConnectionFailure, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type NextAction, type OrganisationDescription, type RequestFailure, type RequestTrait, type Route, type TraitKind } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -12,6 +12,8 @@
 import type { CallerHead } from './ports.js'
 import type { StreamProgress } from './stream-progress.js'
 
+const connectionCounters: Record<ConnectionFailure, string> = { 'connection-refused': 'connections_refused', 'connection-timed-out': 'connections_timed_out', 'connection-failed': 'connections_failed' }
+
 /** The sinks for the records of all requests. */
 export interface RecordDependencies {
   readonly log: Log
@@ -87,6 +89,7 @@
 
   /** Records that an attempt ended, and the next step. */
   attemptEnded ({ number, choice, end, took, next, traits, answeredFor }: EndedAttempt): void {
+    if (end.type === 'not-run' && isConnectionFailure(end.reason)) this._dependencies.counters.add(connectionCounters[end.reason])
     this._dependencies.log.request('attempt-ended', {
       id: this._request.head.id, attempt: number, endpoint: choice.record.id, outcome: end.type, reason: reasonOf(end), took: Math.round(took), next: next.type, ...(traits === undefined ? {} : { fingerprint: fingerprintsOf(traits, 'request'), parts: fingerprintsOf(traits, 'prompt-part'), answered_for: roundedIfFinite(answeredFor ?? Infinity) })
     })
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -63,6 +63,9 @@
 /** An endpoint counts as reachable if its agent reported within this time, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT_AGE = 350
 
+/** Bounds the length of a log line. */
+const MAX_LOGGED_EXCLUSIONS = 6
+
 /** Refusals that are counted by their code, because an operator's rule causes them. */
 const placementCodes: ReadonlySet<string> = new Set(['region-not-allowed', 'zones-evacuated'])
 
@@ -344,7 +347,16 @@
     const regions = [...this._allowedRegions ?? []].join(',')
     if (placement === 'region-not-allowed') return this._refuse(placement, `no endpoint is in a region that ${route.name} and ${organisation?.name ?? 'callers without a key'} allow (${regions === '' ? 'none in common' : regions})`)
     if (placement === 'zones-evacuated') return this._refuse(placement, `every endpoint that ${route.name} may use is in an evacuated zone`)
-    this._refuse('no-endpoint', `no endpoint of ${route.name} can take it`)
+    this._refuse('no-endpoint', `no endpoint of ${route.name} can take it${this._formatExclusions()}`)
+  }
+
+  /** Why each endpoint is excluded, for the log. */
+  private _formatExclusions (): string {
+    const unit = this._unit
+    if (unit === undefined) return ''
+    const reasons = [...unit.chooser.exclusions(unit.description, this._need(), performance.now())].map(([endpoint, reason]) => `${endpoint}:${reason}`)
+    const shown = reasons.slice(0, MAX_LOGGED_EXCLUSIONS).join(',')
+    return reasons.length > MAX_LOGGED_EXCLUSIONS ? `, excluded ${shown} and ${reasons.length - MAX_LOGGED_EXCLUSIONS} more` : `, excluded ${shown}`
   }
 
   private _refuse (code: 'overloaded' | 'gave-way' | 'no-endpoint' | 'region-not-allowed' | 'zones-evacuated', detail: string): void {
