A lost connection no longer closes a service of few endpoints

What callers saw: requests to a plain service were refused with no-endpoint for seconds, in series, though its endpoints answered others.

Cause: one connection that did not open within 45 ms excluded its endpoint from every request of the entry for 2 s, and counted towards an ejection of up to 20 s. With one or two candidates two lost packets close the service. Evidence of a moment and a path was taken as proof about the endpoint, and a rule for a choice among many excluded the last one. The refusal named a retry delay of an open pool, so the caller came back into the same closed time.

Change: EndpointReach keeps what connections show. A connection without an answer makes other endpoints preferable, for 2 s and doubling, and no more; the request itself may open another connection, with twice the timeout, to the same endpoint (nothing was sent), in the first third of its time. Three losses in a row over half a second, or a refused connection, exclude the endpoint, but for one request at a time that finds out. Failures that overlap count once. Connections no longer count towards ejection. The retry delay of a plain service follows what closes it. A stream that never reached an endpoint keeps its stall timeout for the first that it reaches.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -13,8 +13,10 @@
 import { generationTimeWhenFull, prefillTime } from './engine-model.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import { EndpointReach } from './endpoint-reach.js'
 import { COMMON_PLACE, QueueMix, type QueuePlace } from './queue-mix.js'
 import { takesLate } from './late-placement.js'
+import type { ConnectionFailure } from '../attempts/attempt-tracker.js'
 import type { PoolOpening } from '../attempts/early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
 import { startKeyOf, type EndpointRecord } from '../published/endpoint-record.js'
@@ -33,16 +35,13 @@
 export type EndpointHealth = 'good' | 'bad' | 'unclear'
 
 /** Why an endpoint is skipped temporarily. */
-export type SkipReason = 'refused' | 'unreachable' | 'wrong-instance' | 'wrong-version'
+export type SkipReason = 'refused' | 'wrong-instance' | 'wrong-version'
 
 /** Why an endpoint cannot take a request now. */
-export type ExclusionReason = 'draining' | 'region-not-allowed' | 'tried' | 'connections-used' | 'old-version' | 'not-accepting' | 'would-start-late' | SkipReason | SparedFor
+export type ExclusionReason = 'draining' | 'region-not-allowed' | 'tried' | 'connections-used' | 'old-version' | 'not-accepting' | 'would-start-late' | 'unreachable' | SkipReason | SparedFor
 
-/**
- * How long an endpoint is skipped, in milliseconds. A full or switching endpoint is retried soon; an unreachable one is skipped
- * for the time that a process takes to restart.
- */
-const skipTimes: Record<SkipReason, number> = { refused: 100, unreachable: 2_000, 'wrong-instance': 3_000, 'wrong-version': 150 }
+/** How long an endpoint is skipped, in milliseconds. A full or switching endpoint is retried soon. */
+const skipTimes: Record<SkipReason, number> = { refused: 100, 'wrong-instance': 3_000, 'wrong-version': 150 }
 /**
  * The mean age of an entry's view of an engine, in milliseconds: its agent polls it twenty times a second, and requests that are in
  * flight or were sent just before a poll are not reported yet.
@@ -51,10 +50,14 @@
 /** The assumed number of slots of a plain endpoint that does not publish it. */
 const ASSUMED_SLOTS = 8
 
+/** The penalty for each lost connection of an endpoint, in milliseconds, among endpoints that all lose connections. */
+const LOST_CONNECTION_PENALTY = 100
+
 const NO_ZONES: ReadonlySet<string> = new Set()
 
 interface EndpointState {
   readonly load: EndpointLoad
+  readonly reach: EndpointReach
   skippedUntil: number
   skippedFor: SkipReason | undefined
 }
@@ -121,6 +124,23 @@
     state.skippedFor = why
   }
 
+  /**
+   * Records that a connection to an endpoint opened.
+   *
+   * @returns Whether the endpoint was unreachable before.
+   */
+  connected (start: string): boolean { return this._stateOfStart(start).reach.opened() }
+
+  /**
+   * Records that a connection to an endpoint did not open.
+   *
+   * @param begunAt When it was begun.
+   * @returns Whether the endpoint has become unreachable.
+   */
+  connectionFailed (start: string, failure: ConnectionFailure, begunAt: number, now: number): boolean {
+    return this._stateOfStart(start).reach.failed(failure, begunAt, now)
+  }
+
   /**
    * Returns when a request that was sent to an endpoint of an old version is cancelled unless it has begun: see `cancellationTime`.
    *
@@ -135,7 +155,9 @@
     this._sentRate.sent(now)
     this._mix.sent(place)
     const start = startKeyOf(choice.record)
-    this._stateOfStart(start).load.sent(request, promptTokens, now, place)
+    const { load, reach } = this._stateOfStart(start)
+    load.sent(request, promptTokens, now, place)
+    reach.sent(now)
     this._ejection.chosen(start)
     this._gate.sent(start, now)
   }
@@ -161,7 +183,11 @@
    * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
    */
   choose (service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
-    return this._chooseAmong(this._followedOrDue(now), service, need, now) ?? this._chooseAmong(this._others, service, need, now)
+    for (const reaches of [isReachable, isWorthTrying]) {
+      const choice = this._chooseAmong(this._followedOrDue(now), reaches, service, need, now) ?? this._chooseAmong(this._others, reaches, service, need, now)
+      if (choice !== undefined) return choice
+    }
+    return undefined
   }
 
   /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
@@ -171,8 +197,8 @@
     return due.length === 0 ? this._followed : [...this._followed, ...due]
   }
 
-  private _chooseAmong (records: readonly EndpointRecord[], service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
-    const open = records.filter(record => this._isOpen(record, service, need, now))
+  private _chooseAmong (records: readonly EndpointRecord[], reaches: (reach: EndpointReach, now: number) => boolean, service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
+    const open = records.filter(record => reaches(this._stateOf(record).reach, now) && this._isOpen(record, service, need, now))
     const usable = new Set(this._ejection.usable(open.map(startKeyOf), now))
     if (service.pool !== undefined) this._mix.update(this._states.values(), service.pool, this.sentRate(now), now)
     const inTime = open.filter(record => usable.has(startKeyOf(record)))
@@ -180,11 +206,16 @@
       .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
-    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view))
+    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + this._lostConnectionPenalty(choice, now))
     const picked = this._pick(choices, costs, service, need, now)
     return picked === undefined ? undefined : this._choiceOf(picked, service, need, now)
   }
 
+  private _lostConnectionPenalty ({ record }: EndpointCandidate, now: number): number {
+    const { reach } = this._stateOf(record)
+    return isReachable(reach, now) ? 0 : reach.failures * LOST_CONNECTION_PENALTY
+  }
+
   /** Prefers rate-limited endpoints for which this entry holds a permit that would lapse, if they are expected to answer soon enough. */
   private _preferDue (choices: readonly EndpointCandidate[], { usualObjective }: EndpointRequirements, now: number): readonly EndpointCandidate[] {
     if (this._gate.quiet) return choices
@@ -201,7 +232,7 @@
   opening (service: ServiceDescription, need: EndpointRequirements, now: number): PoolOpening {
     const allowed = this._records.filter(record => this._isAllowed(record, need))
     const capable = allowed.filter(record => this._canTake(record, service, { ...need, tried: new Set() }, now))
-    if (service.pool === undefined) return this._openingOf(capable, now) ?? { type: 'open' }
+    if (service.pool === undefined) return this._openingOf(capable.filter(record => this._stateOf(record).reach.state(now) !== 'unreachable'), now) ?? this._endOfSkips(allowed, now)
     const reporting = allowed.filter(record => this._stateOf(record).load.report(now) !== undefined)
     if (reporting.length === 0) return { type: 'silent' }
     const times = reporting.flatMap(record => this._stateOf(record).load.opensAt(now) ?? [])
@@ -210,6 +241,12 @@
     return times.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.max(0, Math.min(...times) - now) }
   }
 
+  /** When a plain service opens that is closed because its endpoints are skipped or unreachable. */
+  private _endOfSkips (records: readonly EndpointRecord[], now: number): PoolOpening {
+    const ends = records.filter(({ draining }) => !draining).map(record => this._stateOf(record).skippedUntil - now).filter(left => left > 0)
+    return ends.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.min(...ends) }
+  }
+
   /** When the gate next allows a request to one of the given endpoints; `undefined` if the list is empty. */
   private _openingOf (capable: readonly EndpointRecord[], now: number): PoolOpening | undefined {
     if (capable.length === 0) return undefined
@@ -291,7 +328,7 @@
    * if (chooser.choose(service, need, now) === undefined) log.info('no-endpoint', Object.fromEntries(chooser.exclusions(service, need, now)))
    */
   exclusions (service: ServiceDescription, need: EndpointRequirements, now: number): ReadonlyMap<string, ExclusionReason> {
-    return new Map(this._records.map(record => [record.id, this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? 'would-start-late']))
+    return new Map(this._records.map(record => [record.id, this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? (this._stateOf(record).reach.mayTry(now) ? 'would-start-late' : 'unreachable')]))
   }
 
   private _isOpen (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
@@ -351,12 +388,16 @@
   private _stateOf (record: EndpointRecord): EndpointState { return this._stateOfStart(startKeyOf(record)) }
 
   private _stateOfStart (start: string): EndpointState {
-    const known = this._states.get(start) ?? { load: new EndpointLoad(), skippedUntil: -Infinity, skippedFor: undefined }
+    const known = this._states.get(start) ?? { load: new EndpointLoad(), reach: new EndpointReach(), skippedUntil: -Infinity, skippedFor: undefined }
     this._states.set(start, known)
     return known
   }
 }
 
+function isReachable (reach: EndpointReach, now: number): boolean { return reach.state(now) === 'reachable' }
+
+function isWorthTrying (reach: EndpointReach, now: number): boolean { return !isReachable(reach, now) && reach.mayTry(now) }
+
 function pickAt (candidates: readonly EndpointCandidate[], index: number, waitFromOthers: number): PickedCandidate | undefined {
   const candidate = candidates[index]
   return candidate === undefined ? undefined : { candidate, waitFromOthers }
--- a/packages/node/src/lib/operator/explain.ts
+++ b/packages/node/src/lib/operator/explain.ts
@@ -46,7 +46,7 @@
 /** Events whose state holds until the next event of the same name, however long ago they were logged. */
 const persistentEvents: ReadonlySet<string> = new Set(['epoch-began', 'configuration-adopted', 'evacuation-began', 'evacuation-ended'])
 /** Events about one endpoint or its agent. */
-const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'agent-lost', 'agent-regained'])
+const endpointEvents = new Set(['endpoint-listed', 'endpoint-gone', 'endpoint-unreachable', 'endpoint-reachable', 'agent-lost', 'agent-regained'])
 /** Notices that endpoints sent about themselves. They hold for a long time and reduce or stop the requests to those endpoints. */
 const noticeEvents = new Set(['endpoint-limited', 'endpoint-limit-ended', 'endpoint-leaving', 'endpoint-resting', 'endpoint-cold', 'endpoint-cold-ended'])
 
--- a/packages/node/src/lib/routing/attempt-outcome.ts
+++ b/packages/node/src/lib/routing/attempt-outcome.ts
@@ -4,20 +4,18 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Derives from the end of an attempt the health of its endpoint, the reason to avoid the endpoint, and the reason in the log. */
-import { isConnectionFailure, MIN_FAILURE_STATUS, type AttemptEnd, type SkipReason, type EndpointHealth } from '@drumdrift/core'
+import { MIN_FAILURE_STATUS, type AttemptEnd, type ConnectionFailure, type EndpointHealth, type NotRunReason, type SkipReason } from '@drumdrift/core'
 
 const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad', unread: 'unclear' }
 
 /** Returns what the end of an attempt shows about the health of its endpoint. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
   if (outcome.type === 'answered' && outcome.status >= MIN_FAILURE_STATUS) return 'bad'
-  if (outcome.type === 'not-run' && isConnectionFailure(outcome.reason)) return 'bad'
   return healthOfOutcome[outcome.type]
 }
 
 /** Returns why an endpoint that did not run a request is avoided for a while. */
-export function avoidanceOf (reason: Extract<AttemptEnd, { type: 'not-run' }>['reason']): SkipReason {
-  if (isConnectionFailure(reason)) return 'unreachable'
+export function avoidanceOf (reason: Exclude<NotRunReason, ConnectionFailure>): SkipReason {
   return reason === 'wrong-instance' || reason === 'wrong-version' ? reason : 'refused'
 }
 
--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -54,6 +54,8 @@
 
 /** Callbacks of an attempt. */
 export interface AttemptListener {
+  /** A new connection to the endpoint has opened. */
+  connected (): void
   readHead (response: IncomingMessage): EndpointHead
   /** Receives whole events of a stream. */
   events (head: AnswerHead, bytes: Uint8Array): void
@@ -95,6 +97,7 @@
   constructor (private readonly _plan: AttemptPlan, private readonly _listener: AttemptListener) {
     this.choice = _plan.choice
     this._call = new EndpointCall(_plan.request, {
+      connected: () => _listener.connected(),
       readHead: response => _listener.readHead(response),
       head: (head, framed) => {
         this._head = head
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -40,6 +40,8 @@
 
 /** Callbacks of a call. */
 export interface EndpointCallListener {
+  /** A new connection has opened. */
+  connected (): void
   /** Parses the head of the answer. */
   readHead (response: IncomingMessage): EndpointHead
   /** @param framed Whether the answer declares its end: see `EndpointCallEnd`. */
@@ -93,8 +95,11 @@
     // After the event loop was blocked, timers run before the events of connections that have opened in the meantime.
     this._connectTimer = setTimeout(() => setImmediate(() => this._connectTimedOut()), timeout)
     this._request.on('socket', socket => {
-      if (socket.connecting) socket.once('connect', () => this._onConnect())
-      else this._onConnect()
+      if (!socket.connecting) return this._onConnect()
+      socket.once('connect', () => {
+        this._onConnect()
+        this._listener.connected()
+      })
     })
     this._request.on('error', error => this._onConnectionLost(error))
     this._request.on('response', response => this._onResponse(response))
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
+  allowedRegionsOf, AttemptTracker, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, isConnectionFailure, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
 } from '@drumdrift/core'
 import type { EndpointLiveness, EndpointStart } from '../endpoint-liveness.js'
 import { avoidanceOf, healthOf, reasonOf } from './attempt-outcome.js'
@@ -63,6 +63,13 @@
 /** An endpoint counts as reachable if its agent reported within this time, in milliseconds: three reports of a busy engine. */
 const FRESH_REPORT_AGE = 350
 
+/** How often one request may try to open a connection to the same endpoint, if it gets no answer. */
+const MAX_CONNECTIONS_PER_ENDPOINT = 3
+/**
+ * Until this share of the time to its deadline a request opens further connections. Then it is refused, so that its caller has time to
+ * reach the service through another entry.
+ */
+const CONNECTING_SHARE = 1 / 3
 /** Bounds the length of a log line. */
 const MAX_LOGGED_EXCLUSIONS = 6
 
@@ -80,6 +87,8 @@
   private readonly _course: AttemptTracker
   private readonly _record: RequestRecord
   private readonly _tried = new Set<string>()
+  /** The number of connections that got no answer, by endpoint. */
+  private readonly _unanswered = new Map<string, number>()
   private readonly _allowedRegions: ReadonlySet<string> | undefined
   private readonly _deadline: number
   private readonly _finalTimer: NodeJS.Timeout
@@ -184,11 +193,12 @@
       choice,
       request: this._endpointRequest(choice, remaining),
       progress: this._progress,
-      abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._attempts < route.maxAttempts,
+      abortsOnStall: route.kind === 'streaming' && this._course.repeatable && this._course.sent + 1 < route.maxAttempts,
       stallTimeout: this._isLate ? LATE_STALL_SHARE * remaining : undefined,
       cancelAt: () => this._cancellationTime(choice),
       outlived: () => this._dependencies.liveness.outlived(endpointStartOf(choice))
     }, {
+      connected: () => this._onConnected(choice),
       readHead: response => this._readHead(response, choice, now),
       events: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardEvents(attempt, answerHead, bytes) },
       bodyPart: (answerHead, bytes) => { if (this._attempt === attempt) this._forwardBodyPart(attempt, answerHead, bytes) }
@@ -223,7 +233,14 @@
     const urgency = this._unit?.admission.urgencyFor(urgencyOf(route, organisation), this._isLate)
     const terms = { endpoint: record, remaining, organisation: organisation?.name, version, urgency, resumeAfter: this._progress.lastEventId }
     const headers = this._dependencies.dialect.writeRequest(head, terms, body.length)
-    return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: this._isCold(choice) ? Math.min(COLD_CONNECT_TIMEOUT, connectTimeout(route.objective)) : connectTimeout(route.objective) }
+    return { address: record.address, method, path, headers, body, socket: this._takeReservedSocket(choice), connectTimeout: this._connectTimeout(choice) }
+  }
+
+  /** Doubles with each connection of this request that got no answer: the path may be slow. */
+  private _connectTimeout (choice: ChosenEndpoint): number {
+    const unanswered = this._unanswered.get(startKeyOf(choice.record)) ?? 0
+    const timeout = connectTimeout(this._request.route.objective) * 2 ** unanswered
+    return this._isCold(choice) ? Math.min(COLD_CONNECT_TIMEOUT, timeout) : timeout
   }
 
   private _isCold ({ record }: ChosenEndpoint): boolean { return this._dependencies.notices.isCold(startKeyOf(record)) }
@@ -276,6 +293,7 @@
     this._attempt = undefined
     const now = performance.now()
     this._updateChooser(attempt, end, now)
+    if (end.type === 'not-run' && end.reason === 'connection-timed-out') this._allowAnotherConnection(attempt, now)
     this._updateSuspects(attempt, end, now)
     if (this._finished) return
     const suspect = this._dependencies.suspects.standing(this._subject(), now) !== 'clear'
@@ -292,7 +310,27 @@
     if (choice !== undefined) this._send(choice, now)
   }
 
-  private _updateChooser ({ choice, head, sentAt, everPaused }: EndpointAttempt, end: AttemptEnd, now: number): void {
+  /** A request whose connection got no answer was not sent, so it may be sent to the same endpoint. */
+  private _allowAnotherConnection ({ choice }: EndpointAttempt, now: number): void {
+    const start = startKeyOf(choice.record)
+    const unanswered = (this._unanswered.get(start) ?? 0) + 1
+    this._unanswered.set(start, unanswered)
+    const { receivedAt } = this._request
+    const hasTime = now - receivedAt < CONNECTING_SHARE * (this._deadline - receivedAt)
+    if (hasTime && unanswered < MAX_CONNECTIONS_PER_ENDPOINT) this._tried.delete(start)
+  }
+
+  private _onConnected ({ record }: ChosenEndpoint): void {
+    if (this._unit?.chooser.connected(startKeyOf(record)) === true) this._dependencies.log.info('endpoint-reachable', { endpoint: record.id })
+  }
+
+  private _onConnectionFailed ({ choice: { record }, sentAt }: EndpointAttempt, reason: ConnectionFailure, now: number): void {
+    const unreachable = this._unit?.chooser.connectionFailed(startKeyOf(record), reason, sentAt, now) ?? false
+    if (unreachable) this._dependencies.log.warn('endpoint-unreachable', { endpoint: record.id, reason })
+  }
+
+  private _updateChooser (attempt: EndpointAttempt, end: AttemptEnd, now: number): void {
+    const { choice, head, sentAt, everPaused } = attempt
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
     const start = startKeyOf(choice.record)
@@ -302,7 +340,10 @@
     // a caller takes to read its answer.
     const isTimed = end.type === 'answered' && end.status < MIN_FAILURE_STATUS && head?.eventStream !== true && !everPaused
     if (isTimed) chooser.recordPlainAnswer(start, now - sentAt, now)
-    if (end.type === 'not-run') chooser.skip(start, avoidanceOf(end.reason), now)
+    if (end.type === 'not-run') {
+      if (isConnectionFailure(end.reason)) this._onConnectionFailed(attempt, end.reason, now)
+      else chooser.skip(start, avoidanceOf(end.reason), now)
+    }
     chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
   }
 
--- a/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
+++ b/packages/node/src/test/lib/routing/endpoint-attempt_test.ts
@@ -54,6 +54,7 @@
       cancelAt: () => cancelAt,
       outlived: async () => true
     }, {
+      connected: () => {},
       readHead: ({ statusCode = 0 }) => ({ type: 'answer', status: statusCode, headers: [], eventStream: true }),
       events: onEvents,
       bodyPart: () => {}
