A plain endpoint that never answers counts as failing

Cause: an attempt that the entry stops, at the deadline or when its caller leaves, was no evidence about its endpoint, and a plain request has no other end at such an endpoint. It was never ejected nor avoided.

Change: an attempt without an answer that was stopped after its objective and four times the expected time counts as a failure, and requests in flight that are overdue by the same bound count at once, before their deadline. Attempts in pools are left as they were: their wait depends on queues, which agents report.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -17,6 +17,7 @@
 import { EndpointReach, type Reach } from './endpoint-reach.js'
 import { COMMON_PLACE, QueueMix, type QueuePlace } from './queue-mix.js'
 import { takesLate } from './late-placement.js'
+import { overdueTime } from '../attempts/attempt-outcome.js'
 import type { ConnectionFailure } from '../attempts/attempt-tracker.js'
 import type { PoolOpening } from '../attempts/early-refusal.js'
 import { chooseEvenly, levelOf } from './even-choice.js'
@@ -209,7 +210,7 @@
    */
   choose (service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
     for (const admits of preferences) {
-      const among = (records: readonly EndpointRecord[]): ChosenEndpoint | undefined => this._chooseAmong(records.filter(record => admits(this._standingOf(record, service, now))), service, need, now)
+      const among = (records: readonly EndpointRecord[]): ChosenEndpoint | undefined => this._chooseAmong(records.filter(record => admits(this._standingOf(record, service, need, now))), service, need, now)
       const choice = among(this._followedOrDue(now)) ?? among(this._others)
       if (choice !== undefined) return choice
     }
@@ -217,9 +218,10 @@
   }
 
   /** Endpoints of a pool are many, and their requests can be resumed elsewhere: there ejection suffices. */
-  private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, now: number): Standing {
-    const { reach, failures } = this._stateOf(record)
-    return { reach: reach.state(now), mayTry: reach.mayTry(now), failureShare: pool === undefined ? failures.value(now, this.sentRate(now)) : 0 }
+  private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): Standing {
+    const { reach, failures, load } = this._stateOf(record)
+    const overdueAfter = overdueTime({ expected: this._plainTime.value(now), objective: usualObjective })
+    return { reach: reach.state(now), mayTry: reach.mayTry(now), failureShare: pool === undefined ? failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now)) : 0 }
   }
 
   /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
@@ -245,7 +247,7 @@
 
   /** The cost of recent failures: of connections that may be lost, in their timeouts, and of requests that may fail. */
   private _penaltyOf ({ record }: EndpointCandidate, service: ServiceDescription, need: EndpointRequirements, now: number): number {
-    const { reach, failureShare } = this._standingOf(record, service, now)
+    const { reach, failureShare } = this._standingOf(record, service, need, now)
     const lost = reach === 'reachable' ? 0 : this._stateOf(record).reach.failures
     return lost * LOST_CONNECTION_PENALTY + failureShare * FAILURE_COST * need.usualObjective
   }
--- a/packages/fuzz/src/test/few-plain-endpoints_test.ts
+++ b/packages/fuzz/src/test/few-plain-endpoints_test.ts
@@ -29,6 +29,10 @@
     world.setCondition(0, 'failing')
     world.setCondition(1, 'failing')
   }],
+  ['two of three endpoints never answer', world => {
+    world.setCondition(0, 'hanging')
+    world.setCondition(1, 'hanging')
+  }],
   ['one endpoint resets, another is silent', world => {
     world.setCondition(0, 'resetting')
     world.setCondition(1, 'silent')
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, avoidanceOf, ConnectionAttempts, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, healthOf, isConnectionFailure, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, reasonOf, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
+  allowedRegionsOf, AttemptTracker, avoidanceOf, ConnectionAttempts, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, healthOf, healthOfStopped, isConnectionFailure, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, reasonOf, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type EndpointHealth, type EndpointRequirements, type PoolOpening, type RequestFailure, type SuspectSubject, type TraitKind
 } from '@drumdrift/core'
 import type { EndpointLiveness, EndpointStart } from '../endpoint-liveness.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -325,7 +325,13 @@
       if (isConnectionFailure(end.reason)) this._onConnectionFailed(attempt, end.reason, now)
       else chooser.skip(start, avoidanceOf(end.reason), now)
     }
-    chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? 'unclear' : healthOf(end), now)
+    chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? this._healthOfStopped(attempt, now) : healthOf(end), now)
+  }
+
+  /** The wait for an engine depends on its queue, and that of a begun answer on its caller. */
+  private _healthOfStopped ({ choice, head, sentAt }: EndpointAttempt, now: number): EndpointHealth {
+    if (head !== undefined || this._unit?.description.pool !== undefined) return 'unclear'
+    return healthOfStopped(now - sentAt, { expected: choice.expected, objective: this._request.route.objective })
   }
 
   /** A rejection shows that the endpoint is alive too, unless it names another instance. */
