--- a/packages/fuzz/src/test/few-plain-endpoints_test.ts
+++ b/packages/fuzz/src/test/few-plain-endpoints_test.ts
@@ -6,62 +6,42 @@
 // Guards against choosing endpoints that fail, or none, while one of the few endpoints of a plain service can serve.
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PlainWorld } from '../lib/plain-world.js'
+import { playTrouble, plainTroubles } from '../lib/plain-figures.js'
+import { PlainWorld, type EndpointCondition } from '../lib/plain-world.js'
 import { variants } from '../lib/variants.js'
 
-/** Times are in milliseconds. */
-const CALM_TIME = 5_000
-const TROUBLED_TIME = 20_000
 const ENDPOINTS = 3
-const LOSS = 0.1
+/** The share of requests that must be answered: see `PlainWorld`. */
+const LEAST_SERVED_SHARE = 0.6
+
+function assertServed ({ world, figures }: PlainWorld): void {
+  assert.deepEqual(world.violations, [])
+  for (const { counted, inTime, late } of Object.values(figures)) assert.ok(inTime + late >= LEAST_SERVED_SHARE * counted, JSON.stringify(figures))
+}
 
-const troubles: [name: string, begin: (world: PlainWorld) => void][] = [
-  ['connections to the one endpoint that is left are lost', world => {
-    world.remove(2)
-    world.remove(1)
-    for (let zone = 0; zone < ENDPOINTS; zone += 1) world.disturbPaths(zone, LOSS, 0)
-  }],
-  ['two of three endpoints reset every request', world => {
-    world.setCondition(0, 'resetting')
-    world.setCondition(1, 'resetting')
-  }],
-  ['two of three endpoints fail about half of their requests', world => {
-    world.setCondition(0, 'failing')
-    world.setCondition(1, 'failing')
-  }],
-  ['two of three endpoints never answer', world => {
-    world.setCondition(0, 'hanging')
-    world.setCondition(1, 'hanging')
-  }],
-  ['one endpoint resets, another is silent', world => {
-    world.setCondition(0, 'resetting')
-    world.setCondition(1, 'silent')
-  }],
-  ['one endpoint resets, another goes down and up by turns', world => {
-    world.setCondition(0, 'resetting')
-    world.setCondition(1, 'flapping')
-  }]
-]
 /** The number of entries, and the requests of each per second. */
 const sizes: [entries: number, requestsPerSecond: number][] = [[6, 1], [39, 1], [9, 6]]
 
-describe('a plain service of three endpoints serves each class of requests', () => {
-  for (const [name, begin] of troubles) {
+describe('a plain service of few endpoints serves each class of requests', () => {
+  for (const trouble of plainTroubles) {
     for (const [entries, requestsPerSecond] of sizes) {
-      it(`${name}, ${entries} entries at ${requestsPerSecond} requests a second`, () => {
-        const world = new PlainWorld(7, undefined, { endpoints: ENDPOINTS, entries })
-        const load = (time: number): void => world.load(entries * requestsPerSecond * time / 1_000, time)
-        load(CALM_TIME)
-        world.world.advance(CALM_TIME)
-        begin(world)
-        load(TROUBLED_TIME)
-        world.settle()
-        assert.deepEqual(world.world.violations, [])
-        const { counted, inTime, late } = world.figures.unsafe
-        assert.ok(inTime + late >= 0.6 * counted, JSON.stringify(world.figures))
-      })
+      for (const endpoints of [1, 2, ENDPOINTS]) {
+        it(`${trouble}, ${endpoints} endpoints, ${entries} entries at ${requestsPerSecond} requests a second`, () => assertServed(playTrouble({ trouble, endpoints, entries, requestsPerSecond, seed: 7 })))
+      }
     }
   }
+
+  const pairs: [first: EndpointCondition, second: EndpointCondition][] = [['resetting', 'silent'], ['resetting', 'flapping'], ['hanging', 'refusing']]
+  for (const [first, second] of pairs) {
+    it(`one endpoint is ${first}, another ${second}`, () => {
+      const world = new PlainWorld(7, undefined, { endpoints: ENDPOINTS, entries: 39 })
+      world.setCondition(0, first)
+      world.setCondition(1, second)
+      world.load(800, 20_000)
+      world.settle()
+      assertServed(world)
+    })
+  }
 })
 
 describe('a removed protection of few endpoints is detected', () => {
