--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -39,7 +39,7 @@
   | 'answered'
   /** A process exits only when it is stopped, and within the grace period. */
   | 'process'
-  /** After the last fault, callers are served. */
+  /** After the last fault, callers are served, whatever the kind of their calls. */
   | 'served'
   /** After the last fault, every entry accepts new callers. */
   | 'ready'
@@ -59,6 +59,8 @@
 const RECOVERY_MILLISECONDS = 3_000
 /** Share of calls that have to be served after the recovery time. */
 const MIN_SERVED_SHARE = 0.95
+/** A kind is judged on its own if it has this many calls, so that one failure does not decide. */
+const MIN_JUDGED_CALLS = 40
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -138,8 +140,11 @@
   served: ({ calls, configurations, faultsEndedAt }) => {
     const keys = configurations.at(-1)?.keys ?? []
     const judged = calls.filter(({ sentAt, key }) => sentAt >= faultsEndedAt + RECOVERY_MILLISECONDS && keys.includes(key))
-    const served = judged.filter(({ answer }) => answer.status === 200 && answer.whole).length
-    return judged.length === 0 || served / judged.length >= MIN_SERVED_SHARE ? [] : [{ at: faultsEndedAt, detail: `${served} of ${judged.length} calls served after the last fault` }]
+    const kinds = [...groupBy(judged, ({ kind }) => kind)].filter(([, ofKind]) => ofKind.length >= MIN_JUDGED_CALLS)
+    return [['all kinds', judged] as const, ...kinds].flatMap(([name, ofKind]) => {
+      const served = ofKind.filter(({ answer }) => answer.status === 200 && answer.whole).length
+      return served >= MIN_SERVED_SHARE * ofKind.length ? [] : [{ at: faultsEndedAt, detail: `${served} of ${ofKind.length} calls of ${name} served after the last fault` }]
+    })
   },
   ready: ({ unready, faultsEndedAt }) => unready.map(entry => ({ at: faultsEndedAt, detail: `${entry} accepts no new callers` }))
 }
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -50,6 +50,11 @@
 const inPool = arrival({ service: 'pool' })
 const selfExit = { process: 'entry-1', at: 20_000, exitRequest: 'nothing', code: 1, took: 0, startedUp: true } as const
 
+/** Calls of one kind after the last fault. */
+function callsAfterFaults (kind: CallRecord['kind'], count: number, status: number): CallRecord[] {
+  return Array.from({ length: count }, () => call({ kind, sentAt: 54_000, endedAt: 54_050, answer: answer(status) }))
+}
+
 describe('judge', () => {
   const cases: [name: string, part: Partial<Journal>, expected: string[]][] = [
     ['a served call', {}, []],
@@ -105,6 +110,8 @@
     ['a process that exits by itself before it has started up', { processExits: [{ ...selfExit, startedUp: false }] }, ['process']],
     ['a process that was killed', { processExits: [{ ...selfExit, exitRequest: 'kill', code: null }] }, []],
     ['callers who are not served after the last fault', { calls: [call({ sentAt: 54_000, endedAt: 54_050, answer: answer(502) })] }, ['served']],
+    ['a kind of call that is not served after the last fault, among many others', { calls: [...callsAfterFaults('safe', 1_000, 200), ...callsAfterFaults('unsafe', 40, 502)] }, ['served']],
+    ['a few calls of a kind that are not served after the last fault', { calls: [...callsAfterFaults('safe', 1_000, 200), ...callsAfterFaults('unsafe', 4, 502)] }, []],
     ['an entry that accepts no callers after the last fault', { unready: ['entry-1'] }, ['ready']]
   ]
   for (const [name, part, expected] of cases) {
