--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -11,10 +11,11 @@
 import type { EndpointCandidate, ChosenEndpoint, EndpointRequirements, EntryLocation, Placement } from './endpoint-choice.js'
 import { SOON_ENOUGH_SHARE, costOf, distanceFactor } from './choice-price.js'
 import { generationTimeWhenFull, prefillTime } from './engine-model.js'
-import { FailureRate } from './failure-rate.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
 import { EndpointLoad, type LoadReport } from './endpoint-load.js'
-import { EndpointReach, type Reach } from './endpoint-reach.js'
+import { EndpointReach } from './endpoint-reach.js'
+import { failureCost, standingPreferences, type EndpointStanding } from './endpoint-standing.js'
+import { FailureRate } from './failure-rate.js'
 import { COMMON_PLACE, QueueMix, type QueuePlace } from './queue-mix.js'
 import { takesLate } from './late-placement.js'
 import { overdueTime } from '../attempts/attempt-outcome.js'
@@ -52,14 +53,6 @@
 /** The assumed number of slots of a plain endpoint that does not publish it. */
 const ASSUMED_SLOTS = 8
 
-/** The penalty for each lost connection of an endpoint, in milliseconds. */
-const LOST_CONNECTION_PENALTY = 100
-
-/** An endpoint that fails a larger share of its requests is used only if all others do or cannot be reached. */
-const FAILING_SHARE = 0.2
-/** The cost of a failed request to its caller, in objectives. */
-const FAILURE_COST = 6
-
 const NO_ZONES: ReadonlySet<string> = new Set()
 
 interface EndpointState {
@@ -70,22 +63,6 @@
   skippedFor: SkipReason | undefined
 }
 
-/** What the connections and requests to an endpoint have shown. */
-interface Standing {
-  readonly reach: Reach
-  /** Whether an unreachable endpoint may be tried. */
-  readonly mayTry: boolean
-  /** The share of requests that it fails. */
-  readonly failureShare: number
-}
-
-/** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
-const preferences: readonly ((standing: Standing) => boolean)[] = [
-  ({ reach, failureShare }) => reach === 'reachable' && failureShare < FAILING_SHARE,
-  ({ reach }) => reach !== 'unreachable',
-  ({ mayTry }) => mayTry
-]
-
 /** Chooses among the endpoints of one service, for one entry. */
 export class EndpointChooser {
   /** The state of each incarnation of an endpoint: see `startKeyOf`. */
@@ -209,7 +186,7 @@
    * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
    */
   choose (service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
-    for (const admits of preferences) {
+    for (const admits of standingPreferences) {
       const among = (records: readonly EndpointRecord[]): ChosenEndpoint | undefined => this._chooseAmong(records.filter(record => admits(this._standingOf(record, service, need, now))), service, need, now)
       const choice = among(this._followedOrDue(now)) ?? among(this._others)
       if (choice !== undefined) return choice
@@ -218,10 +195,13 @@
   }
 
   /** Endpoints of a pool are many, and their requests can be resumed elsewhere: there ejection suffices. */
-  private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): Standing {
-    const { reach, failures, load } = this._stateOf(record)
+  private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): EndpointStanding {
+    const { reach: connections, failures, load } = this._stateOf(record)
+    const reach = connections.state(now)
+    const lostConnections = reach === 'reachable' ? 0 : connections.failures
     const overdueAfter = overdueTime({ expected: this._plainTime.value(now), objective: usualObjective })
-    return { reach: reach.state(now), mayTry: reach.mayTry(now), failureShare: pool === undefined ? failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now)) : 0 }
+    const failureShare = pool === undefined ? failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now)) : 0
+    return { reach, mayTry: connections.mayTry(now), lostConnections, failureShare }
   }
 
   /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
@@ -240,18 +220,11 @@
       .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
-    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + this._penaltyOf(choice, service, need, now))
+    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + failureCost(this._standingOf(choice.record, service, need, now), need.usualObjective))
     const picked = this._pick(choices, costs, service, need, now)
     return picked === undefined ? undefined : this._choiceOf(picked, service, need, now)
   }
 
-  /** The cost of recent failures: of connections that may be lost, in their timeouts, and of requests that may fail. */
-  private _penaltyOf ({ record }: EndpointCandidate, service: ServiceDescription, need: EndpointRequirements, now: number): number {
-    const { reach, failureShare } = this._standingOf(record, service, need, now)
-    const lost = reach === 'reachable' ? 0 : this._stateOf(record).reach.failures
-    return lost * LOST_CONNECTION_PENALTY + failureShare * FAILURE_COST * need.usualObjective
-  }
-
   /** Prefers rate-limited endpoints for which this entry holds a permit that would lapse, if they are expected to answer soon enough. */
   private _preferDue (choices: readonly EndpointCandidate[], { usualObjective }: EndpointRequirements, now: number): readonly EndpointCandidate[] {
     if (this._gate.quiet) return choices
--- /dev/null
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -0,0 +1,43 @@
+/**
+ * @license
+ * Copyright 2026 the drumdrift contributors
+ * SPDX-License-Identifier: BSD-3-Clause
+ */
+/** What recent connections and requests have shown about an endpoint, and what follows for the choice. */
+import type { Reach } from './endpoint-reach.js'
+
+/** What the connections and requests of one entry to an endpoint have shown. */
+export interface EndpointStanding {
+  readonly reach: Reach
+  /** Whether an unreachable endpoint may be tried. */
+  readonly mayTry: boolean
+  /** The number of connections that were lost since one opened; 0 once other endpoints are no longer preferred. */
+  readonly lostConnections: number
+  /** The share of requests that it fails, 0 to 1. */
+  readonly failureShare: number
+}
+
+/** An endpoint that fails a larger share of its requests is used only if all others do or cannot be reached. */
+const FAILING_SHARE = 0.2
+/** The cost of a lost connection to its caller, in milliseconds. */
+const LOST_CONNECTION_COST = 100
+/** The cost of a failed request to its caller, in objectives. */
+const FAILURE_COST = 6
+
+/** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
+export const standingPreferences: readonly ((standing: EndpointStanding) => boolean)[] = [
+  ({ reach, failureShare }) => reach === 'reachable' && failureShare < FAILING_SHARE,
+  ({ reach }) => reach !== 'unreachable',
+  ({ mayTry }) => mayTry
+]
+
+/**
+ * Returns the expected cost of further failures, in milliseconds. Failures that all endpoints have in common cost the same at each.
+ *
+ * @param objective The mean objective of the service's requests, in milliseconds.
+ * @example
+ * const cost = costOf(candidate, load, view) + failureCost(standing, need.usualObjective)
+ */
+export function failureCost ({ lostConnections, failureShare }: EndpointStanding, objective: number): number {
+  return lostConnections * LOST_CONNECTION_COST + failureShare * FAILURE_COST * objective
+}
