--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -16,7 +16,7 @@
   .option('--scenario <name>', 'runs one scenario: weights, requests, configuration, routed, plain, suspects, limits or published')
   .option('--replay <path>', 'replays the case whose path a violation printed')
   .option('--negatives', 'runs the variants, each of which must violate its promise')
-  .option('--figures', 'prints what callers of a plain service get under several troubles')
+  .option('--figures', 'prints what callers of a plain service get under several faults')
   .action((options: { seed: number, runs: number, scenario?: string, replay?: string, negatives?: boolean, figures?: boolean }) => {
     const print = (line: string): void => { process.stdout.write(`${line}\n`) }
     if (options.figures === true) return printPlainFigures(options.seed, print)
--- a/packages/fuzz/src/lib/plain-world.ts
+++ b/packages/fuzz/src/lib/plain-world.ts
@@ -34,7 +34,7 @@
  * How an endpoint treats requests: as it should; it answers no connection; it refuses them; it goes down and up by turns; it resets
  * every connection after the request; it answers about half of the requests with a failure; it accepts requests and never answers.
  */
-export type EndpointCondition = 'sound' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging'
+export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging'
 
 /** A class of requests. */
 export type PlainClass = 'unsafe' | 'safe'
@@ -132,7 +132,7 @@
   constructor (seed: number, private readonly _parts: PlainParts = realPlainParts, size: PlainSize = { endpoints: 3, entries: 9 }) {
     this.world = new World(seed)
     this._endpoints = Array.from({ length: size.endpoints }, (_, index) => ({
-      record: { id: `desk-${index}`, born: 0, writings: 1, service: service.name, address: `10.0.0.${index}:80`, availabilityZone: zoneOf(index), slots: 6, draining: false, models: [], coldRemaining: 0 }, condition: 'sound', changedAt: 0
+      record: { id: `desk-${index}`, born: 0, writings: 1, service: service.name, address: `10.0.0.${index}:80`, availabilityZone: zoneOf(index), slots: 6, draining: false, models: [], coldRemaining: 0 }, condition: 'healthy', changedAt: 0
     }))
     this._entries = Array.from({ length: size.entries }, (_, index) => {
       const zone = zoneOf(index)
@@ -171,7 +171,7 @@
   }
 
   heal (): void {
-    for (let index = 0; index < this._endpoints.length; index += 1) this.setCondition(index, 'sound')
+    for (let index = 0; index < this._endpoints.length; index += 1) this.setCondition(index, 'healthy')
     for (let index = 0; index < ZONES.length; index += 1) this.disturbPaths(index, 0, 0)
   }
 
@@ -205,7 +205,7 @@
 
   private _isAble ({ zone }: Entry, { condition, record }: Endpoint): boolean {
     const { loss, delay } = this._pathBetween(zone, record.availabilityZone)
-    return condition === 'sound' && loss <= MAX_LOSS && delay <= MAX_DELAY
+    return condition === 'healthy' && loss <= MAX_LOSS && delay <= MAX_DELAY
   }
 
   private _send (request: Request): void {
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -141,7 +141,7 @@
   ]
 }
 
-const conditions: readonly EndpointCondition[] = ['silent', 'refusing', 'flapping', 'resetting', 'failing', 'hanging', 'sound']
+const conditions: readonly EndpointCondition[] = ['silent', 'refusing', 'flapping', 'resetting', 'failing', 'hanging', 'healthy']
 /** Times are in milliseconds. */
 const MAX_PLAIN_REQUESTS = 400
 /** Requests that are all sent before the first of them ends cannot avoid an endpoint that has just begun to fail. */
@@ -150,7 +150,7 @@
 const MAX_PATH_LOSS = 0.2
 const MAX_PATH_DELAY = 120
 
-function conditionOf (drawn: number): EndpointCondition { return conditions[drawn % conditions.length] ?? 'sound' }
+function conditionOf (drawn: number): EndpointCondition { return conditions[drawn % conditions.length] ?? 'healthy' }
 
 /** A plain service of few endpoints: each class of requests is served while an endpoint can serve it. */
 export const plainScenario: Scenario<PlainWorld, PlainParts> = {
--- a/packages/fuzz/src/test/few-plain-endpoints_test.ts
+++ b/packages/fuzz/src/test/few-plain-endpoints_test.ts
@@ -6,7 +6,7 @@
 // Guards against choosing endpoints that fail, or none, while one of the few endpoints of a plain service can serve.
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { playTrouble, plainTroubles } from '../lib/plain-figures.js'
+import { playFault, plainFaults } from '../lib/plain-figures.js'
 import { PlainWorld, type EndpointCondition } from '../lib/plain-world.js'
 import { variants } from '../lib/variants.js'
 
@@ -23,10 +23,10 @@
 const sizes: [entries: number, requestsPerSecond: number][] = [[6, 1], [39, 1], [9, 6]]
 
 describe('a plain service of few endpoints serves each class of requests', () => {
-  for (const trouble of plainTroubles) {
+  for (const fault of plainFaults) {
     for (const [entries, requestsPerSecond] of sizes) {
       for (const endpoints of [1, 2, ENDPOINTS]) {
-        it(`${trouble}, ${endpoints} endpoints, ${entries} entries at ${requestsPerSecond} requests a second`, () => assertServed(playTrouble({ trouble, endpoints, entries, requestsPerSecond, seed: 7 })))
+        it(`${fault}, ${endpoints} endpoints, ${entries} entries at ${requestsPerSecond} requests a second`, () => assertServed(playFault({ fault, endpoints, entries, requestsPerSecond, seed: 7 })))
       }
     }
   }
