A single refuted loss is contradicted

Cause: an agent that had missed the answers told it five losses; one request explained them, so it neither suspected the part nor passed them on. The reset of its connections added a sixth, which outnumbered that request. It reported one loss, and others contradicted only from the second on: they counted what was reported and could not know what the reporter held.

Change: answers that refute a reported loss are returned for every report; the counter of refuted losses goes.

Not measured: the messages, one for each reported loss of a part in place of every second.

--- a/packages/core/src/lib/routing/attempts/suspect-requests.ts
+++ b/packages/core/src/lib/routing/attempts/suspect-requests.ts
@@ -91,8 +91,6 @@
   private readonly _losses = new Map<string, Losses>()
   private readonly _answeredAt = new Map<string, number>()
   private _unshared: OwnLoss[] = []
-  /** The number of refuted losses that other processes reported since the last contradiction, by fingerprint. */
-  private readonly _refutedLosses = new Map<string, number>()
 
   /** Records that the connection to an endpoint was lost while it ran a request. */
   lost (fingerprint: string, start: string, now: number, kind: TraitKind = 'request'): void {
@@ -234,7 +232,8 @@
   }
 
   /**
-   * Returns the answers that refute what another process suspects, once it has reported several losses that they refute.
+   * Returns the answers that refute what another process suspects. One refuted loss suffices: the process may know others that it has not
+   * reported, for example because a single request explained them.
    *
    * @param losses What the other process reported.
    * @example
@@ -242,14 +241,7 @@
    */
   contradictions (losses: readonly LossReport[], now: number): AnswerReport[] {
     const refuted = losses.filter(({ fingerprint, age, kind = 'request' }) => traitRules[kind].shared && this._isRefuted(fingerprint, now - age, kind))
-    const suspected = new Set<string>()
-    for (const { fingerprint } of refuted) {
-      const count = (this._refutedLosses.get(fingerprint) ?? 0) + 1
-      if (this._refutedLosses.size >= MAX_SUSPECTS) this._refutedLosses.clear()
-      this._refutedLosses.set(fingerprint, count % NO_RETRY_LOSSES)
-      if (count >= NO_RETRY_LOSSES) suspected.add(fingerprint)
-    }
-    return [...suspected].map(fingerprint => ({ fingerprint, age: Math.max(0, now - this.lastAnswer(fingerprint)) }))
+    return [...new Set(refuted.map(({ fingerprint }) => fingerprint))].map(fingerprint => ({ fingerprint, age: Math.max(0, now - this.lastAnswer(fingerprint)) }))
   }
 
   /**
--- a/packages/fuzz/src/test/promises_test.ts
+++ b/packages/fuzz/src/test/promises_test.ts
@@ -8,6 +8,8 @@
 import { fuzzPromises } from '../lib/campaign.js'
 import { ConfigurationWorld } from '../lib/configuration-world.js'
 import { RequestWorld } from '../lib/request-world.js'
+import { suspectScenario } from '../lib/scenarios.js'
+import { realSuspectParts } from '../lib/suspect-world.js'
 import { WeightsWorld } from '../lib/weights-world.js'
 import { variants } from '../lib/variants.js'
 
@@ -41,6 +43,20 @@
 })
 
 describe('regressions found by fuzzing', () => {
+  // An agent that missed the answers of a part tells a started entry its losses; the reset of the entry's own connections adds one.
+  it('an entry that has just started does not hold back a part that all others answer', () => {
+    const steps: [action: string, values: number[], pause: number][] = [
+      ['load', [341, 100], 0], ['repeat', [0, 701, 270], 1_957], ['restart', [0], 0], ['load', [316, 819], 0], ['repeat', [381, 351, 105], 60], ['reset-connections', [0], 60]
+    ]
+    const subject = suspectScenario.create(26451112, realSuspectParts)
+    for (const [name, values, pause] of steps) {
+      suspectScenario.actions.find(action => action.name === name)?.run(subject, values)
+      subject.world.advance(pause)
+    }
+    subject.settle()
+    assert.deepEqual(subject.world.violations, [])
+  })
+
   const configuration: [name: string, play: (subject: ConfigurationWorld) => void][] = [
     ['the service is down from the start and recovers', subject => {
       subject.setService('down')
