Failures weigh against slowness by cost alone; one failure counts for less

Cause: one application error gave the only fast endpoint a failure share of 0.3, which cost more than the slow ones, and the step of preference then excluded it.

Change: one failure counts 0.15, an error answer 0.6 of that, since it may be due to the request. Among few endpoints all that may be tried are compared by cost; only pools prefer reachable endpoints before others.

--- a/packages/core/src/lib/routing/attempts/attempt-outcome.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-outcome.ts
@@ -11,7 +11,7 @@
 
 /** Returns what the end of an attempt shows about the health of its endpoint. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
-  if (outcome.type === 'answered' && outcome.status >= MIN_FAILURE_STATUS) return 'bad'
+  if (outcome.type === 'answered' && outcome.status >= MIN_FAILURE_STATUS) return 'error-answer'
   return healthOfOutcome[outcome.type]
 }
 
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -35,7 +35,10 @@
 }
 
 /** What the result of an attempt shows about its endpoint. */
-export type EndpointHealth = 'good' | 'bad' | 'unclear'
+export type EndpointHealth = 'good' | 'error-answer' | 'bad' | 'unclear'
+
+/** How much a result counts as a failure. An error that the application answers may be due to the request. */
+const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.6, bad: 1 }
 
 /** Why an endpoint is skipped temporarily. */
 export type SkipReason = 'refused' | 'wrong-instance' | 'wrong-version'
@@ -173,10 +176,10 @@
   ended (start: string, request: string, health: EndpointHealth, now: number): void {
     const { load, failures } = this._stateOfStart(start)
     load.ended(request)
-    if (health !== 'unclear') failures.record(health === 'bad', now, this.sentRate(now))
+    if (health !== 'unclear') failures.record(failureWeights[health], now, this.sentRate(now))
     if (health === 'good') this._ejection.succeeded(start)
-    else if (health === 'bad') this._ejection.failed(start, now)
-    else this._ejection.ended(start)
+    else if (health === 'unclear') this._ejection.ended(start)
+    else this._ejection.failed(start, now)
   }
 
   /**
@@ -194,14 +197,15 @@
     return undefined
   }
 
-  /** Endpoints of a pool are many, and their requests can be resumed elsewhere: there ejection suffices. */
+  /** Endpoints of a pool are many, and their requests can be resumed elsewhere: against failing ones ejection suffices. */
   private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): EndpointStanding {
     const { reach: connections, failures, load } = this._stateOf(record)
     const reach = connections.state(now)
     const lostConnections = reach === 'reachable' ? 0 : connections.failures
     const overdueAfter = overdueTime({ expected: this._plainTime.value(now), objective: usualObjective })
-    const failureShare = pool === undefined ? failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now)) : 0
-    return { reach, mayTry: connections.mayTry(now), lostConnections, failureShare }
+    const isOneOfMany = pool !== undefined
+    const failureShare = isOneOfMany ? 0 : failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now))
+    return { reach, isOneOfMany, mayTry: connections.mayTry(now), lostConnections, failureShare }
   }
 
   /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -9,7 +9,9 @@
 /** What the connections and requests of one entry to an endpoint have shown. */
 export interface EndpointStanding {
   readonly reach: Reach
-  /** Whether an unreachable endpoint may be tried. */
+  /** Whether the service has many endpoints, so that one that may be away need not be used. Among few, costs decide. */
+  readonly isOneOfMany: boolean
+  /** Whether a request may be sent to it: only one at a time to an unreachable one. */
   readonly mayTry: boolean
   /** The number of connections that were lost since one opened; 0 once other endpoints are no longer preferred. */
   readonly lostConnections: number
@@ -17,8 +19,6 @@
   readonly failureShare: number
 }
 
-/** An endpoint that fails a larger share of its requests is used only if all others do or cannot be reached. */
-const FAILING_SHARE = 0.2
 /** The cost of a lost connection to its caller, in milliseconds. */
 const LOST_CONNECTION_COST = 100
 /** The cost of a failed request to its caller, in objectives. */
@@ -26,7 +26,7 @@
 
 /** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
 export const standingPreferences: readonly ((standing: EndpointStanding) => boolean)[] = [
-  ({ reach, failureShare }) => reach === 'reachable' && failureShare < FAILING_SHARE,
+  ({ reach, isOneOfMany, mayTry }) => reach === 'reachable' || (mayTry && !isOneOfMany),
   ({ reach }) => reach !== 'unreachable',
   ({ mayTry }) => mayTry
 ]
--- a/packages/core/src/lib/routing/choice/failure-rate.ts
+++ b/packages/core/src/lib/routing/choice/failure-rate.ts
@@ -10,7 +10,7 @@
 import { decay } from '../decay.js'
 
 /** Weight of the newest request in the moving average. */
-const SMOOTHING = 0.3
+const SMOOTHING = 0.15
 /**
  * Without requests the share decays with this half-life, since an endpoint that is not used shows no recovery: a number of requests of the
  * entry to the service, so that the requests that find out are a small part of all, within bounds in milliseconds.
@@ -38,10 +38,14 @@
     return 1 - (1 - share) * (1 - SMOOTHING) ** overdue
   }
 
-  /** Adds the result of a request. */
-  record (failed: boolean, now: number, requestRate: number): void {
+  /**
+   * Adds the result of a request.
+   *
+   * @param failure How much the result counts as a failure, 0 to 1.
+   */
+  record (failure: number, now: number, requestRate: number): void {
     const before = this.value(now, requestRate)
-    this._share = before + SMOOTHING * ((failed ? 1 : 0) - before)
+    this._share = before + SMOOTHING * (failure - before)
     this._updatedAt = now
   }
 }
--- a/packages/fuzz/src/lib/plain-figures.ts
+++ b/packages/fuzz/src/lib/plain-figures.ts
@@ -41,7 +41,8 @@
   flapping: disturbEndpoints('flapping'),
   resetting: disturbEndpoints('resetting'),
   failing: disturbEndpoints('failing'),
-  hanging: disturbEndpoints('hanging')
+  hanging: disturbEndpoints('hanging'),
+  slow: disturbEndpoints('slow')
 }
 
 /** The names of all faults. */
--- a/packages/fuzz/src/lib/plain-world.ts
+++ b/packages/fuzz/src/lib/plain-world.ts
@@ -32,9 +32,9 @@
 
 /**
  * How an endpoint treats requests: as it should; it answers no connection; it refuses them; it goes down and up by turns; it resets
- * every connection after the request; it answers about half of the requests with a failure; it accepts requests and never answers.
+ * every connection after the request; it answers about half of the requests with a failure; it accepts requests and never answers; it works much longer.
  */
-export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging'
+export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging' | 'slow'
 
 /** A class of requests. */
 export type PlainClass = 'unsafe' | 'safe'
@@ -90,6 +90,7 @@
 const MIN_WORK = 10
 const MAX_WORK = 30
 const FAILING_SHARE = 0.45
+const workFactors: Record<EndpointCondition, number> = { healthy: 1, silent: 1, refusing: 1, flapping: 1, resetting: 0, failing: 1, hanging: 1, slow: 8 }
 /** A path with more loss or delay than this is not counted as one that can serve. */
 const MAX_LOSS = 0.2
 const MAX_DELAY = 20
@@ -241,7 +242,7 @@
     const { world } = this
     request.entry.chooser.connected(startKeyOf(choice.record))
     if (endpoint.condition === 'hanging') return world.after(request.deadline - world.now, undefined, () => this._onDeadline(request, choice, begunAt))
-    const work = endpoint.condition === 'resetting' ? 0 : world.uniform(MIN_WORK, MAX_WORK)
+    const work = workFactors[endpoint.condition] * world.uniform(MIN_WORK, MAX_WORK)
     world.after(work + answerDelay, undefined, () => this._onEnd(request, choice, begunAt, this._answerOf(request, endpoint)))
   }
 
