--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -197,15 +197,18 @@
     return undefined
   }
 
-  /** Endpoints of a pool are many, and their requests can be resumed elsewhere: against failing ones ejection suffices. */
   private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): EndpointStanding {
-    const { reach: connections, failures, load } = this._stateOf(record)
-    const reach = connections.state(now)
-    const lostConnections = reach === 'reachable' ? 0 : connections.failures
-    const overdueAfter = overdueTime({ expected: this._plainTime.value(now), objective: usualObjective })
+    const state = this._stateOf(record)
+    const reach = state.reach.state(now)
+    const lostConnections = reach === 'reachable' ? 0 : state.reach.failures
+    // Endpoints of a pool are many, and their requests can be resumed elsewhere: against failing ones ejection suffices.
     const isOneOfMany = pool !== undefined
-    const failureShare = isOneOfMany ? 0 : failures.value(now, this.sentRate(now), load.overdue(overdueAfter, now))
-    return { reach, isOneOfMany, mayTry: connections.mayTry(now), lostConnections, failureShare }
+    return { reach, isOneOfMany, mayTry: state.reach.mayTry(now), lostConnections, failureShare: isOneOfMany ? 0 : this._failureShareOf(state, usualObjective, now) }
+  }
+
+  private _failureShareOf ({ failures, load }: EndpointState, objective: number, now: number): number {
+    const overdue = load.overdue(overdueTime({ expected: this._plainTime.value(now), objective }), now)
+    return failures.value(now, this.sentRate(now), overdue)
   }
 
   /** The followed endpoints, and others for which this entry holds a permit that would lapse. */
