--- a/packages/core/src/lib/routing/attempts/connection-attempts.ts
+++ b/packages/core/src/lib/routing/attempts/connection-attempts.ts
@@ -21,7 +21,10 @@
   private readonly _unanswered = new Map<string, number>()
   private readonly _endsAt: number
 
-  /** @param receivedAt When the request arrived; `deadline`: when its caller gives up. */
+  /**
+   * @param receivedAt When the request arrived.
+   * @param deadline When its caller gives up.
+   */
   constructor (receivedAt: number, deadline: number) {
     this._endsAt = receivedAt + CONNECTING_SHARE * (deadline - receivedAt)
   }
--- a/packages/core/src/lib/routing/choice/endpoint-reach.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-reach.ts
@@ -5,14 +5,14 @@
  */
 /**
  * Whether one endpoint can be reached, from the connections that one entry opened to it. A connection without an answer may be due to a
- * lost packet or a full link: it makes other endpoints preferable, but excludes this one only if several in a row and over some time
- * were lost. A refused connection proves that nothing listens at that moment.
+ * lost packet or a full link: it makes other endpoints preferable, but excludes this one only if several in a row, over some time, got
+ * none. A refused connection proves that nothing listens at that moment.
  */
 import type { ConnectionFailure } from '../attempts/attempt-tracker.js'
 
 /**
- * `reachable`: used like any other. `doubtful`: used only if no reachable endpoint can take the request. `unreachable`: then, too, only
- * by one request at a time, to find out whether it can be reached again.
+ * `reachable`: used like any other. `doubtful`: others are preferred. `unreachable`: used by one request at a time, to find out whether
+ * it can be reached again.
  */
 export type Reach = 'reachable' | 'doubtful' | 'unreachable'
 
@@ -54,7 +54,7 @@
     return this._isConclusive ? 'unreachable' : 'doubtful'
   }
 
-  /** Whether a request for which no endpoint is reachable may be sent to this one. */
+  /** Whether a request may be sent to the endpoint although others are preferred. */
   mayTry (now: number): boolean {
     return !this._isConclusive || (!this._isTried(now) && now - this._lastFailureAt >= TRIAL_PAUSE)
   }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -383,6 +383,7 @@
     const unit = this._unit
     if (unit === undefined) return ''
     const reasons = [...unit.chooser.exclusions(unit.description, this._need(), performance.now())].map(([endpoint, reason]) => `${endpoint}:${reason}`)
+    if (reasons.length === 0) return ', none is listed'
     const shown = reasons.slice(0, MAX_LOGGED_EXCLUSIONS).join(',')
     return reasons.length > MAX_LOGGED_EXCLUSIONS ? `, excluded ${shown} and ${reasons.length - MAX_LOGGED_EXCLUSIONS} more` : `, excluded ${shown}`
   }
