A choice that finds no endpoint searches no set twice; derived state of reach goes

An overloaded pool finds no endpoint for a late request again and again, and each time the same endpoints were searched in all three steps of preference. A step that admits no endpoint more than the one before is passed over; each admits all of the one before.

EndpointReach kept the end of the avoidance, which follows from the last failure and their number, and reset fields that only count after a failure, which sets them.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -189,7 +189,8 @@
    * const choice = chooser.choose(service, { promptTokens: 1_290, model: 'drafting', leastVersion: 2, tried: new Set() }, now)
    */
   choose (service: ServiceDescription, need: EndpointRequirements, now: number): ChosenEndpoint | undefined {
-    for (const admits of standingPreferences) {
+    for (const [step, admits] of standingPreferences.entries()) {
+      if (step > 0 && !this._addsEndpoints(step, service, need, now)) continue
       const among = (records: readonly EndpointRecord[]): ChosenEndpoint | undefined => this._chooseAmong(records.filter(record => admits(this._standingOf(record, service, need, now))), service, need, now)
       const choice = among(this._followedOrDue(now)) ?? among(this._others)
       if (choice !== undefined) return choice
@@ -197,6 +198,14 @@
     return undefined
   }
 
+  /** Whether a step of preference admits endpoints that the step before did not: each admits all of the one before. */
+  private _addsEndpoints (step: number, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
+    return this._records.some(record => {
+      const standing = this._standingOf(record, service, need, now)
+      return standingPreferences[step]?.(standing) === true && standingPreferences[step - 1]?.(standing) === false
+    })
+  }
+
   private _standingOf (record: EndpointRecord, { pool }: ServiceDescription, { usualObjective }: EndpointRequirements, now: number): EndpointStanding {
     const state = this._stateOf(record)
     const reach = state.reach.state(now)
--- a/packages/core/src/lib/routing/choice/endpoint-reach.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-reach.ts
@@ -35,7 +35,6 @@
   private _failures = 0
   private _firstFailureAt = 0
   private _lastFailureAt = -Infinity
-  private _avoidedUntil = -Infinity
   private _proven = false
   private _triedAt = -Infinity
 
@@ -50,7 +49,7 @@
    */
   state (now: number): Reach {
     if (this._failures === 0) return 'reachable'
-    if (now >= this._avoidedUntil && !(this._isConclusive && this._isTried(now))) return 'reachable'
+    if (now >= this._lastFailureAt + this._avoidance && !(this._isConclusive && this._isTried(now))) return 'reachable'
     return this._isConclusive ? 'unreachable' : 'doubtful'
   }
 
@@ -70,9 +69,6 @@
   opened (): boolean {
     const was = this._isConclusive
     this._failures = 0
-    this._proven = false
-    this._avoidedUntil = -Infinity
-    this._triedAt = -Infinity
     return was
   }
 
@@ -96,9 +92,10 @@
     if (this._failures === 0) this._firstFailureAt = now
     this._failures += 1
     this._lastFailureAt = now
-    this._avoidedUntil = now + Math.min(MAX_AVOIDANCE, FIRST_AVOIDANCE * 2 ** (this._failures - 1))
   }
 
+  private get _avoidance (): number { return Math.min(MAX_AVOIDANCE, FIRST_AVOIDANCE * 2 ** (this._failures - 1)) }
+
   private get _isConclusive (): boolean {
     if (this._failures === 0) return false
     return this._proven || (this._failures >= LOSSES_OF_UNREACHABLE && this._lastFailureAt - this._firstFailureAt >= TIME_OF_UNREACHABLE)
