Endpoints that reject requests are chosen less

Cause: a rejection skipped its endpoint for 100 ms and left no other trace. An entry of a large fleet sends a service one request a second, so the skip never applied; the rejecting endpoint, near and without a slow answer, was preferred again and again. A request that may be sent to one endpoint only is lost each time, and its caller returns to an entry of the same zone, with the same choice.

Change: a rejection counts in the share of failures of the endpoint, as much as an error of the application. If all reject alike, the costs are alike. Ejection does not count it, and pools are not affected.

--- a/packages/core/src/lib/routing/attempts/attempt-outcome.ts
+++ b/packages/core/src/lib/routing/attempts/attempt-outcome.ts
@@ -5,13 +5,14 @@
  */
 /** Derives from the end of an attempt the health of its endpoint, the reason to avoid the endpoint, and the reason in the log. */
 import type { EndpointHealth, SkipReason } from '../choice/endpoint-chooser.js'
-import { MIN_FAILURE_STATUS, type AttemptEnd, type ConnectionFailure, type NotRunReason } from './attempt-tracker.js'
+import { isConnectionFailure, MIN_FAILURE_STATUS, type AttemptEnd, type ConnectionFailure, type NotRunReason } from './attempt-tracker.js'
 
 const healthOfOutcome: Record<AttemptEnd['type'], EndpointHealth> = { answered: 'good', 'not-run': 'unclear', broken: 'bad', stalled: 'bad', superseded: 'unclear', unread: 'unclear' }
 
 /** Returns what the end of an attempt shows about the health of its endpoint. */
 export function healthOf (outcome: AttemptEnd): EndpointHealth {
   if (outcome.type === 'answered' && outcome.status >= MIN_FAILURE_STATUS) return 'error-answer'
+  if (outcome.type === 'not-run' && !isConnectionFailure(outcome.reason)) return 'rejecting'
   return healthOfOutcome[outcome.type]
 }
 
--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -34,11 +34,11 @@
   readonly waitFromOthers: number
 }
 
-/** What the result of an attempt shows about its endpoint. */
-export type EndpointHealth = 'good' | 'error-answer' | 'bad' | 'unclear'
+/** What the result of an attempt shows about its endpoint. `rejecting`: it is alive, but did not take the request. */
+export type EndpointHealth = 'good' | 'error-answer' | 'rejecting' | 'bad' | 'unclear'
 
 /** How much a result counts as a failure. An error that the application answers may be due to the request. */
-const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.6, bad: 1 }
+const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.6, rejecting: 0.6, bad: 1 }
 
 /** Why an endpoint is skipped temporarily. */
 export type SkipReason = 'refused' | 'wrong-instance' | 'wrong-version'
@@ -183,7 +183,7 @@
     load.ended(request)
     if (health !== 'unclear') failures.record(failureWeights[health], now, this.sentRate(now))
     if (health === 'good') this._ejection.succeeded(start)
-    else if (health === 'unclear') this._ejection.ended(start)
+    else if (health === 'unclear' || health === 'rejecting') this._ejection.ended(start)
     else this._ejection.failed(start, now)
   }
 
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -206,6 +206,24 @@
     })
   }
 
+  const rejectionCases: [name: string, rejections: readonly string[], later: number, expected: string][] = [
+    ['prefers a distant endpoint after a rejection', ['a'], 200, 'far'],
+    ['returns to a near endpoint some time after a rejection', ['a'], 30_000, 'a'],
+    ['chooses the near endpoint if both rejected a request', ['a', 'far'], 200, 'a']
+  ]
+  for (const [name, rejections, later, expected] of rejectionCases) {
+    it(name, () => {
+      const chooser = createChooser(['a', 'far'].map(id => record(id, id === 'far' ? 'far' : 'koshi', { service: 'desk' })))
+      const plainNeed = { ...need, model: '', usualObjective: 120 }
+      for (const [index, id] of rejections.entries()) {
+        const choice = chooser.choose(desk, { ...plainNeed, tried: new Set(['a', 'far'].filter(other => other !== id)) }, 1_000)
+        if (choice !== undefined) chooser.sent(choice, `r${index}`, 0, 1_000)
+        chooser.ended(id, `r${index}`, 'rejecting', 1_000)
+      }
+      assert.equal(chooser.choose(desk, plainNeed, 1_000 + later)?.record.id, expected)
+    })
+  }
+
   it('lets one request at a time find out whether an unreachable endpoint can be reached again', () => {
     const chooser = createChooser([record('a', 'koshi', { service: 'desk' })])
     for (const at of [1_000, 1_300, 1_600]) chooser.connectionFailed('a', 'connection-timed-out', at - 45, at)
--- a/packages/fuzz/src/lib/plain-figures.ts
+++ b/packages/fuzz/src/lib/plain-figures.ts
@@ -42,7 +42,9 @@
   resetting: disturbEndpoints('resetting'),
   failing: disturbEndpoints('failing'),
   hanging: disturbEndpoints('hanging'),
-  slow: disturbEndpoints('slow')
+  slow: disturbEndpoints('slow'),
+  rejecting: disturbEndpoints('rejecting'),
+  shedding: disturbEndpoints('shedding')
 }
 
 /** The names of all faults. */
--- a/packages/fuzz/src/lib/plain-world.ts
+++ b/packages/fuzz/src/lib/plain-world.ts
@@ -32,9 +32,10 @@
 
 /**
  * How an endpoint treats requests: as it should; it answers no connection; it refuses them; it goes down and up by turns; it resets
- * every connection after the request; it answers about half of the requests with a failure; it accepts requests and never answers; it works much longer.
+ * every connection after the request; it answers about half of the requests with a failure; it accepts requests and never answers; it works
+ * much longer; it rejects every request as not run; it rejects about half of them.
  */
-export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging' | 'slow'
+export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging' | 'slow' | 'rejecting' | 'shedding'
 
 /** A class of requests. */
 export type PlainClass = 'unsafe' | 'safe'
@@ -90,7 +91,9 @@
 const MIN_WORK = 10
 const MAX_WORK = 30
 const FAILING_SHARE = 0.45
-const workFactors: Record<EndpointCondition, number> = { healthy: 1, silent: 1, refusing: 1, flapping: 1, resetting: 0, failing: 1, hanging: 1, slow: 8 }
+const workFactors: Record<EndpointCondition, number> = { healthy: 1, silent: 1, refusing: 1, flapping: 1, resetting: 0, failing: 1, hanging: 1, slow: 8, rejecting: 0, shedding: 1 }
+/** The shares of requests that are rejected as not run. */
+const rejectedShares: Partial<Record<EndpointCondition, number>> = { rejecting: 1, shedding: 0.45 }
 /** A path with more loss or delay than this is not counted as one that can serve. */
 const MAX_LOSS = 0.2
 const MAX_DELAY = 20
@@ -242,6 +245,7 @@
     const { world } = this
     request.entry.chooser.connected(startKeyOf(choice.record))
     if (endpoint.condition === 'hanging') return world.after(request.deadline - world.now, undefined, () => this._onDeadline(request, choice, begunAt))
+    if (world.random() < (rejectedShares[endpoint.condition] ?? 0)) return world.after(answerDelay, undefined, () => this._onEnd(request, choice, begunAt, { type: 'not-run', reason: 'full' }))
     const work = workFactors[endpoint.condition] * world.uniform(MIN_WORK, MAX_WORK)
     world.after(work + answerDelay, undefined, () => this._onEnd(request, choice, begunAt, this._answerOf(request, endpoint)))
   }
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -141,7 +141,7 @@
   ]
 }
 
-const conditions: readonly EndpointCondition[] = ['silent', 'refusing', 'flapping', 'resetting', 'failing', 'hanging', 'slow', 'healthy']
+const conditions: readonly EndpointCondition[] = ['silent', 'refusing', 'flapping', 'resetting', 'failing', 'hanging', 'slow', 'rejecting', 'shedding', 'healthy']
 /** Times are in milliseconds. */
 const MAX_PLAIN_REQUESTS = 400
 /** Requests that are all sent before the first of them ends cannot avoid an endpoint that has just begun to fail. */
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -319,6 +319,11 @@
   override ended (...[start, request, , now]: Parameters<EndpointChooser['ended']>): void { super.ended(start, request, 'unclear', now) }
 }
 
+/** Learns nothing from requests that endpoints reject. */
+class RejectionIgnoringChooser extends EndpointChooser {
+  override ended (...[start, request, health, now]: Parameters<EndpointChooser['ended']>): void { super.ended(start, request, health === 'rejecting' ? 'unclear' : health, now) }
+}
+
 /** Leaves only the newest version in a delta. */
 function onlyNewest (changes: readonly PublishedChange[]): PublishedChange[] {
   const newest = changes.filter(({ type }) => type === 'wanted-version').at(-1)
@@ -366,6 +371,7 @@
   routed('cut-off-entries-not-counted', 'retry-bound', { fleet: () => new LatestCountFleet() }),
   plain('lost-connections-exclude', 'each-class-served', { chooser: (...given) => new LossExcludingChooser(...given), connections: () => singleConnection }),
   plain('failures-not-counted', 'each-class-served', { chooser: (...given) => new FailureIgnoringChooser(...given) }),
+  plain('rejections-not-counted', 'each-class-served', { chooser: (...given) => new RejectionIgnoringChooser(...given) }),
   limits('limits-not-heeded', 'within-limit', { limits: (...given) => new IgnoredLimits(...given) }),
   limits('each-entry-has-the-whole-limit', 'within-limit', { limits: (_entries, draw) => new EndpointLimits(() => 1, draw) }),
   limits('cold-not-limited', 'within-cold-rate', { cold: (...given) => new UnlimitedCold(...given) }),
--- a/packages/fuzz/src/test/few-plain-endpoints_test.ts
+++ b/packages/fuzz/src/test/few-plain-endpoints_test.ts
@@ -45,7 +45,7 @@
 })
 
 describe('a removed protection of few endpoints is detected', () => {
-  for (const name of ['lost-connections-exclude', 'failures-not-counted']) {
+  for (const name of ['lost-connections-exclude', 'failures-not-counted', 'rejections-not-counted']) {
     it(name, () => {
       const variant = variants.find(candidate => candidate.name === name)
       const finding = variant?.run({ seed: 7, runs: 400 })
