The only endpoint of a plain service is used after it rejected a request

What callers saw: a plain endpoint that rejected a request was excluded for 100 ms, also if no other was left, so that the next request of the entry was refused without being sent, although each request takes a place for some tens of milliseconds only.

Cause: a rejection of a moment ago was taken as proof that the endpoint has no room now.

Change: such an endpoint comes after all others, and is used if there is none. The retry delay still follows the end of the skip.

--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -17,6 +17,8 @@
   readonly lostConnections: number
   /** The share of requests that it fails, 0 to 1. */
   readonly failureShare: number
+  /** Whether it rejected a request a moment ago, so that it probably rejects the next one. */
+  readonly hasRejected: boolean
 }
 
 /** The cost of a lost connection to its caller, in milliseconds. */
@@ -26,7 +28,7 @@
 
 /** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
 export const standingPreferences: readonly ((standing: EndpointStanding) => boolean)[] = [
-  ({ reach, isOneOfMany, mayTry }) => reach === 'reachable' || (mayTry && !isOneOfMany),
+  ({ reach, isOneOfMany, mayTry, hasRejected }) => !hasRejected && (reach === 'reachable' || (mayTry && !isOneOfMany)),
   ({ reach }) => reach !== 'unreachable',
   ({ mayTry }) => mayTry
 ]
