Slow answers of a plain endpoint are remembered for a number of requests

What callers saw: payments late while one or two of three endpoints worked eight times slower, although the third had room.

Cause: the measured time of an endpoint approached the mean of its service within two seconds, whatever the rate of requests. An entry that sends one request a second went back to the slow endpoint with every other one. The same class of fault as failures that were forgotten before the next request.

Change: the choice between plain endpoints remembers slow answers as long as failures: half of it for 20 requests, within 4 to 20 s. Admission goes on with the time that decays within seconds, since it would otherwise refuse requests to a service that has recovered.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -12,9 +12,9 @@
 import { SOON_ENOUGH_SHARE, costOf, distanceFactor } from './choice-price.js'
 import { generationTimeWhenFull, prefillTime } from './engine-model.js'
 import { openGate, type EndpointGate, type SparedFor } from './endpoint-gate.js'
-import { EndpointLoad, type LoadReport } from './endpoint-load.js'
+import { EndpointLoad, type LoadReport, type PlainService } from './endpoint-load.js'
 import { EndpointReach } from './endpoint-reach.js'
-import { failureCost, standingPreferences, type EndpointStanding } from './endpoint-standing.js'
+import { standingCost, standingPreferences, type EndpointStanding } from './endpoint-standing.js'
 import { FailureRate } from './failure-rate.js'
 import { COMMON_PLACE, QueueMix, type QueuePlace } from './queue-mix.js'
 import { takesLate } from './late-placement.js'
@@ -173,7 +173,7 @@
 
   /** Records the response time of a plain request, in milliseconds. */
   recordPlainAnswer (start: string, milliseconds: number, now: number): void {
-    this._stateOfStart(start).load.recordPlainAnswer(milliseconds, this._plainTime.value(now), now)
+    this._stateOfStart(start).load.recordPlainAnswer(milliseconds, this._plainService(now), now)
     this._plainTime.took(milliseconds, now)
   }
 
@@ -217,9 +217,19 @@
     const lostConnections = reach === 'reachable' ? 0 : state.reach.failures
     // Endpoints of a pool are many, and their requests can be resumed elsewhere: against failing ones ejection suffices.
     const isOneOfMany = pool !== undefined
-    return { reach, isOneOfMany, mayTry: state.reach.mayTry(now), lostConnections, failureShare: isOneOfMany ? 0 : this._failureShareOf(state, usualObjective, now), hasRejected: !isOneOfMany && hasRejected(state, now) }
+    return {
+      reach,
+      isOneOfMany,
+      mayTry: state.reach.mayTry(now),
+      lostConnections,
+      failureShare: isOneOfMany ? 0 : this._failureShareOf(state, usualObjective, now),
+      slowness: isOneOfMany ? 0 : state.load.rememberedSlowness(this._plainService(now), now),
+      hasRejected: !isOneOfMany && hasRejected(state, now)
+    }
   }
 
+  private _plainService (now: number): PlainService { return { usual: this._plainTime.value(now), requestRate: this.sentRate(now) } }
+
   private _failureShareOf ({ failures, load }: EndpointState, objective: number, now: number): number {
     const overdue = load.overdue(overdueTime({ expected: this._plainTime.value(now), objective }), now)
     return failures.value(now, this.sentRate(now), overdue)
@@ -241,7 +251,7 @@
       .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
-    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + failureCost(this._standingOf(choice.record, service, need, now), need.usualObjective))
+    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + standingCost(this._standingOf(choice.record, service, need, now), need.usualObjective))
     const picked = this._pick(choices, costs, service, need, now)
     return picked === undefined ? undefined : this._choiceOf(picked, service, need, now)
   }
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -7,8 +7,10 @@
  * Estimates the load of one endpoint, as seen by one entry: the endpoint's last load report, if there is one, corrected by the
  * requests that this entry has sent and seen end since.
  */
-import { decay } from '../decay.js'
+import { decay, halfLifeOf } from '../decay.js'
 import { firstTokenTime, prefillRate } from './engine-model.js'
+import { UNUSED_HALF_LIFE } from './failure-rate.js'
+import { PlainResponseTime } from './plain-response-time.js'
 import { COMMON_PLACE, type QueuePlace } from './queue-mix.js'
 import type { PoolDescription } from '../published/routing-configuration.js'
 
@@ -84,11 +86,19 @@
 /** The half-life of the longest measured round trip time, in milliseconds: a few times the queue of a link with reduced bandwidth. */
 const ROUND_TRIP_HALF_LIFE = 2_000
 /**
- * Without new answers, the measured time of a plain endpoint decays towards its service's mean with this half-life, in
- * milliseconds: an endpoint so slow that requests go elsewhere would otherwise never be tried again.
+ * Without new answers, the expected time of a plain endpoint decays towards its service's mean with this half-life, in
+ * milliseconds: requests to a service that is slow at all endpoints are refused, and would otherwise be refused for ever.
  */
 const PLAIN_TIME_HALF_LIFE = 2_000
 
+/** What one entry knows of a plain service as a whole. */
+export interface PlainService {
+  /** The mean response time, in milliseconds; 0 if unknown. */
+  readonly usual: number
+  /** The rate of this entry's requests to it, in requests per millisecond. */
+  readonly requestRate: number
+}
+
 /** The load of one endpoint, as seen by one entry. */
 export class EndpointLoad {
   private readonly _sent = new Map<string, RequestInFlight>()
@@ -106,8 +116,8 @@
   private _longestRoundTripAt = 0
   private _slowness = 1
   private _slownessAt = 0
-  private _plainTime: number | undefined
-  private _plainTimeAt = 0
+  private readonly _plainTime = new PlainResponseTime()
+  private readonly _rememberedPlainTime = new PlainResponseTime()
 
   /** The number of requests of this entry that are in flight at the endpoint. */
   get outstanding (): number { return this._sent.size }
@@ -233,15 +243,10 @@
     if (predicted !== undefined && predicted > 0 && !sent.place.late) this._addSlowness((now - sent.sentAt) / predicted, now)
   }
 
-  /**
-   * Records the total response time of a plain request, in milliseconds.
-   *
-   * @param usual The mean response time of the service; 0 if unknown.
-   */
-  recordPlainAnswer (milliseconds: number, usual: number, now: number): void {
-    const before = this._decayedPlainTime(usual, now) || milliseconds
-    this._plainTime = before + SLOWNESS_SMOOTHING * (milliseconds - before)
-    this._plainTimeAt = now
+  /** Records the total response time of a plain request, in milliseconds. */
+  recordPlainAnswer (milliseconds: number, { usual, requestRate }: PlainService, now: number): void {
+    this._plainTime.took(milliseconds, usual, PLAIN_TIME_HALF_LIFE, now)
+    this._rememberedPlainTime.took(milliseconds, usual, halfLifeOf(UNUSED_HALF_LIFE, requestRate), now)
   }
 
   ended (request: string): void {
@@ -276,12 +281,16 @@
    */
   expectedPlainAnswer (slots: number, usual: number, now: number): number {
     const waiting = Math.max(0, this._sent.size + 1 - slots)
-    return this._decayedPlainTime(usual, now) * (1 + waiting / Math.max(1, slots))
+    return this._plainTime.value(usual, PLAIN_TIME_HALF_LIFE, now) * (1 + waiting / Math.max(1, slots))
   }
 
-  private _decayedPlainTime (usual: number, now: number): number {
-    if (this._plainTime === undefined) return usual
-    return usual + (this._plainTime - usual) * decay(now - this._plainTimeAt, PLAIN_TIME_HALF_LIFE)
+  /**
+   * How much slower a plain endpoint was than is expected of it now, in milliseconds. A request that finds out whether it has recovered is
+   * late if it has not, so this lasts for a number of requests.
+   */
+  rememberedSlowness ({ usual, requestRate }: PlainService, now: number): number {
+    const remembered = this._rememberedPlainTime.value(usual, halfLifeOf(UNUSED_HALF_LIFE, requestRate), now)
+    return Math.max(0, remembered - this._plainTime.value(usual, PLAIN_TIME_HALF_LIFE, now))
   }
 
   /** The unread prompt tokens in the report, less those that the engine has read since. */
--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -17,6 +17,8 @@
   readonly lostConnections: number
   /** The share of requests that it fails, 0 to 1. */
   readonly failureShare: number
+  /** How much slower it was than is expected of it now, in milliseconds. */
+  readonly slowness: number
   /** Whether it rejected a request a moment ago, so that it probably rejects the next one. */
   readonly hasRejected: boolean
 }
@@ -34,12 +36,12 @@
 ]
 
 /**
- * Returns the expected cost of further failures, in milliseconds. Failures that all endpoints have in common cost the same at each.
+ * Returns the expected cost of further failures and slow answers, in milliseconds. Failures that all endpoints have in common cost the same at each.
  *
  * @param objective The mean objective of the service's requests, in milliseconds.
  * @example
- * const cost = costOf(candidate, load, view) + failureCost(standing, need.usualObjective)
+ * const cost = costOf(candidate, load, view) + standingCost(standing, need.usualObjective)
  */
-export function failureCost ({ lostConnections, failureShare }: EndpointStanding, objective: number): number {
-  return lostConnections * LOST_CONNECTION_COST + failureShare * FAILURE_COST * objective
+export function standingCost ({ lostConnections, failureShare, slowness }: EndpointStanding, objective: number): number {
+  return slowness + lostConnections * LOST_CONNECTION_COST + failureShare * FAILURE_COST * objective
 }
--- a/packages/core/src/lib/routing/choice/failure-rate.ts
+++ b/packages/core/src/lib/routing/choice/failure-rate.ts
@@ -7,17 +7,15 @@
  * The share of its requests at which one endpoint fails, as seen by one entry. Between endpoints it counts as a cost, so that the one
  * that fails least is used however many fail, and failures that all have in common, such as errors of the application, change nothing.
  */
-import { decay } from '../decay.js'
+import { decay, halfLifeOf, type RequestHalfLife } from '../decay.js'
 
 /** Weight of the newest request in the moving average. */
 const SMOOTHING = 0.15
 /**
- * Without requests the share decays with this half-life, since an endpoint that is not used shows no recovery: a number of requests of the
- * entry to the service, so that the requests that find out are a small part of all, within bounds in milliseconds.
+ * The half-life of what is known about an endpoint that is not used, since it shows no recovery: a number of requests of the entry to the
+ * service, so that the requests that find out are a small part of all.
  */
-const HALF_LIFE_REQUESTS = 20
-const MIN_HALF_LIFE = 4_000
-const MAX_HALF_LIFE = 20_000
+export const UNUSED_HALF_LIFE: RequestHalfLife = { requests: 20, min: 4_000, max: 20_000 }
 
 /** The failure rate of one endpoint. */
 export class FailureRate {
@@ -33,8 +31,7 @@
    * const cost = expected + failures.value(now, chooser.sentRate(now)) * FAILURE_COST
    */
   value (now: number, requestRate: number, overdue = 0): number {
-    const halfLife = Math.min(MAX_HALF_LIFE, Math.max(MIN_HALF_LIFE, HALF_LIFE_REQUESTS / requestRate))
-    const share = this._share * decay(now - this._updatedAt, halfLife)
+    const share = this._share * decay(now - this._updatedAt, halfLifeOf(UNUSED_HALF_LIFE, requestRate))
     return 1 - (1 - share) * (1 - SMOOTHING) ** overdue
   }
 
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -224,6 +224,20 @@
     })
   }
 
+  const slowCases: [name: string, took: readonly number[], later: number, expected: string][] = [
+    ['avoids a near endpoint for some requests after slow answers', [170, 170], 6_000, 'far'],
+    ['returns to it when it may have recovered', [170, 170], 90_000, 'a'],
+    ['keeps to a near endpoint that answers as usual', [20, 20], 6_000, 'a']
+  ]
+  for (const [name, took, later, expected] of slowCases) {
+    it(name, () => {
+      const chooser = createChooser(['a', 'far'].map(id => record(id, id === 'far' ? 'far' : 'koshi', { service: 'desk' })))
+      for (const milliseconds of took) chooser.recordPlainAnswer('a', milliseconds, 1_000)
+      for (let answer = 0; answer < 4; answer += 1) chooser.recordPlainAnswer('far', 20, 1_000)
+      assert.equal(chosen(chooser, { model: '', usualObjective: 120 }, desk, 1_000 + later), expected)
+    })
+  }
+
   const skipCases: [name: string, endpoints: readonly string[], expected: string | undefined][] = [
     ['uses the only endpoint of a plain service right after it rejected a request', ['a'], 'a'],
     ['prefers an endpoint that rejected none lately', ['a', 'far'], 'far']
