A near endpoint that was slow is not soon enough

What callers saw: in a play with two of three endpoints eight times slower, 110 of 272 payments were late although slow answers are remembered.

Cause: other zones cost three times as much while an endpoint of the own zone is expected to answer soon. That looked at the time which decays within two seconds, so a slow endpoint made the distant one too expensive again.

Change: the memory of slow answers counts there too.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -250,8 +250,10 @@
       .map(record => this._candidateOf(record, service, need, now, open.length))
       .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
-    const view = { place: this._place, service, need, distanceFactor: distanceFactor(choices, this._place, need), now }
-    const costs = choices.map(choice => costOf(choice, this._stateOf(choice.record).load, view) + standingCost(this._standingOf(choice.record, service, need, now), need.usualObjective))
+    const weighed = choices.map(choice => ({ choice, standing: this._standingOf(choice.record, service, need, now) }))
+    const remembered = weighed.map(({ choice, standing }) => ({ ...choice, expected: choice.expected + standing.slowness }))
+    const view = { place: this._place, service, need, distanceFactor: distanceFactor(remembered, this._place, need), now }
+    const costs = weighed.map(({ choice, standing }) => costOf(choice, this._stateOf(choice.record).load, view) + standingCost(standing, need.usualObjective))
     const picked = this._pick(choices, costs, service, need, now)
     return picked === undefined ? undefined : this._choiceOf(picked, service, need, now)
   }
