An entry logs routes that it serves too little, and what keeps requests from the endpoints

Cause: a report that payments earned too little said nothing about why; refusals are logged one by one, as far as the rate of lines allows, and no line showed that an endpoint is not listed at all.

Change: route-short, at most once in five seconds for each route: results, reasons, and the listed endpoints by condition. The counter routes_short.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -46,6 +46,9 @@
 /** Why an endpoint cannot take a request now. */
 export type ExclusionReason = 'draining' | 'region-not-allowed' | 'tried' | 'connections-used' | 'old-version' | 'not-accepting' | 'would-start-late' | 'unreachable' | SkipReason | SparedFor
 
+/** What keeps requests from an endpoint, if anything does. */
+export type EndpointCondition = ExclusionReason | 'open' | 'evacuated'
+
 /** How long an endpoint is skipped, in milliseconds. A full or switching endpoint is retried soon. */
 const skipTimes: Record<SkipReason, number> = { refused: 100, 'wrong-instance': 3_000, 'wrong-version': 150 }
 /**
@@ -379,6 +382,24 @@
     return new Map(this._records.map(record => [record.id, this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? (this._stateOf(record).reach.mayTry(now) ? 'would-start-late' : 'unreachable')]))
   }
 
+  /**
+   * Returns the numbers of listed endpoints by what keeps a request from them: `open` for those that may be sent one, `evacuated` for those
+   * in evacuated zones.
+   *
+   * @example
+   * log.warn('route-short', Object.fromEntries(chooser.conditions(service, need, now)))
+   */
+  conditions (service: ServiceDescription, need: EndpointRequirements, now: number): ReadonlyMap<EndpointCondition, number> {
+    const counts = new Map<EndpointCondition, number>()
+    const add = (condition: EndpointCondition): void => { counts.set(condition, (counts.get(condition) ?? 0) + 1) }
+    for (const record of this._records) {
+      const reach = this._stateOf(record).reach.state(now)
+      add(this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? (reach === 'unreachable' ? reach : 'open'))
+    }
+    for (let endpoint = 0; endpoint < this._evacuated.length; endpoint += 1) add('evacuated')
+    return counts
+  }
+
   private _isOpen (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
     return this._canTake(record, service, need, now) && this._sparedFor(record, now) === undefined
   }
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -238,6 +238,13 @@
     })
   }
 
+  it('counts the endpoints by what keeps requests from them', () => {
+    const chooser = createChooser([])
+    chooser.setRecords([record('a', 'koshi', { draining: true }), record('b'), record('c', 'next'), record('d', 'far')], undefined, new Set(['next']))
+    chooser.connectionFailed('d', 'connection-refused', 1_000, 1_000)
+    assert.deepEqual(Object.fromEntries(chooser.conditions(desk, { ...need, model: '' }, 1_001)), { draining: 1, open: 1, unreachable: 1, evacuated: 1 })
+  })
+
   const skipCases: [name: string, endpoints: readonly string[], expected: string | undefined][] = [
     ['uses the only endpoint of a plain service right after it rejected a request', ['a'], 'a'],
     ['prefers an endpoint that rejected none lately', ['a', 'far'], 'far']
--- a/packages/node/src/lib/routing/request-record.ts
+++ b/packages/node/src/lib/routing/request-record.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Records one request for operators: log lines, counters, and latency histograms by organisation and route. */
-import { isConnectionFailure, reasonOf, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type NextAction, type OrganisationDescription, type RequestFailure, type RequestTrait, type Route, type SilenceCounts, type TraitKind, type WaitReason } from '@drumdrift/core'
+import { isConnectionFailure, MIN_FAILURE_STATUS, reasonOf, type AttemptEnd, type ChosenEndpoint, type ConnectionFailure, type NextAction, type OrganisationDescription, type RequestFailure, type RequestTrait, type Route, type RouteShortfalls, type SilenceCounts, type TraitKind, type WaitReason } from '@drumdrift/core'
 import type { Histograms } from '../observe/histograms.js'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -18,6 +18,7 @@
   readonly log: Log
   readonly counters: Counters
   readonly histograms: Histograms
+  readonly shortfalls: Pick<RouteShortfalls, 'record'>
 }
 
 /** The properties of a request that are recorded. */
@@ -130,11 +131,22 @@
     this._dependencies.counters.add(`requests_${result.type}`)
     if (result.type === 'refused' && result.failure.code === 'gave-way') this._dependencies.counters.add('requests_gave_way')
     this._recordLatency(result.type === 'refused' ? 'refusal' : 'whole-answer', took)
+    this._recordShortfall(result, (firstEventAt ?? now) - receivedAt)
     this._dependencies.log.request('request-ended', {
       id: head.id, route: route.name, organisation: organisation?.name, configuration: configurationVersion, result: result.type, ...resultFields(result), took: Math.round(took), first: firstEventAt === undefined ? undefined : Math.round(firstEventAt - receivedAt), objective: route.objective, gap: Math.round(longestGap), attempts
     })
   }
 
+  /** A request that its caller abandoned shows nothing. */
+  private _recordShortfall (result: RequestResult, answeredAfter: number): void {
+    const { route: { name, objective } } = this._request
+    const { shortfalls } = this._dependencies
+    if (result.type === 'abandoned') return
+    if ('failure' in result) return shortfalls.record(name, result.type === 'refused' ? 'refused' : 'failed', result.failure.code)
+    if (result.status >= MIN_FAILURE_STATUS) return shortfalls.record(name, 'failed', String(result.status))
+    shortfalls.record(name, answeredAfter <= objective ? 'in-time' : 'late')
+  }
+
   private _recordLatency (measure: 'first-token' | 'whole-answer' | 'refusal', milliseconds: number): void {
     const { route, organisation } = this._request
     this._dependencies.histograms.record({ measure, organisation: organisation?.name ?? 'none', requestClass: route.name }, milliseconds)
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -8,7 +8,7 @@
  * published state, follows the load of the engines, and routes requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ageOf, AwaitedEndpoints, publishedTopics, readNamedVersion, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange } from '@drumdrift/core'
+import { ageOf, AwaitedEndpoints, publishedTopics, readNamedVersion, RouteShortfalls, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange } from '@drumdrift/core'
 import { EndpointLiveness } from '../endpoint-liveness.js'
 import { probeEndpoint } from '../endpoint-probe.js'
 import { Histograms } from '../observe/histograms.js'
@@ -86,6 +86,7 @@
   private _table: RouteTable | undefined
   private readonly _traits: RequestTraits
   private readonly _takeStall = stallCounter()
+  private readonly _shortfalls = new RouteShortfalls(performance.now())
   private readonly _awaited = new AwaitedEndpoints(runningTime)
   private readonly _liveness = new EndpointLiveness(probeEndpoint)
   /** Agents that reported an implausible number of entries; each is logged once. */
@@ -219,7 +220,8 @@
       traits: (request, scope) => this._traits.of(request, scope),
       log: this._log,
       counters: this._counters,
-      histograms: this._histograms
+      histograms: this._histograms,
+      shortfalls: this._shortfalls
     }
   }
 
@@ -346,6 +348,7 @@
   /** An entry in the list that is written again and says the same is no change of the list, but may say that an endpoint is not cold. */
   private _checkRequests (): void {
     this._logStall()
+    this._logShortfalls()
     this._front.rescheduleCancellations()
     this._front.checkSilence()
     if (this._notices.awaitsEntries) this._notices.apply(this._feed.state)
@@ -358,6 +361,17 @@
     this._log.warn('process-paused', { for: Math.round(stalledFor) })
   }
 
+  private _logShortfalls (): void {
+    const now = performance.now()
+    for (const { route, requests, results, reasons } of this._shortfalls.take(now)) {
+      this._counters.add('routes_short')
+      const services = this._table?.configuration.routes.find(({ name }) => name === route)?.targets.map(({ service }) => service) ?? []
+      this._log.warn('route-short', {
+        route, requests, in_time: results['in-time'], late: results.late, refused: results.refused, failed: results.failed, reasons: formatCounts(reasons), endpoints: services.map(service => `${service}(${formatCounts(this._units.conditionsOf(service, now))})`).join(' ')
+      })
+    }
+  }
+
   /** Attempts that wait at an engine may have been sent before a newer version, or the time of its publication, was known. */
   private _onVersionsChanged (changes: readonly PublishedChange[]): void {
     this._front.rescheduleCancellations()
@@ -393,3 +407,5 @@
     else responder.send({ type: 'refused', reason: 'not-supported', detail: 'a route entry does not support this request type' })
   }
 }
+
+function formatCounts (counts: ReadonlyMap<string, number>): string { return [...counts].map(([name, count]) => `${name}:${count}`).join(',') }
--- a/packages/node/src/lib/routing/service-units.ts
+++ b/packages/node/src/lib/routing/service-units.ts
@@ -7,7 +7,7 @@
  * The services to which one entry routes, each with its endpoints and the entry's share of the retry budget. They follow the
  * published state.
  */
-import { EndpointChooser, type EndpointGate, enginesToFollow, FirstTryEstimator, FleetSize, isEarlierStart, RetryAllowance, startKeyOf, ServiceAdmission, urgenciesOf, UsualObjective, type EndpointRecord, type LoadReport, type EntryLocation, type PublishedState, type RetryLimits, type ServiceDescription, type AgentZone } from '@drumdrift/core'
+import { EndpointChooser, type EndpointGate, enginesToFollow, FirstTryEstimator, FleetSize, isEarlierStart, RetryAllowance, startKeyOf, ServiceAdmission, urgenciesOf, UsualObjective, type EndpointCondition, type EndpointRecord, type EndpointRequirements, type LoadReport, type EntryLocation, type PublishedState, type RetryLimits, type ServiceDescription, type AgentZone } from '@drumdrift/core'
 import { stalledTime } from '../periodic-tasks.js'
 import { parseAddress } from '../settings/address.js'
 
@@ -30,6 +30,9 @@
  */
 const FIRST_REPORT_TIMEOUT = 3_000
 
+/** The requirements that every endpoint of a service meets unless something keeps all requests from it. */
+const ANY_REQUEST: EndpointRequirements = { promptTokens: 0, answerTokens: 0, model: '', leastVersion: 0, mustBeginBy: () => undefined, usualObjective: 0, tried: new Set() }
+
 /** The endpoint on the instance of an agent, and its service. */
 interface AgentEndpoint {
   readonly service: string
@@ -60,6 +63,12 @@
 
   get (service: string): ServiceUnit | undefined { return this._units.get(service) }
 
+  /** The numbers of listed endpoints of a service by what keeps requests from them now: see `EndpointChooser.conditions`. */
+  conditionsOf (service: string, now: number): ReadonlyMap<EndpointCondition, number> {
+    const unit = this._units.get(service)
+    return unit === undefined ? new Map() : unit.chooser.conditions(unit.description, ANY_REQUEST, now)
+  }
+
   /** The addresses of the agents of all pools. */
   get agents (): ReadonlySet<string> { return new Set(this._byAgent.keys()) }
   /** The addresses of the agents whose engines this entry follows and sends requests to. */
