--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -226,8 +226,7 @@
       mayTry: state.reach.mayTry(now),
       lostConnections,
       failureShare: isOneOfMany ? 0 : this._failureShareOf(state, usualObjective, now),
-      slowness: isOneOfMany ? 0 : state.load.rememberedSlowness(this._plainService(now), now),
-      hasRejected: !isOneOfMany && hasRejected(state, now)
+      slowness: isOneOfMany ? 0 : state.load.rememberedSlowness(this._plainService(now), now)
     }
   }
 
@@ -277,7 +276,7 @@
   opening (service: ServiceDescription, need: EndpointRequirements, now: number): PoolOpening {
     const allowed = this._records.filter(record => this._isAllowed(record, need))
     const capable = allowed.filter(record => this._canTake(record, service, { ...need, tried: new Set() }, now))
-    if (service.pool === undefined) return this._openingOf(capable.filter(record => this._isPreferred(record, now)), now) ?? this._endOfSkips(allowed, now)
+    if (service.pool === undefined) return this._openingOf(capable.filter(record => this._stateOf(record).reach.state(now) !== 'unreachable'), now) ?? this._endOfSkips(allowed, now)
     const reporting = allowed.filter(record => this._stateOf(record).load.report(now) !== undefined)
     if (reporting.length === 0) return { type: 'silent' }
     const times = reporting.flatMap(record => this._stateOf(record).load.opensAt(now) ?? [])
@@ -286,12 +285,6 @@
     return times.length === 0 ? { type: 'unknown' } : { type: 'expected', in: Math.max(0, Math.min(...times) - now) }
   }
 
-  /** Whether an endpoint of a plain service need not be avoided. */
-  private _isPreferred (record: EndpointRecord, now: number): boolean {
-    const state = this._stateOf(record)
-    return state.reach.state(now) !== 'unreachable' && !hasRejected(state, now)
-  }
-
   /** When a plain service opens that is closed because its endpoints are skipped or unreachable. */
   private _endOfSkips (records: readonly EndpointRecord[], now: number): PoolOpening {
     const ends = records.filter(({ draining }) => !draining).map(record => this._stateOf(record).skippedUntil - now).filter(left => left > 0)
@@ -419,7 +412,7 @@
     if (!this._isAllowed(record, need)) return 'region-not-allowed'
     if (need.tried.has(startKeyOf(record))) return 'tried'
     const known = this._stateOf(record)
-    if (known.skippedUntil > now && !this._isLastResort(known, service)) return known.skippedFor
+    if (known.skippedUntil > now) return known.skippedFor
     if (known.load.outstanding >= service.maxConnections) return 'connections-used'
     if (service.pool === undefined || need.model === '') return undefined
     const version = this.versionOf(record, need.model, now)
@@ -427,9 +420,6 @@
     return known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
   }
 
-  /** Whether a skipped endpoint is used if there is no other. One that rejected a request may have room for the next. */
-  private _isLastResort ({ skippedFor }: EndpointState, { pool }: ServiceDescription): boolean { return pool === undefined && skippedFor === 'refused' }
-
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
     const { load } = this._stateOf(record)
     const slots = record.slots > 0 ? record.slots : ASSUMED_SLOTS
@@ -466,8 +456,6 @@
   }
 }
 
-function hasRejected ({ skippedFor, skippedUntil }: EndpointState, now: number): boolean { return skippedFor === 'refused' && skippedUntil > now }
-
 function pickAt (candidates: readonly EndpointCandidate[], index: number, waitFromOthers: number): PickedCandidate | undefined {
   const candidate = candidates[index]
   return candidate === undefined ? undefined : { candidate, waitFromOthers }
--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -19,8 +19,6 @@
   readonly failureShare: number
   /** How much slower it was than is expected of it now, in milliseconds. */
   readonly slowness: number
-  /** Whether it rejected a request a moment ago, so that it probably rejects the next one. */
-  readonly hasRejected: boolean
 }
 
 /** The cost of a lost connection to its caller, in milliseconds. */
@@ -30,7 +28,7 @@
 
 /** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
 export const standingPreferences: readonly ((standing: EndpointStanding) => boolean)[] = [
-  ({ reach, isOneOfMany, mayTry, hasRejected }) => !hasRejected && (reach === 'reachable' || (mayTry && !isOneOfMany)),
+  ({ reach, isOneOfMany, mayTry }) => reach === 'reachable' || (mayTry && !isOneOfMany),
   ({ reach }) => reach !== 'unreachable',
   ({ mayTry }) => mayTry
 ]
--- a/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
+++ b/packages/core/src/test/lib/routing/choice/endpoint-chooser_test.ts
@@ -245,24 +245,6 @@
     assert.deepEqual(Object.fromEntries(chooser.conditions(desk, { ...need, model: '' }, 1_001)), { draining: 1, open: 1, unreachable: 1, evacuated: 1 })
   })
 
-  const skipCases: [name: string, endpoints: readonly string[], expected: string | undefined][] = [
-    ['uses the only endpoint of a plain service right after it rejected a request', ['a'], 'a'],
-    ['prefers an endpoint that rejected none lately', ['a', 'far'], 'far']
-  ]
-  for (const [name, endpoints, expected] of skipCases) {
-    it(name, () => {
-      const chooser = createChooser(endpoints.map(id => record(id, id === 'far' ? 'far' : 'koshi', { service: 'desk' })))
-      chooser.skip('a', 'refused', 1_000)
-      assert.equal(chosen(chooser, { model: '' }, desk, 1_001), expected)
-    })
-  }
-
-  it('skips an engine of a pool after it rejected a request', () => {
-    const chooser = createChooser([record('a')], { a: idle })
-    chooser.skip('a', 'refused', 1_000)
-    assert.equal(chosen(chooser, {}, drafting, 1_001), undefined)
-  })
-
   it('lets one request at a time find out whether an unreachable endpoint can be reached again', () => {
     const chooser = createChooser([record('a', 'koshi', { service: 'desk' })])
     for (const at of [1_000, 1_300, 1_600]) chooser.connectionFailed('a', 'connection-timed-out', at - 45, at)
