The choice of an engine copies no candidates for a memory that pools do not have

A choice among the engines of a pool made a copy of each candidate with its remembered slowness, which is 0 there.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -253,7 +253,7 @@
       .filter(choice => !mayStartTooLate(choice, need, now) && this._takesIfLate(choice, service, need, now))
     const choices = this._preferDue(inTime, need, now)
     const weighed = choices.map(choice => ({ choice, standing: this._standingOf(choice.record, service, need, now) }))
-    const remembered = weighed.map(({ choice, standing }) => ({ ...choice, expected: choice.expected + standing.slowness }))
+    const remembered = service.pool === undefined ? weighed.map(({ choice, standing }) => ({ ...choice, expected: choice.expected + standing.slowness })) : choices
     const view = { place: this._place, service, need, distanceFactor: distanceFactor(remembered, this._place, need), now }
     const costs = weighed.map(({ choice, standing }) => costOf(choice, this._stateOf(choice.record).load, view) + standingCost(standing, need.usualObjective))
     const picked = this._pick(choices, costs, service, need, now)
