--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -37,7 +37,7 @@
 /** What the result of an attempt shows about its endpoint. `rejecting`: it is alive, but did not take the request. */
 export type EndpointHealth = 'good' | 'error-answer' | 'rejecting' | 'bad' | 'unclear'
 
-/** How much a result counts as a failure. An error that the application answers may be due to the request. */
+/** How much a result counts as a failure. An error that the application answers may be due to the request, and one that was rejected can be sent again. */
 const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.6, rejecting: 0.6, bad: 1 }
 
 /** Why an endpoint is skipped temporarily. */
@@ -230,6 +230,7 @@
     }
   }
 
+  /** What is known of a plain service over all its endpoints. */
   private _plainService (now: number): PlainService { return { usual: this._plainTime.value(now), requestRate: this.sentRate(now) } }
 
   private _failureShareOf ({ failures, load }: EndpointState, objective: number, now: number): number {
