Endpoints of a plain service are compared by the objective of the request itself

Cause: costs between plain endpoints were weighed by the mean objective of the service's requests, which exists for the admission to pools. Routes that are seldom used, with an objective of 1 s, make it several times that of the payments (120 ms): an endpoint that answers after 170 ms counts as soon enough, and one application error costs a sound endpoint its requests for a while.

Change: comparedObjective, the request's own objective for a plain service. Pools are admitted to as before.

The new test fails without the change.

--- a/packages/core/src/lib/routing/attempts/early-refusal.ts
+++ b/packages/core/src/lib/routing/attempts/early-refusal.ts
@@ -7,6 +7,7 @@
  * Admission control: decides whether a request starts now or is rejected at once with a retry delay. A request that starts
  * late delays those behind it, so an overloaded pool meets more objectives when the excess load is shed.
  */
+import type { ServiceDescription } from '../published/routing-configuration.js'
 
 /** The input of an admission decision; times in milliseconds. */
 export interface AdmissionInput {
@@ -14,7 +15,7 @@
   readonly expected: number
   /** The route's objective. */
   readonly objective: number
-  /** The mean objective of the service's requests: see `UsualObjective`. */
+  /** See `comparedObjective`. */
   readonly usualObjective: number
   /** The factor on the bound of a request that gives way to others: see `AdmissionOrder`. */
   readonly boundFactor?: number | undefined
@@ -101,6 +102,18 @@
   }
 }
 
+/**
+ * Returns the objective by which a request's endpoints are compared and it is admitted, in milliseconds: the mean of its service for a pool.
+ * The endpoints of a plain service are not filled up to a bound, so there each request has its own, or a seldom-used route with a long
+ * objective would make slow endpoints count as soon enough for all others.
+ *
+ * @example
+ * const usualObjective = comparedObjective(unit.description, unit.objective, route.objective)
+ */
+export function comparedObjective ({ pool }: Pick<ServiceDescription, 'pool'>, usual: UsualObjective, objective: number): number {
+  return pool === undefined ? objective : usual.observe(objective)
+}
+
 /** The time that a rejected caller has left, in milliseconds. */
 export interface CallerTime {
   /** Time until the caller's deadline. */
--- a/packages/core/src/lib/routing/choice/endpoint-choice.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-choice.ts
@@ -29,7 +29,7 @@
   readonly leastVersion: number
   /** The time by which an endpoint that serves a version must have started the request; `undefined` for no bound. */
   readonly mustBeginBy: (version: number) => number | undefined
-  /** The mean objective of the service's requests, in milliseconds: see `UsualObjective`. */
+  /** The objective by which endpoints are compared, in milliseconds: see `comparedObjective`. */
   readonly usualObjective: number
   /** Its place in the queues of engines; `undefined` if the service's requests do not differ and it is in time. */
   readonly place?: QueuePlace | undefined
--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -36,7 +36,7 @@
 /**
  * Returns the expected cost of further failures and slow answers, in milliseconds. Failures that all endpoints have in common cost the same at each.
  *
- * @param objective The mean objective of the service's requests, in milliseconds.
+ * @param objective See `comparedObjective`.
  * @example
  * const cost = costOf(candidate, load, view) + standingCost(standing, need.usualObjective)
  */
--- a/packages/fuzz/src/lib/plain-figures.ts
+++ b/packages/fuzz/src/lib/plain-figures.ts
@@ -55,18 +55,23 @@
   readonly fault: PlainFault
   /** Requests per second of each entry. */
   readonly requestsPerSecond: number
+  /** Requests per second of each entry that have a long objective, besides; none by default. */
+  readonly patientPerSecond?: number
   readonly seed: number
 }
 
 /**
- * Plays a calm time and a faultd one.
+ * Plays a calm time and a faulty one.
  *
  * @example
  * const { figures } = playFault({ fault: 'resetting', endpoints: 3, entries: 39, requestsPerSecond: 1, seed: 7 })
  */
-export function playFault ({ fault, endpoints, entries, requestsPerSecond, seed }: PlainRun): PlainWorld {
+export function playFault ({ fault, endpoints, entries, requestsPerSecond, patientPerSecond = 0, seed }: PlainRun): PlainWorld {
   const world = new PlainWorld(seed, undefined, { endpoints, entries })
-  const load = (time: number): void => world.load(entries * requestsPerSecond * time / 1_000, time)
+  const load = (time: number): void => {
+    world.load(entries * requestsPerSecond * time / 1_000, time)
+    world.load(entries * patientPerSecond * time / 1_000, time, 'patient')
+  }
   load(CALM_TIME)
   world.world.advance(CALM_TIME)
   faults[fault](world, endpoints)
--- a/packages/fuzz/src/lib/plain-world.ts
+++ b/packages/fuzz/src/lib/plain-world.ts
@@ -8,7 +8,7 @@
  * get lost, links are slow, and endpoints fail in several ways. The oracle compares each class of requests with what could be served.
  */
 import {
-  AttemptTracker, avoidanceOf, ConnectionAttempts, EndpointChooser, healthOf, healthOfStopped, isConnectionFailure, startKeyOf, type AttemptEnd, type ChosenEndpoint, type EndpointRecord, type EndpointRequirements, type EntryLocation, type Route, type ServiceDescription
+  AttemptTracker, avoidanceOf, comparedObjective, ConnectionAttempts, EndpointChooser, healthOf, healthOfStopped, isConnectionFailure, startKeyOf, UsualObjective, type AttemptEnd, type ChosenEndpoint, type EndpointRecord, type EndpointRequirements, type EntryLocation, type Route, type ServiceDescription
 } from '@drumdrift/core'
 import { World } from './world.js'
 
@@ -37,8 +37,8 @@
  */
 export type EndpointCondition = 'healthy' | 'silent' | 'refusing' | 'flapping' | 'resetting' | 'failing' | 'hanging' | 'slow' | 'rejecting' | 'shedding'
 
-/** A class of requests. */
-export type PlainClass = 'unsafe' | 'safe'
+/** A class of requests; `patient` ones have a long objective. */
+export type PlainClass = 'unsafe' | 'safe' | 'patient'
 
 /** How the requests of a class ended; requests that no endpoint could serve do not count. */
 export interface PlainFigures {
@@ -67,6 +67,7 @@
 interface Entry {
   readonly zone: string
   readonly chooser: EndpointChooser
+  readonly usualObjective: UsualObjective
 }
 
 interface Request {
@@ -77,6 +78,8 @@
   readonly connections: ReturnType<PlainParts['connections']>
   readonly receivedAt: number
   readonly deadline: number
+  /** See `comparedObjective`. */
+  readonly objective: number
   readonly tried: Set<string>
   /** Endpoints that could serve it when it arrived. */
   readonly able: readonly Endpoint[]
@@ -84,10 +87,11 @@
 
 const ZONES = ['koshi', 'bagmati', 'gandaki'] as const
 /** Times are in milliseconds. */
-const OBJECTIVE = 120
 const CONNECT_TIMEOUT = 45
 const FLAP_PERIOD = 1_400
 const RETRANSMISSION_DELAY = 200
+/** The share of unsafe requests among those of no given class. */
+const UNSAFE_SHARE = 0.8
 const MIN_WORK = 10
 const MAX_WORK = 30
 const FAILING_SHARE = 0.45
@@ -110,13 +114,15 @@
 interface ClassDescription {
   readonly route: Pick<Route, 'kind' | 'maxAttempts' | 'resumable'>
   readonly timeout: number
+  readonly objective: number
   /** The share of requests that the application answers with a failure. */
   readonly errorShare: number
 }
 
 const classes: Record<PlainClass, ClassDescription> = {
-  unsafe: { route: { kind: 'unsafe', maxAttempts: 1, resumable: false }, timeout: 800, errorShare: 0.004 },
-  safe: { route: { kind: 'safe', maxAttempts: 2, resumable: false }, timeout: 600, errorShare: 0.14 }
+  unsafe: { route: { kind: 'unsafe', maxAttempts: 1, resumable: false }, timeout: 800, objective: 120, errorShare: 0.004 },
+  safe: { route: { kind: 'safe', maxAttempts: 2, resumable: false }, timeout: 600, objective: 120, errorShare: 0.14 },
+  patient: { route: { kind: 'safe', maxAttempts: 2, resumable: false }, timeout: 2_000, objective: 1_000, errorShare: 0 }
 }
 
 /** The names of all classes. */
@@ -127,7 +133,7 @@
 /** Simulation of entries, endpoints and the paths between their zones. */
 export class PlainWorld {
   readonly world: World
-  readonly figures: Record<PlainClass, PlainFigures> = { unsafe: emptyFigures(), safe: emptyFigures() }
+  readonly figures: Record<PlainClass, PlainFigures> = { unsafe: emptyFigures(), safe: emptyFigures(), patient: emptyFigures() }
   private readonly _entries: Entry[]
   private readonly _endpoints: Endpoint[]
   private readonly _paths = new Map<string, Path>()
@@ -140,15 +146,15 @@
     }))
     this._entries = Array.from({ length: size.entries }, (_, index) => {
       const zone = zoneOf(index)
-      return { zone, chooser: this._parts.chooser({ availabilityZone: zone, regionOf: name => name }, () => this.world.random()) }
+      return { zone, chooser: this._parts.chooser({ availabilityZone: zone, regionOf: name => name }, () => this.world.random()), usualObjective: new UsualObjective() }
     })
     for (const from of ZONES) for (const to of ZONES) this._paths.set(`${from}>${to}`, { loss: 0, delay: 0, changedAt: 0 })
     this._list(this._endpoints)
   }
 
-  /** Schedules requests over a period. */
-  load (count: number, milliseconds: number): void {
-    for (let index = 0; index < count; index += 1) this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._begin())
+  /** Schedules requests over a period, of one class or else of unsafe and safe ones. */
+  load (count: number, milliseconds: number, requestClass?: PlainClass): void {
+    for (let index = 0; index < count; index += 1) this.world.after(this.world.uniform(0, milliseconds), undefined, () => this._begin(requestClass))
   }
 
   setCondition (index: number, condition: EndpointCondition): void {
@@ -195,16 +201,16 @@
 
   private _pathBetween (from: string, to: string): Path { return this._paths.get(`${from}>${to}`) as Path }
 
-  private _begin (): void {
+  private _begin (given?: PlainClass): void {
     const { world } = this
     const entry = world.pick(this._entries) as Entry
-    const requestClass: PlainClass = world.random() < 0.8 ? 'unsafe' : 'safe'
-    const { route, timeout } = classes[requestClass]
+    const requestClass = given ?? (world.random() < UNSAFE_SHARE ? 'unsafe' : 'safe')
+    const { route, timeout, objective } = classes[requestClass]
     const receivedAt = world.now
     const deadline = receivedAt + timeout
     this._count += 1
     const able = this._endpoints.filter(endpoint => this._isAble(entry, endpoint))
-    this._send({ id: `r${this._count}`, requestClass, entry, course: new AttemptTracker(route), connections: this._parts.connections(receivedAt, deadline), receivedAt, deadline, tried: new Set(), able })
+    this._send({ id: `r${this._count}`, requestClass, entry, course: new AttemptTracker(route), connections: this._parts.connections(receivedAt, deadline), receivedAt, deadline, objective: comparedObjective(service, entry.usualObjective, objective), tried: new Set(), able })
   }
 
   private _isAble ({ zone }: Entry, { condition, record }: Endpoint): boolean {
@@ -231,8 +237,8 @@
     else world.after(roundTrip, undefined, () => this._run(request, choice, begunAt, endpoint, roundTrip + (world.random() < path.loss ? RETRANSMISSION_DELAY : 0)))
   }
 
-  private _choose ({ entry, requestClass, tried }: Request): ChosenEndpoint | undefined {
-    const need: EndpointRequirements = { promptTokens: 0, answerTokens: 0, model: '', leastVersion: 0, mustBeginBy: () => undefined, usualObjective: OBJECTIVE, tried }
+  private _choose ({ entry, objective, tried }: Request): ChosenEndpoint | undefined {
+    const need: EndpointRequirements = { promptTokens: 0, answerTokens: 0, model: '', leastVersion: 0, mustBeginBy: () => undefined, usualObjective: objective, tried }
     return entry.chooser.choose(service, need, this.world.now)
   }
 
@@ -252,7 +258,7 @@
 
   private _onDeadline (request: Request, { record, expected }: ChosenEndpoint, begunAt: number): void {
     const { now } = this.world
-    request.entry.chooser.ended(startKeyOf(record), request.id, healthOfStopped(now - begunAt, { expected, objective: OBJECTIVE }), now)
+    request.entry.chooser.ended(startKeyOf(record), request.id, healthOfStopped(now - begunAt, { expected, objective: classes[request.requestClass].objective }), now)
     this._end(request, 'failed')
   }
 
@@ -288,7 +294,7 @@
     const figures = this.figures[requestClass]
     figures.counted += 1
     if (result !== 'answered') figures[result] += 1
-    else if (now - receivedAt <= OBJECTIVE) figures.inTime += 1
+    else if (now - receivedAt <= classes[requestClass].objective) figures.inTime += 1
     else if (now <= deadline) figures.late += 1
     else figures.failed += 1
   }
--- a/packages/fuzz/src/test/few-plain-endpoints_test.ts
+++ b/packages/fuzz/src/test/few-plain-endpoints_test.ts
@@ -6,13 +6,15 @@
 // Guards against choosing endpoints that fail, or none, while one of the few endpoints of a plain service can serve.
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { playFault, plainFaults } from '../lib/plain-figures.js'
+import { playFault, plainFaults, type PlainFault } from '../lib/plain-figures.js'
 import { PlainWorld, type EndpointCondition } from '../lib/plain-world.js'
 import { variants } from '../lib/variants.js'
 
 const ENDPOINTS = 3
 /** The share of requests that must be answered: see `PlainWorld`. */
 const LEAST_SERVED_SHARE = 0.6
+/** A difference between shares of requests that other random numbers may cause. */
+const NOISE = 0.03
 
 function assertServed ({ world, figures }: PlainWorld): void {
   assert.deepEqual(world.violations, [])
@@ -44,6 +46,24 @@
   }
 })
 
+// Guards against a route with a long objective that makes slow endpoints count as soon enough for the other routes of its service.
+describe('requests with a long objective do not delay the others of their service', () => {
+  const seeds = [1, 2, 3, 4, 5]
+  const inTimeShare = (fault: PlainFault, patientPerSecond: number): number => {
+    const plays = seeds.map(seed => playFault({ fault, endpoints: ENDPOINTS, entries: 39, requestsPerSecond: 1, patientPerSecond, seed }).figures.unsafe)
+    return plays.reduce((sum, { inTime }) => sum + inTime, 0) / plays.reduce((sum, { counted }) => sum + counted, 0)
+  }
+
+  const cases: PlainFault[] = ['slow', 'failing', 'shedding', 'resetting', 'none']
+  for (const fault of cases) {
+    it(fault, () => {
+      const alone = inTimeShare(fault, 0)
+      const beside = inTimeShare(fault, 0.3)
+      assert.ok(beside >= alone - NOISE, `${beside} of the unsafe requests were in time, ${alone} without the others`)
+    })
+  }
+})
+
 describe('a removed protection of few endpoints is detected', () => {
   for (const name of ['lost-connections-exclude', 'failures-not-counted', 'rejections-not-counted']) {
     it(name, () => {
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  allowedRegionsOf, AttemptTracker, avoidanceOf, ConnectionAttempts, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, endingAtStop, healthOf, healthOfStopped, isConnectionFailure, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, reasonOf, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type AwaitedAnswer, type AwaitedEndpoints, type ChosenEndpoint, type ConnectionFailure, type EndpointHealth, type EndpointRequirements, type PoolOpening, type RequestFailure, type RetryPurpose, type SuspectSubject, type TraitKind, type WaitReason, type WholeEvents
+  allowedRegionsOf, AttemptTracker, avoidanceOf, comparedObjective, ConnectionAttempts, CRASH_WINDOW, COLD_CONNECT_TIMEOUT, endingAtStop, healthOf, healthOfStopped, isConnectionFailure, MIN_FAILURE_STATUS, MIN_UNSUCCESSFUL_STATUS, reasonOf, requestFailure, retryAfter, startKeyOf, pickService, urgencyOf, type AdmissionRequest, type AttemptEnd, type AwaitedAnswer, type AwaitedEndpoints, type ChosenEndpoint, type ConnectionFailure, type EndpointHealth, type EndpointRequirements, type PoolOpening, type RequestFailure, type RetryPurpose, type SuspectSubject, type TraitKind, type WaitReason, type WholeEvents
 } from '@drumdrift/core'
 import type { EndpointLiveness, EndpointStart } from '../endpoint-liveness.js'
 import { IoTimeout } from '../io-timeout.js'
@@ -143,7 +143,7 @@
     this._unit = this._dependencies.unit(pickService(route, this._dependencies.random()))
     const now = performance.now()
     this._unit?.retries.requested(now)
-    this._usualObjective = this._unit?.objective.observe(route.objective) ?? route.objective
+    this._usualObjective = this._unit === undefined ? route.objective : comparedObjective(this._unit.description, this._unit.objective, route.objective)
     this._objectiveDeadline = this._request.receivedAt + route.objective - this._elapsedSinceFirstTry()
     if (!this._dependencies.suspects.admits(this._subject(), now)) return this._refuseSuspect(now)
     const admission = this._unit?.admission.decide({ ...this._terms(now), service: this._unit.description, objective: route.objective }, now) ?? { type: 'no-endpoint' }
