One function formats counts for the log, and one tells what keeps a request from an endpoint

The log line of short routes and that of spared endpoints formatted counts by the same expression, and three methods of EndpointChooser combined exclusions with the gate. No behaviour changes.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -373,7 +373,7 @@
    * if (chooser.choose(service, need, now) === undefined) log.info('no-endpoint', Object.fromEntries(chooser.exclusions(service, need, now)))
    */
   exclusions (service: ServiceDescription, need: EndpointRequirements, now: number): ReadonlyMap<string, ExclusionReason> {
-    return new Map(this._records.map(record => [record.id, this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? (this._stateOf(record).reach.mayTry(now) ? 'would-start-late' : 'unreachable')]))
+    return new Map(this._records.map(record => [record.id, this._closedFor(record, service, need, now) ?? (this._stateOf(record).reach.mayTry(now) ? 'would-start-late' : 'unreachable')]))
   }
 
   /**
@@ -388,14 +388,19 @@
     const add = (condition: EndpointCondition): void => { counts.set(condition, (counts.get(condition) ?? 0) + 1) }
     for (const record of this._records) {
       const reach = this._stateOf(record).reach.state(now)
-      add(this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now) ?? (reach === 'unreachable' ? reach : 'open'))
+      add(this._closedFor(record, service, need, now) ?? (reach === 'unreachable' ? reach : 'open'))
     }
     for (let endpoint = 0; endpoint < this._evacuated.length; endpoint += 1) add('evacuated')
     return counts
   }
 
   private _isOpen (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): boolean {
-    return this._canTake(record, service, need, now) && this._sparedFor(record, now) === undefined
+    return this._closedFor(record, service, need, now) === undefined
+  }
+
+  /** What keeps a request from an endpoint, the gate included; `undefined` if nothing does. */
+  private _closedFor (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number): ExclusionReason | undefined {
+    return this._exclusionOf(record, service, need, now) ?? this._sparedFor(record, now)
   }
 
   private _sparedFor (record: EndpointRecord, now: number): SparedFor | undefined {
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -24,6 +24,7 @@
 import { settledWithin } from '../settled-within.js'
 import { ConnectionReserve } from './connection-reserve.js'
 import { bufferBoundOf, coldBoundsOf, retryLimitsOf } from './entry-bounds.js'
+import { formatCounts } from './format-counts.js'
 import { LoadFollower, type PingContent, type RelayedMessage } from './load-follower.js'
 import type { RoutingPlatform } from './ports.js'
 import { PublishedStateRelay } from './published-state-relay.js'
@@ -407,5 +408,3 @@
     else responder.send({ type: 'refused', reason: 'not-supported', detail: 'a route entry does not support this request type' })
   }
 }
-
-function formatCounts (counts: ReadonlyMap<string, number>): string { return [...counts].map(([name, count]) => `${name}:${count}`).join(',') }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -17,6 +17,7 @@
 import type { ConnectionReserve } from './connection-reserve.js'
 import { EndpointAttempt, firstEventTimeout } from './endpoint-attempt.js'
 import { connectTimeout, type EndpointRequest } from './endpoint-call.js'
+import { formatCounts } from './format-counts.js'
 import type { NoticeExchange } from './notice-exchange.js'
 import type { AnswerHead, Dialect, EndpointHead } from './ports.js'
 import { RequestRecord, type RecordedRequest, type RecordDependencies, type RequestResult } from './request-record.js'
@@ -547,8 +548,8 @@
  * The numbers of endpoints that receive no requests now because they asked for it, by reason. Returns `undefined` if there are none.
  */
 function formatExcludedCounts (unit: ServiceUnit | undefined, now: number): string | undefined {
-  const counts = [...unit?.chooser.spared(now) ?? []].map(([reason, count]) => `${reason}:${count}`)
-  return counts.length === 0 ? undefined : counts.join(',')
+  const counts = unit?.chooser.spared(now)
+  return counts === undefined || counts.size === 0 ? undefined : formatCounts(counts)
 }
 
 /** Returns a function that computes a value on its first call and caches it. */
