--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -5,7 +5,7 @@
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { run as startTests } from 'node:test'
-import { spec } from 'node:test/reporters'
+import { spec as SpecReporter } from 'node:test/reporters'
 
 const root = new URL('..', import.meta.url).pathname
 const listed = join(root, 'KNOWN-RED.txt')
@@ -36,7 +36,7 @@
   const failures = []
   const tests = startTests({ files: [join(root, name)] })
   tests.on('test:fail', ({ name: failed, details }) => { if (details.error?.failureType !== 'subtestsFailed') failures.push(failed) })
-  const output = tests.compose(new spec())
+  const output = tests.compose(new SpecReporter())
   for await (const text of output) process.stdout.write(text)
   return failures
 }
