A pause of the entry is no response time of its plain endpoints

What callers saw: after a pause of an entry, its plain requests with 800 ms left were rejected as too late for seconds ("the expected answer time of 1661 ms is too long"), although all endpoints answered at once.

Cause: the response time of a plain request in flight included the time in which the entry did not run, and it is the expected time of all endpoints of the service, until it has decayed. No request is sent meanwhile that could show otherwise. The other measured delays leave pauses out already.

Change: the response time counts while the process runs. So does the time of a request that is stopped at its deadline, which decides whether the endpoint failed.

--- a/packages/node/src/lib/routing/endpoint-attempt.ts
+++ b/packages/node/src/lib/routing/endpoint-attempt.ts
@@ -10,6 +10,7 @@
 import type { IncomingMessage } from 'node:http'
 import { BufferBudget, EventSplitter, MAX_EVENT_BYTES, MIN_UNSUCCESSFUL_STATUS, type AttemptAccount, type AttemptEnd, type AwaitedAnswer, type ChosenEndpoint, type WholeEvents } from '@drumdrift/core'
 import { IoTimeout } from '../io-timeout.js'
+import { runningTime } from '../periodic-tasks.js'
 import { EndpointCall, type EndpointCallEnd, type EndpointRequest } from './endpoint-call.js'
 import type { AnswerHead, EndpointHead } from './ports.js'
 import type { StreamProgress } from './stream-progress.js'
@@ -80,6 +81,7 @@
 export class EndpointAttempt {
   readonly choice: ChosenEndpoint
   readonly sentAt = performance.now()
+  private readonly _sentAtRunning = runningTime()
   private readonly _call: EndpointCall
   private readonly _splitter = new EventSplitter()
   private _bodyParts: Buffer[] = []
@@ -124,6 +126,9 @@
     this.rescheduleCancellation()
   }
 
+  /** The time since it was sent in which this process ran, in milliseconds: a pause of the process is no delay of the endpoint. */
+  get runningFor (): number { return Math.max(0, runningTime() - this._sentAtRunning) }
+
   /** The head of the answer; `undefined` until it arrives. */
   get head (): AnswerHead | undefined { return this._head }
   /** When the endpoint sent its first whole event; `undefined` before that. */
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -415,7 +415,7 @@
 
   private _updateChooser (flight: Flight, end: AttemptEnd, now: number): void {
     const { attempt } = flight
-    const { choice, head, sentAt, everPaused } = attempt
+    const { choice, head, everPaused } = attempt
     const { chooser } = this._unit ?? {}
     if (chooser === undefined) return
     const start = startKeyOf(choice.record)
@@ -424,22 +424,22 @@
     // did count, 40 of 684 plain requests in a day were refused because their endpoints were taken for slow. Neither does the time that
     // a caller takes to read its answer.
     const isTimed = end.type === 'answered' && end.status < MIN_FAILURE_STATUS && head?.eventStream !== true && !everPaused
-    if (isTimed) chooser.recordPlainAnswer(start, now - sentAt, now)
+    if (isTimed) chooser.recordPlainAnswer(start, attempt.runningFor, now)
     if (end.type === 'not-run') {
       if (isConnectionFailure(end.reason)) this._onConnectionFailed(attempt, end.reason, now)
       else chooser.skip(start, avoidanceOf(end.reason), now)
     }
-    chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? this._healthOfStopped(flight, now) : healthOf(end), now)
+    chooser.ended(start, this._request.head.id, this._finished && end.type !== 'answered' ? this._healthOfStopped(flight) : healthOf(end), now)
   }
 
   /**
    * The wait for an engine depends on its queue, and that of a begun answer on its caller, unless it is overdue while other endpoints
    * deliver.
    */
-  private _healthOfStopped ({ attempt: { choice, head, sentAt }, awaited }: Flight, now: number): EndpointHealth {
+  private _healthOfStopped ({ attempt: { choice, head, runningFor }, awaited }: Flight): EndpointHealth {
     if (awaited?.overdue === true && this._othersDeliver) return 'bad'
     if (head !== undefined || this._unit?.description.pool !== undefined) return 'unclear'
-    return healthOfStopped(now - sentAt, { expected: choice.expected, objective: this._request.route.objective })
+    return healthOfStopped(runningFor, { expected: choice.expected, objective: this._request.route.objective })
   }
 
   private get _othersDeliver (): boolean {
