A failure of a plain endpoint costs 15 objectives, and an error answer counts less

Cause: the cost of failures is a multiple of the objective, so it fell with it, below the penalty for the distance of a sound endpoint.

Change: 15 objectives instead of six. An error answer counts 0.3 of a failure instead of 0.6, so that one of them costs a sound endpoint about as little as before.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -38,7 +38,7 @@
 export type EndpointHealth = 'good' | 'error-answer' | 'rejecting' | 'bad' | 'unclear'
 
 /** How much a result counts as a failure. An error that the application answers may be due to the request, and one that was rejected can be sent again. */
-const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.6, rejecting: 0.6, bad: 1 }
+const failureWeights: Record<Exclude<EndpointHealth, 'unclear'>, number> = { good: 0, 'error-answer': 0.3, rejecting: 0.6, bad: 1 }
 
 /** Why an endpoint is skipped temporarily. */
 export type SkipReason = 'refused' | 'wrong-instance' | 'wrong-version'
--- a/packages/core/src/lib/routing/choice/endpoint-standing.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-standing.ts
@@ -24,7 +24,7 @@
 /** The cost of a lost connection to its caller, in milliseconds. */
 const LOST_CONNECTION_COST = 100
 /** The cost of a failed request to its caller, in objectives. */
-const FAILURE_COST = 6
+const FAILURE_COST = 15
 
 /** The endpoints to choose among, in order of preference; the next are considered if none of the former can take a request. */
 export const standingPreferences: readonly ((standing: EndpointStanding) => boolean)[] = [
