--- a/packages/core/src/lib/routing/attempts/early-refusal.ts
+++ b/packages/core/src/lib/routing/attempts/early-refusal.ts
@@ -103,7 +103,8 @@
 }
 
 /**
- * Returns the objective by which a request's endpoints are compared and it is admitted, in milliseconds: the mean of its service for a pool.
+ * Returns the objective by which a request's endpoints are compared and it is admitted, in milliseconds. For a pool it is the mean of the service,
+ * to which the request's own is added.
  * The endpoints of a plain service are not filled up to a bound, so there each request has its own, or a seldom-used route with a long
  * objective would make slow endpoints count as soon enough for all others.
  *
