--- a/packages/core/src/lib/routing/published/published-change.ts
+++ b/packages/core/src/lib/routing/published/published-change.ts
@@ -24,8 +24,9 @@
    * `certain`: the endpoint must not be used any more, even if the store was unavailable; otherwise its entry may only have expired.
    * `keptFor`: how long a peer still keeps the endpoint, because the entry may have expired in an outage of the store, in milliseconds
    * since the peer sent the change; `undefined` if the peer has removed it.
+   * `successor`: the endpoint that has taken its address, set in effective changes only.
    */
-  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined, readonly keptFor?: number | undefined }
+  | { readonly type: 'endpoint-gone', readonly revision: number, readonly id: string, readonly certain?: boolean | undefined, readonly keptFor?: number | undefined, readonly successor?: string | undefined }
   /** The operators have evacuated an availability zone: its endpoints are sent no new requests. */
   | { readonly type: 'evacuation', readonly revision: number, readonly zone: string }
   /**
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -364,7 +364,7 @@
     const removal = { type: 'endpoint-gone', id, revision } as const
     this._endpoints.remove(id)
     this._removals.add(removal, previous.record)
-    return [removal]
+    return [{ ...removal, successor: record.id }]
   }
 
   /**
--- a/packages/core/src/test/lib/routing/published/published-state_test.ts
+++ b/packages/core/src/test/lib/routing/published/published-state_test.ts
@@ -248,7 +248,7 @@
     const [state, peer] = [new PublishedState(), new PublishedState()]
     state.takeSnapshot('endpoints', [first], 2, 0)
     peer.takeDelta(state.deltaSince(peer.note, 0), 0)
-    assert.deepEqual(state.take(again, 0), [again, gone('first', 5)])
+    assert.deepEqual(state.take(again, 0), [again, { ...gone('first', 5), successor: 'again' }])
     state.followed('endpoints', 5)
     peer.takeDelta(state.deltaSince(peer.note, 0), 0)
     assert.deepEqual(ids(peer), ['again'])
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -409,7 +409,7 @@
 
   private _logChange (change: PublishedChange): void {
     if (change.type === 'wanted-version') this._log.info('version-wanted', { model: change.wanted.model, version: change.wanted.version, revision: change.revision })
-    if (change.type === 'endpoint-gone') this._log.info('endpoint-gone', { endpoint: change.id, epoch: this._feed.state.epoch, revision: change.revision })
+    if (change.type === 'endpoint-gone') this._log.info('endpoint-gone', { endpoint: change.id, epoch: this._feed.state.epoch, revision: change.revision, successor: change.successor })
     if (change.type !== 'endpoint') return
     const { id, service, address, availabilityZone, draining } = change.record
     this._log.info('endpoint-listed', { endpoint: id, service, address, zone: availabilityZone, draining, epoch: this._feed.state.epoch, revision: change.revision })
