Endpoints stay listed when an entry of an earlier start at their address is written late

Callers saw: payments refused with no-endpoint, for seconds or until the endpoints started again, although the endpoints ran. Requests to pools lost single engines of many.

Cause: the endpoint that wrote its entry last was taken for the one that runs at the address, and the others were removed at that revision. A write of an earlier start that was held up (a cut link that heals, a store that performs writes late) comes after the entry of its successor, so it removed the running endpoint. Heartbeats do not change an entry, so the store never reports it again; and reading the whole list did not help either, because the entry's revision is below that of the removal.

Change: all entries at an address are held as long as the store lists them. The start whose first entry was known last owns the address, whatever is written later; a removed start is remembered. If the owner's entry goes while another is still listed, the other one is listed again: only a running endpoint has heartbeats. A process that began after both entries were written may choose wrongly until the earlier one expires, and no longer for good.

--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -14,7 +14,7 @@
  */
 import { isEarlierStart, isSameListing, writingsBetween, type EndpointRecord, type ModelVersion } from './endpoint-record.js'
 import { Evacuations } from './evacuations.js'
-import { HeldEndpoints, type HeldEndpoint } from './held-endpoints.js'
+import { HeldEndpoints, type EpochRevision, type HeldEndpoint } from './held-endpoints.js'
 import { LapseGrace } from './lapse-grace.js'
 import { toldSpan, toldVersion, validAge, type DeltaTimes } from './told-versions.js'
 import { WantedVersions, type PublicationSpan, type WantedVersion } from './wanted-versions.js'
@@ -97,8 +97,8 @@
     return this._versions.dueVersion(model, bound, now)
   }
 
-  /** Returns the listed endpoints, including draining ones. */
-  endpoints (): EndpointRecord[] { return [...this._endpoints.values()].map(({ record }) => record) }
+  /** Returns the listed endpoints, including draining ones, but one for each address. */
+  endpoints (): EndpointRecord[] { return [...this._endpoints.values()].filter(held => this._endpoints.isListed(held)).map(({ record }) => record) }
 
   /** The number of endpoints that are kept although their entries are missing. */
   get missingCount (): number { return [...this._endpoints.values()].filter(({ lapsesAt }) => lapsesAt !== undefined).length }
@@ -124,11 +124,9 @@
    * if (state.take({ type: 'endpoint', revision: 7, record }, now).length > 0) rebuildChoices()
    */
   take (change: PublishedChange, now: number, since = this._defaultSince(topicOf(change), now)): readonly PublishedChange[] {
-    const previous = change.type === 'endpoint' ? this._endpoints.atAddress(change.record.address) : undefined
     this._changeCount += 1
     this._raiseNewest(topicOf(change), change.revision)
-    if (!this._appliers[change.type](change as never, now, since)) return []
-    return change.type === 'endpoint' ? [change, ...this._removePredecessor(previous, change)] : [change]
+    return this._appliers[change.type](change as never, now, since)
   }
 
   /**
@@ -224,8 +222,7 @@
     const removals: PublishedChange[] = []
     for (const { record: { id, service }, lapsesAt } of endpoints) {
       if (lapsesAt === undefined || !this._grace.isExpired(service, lapsesAt, now)) continue
-      this._endpoints.remove(id)
-      removals.push({ type: 'endpoint-gone', id, revision: this._removals.get(id)?.removal.revision ?? this._followed.endpoints })
+      removals.push({ type: 'endpoint-gone', id, revision: this._removals.get(id)?.removal.revision ?? this._followed.endpoints }, ...this._releaseAddress(id))
     }
     return removals
   }
@@ -291,28 +288,55 @@
     return applied
   }
 
-  private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number, since: number) => boolean } = {
-    configuration: ({ revision, configuration }) => {
+  /** They return the effective changes. */
+  private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number, since: number) => PublishedChange[] } = {
+    configuration: change => {
+      const { revision, configuration } = change
       const held = this._configuration
-      if (held !== undefined && revision <= held.revision && !isLaterFormat(held, revision, configuration)) return false
+      if (held !== undefined && revision <= held.revision && !isLaterFormat(held, revision, configuration)) return []
       const isNewer = held === undefined || isNewerConfiguration(configuration, held.configuration)
       this._configuration = { revision, configuration: isNewer ? configuration : held.configuration }
-      return isNewer
-    },
-    'wanted-version': ({ revision, wanted }, now, since) => this._versions.add(wanted, revision, { earliest: Math.min(since, now), latest: now }) !== 'known',
-    endpoint: change => {
-      const { revision, record } = change
-      const held = this._endpoints.get(record.id)
-      if (revision <= this._knownRevision(record.id) || this._isSuperseded(record, revision) || this._wasRemoved(record.id, revision)) return false
-      if (isEarlierStart(record.born, held?.record.born ?? this._removals.get(record.id)?.born)) return false
-      if (this._isOutdated(record)) return this._confirm(record.id, revision)
-      this._endpoints.put({ record, revision, carried: false, lapsesAt: undefined }, this._isConfiguredService(record.service))
-      this._removals.delete(record.id)
-      return held === undefined || !isSameListing(held.record, record)
+      return isNewer ? [change] : []
     },
+    'wanted-version': (change, now, since) => this._versions.add(change.wanted, change.revision, { earliest: Math.min(since, now), latest: now }) === 'known' ? [] : [change],
+    endpoint: change => this._applyEndpoint(change),
     'endpoint-gone': (change, now) => this._remove(change, now),
-    evacuation: ({ zone, revision }, now) => this._evacuations.begin(zone, revision, this._followed.evacuations, now),
-    'evacuation-ended': ({ zone, revision, age }, now) => this._evacuations.end(zone, revision, this._followed.evacuations, now - validAge(age, 0))
+    evacuation: (change, now) => this._evacuations.begin(change.zone, change.revision, this._followed.evacuations, now) ? [change] : [],
+    'evacuation-ended': (change, now) => this._evacuations.end(change.zone, change.revision, this._followed.evacuations, now - validAge(change.age, 0)) ? [change] : []
+  }
+
+  private _applyEndpoint (change: Extract<PublishedChange, { type: 'endpoint' }>): PublishedChange[] {
+    const { revision, record } = change
+    const held = this._endpoints.get(record.id)
+    if (revision <= this._knownRevision(record.id) || this._wasRemoved(record.id, revision)) return []
+    if (isEarlierStart(record.born, held?.record.born ?? this._removals.get(record.id)?.born)) return []
+    if (this._isOutdated(record)) {
+      this._confirm(record.id, revision)
+      return []
+    }
+    const wasListed = held !== undefined && this._endpoints.isListed(held)
+    const previous = this._endpoints.ownerOf(record.address)
+    const stored: HeldEndpoint = { record, firstKnown: this._firstKnown(record, revision), revision, carried: false, lapsesAt: undefined }
+    this._endpoints.put(stored, this._isConfiguredService(record.service))
+    this._removals.delete(record.id)
+    if (!this._endpoints.isListed(stored)) return []
+    const isChanged = !wasListed || !isSameListing(held.record, record)
+    return [...(isChanged ? [change] : []), ...this._replace(previous, stored)]
+  }
+
+  /** Reports that an endpoint is listed in place of the previous owner of its address, if it has become the owner. */
+  private _replace (previous: HeldEndpoint | undefined, { record, revision }: HeldEndpoint): PublishedChange[] {
+    if (previous === undefined || previous.record.id === record.id || this._endpoints.ownerOf(record.address)?.record.id !== record.id) return []
+    // Only its heartbeats could show that it still runs.
+    if (previous.lapsesAt !== undefined) this._endpoints.remove(previous.record.id)
+    return [{ type: 'endpoint-gone', id: previous.record.id, revision, successor: record.id }]
+  }
+
+  /** Returns the first entry of a start that was known here. */
+  private _firstKnown (record: EndpointRecord, revision: number): EpochRevision {
+    const held = this._endpoints.get(record.id)
+    const known = held === undefined ? this._removals.get(record.id) : { born: held.record.born, firstKnown: held.firstKnown }
+    return known?.firstKnown !== undefined && known.born === record.born ? known.firstKnown : { epoch: this._epoch, revision }
   }
 
   /** Whether an unknown endpoint was removed before the followed revision: every change up to that revision has been received. */
@@ -332,21 +356,14 @@
     if (held !== undefined) return held.carried && (writingsBetween(held.record, record) ?? 0) < 0
     const known = this._removals.get(record.id)
     if (known === undefined || !known.carried) return false
-    const successor = this._endpoints.atAddress(record.address)
+    const successor = this._endpoints.ownerOf(record.address)
     return successor?.carried === true || (writingsBetween(known, record) ?? 1) <= 0
   }
 
   /** Records that the store has no newer state of an endpoint, at a revision, than the one carried over. */
-  private _confirm (id: string, revision: number): false {
+  private _confirm (id: string, revision: number): void {
     this._endpoints.confirm(id, revision)
     this._removals.confirm(id, revision)
-    return false
-  }
-
-  /** Whether another endpoint was listed later at the same address. */
-  private _isSuperseded ({ id, address }: EndpointRecord, revision: number): boolean {
-    const held = this._endpoints.atAddress(address)
-    return held !== undefined && held.record.id !== id && held.revision > revision
   }
 
   /** Whether a service is configured. An entry of an unconfigured service may have been written by anyone, so it cannot claim an address. */
@@ -355,16 +372,13 @@
   }
 
   /**
-   * Removes the previous endpoint at an address that a newer one has taken. Its entry stays listed until three heartbeats are missing,
-   * and the newer endpoint would reject requests meant for it until then.
+   * Removes an endpoint.
+   *
+   * @returns The endpoint that is listed at its address from now on, as a change.
    */
-  private _removePredecessor (previous: HeldEndpoint | undefined, { revision, record }: Extract<PublishedChange, { type: 'endpoint' }>): PublishedChange[] {
-    if (previous === undefined || previous.record.id === record.id || !this._isConfiguredService(record.service)) return []
-    const { id } = previous.record
-    const removal = { type: 'endpoint-gone', id, revision } as const
-    this._endpoints.remove(id)
-    this._removals.add(removal, previous.record)
-    return [{ ...removal, successor: record.id }]
+  private _releaseAddress (id: string): PublishedChange[] {
+    const next = this._endpoints.remove(id)
+    return next === undefined ? [] : [{ type: 'endpoint', revision: next.revision, record: next.record }]
   }
 
   /**
@@ -375,21 +389,22 @@
     return note[topic] === 0 || topic === 'evacuations' || (topic === 'endpoints' && note.endpoints < this._removals.incompleteUpTo)
   }
 
-  private _remove (removal: Extract<PublishedChange, { type: 'endpoint-gone' }>, now: number): boolean {
-    const { type, id, revision, certain } = removal
+  private _remove (change: Extract<PublishedChange, { type: 'endpoint-gone' }>, now: number): PublishedChange[] {
+    const { type, id, revision, certain } = change
     const held = this._endpoints.get(id)
-    if (revision <= this._knownRevision(id)) return false
-    this._removals.add({ type, id, revision, certain }, held?.record ?? this._removals.get(id) ?? {})
-    if (held === undefined) return false
+    if (revision <= this._knownRevision(id)) return []
+    this._removals.add({ type, id, revision, certain }, held === undefined ? this._removals.get(id) ?? {} : { ...held.record, firstKnown: held.firstKnown })
+    if (held === undefined) return []
+    const isListed = this._endpoints.isListed(held)
     // A later list that still lacks the entry does not show that the endpoint has left since.
-    const keptUntil = certain === true ? undefined : held.lapsesAt ?? this._keptUntil(removal, held.record.service, now)
+    const keptUntil = certain === true || this._endpoints.isContested(held) ? undefined : held.lapsesAt ?? this._keptUntil(change, held.record.service, now)
     if (keptUntil !== undefined) {
       held.lapsesAt = keptUntil
       this._grace.recordMissing(id, held.record.service)
-      return false
+      return []
     }
-    this._endpoints.remove(id)
-    return true
+    const next = this._releaseAddress(id)
+    return isListed ? [change, ...next] : []
   }
 
   /** Returns the time until which an endpoint whose entry began to be missing is kept, or `undefined` if it has left. */
--- a/packages/core/src/lib/routing/published/removals.ts
+++ b/packages/core/src/lib/routing/published/removals.ts
@@ -5,6 +5,7 @@
  */
 /** Removed endpoints. They are kept to reject outdated entries of them, and to send the removals to peers that are behind. */
 import type { LastWriting } from './endpoint-record.js'
+import type { EpochRevision } from './held-endpoints.js'
 
 /** The removal of an endpoint. */
 export interface Removal {
@@ -17,10 +18,15 @@
 /** A removal, with the newest start of the endpoint that was known when it was removed. */
 export interface KnownRemoval extends LastWriting {
   readonly removal: Removal
+  /** See `HeldEndpoint`; `undefined` if no entry of the endpoint was known. */
+  readonly firstKnown?: EpochRevision | undefined
   /** Whether it was received in an earlier epoch of the store; its revision is then 0. */
   readonly carried: boolean
 }
 
+/** What is known of an endpoint when it is removed. */
+export type LastKnown = Pick<KnownRemoval, 'born' | 'writings' | 'firstKnown'>
+
 /** Number of removals kept for peers. A peer that is further behind gets the complete list of endpoints. */
 const MAX_REMOVALS = 512
 
@@ -45,10 +51,10 @@
    * Adds a removal, and discards the oldest ones above the limit.
    *
    * @example
-   * removals.add({ type: 'endpoint-gone', id: 'engine-7', revision: 12 }, held.record)
+   * removals.add({ type: 'endpoint-gone', id: 'engine-7', revision: 12 }, { ...held.record, firstKnown: held.firstKnown })
    */
-  add (removal: Removal, { born, writings }: LastWriting): void {
-    this._removals.set(removal.id, { removal, born, writings, carried: false })
+  add (removal: Removal, { born, writings, firstKnown }: LastKnown): void {
+    this._removals.set(removal.id, { removal, born, writings, firstKnown, carried: false })
     for (const [oldest, { removal: { revision } }] of this._removals) {
       if (this._removals.size <= MAX_REMOVALS) return
       this._removals.delete(oldest)
