Fuzz: endpoints that start again at their address, with a held-up write of the earlier start

The simulation of published state gave each endpoint an address of its own, so no run could find that the entry of an earlier start removes its successor. The start of an endpoint at the address of a crashed one is a change that has to be in force in time, with a write of the crashed one up to 0.7 s later and its expiry a second after that.

--- a/packages/fuzz/src/lib/published-world.ts
+++ b/packages/fuzz/src/lib/published-world.ts
@@ -54,6 +54,9 @@
  * the operators write it again, the age of a relay's view of the store, the transit of its note, and a margin.
  */
 const MAX_CARRIED_TIME = EVACUATION_REWRITE_TIME + 4_000
+/** How late the store takes a write of an endpoint that has crashed, at most, and when its entry expires after that; in milliseconds. */
+const MAX_HELD_UP_TIME = 700
+const EXPIRY_TIME = 1_000
 /** Time from the end of the evacuation of a zone to its next one, in milliseconds: no late answer of the store has the earlier one then. */
 const EVACUATION_GAP = 3_000
 /** A call to the store times out when its answer is this late, in milliseconds. */
@@ -216,6 +219,21 @@
     this._acknowledge(`the beginning of ${id}`, state => state.endpoints().some(record => record.id === id) || !this._endpoints.some(record => record.id === id))
   }
 
+  /** Crashes an endpoint and starts another at its address, which lists itself. The store takes a write of the crashed one late. */
+  startAgain (index: number, share: number): void {
+    const { world } = this
+    const record = this._endpoints[index % this._endpoints.length]
+    if (!this._storeUp || record === undefined || record.draining) return
+    this._endpoints = this._endpoints.filter(({ id }) => id !== record.id)
+    const id = this._startEndpoint(record.address)
+    this._acknowledge(`the start of ${id} at the address of ${record.id}`, state => state.endpoints().some(listed => listed.id === id) || !this._endpoints.some(running => running.id === id))
+    world.after(share * MAX_HELD_UP_TIME, undefined, () => {
+      if (!this._storeUp) return
+      this._store.put(record.id, revision => ({ type: 'endpoint', revision, record: { ...record, writings: (record.writings ?? 0) + 1 } }))
+      world.after(EXPIRY_TIME, undefined, () => { if (this._storeUp && this._store.endpoints().includes(record.id)) this._store.remove(record.id) })
+    })
+  }
+
   /** Evacuates a zone. Does nothing while a process still holds an earlier evacuation of it, so that the two are not mistaken. */
   evacuate (index: number): void {
     const zone = ZONES[index % ZONES.length] ?? ''
@@ -306,9 +324,9 @@
     if (wanted.version > 0) this._store.put('version', revision => ({ type: 'wanted-version', revision, wanted }))
   }
 
-  private _startEndpoint (): string {
+  private _startEndpoint (address?: string): string {
     const id = `endpoint-${this._startedEndpoints++}`
-    const record = { id, service: 'desk', address: `${id}:80`, availabilityZone: this.world.pick(ZONES) ?? '', slots: 1, draining: false, models: [], writings: 0 }
+    const record = { id, service: 'desk', address: address ?? `${id}:80`, availabilityZone: this.world.pick(ZONES) ?? '', slots: 1, draining: false, models: [], writings: 0 }
     this._endpoints.push(record)
     this._writeEndpoint(id, {})
     return id
--- a/packages/fuzz/src/lib/scenarios.ts
+++ b/packages/fuzz/src/lib/scenarios.ts
@@ -227,6 +227,7 @@
     { name: 'begin', valueCount: 0, weight: 2, run: subject => subject.addEndpoint() },
     { name: 'drain', valueCount: 1, weight: 3, run: (subject, [endpoint = 0]) => subject.drain(endpoint) },
     { name: 'leave', valueCount: 1, weight: 2, run: (subject, [endpoint = 0]) => subject.removeEndpoint(endpoint) },
+    { name: 'start-again', valueCount: 2, weight: 2, run: (subject, [endpoint = 0, late = 0]) => subject.startAgain(endpoint, late / 1_000) },
     { name: 'evacuate', valueCount: 1, weight: 3, run: (subject, [zone = 0]) => subject.evacuate(zone) },
     { name: 'end-evacuation', valueCount: 1, weight: 2, run: (subject, [zone = 0]) => subject.endEvacuation(zone) },
     { name: 'interrupt', valueCount: 1, run: (subject, [away = 0]) => subject.interrupt(away / 1_000) },
--- a/packages/fuzz/src/lib/variants.ts
+++ b/packages/fuzz/src/lib/variants.ts
@@ -71,6 +71,16 @@
   override enterEpoch (): false { return false }
 }
 
+/** Takes the endpoint that wrote last at an address for the one that runs there, and the others for gone. */
+class LastWriterState extends PublishedState {
+  override take (change: PublishedChange, now: number, since?: number): readonly PublishedChange[] {
+    if (change.type !== 'endpoint') return super.take(change, now, since)
+    const others = this.endpoints().filter(({ id, address }) => address === change.record.address && id !== change.record.id)
+    const removed = others.flatMap(({ id }) => super.take({ type: 'endpoint-gone', id, revision: change.revision, certain: true }, now))
+    return [...removed, ...super.take(change, now, since)]
+  }
+}
+
 /** Does not end evacuations whose key is missing from a snapshot. */
 class EndlessEvacuationState extends PublishedState {
   override takeSnapshot (topic: PublishedTopic, changes: readonly PublishedChange[], upTo: number, now: number, since?: number): PublishedChange[] {
@@ -384,6 +394,7 @@
   limits('reopened-zones-not-cold', 'within-cold-rate', { cold: (...given) => new UnreopenedCold(...given) }),
   limits('ends-of-limits-not-told', 'limit-ends', { sharesLimits: false }),
   published('epochs-ignored', 'in-force-after-restore', { state: () => new EpochIgnoringState() }),
+  published('last-writer-owns-address', 'in-force-after-restore', { state: () => new LastWriterState() }),
   published('watches-go-on', 'in-force-after-restore', { cursor: state => new EpochIgnoringCursor(state, publishedTopics) }),
   published('copies-taken-for-all', 'never-back', { keepsStateAcrossEpochs: false }),
   published('writings-not-counted', 'never-back', { countsWrites: false }),
