Requests that may not be repeated are accepted in a stop only if they end before it does

Callers saw: 502 for requests that came over kept connections shortly before the end of a planned stop, after an endpoint had run them.

Cause: the end of the stop was known to the front only once it had stopped listening, up to 2.5 s after the stop was ordered, or at its very end where the stop timeout is that short. Until then every request was accepted, whatever its deadline.

Change: the end is known from the beginning of a stop, and requests that may not be repeated are accepted only if their deadline is before it. Others go on as before: few take as long as they may, and refusing them would cost callers more. The entry listens for half of its stop timeout at most.

--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -44,6 +44,8 @@
  * sends new connections until two probes have failed; half a second is added for the second probe.
  */
 const LISTEN_AFTER_STOP = 2_500
+/** The longest share of the stop timeout for which it listens: what it accepts last has to end before the process does. */
+const MAX_LISTEN_SHARE = 0.5
 /**
  * The pause between two watches, as a share of the time within which a configuration or a draining endpoint must take effect.
  * Published state changes in bursts, and each answer to a watch costs every entry one call to the store, so changes are batched.
@@ -192,10 +194,10 @@
     const patience = this._settings.number('process', 'stop-patience-seconds') * 1000 - CLOSING_RESERVE
     const stopAt = performance.now() + patience
     this._stopping = true
-    this._front.leave()
+    this._front.leave(stopAt)
     this._log.info('entry-stopping', { ...this._front.counts, patience })
-    await pause(Math.min(LISTEN_AFTER_STOP, patience))
-    this._front.stopListening(stopAt)
+    await pause(Math.min(LISTEN_AFTER_STOP, MAX_LISTEN_SHARE * patience))
+    this._front.stopListening()
     await settledWithin(this._front.waitUntilIdle(), stopAt - performance.now())
     const { cut, unsent, ended } = await this._front.endAll()
     this._close()
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -82,6 +82,7 @@
   private _leaving = false
   /** When requests in progress will be ended; infinite while connections are accepted. In milliseconds. */
   private _stopAt = Infinity
+  private _listening = true
 
   constructor (private readonly _options: RouteFrontOptions) {
     this._buffers = new BufferBudget(_options.bufferBound)
@@ -119,17 +120,23 @@
   /** Hedges the requests whose answers are overdue. */
   checkSilence (): void { for (const request of this._requests) request.checkSilence() }
 
-  /** From now on, each answer asks its caller to close the connection, so that its next request opens one to another process. */
-  leave (): void { this._leaving = true }
+  /**
+   * From now on, each answer asks its caller to close the connection, so that its next request opens one to another process.
+   *
+   * @param stopAt When the requests in progress will be ended, in milliseconds of `performance.now()`. Requests that may not be repeated are
+   *     accepted only if they end before; all others until {@link stopListening}, because few of them take as long as they may.
+   */
+  leave (stopAt = Infinity): void {
+    this._leaving = true
+    this._stopAt = stopAt
+  }
 
   /**
    * Accepts no new connections, and closes each connection as soon as its answers are sent. An answer whose head was sent before
    * the stop could not carry `Connection: close`, so its caller would otherwise reuse the connection.
-   *
-   * @param stopAt When the requests in progress will be ended, in milliseconds of `performance.now()`.
    */
-  stopListening (stopAt = Infinity): void {
-    this._stopAt = stopAt
+  stopListening (): void {
+    this._listening = false
     this._connections.close()
   }
 
@@ -183,7 +190,8 @@
     if (UNSENDABLE.test(path)) return this._refuse(answer, head.id, requestFailure('bad-request', 'not-run', 'the path holds control characters'))
     const { route, organisation } = match
     const deadline = receivedAt + Math.min(route.timeout, head.patience ?? route.timeout)
-    if (!acceptsBeforeStop(deadline + DEADLINE_GRACE, this._stopAt)) return this._refuse(answer, head.id, refusalOfStop(this._options.random()))
+    const mustEndBeforeStop = !this._listening || route.kind === 'unsafe'
+    if (mustEndBeforeStop && !acceptsBeforeStop(deadline + DEADLINE_GRACE, this._stopAt)) return this._refuse(answer, head.id, refusalOfStop(this._options.random()))
     if (!this._buffers.accepts) return this._refuse(answer, head.id, requestFailure('buffers-full', 'not-run', `${this._buffers.held} bytes are buffered for callers that read or send slowly`, retryDelayWithFullBuffers(this._options.random())))
     const body = await readBody(request, table.configuration.limits.bodyBytes, (length, complete) => {
       if (!answer.ended) answer.holdRequest(length, complete)
--- a/packages/node/src/test/lib/routing/route-front_test.ts
+++ b/packages/node/src/test/lib/routing/route-front_test.ts
@@ -71,8 +71,8 @@
   }
 
   async function stopped (stopAt?: number): Promise<void> {
-    front.leave()
-    front.stopListening(stopAt)
+    front.leave(stopAt)
+    front.stopListening()
     await front.waitUntilIdle()
     front.close()
   }
