--- a/packages/core/src/lib/routing/published/held-endpoints.ts
+++ b/packages/core/src/lib/routing/published/held-endpoints.ts
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * The endpoints that a process knows, indexed by id and by address. Only one endpoint runs at an address at a time, but the store may list
- * several: the entry of an earlier start stays until its heartbeats are missing, and a write of it that was held up may come
- * after the entry of its successor. The start whose entry was known last owns the address; if its entry goes while another is still listed,
- * the heartbeats of the other one continue, so that one runs there.
+ * The endpoints that a process knows, indexed by id and by address. One endpoint runs at an address at a time, but the store may list
+ * several: the entry of an earlier start stays until its heartbeats are missing, and a write of it that was held up may come after the
+ * entry of its successor. The start whose first entry came last owns the address, whatever is written later. If the entry of the owner
+ * goes while another stays, that other one runs there: only running endpoints send heartbeats.
  */
 import type { EndpointRecord } from './endpoint-record.js'
 
@@ -45,7 +45,7 @@
   /** Iterates over all endpoints; they may be removed during the iteration. */
   values (): IterableIterator<HeldEndpoint> { return this._byId.values() }
 
-  /** Returns the endpoint that owns an address: the one that was known last of those that claim it. */
+  /** Returns the endpoint that owns an address: of those that claim it, the one whose first entry came last. */
   ownerOf (address: string): HeldEndpoint | undefined {
     let owner: HeldEndpoint | undefined
     for (const id of this._idsByAddress.get(address) ?? []) {
@@ -55,7 +55,7 @@
     return owner
   }
 
-  /** Whether an endpoint runs as far as is known: it owns its address, or does not claim it. */
+  /** Whether requests may be sent to an endpoint: it owns its address, or does not claim it. */
   isListed ({ record: { id, address } }: HeldEndpoint): boolean {
     return this._idsByAddress.get(address)?.has(id) !== true || this.ownerOf(address)?.record.id === id
   }
@@ -63,7 +63,7 @@
   /**
    * Stores an endpoint, replacing the entry of the same id.
    *
-   * @param claimsAddress Whether it is one of those that may own its address.
+   * @param claimsAddress Whether it may own its address; otherwise it never affects others there.
    */
   put (endpoint: HeldEndpoint, claimsAddress: boolean): void {
     const { id, address } = endpoint.record
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -288,7 +288,7 @@
     return applied
   }
 
-  /** They return the effective changes. */
+  /** Apply a change of each type and return the effective changes. */
   private readonly _appliers: { readonly [Type in PublishedChange['type']]: (change: Extract<PublishedChange, { type: Type }>, now: number, since: number) => PublishedChange[] } = {
     configuration: change => {
       const { revision, configuration } = change
@@ -327,7 +327,7 @@
   /** Reports that an endpoint is listed in place of the previous owner of its address, if it has become the owner. */
   private _replace (previous: HeldEndpoint | undefined, { record, revision }: HeldEndpoint): PublishedChange[] {
     if (previous === undefined || previous.record.id === record.id || this._endpoints.ownerOf(record.address)?.record.id !== record.id) return []
-    // Only its heartbeats could show that it still runs.
+    // Its entry is missing, so it is not listed again if the new owner leaves.
     if (previous.lapsesAt !== undefined) this._endpoints.remove(previous.record.id)
     return [{ type: 'endpoint-gone', id: previous.record.id, revision, successor: record.id }]
   }
