--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -229,9 +229,15 @@
 
   details () { return {} }
 
-  /** Writes its entry into the store at each heartbeat. */
+  /** Writes its entry into the store at each heartbeat. The store changes the item if more than `seq` differs. */
   beat (store) {
-    const write = () => store.put(`servers/${this.id}`, this.entry())
+    let written = ''
+    const write = () => {
+      const entry = this.entry()
+      const text = JSON.stringify({ ...entry, seq: 0 })
+      if (text !== written) store.put(`servers/${this.id}`, entry)
+      written = text
+    }
     write()
     this.timer = setInterval(write, HEARTBEAT_MS)
   }
