--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -269,6 +269,7 @@
     super(...parts)
     this.slots = 6
     this.workMs = 60
+    this.inProgress = 0
   }
 
   async answer (request, response) {
@@ -276,7 +277,9 @@
     if (request.url === '/health') return sendJson(response, {}, 200, { 'x-instance-id': this.id })
     if (request.headers['x-expect-instance'] !== undefined && request.headers['x-expect-instance'] !== this.id) return this.notRun(response, 421, 'another instance is expected')
     this.ran(request)
+    this.inProgress += 1
     await pause(this.workMs)
+    this.inProgress -= 1
     this.respond(request, response, body)
   }
 
