--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -25,13 +25,13 @@
   record.say(`before the final fault: ${before.length} requests sent, ${(100 * share(before)).toFixed(0)}% served`)
   deployment.store.put(`op/version/${MODEL}`, { model: MODEL, version: 2 })
   record.say('operator: names version 2; the store has acknowledged it')
+  for (const machine of deployment.machines) machine.signal('SIGKILL')
+  record.say('all processes are killed')
+  await pause(DOWN_MS)
   if (TROUBLE) {
     let left = 1
     deployment.origin.spoilManifest = text => left-- > 0 ? spoil(text) : text
   }
-  for (const machine of deployment.machines) machine.signal('SIGKILL')
-  record.say('all processes are killed')
-  await pause(DOWN_MS)
   for (const machine of deployment.machines) machine.start()
   const returnedAt = performance.now()
   const after = await deployment.load('draft', 10, BOUNDS.recoverS + SECONDS_JUDGED)
