Chunks are staged at all places where a version lists them

Callers got streams made of wrong weights, with status 200, from every engine of a pool, after a version in which two chunks have the same bytes or chunks of the version before are at other places.

Cause: a chunk was named by its digest alone in all that was kept, compared and counted. The engine's staging area has one place for each chunk; equal chunks were all written to one of them, and what was read back at the start of an agent and before the order to load was a set of digests, wherever they lay.

Change: PlacedStaging translates between digests and places; a chunk counts as staged if it lies at all places where the version lists it, and is written to all of them. The adapter of the platform only reads and writes places. Of equal chunks, one is requested.

--- a/packages/core/src/lib/routing/weights/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/weights/chunk-swarm.ts
@@ -11,6 +11,7 @@
 import type { ChunkMember } from '../../chunk-tree.js'
 import type { Manifest } from '../../documents.js'
 import type { FetchProblem, ChunkTransfer, TransferEffect } from '../../transfer.js'
+import { placesByDigest } from './staging-plan.js'
 import { ChunkAssignment, type ChunkRanks } from './chunk-assignment.js'
 import { OriginSchedule, type OriginView } from './origin-schedule.js'
 import { PullWindow } from './pull-window.js'
@@ -35,6 +36,8 @@
 /** The transfer of one version to one member. */
 export class ChunkSwarm implements ChunkTransfer {
   private readonly _missing = new Set<number>()
+  /** The indexes of each chunk. The first one is requested for all. */
+  private readonly _indexes: ReadonlyMap<string, readonly number[]>
   private readonly _peers: SwarmPeers
   private readonly _pulls = new Map<number, Pull>()
   private readonly _originRetryAt = new Map<number, number>()
@@ -71,6 +74,7 @@
     private readonly _draw: () => number,
     private readonly _policy: SwarmPolicy = defaultSwarmPolicy
   ) {
+    this._indexes = placesByDigest(_manifest.chunks.map(({ digest }) => digest))
     this._assignment = new ChunkAssignment(_self, members)
     this._peers = new SwarmPeers(_self, _draw)
     this._originSchedule = new OriginSchedule(_manifest.chunks.length, _policy)
@@ -91,7 +95,7 @@
 
   /** Returns the chunks that no member is known to hold, in ascending order. */
   private _unheld (now: number): number[] {
-    return [...this._missing].filter(index => !this._peers.isHeldOrReported(index, now)).sort((left, right) => left - right)
+    return this._missingChunks().filter(index => !this._peers.isHeldOrReported(index, now)).sort((left, right) => left - right)
   }
 
   /** Returns the chunks that some other member is known to hold. */
@@ -174,11 +178,11 @@
     return effects
   }
 
-  /** Records that a chunk was received, verified and stored. */
+  /** Records that a chunk was received, verified and stored, for all its indexes. */
   chunkReceived (attempt: number, now: number): TransferEffect[] {
     const pull = this._removePull(attempt)
     if (pull === undefined) return []
-    this._missing.delete(pull.index)
+    for (const index of this._indexesOf(pull.index)) this._missing.delete(index)
     this._lastChunkAt = now
     if (pull.peer !== undefined) {
       this._peers.succeeded(pull.peer, now - pull.startedAt)
@@ -234,13 +238,23 @@
    * wait for them, then the rest. Both start at a random position, so that members request different chunks.
    */
   private _requestOrder (): number[] {
-    const missing = [...this._missing]
+    const missing = this._missingChunks()
     const start = Math.floor(this._draw() * missing.length)
     const rotated = [...missing.slice(start), ...missing.slice(0, start)]
     const own = rotated.filter(index => this._ranks(index).inZone === 0)
     return [...own, ...rotated.filter(index => this._ranks(index).inZone > 0)]
   }
 
+  /** Returns the first index of each missing chunk. */
+  private _missingChunks (): number[] {
+    return [...this._missing].filter(index => this._indexesOf(index)[0] === index)
+  }
+
+  /** Returns all indexes whose chunk has the same bytes. */
+  private _indexesOf (index: number): readonly number[] {
+    return this._indexes.get(this._manifest.chunks[index]?.digest ?? '') ?? [index]
+  }
+
   private _hasCapacity (): boolean {
     return this._pulls.size < this._peerLimit() + this._limit.origin
   }
--- a/packages/node/src/lib/agent/chunk-store.ts
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -7,13 +7,14 @@
  * Stores chunks while peers may still request them. The engine's staging memory holds all chunks of the desired version,
  * which it needs to load it. This process caches only the most recent chunks, up to a limit, and reads older ones back.
  */
+import type { Manifest } from '@drumdrift/core'
 import { Arrivals } from './arrivals.js'
 import type { ChunkStaging } from './engine-client.js'
 
 /** The chunks that one agent holds. */
 export class ChunkStore {
   private readonly _cache = new Map<string, Buffer>()
-  private readonly _staged = new Set<string>()
+  private _staged = new Set<string>()
   private readonly _arrivals = new Arrivals()
   private _cachedBytes = 0
 
@@ -27,8 +28,12 @@
 
   /** Reads which chunks the engine holds, at the start and again before a load, since an earlier agent may have dropped some. */
   async recover (): Promise<void> {
-    this._staged.clear()
-    for (const digest of await this._engine.staged()) this._staged.add(digest)
+    this._staged = new Set(await this._engine.staged())
+  }
+
+  /** Prepares the engine's staging memory for a version, so that chunks that it already holds are not fetched. */
+  async arrange (chunks: Manifest['chunks']): Promise<void> {
+    this._staged = new Set(await this._engine.arrange(chunks))
   }
 
   /**
--- a/packages/node/src/lib/agent/engine-client.ts
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -7,13 +7,20 @@
  * The client of the model engine beside the agent: stages chunks, sends fenced load orders and reads the engine's state
  * (docs/PROTOCOLS.md). No other process sends orders to this engine.
  */
-import type { EngineReport, LoadResult, TakeOverResult } from '@drumdrift/core'
+import type { EngineReport, LoadResult, Manifest, TakeOverResult } from '@drumdrift/core'
 import { requestHttp } from '../platform/http-client.js'
 
 /** The staging memory of an engine, which holds chunks until the engine is ordered to load them. */
 export interface ChunkStaging {
-  /** Returns the digests of the staged chunks. */
+  /** Reads which chunks are staged. Returns their digests. */
   staged (): Promise<ReadonlySet<string>>
+  /**
+   * Prepares the staging memory for a version: chunks that it already holds are made part of it. Only chunks of the version can be
+   * staged from then on. Returns the digests of the staged chunks.
+   *
+   * @param chunks The chunks of the version in order.
+   */
+  arrange (chunks: Manifest['chunks']): Promise<ReadonlySet<string>>
   stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean>
   readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined>
   /** Drops a staged chunk. The engine refuses this if the fence is not the newest. */
@@ -58,6 +65,9 @@
     }
   }
 
+  /** Reads the staging memory only: this engine stores chunks by digest, so that they have no places. */
+  async arrange (): Promise<ReadonlySet<string>> { return await this.staged() }
+
   async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
     return await this._status({ method: 'PUT', path: `/staging/${kind}/${digest}`, body: bytes }) === 204
   }
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -178,10 +178,11 @@
     const manifest = this._manifest
     if (manifest === undefined) return false
     await this._dependencies.store.recover()
+    if (manifest !== this._manifest) return false
     if (manifest.chunks.every(chunk => this._dependencies.store.staged.has(chunk.digest))) return true
     this._dependencies.log.warn('staging-lost', { manifest: this._desiredDigest })
     this._completeDigest = ''
-    this._startTransfer(manifest)
+    await this._prepareTransfer(manifest)
     return false
   }
 
@@ -208,12 +209,19 @@
     this._arrivals.notify(manifestDigest)
     this._dependencies.log.info('manifest-held', { manifest: manifestDigest, chunks: checked.value.chunks.length })
     this._chunkDigests = new Set(checked.value.chunks.map(chunk => chunk.digest))
-    this._startTransfer(checked.value)
     this._dependencies.engine.stage('manifests', manifestDigest, bytes)
-    this._tick()
+    this._prepareTransfer(checked.value)
     return true
   }
 
+  /** Starts the transfer of a version once chunks that are already staged are part of it. */
+  private async _prepareTransfer (manifest: Manifest): Promise<void> {
+    await this._dependencies.store.arrange(manifest.chunks)
+    if (manifest !== this._manifest) return
+    this._startTransfer(manifest)
+    this._tick()
+  }
+
   private _startTransfer (manifest: Manifest): void {
     this._applyEffects(this._transfer?.cancel() ?? [])
     this._outcomes.clear()
--- a/packages/node/src/lib/routing/memory-staging.ts
+++ b/packages/node/src/lib/routing/memory-staging.ts
@@ -22,6 +22,9 @@
 
   async staged (): Promise<ReadonlySet<string>> { return new Set(this._chunks.keys()) }
 
+  /** Returns the staged chunks, which are stored by digest and have no places. */
+  async arrange (): Promise<ReadonlySet<string>> { return await this.staged() }
+
   /** Stages a chunk or manifest. Returns `false` if a chunk would exceed the capacity. */
   async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
     if (kind === 'manifests') return await this._manifests.stage(kind, digest, bytes)
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -10,7 +10,6 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { DocumentFailure, EndpointNotice, EndpointRecord, ModelVersion, NotRunReason, OrderResult, PublishedChange, PublishedTopic, RequestFailure } from '@drumdrift/core'
 import type { ChunkDigest } from '../agent/digest.js'
-import type { ChunkStaging } from '../agent/engine-client.js'
 import type { WeightsSource } from '../platform/platform-client.js'
 
 /** The part of the store that one read or watch covers. */
@@ -160,8 +159,28 @@
   readonly pace: number
 }
 
+/** The memory from which an engine loads a version, with one place for each of its chunks. The engine does not verify it. */
+export interface StagingArea {
+  /** Returns the places that hold a chunk; none if the engine cannot be reached. */
+  occupiedPlaces (): Promise<readonly number[]>
+  /**
+   * Returns the bytes at a place, or `undefined` if there are none.
+   *
+   * @param maxBytes The size of the expected chunk, if it is known. More bytes are not read.
+   */
+  read (place: number, maxBytes?: number): Promise<Buffer | undefined>
+  /** Overwrites a place. Returns whether the engine accepted the bytes. */
+  write (place: number, bytes: Buffer): Promise<boolean>
+}
+
+/** Caches manifests in the product's format, by the identity of their version. */
+export interface ManifestStore {
+  add (identity: string, bytes: Buffer): void
+  manifest (identity: string): Buffer | undefined
+}
+
 /** The engine of an agent, on the same instance. */
-export interface LoadableEngine extends ChunkStaging {
+export interface LoadableEngine extends StagingArea {
   /** Sets the model whose chunks are staged. */
   useModel (model: string): void
   /** Returns the status of the engine, or `undefined` if it cannot be reached. */
@@ -174,6 +193,7 @@
 export interface WeightsPlatform {
   readonly store: PublishedStore
   readonly engine: LoadableEngine
+  readonly manifests: ManifestStore
   /** The origin of the weights. Its address may change with the configuration. */
   readonly source: WeightsSource & { setOrigin (address: string): void }
   /** How manifests identify chunks. */
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -115,12 +115,15 @@
     if (identity === '') this._follow('')
   }
 
+  /** The version's chunks in order; none while the manifest is unknown. */
+  get chunks (): Manifest['chunks'] { return this._keeper.currentManifest?.chunks ?? [] }
+
   /** The version's size in bytes; 0 while the manifest is unknown. */
   get bytes (): number { return this._keeper.currentManifest?.bytes ?? 0 }
 
   /** The share of the version's chunks that this instance or, by direct or indirect report, another member holds. */
   get heldByFleet (): number {
-    const chunks = this._keeper.currentManifest?.chunks.length ?? 0
+    const chunks = this.chunks.length
     return chunks === 0 ? 0 : new Set([...this.held(), ...this.elsewhere()]).size / chunks
   }
 
@@ -169,7 +172,7 @@
 
   /** Returns the indexes of the version's chunks that this instance holds. */
   held (): number[] {
-    return (this._keeper.currentManifest?.chunks ?? []).flatMap(({ digest }, index) => this.store.staged.has(digest) ? [index] : [])
+    return this.chunks.flatMap(({ digest }, index) => this.store.staged.has(digest) ? [index] : [])
   }
 
   /** Returns the indexes of chunks known to be held by other members. */
@@ -217,7 +220,7 @@
 
   private _follow (identity: string): void {
     this._following = identity !== ''
-    this._holdings.follow(identity, identity === '' ? [] : this._dependencies.members(), this._keeper.currentManifest?.chunks.length ?? 0)
+    this._holdings.follow(identity, identity === '' ? [] : this._dependencies.members(), this.chunks.length)
   }
 
   /**
--- a/packages/node/src/lib/routing/version-transfers.ts
+++ b/packages/node/src/lib/routing/version-transfers.ts
@@ -248,6 +248,7 @@
     this._replacing = true
     try {
       this._stagedTransfer.want('')
+      await this._stagedTransfer.store.arrange(this._nextTransfer.chunks)
       for (const digest of await this._memory.staged()) {
         const bytes = await this._memory.readBack('chunks', digest)
         if (bytes !== undefined) await this._stagedTransfer.store.keep(digest, bytes)
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -27,6 +27,7 @@
 import { LoadPublisher } from './load-publisher.js'
 import type { WeightsPlatform } from './ports.js'
 import { DeltaEncoder, sendNews } from './delta-codec.js'
+import { PlacedStaging } from './placed-staging.js'
 import { PublishedFeed } from './published-feed.js'
 import { PublishedStatePoller } from './published-state-poller.js'
 import { placeOf } from './regions.js'
@@ -162,7 +163,7 @@
   }
 
   private _newVersions (): VersionTransfers {
-    const { engine, source, chunkDigest, manifestMatches } = this._platform
+    const { engine, manifests, source, chunkDigest, manifestMatches } = this._platform
     return new VersionTransfers({
       self: this._self,
       largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
@@ -179,7 +180,7 @@
         published: model => this._feed.state.publishedVersions(model),
         policy: bytes => ({ bound: this._versionBound, lead: SWITCH_LEAD, transferTime: TRANSFER_OVERHEAD * bytes / this._transferRate * 1000 })
       }
-    }, engine, this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
+    }, new PlacedStaging(engine, manifests, chunkDigest), this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
   }
 
   /**
--- a/packages/node/src/test/lib/routing/version-transfers_test.ts
+++ b/packages/node/src/test/lib/routing/version-transfers_test.ts
@@ -69,6 +69,7 @@
   private readonly _manifests = new Map<string, Buffer>()
 
   async staged (): Promise<ReadonlySet<string>> { return new Set([...this.chunksByIndex.values()].map(digestOf)) }
+  async arrange (): Promise<ReadonlySet<string>> { return await this.staged() }
   async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
     if (this.delay > 0) await new Promise(resolve => setTimeout(resolve, this.delay))
     if (kind === 'manifests') this._manifests.set(digest, bytes)
--- a/packages/node/src/test/lib/routing/weights-agent_test.ts
+++ b/packages/node/src/test/lib/routing/weights-agent_test.ts
@@ -68,11 +68,11 @@
       useModel: () => {},
       report: async () => report,
       order: async (_wanted: ModelVersion) => 'refused',
-      staged: async () => new Set(staged),
-      stage: async () => true,
-      readBack: async () => undefined,
-      drop: async () => {}
+      occupiedPlaces: async () => staged.map((_text, place) => place),
+      read: async place => Buffer.from(staged[place] ?? ''),
+      write: async () => true
     },
+    manifests: { add: () => {}, manifest: () => undefined },
     source: { setOrigin: () => {}, weights: async () => undefined },
     chunkDigest: 'sha256',
     manifestMatches: () => true
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -12,7 +12,7 @@
 import { setImmediate as nextImmediate, setTimeout as pause } from 'node:timers/promises'
 import { HttpService, readAll, sendJson } from '../http-service.js'
 import { paddingOf, readShape, type AnswerShape } from './answer-shape.js'
-import { pieceOf, PIECES } from './weights-origin.js'
+import { pieceOf, PIECES, type PieceSource } from './weights-origin.js'
 
 /** How the worker treats a request. */
 export type WorkerMode =
@@ -107,6 +107,8 @@
   readonly orders: unknown[] = []
   readonly versionSwitches: VersionSwitch[] = []
   readonly staged = new Map<number, Buffer>()
+  /** The pieces of each version that the worker expects in its staging memory. */
+  pieceOf: PieceSource = pieceOf
   private _waiting = 0
   private _recordSequence = 0
 
@@ -206,7 +208,7 @@
   }
 
   private _hasAllPieces (version: number): boolean {
-    return Array.from({ length: PIECES }, (_, index) => index).every(index => this.staged.get(index)?.equals(pieceOf(version, index)) === true)
+    return Array.from({ length: PIECES }, (_, index) => index).every(index => this.staged.get(index)?.equals(this.pieceOf(version, index)) === true)
   }
 
   private async _order (request: IncomingMessage, response: ServerResponse): Promise<void> {
