An answer whose head cannot be passed on is its endpoint's failure

Callers of streams got 200 without the seal and without the first event, as complete; callers of plain services got no answer, not even at their deadline.

Cause: nothing checked that a status is one of HTTP's (Node's parser accepts 000, its server does not write it), and CallerAnswer noted an answer as begun or ended before writing it. When the head threw, later events were written without it, for which Node makes up 200 OK.

Change: the head is checked where it is received, before anything else in the answer is believed; a status outside 200 to 599 or an invalid header makes the attempt broken, so that the request goes on elsewhere if it may be repeated, else ends with 502 at once. CallerAnswer writes first and notes afterwards, and closes the connection if a later part cannot be written. A listener that throws ends its call as broken. 101 ends the attempt at once. A transfer coding other than chunked is no declared end.

--- a/packages/node/src/lib/answer-framing.ts
+++ b/packages/node/src/lib/answer-framing.ts
@@ -13,5 +13,10 @@
  */
 export function isFramed ({ headers, statusCode = 0 }: Pick<IncomingMessage, 'headers' | 'statusCode'>): boolean {
   const bodiless = statusCode === 204 || statusCode === 304
-  return bodiless || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  return bodiless || headers['content-length'] !== undefined || endsInChunks(headers['transfer-encoding'])
+}
+
+/** Whether the last transfer coding is `chunked`; after any other one, the answer ends with its connection. */
+function endsInChunks (transferEncoding: string | undefined): boolean {
+  return transferEncoding?.split(',').at(-1)?.trim().toLowerCase() === 'chunked'
 }
--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -4,7 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /**
- * Writes the answer to a caller. A broken answer never looks complete to the caller.
+ * Writes the answer to a caller. A broken answer never looks complete to the caller. What is written is noted only afterwards: a head that
+ * cannot be written leaves the caller waiting for another answer.
  */
 import type { ServerResponse } from 'node:http'
 import { BufferBudget, type AttemptAccount, type BufferAccount } from '@drumdrift/core'
@@ -77,46 +78,47 @@
   /** Writes the head of an endpoint's answer, which is sent with the first data. A stream that is resumed at another endpoint keeps its first head. */
   head ({ status, headers }: AnswerHead): void {
     if (this._begun || this._isOver()) return
-    this._begun = true
     this._writeHead(status, headers)
+    this._begun = true
   }
 
   data (bytes: Uint8Array): void {
-    if (!this._isOver() && !this._response.write(bytes)) this._count()
+    if (!this._isOver() && !this._orCut(() => this._response.write(bytes))) this._count()
   }
 
   /** Ends an answer that is complete. */
   end (): void {
     if (this._isOver()) return
+    this._orCut(() => this._response.end())
     this._ended = true
     this._requestBytes = 0
-    this._response.end()
     this._count()
   }
 
   /** Writes a complete answer. */
   whole ({ status, headers }: AnswerHead, body: Buffer): void {
     if (this._begun || this._isOver()) return
+    const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
+    this._writeHead(status, hasLength ? headers : [...headers, 'Content-Length', String(body.length)])
     this._begun = true
+    this._orCut(() => this._response.end(body))
     this._ended = true
-    const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
     this._requestBytes = 0
-    this._writeHead(status, hasLength ? headers : [...headers, 'Content-Length', String(body.length)])
-    this._response.end(body)
     this._count()
   }
 
   /** Writes a failure that the system itself reports. If an answer has begun, closes its connection instead. */
   fail ({ status, headers, body }: LocalAnswer): void {
     if (this._isOver()) return
+    if (this._begun) this._response.destroy()
+    else {
+      this._orCut(() => {
+        this._writeHead(status, [...headers, 'Content-Length', String(Buffer.byteLength(body))])
+        this._response.end(body)
+      })
+    }
     this._ended = true
     this._requestBytes = 0
-    if (this._begun) {
-      this._response.destroy()
-      return
-    }
-    this._writeHead(status, [...headers, 'Content-Length', String(Buffer.byteLength(body))])
-    this._response.end(body)
   }
 
   private _drained (): void {
@@ -144,6 +146,16 @@
     this.cut()
   }
 
+  /** Performs the rest of an answer that has begun. If that throws, the connection is closed, so that the caller does not wait for it. */
+  private _orCut<Result> (write: () => Result): Result {
+    try {
+      return write()
+    } catch (error) {
+      this.cut()
+      throw error
+    }
+  }
+
   private _isOver (): boolean { return this._ended || this._disconnected }
 
   private _writeHead (status: number, headers: readonly string[]): void {
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -11,6 +11,7 @@
 import { createConnection, type Socket } from 'node:net'
 import type { ConnectionFailure, NotRunReason } from '@drumdrift/core'
 import { isFramed } from '../answer-framing.js'
+import { headFault } from '../answer-head.js'
 import { limitInformationalResponses } from '../informational-responses.js'
 import { IoTimeout } from '../io-timeout.js'
 import { parseAddress } from '../settings/address.js'
@@ -123,7 +124,12 @@
     })
     this._request.on('error', error => this._onRequestError(error))
     limitInformationalResponses(this._request, detail => this._end({ type: 'broken', begun: false, connection: 'open', detail }))
-    this._request.on('response', response => this._onResponse(response))
+    this._request.on('response', response => this._guard(() => this._onResponse(response)))
+    // Without a listener, Node closes the connection of such an answer, and the call has no end.
+    this._request.on('upgrade', (_response, socket) => {
+      socket.destroy()
+      this._end({ type: 'broken', begun: false, connection: 'open', detail: 'the endpoint switches protocols' })
+    })
     this._request.end(body)
   }
 
@@ -141,7 +147,18 @@
     this._connectTimeout?.cancel()
   }
 
+  /** Ends the call if its listener throws, so that the request goes on elsewhere or fails. */
+  private _guard (action: () => void): void {
+    try {
+      action()
+    } catch (error) {
+      this._end({ type: 'broken', begun: this._begun, connection: 'open', detail: `the answer cannot be passed on: ${error instanceof Error ? error.message : 'unknown error'}` })
+    }
+  }
+
   private _onResponse (response: IncomingMessage): void {
+    const fault = headFault(response.statusCode ?? 0, response.rawHeaders)
+    if (fault !== undefined) return this._end({ type: 'broken', begun: false, connection: 'open', detail: fault })
     const head = this._listener.readHead(response)
     response.on('error', error => this._onConnectionLost(error))
     response.on('aborted', () => this._onConnectionLost(new Error('the answer was cut off')))
@@ -150,7 +167,7 @@
     this._begun = true
     this._response = response
     this._listener.head(head, isFramed(response))
-    response.on('data', (bytes: Buffer) => { if (!this._finished) this._listener.data(bytes) })
+    response.on('data', (bytes: Buffer) => { if (!this._finished) this._guard(() => this._listener.data(bytes)) })
     response.on('end', () => {
       if (response.complete) this._end({ type: 'whole', framed: isFramed(response) })
       else this._onConnectionLost(new Error('the answer is incomplete'))
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -381,6 +381,9 @@
     const { attempt } = flight
     const { choice } = attempt
     const now = performance.now()
+    const isFirst = !this._answer.begun
+    this._answer.head(head)
+    this._answer.data(events.bytes)
     this._supersedeOthers(flight)
     this._waitReason = undefined
     this._progress.forwarded(events, now)
@@ -388,9 +391,7 @@
     this._recordSurvival(attempt, now)
     this._unit?.chooser.load(startKeyOf(choice.record)).begun(this._request.head.id, choice.expected, now)
     this._unit?.admission.begun(this._request.head.id, now)
-    if (!this._answer.begun) this._record.firstEvent(now)
-    this._answer.head(head)
-    this._answer.data(events.bytes)
+    if (isFirst) this._record.firstEvent(now)
     this._course.begun()
     this._pauseIfCongested(attempt)
   }
@@ -403,9 +404,9 @@
 
   private _forwardBodyPart (flight: Flight, head: AnswerHead, bytes: Uint8Array): void {
     if (!this._course.mayForwardBody(head.status, this._inFlight.size - 1)) return flight.attempt.breakOff(UNUSABLE_BODY_DETAIL)
-    this._supersedeOthers(flight)
     this._answer.head(head)
     this._answer.data(bytes)
+    this._supersedeOthers(flight)
     this._course.begun('body-part')
     this._pauseIfCongested(flight.attempt)
   }
--- a/packages/node/src/test/lib/routing/endpoint-call_test.ts
+++ b/packages/node/src/test/lib/routing/endpoint-call_test.ts
@@ -60,6 +60,7 @@
     ['chunks', `${head('Transfer-Encoding: chunked\r\n')}4\r\nthe \r\n4;x=y\r\nbody\r\n0\r\n\r\n`, true],
     ['chunks and a trailer', `${head('Transfer-Encoding: chunked\r\nTrailer: X-End\r\n')}8\r\n${body}\r\n0\r\nX-End: 1\r\n\r\n`, true],
     ['an informational head before it', `HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n${head('Content-Length: 8\r\n')}${body}`, true],
+    ['a transfer coding other than chunks', `${head('Transfer-Encoding: gzip\r\n')}${body}`, false],
     ['no end of its own', `${head('')}${body}`, false]
   ]
   for (const [name, text, framed] of answers) {
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -24,6 +24,8 @@
   | 'unframed' | 'unframed-cut' | 'unframed-cut-in-event' | 'unframed-reset' | 'unframed-crash' | 'unframed-large' | 'unframed-empty'
   /** Cuts a new stream after some events, and answers a request that resumes a stream with something other than a stream. */
   | 'cut-then-error' | 'cut-then-denied' | 'cut-then-plain' | 'cut-then-not-signed'
+  /** Whole answers with the status line and the additional headers of `oddHead`, without a check. */
+  | 'odd-head' | 'cut-then-odd-head'
 
 /** When a worker crashes under a request: after the head of its answer, within the first event, or after it. */
 export type WorkerCrash = 'after-head' | 'within-event' | 'after-event'
@@ -85,6 +87,8 @@
   silent = false
   /** Milliseconds that a new request waits in the queue before the worker handles it. Closing its connection removes it from the queue. */
   queueMilliseconds = 0
+  /** The status line and additional headers in the modes with an odd head, one a line. */
+  oddHead: readonly string[] = ['HTTP/1.1 200 OK']
   /** The worker crashes, with all its running requests, when it starts a request with this body; `undefined` for never. */
   crashesOnBody: string | undefined
   /** The same for a request whose prompt has this part. */
@@ -281,6 +285,8 @@
   'cut-then-denied': cutThenResume((...exchange) => modeHandlers.denied(...exchange)),
   'cut-then-plain': cutThenResume((worker, request, response) => { response.writeHead(200, worker.head(request)).end('no stream') }),
   'cut-then-not-signed': cutThenResume((...exchange) => modeHandlers.unsigned(...exchange)),
+  'odd-head': (worker, request) => sendOddHead(worker, request),
+  'cut-then-odd-head': cutThenResume((...exchange) => modeHandlers['odd-head'](...exchange)),
   'reset-unanswered': (_worker, request) => { request.socket.resetAndDestroy() },
   mute: () => {},
   unsigned: (worker, request, response) => {
@@ -306,6 +312,15 @@
   return Array.from({ length: last }, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1} of ${worker.id}\n\n`).join('')
 }
 
+/** Sends an answer whose head Node's server would not write. */
+function sendOddHead (worker: UsersWorkerStandIn, request: IncomingMessage): void {
+  const contentType = isStreamed(request) ? { 'content-type': 'text/event-stream' } : {}
+  const body = isStreamed(request) ? eventsUpTo(worker, worker.eventsPerStream) : `answer of ${worker.id}`
+  const headers = Object.entries({ ...worker.head(request), ...contentType, 'content-length': body.length }).map(([name, value]) => `${name}: ${value}`)
+  const [statusLine, ...others] = worker.oddHead
+  request.socket.write([statusLine, ...headers, ...others, '', body].join('\r\n'))
+}
+
 /** Sends an answer that has neither a length nor chunks, and ends it some time after its body. */
 function sendUnframed (worker: UsersWorkerStandIn, request: IncomingMessage, body: string, end: (socket: Socket) => void): void {
   const contentType = isStreamed(request) ? { 'content-type': 'text/event-stream' } : {}
