A manifest is believed only while the origin and its chunks agree with it

After one corrupted digit of a manifest nothing was served from the bound of its version on.

Cause: where versions are numbered, the identity tells nothing of the manifest's bytes; the first copy from the origin was adopted for good and handed to all agents. No chunk ever matched the corrupted digest.

Change: the origin has to send two equal copies before an agent adopts one; a chunk that arrives twice with the same bytes contradicts a manifest with another digest, and the agent fetches one that agrees; agents that hold all chunks announce the digest of their manifest, which others adopt if they lack chunks. An agent that is complete never changes its manifest.

One more manifest is read by each agent that asks the origin.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -196,8 +196,11 @@
   | { readonly type: 'suspects', readonly news: SuspectNews }
   /** Reports to load subscribers the request limits, and the remaining cold times, that endpoints announced. */
   | { readonly type: 'limits', readonly news: LimitNews, readonly cold?: ColdNews | undefined }
-  /** The indexes of chunks that are newly held, and of those that some other member holds. */
-  | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[] }
+  /**
+   * The indexes of chunks that are newly held, and of those that some other member holds. `verified`: the digest of the manifest, once all
+   * of its chunks are held.
+   */
+  | { readonly type: 'chunks', readonly identity: string, readonly held: readonly number[], readonly elsewhere: readonly number[], readonly verified?: string | undefined }
   /** Parts of an answer, numbered from 0. The payload is the data. */
   | { readonly type: 'head', readonly head: AnswerHead }
   | { readonly type: 'part', readonly sequence: number, readonly events: number }
--- a/packages/node/src/lib/agent/manifest-source.ts
+++ b/packages/node/src/lib/agent/manifest-source.ts
@@ -7,7 +7,8 @@
 import { failureOf, rendezvousOrder, type ChunkMember, type WeightsFailure } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { PeerPool } from '../peer/pool.js'
-import type { WeightsSource } from '../platform/platform-client.js'
+import type { Upstream, WeightsSource } from '../platform/platform-client.js'
+import { digestOfText } from './digest.js'
 
 /** What a manifest source uses. */
 export interface ManifestSourceDependencies {
@@ -20,6 +21,8 @@
   readonly log: Log
   /** Returns whether bytes are the manifest of an identity. */
   readonly matches: (identity: string, bytes: Buffer) => boolean
+  /** The number of equal copies that the platform has to send: more than one if the identity does not tell whether a copy is corrupted. */
+  readonly copies: number
   /** Called if the platform returns no manifest, or one that does not match. */
   readonly onProblem: (problem: WeightsFailure) => void
 }
@@ -32,6 +35,10 @@
  */
 const PEER_WAIT = 400
 const PEER_TIMEOUT = 700
+/** Bounds the copies that are remembered. */
+const MAX_RECORDED_COPIES = 16
+/** The largest number of copies that one call requests from the platform. */
+const MAX_COPIES = 3
 /** The timeout of a request to the platform, in milliseconds. */
 const PLATFORM_TIMEOUT = 1_000
 /**
@@ -43,6 +50,9 @@
 
 /** Fetches manifests for one member. */
 export class ManifestSource {
+  /** The digests of the copies that the platform sent for an identity. */
+  private _copies: { readonly identity: string, readonly digests: string[] } = { identity: '', digests: [] }
+
   constructor (private readonly _dependencies: ManifestSourceDependencies) {}
 
   /**
@@ -59,13 +69,14 @@
     const order = rendezvousOrder(names, identity)
     const rank = order.indexOf(self.instance)
     const parent = rank > 0 ? order[Math.floor((rank - 1) / FAN_OUT)] : undefined
-    const fromPeer = parent === undefined ? undefined : await this._fromPeer(parent, identity)
+    const fromPeer = parent === undefined ? undefined : await this.fetchFrom(parent, identity)
     if (fromPeer !== undefined) return fromPeer
     if (elapsed < Math.min(MAX_STAGGER, rank * STAGGER_PER_RANK)) return undefined
     return await this._fromPlatform(identity)
   }
 
-  private async _fromPeer (instance: string, identity: string): Promise<Buffer | undefined> {
+  /** Requests a manifest from one member. Returns `undefined` if it does not return one that matches. */
+  async fetchFrom (instance: string, identity: string): Promise<Buffer | undefined> {
     const address = this._dependencies.addressOf(instance)
     if (address === undefined) return undefined
     try {
@@ -79,11 +90,36 @@
 
   private async _fromPlatform (identity: string): Promise<Buffer | undefined> {
     for (const upstream of ['origin', 'store'] as const) {
-      const bytes = await this._dependencies.platform.weights(upstream, 'manifests', identity, PLATFORM_TIMEOUT)
-      if (bytes !== undefined && this._dependencies.matches(identity, bytes)) return bytes
-      if (bytes !== undefined) this._dependencies.onProblem({ type: 'weights-failure', reason: 'digest-mismatch', detail: `the manifest from the ${upstream} does not match its identity` })
+      const bytes = await this._confirmedFrom(upstream, identity)
+      if (bytes !== undefined) return bytes
     }
     this._dependencies.onProblem({ type: 'weights-failure', reason: 'unavailable', detail: `no source has manifest ${identity.slice(0, 12)}` })
     return undefined
   }
+
+  /** Requests a manifest until enough copies are equal, those of earlier calls included. */
+  private async _confirmedFrom (upstream: Upstream, identity: string): Promise<Buffer | undefined> {
+    const { platform, matches, copies, onProblem } = this._dependencies
+    for (let copy = 0; copy < Math.max(copies, MAX_COPIES); copy += 1) {
+      const bytes = await platform.weights(upstream, 'manifests', identity, PLATFORM_TIMEOUT)
+      if (bytes === undefined) return undefined
+      if (!matches(identity, bytes)) {
+        onProblem({ type: 'weights-failure', reason: 'digest-mismatch', detail: `the manifest from the ${upstream} does not match its identity` })
+        return undefined
+      }
+      if (this._recordCopy(identity, bytes) >= copies) return bytes
+    }
+    onProblem({ type: 'weights-failure', reason: 'digest-mismatch', detail: `the copies of the manifest from the ${upstream} differ` })
+    return undefined
+  }
+
+  /** Returns how many equal copies have been received, this one included. */
+  private _recordCopy (identity: string, bytes: Buffer): number {
+    if (this._copies.identity !== identity) this._copies = { identity, digests: [] }
+    const digest = digestOfText(bytes)
+    const { digests } = this._copies
+    digests.push(digest)
+    if (digests.length > MAX_RECORDED_COPIES) digests.shift()
+    return digests.filter(known => known === digest).length
+  }
 }
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -8,7 +8,7 @@
  * is stored or served to peers, and reports when the version is complete.
  */
 import {
-  checkManifest, type ChunkMember, type Manifest, type ChunkTransfer, type TransferEffect, type WeightsFailure
+  checkManifest, ManifestEvidence, type ChunkMember, type Manifest, type ChunkTransfer, type TransferEffect, type WeightsFailure
 } from '@drumdrift/core'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Log } from '../observe/log.js'
@@ -73,12 +73,22 @@
 const PLATFORM_TIMEOUT = 30_000
 /** The delay before a failed fetch of a manifest is retried, in milliseconds. */
 const MANIFEST_RETRY_DELAY = 200
+/** The longest such delay for a manifest that replaces a corrupted one, in milliseconds. Each attempt doubles the delay. */
+const MAX_REPLACEMENT_DELAY = 2_000
+
+/** The number of equal copies of a manifest that are needed if its identity does not tell whether it is corrupted. */
+const UNIDENTIFIED_COPIES = 2
 
 /** Holds and transfers the weights of one agent. */
 export class WeightsKeeper {
   private _desiredDigest = ''
   private _originCopies = 1
   private _manifest: Manifest | undefined
+  /** The digest of the manifest's bytes, also where it is not the version's identity. */
+  private _manifestDigest = ''
+  private _evidence = new ManifestEvidence()
+  /** Whether a manifest is being fetched in place of one that is corrupted. */
+  private _replacing = false
   private _transfer: ChunkTransfer | undefined
   private _completeDigest = ''
   /** The list that the transfer uses; compared by reference, since a new revision creates a new list. */
@@ -100,7 +110,10 @@
 
   constructor (private readonly _dependencies: WeightsKeeperDependencies) {
     this._manifestSource = new ManifestSource({
-      ..._dependencies, matches: (identity, bytes) => this._matches(identity, bytes), onProblem: problem => this._recordManifestProblem(problem)
+      ..._dependencies,
+      copies: this._identifiesBytes ? 1 : UNIDENTIFIED_COPIES,
+      matches: (identity, bytes) => this._matches(identity, bytes) && !this._isContradicted(bytes),
+      onProblem: problem => this._recordManifestProblem(problem)
     })
   }
 
@@ -110,6 +123,11 @@
   get completeDigest (): string { return this._completeDigest }
   /** The manifest of the desired version; `undefined` until it is held. */
   get currentManifest (): Manifest | undefined { return this._manifest }
+  /** The digest of the manifest of the desired version, once all of its chunks are held and verified; `undefined` before. */
+  get verifiedManifest (): string | undefined {
+    return this._completeDigest === '' ? undefined : this._manifestDigest
+  }
+
   /** The share of the desired version that is held. */
   get progress (): number { return this._transfer?.progress ?? 0 }
   /** Why the desired version cannot be fetched; `undefined` without a failure. */
@@ -153,6 +171,7 @@
     this._applyEffects(this._transfer?.cancel() ?? [])
     this._transfer = undefined
     this._manifest = undefined
+    this._evidence = new ManifestEvidence()
     this._chunkDigests = new Set()
     if (manifestDigest !== '') this._fetchAndAdoptManifest(manifestDigest)
   }
@@ -186,6 +205,35 @@
     return false
   }
 
+  /**
+   * Compares this process's manifest with that of a member that holds all chunks of the version. No bytes match a corrupted digest, so
+   * that member's manifest is right, and is adopted if this process does not hold all chunks of its own.
+   *
+   * @param digest The digest of the member's manifest.
+   */
+  async compareWithVerified (instance: string, digest: string): Promise<void> {
+    const [manifest, identity] = [this._manifest, this._desiredDigest]
+    if (manifest === undefined || this._completeDigest !== '' || this._manifestDigest === digest) return
+    const bytes = await this._manifestSource.fetchFrom(instance, identity)
+    if (bytes === undefined || digestOfText(bytes) !== digest || manifest !== this._manifest || this._completeDigest !== '') return
+    this._dependencies.log.warn('manifest-replaced', { manifest: identity, source: instance })
+    this._adoptManifest(identity, bytes)
+  }
+
+  /** Fetches another manifest in place of one that chunks contradict. Until then, the chunks that it lists rightly are transferred. */
+  private async _replaceManifest (): Promise<void> {
+    if (this._replacing) return
+    this._replacing = true
+    const [manifest, identity] = [this._manifest, this._desiredDigest]
+    for (let delay = MANIFEST_RETRY_DELAY; manifest === this._manifest && this._completeDigest === ''; delay = Math.min(MAX_REPLACEMENT_DELAY, 2 * delay)) {
+      const bytes = await this._manifestSource.fetch(identity, Infinity)
+      if (manifest !== this._manifest) break
+      if (bytes !== undefined && this._adoptManifest(identity, bytes)) this._dependencies.log.warn('manifest-replaced', { manifest: identity, source: 'origin' })
+      else await pause(delay)
+    }
+    this._replacing = false
+  }
+
   private async _fetchAndAdoptManifest (manifestDigest: string): Promise<void> {
     const startedAt = performance.now()
     while (this._desiredDigest === manifestDigest) {
@@ -206,6 +254,7 @@
     this._manifest = checked.value
     this._manifests.clear()
     this._manifests.set(manifestDigest, bytes)
+    this._manifestDigest = digestOfText(bytes)
     this._arrivals.notify(manifestDigest)
     this._dependencies.log.info('manifest-held', { manifest: manifestDigest, chunks: checked.value.chunks.length })
     this._chunkDigests = new Set(checked.value.chunks.map(chunk => chunk.digest))
@@ -241,11 +290,19 @@
     return await this._manifestSource.fetch(digest, elapsed)
   }
 
+  /** Whether the identity of a version is the digest of its manifest, so that a corrupted manifest cannot match it. */
+  private get _identifiesBytes (): boolean { return this._dependencies.manifestMatches === undefined }
+
   private _matches (identity: string, bytes: Buffer): boolean {
     const { manifestMatches } = this._dependencies
     return manifestMatches === undefined ? digestOfText(bytes) === identity : manifestMatches(identity, bytes)
   }
 
+  private _isContradicted (bytes: Buffer): boolean {
+    const checked = checkManifest(tryParseJson(bytes), this._dependencies.maxBytes)
+    return 'value' in checked && this._evidence.contradicts(checked.value)
+  }
+
   private _tick (): void {
     const transfer = this._transfer
     if (transfer === undefined || this._completeDigest !== '') return this._stopTicking()
@@ -305,10 +362,12 @@
 
   /** Fetches, verifies and stores one chunk. Returns the failure, or `undefined` on success. */
   private async _fetchVerified (effect: Fetch, signal: AbortSignal): Promise<'corrupt' | 'unreachable' | 'not-yet' | 'not-held' | 'timed-out' | undefined> {
+    const manifest = this._manifest
     const fetched = await this._fetchBytes(effect, signal)
     if (typeof fetched === 'string') return fetched
-    const valid = fetched.length === effect.bytes && await digestOf(fetched, this._dependencies.chunkDigest) === effect.digest
-    if (!valid) {
+    const digest = await digestOf(fetched, this._dependencies.chunkDigest)
+    if (digest !== effect.digest || fetched.length !== effect.bytes) {
+      if (effect.source.kind === 'origin' && manifest === this._manifest) this._recordMismatch(effect, digest)
       this._dependencies.counters.add('chunks_corrupt')
       this._dependencies.log.warn('chunk-corrupt', { source: sourceName(effect), chunk: effect.index, bytes: fetched.length })
       return 'corrupt'
@@ -319,6 +378,12 @@
     return staged ? undefined : 'not-yet'
   }
 
+  private _recordMismatch ({ index }: Fetch, digest: string): void {
+    if (this._identifiesBytes || !this._evidence.received(index, digest)) return
+    this._dependencies.log.warn('manifest-contradicted', { manifest: this._desiredDigest, chunk: index })
+    this._replaceManifest()
+  }
+
   private async _fetchBytes (effect: Fetch, signal: AbortSignal): Promise<PeerChunkResult> {
     if (effect.source.kind !== 'peer') {
       return await this._dependencies.platform.weights(effect.source.kind, 'chunks', effect.digest, PLATFORM_TIMEOUT, signal) ?? 'not-held'
--- a/packages/node/src/lib/routing/chunk-holdings.ts
+++ b/packages/node/src/lib/routing/chunk-holdings.ts
@@ -38,6 +38,8 @@
   /** Chunks announced as held by another member. */
   readonly announcedElsewhere: Set<number>
   announcedAt: number
+  /** The manifest that was announced as verified. */
+  verified: string | undefined
 }
 
 /** The indexes of a version's chunks that are held by an agent and by others. */
@@ -45,6 +47,8 @@
   readonly held: readonly number[]
   /** Known to be held by another member. */
   readonly elsewhere: readonly number[]
+  /** The digest of the manifest, if the agent holds all of its chunks; `undefined` if not. */
+  readonly verified?: string | undefined
 }
 
 /** The chunks known to the publishing agent. */
@@ -78,7 +82,7 @@
   follow (identity: string, responder: Responder): void {
     const { connection } = responder
     const known = this._followers.get(connection)
-    const follower = { responder, identity, announced: new Set<number>(), announcedElsewhere: new Set<number>(), announcedAt: -Infinity }
+    const follower = { responder, identity, announced: new Set<number>(), announcedElsewhere: new Set<number>(), announcedAt: -Infinity, verified: undefined }
     const others = (known ?? []).filter(other => other.identity !== identity)
     this._followers.set(connection, [...others, follower].slice(-MAX_VERSIONS_PER_CONNECTION))
     if (known === undefined) connection.onEnd(() => { this._removeFollower(connection) })
@@ -120,9 +124,11 @@
     for (const index of held) announced.add(index)
     const elsewhere = known.elsewhere.filter(index => !announced.has(index) && !announcedElsewhere.has(index))
     for (const index of elsewhere) announcedElsewhere.add(index)
-    if (held.length + elsewhere.length === 0) return
+    const { verified } = known
+    if (held.length + elsewhere.length === 0 && verified === follower.verified) return
     follower.announcedAt = now
-    responder.send({ type: 'chunks', identity, held, elsewhere })
+    follower.verified = verified
+    responder.send({ type: 'chunks', identity, held, elsewhere, ...(verified === undefined ? {} : { verified }) })
   }
 }
 
--- a/packages/node/src/lib/routing/version-transfer.ts
+++ b/packages/node/src/lib/routing/version-transfer.ts
@@ -72,7 +72,8 @@
   constructor (private readonly _dependencies: VersionTransferDependencies, private readonly _staging: ChunkStaging, readonly store: ChunkStore, private readonly _capacity = Infinity) {
     this._holdings = new HoldingsFollower(_dependencies.self, _dependencies.pool, _dependencies.log, {
       joined: peer => this._swarm?.peerJoined(peer),
-      holds: (peer, { held, elsewhere }) => {
+      holds: (peer, { held, elsewhere, verified }) => {
+        if (verified !== undefined) this._keeper.compareWithVerified(peer, verified)
         this._swarm?.peerHolds(peer, held)
         this._swarm?.peerReports(elsewhere, performance.now())
         this._detectFirstWholeInZone()
@@ -86,6 +87,8 @@
   get identity (): string { return this._keeper.wanted }
   /** Whether the version is complete and verified. */
   get whole (): boolean { return this.identity !== '' && this._keeper.completeDigest === this.identity }
+  /** See `WeightsKeeper.verifiedManifest`. */
+  get verifiedManifest (): string | undefined { return this._keeper.verifiedManifest }
   /** The share of the version's chunks held by this instance, 0 to 1. */
   get progress (): number { return this._keeper.progress }
   /** The share of the version's chunks held by this instance or a peer, 0 to 1; 0 while the manifest is unknown. */
--- a/packages/node/src/lib/routing/version-transfers.ts
+++ b/packages/node/src/lib/routing/version-transfers.ts
@@ -163,7 +163,7 @@
   /** Returns which chunks of a version this instance and other members hold. */
   known (identity: string): OwnChunks {
     const transfer = this._transferOf(identity)
-    return { held: this.held(identity), elsewhere: transfer?.elsewhere() ?? [], settled: transfer?.whole ?? true }
+    return { held: this.held(identity), elsewhere: transfer?.elsewhere() ?? [], settled: transfer?.whole ?? true, verified: transfer?.verifiedManifest }
   }
 
   /** Returns a manifest for a peer, and waits for it if it is still in transfer. */
--- a/packages/node/src/test/lib/agent/manifest-source_test.ts
+++ b/packages/node/src/test/lib/agent/manifest-source_test.ts
@@ -49,6 +49,7 @@
         pool,
         platform: { weights: async upstream => { calls.push(upstream); return platform === undefined ? undefined : Buffer.from(platform) } },
         log,
+        copies: 1,
         matches: (identity, bytes) => bytes.toString() === identity,
         onProblem: failure => problems.push(failure)
       })
