A lost connection to the store is no outage in which entries expire

An endpoint that had left got requests for up to 2.4 s after its entry had gone; those that ran there as it ended were lost.

Cause: one watch that the store cut counted as its outage, so that the endpoint's entry, which went just then, was taken for expired and the endpoint kept for 2.5 s.

Change: the grace period begins only after the store did not answer for a second or more, counted from the sending of a call without an answer or from the loss of a connection; entries expire after several heartbeats of silence. A shorter loss leaves an earlier grace period as it is. In the first second after a failure the store is asked to answer at once. A reading whose connection was lost is repeated before it counts as a failure.

Unit tests of outages pass the time since which the store is lost, and expect the same as before.

--- a/packages/core/src/lib/routing/published/lapse-grace.ts
+++ b/packages/core/src/lib/routing/published/lapse-grace.ts
@@ -20,12 +20,19 @@
  * entries expire, so a few missing endpoints have left.
  */
 const SHORT_GRACE = 500
+/**
+ * The shortest outage after which entries may have expired, in milliseconds. An entry expires after several heartbeats of silence, so one
+ * that goes while a call fails, or while connections are cut, has been removed.
+ */
+const MIN_LAPSE_TIME = 1_000
 /** Missing endpoints count as few below this share of all endpoints, and of those of their service. */
 const FEW_SHARE = 0.5
 
 /** The grace period of one process after it lost its connection to the store. */
 export class LapseGrace {
-  /** Infinite while the store cannot be reached. */
+  /** Since when the store cannot be reached; `undefined` while it answers. */
+  private _lostSince: number | undefined
+  /** When the grace period after the last outage ends. */
   private _graceEndsAt = 0
   /** The services for which the grace period goes on after it was decided; `undefined` for all. */
   private _keptServices: Set<string> | undefined
@@ -40,22 +47,27 @@
   /** Endpoints whose entries were missing since the store was lost, including those that are listed again, with their services. */
   private readonly _missing = new Map<string, string>()
 
-  /** Records that the store cannot be reached: entries that disappear from now on may only have expired. */
-  storeLost (): void {
-    if (this._graceEndsAt !== Infinity) this._missing.clear()
-    this._graceEndsAt = Infinity
-    this._lapsedUpTo = Infinity
-    this._keptServices = undefined
+  /**
+   * Records that the store cannot be reached: entries that disappear from now on may only have expired.
+   *
+   * @param since Since when it may not have answered: when a call that got no answer was sent, or when a connection was lost.
+   */
+  storeLost (since: number): void {
+    if (this._lostSince === undefined && since >= this._graceEndsAt) this._missing.clear()
+    this._lostSince = Math.min(since, this._lostSince ?? Infinity)
   }
 
   /**
-   * Records that the store answers again.
+   * Records that the store answers again. After a short outage, an earlier grace period goes on as if there had been none.
    *
    * @param upTo The store's current revision: removals up to it may be expired entries, later ones are real.
    */
   storeRegained (now: number, upTo: number): void {
-    if (this._graceEndsAt !== Infinity) return
+    const since = this._lostSince
+    this._lostSince = undefined
+    if (since === undefined || now - since < MIN_LAPSE_TIME) return
     this._graceEndsAt = now + LAPSE_GRACE
+    this._keptServices = undefined
     this._decideAt = now + SHORT_GRACE
     this._lapsedUpTo = upTo
   }
@@ -78,7 +90,7 @@
   keptUntil (service: string, revision: number, now: number): number | undefined {
     const endsAt = this._endOfService(service)
     if (now < this._rewrittenBy && revision <= this._restoredUpTo) return Math.max(this._rewrittenBy, endsAt)
-    return now < endsAt && revision <= this._lapsedUpTo ? endsAt : undefined
+    return now < endsAt && (this._isLost || revision <= this._lapsedUpTo) ? endsAt : undefined
   }
 
   /**
@@ -91,14 +103,14 @@
    * held.lapsesAt = grace.keepLikePeer(service, keptFor, now)
    */
   keepLikePeer (service: string, keptFor: number, now: number): number {
-    if (now >= this._graceEndsAt) {
+    if (!this._isLost && now >= this._graceEndsAt) {
       this._decideAt = now + SHORT_GRACE
       this._missing.clear()
       this._keptServices = undefined
     }
     this._keptServices?.add(service)
     this._graceEndsAt = Math.max(this._graceEndsAt, now + Math.min(keptFor, LAPSE_GRACE))
-    return this._graceEndsAt
+    return this._isLost ? Infinity : this._graceEndsAt
   }
 
   /**
@@ -126,7 +138,7 @@
    * grace.endIfFewMissing(() => state.endpoints().map(({ service }) => service), now)
    */
   endIfFewMissing (listServices: () => readonly string[], now: number): void {
-    if (this._graceEndsAt === Infinity || now < this._decideAt) return
+    if (this._isLost || now < this._decideAt) return
     this._decideAt = Infinity
     const all = listServices()
     const missing = [...this._missing.values()]
@@ -136,7 +148,12 @@
     if (this._keptServices.size === 0) this._graceEndsAt = now
   }
 
-  private _endOfService (service: string): number { return this._keptServices?.has(service) === false ? 0 : this._graceEndsAt }
+  private get _isLost (): boolean { return this._lostSince !== undefined }
+
+  private _endOfService (service: string): number {
+    if (this._isLost) return Infinity
+    return this._keptServices?.has(service) === false ? 0 : this._graceEndsAt
+  }
 }
 
 function isFew (missing: readonly string[], all: readonly string[]): boolean { return missing.length < FEW_SHARE * all.length }
--- a/packages/core/src/lib/routing/published/published-state.ts
+++ b/packages/core/src/lib/routing/published/published-state.ts
@@ -195,8 +195,12 @@
     return true
   }
 
-  /** Records that the store cannot be reached: entries that disappear from now on may only have expired. */
-  storeLost (): void { this._grace.storeLost() }
+  /**
+   * Records that the store cannot be reached: entries that disappear from now on may only have expired.
+   *
+   * @param since Since when it may not have answered, by the clock of this process.
+   */
+  storeLost (since: number): void { this._grace.storeLost(since) }
 
   /**
    * Records that the store answers again.
--- a/packages/core/src/test/lib/routing/published/lapsed-endpoints_test.ts
+++ b/packages/core/src/test/lib/routing/published/lapsed-endpoints_test.ts
@@ -31,7 +31,7 @@
     it(name, () => {
       const state = new PublishedState()
       state.takeSnapshot('endpoints', ALL.map((id, index) => listed(id, index + 1)), 5, 0)
-      state.storeLost()
+      state.storeLost(5_000)
       state.storeRegained(10_000, 9)
       state.takeSnapshot('endpoints', ALL.filter(id => !missing.includes(id)).map(id => listed(id, ALL.indexOf(id) + 1)), 9, 10_000)
       state.expire(10_000 + after)
@@ -42,7 +42,7 @@
   it('are kept for the long grace period even if most of the expired entries are back before it ends', () => {
     const state = new PublishedState()
     state.takeSnapshot('endpoints', ALL.map((id, index) => listed(id, index + 1)), 5, 0)
-    state.storeLost()
+    state.storeLost(5_000)
     state.storeRegained(10_000, 9)
     state.takeSnapshot('endpoints', [], 9, 10_000)
     state.expire(10_600)
@@ -62,7 +62,7 @@
     it(`${name}, although few are at the end of the short grace period`, () => {
       const state = new PublishedState()
       state.takeSnapshot('endpoints', ALL.map((id, index) => listed(id, index + 1)), 5, 0)
-      state.storeLost()
+      state.storeLost(5_000)
       state.storeRegained(10_000, 10)
       for (const [index, id] of missing.entries()) state.take({ type: 'endpoint-gone', revision: 6 + index, id }, 10_000)
       for (const [index, id] of back.entries()) state.take(listed(id, 11 + index), 10_300)
@@ -86,7 +86,7 @@
     it(name, () => {
       const state = new PublishedState()
       state.takeSnapshot('endpoints', ALL.map((id, index) => listed(id, index + 1)), 5, 0)
-      state.storeLost()
+      state.storeLost(5_000)
       state.storeRegained(10_000, 10)
       for (const [index, id] of ALL.entries()) state.take({ type: 'endpoint-gone', revision: 6 + index, id }, 10_000)
       later(state)
@@ -100,12 +100,12 @@
   it('do not count in the next outage', () => {
     const state = new PublishedState()
     state.takeSnapshot('endpoints', ALL.map((id, index) => listed(id, index + 1)), 5, 0)
-    state.storeLost()
+    state.storeLost(5_000)
     state.storeRegained(10_000, 10)
     for (const [index, id] of ALL.entries()) state.take({ type: 'endpoint-gone', revision: 6 + index, id }, 10_000)
     for (const [index, id] of ALL.entries()) state.take(listed(id, 11 + index), 10_300)
     state.expire(12_600)
-    state.storeLost()
+    state.storeLost(15_000)
     state.storeRegained(20_000, 20)
     state.take({ type: 'endpoint-gone', revision: 16, id: 'b' }, 20_000)
     state.expire(20_600)
@@ -123,7 +123,7 @@
   /** A relay that lost the store at revision 5 and read it again at `RETURN`. */
   function relayAfterOutage (missing: readonly string[]): PublishedState {
     const relay = relayBeforeOutage()
-    relay.storeLost()
+    relay.storeLost(5_000)
     relay.storeRegained(RETURN, 10)
     for (const [index, id] of missing.entries()) relay.take({ type: 'endpoint-gone', revision: 6 + index, id }, RETURN)
     relay.followed('endpoints', 10)
@@ -152,7 +152,7 @@
     'follower that starts': () => new PublishedState(),
     'follower that lost the store too': () => {
       const follower = followers['follower that knows them']()
-      follower.storeLost()
+      follower.storeLost(5_000)
       // It learns from the relay that the store is back, before it learns what is missing.
       follower.storeRegained(RETURN, follower.note.endpoints)
       return follower
@@ -168,7 +168,7 @@
   ]
   it('a follower keeps those that are missing at a relay which has not regained the store', () => {
     const relay = relayBeforeOutage()
-    relay.storeLost()
+    relay.storeLost(5_000)
     const agent = new PublishedState()
     agent.takeSnapshot('endpoints', [], 12, RETURN)
     follow(agent, relay, RETURN)
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -64,6 +64,12 @@
  */
 const SHORT_WATCH_PERIOD = 12_000
 const FAILING_WATCH_WAIT = 500
+/**
+ * The wait in the first time after a failure, and how long that time is. The store answers at once then if only a connection was cut, before
+ * another one is cut.
+ */
+const CHECK_WATCH_WAIT = 1
+const CHECK_PERIOD = 1_000
 const SHORT_WATCH_WAIT = 1_000
 /** Bounds of the exponential backoff after a failed store call, in milliseconds. The store charges for refused calls too. */
 const MIN_BACKOFF = 100
@@ -158,8 +164,14 @@
       if (this._closed || this._followed(scope) > 0) return
     }
     if (await this._relays.fetchState(topicsOfScope[scope])) return
-    const sentAt = performance.now()
+    let sentAt = performance.now()
     let response = this._rejectEarlierEpoch(await this._read(scope, 'may-be-old'))
+    if (response.type === 'store-failure' && response.reason === 'unreachable' && !this._closed) {
+      // The next reading comes seconds later: a connection that was cut must not count as an outage until then.
+      await pause(MIN_BACKOFF)
+      sentAt = performance.now()
+      response = this._rejectEarlierEpoch(await this._read(scope, 'may-be-old'))
+    }
     // A possibly stale read may return an earlier epoch; a read of the newest state does not.
     if (response.type === 'store-failure' && response.reason === 'earlier-epoch') response = this._rejectEarlierEpoch(await this._read(scope, 'newest'))
     if (this._closed) return
@@ -266,8 +278,9 @@
   /** How long the store may hold a watch open now, in milliseconds. */
   private _watchWait ({ scope, wait }: Watch): number {
     if (performance.now() - this._lastFailureAt >= SHORT_WATCH_PERIOD) return wait
-    const shortWait = this._failing.has(scope) ? FAILING_WATCH_WAIT : SHORT_WATCH_WAIT
-    return Math.min(shortWait, wait)
+    const failingSince = this._failing.get(scope)
+    if (failingSince === undefined) return Math.min(SHORT_WATCH_WAIT, wait)
+    return Math.min(performance.now() - failingSince < CHECK_PERIOD ? CHECK_WATCH_WAIT : FAILING_WATCH_WAIT, wait)
   }
 
   /** The revision up to which every topic of a scope is known. */
@@ -326,7 +339,7 @@
       this._dependencies.log.warn('store-lost', { scope, reason: failure.reason, detail: failure.detail, revision: this._followed(scope) })
     }
     // A relay that still follows the store shows that the store is up: records then do not expire, and removals are real.
-    if (!this._relays.followsStore) this.state.storeLost()
+    if (!this._relays.followsStore) this.state.storeLost(failure.reason === 'timed-out' ? sentAt : now)
   }
 
   private _onCallSucceeded (scope: StoreScope, upTo: number): void {
--- a/packages/stand-ins/src/lib/users-platform/key-value-store.ts
+++ b/packages/stand-ins/src/lib/users-platform/key-value-store.ts
@@ -123,10 +123,18 @@
 
   private _currentSnapshot (): StoreSnapshot { return { items: [...this._items.values()], history: [...this._history], revision: this._revision } }
 
-  private _closeWatches (): void {
+  /** The number of watches that wait for a change. */
+  get waitingWatches (): number { return this._pendingWatches.size }
+
+  /** Cuts all waiting watches, by closing or resetting their connections. */
+  cutWatches (how: 'closed' | 'reset'): void {
+    this._closeWatches(({ response: { socket } }) => { how === 'closed' ? socket?.end() : socket?.resetAndDestroy() })
+  }
+
+  private _closeWatches (cut = ({ response }: PendingWatch): void => { response.destroy() }): void {
     for (const watch of this._pendingWatches) {
       clearTimeout(watch.timer)
-      watch.response.destroy()
+      cut(watch)
     }
     this._pendingWatches.clear()
   }
