Answers with statuses that HTTP does not define fail as malformed everywhere

An answer with the status 000, 099 or 600 was passed on by the first data plane, whose entry throws when it writes it, and taken as an answer by the clients of store, origin and engine; one with 101 was never settled.

Cause: Node's parser accepts every status of three digits, and closes the connection of an answer that switches protocols without an error unless something listens for it.

Change: the check of the routing entry stands where the HTTP client receives a head; the call fails with the typed failure "malformed". An entry checks the head that an agent sends.

Evidence: on the code before, 4 cases of http-client_test, 3 of request-runner_test and 2 of agent-call_test fail, and the first two files do not end; all 61 cases pass after.

--- a/packages/core/src/lib/routing/weights/chunk-swarm.ts
+++ b/packages/core/src/lib/routing/weights/chunk-swarm.ts
@@ -11,10 +11,10 @@
 import type { ChunkMember } from '../../chunk-tree.js'
 import type { Manifest } from '../../documents.js'
 import type { FetchProblem, ChunkTransfer, TransferEffect } from '../../transfer.js'
-import { placesByDigest } from './staging-plan.js'
 import { ChunkAssignment, type ChunkRanks } from './chunk-assignment.js'
 import { OriginSchedule, type OriginView } from './origin-schedule.js'
 import { PullWindow } from './pull-window.js'
+import { placesByDigest } from './staging-plan.js'
 import { SwarmPeers, type SwarmPeer } from './swarm-peers.js'
 import { defaultSwarmPolicy, type SwarmLimit, type SwarmPolicy } from './swarm-policy.js'
 
--- a/packages/node/src/lib/entry/agent-call.ts
+++ b/packages/node/src/lib/entry/agent-call.ts
@@ -9,6 +9,7 @@
  */
 import { AnswerStream, type AdmissionRefusal, type AnswerHead, type EndpointStatus, type PeerReply, type PeerRequest } from '@drumdrift/core'
 import { match } from 'ts-pattern'
+import { headFault } from '../answer-head.js'
 import type { Reply, ReplyListener } from '../peer/connection.js'
 import { SilenceTimeout } from '../silence-timeout.js'
 
@@ -105,7 +106,10 @@
       })
       .with({ type: 'head' }, ({ head }) => {
         this._restartTimer(this._timeouts.firstAnswer)
-        this._listener.head(head)
+        const fault = headFault(head.status, Object.entries(head.headers).flat())
+        if (fault === undefined) return this._listener.head(head)
+        this._sendHangUp()
+        this._end({ type: 'broken', detail: fault })
       })
       .with({ type: 'part' }, ({ sequence, events }) => {
         this._restartTimer(this._timeouts.betweenParts)
--- a/packages/node/src/lib/platform/http-client.ts
+++ b/packages/node/src/lib/platform/http-client.ts
@@ -10,6 +10,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { DrumdriftError } from '@drumdrift/core'
+import { headFault } from '../answer-head.js'
 import { limitInformationalResponses } from '../informational-responses.js'
 import type { ReadPacer } from '../peer/connection.js'
 import { parseAddress } from '../settings/address.js'
@@ -54,7 +55,7 @@
 /**
  * Sends a request and reads the complete answer.
  *
- * @throws DrumdriftError with a peer failure: `connection-lost`, `timed-out` or `oversized`.
+ * @throws DrumdriftError with a peer failure: `connection-lost`, `timed-out`, `oversized`, or `malformed` for a status that is no final one.
  * @example
  * const answer = await requestHttp('10.0.0.1:8500', { path: '/configuration' })
  */
@@ -91,7 +92,14 @@
   onSilence(outgoing, timeout, () => outgoing.destroy(httpError('timed-out', `${method} ${path}: no answer within ${timeout} ms`)))
   limitInformationalResponses(outgoing, detail => outgoing.destroy(httpError('oversized', detail)))
   outgoing.on('error', onError)
+  // Without a listener, Node closes the connection of such an answer, and the request has no end.
+  outgoing.on('upgrade', (_response, socket) => {
+    socket.destroy()
+    onError(httpError('malformed', `${method} ${path}: the answer switches protocols`))
+  })
   outgoing.on('response', response => {
+    const fault = headFault(response.statusCode ?? 0, response.rawHeaders)
+    if (fault !== undefined) return outgoing.destroy(httpError('malformed', `${method} ${path}: ${fault}`))
     // Node ends an answer without a length as if it were complete when its connection is reset. Bytes after a whole answer are no part of it.
     outgoing.on('error', error => { if (!response.complete) response.destroy(error) })
     outgoing.off('error', onError)
@@ -147,6 +155,6 @@
 
 function typedError (error: Error): DrumdriftError { return error instanceof DrumdriftError ? error : httpError('connection-lost', error.message) }
 
-function httpError (reason: 'connection-lost' | 'timed-out' | 'oversized', detail: string): DrumdriftError {
+function httpError (reason: 'connection-lost' | 'timed-out' | 'oversized' | 'malformed', detail: string): DrumdriftError {
   return new DrumdriftError({ type: 'peer-failure', reason, detail })
 }
--- a/packages/node/src/test/lib/agent-call_test.ts
+++ b/packages/node/src/test/lib/agent-call_test.ts
@@ -80,6 +80,9 @@
     ['a restart of the timeout by the admission and the head', [999, admitted, 2_999, head, 2_999], 'open', '', false],
     ['a refusal', [{ type: 'admitted', admission: { type: 'refused', reason: 'busy' }, status }], 'refused', '', false],
     ['a broken answer', [admitted, head, part(0), { type: 'broken', detail: 'x', notRun: false, status }], 'broken', 'a', false],
+    // Guards against heads that cannot be written to a caller, whatever agent sent them.
+    ['a status that HTTP does not define', [admitted, { type: 'head', head: { status: 0, headers: {}, version: '' } }, part(0), end(1)], 'broken', '', true],
+    ['a header that cannot be written', [admitted, { type: 'head', head: { status: 200, headers: { 'x-odd': '\u0001' }, version: '' } }, part(0), end(1)], 'broken', '', true],
     ['an endpoint that could not be reached', [admitted, { type: 'broken', detail: 'x', notRun: true, status }], 'not-reached', '', false],
     ['a lost connection', [admitted, 'lost'], 'lost', '', false],
     ['a caller that disconnects', [admitted, 'stop'], 'stopped', '', true],
--- a/packages/node/src/test/lib/agent/request-runner_test.ts
+++ b/packages/node/src/test/lib/agent/request-runner_test.ts
@@ -94,6 +94,15 @@
     })
   }
 
+  // Guards against answers that an entry cannot write: their callers got a success made up of the rest, or none.
+  const oddHeads = ['HTTP/1.1 000 OK', 'HTTP/1.1 099 OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other']
+  for (const head of oddHeads) {
+    it(`reports broken for an answer with ${head.split('\r\n')[0]}`, async () => {
+      answer = ({ socket }) => { socket?.write(`${head}\r\nContent-Length: 6\r\n\r\nanswer`) }
+      assert.equal(await attempt(), 'broken')
+    })
+  }
+
   const fields = 'Content-Type: text/event-stream\r\n'
   const chunked = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`
   const framed: [name: string, text: string][] = [
--- a/packages/node/src/test/lib/platform/http-client_test.ts
+++ b/packages/node/src/test/lib/platform/http-client_test.ts
@@ -39,6 +39,11 @@
     ['an answer that is too large', socket => { socket.write(`${HEAD}\r\n${'a'.repeat(40_001)}`) }, 'oversized'],
     // Such a call was never settled: the error came before its listeners.
     ['a malformed body in the same turn as the head', socket => { socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\nno chunk\r\n`) }, 'connection-lost'],
+    // Guards against callers that take an answer with a status that HTTP does not define, or wait for one that has no end.
+    ['the status 000', socket => { socket.write('HTTP/1.1 000 OK\r\ncontent-length: 6\r\n\r\nanswer') }, 'malformed'],
+    ['the status 099', socket => { socket.write('HTTP/1.1 099 OK\r\ncontent-length: 6\r\n\r\nanswer') }, 'malformed'],
+    ['the status 600', socket => { socket.write('HTTP/1.1 600 OK\r\ncontent-length: 6\r\n\r\nanswer') }, 'malformed'],
+    ['the status 101', socket => { socket.write('HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n') }, 'malformed'],
     ['an answer that is cut', socket => { socket.end(`${HEAD}content-length: 6\r\n\r\nans`) }, 'connection-lost']
   ]
   for (const [name, answer, result] of cases) {
