--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -225,9 +225,10 @@
     if (this._replacing) return
     this._replacing = true
     const [manifest, identity] = [this._manifest, this._desiredDigest]
-    for (let delay = MANIFEST_RETRY_DELAY; manifest === this._manifest && this._completeDigest === ''; delay = Math.min(MAX_REPLACEMENT_DELAY, 2 * delay)) {
+    const isNeeded = (): boolean => manifest === this._manifest && identity === this._desiredDigest && this._completeDigest === ''
+    for (let delay = MANIFEST_RETRY_DELAY; isNeeded(); delay = Math.min(MAX_REPLACEMENT_DELAY, 2 * delay)) {
       const bytes = await this._manifestSource.fetch(identity, Infinity)
-      if (manifest !== this._manifest) break
+      if (!isNeeded()) break
       if (bytes !== undefined && this._adoptManifest(identity, bytes)) this._dependencies.log.warn('manifest-replaced', { manifest: identity, source: 'origin' })
       else await pause(delay)
     }
@@ -266,7 +267,7 @@
   /** Starts the transfer of a version once chunks that are already staged are part of it. */
   private async _prepareTransfer (manifest: Manifest): Promise<void> {
     await this._dependencies.store.arrange(manifest.chunks)
-    if (manifest !== this._manifest) return
+    if (manifest !== this._manifest || this._desiredDigest === '') return
     this._startTransfer(manifest)
     this._tick()
   }
--- a/packages/node/src/lib/routing/routed-request.ts
+++ b/packages/node/src/lib/routing/routed-request.ts
@@ -516,8 +516,12 @@
 
   private _forwardAnswer ({ head, body }: EndpointAttempt): void {
     if (head === undefined) return this._giveUp({ type: 'broken', connection: 'open', detail: 'the answer has no head' }, 'unknown')
-    if (this._answer.begun) this._answer.end()
-    else this._answer.whole(head, body)
+    try {
+      if (this._answer.begun) this._answer.end()
+      else this._answer.whole(head, body)
+    } catch (error) {
+      return this._giveUp({ type: 'broken', connection: 'open', detail: `the answer cannot be passed on: ${error instanceof Error ? error.message : 'unknown error'}` }, 'unknown')
+    }
     this._finish({ type: 'answered', status: head.status })
   }
 
@@ -577,8 +581,11 @@
 
   private _fail (failure: RequestFailure, result: 'refused' | 'failed' | 'stopped' = failure.outcome === 'not-run' ? 'refused' : 'failed'): void {
     if (this._finished) return
-    this._answer.fail(this._dependencies.dialect.writeFailure(this._request.head.id, failure))
-    this._finish({ type: result, failure })
+    try {
+      this._answer.fail(this._dependencies.dialect.writeFailure(this._request.head.id, failure))
+    } finally {
+      this._finish({ type: result, failure })
+    }
   }
 
   private _onCallerDisconnect (): void {
