Comments of the store's waits stand with their constants; a private function

The constants of the check after a failure stood between the comment of the waits and the last of them. isFinalStatus had no caller outside its module. No behaviour changes; build, linter and 62 tests of the feed, the caller's answer, the HTTP client and the agent's call pass.

--- a/packages/node/src/lib/answer-head.ts
+++ b/packages/node/src/lib/answer-head.ts
@@ -14,11 +14,8 @@
 
 /**
  * Returns whether a status is one of HTTP's final ones (RFC 9110, 15): no informational one, and none outside the defined classes.
- *
- * @example
- * isFinalStatus(0) // false
  */
-export function isFinalStatus (status: number): boolean { return status >= MIN_FINAL_STATUS && status <= MAX_STATUS }
+function isFinalStatus (status: number): boolean { return status >= MIN_FINAL_STATUS && status <= MAX_STATUS }
 
 /**
  * Returns why the head of an answer cannot be passed on, or `undefined` if it can.
--- a/packages/node/src/lib/routing/published-feed.ts
+++ b/packages/node/src/lib/routing/published-feed.ts
@@ -64,13 +64,13 @@
  */
 const SHORT_WATCH_PERIOD = 12_000
 const FAILING_WATCH_WAIT = 500
+const SHORT_WATCH_WAIT = 1_000
 /**
- * The wait in the first time after a failure, and how long that time is. The store answers at once then if only a connection was cut, before
- * another one is cut.
+ * The wait in the first time after a failure, and how long that time is, in milliseconds. The store answers at once then if only a connection was cut,
+ * before another one is cut.
  */
 const CHECK_WATCH_WAIT = 1
 const CHECK_PERIOD = 1_000
-const SHORT_WATCH_WAIT = 1_000
 /** Bounds of the exponential backoff after a failed store call, in milliseconds. The store charges for refused calls too. */
 const MIN_BACKOFF = 100
 const MAX_BACKOFF = 800
