A failing test: engines load pieces of other versions when orders or writes take effect late

Cause: an agent counts an order or a write without an answer as one without an effect, and what it read back as staged however long ago. The stand-in of a worker holds orders, writes and read-backs, counts the orders that it took, and refuses an order that expects another count.

--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -109,12 +109,23 @@
   running = 0
   busy = false
   readonly orders: unknown[] = []
+  /** How long the next orders are held before the worker takes them, in milliseconds. */
+  orderDelays: number[] = []
+  /** How long the next writes to the staging memory are held before they take effect, in milliseconds, but never beyond the next order. */
+  writeDelays: number[] = []
+  /** How long the next reads of the staging memory are held after their bytes were taken from it, in milliseconds. */
+  readDelays: number[] = []
+  /** Called for each piece that was read from the staging memory. */
+  onRead: (place: number) => void = () => {}
   readonly versionSwitches: VersionSwitch[] = []
   readonly staged = new Map<number, Buffer>()
   /** The pieces of each version that the worker expects in its staging memory. */
   pieceOf: PieceSource = pieceOf
   private _waiting = 0
   private _recordSequence = 0
+  /** Number of orders that began something. */
+  private _sequence = 0
+  private _heldWrites: (() => void)[] = []
 
   /**
    * @param id Identifies this start of the worker.
@@ -196,34 +207,61 @@
 
   private _report (response: ServerResponse): void {
     const models = this.version === 0 ? [] : [{ name: this.model, version: this.version, adapters: [] }]
-    sendJson(response, { stage: 'both', models, busy: this.busy, seq: this.orders.length, waiting: this._waiting, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
+    sendJson(response, { stage: 'both', models, busy: this.busy, seq: this._sequence, waiting: this._waiting, running: this.running, kvUsed: 0, kvTotal: 1, handles: 0 })
   }
 
   private async _stage (url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const index = url.searchParams.get('sampleCount')
     if (url.pathname.startsWith('/api/stage-put/')) {
-      this.staged.set(Number(index), await readAll(request))
+      const bytes = await readAll(request)
+      await this._holdWrite(this.writeDelays.shift() ?? 0)
+      this.staged.set(Number(index), bytes)
       return sendJson(response, {})
     }
     if (index === null) return sendJson(response, { held: [...this.staged.keys()] })
     const piece = this.staged.get(Number(index))
+    this.onRead(Number(index))
+    await hold(this.readDelays)
     if (piece === undefined) sendJson(response, {}, 404)
     else response.writeHead(200).end(piece)
   }
 
+  private async _holdWrite (milliseconds: number): Promise<void> {
+    if (milliseconds === 0) return
+    const released = new Promise<void>(resolve => { this._heldWrites.push(resolve) })
+    await Promise.race([released, pause(milliseconds)])
+  }
+
+  /** Lets the held writes take effect. */
+  private async _releaseWrites (): Promise<void> {
+    for (const release of this._heldWrites.splice(0)) release()
+    await nextImmediate()
+  }
+
   private _hasAllPieces (version: number): boolean {
     return Array.from({ length: PIECES }, (_, index) => index).every(index => this.staged.get(index)?.equals(this.pieceOf(version, index)) === true)
   }
 
   private async _order (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const order = JSON.parse((await readAll(request)).toString('utf8')) as { version: number }
+    const order = JSON.parse((await readAll(request)).toString('utf8')) as { version: number, expectRev?: number }
     this.orders.push(order)
+    await hold(this.orderDelays)
+    await this._releaseWrites()
+    if (order.expectRev !== undefined && order.expectRev !== this._sequence) return sendJson(response, {}, 409)
+    if (order.version === this.version) return sendJson(response, {})
+    this._sequence += 1
     this.version = order.version
     this.versionSwitches.push({ version: order.version, whole: this._hasAllPieces(order.version) })
     sendJson(response, {}, 202)
   }
 }
 
+/** Waits for the first of the delays, if there are any, and removes it. */
+async function hold (delays: number[]): Promise<void> {
+  const milliseconds = delays.shift() ?? 0
+  if (milliseconds > 0) await pause(milliseconds)
+}
+
 function sendEvents (worker: UsersWorkerStandIn, request: IncomingMessage, response: ServerResponse, upTo: number, then: () => void): void {
   response.writeHead(200, { ...worker.head(request), 'content-type': 'text/event-stream' })
   const shape = worker.shapeOf(request)
