Orders and writes that take effect late no longer change what an engine loads

What callers saw: answers made with chunks of another version, or corrupted for more than 3 s. Cause: what was verified and what was loaded were tied by nothing but the hope that no time passes in between, and a call without an answer counted as one without an effect. An agent wrote the next version over a staged one although its engine could still take the order for that one; a write that was given up took effect after the place had been written again; nothing limited the time between the read-back and the order. Change: an order names the number of orders that the engine must have taken, so that a repeated one is taken once; the staging memory keeps its contents while an order may be taken; an order follows a read-back of at most 2 s; writes run side by side, their outcome is awaited, and one without an answer delays the order by as long as it may take effect. A load that the agent cannot vouch for (taken late, or by an order of an earlier agent) is verified again, and its engine accepts no requests if the staged version was not whole or was changed meanwhile. The decision is LoadOrders in core; it has no input or output.

--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -8,7 +8,7 @@
  * version switch decides to.
  */
 import {
-  prefillRate, UnreadTokenEstimator, typicalGenerationTime, VersionSwitch, type LoadReport, type ModelVersion, type PoolDescription, type SwitchPosition, type SwitchView
+  LoadOrders, MAX_VERIFICATION_AGE, prefillRate, UnreadTokenEstimator, typicalGenerationTime, VersionSwitch, type LoadReport, type LoadTrust, type ModelVersion, type OrderResult, type PoolDescription, type SwitchPosition, type SwitchView
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -25,6 +25,13 @@
   readonly whole: string
 }
 
+/** The state of the staging memory. */
+export interface StagingState {
+  /** See `PlacedStaging`. */
+  readonly changedAt: number
+  readonly settled: boolean
+}
+
 /** Dependencies and settings of an {@link EngineSwitcher}. */
 export interface EngineSwitcherDependencies {
   readonly engine: LoadableEngine
@@ -37,6 +44,7 @@
   readonly turn: () => SwitchPosition
   /** Verifies the staged version again; returns `false` if chunks are missing or corrupt. */
   readonly confirmWhole: () => Promise<boolean>
+  readonly staging: StagingState
   readonly onLoad: (load: LoadReport) => void
   /** Called when the engine has restarted. */
   readonly onEngineRestarted: () => void
@@ -71,6 +79,7 @@
 /** Polls the engine of one agent and switches it to the wanted version. */
 export class EngineSwitcher {
   private _switch: VersionSwitch
+  private _orders = new LoadOrders()
   private readonly _polls: PeriodicTask
   private _interval = LIGHT_LOAD_POLL_INTERVAL
   private _unread = new UnreadTokenEstimator()
@@ -91,8 +100,8 @@
 
   close (): void { this._polls.close() }
 
-  /** Whether the engine is executing an order, or one is being sent to it. */
-  get ordering (): boolean { return this._ordering || this._report?.busy === true }
+  /** Whether the engine is executing an order, or may take one, so that the staging memory must not change. */
+  get ordering (): boolean { return this._ordering || this._orders.holdsStaging || this._report?.busy === true }
 
   /** Whether the engine has running or waiting requests. */
   get hasRequests (): boolean { return this._report !== undefined && this._report.running + this._report.waiting > 0 }
@@ -135,6 +144,7 @@
       this._report = await this._dependencies.engine.report()
       this._updateReachability()
       this._detectRestart(before)
+      this._updateOrders()
       this._logVersionChange(before)
       this._publishLoad()
       this._adjustInterval()
@@ -142,6 +152,7 @@
       this._switchDue = false
       this._sinceEvaluation = 0
       this._dependencies.onPolled()
+      await this._checkLoad()
       await this._stepSwitch()
     } finally {
       this._polling = false
@@ -167,9 +178,36 @@
     this._engineStart = born
     this._unread = new UnreadTokenEstimator()
     this._switch = this._newSwitch()
+    this._orders = new LoadOrders()
     this._dependencies.onEngineRestarted()
   }
 
+  /** Detects orders that the engine has taken, also those whose calls failed or that an earlier agent sent. */
+  private _updateOrders (): void {
+    const { situation, staging } = this._dependencies
+    const { wanted } = situation()
+    if (this._report === undefined || wanted === undefined) return
+    const { trust } = this._orders
+    this._orders.reported({ sequence: this._report.sequence, version: this.version(wanted.model) }, staging.changedAt, performance.now())
+    this._logTrust(trust)
+  }
+
+  /** Verifies the staged version again after a load whose last verification is too old. */
+  private async _checkLoad (): Promise<void> {
+    if (this._orders.trust !== 'unchecked') return
+    const { confirmWhole, staging } = this._dependencies
+    this._orders.checked(await confirmWhole(), staging.changedAt)
+    this._logTrust('unchecked')
+  }
+
+  private _logTrust (before: LoadTrust): void {
+    const { trust } = this._orders
+    if (trust === before) return
+    this._dependencies.counters.add(`loads_${trust}`)
+    if (trust === 'verified') this._dependencies.log.info('engine-load-verified')
+    else this._dependencies.log.warn(`engine-load-${trust}`)
+  }
+
   private _logVersionChange (before: EngineReport | undefined): void {
     const model = this._dependencies.situation().wanted?.model
     if (model === undefined || this._report === undefined) return
@@ -204,7 +242,7 @@
     const closesAt = this._switch.plannedAt(view, now)
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._dependencies.onLoad({
-      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering, pace, closesIn, opensIn: this._opensIn(this._report, wanted)
+      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering && this._orders.trust === 'verified', pace, closesIn, opensIn: this._opensIn(this._report, wanted)
     })
   }
 
@@ -234,12 +272,31 @@
     this._ordering = true
     this._publishLoad()
     try {
-      const result = await this._dependencies.confirmWhole() ? await this._dependencies.engine.order(wanted) : 'not-whole'
+      const sequence = this._orders.expectedSequence
+      const result = await this._verifyAndOrder(wanted)
       this._switch.answered(result, performance.now())
       this._dependencies.counters.add(`orders_${result.replaceAll('-', '_')}`)
-      this._dependencies.log.info('engine-ordered', { model: wanted.model, version: wanted.version, why, result, since_named: age === undefined ? undefined : Math.round(age) })
+      this._dependencies.log.info('engine-ordered', { model: wanted.model, version: wanted.version, why, result, sequence, since_named: age === undefined ? undefined : Math.round(age) })
     } finally {
       this._ordering = false
     }
   }
+
+  /** Sends the order only if the staged version has just been verified. A verification takes long if this process was suspended. */
+  private async _verifyAndOrder (wanted: ModelVersion): Promise<OrderResult> {
+    const { confirmWhole, engine, staging } = this._dependencies
+    let verifiedAt = performance.now()
+    if (!await confirmWhole()) return 'not-whole'
+    if (performance.now() - verifiedAt > MAX_VERIFICATION_AGE) {
+      verifiedAt = performance.now()
+      if (!await confirmWhole()) return 'not-whole'
+    }
+    if (!staging.settled) return 'not-whole'
+    const { trust } = this._orders
+    this._orders.sent(wanted.version, verifiedAt, performance.now())
+    const result = await engine.order(wanted, this._orders.expectedSequence)
+    this._orders.answered(result, staging.changedAt, performance.now())
+    this._logTrust(trust)
+    return result
+  }
 }
--- a/packages/node/src/lib/routing/placed-staging.ts
+++ b/packages/node/src/lib/routing/placed-staging.ts
@@ -13,6 +13,16 @@
 import type { ChunkStaging } from '../agent/engine-client.js'
 import type { ManifestStore, StagingArea } from './ports.js'
 
+/** How long after its call failed a write may still take effect, in milliseconds. */
+const LATE_EFFECT_TIME = 3_000
+
+/** A write that may have taken effect, or may do so until some time, in milliseconds of `performance.now()`. */
+interface UnansweredWrite {
+  readonly place: number
+  readonly digest: string
+  readonly until: number
+}
+
 /** Translates between chunks, which are named by digest, and the places of a staging area. */
 export class PlacedStaging implements ChunkStaging {
   /** The digests of the staged chunks by place, as last read or written. */
@@ -20,14 +30,33 @@
   /** The places of each chunk of the arranged version. */
   private _places: ReadonlyMap<string, readonly number[]> = new Map()
   private _sizes: ReadonlyMap<string, number> = new Map()
-  /** Serializes operations that read many places or write: a rearrangement relies on contents that do not change meanwhile. */
+  /** Serializes operations that read or rearrange many places. They rely on contents that do not change meanwhile, so they await all writes. */
   private readonly _exclusively = pLimit(1)
+  /** The writes of single chunks in flight. */
+  private readonly _writes = new Set<Promise<boolean>>()
+  /** Writes without an answer. */
+  private _unanswered: readonly UnansweredWrite[] = []
+  private _changedAt = -Infinity
 
   constructor (private readonly _area: StagingArea, private readonly _manifests: ManifestStore, private readonly _chunkDigest: ChunkDigest) {}
 
+  /**
+   * When this process last changed the contents, in milliseconds of `performance.now()`; -Infinity for never. While a write of another
+   * version may still take effect, the contents may change at any time.
+   */
+  get changedAt (): number { return this.settled ? this._changedAt : performance.now() }
+
+  /** Whether no write can take effect any more that makes the arranged version incomplete. */
+  get settled (): boolean {
+    const now = performance.now()
+    this._unanswered = this._unanswered.filter(({ until }) => now < until)
+    return this._unanswered.every(({ place, digest }) => this._places.get(digest)?.includes(place) === true)
+  }
+
   /** Reads back and hashes the chunks at all places: the engine does not verify them, and they may become corrupt. */
   async staged (): Promise<ReadonlySet<string>> {
     return await this._exclusively(async () => {
+      await this._untilWritten()
       this._contents.clear()
       for (const place of await this._area.occupiedPlaces()) {
         const bytes = await this._area.read(place)
@@ -39,6 +68,7 @@
 
   async arrange (chunks: Manifest['chunks']): Promise<ReadonlySet<string>> {
     return await this._exclusively(async () => {
+      await this._untilWritten()
       const digests = chunks.map(({ digest }) => digest)
       this._places = placesByDigest(digests)
       this._sizes = new Map(chunks.map(({ digest, bytes }) => [digest, bytes]))
@@ -63,11 +93,8 @@
       this._manifests.add(digest, bytes)
       return true
     }
-    return await this._exclusively(async () => {
-      const places = this._places.get(digest)
-      if (places === undefined) return false
-      return await this._write(places.filter(place => this._contents.get(place) !== digest), digest, bytes)
-    })
+    const { written } = await this._exclusively(async () => ({ written: this._startWrite(digest, bytes) }))
+    return await written
   }
 
   async readBack (kind: 'chunks' | 'manifests', digest: string): Promise<Buffer | undefined> {
@@ -95,11 +122,26 @@
     return undefined
   }
 
+  /** Starts to write a chunk of the arranged version. Writes run side by side: one that takes long delays no other. */
+  private _startWrite (digest: string, bytes: Buffer): Promise<boolean> {
+    const places = this._places.get(digest)
+    if (places === undefined) return Promise.resolve(false)
+    const write = this._write(places.filter(place => this._contents.get(place) !== digest), digest, bytes)
+    this._writes.add(write)
+    return write.finally(() => this._writes.delete(write))
+  }
+
+  private async _untilWritten (): Promise<void> { await Promise.allSettled([...this._writes]) }
+
   private async _write (places: readonly number[], digest: string, bytes: Buffer): Promise<boolean> {
     let written = true
     for (const place of places) {
       this._contents.delete(place)
-      if (await this._area.write(place, bytes)) this._contents.set(place, digest)
+      this._changedAt = performance.now()
+      const result = await this._area.write(place, bytes)
+      this._changedAt = performance.now()
+      if (result === 'unanswered') this._unanswered = [...this._unanswered, { place, digest, until: this._changedAt + LATE_EFFECT_TIME }]
+      if (result === 'written') this._contents.set(place, digest)
       else written = false
     }
     return written
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -157,8 +157,13 @@
   readonly busy: boolean
   /** The factor by which the engine is slower than its description; 1 if it is as fast as described. */
   readonly pace: number
+  /** The number of orders that the engine has taken since it started; `undefined` if it does not report it. */
+  readonly sequence?: number | undefined
 }
 
+/** The result of a write to a staging area. `unanswered`: it may have taken effect, or may do so later. */
+export type WriteResult = 'written' | 'refused' | 'unanswered'
+
 /** The memory from which an engine loads a version, with one place for each of its chunks. The engine does not verify it. */
 export interface StagingArea {
   /** Returns the places that hold a chunk; none if the engine cannot be reached. */
@@ -169,8 +174,8 @@
    * @param maxBytes The size of the expected chunk, if it is known. More bytes are not read.
    */
   read (place: number, maxBytes?: number): Promise<Buffer | undefined>
-  /** Overwrites a place. Returns whether the engine accepted the bytes. */
-  write (place: number, bytes: Buffer): Promise<boolean>
+  /** Overwrites a place. */
+  write (place: number, bytes: Buffer): Promise<WriteResult>
 }
 
 /** Caches manifests in the product's format, by the identity of their version. */
@@ -185,8 +190,12 @@
   useModel (model: string): void
   /** Returns the status of the engine, or `undefined` if it cannot be reached. */
   report (): Promise<EngineReport | undefined>
-  /** Orders the engine to load the staged version once its running requests have ended. */
-  order (wanted: ModelVersion): Promise<OrderResult>
+  /**
+   * Orders the engine to load the staged version once its running requests have ended.
+   *
+   * @param expectedSequence The number of orders that the engine must have taken so far; it refuses the order otherwise.
+   */
+  order (wanted: ModelVersion, expectedSequence?: number): Promise<OrderResult>
 }
 
 /** The platform adapter of a weights agent. */
--- a/packages/node/src/lib/routing/version-transfers.ts
+++ b/packages/node/src/lib/routing/version-transfers.ts
@@ -30,7 +30,7 @@
 export interface EngineView {
   /** The version that the engine serves; 0 for none. */
   readonly served: number
-  /** Whether the engine is executing an order, or one is being sent to it. */
+  /** Whether the engine is executing an order, or may take one, so that the staging memory must not change. */
   readonly ordering: boolean
   /** Whether new requests may still start on a version. */
   readonly mayBegin: (version: number) => boolean
@@ -116,8 +116,9 @@
    * Sets the newest wanted version.
    *
    * @param served The version that the engine serves; 0 for none.
+   * @param ordering See `EngineView`.
    */
-  want (newest: NewestVersion, served: number): void {
+  want (newest: NewestVersion, served: number, ordering: boolean): void {
     if (this._replacing) {
       this._pendingVersion = newest
       return
@@ -126,7 +127,7 @@
     if (identity === this._stagedTransfer.identity || identity === this._nextTransfer.identity) return
     const staged = this._stagedView()
     const stepwise = staged !== undefined && this._isStepwise(staged, newest)
-    const beside = staged !== undefined && served < staged.version && (shouldFinish(staged) || stepwise)
+    const beside = staged !== undefined && (ordering || (served < staged.version && (shouldFinish(staged) || stepwise)))
     this._log.info('version-wanted', { model: newest.model, version: newest.version, staging: staged?.version, staged_progress: staged?.progress, staged_known: staged?.availableShare, beside, stepwise })
     if (stepwise) this._parts.counters.add('versions_stepwise')
     if (beside) {
@@ -152,7 +153,7 @@
     this._assignReaders()
     const pending = this._pendingVersion
     this._pendingVersion = undefined
-    if (pending !== undefined) this.want(pending, served)
+    if (pending !== undefined) this.want(pending, served, ordering)
   }
 
   /** Returns the indexes of a version's chunks that this instance holds. */
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -66,6 +66,7 @@
   private readonly _feed: PublishedFeed
   private readonly _readings: PublishedStatePoller
   private readonly _encoder: DeltaEncoder
+  private readonly _staging: PlacedStaging
   private readonly _versions: VersionTransfers
   private readonly _chunks: ChunkServer
   private readonly _switcher: EngineSwitcher
@@ -104,6 +105,7 @@
     this._feed = this._newFeed()
     this._readings = new PublishedStatePoller(this._feed, { needsMembers: () => this._versions.transferring, onFirstVersionsRead: () => this._applyState() })
     this._encoder = new DeltaEncoder(this._feed.state)
+    this._staging = new PlacedStaging(this._platform.engine, this._platform.manifests, this._platform.chunkDigest)
     this._versions = this._newVersions()
     this._chunks = new ChunkServer(this._versions, { upload: (bytes, now) => pacer().upload(bytes, now) }, digest => this._versions.expects(digest))
     this._switcher = this._newSwitcher()
@@ -163,7 +165,7 @@
   }
 
   private _newVersions (): VersionTransfers {
-    const { engine, manifests, source, chunkDigest, manifestMatches } = this._platform
+    const { source, chunkDigest, manifestMatches } = this._platform
     return new VersionTransfers({
       self: this._self,
       largestBytes: this._settings.number('weights', 'largest-gigabytes') * GIBIBYTE,
@@ -180,7 +182,7 @@
         published: model => this._feed.state.publishedVersions(model),
         policy: bytes => ({ bound: this._versionBound, lead: SWITCH_LEAD, transferTime: TRANSFER_OVERHEAD * bytes / this._transferRate * 1000 })
       }
-    }, new PlacedStaging(engine, manifests, chunkDigest), this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
+    }, this._staging, this._settings.number('weights', 'memory-megabytes') * MEBIBYTE)
   }
 
   /**
@@ -220,6 +222,7 @@
       },
       turn: () => this._versions.turn,
       confirmWhole: () => this._versions.confirmWhole(),
+      staging: this._staging,
       onPolled: () => this._stepVersions(),
       onEngineRestarted: () => { this._versions.recover() },
       pool: () => this._poolDescription,
@@ -276,7 +279,7 @@
     this._versions.membersChanged()
     const wanted = this._wanted()
     if (wanted !== undefined) this._recoverStaging(wanted.model)
-    if (wanted !== undefined && this._recovered && this._mayFetch()) this._versions.want(wanted, this._switcher.version(wanted.model))
+    if (wanted !== undefined && this._recovered && this._mayFetch()) this._versions.want(wanted, this._switcher.version(wanted.model), this._switcher.ordering)
   }
 
   /**
--- a/packages/node/src/test/lib/routing/engine-switcher_test.ts
+++ b/packages/node/src/test/lib/routing/engine-switcher_test.ts
@@ -15,7 +15,7 @@
 const report: EngineReport = { running: 4, waiting: 0, contextTokens: 4_000, models: [{ model: 'm', version: 1 }], busy: false, pace: 1 }
 
 /** Polls an engine once per report. Returns the published loads and the number of detected restarts. */
-async function pollEach (reports: readonly EngineReport[]): Promise<{ loads: LoadReport[], startedAgain: number }> {
+async function pollEach (reports: readonly EngineReport[], changedAt = -Infinity): Promise<{ loads: LoadReport[], startedAgain: number }> {
   const loads: LoadReport[] = []
   let startedAgain = 0
   const remaining = [...reports]
@@ -28,6 +28,7 @@
     situation: () => ({ wanted: { model: 'm', version: 1 }, publishedAt: undefined, whole: 'm@1' }),
     turn: () => ({ index: 0, of: 1, firstCompleteAt: 0 }),
     confirmWhole: async () => true,
+    staging: { changedAt, settled: true },
     onLoad: load => { loads.push(load) },
     onPolled: () => {},
     onEngineRestarted: () => { startedAgain += 1 },
@@ -62,4 +63,17 @@
     const { loads } = await pollEach([{ ...report, born: 100 }, { ...report, born: 200 }])
     assert.deepEqual(loads.map(({ unreadTokens }) => unreadTokens), [4_000, 4_000])
   })
+
+  const loads: [name: string, sequences: (number | undefined)[], changedAt: number, accepting: boolean][] = [
+    ['an engine that takes no order', [3, 3], 0, true],
+    ['an engine that does not count its orders', [undefined, undefined], 0, true],
+    ['an engine that took an order of an earlier agent', [3, 4, 4], -Infinity, true],
+    ['an engine that took an order of an earlier agent after the staging memory changed', [3, 4, 4], 0, false]
+  ]
+  for (const [name, sequences, changedAt, expected] of loads) {
+    it(`reports whether it accepts requests, of ${name}`, async () => {
+      const { loads } = await pollEach(sequences.map(sequence => ({ ...report, sequence })), changedAt)
+      assert.equal(loads.at(-1)?.accepting, expected)
+    })
+  }
 })
--- a/packages/node/src/test/lib/routing/version-transfers_test.ts
+++ b/packages/node/src/test/lib/routing/version-transfers_test.ts
@@ -129,7 +129,7 @@
 
   it('transfers one version into the staging memory', async () => {
     const { versions, staging } = setUp({})
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
     assert.deepEqual([staging.chunksByIndex.size, versions.target?.version, versions.transferring], [CHUNKS, 2, false])
     assert.equal(versions.timeToWhole(1_000), 0)
@@ -151,7 +151,7 @@
       open.push(server)
       const { versions, staging } = setUp({ 2: 0 }, 1_000, [address])
       staging.delay = delay
-      versions.want({ model: 'm', version: 2 }, 1)
+      versions.want({ model: 'm', version: 2 }, 1, false)
       await until('version 2 is complete', () => versions.whole === 'm@2')
       assert.equal(requested.length, CHUNKS)
     })
@@ -159,10 +159,10 @@
 
   it('completes a nearly transferred version when a newer one is named, and transfers the newer one in parallel', async () => {
     const { versions, origin, staging } = setUp({ 2: 6 })
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('six chunks are sent', () => origin.sentCounts.get(2) === 6)
     await new Promise(resolve => setTimeout(resolve, 20))
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     assert.equal(versions.target?.version, 2)
     origin.limits = { 3: 4 }
     await until('the older version is complete', () => versions.whole === 'm@2')
@@ -173,9 +173,9 @@
 
   it('moves the newer version into the staging memory once it is complete, without fetching it again', async () => {
     const { versions, origin, staging } = setUp({})
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     await until('version 3 is held', () => versions.held('m@3').length === CHUNKS)
     assert.deepEqual(staging.versions, ['v2'])
     await versions.step(view, performance.now())
@@ -186,9 +186,9 @@
 
   it('does not modify the staging memory while the engine executes an order', async () => {
     const { versions, staging } = setUp({})
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     await until('version 3 is held', () => versions.held('m@3').length === CHUNKS)
     await versions.step({ ...view, ordering: true }, performance.now())
     assert.deepEqual([staging.versions, versions.whole], [['v2'], 'm@2'])
@@ -196,26 +196,26 @@
 
   it('immediately replaces a version whose transfer has just begun', async () => {
     const { versions, origin } = setUp({ 2: 1 })
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('one chunk is sent', () => origin.sentCounts.get(2) === 1)
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     assert.equal(versions.target?.version, 3)
     await until('version 3 is complete', () => versions.whole === 'm@3')
   })
 
   it('immediately replaces a version that the engine serves', async () => {
     const { versions } = setUp({})
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
-    versions.want({ model: 'm', version: 3 }, 2)
+    versions.want({ model: 'm', version: 3 }, 2, false)
     assert.equal(versions.target?.version, 3)
   })
 
   it('defers a version that exceeds its memory limit until the staging memory is free', async () => {
     const { versions, origin } = setUp({}, 10)
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     await new Promise(resolve => setTimeout(resolve, 200))
     assert.equal(origin.sentCounts.get(3) ?? 0, 0)
     await versions.step({ ...view, served: 2 }, performance.now())
@@ -225,7 +225,7 @@
   it('fetches chunks that were corrupted in the staging memory again from peers', async () => {
     const address = await startPeerWithAllChunks(2)
     const { versions, staging } = setUp({ 2: 0 }, 1_000, [address])
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
     staging.chunksByIndex.set(3, Buffer.from('corrupt 3'))
     assert.equal(await versions.confirmWhole(), false)
@@ -240,7 +240,7 @@
       const address = await startPeerWithAllChunks(2, true, isInOrder)
       const { versions } = setUp({ 2: 0 }, 1_000, [address])
       const begunAt = performance.now()
-      versions.want({ model: 'm', version: 2 }, 1)
+      versions.want({ model: 'm', version: 2 }, 1, false)
       await until('the peer is known to be complete', () => performance.now() - begunAt > 200 && versions.timeToWhole(1) !== undefined)
       const { firstCompleteAt } = versions.turn
       await new Promise(resolve => setTimeout(resolve, 30))
@@ -264,22 +264,22 @@
       const silent = Array.from({ length: 20 }, (_, index) => `127.0.0.1:${index + 1}`).find(divides) ?? ''
       const address = heldByPeer ? await startPeerWithAllChunks(2, true, divides) : silent
       const { versions } = setUp({ 2: heldByPeer ? 0 : CHUNKS / 2 }, 1_000, [address], { published: () => [older, newer], policy: () => policy })
-      versions.want({ model: 'm', version: 2 }, 1)
+      versions.want({ model: 'm', version: 2 }, 1, false)
       if (heldByPeer) await until('the peer is known to be complete', () => versions.timeToWhole(1) !== undefined)
       else await until('half of the chunks are held', () => versions.held('m@2').length === CHUNKS / 2)
-      versions.want({ model: 'm', version: 3 }, 1)
+      versions.want({ model: 'm', version: 3 }, 1, false)
       assert.equal(versions.target?.version, expected)
     })
   }
 
   it('transfers a version that is named while another is moved into the staging memory', async () => {
     const { versions } = setUp({})
-    versions.want({ model: 'm', version: 2 }, 1)
+    versions.want({ model: 'm', version: 2 }, 1, false)
     await until('version 2 is complete', () => versions.whole === 'm@2')
-    versions.want({ model: 'm', version: 3 }, 1)
+    versions.want({ model: 'm', version: 3 }, 1, false)
     await until('version 3 is held', () => versions.held('m@3').length === CHUNKS)
     const stepped = versions.step({ ...view, served: 2 }, performance.now())
-    versions.want({ model: 'm', version: 4 }, 2)
+    versions.want({ model: 'm', version: 4 }, 2, false)
     await stepped
     await until('version 4 is held', () => versions.held('m@4').length === CHUNKS)
   })
--- a/packages/node/src/test/lib/routing/weights-agent_test.ts
+++ b/packages/node/src/test/lib/routing/weights-agent_test.ts
@@ -70,7 +70,7 @@
       order: async (_wanted: ModelVersion) => 'refused',
       occupiedPlaces: async () => staged.map((_text, place) => place),
       read: async place => Buffer.from(staged[place] ?? ''),
-      write: async () => true
+      write: async () => 'written'
     },
     manifests: { add: () => {}, manifest: () => undefined },
     source: { setOrigin: () => {}, weights: async () => undefined },
