A load shortly after the start of an agent is verified again

What callers saw: nothing so far; found by asking where the cause of the versions taken late acts too. Cause: writes of an agent that was killed may take effect after its successor has read the staging memory back and before the engine takes its order. Change: a load within 10 s of the start of an agent is verified again after the engine took the order; until then the engine accepts no requests.

--- a/packages/core/src/lib/routing/weights/load-orders.ts
+++ b/packages/core/src/lib/routing/weights/load-orders.ts
@@ -48,6 +48,11 @@
   /** The staged version that is to be checked must not have changed since then. */
   private _unchangedSince = -Infinity
 
+  /**
+   * @param _doubtedUntil Until when calls of an earlier agent of the engine may take effect. A load until then is checked.
+   */
+  constructor (private readonly _doubtedUntil = -Infinity) {}
+
   /** Whether the loaded version is whole. */
   get trust (): LoadTrust { return this._trust }
 
@@ -126,6 +131,6 @@
   private _judge (unchangedSince: number, verifiedAt: number, stagingChangedAt: number, now: number): void {
     this._unchangedSince = unchangedSince
     if (stagingChangedAt > unchangedSince) this._trust = 'unverified'
-    else this._trust = now - verifiedAt <= MAX_VERIFICATION_AGE ? 'verified' : 'unchecked'
+    else this._trust = now > this._doubtedUntil && now - verifiedAt <= MAX_VERIFICATION_AGE ? 'verified' : 'unchecked'
   }
 }
--- a/packages/core/src/test/lib/routing/weights/load-orders_test.ts
+++ b/packages/core/src/test/lib/routing/weights/load-orders_test.ts
@@ -18,6 +18,7 @@
 interface ReplayCase {
   readonly name: string
   readonly steps: readonly Step[]
+  readonly doubtedUntil?: number
   readonly trust: LoadTrust
   readonly holdsStaging: boolean
 }
@@ -46,14 +47,16 @@
   { name: 'an engine that does not count its orders', steps: [{ ...start, sequence: undefined }, order(200, 'unreachable'), { at: 300, type: 'report', version: 2 }], trust: 'verified', holdsStaging: false },
   { name: 'an order of an earlier agent, with the staging memory as it left it', steps: [start, taken(300), { at: 400, type: 'check', whole: true }], trust: 'verified', holdsStaging: false },
   { name: 'an order of an earlier agent, after this one wrote', steps: [start, { at: 200, type: 'change' }, taken(300)], trust: 'unverified', holdsStaging: false },
+  { name: 'an accepted order while calls of an earlier agent may take effect', doubtedUntil: 1_000, steps: [start, order(200, 'begun')], trust: 'unchecked', holdsStaging: true },
+  { name: 'an accepted order after calls of an earlier agent could take effect', doubtedUntil: 1_000, steps: [start, order(1_200, 'begun')], trust: 'verified', holdsStaging: false },
   { name: 'a verified load after one that is not', steps: [start, { at: 200, type: 'change' }, taken(300), order(500, 'begun'), { at: 600, type: 'report', sequence: 2, version: 2 }], trust: 'verified', holdsStaging: false },
   { name: 'an engine that starts again with an order under way', steps: [taken(0), order(200, 'unreachable'), { at: 900, type: 'report', sequence: 0, version: 0 }], trust: 'verified', holdsStaging: false }
 ]
 
 describe('LoadOrders', () => {
-  for (const { name, steps, trust, holdsStaging } of cases) {
+  for (const { name, steps, doubtedUntil, trust, holdsStaging } of cases) {
     it(`judges ${name}`, () => {
-      const orders = new LoadOrders()
+      const orders = new LoadOrders(doubtedUntil)
       let changedAt = -Infinity
       for (const step of steps) changedAt = play(orders, step, changedAt)
       assert.deepEqual([orders.trust, orders.holdsStaging], [trust, holdsStaging])
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -70,6 +70,8 @@
  */
 const LIGHT_LOAD_POLL_INTERVAL = 100
 const LIGHT_LOAD_SHARE = 0.5
+/** How long after the start of an agent calls of an earlier one may still take effect, in milliseconds. */
+const EARLIER_AGENT_EFFECT_TIME = 10_000
 /**
  * The last engine of a zone switches this long before the version bound, in milliseconds. From then on entries send no new
  * requests to the old version, so an engine that still serves it should switch at once.
@@ -79,7 +81,7 @@
 /** Polls the engine of one agent and switches it to the wanted version. */
 export class EngineSwitcher {
   private _switch: VersionSwitch
-  private _orders = new LoadOrders()
+  private _orders = new LoadOrders(performance.now() + EARLIER_AGENT_EFFECT_TIME)
   private readonly _polls: PeriodicTask
   private _interval = LIGHT_LOAD_POLL_INTERVAL
   private _unread = new UnreadTokenEstimator()
