Loads are checked beside the polls, and a read-back that failed decides nothing

Cause: four places where a call without an answer, or an old report, still counted as knowledge. Change: the check runs beside the polls; a failed read-back is repeated; an order can take effect for 10 s after its call failed; an entry does not forget with the report that an engine's load is not verified; no verification begins while a write is in flight.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -479,7 +479,7 @@
     if (service.pool === undefined || need.model === '') return undefined
     const version = this.versionOf(record, need.model, now)
     if (version === 0 || version < need.leastVersion) return 'old-version'
-    return known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
+    return known.load.unverified || known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
   }
 
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -24,6 +24,8 @@
   readonly version: number
   /** Whether the engine accepts new requests; it does not while it switches to another version. */
   readonly accepting: boolean
+  /** Whether it is not known that the engine loaded its version completely; absent if it is. */
+  readonly unverified?: boolean | undefined
   /** The slowdown of the engine against its pool's description; 1 for none. */
   readonly pace: number
   /** Milliseconds until the engine stops accepting requests to switch to another version; absent if no switch is planned. */
@@ -138,6 +140,9 @@
     return now - this._reportedAt <= REPORT_LIFETIME ? this._report : undefined
   }
 
+  /** Whether the last report, however old, left open whether the engine loaded its version completely. */
+  get unverified (): boolean { return this._report?.unverified === true }
+
   /** When the engine stops accepting requests; `undefined` if no switch is planned. */
   closesAt (now: number): number | undefined {
     const closesIn = this.report(now)?.closesIn
--- a/packages/core/src/lib/routing/weights/load-orders.ts
+++ b/packages/core/src/lib/routing/weights/load-orders.ts
@@ -28,8 +28,8 @@
   readonly sentAt: number
   /** When the last verification of the staged version began, in milliseconds. */
   verifiedAt: number
-  /** Whether a call failed without an answer, so that the engine may take its order later. */
-  unanswered: boolean
+  /** When the last call that left it open whether the order is taken ended, in milliseconds; `undefined` if there was none. */
+  unansweredAt: number | undefined
 }
 
 /**
@@ -38,6 +38,12 @@
  */
 export const MAX_VERIFICATION_AGE = 2_000
 
+/**
+ * How long after its call failed an order may still be taken, in milliseconds. A version whose staged chunks are lost and can't be fetched again
+ * must not keep the staging memory for ever.
+ */
+const LATE_EFFECT_TIME = 10_000
+
 /** The load orders of one agent to one start of its engine. All times are in milliseconds, by one clock. */
 export class LoadOrders {
   private _sequence: number | undefined
@@ -73,8 +79,10 @@
     const previous = this._sequence
     this._sequence = sequence
     if (sequence !== undefined && previous !== undefined && sequence < previous) return this._restarted()
+    if (this._trust === 'unchecked' && stagingChangedAt > this._unchangedSince) this._trust = 'unverified'
     const counted = sequence !== undefined && previous !== undefined && sequence > previous && sequence !== this._acceptedSequence
     if (counted || this._pending?.version === version) this._taken(counted, stagingChangedAt, now)
+    else if (this._pending?.unansweredAt !== undefined && now - this._pending.unansweredAt > LATE_EFFECT_TIME) this._pending = undefined
   }
 
   /**
@@ -83,7 +91,7 @@
    * @param verifiedAt When the verification of the staged version began.
    */
   sent (version: number, verifiedAt: number, now: number): void {
-    this._pending ??= { version, sentAt: now, verifiedAt, unanswered: false }
+    this._pending ??= { version, sentAt: now, verifiedAt, unansweredAt: undefined }
     this._pending.verifiedAt = verifiedAt
   }
 
@@ -103,12 +111,14 @@
       this._pending = undefined
     },
     // The next report tells whether the version was loaded by this order or by an earlier one.
-    done: () => {},
-    refused: () => { if (this._pending?.unanswered === false) this._pending = undefined },
-    unreachable: () => { if (this._pending !== undefined) this._pending.unanswered = true },
+    done: (_stagingChangedAt, now) => this._leaveOpen(now),
+    refused: () => { if (this._pending?.unansweredAt === undefined) this._pending = undefined },
+    unreachable: (_stagingChangedAt, now) => this._leaveOpen(now),
     'not-whole': () => {}
   }
 
+  private _leaveOpen (now: number): void { if (this._pending !== undefined) this._pending.unansweredAt = now }
+
   private _restarted (): void {
     this._acceptedSequence = undefined
     this._pending = undefined
--- a/packages/core/src/test/lib/routing/weights/load-orders_test.ts
+++ b/packages/core/src/test/lib/routing/weights/load-orders_test.ts
@@ -33,6 +33,8 @@
   { name: 'an accepted order', steps: [start, order(200, 'begun'), taken(300)], trust: 'verified', holdsStaging: false },
   { name: 'an accepted order that a report does not count yet', steps: [start, order(200, 'begun'), { ...start, at: 300 }, taken(400)], trust: 'verified', holdsStaging: false },
   { name: 'an unanswered order', steps: [start, order(200, 'unreachable', 2_200), { ...start, at: 2_300 }], trust: 'verified', holdsStaging: true },
+  { name: 'an unanswered order that is never taken', steps: [start, order(200, 'unreachable', 2_200), { ...start, at: 12_300 }], trust: 'verified', holdsStaging: false },
+  { name: 'a load that is to be checked, after the staging memory changed', steps: [start, order(200, 'unreachable', 2_200), taken(6_000), { at: 6_100, type: 'change' }, taken(6_200)], trust: 'unverified', holdsStaging: false },
   { name: 'an unanswered order that is taken soon', steps: [start, order(200, 'unreachable'), taken(300)], trust: 'verified', holdsStaging: false },
   { name: 'an unanswered order that is taken late', steps: [start, order(200, 'unreachable', 2_200), taken(6_000)], trust: 'unchecked', holdsStaging: true },
   { name: 'an unanswered order that is taken late, with a whole version', steps: [start, order(200, 'unreachable', 2_200), taken(6_000), { at: 6_100, type: 'check', whole: true }], trust: 'verified', holdsStaging: false },
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -30,6 +30,7 @@
   /** See `PlacedStaging`. */
   readonly changedAt: number
   readonly settled: boolean
+  readonly wasReadable: boolean
 }
 
 /** Dependencies and settings of an {@link EngineSwitcher}. */
@@ -91,6 +92,7 @@
   private _sinceEvaluation = 0
   private _switchDue = true
   private _ordering = false
+  private _checking = false
   private _reachable = true
   /** Start time of the engine, as last reported. */
   private _engineStart: number | undefined
@@ -154,7 +156,7 @@
       this._switchDue = false
       this._sinceEvaluation = 0
       this._dependencies.onPolled()
-      await this._checkLoad()
+      this._checkLoad()
       await this._stepSwitch()
     } finally {
       this._polling = false
@@ -194,11 +196,19 @@
     this._logTrust(trust)
   }
 
-  /** Verifies the staged version again after a load whose last verification is too old. */
+  /**
+   * Verifies the staged version again after a load whose last verification is too old. The polls go on meanwhile, so that entries keep being
+   * told that the engine accepts no requests.
+   */
   private async _checkLoad (): Promise<void> {
-    if (this._orders.trust !== 'unchecked') return
-    const { confirmWhole, staging } = this._dependencies
-    this._orders.checked(await confirmWhole(), staging.changedAt)
+    const { confirmWhole, staging, situation } = this._dependencies
+    if (this._checking || this._orders.trust !== 'unchecked' || situation().whole === '') return
+    this._checking = true
+    const orders = this._orders
+    const whole = await confirmWhole()
+    this._checking = false
+    if (orders !== this._orders || orders.trust !== 'unchecked' || !(whole || staging.wasReadable)) return
+    orders.checked(whole, staging.changedAt)
     this._logTrust('unchecked')
   }
 
@@ -242,9 +252,10 @@
     const now = performance.now()
     const unreadTokens = Math.round(this._unread.observe(this._report, prefillRate(this._dependencies.pool()), now))
     const closesAt = this._switch.plannedAt(view, now)
+    const isVerified = this._orders.trust === 'verified'
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._dependencies.onLoad({
-      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering && this._orders.trust === 'verified', pace, closesIn, opensIn: this._opensIn(this._report, wanted)
+      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering && isVerified, ...(isVerified ? {} : { unverified: true }), pace, closesIn, opensIn: this._opensIn(this._report, wanted)
     })
   }
 
@@ -287,6 +298,7 @@
   /** Sends the order only if the staged version has just been verified. A verification takes long if this process was suspended. */
   private async _verifyAndOrder (wanted: ModelVersion): Promise<OrderResult> {
     const { confirmWhole, engine, staging } = this._dependencies
+    if (!staging.settled) return 'not-whole'
     let verifiedAt = performance.now()
     if (!await confirmWhole()) return 'not-whole'
     if (performance.now() - verifiedAt > MAX_VERIFICATION_AGE) {
--- a/packages/node/src/lib/routing/placed-staging.ts
+++ b/packages/node/src/lib/routing/placed-staging.ts
@@ -37,6 +37,7 @@
   /** Writes without an answer. */
   private _unanswered: readonly UnansweredWrite[] = []
   private _changedAt = -Infinity
+  private _wasReadable = false
 
   constructor (private readonly _area: StagingArea, private readonly _manifests: ManifestStore, private readonly _chunkDigest: ChunkDigest) {}
 
@@ -46,8 +47,12 @@
    */
   get changedAt (): number { return this.settled ? this._changedAt : performance.now() }
 
-  /** Whether no write can take effect any more that makes the arranged version incomplete. */
+  /** Whether all places could be read when they were read back last. Otherwise, that a chunk was not found tells nothing. */
+  get wasReadable (): boolean { return this._wasReadable }
+
+  /** Whether no write is in flight, and none can take effect any more that makes the arranged version incomplete. */
   get settled (): boolean {
+    if (this._writes.size > 0) return false
     const now = performance.now()
     this._unanswered = this._unanswered.filter(({ until }) => now < until)
     return this._unanswered.every(({ place, digest }) => this._places.get(digest)?.includes(place) === true)
@@ -58,9 +63,12 @@
     return await this._exclusively(async () => {
       await this._untilWritten()
       this._contents.clear()
-      for (const place of await this._area.occupiedPlaces()) {
+      const places = await this._area.occupiedPlaces()
+      this._wasReadable = places !== undefined
+      for (const place of places ?? []) {
         const bytes = await this._area.read(place)
-        if (bytes !== undefined) this._contents.set(place, await this._digestOf(bytes))
+        if (bytes === undefined) this._wasReadable = false
+        else this._contents.set(place, await this._digestOf(bytes))
       }
       return this._stagedDigests()
     })
--- a/packages/node/src/lib/routing/ports.ts
+++ b/packages/node/src/lib/routing/ports.ts
@@ -166,8 +166,8 @@
 
 /** The memory from which an engine loads a version, with one place for each of its chunks. The engine does not verify it. */
 export interface StagingArea {
-  /** Returns the places that hold a chunk; none if the engine cannot be reached. */
-  occupiedPlaces (): Promise<readonly number[]>
+  /** Returns the places that hold a chunk, or `undefined` if the engine cannot be reached. */
+  occupiedPlaces (): Promise<readonly number[] | undefined>
   /**
    * Returns the bytes at a place, or `undefined` if there are none.
    *
--- a/packages/node/src/test/lib/routing/engine-switcher_test.ts
+++ b/packages/node/src/test/lib/routing/engine-switcher_test.ts
@@ -28,7 +28,7 @@
     situation: () => ({ wanted: { model: 'm', version: 1 }, publishedAt: undefined, whole: 'm@1' }),
     turn: () => ({ index: 0, of: 1, firstCompleteAt: 0 }),
     confirmWhole: async () => true,
-    staging: { changedAt, settled: true },
+    staging: { changedAt, settled: true, wasReadable: true },
     onLoad: load => { loads.push(load) },
     onPolled: () => {},
     onEngineRestarted: () => { startedAgain += 1 },
