Each load is checked by what is staged after it

An engine whose whole load could not be vouched for stayed closed until the next version. Cause: the bounds of 3 s and 10 s after which a call was taken for settled are bounds on nothing; and the judgement went by time alone, not by what is staged. Change: after each load the agent reads the staging memory back. What is whole then, and was not written to since before the order could be taken, is what was loaded; chunks that are missing or of another version close the engine until its next load, corrupt ones only if the order was taken late. The version that the engine serves is compared with the one that was checked, an order that loads nothing decides nothing, and a read-back that failed is repeated and fetches nothing. Orders are sent beside the polls, so that entries keep being told that the engine is closed.

--- a/packages/core/src/lib/routing/weights/load-orders.ts
+++ b/packages/core/src/lib/routing/weights/load-orders.ts
@@ -6,7 +6,7 @@
 /**
  * Tracks the load orders of one agent, and whether the version that its engine loaded is known to be whole. An engine may take an order long
  * after its call has failed, and loads whatever is staged at that moment. So the staging memory must not change while an order may still be
- * taken, and a load counts as verified only if nothing changed between the verification of the staged version and the load.
+ * taken, and each load is checked: what is staged after it, and did not change since before it, is what was loaded.
  */
 import type { OrderResult } from './version-switch.js'
 
@@ -18,9 +18,24 @@
   readonly version: number
 }
 
-/** Whether the loaded version is whole. `unchecked`: the staged version has to be verified again, to decide between the other two. */
+/** When something was done, in milliseconds by one clock. */
+export interface OrderTimes {
+  /** When the report was requested. */
+  readonly askedAt: number
+  /** When the staging memory changed last; -Infinity if it did not since the agent started. */
+  readonly stagingChangedAt: number
+  readonly now: number
+}
+
+/** Whether the loaded version is whole. `unchecked`: the staged version has to be read back, to decide between the other two. */
 export type LoadTrust = 'verified' | 'unchecked' | 'unverified'
 
+/**
+ * What was read back after a load. `corrupt`: some chunks are neither of the staged version nor of another one. `replaced`: chunks are missing,
+ * or of another version.
+ */
+export type ReadBack = 'whole' | 'corrupt' | 'replaced'
+
 /** An order that may still be taken. */
 interface PendingOrder {
   readonly version: number
@@ -32,6 +47,21 @@
   unansweredAt: number | undefined
 }
 
+/** A load, from the order on. */
+interface Load {
+  /** The version that the engine served before, and whether that was whole. */
+  readonly versionBefore: number
+  readonly trustBefore: LoadTrust
+  /** Since when the staging memory must not have changed, in milliseconds: the order may have been taken at any time after it. */
+  readonly unchangedSince: number
+  /** When this process knew of it, in milliseconds. */
+  readonly noticedAt: number
+  /** Whether the staged version was verified shortly before. */
+  readonly isFresh: boolean
+  /** The version that was staged completely when the order was taken; `undefined` if that is not known. */
+  verifiedVersion: number | undefined
+}
+
 /**
  * The longest time from the start of a verification until the engine takes the order, in milliseconds. It is below the 3 s within which
  * platforms allow a staged chunk to become corrupted unnoticed.
@@ -44,45 +74,50 @@
  */
 const LATE_EFFECT_TIME = 10_000
 
-/** The load orders of one agent to one start of its engine. All times are in milliseconds, by one clock. */
+/** How long a load may stay unchecked before the staging memory is used again, in milliseconds. */
+const MAX_CHECK_TIME = 10_000
+
+/** The load orders of one agent to one start of its engine. */
 export class LoadOrders {
-  private _sequence: number | undefined
+  private _report: EngineOrderReport | undefined
+  /** When the engine had certainly taken no order but those that are counted, in milliseconds. */
+  private _countedAt = -Infinity
   /** The number of orders once the last one that the engine accepted is counted; reports may lag behind it. */
   private _acceptedSequence: number | undefined
   private _pending: PendingOrder | undefined
-  private _trust: LoadTrust = 'verified'
-  /** The staged version that is to be checked must not have changed since then. */
-  private _unchangedSince = -Infinity
+  private _load: Load | undefined
+  private _loadTrust: LoadTrust = 'verified'
 
-  /**
-   * @param _doubtedUntil Until when calls of an earlier agent of the engine may take effect. A load until then is checked.
-   */
-  constructor (private readonly _doubtedUntil = -Infinity) {}
+  /** Whether the version that the engine serves is whole. */
+  get trust (): LoadTrust {
+    return this._load !== undefined && this._isLoading(this._load) ? this._load.trustBefore : this._loadTrust
+  }
 
-  /** Whether the loaded version is whole. */
-  get trust (): LoadTrust { return this._trust }
+  /** Whether the last load has to be checked. */
+  get needsCheck (): boolean { return this._loadTrust === 'unchecked' }
 
   /** Whether the staging memory must keep its contents, since an order may still be taken or a load has to be checked. */
-  get holdsStaging (): boolean { return this._pending !== undefined || this._trust === 'unchecked' }
+  get holdsStaging (): boolean { return this._pending !== undefined || this.needsCheck }
 
   /** The number of orders after which the engine may take the next one; `undefined` if the engine does not count them. */
-  get expectedSequence (): number | undefined { return this._sequence }
+  get expectedSequence (): number | undefined { return this._report?.sequence }
 
   /**
    * Records a report of the engine.
    *
-   * @param stagingChangedAt When the staging memory changed last; -Infinity if it did not since the agent started.
    * @example
-   * orders.reported({ sequence: 2, version: 5 }, staging.changedAt, performance.now())
+   * orders.reported({ sequence: 2, version: 5 }, { askedAt, stagingChangedAt: staging.changedAt, now: performance.now() })
    */
-  reported ({ sequence, version }: EngineOrderReport, stagingChangedAt: number, now: number): void {
-    const previous = this._sequence
-    this._sequence = sequence
-    if (sequence !== undefined && previous !== undefined && sequence < previous) return this._restarted()
-    if (this._trust === 'unchecked' && stagingChangedAt > this._unchangedSince) this._trust = 'unverified'
-    const counted = sequence !== undefined && previous !== undefined && sequence > previous && sequence !== this._acceptedSequence
-    if (counted || this._pending?.version === version) this._taken(counted, stagingChangedAt, now)
-    else if (this._pending?.unansweredAt !== undefined && now - this._pending.unansweredAt > LATE_EFFECT_TIME) this._pending = undefined
+  reported (report: EngineOrderReport, times: OrderTimes): void {
+    const before = this._report
+    this._report = { ...report, sequence: report.sequence ?? before?.sequence }
+    const added = (report.sequence ?? 0) - (before?.sequence ?? report.sequence ?? 0)
+    if (added < 0) this._restarted()
+    const isNew = added > 0 && report.sequence !== this._acceptedSequence
+    if (isNew || this._pending?.version === report.version) this._taken(before?.version ?? 0, times)
+    else this._expirePending(times.now)
+    if (added <= 0) this._countedAt = times.askedAt
+    this._compareLoaded(times)
   }
 
   /**
@@ -98,17 +133,26 @@
   /** Records the result of the last order. */
   answered (result: OrderResult, stagingChangedAt: number, now: number): void { this._resultHandlers[result](stagingChangedAt, now) }
 
-  /** Records whether the staged version was whole when it was verified after a load. */
-  checked (whole: boolean, stagingChangedAt: number): void {
-    if (this._trust === 'unchecked') this._trust = whole && stagingChangedAt <= this._unchangedSince ? 'verified' : 'unverified'
+  /**
+   * Records what was read back after a load.
+   *
+   * @param version The staged version.
+   */
+  checked (readBack: ReadBack, version: number, stagingChangedAt: number): void {
+    const load = this._load
+    if (load === undefined || !this.needsCheck) return
+    const wasWhole = readBack === 'whole' || (readBack === 'corrupt' && load.isFresh)
+    this._loadTrust = wasWhole && stagingChangedAt <= load.unchangedSince ? 'verified' : 'unverified'
+    load.verifiedVersion = version
   }
 
   private readonly _resultHandlers: Readonly<Record<OrderResult, (stagingChangedAt: number, now: number) => void>> = {
     begun: (stagingChangedAt, now) => {
       if (this._pending === undefined) return
-      this._acceptedSequence = this._sequence === undefined ? undefined : this._sequence + 1
-      this._judge(this._pending.verifiedAt, this._pending.verifiedAt, stagingChangedAt, now)
+      const { verifiedAt } = this._pending
       this._pending = undefined
+      this._acceptedSequence = this.expectedSequence === undefined ? undefined : this.expectedSequence + 1
+      this._begin({ versionBefore: this._report?.version ?? 0, unchangedSince: verifiedAt, noticedAt: now, isFresh: now - verifiedAt <= MAX_VERIFICATION_AGE }, stagingChangedAt)
     },
     // The next report tells whether the version was loaded by this order or by an earlier one.
     done: (_stagingChangedAt, now) => this._leaveOpen(now),
@@ -119,28 +163,39 @@
 
   private _leaveOpen (now: number): void { if (this._pending !== undefined) this._pending.unansweredAt = now }
 
+  private _expirePending (now: number): void {
+    const { unansweredAt } = this._pending ?? {}
+    if (unansweredAt !== undefined && now - unansweredAt > LATE_EFFECT_TIME) this._pending = undefined
+  }
+
   private _restarted (): void {
     this._acceptedSequence = undefined
     this._pending = undefined
-    this._trust = 'verified'
+    this._load = undefined
+    this._loadTrust = 'verified'
   }
 
-  /** @param counted Whether the engine counted another order, rather than only serving the version of the pending one. */
-  private _taken (counted: boolean, stagingChangedAt: number, now: number): void {
-    const pending = this._pending
+  /** Records that an order was taken whose call failed, or that an earlier agent sent. */
+  private _taken (versionBefore: number, { stagingChangedAt, now }: OrderTimes): void {
+    const { sentAt = -Infinity, verifiedAt = -Infinity } = this._pending ?? {}
     this._pending = undefined
-    if (pending !== undefined) this._judge(pending.sentAt, pending.verifiedAt, stagingChangedAt, now)
-    else if (counted) this._judge(-Infinity, -Infinity, stagingChangedAt, now)
+    this._begin({ versionBefore, unchangedSince: Math.max(sentAt, this._countedAt), noticedAt: now, isFresh: now - verifiedAt <= MAX_VERIFICATION_AGE }, stagingChangedAt)
   }
 
-  /**
-   * Judges a load that was taken until now.
-   *
-   * @param unchangedSince Since when the staging memory must not have changed: the order may have been taken at any time after it.
-   */
-  private _judge (unchangedSince: number, verifiedAt: number, stagingChangedAt: number, now: number): void {
-    this._unchangedSince = unchangedSince
-    if (stagingChangedAt > unchangedSince) this._trust = 'unverified'
-    else this._trust = now > this._doubtedUntil && now - verifiedAt <= MAX_VERIFICATION_AGE ? 'verified' : 'unchecked'
+  private _begin (load: Omit<Load, 'trustBefore' | 'verifiedVersion'>, stagingChangedAt: number): void {
+    this._load = { ...load, trustBefore: this.trust, verifiedVersion: undefined }
+    this._loadTrust = stagingChangedAt <= load.unchangedSince ? 'unchecked' : 'unverified'
+  }
+
+  /** Whether the engine does not serve the version of a load yet. Until then it serves the version before, or none. */
+  private _isLoading ({ versionBefore }: Load): boolean { return this._report?.version === 0 || this._report?.version === versionBefore }
+
+  /** An engine that took an order of an earlier agent may load another version than the staged one. */
+  private _compareLoaded ({ stagingChangedAt, now }: OrderTimes): void {
+    const load = this._load
+    if (load === undefined || this._report === undefined) return
+    const isOther = load.verifiedVersion !== undefined && !this._isLoading(load) && this._report.version !== load.verifiedVersion
+    const isTooLate = stagingChangedAt > load.unchangedSince || now - load.noticedAt > MAX_CHECK_TIME
+    if (isOther || (this.needsCheck && isTooLate)) this._loadTrust = 'unverified'
   }
 }
--- a/packages/node/src/lib/agent/chunk-store.ts
+++ b/packages/node/src/lib/agent/chunk-store.ts
@@ -26,9 +26,14 @@
   /** Digests of the chunks that the engine holds. */
   get staged (): ReadonlySet<string> { return this._staged }
 
-  /** Reads which chunks the engine holds, at the start and again before a load, since an earlier agent may have dropped some. */
-  async recover (): Promise<void> {
-    this._staged = new Set(await this._engine.staged())
+  /**
+   * Reads which chunks the engine holds, at the start and again before a load, since an earlier agent may have dropped some. Returns whether
+   * they could be read; otherwise, what is known of them stays.
+   */
+  async recover (): Promise<boolean> {
+    const staged = await this._engine.staged()
+    if (staged !== undefined) this._staged = new Set(staged)
+    return staged !== undefined
   }
 
   /** Prepares the engine's staging memory for a version, so that chunks that it already holds are not fetched. */
--- a/packages/node/src/lib/agent/engine-client.ts
+++ b/packages/node/src/lib/agent/engine-client.ts
@@ -12,8 +12,8 @@
 
 /** The staging memory of an engine, which holds chunks until the engine is ordered to load them. */
 export interface ChunkStaging {
-  /** Reads which chunks are staged. Returns their digests. */
-  staged (): Promise<ReadonlySet<string>>
+  /** Reads which chunks are staged. Returns their digests, or `undefined` if not all could be read. */
+  staged (): Promise<ReadonlySet<string> | undefined>
   /**
    * Prepares the staging memory for a version: chunks that it already holds are made part of it. Only chunks of the version can be
    * staged from then on. Returns the digests of the staged chunks.
@@ -55,18 +55,18 @@
     }
   }
 
-  async staged (): Promise<ReadonlySet<string>> {
+  async staged (): Promise<ReadonlySet<string> | undefined> {
     try {
       const answer = await requestHttp(this._address, { path: '/staging', timeout: TIMEOUT, maxBytes: MAX_ANSWER_BYTES })
       const value: unknown = JSON.parse(answer.body.toString('utf8'))
-      return new Set(Array.isArray(value) ? value.map(String) : [])
+      return Array.isArray(value) ? new Set(value.map(String)) : undefined
     } catch {
-      return new Set()
+      return undefined
     }
   }
 
   /** Reads the staging memory only: this engine stores chunks by digest, so that they have no places. */
-  async arrange (): Promise<ReadonlySet<string>> { return await this.staged() }
+  async arrange (): Promise<ReadonlySet<string>> { return await this.staged() ?? new Set() }
 
   async stage (kind: 'chunks' | 'manifests', digest: string, bytes: Buffer): Promise<boolean> {
     return await this._status({ method: 'PUT', path: `/staging/${kind}/${digest}`, body: bytes }) === 204
--- a/packages/node/src/lib/agent/weights-keeper.ts
+++ b/packages/node/src/lib/agent/weights-keeper.ts
@@ -191,13 +191,12 @@
 
   /**
    * Checks whether the engine still holds the complete version, as it must right before a load. Chunks that are missing are
-   * fetched again.
+   * fetched again. Returns false also if they could not be read.
    */
   async confirmComplete (): Promise<boolean> {
     const manifest = this._manifest
     if (manifest === undefined) return false
-    await this._dependencies.store.recover()
-    if (manifest !== this._manifest) return false
+    if (!await this._dependencies.store.recover() || manifest !== this._manifest) return false
     if (manifest.chunks.every(chunk => this._dependencies.store.staged.has(chunk.digest))) return true
     this._dependencies.log.warn('staging-lost', { manifest: this._desiredDigest })
     this._completeDigest = ''
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -8,7 +8,7 @@
  * version switch decides to.
  */
 import {
-  LoadOrders, MAX_VERIFICATION_AGE, prefillRate, UnreadTokenEstimator, typicalGenerationTime, VersionSwitch, type LoadReport, type LoadTrust, type ModelVersion, type OrderResult, type PoolDescription, type SwitchPosition, type SwitchView
+  LoadOrders, MAX_VERIFICATION_AGE, prefillRate, UnreadTokenEstimator, typicalGenerationTime, VersionSwitch, type LoadReport, type LoadTrust, type ModelVersion, type OrderResult, type PoolDescription, type ReadBack, type SwitchPosition, type SwitchView
 } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
@@ -30,7 +30,7 @@
   /** See `PlacedStaging`. */
   readonly changedAt: number
   readonly settled: boolean
-  readonly wasReadable: boolean
+  readonly lastReadBack: ReadBack | undefined
 }
 
 /** Dependencies and settings of an {@link EngineSwitcher}. */
@@ -71,8 +71,6 @@
  */
 const LIGHT_LOAD_POLL_INTERVAL = 100
 const LIGHT_LOAD_SHARE = 0.5
-/** How long after the start of an agent calls of an earlier one may still take effect, in milliseconds. */
-const EARLIER_AGENT_EFFECT_TIME = 10_000
 /**
  * The last engine of a zone switches this long before the version bound, in milliseconds. From then on entries send no new
  * requests to the old version, so an engine that still serves it should switch at once.
@@ -82,7 +80,7 @@
 /** Polls the engine of one agent and switches it to the wanted version. */
 export class EngineSwitcher {
   private _switch: VersionSwitch
-  private _orders = new LoadOrders(performance.now() + EARLIER_AGENT_EFFECT_TIME)
+  private _orders = new LoadOrders()
   private readonly _polls: PeriodicTask
   private _interval = LIGHT_LOAD_POLL_INTERVAL
   private _unread = new UnreadTokenEstimator()
@@ -145,10 +143,11 @@
     this._polling = true
     try {
       const before = this._report
+      const askedAt = performance.now()
       this._report = await this._dependencies.engine.report()
       this._updateReachability()
       this._detectRestart(before)
-      this._updateOrders()
+      this._updateOrders(askedAt)
       this._logVersionChange(before)
       this._publishLoad()
       this._adjustInterval()
@@ -157,7 +156,7 @@
       this._sinceEvaluation = 0
       this._dependencies.onPolled()
       this._checkLoad()
-      await this._stepSwitch()
+      this._stepSwitch()
     } finally {
       this._polling = false
     }
@@ -187,29 +186,29 @@
   }
 
   /** Detects orders that the engine has taken, also those whose calls failed or that an earlier agent sent. */
-  private _updateOrders (): void {
+  private _updateOrders (askedAt: number): void {
     const { situation, staging } = this._dependencies
     const { wanted } = situation()
     if (this._report === undefined || wanted === undefined) return
     const { trust } = this._orders
-    this._orders.reported({ sequence: this._report.sequence, version: this.version(wanted.model) }, staging.changedAt, performance.now())
+    this._orders.reported({ sequence: this._report.sequence, version: this.version(wanted.model) }, { askedAt, stagingChangedAt: staging.changedAt, now: performance.now() })
     this._logTrust(trust)
   }
 
-  /**
-   * Verifies the staged version again after a load whose last verification is too old. The polls go on meanwhile, so that entries keep being
-   * told that the engine accepts no requests.
-   */
+  /** Reads the staged version back after a load. The polls go on meanwhile, so that entries keep being told whether the engine accepts requests. */
   private async _checkLoad (): Promise<void> {
     const { confirmWhole, staging, situation } = this._dependencies
-    if (this._checking || this._orders.trust !== 'unchecked' || situation().whole === '') return
+    const { wanted, whole } = situation()
+    if (this._checking || !this._orders.needsCheck || wanted === undefined || whole === '') return
     this._checking = true
     const orders = this._orders
-    const whole = await confirmWhole()
-    this._checking = false
-    if (orders !== this._orders || orders.trust !== 'unchecked' || !(whole || staging.wasReadable)) return
-    orders.checked(whole, staging.changedAt)
-    this._logTrust('unchecked')
+    const isWhole = await confirmWhole().finally(() => { this._checking = false })
+    const readBack = isWhole ? 'whole' : staging.lastReadBack
+    // A read-back that failed, or during which the agent turned to another version, decides nothing and is repeated.
+    if (orders !== this._orders || readBack === undefined || (readBack === 'whole' && !isWhole)) return
+    const { trust } = orders
+    orders.checked(readBack, wanted.version, staging.changedAt)
+    this._logTrust(trust)
   }
 
   private _logTrust (before: LoadTrust): void {
@@ -272,13 +271,15 @@
     return Math.round(timeToWhole + finishTime + warmUp)
   }
 
+  /** Orders a load if it is due. The polls go on meanwhile, so that entries keep being told that the engine accepts no requests. */
   private async _stepSwitch (): Promise<void> {
+    if (this._ordering) return
     const { wanted, publishedAt } = this._dependencies.situation()
     const view = this._view()
     if (wanted === undefined || view === undefined) return
     const now = performance.now()
     const step = this._switch.step(view, now)
-    if (step.type === 'order') await this._order(wanted, step.why, publishedAt === undefined ? undefined : now - publishedAt)
+    if (step.type === 'order' && this._dependencies.staging.settled) await this._order(wanted, step.why, publishedAt === undefined ? undefined : now - publishedAt)
   }
 
   private async _order (wanted: ModelVersion, why: string, age: number | undefined): Promise<void> {
@@ -298,7 +299,6 @@
   /** Sends the order only if the staged version has just been verified. A verification takes long if this process was suspended. */
   private async _verifyAndOrder (wanted: ModelVersion): Promise<OrderResult> {
     const { confirmWhole, engine, staging } = this._dependencies
-    if (!staging.settled) return 'not-whole'
     let verifiedAt = performance.now()
     if (!await confirmWhole()) return 'not-whole'
     if (performance.now() - verifiedAt > MAX_VERIFICATION_AGE) {
@@ -306,10 +306,11 @@
       if (!await confirmWhole()) return 'not-whole'
     }
     if (!staging.settled) return 'not-whole'
-    const { trust } = this._orders
-    this._orders.sent(wanted.version, verifiedAt, performance.now())
-    const result = await engine.order(wanted, this._orders.expectedSequence)
-    this._orders.answered(result, staging.changedAt, performance.now())
+    const orders = this._orders
+    const { trust } = orders
+    orders.sent(wanted.version, verifiedAt, performance.now())
+    const result = await engine.order(wanted, orders.expectedSequence)
+    orders.answered(result, staging.changedAt, performance.now())
     this._logTrust(trust)
     return result
   }
--- a/packages/node/src/lib/routing/version-transfers.ts
+++ b/packages/node/src/lib/routing/version-transfers.ts
@@ -104,7 +104,7 @@
   }
 
   /** Reads which chunks are already staged, for example by an earlier run of this process. */
-  recover (): Promise<void> { return this._stagedTransfer.store.recover() }
+  recover (): Promise<boolean> { return this._stagedTransfer.store.recover() }
 
   membersChanged (): void {
     this._stagedTransfer.membersChanged()
--- a/packages/node/src/lib/routing/weights-agent.ts
+++ b/packages/node/src/lib/routing/weights-agent.ts
@@ -48,6 +48,9 @@
  */
 const TRANSFER_OVERHEAD = 1.3
 
+/** How often the staging memory is read at the start. If it could not be read, its chunks are fetched. */
+const MAX_RECOVERY_ATTEMPTS = 5
+
 /** Interval between polls of an engine that is not up yet, in milliseconds. */
 const ENGINE_POLL_INTERVAL = 100
 
@@ -255,7 +258,7 @@
       if (this._stopped) return
       await pause(ENGINE_POLL_INTERVAL)
     }
-    await this._versions.recover()
+    for (let attempt = 0; attempt < MAX_RECOVERY_ATTEMPTS && !await this._versions.recover(); attempt += 1) await pause(ENGINE_POLL_INTERVAL)
     this._recovered = true
     this._log.info('staging-read', { model, staged: this._versions.stagedCount })
     this._applyState()
--- a/packages/node/src/test/lib/routing/engine-switcher_test.ts
+++ b/packages/node/src/test/lib/routing/engine-switcher_test.ts
@@ -28,7 +28,7 @@
     situation: () => ({ wanted: { model: 'm', version: 1 }, publishedAt: undefined, whole: 'm@1' }),
     turn: () => ({ index: 0, of: 1, firstCompleteAt: 0 }),
     confirmWhole: async () => true,
-    staging: { changedAt, settled: true, wasReadable: true },
+    staging: { changedAt, settled: true, lastReadBack: 'whole' },
     onLoad: load => { loads.push(load) },
     onPolled: () => {},
     onEngineRestarted: () => { startedAgain += 1 },
@@ -64,16 +64,18 @@
     assert.deepEqual(loads.map(({ unreadTokens }) => unreadTokens), [4_000, 4_000])
   })
 
-  const loads: [name: string, sequences: (number | undefined)[], changedAt: number, accepting: boolean][] = [
-    ['an engine that takes no order', [3, 3], 0, true],
-    ['an engine that does not count its orders', [undefined, undefined], 0, true],
-    ['an engine that took an order of an earlier agent', [3, 4, 4], -Infinity, true],
-    ['an engine that took an order of an earlier agent after the staging memory changed', [3, 4, 4], 0, false]
+  const loads: [name: string, reports: (readonly [sequence: number | undefined, version: number])[], changedAt: number, accepting: boolean][] = [
+    ['an engine that takes no order', [[3, 1], [3, 1]], 0, true],
+    ['an engine that does not count its orders', [[undefined, 1], [undefined, 1]], 0, true],
+    ['an engine that took an order of another kind', [[3, 1], [4, 1], [4, 1]], Infinity, true],
+    ['an engine that took an order of an earlier agent', [[3, 2], [4, 1], [4, 1], [4, 1]], -Infinity, true],
+    ['an engine that took an order of an earlier agent while the staging memory changed', [[3, 2], [4, 1], [4, 1], [4, 1]], Infinity, false]
   ]
-  for (const [name, sequences, changedAt, expected] of loads) {
+  for (const [name, reports, changedAt, expected] of loads) {
     it(`reports whether it accepts requests, of ${name}`, async () => {
-      const { loads } = await pollEach(sequences.map(sequence => ({ ...report, sequence })), changedAt)
+      const { loads } = await pollEach(reports.map(([sequence, version]) => ({ ...report, sequence, models: [{ model: 'm', version }] })), changedAt)
       assert.equal(loads.at(-1)?.accepting, expected)
+      assert.equal(loads.at(-1)?.unverified, expected ? undefined : true)
     })
   }
 })
