What strangers send and leave open ends no process, and keeps it from no caller

What callers saw: clients with many chunked bodies that stop short of their end let an entry run out of memory and end; with others, all ordinary requests were refused or unanswered as long as the clients stayed. Cause: what a caller costs was counted in bytes of payload, while it costs objects, parser work, descriptors and time; and who stopped sending kept what he held, while who came next was refused. Each 1-byte chunk was kept as a buffer of its own (some hundred bytes), a refused body was read to its end however long, pipelined requests were all routed at once, connections at rest kept new ones out, and a body had no deadline. Change: a body is collected in one buffer, has the deadline of its request, and may take 16 bytes on the wire for each of its own; a few bodies in small chunks are read at a time, in turn; a refused request ends its connection after a bounded rest; requests of one connection are routed one after the other, and only some may wait; beyond the largest number of connections, which the descriptors bound, the one at rest for longest is closed; where buffers are full, callers without progress for longest give way to new requests. The readiness and metrics ports close the connection with the oldest request, the peer port the oldest one without a hello.

--- a/packages/core/src/lib/routing/attempts/buffer-budget.ts
+++ b/packages/core/src/lib/routing/attempts/buffer-budget.ts
@@ -16,6 +16,8 @@
 const ADMISSION_SHARE = 0.75
 /** The share of the bound that incomplete parts of answers may hold. It leaves room below the share at which requests are refused. */
 const ATTEMPT_SHARE = 0.5
+/** A caller that made no progress for this long gives way to new requests, in milliseconds. */
+const STALL_TIME = 500
 
 /** The buffered bytes of one exchange with a caller. */
 export interface BufferedBytes {
@@ -72,6 +74,25 @@
   /** Whether a new request may be accepted. */
   get accepts (): boolean { return this._held <= ADMISSION_SHARE * this._bound }
 
+  /**
+   * Ends exchanges whose callers made no progress for a while, longest first, until a new request may be accepted. Returns whether it may.
+   *
+   * @example
+   * if (!budget.makeRoom(performance.now())) refuse()
+   */
+  makeRoom (now: number): boolean {
+    if (!this.accepts) this._reclaim(ADMISSION_SHARE * this._bound, now - STALL_TIME)
+    return this.accepts
+  }
+
+  /** Ends the exchange whose caller made no progress for the longest time, if that is a while. Returns whether there was one. */
+  endStalled (now: number): boolean {
+    const [stalled] = this._stalledSince(now - STALL_TIME)
+    if (stalled === undefined) return false
+    this._end(stalled)
+    return true
+  }
+
   /**
    * Opens the account of an exchange.
    *
@@ -129,7 +150,7 @@
 
   private _set (exchange: Exchange, bytes: BufferedBytes): void {
     this._count(exchange, bytes)
-    if (this._held > this._bound) this._reclaim()
+    if (this._held > this._bound) this._reclaim(this._bound, Infinity)
   }
 
   private _count (exchange: Exchange, bytes: BufferedBytes): void {
@@ -139,12 +160,20 @@
     else this._waiting.delete(exchange)
   }
 
-  private _reclaim (): void {
-    const oldestFirst = [...this._waiting].sort((left, right) => left.progressAt - right.progressAt)
-    for (const exchange of oldestFirst) {
-      if (this._held <= this._bound) return
-      this._count(exchange, NOTHING)
-      exchange.end()
+  /** Ends exchanges without progress since some time, longest first, until no more than `bytes` are held. */
+  private _reclaim (bytes: number, since: number): void {
+    for (const exchange of this._stalledSince(since)) {
+      if (this._held <= bytes) return
+      this._end(exchange)
     }
   }
+
+  private _stalledSince (since: number): Exchange[] {
+    return [...this._waiting].filter(({ progressAt }) => progressAt <= since).sort((left, right) => left.progressAt - right.progressAt)
+  }
+
+  private _end (exchange: Exchange): void {
+    this._count(exchange, NOTHING)
+    exchange.end()
+  }
 }
--- a/packages/core/src/test/lib/routing/attempts/buffer-budget_test.ts
+++ b/packages/core/src/test/lib/routing/attempts/buffer-budget_test.ts
@@ -33,6 +33,23 @@
   ]
   for (const [name, result, expected] of cases) it(name, () => assert.deepEqual(result, expected))
 
+  // Callers that stop short of the end of their bodies would otherwise keep what they hold, while those that come next are refused.
+  const room: [name: string, held: readonly number[], now: number, expected: { ended: number[], accepts: boolean }][] = [
+    ['while there is room', [40, 30], 10_000, { ended: [], accepts: true }],
+    ['from the caller without progress for the longest time', [40, 40], 10_000, { ended: [0], accepts: true }],
+    ['from as many as needed', [10, 10, 70], 10_000, { ended: [0, 1], accepts: true }],
+    ['from no caller that made progress just now', [40, 40], 100, { ended: [], accepts: false }]
+  ]
+  for (const [name, held, now, expected] of room) {
+    it(`makes room for a new request ${name}`, () => {
+      const budget = new BufferBudget(100)
+      const ended: number[] = []
+      held.forEach((bytes, index) => budget.open(() => ended.push(index), index).set(answer(bytes)))
+      const accepts = budget.makeRoom(now)
+      assert.deepEqual({ ended, accepts }, expected)
+    })
+  }
+
   // Without a share of their own, attempts at a few endpoints that never end an event would have other requests refused.
   const attempts: [name: string, bytes: readonly number[], expected: { ended: number[], held: number, accepts: boolean }][] = [
     ['below their share', [20, 30], { ended: [], held: 50, accepts: true }],
--- a/packages/node/src/lib/entry/entry.ts
+++ b/packages/node/src/lib/entry/entry.ts
@@ -8,6 +8,7 @@
  */
 import { randomBytes } from 'node:crypto'
 import type { ChoicePolicy, PeerRequest, ProcessStatus } from '@drumdrift/core'
+import { callerLimitsOf } from '../caller-limits.js'
 import type { Log } from '../observe/log.js'
 import { readCost } from '../observe/cost.js'
 import { Histograms } from '../observe/histograms.js'
@@ -71,6 +72,7 @@
     this._front = new EntryHttpServer({
       address: text('process', 'http-address'),
       maxBodyBytes: _settings.number('requests', 'largest-body-kilobytes') * KIBIBYTE,
+      limits: callerLimitsOf(_settings),
       maxDeadline: milliseconds('deadline-seconds'),
       dispatcher: this._dispatcher,
       configuration: () => this._spread.spread.configuration,
--- a/packages/node/src/lib/entry/http-server.ts
+++ b/packages/node/src/lib/entry/http-server.ts
@@ -7,14 +7,15 @@
  * The entry's HTTP interface: callers' requests, health, metrics and the operators' routes.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { endingAtStop, requestFailure, type Configuration } from '@drumdrift/core'
+import { endingAtStop, ReadTurns, requestFailure, type Configuration } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Histograms } from '../observe/histograms.js'
 import { metricsText, type Counters } from '../observe/metrics.js'
+import type { CallerLimits } from '../caller-limits.js'
 import { HttpConnections, type StopResult } from '../http-connections.js'
 import { closeIdleAfterReading } from '../idle-connections.js'
 import { listenAt } from '../listen.js'
-import { readBody } from '../read-body.js'
+import { bodyFailures, dropRest, readBody, type ReadBody } from '../read-body.js'
 import { settledWithin } from '../settled-within.js'
 import { HttpAnswerSink, writeFailure } from './answer-sink.js'
 import { isFailure, parseCallerRequest } from './caller-request.js'
@@ -27,6 +28,7 @@
 export interface EntryHttpServerOptions {
   readonly address: string
   readonly maxBodyBytes: number
+  readonly limits: CallerLimits
   /** The default and maximum time to a deadline, in milliseconds. */
   readonly maxDeadline: number
   readonly dispatcher: Dispatcher
@@ -44,7 +46,6 @@
 type Route = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>
 
 const MAX_HEADER_BYTES = 16 * 1024
-const MAX_CONNECTIONS = 8_192
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000
 const UNAVAILABLE_RETRY_MILLISECONDS = 1_000
 /** How long the last answers of a stop may take to be sent. */
@@ -56,15 +57,16 @@
   private readonly _connections: HttpConnections
   /** The responses to requests that have been read and are not answered. */
   private readonly _submitted = new WeakSet<ServerResponse>()
+  private readonly _turns: ReadTurns
   private _draining = false
 
   constructor (private readonly _options: EntryHttpServerOptions) {
     this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MILLISECONDS }, (request, response) => {
-      if (this._connections.begin(response, () => {})) this._route(request, response)
-      else request.resume()
+      this._begin(request, response)
     })
-    this._connections = new HttpConnections(this._server)
-    this._server.maxConnections = MAX_CONNECTIONS
+    const { limits, counters } = _options
+    this._connections = new HttpConnections(this._server, { ...limits, counters, onFull: () => false })
+    this._turns = new ReadTurns(limits.costlyBodies)
     closeIdleAfterReading(this._server)
   }
 
@@ -107,6 +109,16 @@
     '/operator/histograms': async (request, response) => { await this._handleOperator(request, response) }
   }
 
+  private async _begin (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!this._connections.begin(response, () => {})) return dropRest(request, this._options.limits.restPieces)
+    if (this._connections.isFirst(response) || await this._connections.untilFirst(response)) await this._route(request, response)
+  }
+
+  private _readBody (request: IncomingMessage, isWanted: () => boolean): Promise<ReadBody> {
+    const { maxBodyBytes, maxDeadline, limits } = this._options
+    return readBody(request, { largest: maxBodyBytes, overheadFactor: limits.overheadFactor, within: maxDeadline, turns: this._turns, onProgress: isWanted })
+  }
+
   private async _route (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0] ?? '/'
     const route = Object.hasOwn(this._routes, path) ? this._routes[path] : undefined
@@ -126,12 +138,13 @@
       writeFailure(response, requestFailure('leaving', 'not-run', 'this entry is draining', UNAVAILABLE_RETRY_MILLISECONDS))
       return
     }
-    const body = await readBody(request, this._options.maxBodyBytes, () => !response.headersSent)
+    const body = await this._readBody(request, () => !response.headersSent)
     if (response.headersSent) return
     if (body.type === 'lost') return this._options.log.debug('request-unread', { detail: body.detail })
-    if (body.type === 'too-large') {
+    if (body.type !== 'whole') {
       if (this._connections.announceClose(response)) response.setHeader('connection', 'close')
-      writeFailure(response, requestFailure('body-too-large', 'not-run', `the body exceeds the limit of ${this._options.maxBodyBytes} bytes`))
+      dropRest(request, this._options.limits.restPieces)
+      writeFailure(response, bodyFailures[body.type](this._options.maxBodyBytes))
       return
     }
     const raw = { method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.bytes }
@@ -161,7 +174,7 @@
   }
 
   private async _handleOperator (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(request, this._options.maxBodyBytes)
+    const body = await this._readBody(request, () => true)
     const answer = await this._options.operator(request, body.type === 'whole' ? body.bytes : Buffer.alloc(0))
     response.writeHead(answer.status, { 'content-type': answer.type }).end(answer.body)
   }
--- a/packages/node/src/lib/observe/metrics-server.ts
+++ b/packages/node/src/lib/observe/metrics-server.ts
@@ -4,7 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Serves metrics over HTTP for a process that has no other HTTP server. */
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
+import { createBoundedServer } from '../bounded-server.js'
 import { listenAt } from '../listen.js'
 import type { Histograms } from './histograms.js'
 import { metricsText, type Counters } from './metrics.js'
@@ -14,7 +15,7 @@
   private readonly _server: Server
 
   constructor (private readonly _address: string, counters: Counters, histograms: Histograms) {
-    this._server = createServer((request, response) => {
+    this._server = createBoundedServer((request, response) => {
       if (request.url !== '/metrics') {
         response.writeHead(404).end()
         return
@@ -25,5 +26,8 @@
 
   listen (): Promise<void> { return listenAt(this._server, this._address) }
 
-  close (): void { this._server.close() }
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
 }
--- a/packages/node/src/lib/peer/server.ts
+++ b/packages/node/src/lib/peer/server.ts
@@ -11,12 +11,16 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { PROTOCOL_VERSION, type PeerRequest } from '@drumdrift/core'
 import { PeerConnection, type RequestHandler, type Responder, type Traffic } from './connection.js'
+import { descriptorLimit } from '../descriptor-limit.js'
 import { listenAt } from '../listen.js'
 import { SilenceTimeout } from '../silence-timeout.js'
 import type { Log } from '../observe/log.js'
 
 /** Maximum number of connections that a process accepts. */
 const MAX_CONNECTIONS = 4_096
+/** Maximum number of connections without a valid hello, and their share of the file descriptors. Beyond it, the oldest one is closed. */
+const MAX_UNAUTHENTICATED = 256
+const UNAUTHENTICATED_DESCRIPTOR_SHARE = 0.1
 /** Time after which a connection without a valid hello is closed, in milliseconds. */
 const HELLO_TIMEOUT_MILLISECONDS = 5_000
 
@@ -34,6 +38,8 @@
 export class PeerServer {
   private readonly _server: Server
   private readonly _connections = new Set<PeerConnection>()
+  /** Connections without a valid hello, oldest first. */
+  private readonly _unauthenticated = new Set<PeerConnection>()
 
   constructor (private readonly _options: PeerServerOptions) {
     this._server = createServer(socket => this._accept(socket))
@@ -64,17 +70,20 @@
   }
 
   private _accept (socket: Socket): void {
-    let authenticated = false
     const connection = new PeerConnection(socket, (request, payload, responder) => {
-      if (authenticated) this._handle(request, payload, responder)
-      else authenticated = this._authenticate(request, responder)
+      if (!this._unauthenticated.has(connection)) this._handle(request, payload, responder)
+      else if (this._authenticate(request, responder)) this._unauthenticated.delete(connection)
     }, detail => this._options.log.warn('peer-malformed', { detail, remote: remoteOf(socket) }), this._options.traffic)
     this._connections.add(connection)
-    const silence = new SilenceTimeout(() => { if (!authenticated) connection.close() }, HELLO_TIMEOUT_MILLISECONDS)
+    this._unauthenticated.add(connection)
+    const silence = new SilenceTimeout(() => { if (this._unauthenticated.has(connection)) connection.close() }, HELLO_TIMEOUT_MILLISECONDS)
     connection.onEnd(() => {
       silence.cancel()
       this._connections.delete(connection)
+      this._unauthenticated.delete(connection)
     })
+    const [oldest] = this._unauthenticated
+    if (this._unauthenticated.size > Math.min(MAX_UNAUTHENTICATED, UNAUTHENTICATED_DESCRIPTOR_SHARE * descriptorLimit())) oldest?.close()
   }
 
   /** Handles a request. A malformed message is refused, and the connection stays open. */
--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -11,6 +11,11 @@
 import { BufferBudget, type AttemptAccount, type BufferAccount } from '@drumdrift/core'
 import type { AnswerHead, LocalAnswer } from './ports.js'
 
+/** The bytes of a request that count as progress of its caller. */
+const MIN_PROGRESS_BYTES = 16 * 1024
+/** What a request that is being read occupies beside its bytes: its connection, its parser and its head. */
+const INCOMPLETE_REQUEST_BYTES = 16 * 1024
+
 /** The answer to one request. */
 export class CallerAnswer {
   private _begun = false
@@ -21,6 +26,8 @@
   private _onDrain: () => void = () => {}
   private readonly _account: BufferAccount
   private _requestBytes = 0
+  /** The bytes of the request when its caller last made progress. */
+  private _progressBytes = 0
   private _requestComplete = false
   private _wasCongested = false
 
@@ -69,9 +76,13 @@
 
   /** Records how many bytes of the request are buffered, until the answer ends. */
   holdRequest (bytes: number, complete: boolean): void {
-    this._requestBytes = bytes
+    // A caller that sends single bytes makes no progress.
+    if (complete || bytes - this._progressBytes >= MIN_PROGRESS_BYTES) {
+      this._progressBytes = bytes
+      this._account.progressed(performance.now())
+    }
+    this._requestBytes = complete ? bytes : bytes + INCOMPLETE_REQUEST_BYTES
     this._requestComplete = complete
-    this._account.progressed(performance.now())
     this._count()
   }
 
--- a/packages/node/src/lib/routing/readiness-server.ts
+++ b/packages/node/src/lib/routing/readiness-server.ts
@@ -6,7 +6,8 @@
 /**
  * Answers the load balancer's readiness checks on a separate address.
  */
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
+import { createBoundedServer } from '../bounded-server.js'
 import { closeIdleAfterReading } from '../idle-connections.js'
 import { listenAt } from '../listen.js'
 
@@ -20,7 +21,7 @@
    * @param ready Whether the process currently accepts requests.
    */
   constructor (private readonly _address: string, path: string, ready: () => boolean) {
-    this._server = createServer((request, response) => {
+    this._server = createBoundedServer((request, response) => {
       const matches = request.method === 'GET' && request.url?.split('?')[0] === path
       response.writeHead(!matches ? 404 : ready() ? 200 : 503, { 'content-length': '0' }).end()
     })
--- a/packages/node/src/lib/routing/route-entry.ts
+++ b/packages/node/src/lib/routing/route-entry.ts
@@ -9,6 +9,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { ageOf, AwaitedEndpoints, publishedTopics, readNamedVersion, RouteShortfalls, RouteTable, type LoadReport, type ModelVersion, type PeerRequest, type PublishedChange } from '@drumdrift/core'
+import { callerLimitsOf } from '../caller-limits.js'
 import { EndpointLiveness } from '../endpoint-liveness.js'
 import { probeEndpoint } from '../endpoint-probe.js'
 import { Histograms } from '../observe/histograms.js'
@@ -165,6 +166,7 @@
       table: () => this._feed.state.hasFollowed('evacuations') ? this._table : undefined,
       begin: (request, answer) => new RoutedRequest(requestDependencies, request, answer),
       bufferBound: bufferBoundOf(_settings),
+      limits: callerLimitsOf(_settings),
       random: Math.random,
       log: _log,
       counters: this._counters
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -7,13 +7,14 @@
  * The HTTP server for callers: reads a request within the configured limits, matches it to a route, and starts routing it.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { acceptsBeforeStop, BufferBudget, refusalOfStop, requestFailure, type RequestFailure, type RouteTable } from '@drumdrift/core'
+import { acceptsBeforeStop, BufferBudget, ReadTurns, refusalOfStop, requestFailure, type RequestFailure, type RouteTable } from '@drumdrift/core'
 import type { Log } from '../observe/log.js'
 import type { Counters } from '../observe/metrics.js'
+import type { CallerLimits } from '../caller-limits.js'
 import { HttpConnections, type StopResult } from '../http-connections.js'
 import { closeIdleAfterReading } from '../idle-connections.js'
 import { listenAt } from '../listen.js'
-import { readBody } from '../read-body.js'
+import { bodyFailures, dropRest, readBody, type ReadBody } from '../read-body.js'
 import { settledWithin } from '../settled-within.js'
 import { CallerAnswer } from './caller-answer.js'
 import type { Dialect } from './ports.js'
@@ -27,6 +28,7 @@
   readonly begin: (request: ReadRequest, answer: CallerAnswer) => RoutedRequest
   /** The largest number of bytes that are buffered for all callers together; infinite for no bound. */
   readonly bufferBound: number
+  readonly limits: CallerLimits
   /** Random numbers in [0, 1). */
   readonly random: () => number
   readonly log: Log
@@ -46,6 +48,7 @@
 /** A request and its answer, until the last byte of the answer has been handed to the operating system. */
 interface Exchange {
   readonly id: string
+  readonly request: IncomingMessage
   readonly answer: CallerAnswer
   /** Set once the request has been read. */
   routed?: RoutedRequest
@@ -53,8 +56,6 @@
 
 /** The largest request head that the server accepts, in bytes; configurations set lower limits. */
 const MAX_HEAD_BYTES = 64 * 1024
-/** Bounds memory. File descriptors are bounded by the limit of the machine, which is lower on small machines. */
-const MAX_CONNECTIONS = 3_500
 /** Timeouts that apply until a configuration sets its own, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT = 15_000
 const DEFAULT_HEADER_TIMEOUT = 3_000
@@ -79,16 +80,18 @@
   private readonly _exchanges = new Set<Exchange>()
   private readonly _connections: HttpConnections
   private readonly _buffers: BufferBudget
+  private readonly _turns: ReadTurns
   private _leaving = false
   /** When requests in progress will be ended; infinite while connections are accepted. In milliseconds. */
   private _stopAt = Infinity
   private _listening = true
 
   constructor (private readonly _options: RouteFrontOptions) {
+    const { limits, counters } = _options
     this._buffers = new BufferBudget(_options.bufferBound)
+    this._turns = new ReadTurns(limits.costlyBodies)
     this._server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: READ_TIMEOUT, headersTimeout: DEFAULT_HEADER_TIMEOUT, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT }, (request, response) => { this._handle(request, response) })
-    this._server.maxConnections = MAX_CONNECTIONS
-    this._connections = new HttpConnections(this._server)
+    this._connections = new HttpConnections(this._server, { ...limits, counters, onFull: () => this._buffers.endStalled(performance.now()) })
     closeIdleAfterReading(this._server)
   }
 
@@ -145,8 +148,9 @@
     const inProgress = [...this._exchanges].filter(({ answer }) => !answer.ended)
     const begun = this._cut(inProgress.filter(({ answer }) => answer.begun))
     const unanswered = inProgress.filter(({ answer }) => !answer.begun)
-    for (const { id, answer, routed } of unanswered) {
-      if (routed === undefined) this._refuse(answer, id, refusalOfStop(this._options.random()))
+    for (const exchange of unanswered) {
+      const { routed } = exchange
+      if (routed === undefined) this._refuse(exchange, refusalOfStop(this._options.random()))
       else routed.endByStop()
     }
     await settledWithin(this._connections.closed, LAST_ANSWERS_TIMEOUT)
@@ -174,36 +178,50 @@
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAt = performance.now()
     response.on('close', () => { if (answer.reclaimed) this._options.counters.add('answers_reclaimed') })
-    let tooLarge = false
-    const answer = new CallerAnswer(response, () => (this._leaving || tooLarge) && this._connections.announceClose(response), this._buffers)
+    const closesConnection = (): boolean => (this._leaving || !request.complete) && this._connections.announceClose(response)
+    const answer = new CallerAnswer(response, closesConnection, this._buffers)
     const head = this._options.dialect.readCaller(request.headers, request.rawHeaders)
-    const exchange: Exchange = { id: head.id, answer }
+    const exchange: Exchange = { id: head.id, request, answer }
     if (!this._connections.begin(response, () => this._exchanges.delete(exchange))) return this._drop(request)
     this._exchanges.add(exchange)
+    if (!this._connections.isFirst(response) && !await this._connections.untilFirst(response)) return
+    if (answer.ended) return
+    const { random } = this._options
+    const refuse = (failure: RequestFailure): Promise<void> => this._refuseRead(exchange, failure)
     const table = this._options.table()
-    if (table === undefined) return this._refuse(answer, head.id, requestFailure('no-configuration', 'not-run', 'no configuration has been received yet', retryDelayWithoutConfiguration(this._options.random())))
+    if (table === undefined) return await refuse(requestFailure('no-configuration', 'not-run', 'no configuration has been received yet', retryDelayWithoutConfiguration(random())))
     const path = request.url ?? '/'
     const host = (request.headers.host ?? '').toLowerCase()
     const match = table.match(host, path.split('?')[0] ?? path, head.key)
-    if (match.type === 'unknown-route') return this._refuse(answer, head.id, requestFailure('unknown-route', 'not-run', `no route matches ${host}${path.slice(0, 100)}`))
-    if (match.type === 'unknown-key') return this._refuse(answer, head.id, requestFailure('unknown-organisation', 'not-run', 'the key does not belong to any organisation'))
-    if (UNSENDABLE.test(path)) return this._refuse(answer, head.id, requestFailure('bad-request', 'not-run', 'the path holds control characters'))
+    if (match.type === 'unknown-route') return await refuse(requestFailure('unknown-route', 'not-run', `no route matches ${host}${path.slice(0, 100)}`))
+    if (match.type === 'unknown-key') return await refuse(requestFailure('unknown-organisation', 'not-run', 'the key does not belong to any organisation'))
+    if (UNSENDABLE.test(path)) return await refuse(requestFailure('bad-request', 'not-run', 'the path holds control characters'))
     const { route, organisation } = match
     const deadline = receivedAt + Math.min(route.timeout, head.patience ?? route.timeout)
     const mustEndBeforeStop = !this._listening || route.kind === 'unsafe'
-    if (mustEndBeforeStop && !acceptsBeforeStop(deadline + DEADLINE_GRACE, this._stopAt)) return this._refuse(answer, head.id, refusalOfStop(this._options.random()))
-    if (!this._buffers.accepts) return this._refuse(answer, head.id, requestFailure('buffers-full', 'not-run', `${this._buffers.held} bytes are buffered for callers that read or send slowly`, retryDelayWithFullBuffers(this._options.random())))
-    const body = await readBody(request, table.configuration.limits.bodyBytes, (length, complete) => {
-      if (!answer.ended) answer.holdRequest(length, complete)
-      return !answer.ended
-    })
+    if (mustEndBeforeStop && !acceptsBeforeStop(deadline + DEADLINE_GRACE, this._stopAt)) return await refuse(refusalOfStop(random()))
+    if (!this._buffers.makeRoom(performance.now())) return await refuse(requestFailure('buffers-full', 'not-run', `${this._buffers.held} bytes are buffered for callers that read or send slowly`, retryDelayWithFullBuffers(random())))
+    const { bodyBytes } = table.configuration.limits
+    const body = await this._readBody(exchange, bodyBytes, deadline)
     if (answer.ended) return
-    tooLarge = body.type === 'too-large'
-    if (body.type === 'too-large') return this._refuse(answer, head.id, requestFailure('body-too-large', 'not-run', `the body exceeds the limit of ${table.configuration.limits.bodyBytes} bytes`))
     if (body.type === 'lost') return this._onRequestLost(body.detail)
+    if (body.type !== 'whole') return this._refuse(exchange, bodyFailures[body.type](bodyBytes))
     this._begin({ head, method: request.method ?? 'GET', path, body: body.bytes, receivedAt, route, organisation, configurationVersion: table.configuration.version }, exchange)
   }
 
+  private _readBody ({ request, answer }: Exchange, largest: number, deadline: number): Promise<ReadBody> {
+    return readBody(request, {
+      largest,
+      overheadFactor: this._options.limits.overheadFactor,
+      within: deadline - performance.now(),
+      turns: this._turns,
+      onProgress: (held, complete) => {
+        if (!answer.ended) answer.holdRequest(held, complete)
+        return !answer.ended
+      }
+    })
+  }
+
   private _begin (read: ReadRequest, exchange: Exchange): void {
     const routed = this._options.begin(read, exchange.answer)
     exchange.routed = routed
@@ -220,12 +238,19 @@
   /** Drops a request on a connection that is about to be closed. Its caller sees the close before an answer. */
   private _drop (request: IncomingMessage): void {
     this._options.counters.add('requests_dropped_at_close')
-    request.resume()
+    dropRest(request, this._options.limits.restPieces)
+  }
+
+  /** Refuses a request once the bytes that arrived with its head are read: only an incomplete request ends its connection. */
+  private async _refuseRead (exchange: Exchange, failure: RequestFailure): Promise<void> {
+    await Promise.resolve()
+    if (!exchange.answer.ended) this._refuse(exchange, failure)
   }
 
-  private _refuse (answer: CallerAnswer, id: string, failure: RequestFailure): void {
+  private _refuse ({ id, request, answer }: Exchange, failure: RequestFailure): void {
     this._options.counters.add(`refused_${failure.code.replaceAll('-', '_')}`)
     this._options.log.request('request-ended', { id, result: 'refused', code: failure.code, detail: failure.detail, retry_after: failure.retryAfter })
+    if (!request.complete) dropRest(request, this._options.limits.restPieces)
     answer.fail(this._options.dialect.writeFailure(id, failure))
   }
 }
--- a/packages/node/src/test/lib/routing/route-front_test.ts
+++ b/packages/node/src/test/lib/routing/route-front_test.ts
@@ -42,6 +42,7 @@
         }
       }),
       bufferBound: Infinity,
+      limits: { connections: 100, pipelined: 16, costlyBodies: 2, overheadFactor: 16, restPieces: 8_192 },
       random: () => 0.5,
       log: new Log('error', { role: 'test' }, new BoundedOutput(1, 1_000, (_descriptor, bytes, callback) => { callback(null, bytes.length) })),
       counters: new Counters()
