Entries use no version that its agent has not vouched for, and remember doubts

What callers saw: with an agent that was suspended or killed round a late order, its engine's load was used though no agent had checked it: entries took the version from the store's list once the last report was a second old, and a new agent vouched for what it found. Change: an entry uses a listed version only up to the one of the last report; a doubt ends with a check or another version, not with the agent; an order that is under way when an agent starts is checked. A chunk that is found corrupt right after the load is excused while the order was taken within 2.9 s of the verification, but not for an agent younger than 30 s, which does not know the chunks of its predecessor's writes.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -419,7 +419,8 @@
   /** The version that an endpoint serves, from its current load report or else from its record. */
   versionOf (record: EndpointRecord, model: string, now: number): number {
     const listed = record.models.find(held => held.model === model)?.version ?? 0
-    return this._stateOf(record).load.report(now)?.version ?? listed
+    const { load } = this._stateOf(record)
+    return load.report(now)?.version ?? (load.covers(listed) ? listed : 0)
   }
 
   /**
@@ -479,7 +480,7 @@
     if (service.pool === undefined || need.model === '') return undefined
     const version = this.versionOf(record, need.model, now)
     if (version === 0 || version < need.leastVersion) return 'old-version'
-    return known.load.unverified || known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
+    return known.load.doubted || known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
   }
 
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -24,8 +24,8 @@
   readonly version: number
   /** Whether the engine accepts new requests; it does not while it switches to another version. */
   readonly accepting: boolean
-  /** Whether it is not known that the engine loaded its version completely; absent if it is. */
-  readonly unverified?: boolean | undefined
+  /** Whether the agent checked the loaded version after a doubt, and found it whole; absent if it had no doubt. */
+  readonly verified?: boolean | undefined
   /** The slowdown of the engine against its pool's description; 1 for none. */
   readonly pace: number
   /** Milliseconds until the engine stops accepting requests to switch to another version; absent if no switch is planned. */
@@ -106,6 +106,8 @@
   private readonly _sent = new Map<string, RequestInFlight>()
   private _report: LoadReport | undefined
   private _reportedAt = -Infinity
+  /** The version that an agent doubted; `undefined` for none. */
+  private _doubtedVersion: number | undefined
   private _stalledAtReport = 0
   private _endedSinceReport = 0
   /** The last measured round trip time, in milliseconds, when it was measured, and the start of the measurement in progress. */
@@ -140,8 +142,11 @@
     return now - this._reportedAt <= REPORT_LIFETIME ? this._report : undefined
   }
 
-  /** Whether the last report, however old, left open whether the engine loaded its version completely. */
-  get unverified (): boolean { return this._report?.unverified === true }
+  /** Whether an agent doubted that the engine loaded its version completely. Only a check ends the doubt, or another version. */
+  get doubted (): boolean { return this._doubtedVersion !== undefined }
+
+  /** Whether the last report, however old, covers a version. A newer one may have been loaded without the agent. */
+  covers (version: number): boolean { return this._report === undefined || version <= this._report.version }
 
   /** When the engine stops accepting requests; `undefined` if no switch is planned. */
   closesAt (now: number): number | undefined {
@@ -169,6 +174,8 @@
     this._stalledAtReport = stalled
     const isMeasured = now - this._roundTripAt <= RECENT_MEASUREMENT
     if (gap > REPORT_LIFETIME && gap < Infinity && !isMeasured) this._recordLongestRoundTrip(gap, now)
+    if (report.verified === false) this._doubtedVersion = report.version
+    else if (report.verified === true || report.version !== this._doubtedVersion) this._doubtedVersion = undefined
     this._report = report
     this._reportedAt = now
     this._endedSinceReport = 0
--- a/packages/core/src/lib/routing/choice/load-report-threshold.ts
+++ b/packages/core/src/lib/routing/choice/load-report-threshold.ts
@@ -41,7 +41,7 @@
  * if (shouldSendReport(load, { told, age: 100, readRate: 20, slots: 16 })) send(load)
  */
 export function shouldSendReport (load: LoadReport, { told, age, readRate, slots }: LoadComparison): boolean {
-  if (load.born !== told.born || load.version !== told.version || load.accepting !== told.accepting || load.unverified !== told.unverified || load.waiting !== told.waiting) return true
+  if (load.born !== told.born || load.version !== told.version || load.accepting !== told.accepting || load.verified !== told.verified || load.waiting !== told.waiting) return true
   if ((load.closesIn === undefined) !== (told.closesIn === undefined)) return true
   if ((load.opensIn === undefined) !== (told.opensIn === undefined)) return true
   if (hasShifted(load.opensIn, told.opensIn, age, OPENING_TOLERANCE)) return true
--- a/packages/core/src/lib/routing/weights/load-orders.ts
+++ b/packages/core/src/lib/routing/weights/load-orders.ts
@@ -16,6 +16,8 @@
   readonly sequence: number | undefined
   /** The version that it serves; 0 for none. */
   readonly version: number
+  /** Whether it is executing an order. */
+  readonly busy?: boolean | undefined
 }
 
 /** When something was done, in milliseconds by one clock. */
@@ -62,11 +64,15 @@
   verifiedVersion: number | undefined
 }
 
+/** The longest time from the start of a verification until the order is sent, in milliseconds. */
+export const MAX_VERIFICATION_AGE = 1_000
 /**
- * The longest time from the start of a verification until the engine takes the order, in milliseconds. It is below the 3 s within which
- * platforms allow a staged chunk to become corrupted unnoticed.
+ * A chunk that is found corrupt was so for less than this when the order was taken, in milliseconds: below the 3 s within which platforms allow
+ * staged chunks to become corrupt unnoticed.
  */
-export const MAX_VERIFICATION_AGE = 2_000
+const MAX_CORRUPT_TIME = 2_900
+/** For how long after its start an agent takes an unknown chunk for a late write of an earlier agent, in milliseconds. */
+const EARLIER_AGENT_TIME = 30_000
 
 /**
  * How long after its call failed an order may still be taken, in milliseconds. A version whose staged chunks are lost and can't be fetched again
@@ -87,6 +93,15 @@
   private _pending: PendingOrder | undefined
   private _load: Load | undefined
   private _loadTrust: LoadTrust = 'verified'
+  private _wasCleared = false
+
+  /**
+   * @param _startedAt When the agent started, in milliseconds.
+   */
+  constructor (private readonly _startedAt = -Infinity) {}
+
+  /** Whether the served version was doubted, and then found whole. */
+  get wasCleared (): boolean { return this._wasCleared }
 
   /** Whether the version that the engine serves is whole. */
   get trust (): LoadTrust {
@@ -113,8 +128,9 @@
     this._report = { ...report, sequence: report.sequence ?? before?.sequence }
     const added = (report.sequence ?? 0) - (before?.sequence ?? report.sequence ?? 0)
     if (added < 0) this._restarted()
-    const isNew = added > 0 && report.sequence !== this._acceptedSequence
-    if (isNew || this._pending?.version === report.version) this._taken(before?.version ?? 0, times)
+    const isUnderWay = before === undefined && report.busy === true
+    const isNew = isUnderWay || (added > 0 && report.sequence !== this._acceptedSequence)
+    if (isNew || this._pending?.version === report.version) this._taken(before?.version ?? report.version, times)
     else this._expirePending(times.now)
     if (added <= 0) this._countedAt = times.askedAt
     this._compareLoaded(times)
@@ -141,9 +157,11 @@
   checked (readBack: ReadBack, version: number, stagingChangedAt: number): void {
     const load = this._load
     if (load === undefined || !this.needsCheck) return
+    const wasDoubted = this.trust === 'unchecked'
     const wasWhole = readBack === 'whole' || (readBack === 'corrupt' && load.isFresh)
     this._loadTrust = wasWhole && stagingChangedAt <= load.unchangedSince ? 'verified' : 'unverified'
     load.verifiedVersion = version
+    this._wasCleared = wasDoubted && this._loadTrust === 'verified'
   }
 
   private readonly _resultHandlers: Readonly<Record<OrderResult, (stagingChangedAt: number, now: number) => void>> = {
@@ -152,7 +170,7 @@
       const { verifiedAt } = this._pending
       this._pending = undefined
       this._acceptedSequence = this.expectedSequence === undefined ? undefined : this.expectedSequence + 1
-      this._begin({ versionBefore: this._report?.version ?? 0, unchangedSince: verifiedAt, noticedAt: now, isFresh: now - verifiedAt <= MAX_VERIFICATION_AGE }, stagingChangedAt)
+      this._begin({ versionBefore: this._report?.version ?? 0, unchangedSince: verifiedAt, noticedAt: now, isFresh: this._isFresh(verifiedAt, now) }, stagingChangedAt)
     },
     // The next report tells whether the version was loaded by this order or by an earlier one.
     done: (_stagingChangedAt, now) => this._leaveOpen(now),
@@ -179,10 +197,15 @@
   private _taken (versionBefore: number, { stagingChangedAt, now }: OrderTimes): void {
     const { sentAt = -Infinity, verifiedAt = -Infinity } = this._pending ?? {}
     this._pending = undefined
-    this._begin({ versionBefore, unchangedSince: Math.max(sentAt, this._countedAt), noticedAt: now, isFresh: now - verifiedAt <= MAX_VERIFICATION_AGE }, stagingChangedAt)
+    this._begin({ versionBefore, unchangedSince: Math.max(sentAt, this._countedAt), noticedAt: now, isFresh: this._isFresh(verifiedAt, now) }, stagingChangedAt)
+  }
+
+  private _isFresh (verifiedAt: number, now: number): boolean {
+    return now - verifiedAt <= MAX_CORRUPT_TIME && now - this._startedAt > EARLIER_AGENT_TIME
   }
 
   private _begin (load: Omit<Load, 'trustBefore' | 'verifiedVersion'>, stagingChangedAt: number): void {
+    this._wasCleared = false
     this._load = { ...load, trustBefore: this.trust, verifiedVersion: undefined }
     this._loadTrust = stagingChangedAt <= load.unchangedSince ? 'unchecked' : 'unverified'
   }
--- a/packages/core/src/test/lib/routing/weights/load-orders_test.ts
+++ b/packages/core/src/test/lib/routing/weights/load-orders_test.ts
@@ -5,12 +5,12 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { LoadOrders, MAX_VERIFICATION_AGE, type LoadTrust, type ReadBack } from '../../../../lib/routing/weights/load-orders.js'
+import { LoadOrders, type LoadTrust, type ReadBack } from '../../../../lib/routing/weights/load-orders.js'
 import type { OrderResult } from '../../../../lib/routing/weights/version-switch.js'
 
 /** One step of a replay, at a time in milliseconds. */
 type Step =
-  | { readonly at: number, readonly type: 'report', readonly sequence?: number, readonly version: number }
+  | { readonly at: number, readonly type: 'report', readonly sequence?: number, readonly version: number, readonly busy?: boolean }
   | { readonly at: number, readonly type: 'order', readonly version: number, readonly verifiedAt: number, readonly result: OrderResult, readonly answeredAt: number }
   | { readonly at: number, readonly type: 'change' }
   | { readonly at: number, readonly type: 'check', readonly readBack: ReadBack, readonly version: number }
@@ -18,6 +18,7 @@
 interface ReplayCase {
   readonly name: string
   readonly steps: readonly Step[]
+  readonly startedAt?: number
   readonly trust: LoadTrust
   readonly holdsStaging: boolean
 }
@@ -29,7 +30,7 @@
 const loaded = (at: number, version = 2): Step => ({ at, type: 'report', sequence: 1, version })
 const check = (at: number, readBack: ReadBack, version = 2): Step => ({ at, type: 'check', readBack, version })
 const change = (at: number): Step => ({ at, type: 'change' })
-const LATE = MAX_VERIFICATION_AGE + 1
+const LATE = 3_000
 
 const cases: readonly ReplayCase[] = [
   { name: 'no order', steps: [start, { ...start, at: 100 }], trust: 'verified', holdsStaging: false },
@@ -50,12 +51,14 @@
   { name: 'an unanswered order whose repetition is accepted', steps: [start, order(200, 'unreachable'), order(2_400, 'begun'), check(2_450, 'whole'), loaded(2_500)], trust: 'verified', holdsStaging: false },
   { name: 'an unanswered order whose repetition is refused', steps: [start, order(200, 'unreachable'), order(400, 'refused')], trust: 'verified', holdsStaging: true },
   { name: 'a refused order', steps: [start, order(200, 'refused')], trust: 'verified', holdsStaging: false },
-  { name: 'an order whose answer arrives late, with a corrupt chunk', steps: [start, order(200, 'begun', 200 + LATE), check(2_300, 'corrupt'), loaded(2_400)], trust: 'unverified', holdsStaging: false },
+  { name: 'an order whose answer arrives late, with a corrupt chunk', steps: [start, order(200, 'begun', 200 + LATE), check(3_300, 'corrupt'), loaded(3_400)], trust: 'unverified', holdsStaging: false },
   { name: 'an order during which the staging memory changed', steps: [start, change(150), order(200, 'begun'), loaded(300)], trust: 'unverified', holdsStaging: false },
   { name: 'an order for a version that is loaded already', steps: [start, order(200, 'done'), loaded(300), check(350, 'whole')], trust: 'verified', holdsStaging: false },
   { name: 'an engine that does not count its orders', steps: [{ ...start, sequence: undefined }, order(200, 'unreachable'), { at: 300, type: 'report', version: 2 }, check(400, 'whole')], trust: 'verified', holdsStaging: false },
   { name: 'an order of an earlier agent, with the version that is staged', steps: [start, taken(300), check(400, 'whole'), loaded(500)], trust: 'verified', holdsStaging: false },
   { name: 'an order of an earlier agent, with another version than the staged one', steps: [start, taken(300), check(400, 'whole', 3), loaded(500)], trust: 'unverified', holdsStaging: false },
+  { name: 'an order of an earlier agent that is under way when this one starts', steps: [{ at: 0, type: 'report', sequence: 1, version: 1, busy: true }, loaded(100)], trust: 'unchecked', holdsStaging: true },
+  { name: 'an accepted order after which unknown chunks are found, shortly after the start', startedAt: 0, steps: [start, order(200, 'begun'), check(250, 'corrupt'), loaded(300)], trust: 'unverified', holdsStaging: false },
   { name: 'an order of an earlier agent, while this one wrote', steps: [start, change(200), taken(300), loaded(400)], trust: 'unverified', holdsStaging: false },
   { name: 'a load that is never checked', steps: [start, taken(300), loaded(400), loaded(10_400)], trust: 'unverified', holdsStaging: false },
   { name: 'an order of another kind', steps: [start, change(200), taken(300), taken(400)], trust: 'verified', holdsStaging: false },
@@ -64,9 +67,9 @@
 ]
 
 describe('LoadOrders', () => {
-  for (const { name, steps, trust, holdsStaging } of cases) {
+  for (const { name, steps, startedAt, trust, holdsStaging } of cases) {
     it(`judges ${name}`, () => {
-      const orders = new LoadOrders()
+      const orders = new LoadOrders(startedAt)
       let changedAt = -Infinity
       for (const step of steps) changedAt = play(orders, step, changedAt)
       assert.deepEqual([orders.trust, orders.holdsStaging], [trust, holdsStaging])
@@ -83,7 +86,7 @@
 /** Plays a step. Returns when the staging memory changed last. */
 function play (orders: LoadOrders, step: Step, changedAt: number): number {
   if (step.type === 'change') return step.at
-  if (step.type === 'report') orders.reported({ sequence: step.sequence, version: step.version }, { askedAt: step.at, stagingChangedAt: changedAt, now: step.at })
+  if (step.type === 'report') orders.reported({ sequence: step.sequence, version: step.version, busy: step.busy }, { askedAt: step.at, stagingChangedAt: changedAt, now: step.at })
   if (step.type === 'check') orders.checked(step.readBack, step.version, changedAt)
   if (step.type === 'order') {
     orders.sent(step.version, step.verifiedAt, step.at)
--- a/packages/node/src/lib/routing/engine-switcher.ts
+++ b/packages/node/src/lib/routing/engine-switcher.ts
@@ -77,10 +77,15 @@
  */
 export const SWITCH_LEAD = 400
 
+/** The field of a load report, absent if there was no doubt. */
+function verificationOf (trust: LoadTrust, wasCleared: boolean): Pick<LoadReport, 'verified'> {
+  return trust === 'verified' && !wasCleared ? {} : { verified: trust === 'verified' }
+}
+
 /** Polls the engine of one agent and switches it to the wanted version. */
 export class EngineSwitcher {
   private _switch: VersionSwitch
-  private _orders = new LoadOrders()
+  private _orders = new LoadOrders(performance.now())
   private readonly _polls: PeriodicTask
   private _interval = LIGHT_LOAD_POLL_INTERVAL
   private _unread = new UnreadTokenEstimator()
@@ -191,7 +196,7 @@
     const { wanted } = situation()
     if (this._report === undefined || wanted === undefined) return
     const { trust } = this._orders
-    this._orders.reported({ sequence: this._report.sequence, version: this.version(wanted.model) }, { askedAt, stagingChangedAt: staging.changedAt, now: performance.now() })
+    this._orders.reported({ sequence: this._report.sequence, version: this.version(wanted.model), busy: this._report.busy }, { askedAt, stagingChangedAt: staging.changedAt, now: performance.now() })
     this._logTrust(trust)
   }
 
@@ -251,10 +256,10 @@
     const now = performance.now()
     const unreadTokens = Math.round(this._unread.observe(this._report, prefillRate(this._dependencies.pool()), now))
     const closesAt = this._switch.plannedAt(view, now)
-    const isVerified = this._orders.trust === 'verified'
+    const { trust, wasCleared } = this._orders
     const closesIn = closesAt === undefined ? undefined : Math.max(0, Math.round(closesAt - now))
     this._dependencies.onLoad({
-      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering && isVerified, ...(isVerified ? {} : { unverified: true }), pace, closesIn, opensIn: this._opensIn(this._report, wanted)
+      born, running, waiting, unreadTokens, version: this.version(wanted.model), accepting: !busy && !this._ordering && trust === 'verified', ...verificationOf(trust, wasCleared), pace, closesIn, opensIn: this._opensIn(this._report, wanted)
     })
   }
 
--- a/packages/node/src/test/lib/routing/engine-switcher_test.ts
+++ b/packages/node/src/test/lib/routing/engine-switcher_test.ts
@@ -75,7 +75,7 @@
     it(`reports whether it accepts requests, of ${name}`, async () => {
       const { loads } = await pollEach(reports.map(([sequence, version]) => ({ ...report, sequence, models: [{ model: 'm', version }] })), changedAt)
       assert.equal(loads.at(-1)?.accepting, expected)
-      assert.equal(loads.at(-1)?.unverified, expected ? undefined : true)
+      assert.equal(loads.at(-1)?.verified === false, !expected)
     })
   }
 })
