Soak: versions in series while orders and writes take effect late, agents pause and pieces are corrupted

Cause: the soak published versions and paused or killed agents, but its engines took each order and each write at once and no staged piece was ever corrupted, so that none of its seeds could meet a call that takes effect after its agent gave it up. The promise whole-version tells which pieces were wrong and how many requests began on them, and excuses a piece that was corrupted at most 3 s before; newest-version is new: each engine has the newest version at the end of the calm period. The faults of staging memories are no targets that excuse anything. The stand-in of a worker tells the wrong pieces of each switch and takes no held order after it has crashed. An order is not held within 3 s after a corruption at the same engine: its agent could not take it back.

--- a/packages/soak/src/lib/endpoint-starts.ts
+++ b/packages/soak/src/lib/endpoint-starts.ts
@@ -60,7 +60,7 @@
   /** Ends the latest start and all its requests. */
   end (): void {
     this.isUp = false
-    this._workers.at(-1)?.close()
+    this._workers.at(-1)?.crashNow()
     this._links.at(-1)?.close()
   }
 
@@ -77,6 +77,6 @@
 
   /** Versions that any start switched to. */
   get loads (): VersionLoad[] {
-    return this._workers.flatMap(({ id: endpoint, versionSwitches }) => versionSwitches.map(({ version, whole }) => ({ endpoint, version, whole })))
+    return this._workers.flatMap(({ id: endpoint, versionSwitches }) => versionSwitches.map(({ version, at, wrongPieces }) => ({ endpoint, version, at, wrongPieces })))
   }
 }
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -5,7 +5,7 @@
  */
 /** Handlers that inject each fault and wait until its target has recovered. */
 import { setTimeout as pause } from 'node:timers/promises'
-import type { Behaviour, HttpService, Link, LinkMode, StoreMode } from '@drumdrift/stand-ins'
+import { PIECES, type Behaviour, type HttpService, type Link, type LinkMode, type StoreMode, type UsersWorkerStandIn } from '@drumdrift/stand-ins'
 import type { DaemonProcess } from './daemon-process.js'
 import type { Deployment } from './deployment.js'
 import type { EndpointStarts } from './endpoint-starts.js'
@@ -43,6 +43,15 @@
 /** Time between a restore and the writes that follow it, in milliseconds. */
 const REWRITE_DELAY_MILLISECONDS = 500
 
+/** Every so many writes to a staging memory, one takes effect late. */
+const WRITES_PER_LATE_WRITE = 5
+/** Number of writes of a fault, more than an agent sends meanwhile. */
+const WRITES_PER_FAULT = 200
+/** How long a fault waits for an agent to read a piece back, in milliseconds. */
+const READ_TIMEOUT_MILLISECONDS = 6_000
+/** Time after which corruption is no longer excused, in milliseconds. Until then, no orders of the engine are held, since an agent cannot take them back. */
+const CORRUPTION_MILLISECONDS = 3_000
+
 /** Handlers by kind of fault. */
 export const faultHandlers: Record<FaultKind, FaultHandler> = {
   'entry-stops': restartEntry('stop'),
@@ -109,6 +118,33 @@
     await pause(fault.durationMilliseconds)
     worker.queueMilliseconds = 0
   },
+  'orders-held': async ({ endpoint: { worker }, fault: { durationMilliseconds, delayMilliseconds } }) => {
+    // The second order overtakes the first.
+    worker.orderDelays = [delayMilliseconds, delayMilliseconds / 2]
+    await pause(durationMilliseconds)
+    worker.orderDelays = []
+    await pause(delayMilliseconds)
+  },
+  'writes-held': async ({ endpoint: { worker }, fault: { durationMilliseconds, delayMilliseconds } }) => {
+    worker.writeDelays = Array.from({ length: WRITES_PER_FAULT }, (_, index) => (index + 1) % WRITES_PER_LATE_WRITE === 0 ? delayMilliseconds : 0)
+    await pause(durationMilliseconds)
+    worker.writeDelays = []
+    await pause(delayMilliseconds)
+  },
+  'piece-corrupted': async ({ endpoint: { worker }, fault }) => {
+    worker.corruptPiece(Math.floor(fault.targetPosition * PIECES))
+    await pause(CORRUPTION_MILLISECONDS)
+  },
+  'corrupted-after-read': async ({ deployment, endpoint: { worker }, fault: { durationMilliseconds, delayMilliseconds } }) => {
+    await corruptAfterRead(deployment, worker)
+    worker.readDelays = Array.from({ length: PIECES }, () => delayMilliseconds)
+    await pause(durationMilliseconds)
+    worker.readDelays = []
+  },
+  'paused-after-read': async ({ deployment, endpoint: { worker }, agent, fault }) => {
+    if (!await corruptAfterRead(deployment, worker)) return
+    await Promise.all([pauseProcess(agent, fault), pause(CORRUPTION_MILLISECONDS)])
+  },
   'engine-silent': async ({ endpoint, fault }) => { await silence([endpoint], fault) },
   'engines-silent': async ({ deployment: { engines }, fault }) => { await silence(engines, fault) },
   'endpoint-way-cut': onEndpointLink('cut'),
@@ -204,3 +240,20 @@
   await endpoint.start()
   deployment.writeRecord(endpoint, 'ready')
 }
+
+/** Corrupts a piece of the newest version as soon as it has been read back. Resolves in the same turn, to whether a piece was read. */
+async function corruptAfterRead ({ versions }: Deployment, worker: UsersWorkerStandIn): Promise<boolean> {
+  return await new Promise(resolve => {
+    const finish = (read: boolean): void => {
+      clearTimeout(timer)
+      worker.onRead = () => {}
+      resolve(read)
+    }
+    const timer = setTimeout(() => { finish(false) }, READ_TIMEOUT_MILLISECONDS)
+    worker.onRead = place => {
+      if (worker.version === versions.length || worker.staged.get(place)?.equals(worker.pieceOf(versions.length, place)) !== true) return
+      worker.corruptPiece(place)
+      finish(true)
+    }
+  })
+}
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -6,6 +6,8 @@
 /** Draws the times, kinds and targets of faults from a seed. */
 import { drawBetween, drawPause, drawWeighted } from './draws.js'
 import { drawOverlaps } from './overlap-plan.js'
+import type { FaultSet } from './soak-options.js'
+import { drawVersionFaults, type StagingFaultKind } from './version-plan.js'
 
 /** Faults of entry processes and of their links to the store. */
 const entryFaults = ['entry-stops', 'entry-killed', 'entry-paused', 'entry-reloads', 'store-way-cut', 'store-way-stalls', 'store-way-deaf', 'store-way-mute', 'store-way-slow', 'store-way-silent'] as const
@@ -23,10 +25,10 @@
 type SilenceKind = 'engine-silent' | 'engines-silent'
 
 /** Kinds of faults and of acts of the operator. */
-export type FaultKind = SilenceKind | typeof entryFaults[number] | typeof linksFaults[number] | typeof versionActions[number] | typeof originFaults[number] | typeof engineFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
+export type FaultKind = SilenceKind | StagingFaultKind | typeof entryFaults[number] | typeof linksFaults[number] | typeof versionActions[number] | typeof originFaults[number] | typeof engineFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
 
 /** Kinds of targets. */
-export type TargetKind = 'engines' | DrawnTargetKind
+export type TargetKind = 'engines' | 'staging' | DrawnTargetKind
 
 /** Kinds of targets whose faults are drawn one by one. */
 type DrawnTargetKind = 'entry' | 'links' | 'store' | 'endpoint' | 'engine' | 'agent' | 'operator' | 'versions' | 'origin'
@@ -57,6 +59,16 @@
   readonly length: number
   /** Mean time between two faults, in milliseconds. */
   readonly pause: number
+  readonly faults: FaultSet
+}
+
+/** Draws some faults, in any order. */
+type PlanPart = (random: () => number, options: PlanOptions) => PlannedFault[]
+
+const partsBySet: Record<FaultSet, readonly PlanPart[]> = {
+  usual: [drawSingles, drawOverlaps],
+  versions: [drawVersionFaults],
+  all: [drawSingles, drawOverlaps, drawVersionFaults]
 }
 
 const MIN_FAULT_MILLISECONDS = 200
@@ -72,12 +84,18 @@
 const MAX_SERIES_PAUSE_MILLISECONDS = 1_500
 
 /**
- * Draws the faults of one soak. The faults of a series have one kind and go through the targets in turn. Others are meant to overlap.
+ * Draws the faults of one soak.
  *
  * @example
- * const faults = drawPlan(seededRandom(7), { length: 60_000, pause: 1_500 })
+ * const faults = drawPlan(seededRandom(7), { length: 60_000, pause: 1_500, faults: 'usual' })
  */
-export function drawPlan (random: () => number, { length, pause }: PlanOptions): PlannedFault[] {
+export function drawPlan (random: () => number, options: PlanOptions): PlannedFault[] {
+  const faults = partsBySet[options.faults].flatMap(draw => draw(random, options))
+  return faults.filter(({ at }) => at < options.length).sort((left, right) => left.at - right.at)
+}
+
+/** Draws faults of all targets one by one. The faults of a series have one kind and go through the targets in turn. Others are meant to overlap. */
+function drawSingles (random: () => number, { length, pause }: PlanOptions): PlannedFault[] {
   const faults: PlannedFault[] = []
   for (let at = drawPause(random, pause); at < length; at += drawPause(random, pause)) {
     const first = drawFault(random, at)
@@ -89,7 +107,7 @@
       faults.push({ ...first, at: next, targetPosition: (first.targetPosition + count / (SERIES_LENGTH + 1)) % 1 })
     }
   }
-  return [...faults, ...drawOverlaps(random, { length, pause })].filter(fault => fault.at < length).sort((left, right) => left.at - right.at)
+  return faults
 }
 
 function drawFault (random: () => number, at: number): PlannedFault {
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Records of one soak from callers, endpoints and the store, and the faults injected. All times are in milliseconds of `performance.now()`. */
-import type { AnswerShape, CallKind, CallerResponse, Reading } from '@drumdrift/stand-ins'
+import type { AnswerShape, CallKind, CallerResponse, Reading, WrongPiece } from '@drumdrift/stand-ins'
 import type { FaultKind } from './fault-plan.js'
 
 /** A call and its result. */
@@ -63,8 +63,9 @@
 export interface VersionLoad {
   readonly endpoint: string
   readonly version: number
-  /** Whether all its pieces were staged, uncorrupted. */
-  readonly whole: boolean
+  readonly at: number
+  /** The pieces that were missing, corrupted or of another version. */
+  readonly wrongPieces: readonly WrongPiece[]
 }
 
 /** Target of a fault: the store, links that several processes use, a process by its instance, or an endpoint by its name. */
@@ -107,6 +108,8 @@
   readonly faultsEndedAt: number
   /** Entries that accepted no new callers at the end of the calm period after the last fault. */
   readonly unready: readonly string[]
+  /** Engines that did not have the newest version at the end of that period. */
+  readonly outdated: readonly string[]
 }
 
 /**
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -31,7 +31,7 @@
   | 'never-back'
   /** No request starts on a version later than a bound after a newer one was published. */
   | 'version'
-  /** An engine switches to complete versions only. */
+  /** An engine switches to complete versions only. Corruption is excused for a short time. */
   | 'whole-version'
   /** An entry that is stopped answers the requests that it has forwarded, whole. */
   | 'finished'
@@ -45,10 +45,14 @@
   | 'served'
   /** After the last fault, every entry accepts new callers. */
   | 'ready'
+  /** After the last fault, every engine loads the newest version. */
+  | 'newest-version'
 
 /** Bounds of the users' platform, in milliseconds. */
 export const DRAIN_BOUND_MILLISECONDS = 2_000
 export const IN_FORCE_BOUND_MILLISECONDS = 2_000
+/** An engine may switch to a version with a piece that was corrupted this many milliseconds before or later. */
+const CORRUPTION_BOUND_MILLISECONDS = 3_000
 /** Time after the timeout within which an answer may still end, in milliseconds. */
 const ANSWER_SLACK_MILLISECONDS = 500
 /** A request sent this many milliseconds after the end of another must not be handled by an older configuration. */
@@ -113,7 +117,13 @@
       return [violationOf({ ...call, endedAt: begunAt }, `reached ${endpoint} at ${Math.round(at)} and began ${Math.round(late)} ms late on version ${version}, ${Math.round(begunAt - newer.at)} ms after version ${newer.version} was published`)]
     })
   },
-  'whole-version': ({ loads, faultsEndedAt }) => loads.filter(({ whole }) => !whole).map(({ endpoint, version }) => ({ at: faultsEndedAt, detail: `${endpoint} switched to version ${version}, which was incomplete` })),
+  'whole-version': ({ loads, arrivals }) => loads.flatMap(({ endpoint, version, at, wrongPieces }) => {
+    const wrong = wrongPieces.filter(({ corruptedAt }) => corruptedAt === undefined || at - corruptedAt > CORRUPTION_BOUND_MILLISECONDS)
+    if (wrong.length === 0) return []
+    const pieces = wrong.map(({ index, corruptedAt }) => corruptedAt === undefined ? `${index} missing or of another version` : `${index} corrupted for ${Math.round(at - corruptedAt)} ms`)
+    const begun = arrivals.filter(arrival => arrival.ran && arrival.endpoint === endpoint && arrival.version === version && arrival.begunAt >= at)
+    return [{ at, detail: `${endpoint} switched to version ${version} and began ${begun.length} requests on it, with wrong pieces: ${pieces.join(', ')}` }]
+  }),
   finished: journal => findUnanswered(journal).filter(({ call }) => findStop(journal, call) !== undefined).map(toViolation),
   whole: journal => findUnanswered(journal).filter(({ call }) => findStop(journal, call) === undefined).map(toViolation),
   answered: journal => journal.calls.filter(call => {
@@ -138,7 +148,8 @@
       return served >= MIN_SERVED_SHARE * ofKind.length ? [] : [{ at: faultsEndedAt, detail: `${served} of ${ofKind.length} calls of ${name} served after the last fault` }]
     })
   },
-  ready: ({ unready, faultsEndedAt }) => unready.map(entry => ({ at: faultsEndedAt, detail: `${entry} accepts no new callers` }))
+  ready: ({ unready, faultsEndedAt }) => unready.map(entry => ({ at: faultsEndedAt, detail: `${entry} accepts no new callers` })),
+  'newest-version': ({ outdated, faultsEndedAt }) => outdated.map(engine => ({ at: faultsEndedAt, detail: `${engine} did not load the newest version` }))
 }
 
 /** All promises. */
--- a/packages/soak/src/lib/soak-options.ts
+++ b/packages/soak/src/lib/soak-options.ts
@@ -6,6 +6,11 @@
 /** Validation of the options of a soak. */
 import { DrumdriftError } from '@drumdrift/core'
 
+/** Sets of faults to draw from: those of all parts of a deployment, those around versions of weights, or both. */
+export type FaultSet = 'usual' | 'versions' | 'all'
+
+const faultSets: readonly FaultSet[] = ['usual', 'versions', 'all']
+
 /** Options of a soak. */
 export interface SoakOptions {
   readonly seed: number
@@ -16,15 +21,18 @@
   readonly rate: number
   /** Mean time between two faults, in milliseconds. */
   readonly pause: number
+  readonly faults: FaultSet
 }
 
+type NumberKey = Exclude<keyof SoakOptions, 'faults'>
+
 interface Range {
   readonly min: number
   readonly max: number
   readonly integer: boolean
 }
 
-const ranges: Record<keyof SoakOptions, Range> = {
+const ranges: Record<NumberKey, Range> = {
   seed: { min: 0, max: 2 ** 31, integer: true },
   minutes: { min: 0.1, max: 600, integer: false },
   processes: { min: 2, max: 300, integer: true },
@@ -37,16 +45,26 @@
  *
  * @throws DrumdriftError with a settings failure that names the first invalid option.
  * @example
- * const options = checkOptions({ seed: '7', minutes: '1', processes: '6', rate: '60', pause: '1500' })
+ * const options = checkOptions({ seed: '7', minutes: '1', processes: '6', rate: '60', pause: '1500', faults: 'usual' })
  */
 export function checkOptions (given: Readonly<Record<keyof SoakOptions, string>>): SoakOptions {
-  const checked = Object.entries(ranges).map(([key, range]) => [key, checkNumber(key, given[key as keyof SoakOptions], range)] as const)
-  return Object.fromEntries(checked) as unknown as SoakOptions
+  const checked = Object.entries(ranges).map(([key, range]) => [key, checkNumber(key, given[key as NumberKey], range)] as const)
+  return { ...Object.fromEntries(checked) as Record<NumberKey, number>, faults: checkFaults(given.faults) }
 }
 
 function checkNumber (key: string, text: string, { min, max, integer }: Range): number {
   const value = text.trim() === '' ? Number.NaN : Number(text)
   if (value >= min && value <= max && (!integer || Number.isInteger(value))) return value
   const expected = `${integer ? 'a whole number' : 'a number'} from ${min} to ${max}`
-  throw new DrumdriftError({ type: 'settings-failure', file: 'the command line', section: 'soak', key, expected })
+  throw failureOf(key, expected)
+}
+
+function checkFaults (text: string): FaultSet {
+  const found = faultSets.find(name => name === text)
+  if (found === undefined) throw failureOf('faults', `one of ${faultSets.join(', ')}`)
+  return found
+}
+
+function failureOf (key: string, expected: string): DrumdriftError {
+  return new DrumdriftError({ type: 'settings-failure', file: 'the command line', section: 'soak', key, expected })
 }
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -36,6 +36,7 @@
   entry: ({ entries }, fault) => pickTarget(entries, fault)?.instance ?? '',
   endpoint: ({ endpoints }, fault) => pickTarget(endpoints, fault)?.name ?? '',
   engine: ({ engines }, fault) => pickTarget(engines, fault)?.name ?? '',
+  staging: ({ engines }, fault) => `staging-of-${pickTarget(engines, fault)?.name}`,
   engines: () => 'engines',
   agent: ({ agents }, fault) => pickTarget(agents, fault)?.instance ?? '',
   store: () => 'store',
@@ -75,9 +76,9 @@
   }
 }
 
-async function runFaults (deployment: Deployment, { seed, minutes, rate, pause: meanPause }: SoakOptions, print: Print): Promise<Journal> {
+async function runFaults (deployment: Deployment, { seed, minutes, rate, pause: meanPause, faults }: SoakOptions, print: Print): Promise<Journal> {
   const random = discardFirstNumbers(seededRandom(seed))
-  const plan = drawPlan(random, { length: minutes * MILLISECONDS_PER_MINUTE, pause: meanPause })
+  const plan = drawPlan(random, { length: minutes * MILLISECONDS_PER_MINUTE, pause: meanPause, faults })
   const callers = new Callers(deployment, random)
   callers.start(rate)
   await pause(WARM_UP_MILLISECONDS)
@@ -85,6 +86,7 @@
   const calmFrom = performance.now()
   await pause(CALM_MILLISECONDS)
   const unready = deployment.entries.filter(({ ready }) => !ready).map(({ instance }) => instance)
+  const outdated = deployment.engines.filter(({ worker }) => worker.version !== deployment.versions.length).map(({ name }) => name)
   await callers.stop()
   await deployment.stop()
   return {
@@ -97,7 +99,8 @@
     disturbances,
     processExits: deployment.daemons.flatMap(({ exits }) => exits),
     faultsEndedAt: calmFrom,
-    unready
+    unready,
+    outdated
   }
 }
 
@@ -114,8 +117,8 @@
   for (const fault of plan) {
     await pause(Math.max(0, startedAt + fault.at - performance.now()))
     const target = targetNames[fault.targetKind](deployment, fault)
-    // Faults of one target do not overlap, except that a fault of its link or a pause may overlap with another of the target itself.
-    const part = `${target}/${/^entry-paused|^engines?-silent|^.*-way-/.exec(fault.kind)?.[0]}`
+    // Faults of one target do not overlap, except that a fault of its link, a pause or late writes may overlap with another of the target itself.
+    const part = `${target}/${/^entry-paused|^engines?-silent|^writes-held|^.*-way-/.exec(fault.kind)?.[0]}`
     if (busy.has(part)) continue
     print({ event: 'fault', kind: fault.kind, target, at: Math.round(performance.now()) })
     const disturbance = { kind: fault.kind, target, from: performance.now(), to: Infinity }
@@ -134,7 +137,7 @@
   const { entries, seedLinks, endpoints, engines, agents } = deployment
   const entry = pickTarget(entries, fault)
   const seedLink = pickTarget(seedLinks, fault)
-  const endpoint = pickTarget(fault.targetKind === 'engine' ? engines : endpoints, fault)
+  const endpoint = pickTarget(['engine', 'staging'].includes(fault.targetKind) ? engines : endpoints, fault)
   const agent = pickTarget(agents, fault)
   if (entry === undefined || seedLink === undefined || endpoint === undefined || agent === undefined) return
   await faultHandlers[fault.kind]({ deployment, fault, entry, seedLink, endpoint, agent })
@@ -149,6 +152,7 @@
   print({
     event: 'soak',
     seed: options.seed,
+    set: options.faults,
     minutes: options.minutes,
     processes: options.processes,
     faults: disturbances.length,
--- a/packages/soak/src/test/lib/fault-plan_test.ts
+++ b/packages/soak/src/test/lib/fault-plan_test.ts
@@ -6,9 +6,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { seededRandom } from '@drumdrift/stand-ins'
-import { drawPlan } from '../../lib/fault-plan.js'
+import { drawPlan, type PlanOptions } from '../../lib/fault-plan.js'
+import type { FaultSet } from '../../lib/soak-options.js'
 
-const options = { length: 600_000, pause: 500 }
+const options: PlanOptions = { length: 600_000, pause: 500, faults: 'usual' }
 
 describe('drawPlan', () => {
   it('draws equal plans for equal seeds, and different plans for different seeds', () => {
@@ -24,6 +25,13 @@
     assert.equal(new Set(plan.map(({ kind }) => kind)).size, 38)
   })
 
+  const sets: [faults: FaultSet, kinds: number][] = [['versions', 8], ['all', 43]]
+  for (const [faults, kinds] of sets) {
+    it(`draws faults of every kind of the set ${faults}`, () => {
+      assert.equal(new Set(drawPlan(seededRandom(7), { ...options, faults }).map(({ kind }) => kind)).size, kinds)
+    })
+  }
+
   it('draws series of faults that go through the targets', () => {
     const plan = drawPlan(seededRandom(7), options)
     const series = plan.filter((fault, index) => plan.slice(index + 1, index + 6).some(next => next.kind === fault.kind && next.durationMilliseconds === fault.durationMilliseconds && next.targetPosition !== fault.targetPosition))
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { CallerResponse } from '@drumdrift/stand-ins'
-import type { CallRecord, Disturbance, EndpointArrival, Journal } from '../../lib/journal.js'
+import type { CallRecord, Disturbance, EndpointArrival, Journal, VersionLoad } from '../../lib/journal.js'
 import { judge, promiseNames } from '../../lib/promises.js'
 
 const events = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: piece\n\n`)
@@ -39,6 +39,7 @@
     processExits: [{ process: 'entry-1', at: 60_000, exitRequest: 'stop', code: 0, took: 100, startedUp: true }],
     faultsEndedAt: 50_000,
     unready: [],
+    outdated: [],
     ...part
   }
 }
@@ -51,6 +52,7 @@
 const moved = call({ id: 'call-2', kind: 'moving', sentAt: 6_000, endedAt: 6_050, answer: answer(200, { headers: { 'x-server-seal': 'seal-of-archive-1.1' }, body: 'answer of archive-1.1' }) })
 const movedArrival = arrival({ id: 'call-2', endpoint: 'archive-1.1', service: 'archive', at: 6_020 })
 const versions = [{ version: 2, at: 7_000 }]
+const load: VersionLoad = { endpoint: 'pool-1.1', version: 2, at: 10_000, wrongPieces: [] }
 const inPool = arrival({ service: 'pool' })
 const long = { events: 30, eventPauseMilliseconds: 50, paddingBytes: 0 }
 const longStream = call({ kind: 'stream', shape: long, endedAt: 11_600, answer: answer(200, { body: eventsUpTo(30), whole: false }) })
@@ -111,8 +113,12 @@
     ['a request on an old version long after connections went silent', { arrivals: [inPool], versions, disturbances: [{ kind: 'peers-way-silent', target: 'links', from: 6_950, to: 6_950 }] }, ['version']],
     ['a request on an old version while messages of peers are delayed', { arrivals: [inPool], versions, disturbances: [{ kind: 'peers-way-slow', target: 'links', from: 6_950, to: 9_000 }] }, ['version']],
     ['a request on an old version while answers of the store are delayed', { arrivals: [inPool], versions, disturbances: [{ kind: 'store-way-slow', target: 'entry-1', from: 6_950, to: 9_000 }] }, ['version']],
-    ['a switch to a version that lacks a piece', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: false }] }, ['whole-version']],
-    ['a switch to a complete version', { loads: [{ endpoint: 'pool-1.1', version: 2, whole: true }] }, []],
+    ['a switch to a version that lacks a piece', { loads: [{ ...load, wrongPieces: [{ index: 3, corruptedAt: undefined }] }] }, ['whole-version']],
+    ['a switch to a complete version', { loads: [load] }, []],
+    ['a switch to a version with a piece that was corrupted shortly before', { loads: [{ ...load, wrongPieces: [{ index: 3, corruptedAt: 7_000 }] }] }, []],
+    ['a switch to a version with a piece that was corrupted long before', { loads: [{ ...load, wrongPieces: [{ index: 3, corruptedAt: 6_999 }] }] }, ['whole-version']],
+    ['a switch to a version that lacks a piece, and another was corrupted shortly before', { loads: [{ ...load, wrongPieces: [{ index: 3, corruptedAt: 9_000 }, { index: 4, corruptedAt: undefined }] }] }, ['whole-version']],
+    ['an engine that does not load the newest version after the last fault', { outdated: ['pool-1'] }, ['newest-version']],
     ['a call that the stop of an entry interrupts', { calls: [interrupted], disturbances: [stop] }, ['finished']],
     ['a call interrupted by a stop before it reached an endpoint', { calls: [interrupted], arrivals: [], disturbances: [stop] }, []],
     ['a call interrupted by a stop whose endpoint crashes too', { calls: [interrupted], disturbances: [stop, { kind: 'endpoint-crashes', target: 'desk-1', from: 10_000, to: 14_000 }] }, []],
--- a/packages/stand-ins/src/lib/users-platform/worker.ts
+++ b/packages/stand-ins/src/lib/users-platform/worker.ts
@@ -52,8 +52,27 @@
   readonly version: number
   /** Whether every piece was in the staging memory, uncorrupted. */
   readonly whole: boolean
+  /** When it switched, in milliseconds of `performance.now()`. */
+  readonly at: number
+  readonly wrongPieces: readonly WrongPiece[]
+}
+
+/** A piece that was not in the staging memory as its version has it. */
+export interface WrongPiece {
+  readonly index: number
+  /** When it was corrupted, in milliseconds of `performance.now()`; `undefined` if it is missing or of another version. */
+  readonly corruptedAt: number | undefined
 }
 
+/** A piece before it was corrupted, and when that was. */
+interface Corruption {
+  readonly original: Buffer
+  readonly at: number
+}
+
+/** Corruptions by the corrupted bytes, which a worker that starts again takes over with its staging memory. */
+const corruptions = new WeakMap<Buffer, Corruption>()
+
 const refusingModes: ReadonlySet<WorkerMode> = new Set(['sheds', 'wrong-instance', 'wrong-version'])
 /** Number of events of a complete stream by default. */
 export const EVENTS_PER_STREAM = 6
@@ -199,6 +218,15 @@
     setTimeout(() => this.crashNow(), CRASH_DELAY_MILLISECONDS)
   }
 
+  /** Corrupts a piece in the staging memory, if there is one. */
+  corruptPiece (index: number): void {
+    const original = this.staged.get(index)
+    if (original === undefined || corruptions.has(original)) return
+    const corrupted = Buffer.alloc(original.length)
+    corruptions.set(corrupted, { original, at: performance.now() })
+    this.staged.set(index, corrupted)
+  }
+
   /** Ends the worker: closes its connections and accepts no more. */
   crashNow (): void {
     this.crashed = true
@@ -238,20 +266,28 @@
     await nextImmediate()
   }
 
-  private _hasAllPieces (version: number): boolean {
-    return Array.from({ length: PIECES }, (_, index) => index).every(index => this.staged.get(index)?.equals(this.pieceOf(version, index)) === true)
+  private _wrongPieces (version: number): WrongPiece[] {
+    return Array.from({ length: PIECES }, (_, index) => index).flatMap(index => {
+      const expected = this.pieceOf(version, index)
+      const piece = this.staged.get(index)
+      if (piece?.equals(expected) === true) return []
+      const corruption = piece === undefined ? undefined : corruptions.get(piece)
+      return [{ index, corruptedAt: corruption?.original.equals(expected) === true ? corruption.at : undefined }]
+    })
   }
 
   private async _order (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const order = JSON.parse((await readAll(request)).toString('utf8')) as { version: number, expectRev?: number }
     this.orders.push(order)
     await hold(this.orderDelays)
+    if (this.crashed) return
     await this._releaseWrites()
     if (order.expectRev !== undefined && order.expectRev !== this._sequence) return sendJson(response, {}, 409)
     if (order.version === this.version) return sendJson(response, {})
     this._sequence += 1
     this.version = order.version
-    this.versionSwitches.push({ version: order.version, whole: this._hasAllPieces(order.version) })
+    const wrongPieces = this._wrongPieces(order.version)
+    this.versionSwitches.push({ version: order.version, whole: wrongPieces.length === 0, at: performance.now(), wrongPieces })
     sendJson(response, {}, 202)
   }
 }
--- a/packages/stand-ins/src/test/lib/users-platform/worker_test.ts
+++ b/packages/stand-ins/src/test/lib/users-platform/worker_test.ts
@@ -5,7 +5,9 @@
  */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { call } from '../../../lib/users-platform/caller.js'
+import { setTimeout as pause } from 'node:timers/promises'
+import { ask, call } from '../../../lib/users-platform/caller.js'
+import { PIECES, pieceOf } from '../../../lib/users-platform/weights-origin.js'
 import { UsersWorkerStandIn } from '../../../lib/users-platform/worker.js'
 
 describe('UsersWorkerStandIn with a queue', () => {
@@ -55,3 +57,31 @@
     })
   }
 })
+
+describe('UsersWorkerStandIn that is ordered to load version 2', () => {
+  const cases: [name: string, prepare: (worker: UsersWorkerStandIn) => void, wrong: { index: number, isCorrupted: boolean }[] | undefined][] = [
+    ['tells that no piece is wrong', () => {}, []],
+    ['tells the piece that is missing', worker => { worker.staged.delete(3) }, [{ index: 3, isCorrupted: false }]],
+    ['tells the piece that was corrupted', worker => { worker.corruptPiece(3) }, [{ index: 3, isCorrupted: true }]],
+    ['tells the piece of another version, which was corrupted', worker => {
+      worker.staged.set(3, pieceOf(1, 3))
+      worker.corruptPiece(3)
+    }, [{ index: 3, isCorrupted: false }]],
+    ['does not take an order after it has crashed', worker => {
+      worker.orderDelays = [20]
+      setTimeout(() => { worker.crashNow() }, 10)
+    }, undefined]
+  ]
+  for (const [name, prepare, wrong] of cases) {
+    it(name, async () => {
+      const worker = new UsersWorkerStandIn('pool-1.1', 'm')
+      await worker.listen(0)
+      for (let index = 0; index < PIECES; index += 1) worker.staged.set(index, pieceOf(2, index))
+      prepare(worker)
+      await ask(worker.address, { path: '/api/order', body: JSON.stringify({ op: 'start', model: 'm', version: 2 }) })
+      await pause(30)
+      worker.close()
+      assert.deepEqual(worker.versionSwitches[0]?.wrongPieces.map(({ index, corruptedAt }) => ({ index, isCorrupted: corruptedAt !== undefined })), wrong)
+    })
+  }
+})
