Soak: crowds of clients that leave bodies open, send without end and pipeline requests

Change: the set of faults "crowds" (--faults crowds, also part of all) lets 20 to 80 connections loose on one entry for 2 to 6 s, from a thread of their own: bodies in chunks of 1 byte or 64 KiB that stop short of their end, bodies without an end with an unknown key or to an unknown route, and pipelined requests. A crowd is a target of its own and excuses nothing, neither at its entry nor at others; the requests of the crowd are not recorded, so only their refusals do not count. served-after-crowd is new: from 3 s after a crowd has left until the next fault, callers of the entry are served.

--- a/packages/soak/src/lib/agent-process.ts
+++ b/packages/soak/src/lib/agent-process.ts
@@ -10,6 +10,7 @@
 
 /** Heap limit in megabytes, as in the users' deployment. */
 const HEAP_MEGABYTES = 96
+const DESCRIPTORS = 1_024
 
 /**
  * Creates the agent of an engine, without starting it.
@@ -41,5 +42,5 @@
 link-percent = 75
 memory-megabytes = 8
 `
-  return new DaemonProcess({ instance: `agent-${name}`, role: 'weights-agent', directory: shared.directory, heapMegabytes: HEAP_MEGABYTES, settings })
+  return new DaemonProcess({ instance: `agent-${name}`, role: 'weights-agent', directory: shared.directory, heapMegabytes: HEAP_MEGABYTES, descriptors: DESCRIPTORS, settings })
 }
--- a/packages/soak/src/lib/daemon-process.ts
+++ b/packages/soak/src/lib/daemon-process.ts
@@ -18,6 +18,8 @@
   readonly directory: string
   /** Heap limit in megabytes, as in the users' deployment. */
   readonly heapMegabytes: number
+  /** Largest number of file descriptors. */
+  readonly descriptors: number
   /** Settings file, in INI format. */
   readonly settings: string
 }
@@ -41,10 +43,11 @@
   private get _logFile (): string { return `${this._settingsFile}.log` }
 
   start (): void {
-    const { role, heapMegabytes: heap } = this._plan
+    const { role, heapMegabytes: heap, descriptors } = this._plan
     const output = openSync(this._logFile, 'a')
     this._logSizeAtStart = statSync(this._logFile).size
-    const child = spawn(process.execPath, [`--max-old-space-size=${heap}`, PROGRAM, role, this._settingsFile], { stdio: ['ignore', output, output] })
+    const command = [process.execPath, `--max-old-space-size=${heap}`, PROGRAM, role, this._settingsFile]
+    const child = spawn('/bin/sh', ['-c', `ulimit -n ${descriptors} && exec "$@"`, 'sh', ...command], { stdio: ['ignore', output, output] })
     closeSync(output)
     this._child = child
     this._exitRequest = 'nothing'
--- a/packages/soak/src/lib/deployment.ts
+++ b/packages/soak/src/lib/deployment.ts
@@ -10,6 +10,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { freePorts, KeyValueStoreStandIn, Link, movingConfiguration, WeightsOriginStandIn } from '@drumdrift/stand-ins'
 import { createAgentProcess } from './agent-process.js'
+import { MAX_BODY_BYTES } from './crowds.js'
 import type { DaemonProcess } from './daemon-process.js'
 import { EndpointStarts, type EndpointState } from './endpoint-starts.js'
 import { EntryProcess, type SharedSettings } from './entry-process.js'
@@ -109,7 +110,8 @@
   configure (movingTo: string): void {
     const version = (this.configurations.at(-1)?.version ?? 0) + 1
     const keys = [STEADY_KEY, rotatingKey(this.newestKeyNumber)]
-    this._configuration = movingConfiguration({ version, movingTo, keys, origin: this.origin.address })
+    const { limits, ...others } = movingConfiguration({ version, movingTo, keys, origin: this.origin.address })
+    this._configuration = { ...others, limits: { ...limits as object, maxBodyBytes: MAX_BODY_BYTES } }
     this.store.putConfiguration(this._configuration)
     this.configurations.push({ version, at: performance.now(), movingTo, keys })
   }
--- a/packages/soak/src/lib/entry-process.ts
+++ b/packages/soak/src/lib/entry-process.ts
@@ -9,6 +9,8 @@
 
 /** Heap limit in megabytes, as in the users' deployment. */
 const HEAP_MEGABYTES = 160
+/** All endpoints are in the process of the soak, which needs some for each connection of an entry. */
+const DESCRIPTORS = 2_048
 const READINESS_TIMEOUT_MILLISECONDS = 400
 /** Consecutive failed readiness checks after which callers use other entries. */
 const MAX_FAILED_CHECKS = 2
@@ -45,7 +47,7 @@
   private _failedChecks = 0
 
   constructor (readonly plan: EntryPlan) {
-    this.daemon = new DaemonProcess({ instance: plan.instance, role: 'route-entry', directory: plan.shared.directory, heapMegabytes: HEAP_MEGABYTES, settings: settingsText(plan) })
+    this.daemon = new DaemonProcess({ instance: plan.instance, role: 'route-entry', directory: plan.shared.directory, heapMegabytes: HEAP_MEGABYTES, descriptors: DESCRIPTORS, settings: settingsText(plan) })
   }
 
   get instance (): string { return this.plan.instance }
--- a/packages/soak/src/lib/fault-handlers.ts
+++ b/packages/soak/src/lib/fault-handlers.ts
@@ -5,9 +5,12 @@
  */
 /** Handlers that inject each fault and wait until its target has recovered. */
 import { setTimeout as pause } from 'node:timers/promises'
+import { Worker } from 'node:worker_threads'
 import { PIECES, type Behaviour, type HttpService, type Link, type LinkMode, type StoreMode, type UsersWorkerStandIn } from '@drumdrift/stand-ins'
+import type { CrowdPlan } from './crowd-thread.js'
+import type { CrowdKind } from './crowds.js'
 import type { DaemonProcess } from './daemon-process.js'
-import type { Deployment } from './deployment.js'
+import { STEADY_KEY, type Deployment } from './deployment.js'
 import type { EndpointStarts } from './endpoint-starts.js'
 import type { EntryProcess } from './entry-process.js'
 import type { FaultKind, PlannedFault } from './fault-plan.js'
@@ -145,6 +148,11 @@
     if (!await corruptAfterRead(deployment, worker)) return
     await Promise.all([pauseProcess(agent, fault), pause(CORRUPTION_MILLISECONDS)])
   },
+  'crowd-of-open-bodies': crowdOf('crowd-of-open-bodies'),
+  'crowd-of-large-open-bodies': crowdOf('crowd-of-large-open-bodies'),
+  'crowd-of-unknown-keys': crowdOf('crowd-of-unknown-keys'),
+  'crowd-of-unknown-routes': crowdOf('crowd-of-unknown-routes'),
+  'crowd-of-pipelines': crowdOf('crowd-of-pipelines'),
   'engine-silent': async ({ endpoint, fault }) => { await silence([endpoint], fault) },
   'engines-silent': async ({ deployment: { engines }, fault }) => { await silence(engines, fault) },
   'endpoint-way-cut': onEndpointLink('cut'),
@@ -187,6 +195,16 @@
   link.set('pass')
 }
 
+/** Opens the connections of a crowd, and closes them after the duration of the fault. */
+function crowdOf (kind: CrowdKind): FaultHandler {
+  return async ({ entry, fault: { connections = 0, durationMilliseconds } }) => {
+    const plan: CrowdPlan = { address: entry.address, kind, connections, key: STEADY_KEY }
+    const thread = new Worker(new URL('./crowd-thread.js', import.meta.url), { workerData: plan })
+    await pause(durationMilliseconds)
+    await thread.terminate()
+  }
+}
+
 function onStoreLink (mode: LinkMode): FaultHandler {
   return async ({ entry, fault }) => {
     entry.plan.storeLink.set(mode)
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -4,6 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Draws the times, kinds and targets of faults from a seed. */
+import { drawCrowds } from './crowd-plan.js'
+import type { CrowdKind } from './crowds.js'
 import { drawBetween, drawPause, drawWeighted } from './draws.js'
 import { drawOverlaps } from './overlap-plan.js'
 import type { FaultSet } from './soak-options.js'
@@ -25,10 +27,10 @@
 type SilenceKind = 'engine-silent' | 'engines-silent'
 
 /** Kinds of faults and of acts of the operator. */
-export type FaultKind = SilenceKind | StagingFaultKind | typeof entryFaults[number] | typeof linksFaults[number] | typeof versionActions[number] | typeof originFaults[number] | typeof engineFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
+export type FaultKind = SilenceKind | CrowdKind | StagingFaultKind | typeof entryFaults[number] | typeof linksFaults[number] | typeof versionActions[number] | typeof originFaults[number] | typeof engineFaults[number] | typeof storeFaults[number] | typeof endpointFaults[number] | typeof agentFaults[number] | typeof operatorActions[number]
 
 /** Kinds of targets. */
-export type TargetKind = 'engines' | 'staging' | DrawnTargetKind
+export type TargetKind = 'engines' | 'staging' | 'crowd' | DrawnTargetKind
 
 /** Kinds of targets whose faults are drawn one by one. */
 type DrawnTargetKind = 'entry' | 'links' | 'store' | 'endpoint' | 'engine' | 'agent' | 'operator' | 'versions' | 'origin'
@@ -49,6 +51,8 @@
   readonly durationMilliseconds: number
   /** Delay in milliseconds, for faults that delay. */
   readonly delayMilliseconds: number
+  /** Number of connections, for crowds. */
+  readonly connections?: number
   /** Position of the target among those of its kind, as a share of their number. */
   readonly targetPosition: number
 }
@@ -68,7 +72,8 @@
 const partsBySet: Record<FaultSet, readonly PlanPart[]> = {
   usual: [drawSingles, drawOverlaps],
   versions: [drawVersionFaults],
-  all: [drawSingles, drawOverlaps, drawVersionFaults]
+  crowds: [drawCrowds],
+  all: [drawSingles, drawOverlaps, drawVersionFaults, drawCrowds]
 }
 
 const MIN_FAULT_MILLISECONDS = 200
--- a/packages/soak/src/lib/journal.ts
+++ b/packages/soak/src/lib/journal.ts
@@ -120,6 +120,20 @@
  */
 export function endpointNameOf (start: string): string { return start.replace(/\.\d+$/, '') }
 
+/** Start of the targets that are crowds. */
+const CROWD_TARGET = 'crowd-at-'
+
+/**
+ * Returns the target of a crowd at an entry.
+ *
+ * @example
+ * crowdTargetOf('entry-1') // 'crowd-at-entry-1'
+ */
+export function crowdTargetOf (entry: string): FaultTarget { return `${CROWD_TARGET}${entry}` }
+
+/** Returns the entry that a crowd is at; `undefined` for other targets. */
+export function crowdedEntryOf (target: FaultTarget): string | undefined { return target.startsWith(CROWD_TARGET) ? target.slice(CROWD_TARGET.length) : undefined }
+
 /** Bound of a version, in milliseconds. */
 export const VERSION_BOUND_MILLISECONDS = 3_000
 /** Time without faults of an entry and the store after which bounds on time apply to the entry, in milliseconds. */
--- a/packages/soak/src/lib/promises.ts
+++ b/packages/soak/src/lib/promises.ts
@@ -5,7 +5,7 @@
  */
 /** The promises that a soak checks, each against the records of callers, endpoints and the store. */
 import type { FaultKind } from './fault-plan.js'
-import { SETTLE_MILLISECONDS, VERSION_BOUND_MILLISECONDS, endpointNameOf, isDisturbed, isSettled, type CallRecord, type ConfigurationWrite, type Journal, type ProcessExit } from './journal.js'
+import { SETTLE_MILLISECONDS, VERSION_BOUND_MILLISECONDS, crowdedEntryOf, endpointNameOf, isDisturbed, isSettled, type CallRecord, type ConfigurationWrite, type Disturbance, type Journal, type ProcessExit } from './journal.js'
 import { GRACE_MILLISECONDS, explanationOf, findAnswerError, findStop, isAnswered, isReadTooSlowly, isStream, timeoutOf, type Explanation } from './whole-answers.js'
 
 /** A violation of a promise. */
@@ -43,6 +43,8 @@
   | 'process'
   /** After the last fault, callers are served, whatever the kind of their calls. */
   | 'served'
+  /** Some time after a crowd has left an entry and before the next fault, callers of the entry are served. */
+  | 'served-after-crowd'
   /** After the last fault, every entry accepts new callers. */
   | 'ready'
   /** After the last fault, every engine loads the newest version. */
@@ -57,10 +59,12 @@
 const ANSWER_SLACK_MILLISECONDS = 500
 /** A request sent this many milliseconds after the end of another must not be handled by an older configuration. */
 const ORDER_SLACK_MILLISECONDS = 100
-/** Time after the last fault from which callers have to be served, in milliseconds. */
+/** Time after the last fault, or after a crowd has left, from which callers have to be served, in milliseconds. */
 const RECOVERY_MILLISECONDS = 3_000
 /** Share of calls that have to be served after the recovery time. */
 const MIN_SERVED_SHARE = 0.95
+/** The calls after a crowd are judged if there are this many. */
+const MIN_CALLS_AFTER_CROWD = 15
 /** A kind is judged on its own if it has this many calls, so that one failure does not decide. */
 const MIN_JUDGED_CALLS = 40
 
@@ -148,6 +152,13 @@
       return served >= MIN_SERVED_SHARE * ofKind.length ? [] : [{ at: faultsEndedAt, detail: `${served} of ${ofKind.length} calls of ${name} served after the last fault` }]
     })
   },
+  'served-after-crowd': journal => journal.disturbances.flatMap(crowd => {
+    const entry = crowdedEntryOf(crowd.target)
+    const judged = entry === undefined ? [] : callsAfterCrowd(journal, crowd, entry)
+    const served = judged.filter(({ answer }) => answer.status === 200 && answer.whole).length
+    if (judged.length < MIN_CALLS_AFTER_CROWD || served >= MIN_SERVED_SHARE * judged.length) return []
+    return [{ at: crowd.to, detail: `${served} of ${judged.length} calls by ${entry} served after a ${crowd.kind} had left it` }]
+  }),
   ready: ({ unready, faultsEndedAt }) => unready.map(entry => ({ at: faultsEndedAt, detail: `${entry} accepts no new callers` })),
   'newest-version': ({ outdated, faultsEndedAt }) => outdated.map(engine => ({ at: faultsEndedAt, detail: `${engine} did not load the newest version` }))
 }
@@ -201,6 +212,14 @@
   return Math.max(-Infinity, ...ends)
 }
 
+/** Returns the calls with valid keys to an entry that a crowd has left, until the next fault other than a crowd at another entry. */
+function callsAfterCrowd ({ calls, configurations, disturbances }: Journal, crowd: Disturbance, entry: string): CallRecord[] {
+  const others = disturbances.filter(other => other !== crowd && other.to >= crowd.to && [undefined, entry].includes(crowdedEntryOf(other.target)))
+  const until = Math.min(Infinity, ...others.map(({ from }) => from))
+  const keys = configurations.filter(({ at }) => at <= crowd.to).at(-1)?.keys ?? []
+  return calls.filter(call => call.entry === entry && keys.includes(call.key) && call.sentAt >= crowd.to + RECOVERY_MILLISECONDS && call.endedAt < until)
+}
+
 function isRepeatable (kind: CallRecord['kind']): boolean { return kind !== 'unsafe' }
 
 interface UnansweredCall {
--- a/packages/soak/src/lib/soak-options.ts
+++ b/packages/soak/src/lib/soak-options.ts
@@ -6,10 +6,10 @@
 /** Validation of the options of a soak. */
 import { DrumdriftError } from '@drumdrift/core'
 
-/** Sets of faults to draw from: those of all parts of a deployment, those around versions of weights, or both. */
-export type FaultSet = 'usual' | 'versions' | 'all'
+/** Sets of faults to draw from: those of all parts of a deployment, those around versions of weights, crowds of clients outside all limits, or all of these. */
+export type FaultSet = 'usual' | 'versions' | 'crowds' | 'all'
 
-const faultSets: readonly FaultSet[] = ['usual', 'versions', 'all']
+const faultSets: readonly FaultSet[] = ['usual', 'versions', 'crowds', 'all']
 
 /** Options of a soak. */
 export interface SoakOptions {
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -12,7 +12,7 @@
 import { Deployment } from './deployment.js'
 import { faultHandlers } from './fault-handlers.js'
 import { drawPlan, type TargetKind, type PlannedFault } from './fault-plan.js'
-import type { Disturbance, Journal } from './journal.js'
+import { crowdTargetOf, type Disturbance, type Journal } from './journal.js'
 import { countExplained, judge, type Violation } from './promises.js'
 import type { SoakOptions } from './soak-options.js'
 import { findStop } from './whole-answers.js'
@@ -37,6 +37,8 @@
   endpoint: ({ endpoints }, fault) => pickTarget(endpoints, fault)?.name ?? '',
   engine: ({ engines }, fault) => pickTarget(engines, fault)?.name ?? '',
   staging: ({ engines }, fault) => `staging-of-${pickTarget(engines, fault)?.name}`,
+  // A target of its own, so that a crowd excuses nothing at its entry. Its own requests are not recorded, so their refusals count for nothing.
+  crowd: ({ entries }, fault) => crowdTargetOf(pickTarget(entries, fault)?.instance ?? ''),
   engines: () => 'engines',
   agent: ({ agents }, fault) => pickTarget(agents, fault)?.instance ?? '',
   store: () => 'store',
--- a/packages/soak/src/test/lib/fault-plan_test.ts
+++ b/packages/soak/src/test/lib/fault-plan_test.ts
@@ -25,7 +25,7 @@
     assert.equal(new Set(plan.map(({ kind }) => kind)).size, 38)
   })
 
-  const sets: [faults: FaultSet, kinds: number][] = [['versions', 8], ['all', 43]]
+  const sets: [faults: FaultSet, kinds: number][] = [['versions', 8], ['crowds', 5], ['all', 48]]
   for (const [faults, kinds] of sets) {
     it(`draws faults of every kind of the set ${faults}`, () => {
       assert.equal(new Set(drawPlan(seededRandom(7), { ...options, faults }).map(({ kind }) => kind)).size, kinds)
--- a/packages/soak/src/test/lib/promises_test.ts
+++ b/packages/soak/src/test/lib/promises_test.ts
@@ -53,6 +53,7 @@
 const movedArrival = arrival({ id: 'call-2', endpoint: 'archive-1.1', service: 'archive', at: 6_020 })
 const versions = [{ version: 2, at: 7_000 }]
 const load: VersionLoad = { endpoint: 'pool-1.1', version: 2, at: 10_000, wrongPieces: [] }
+const crowd: Disturbance = { kind: 'crowd-of-open-bodies', target: 'crowd-at-entry-1', from: 45_000, to: 50_000 }
 const inPool = arrival({ service: 'pool' })
 const long = { events: 30, eventPauseMilliseconds: 50, paddingBytes: 0 }
 const longStream = call({ kind: 'stream', shape: long, endedAt: 11_600, answer: answer(200, { body: eventsUpTo(30), whole: false }) })
@@ -178,6 +179,14 @@
     ['callers who are not served after the last fault', { calls: callsAfterFaults('safe', 1, 502) }, ['served']],
     ['a kind of call that is not served after the last fault, among many others', { calls: [...callsAfterFaults('safe', 1_000, 200), ...callsAfterFaults('unsafe', 40, 502)] }, ['served']],
     ['a few calls of a kind that are not served after the last fault', { calls: [...callsAfterFaults('safe', 1_000, 200), ...callsAfterFaults('unsafe', 4, 502)] }, []],
+    ['callers of an entry who are not served after a crowd has left', { faultsEndedAt: 100_000, disturbances: [crowd], calls: callsAfterFaults('safe', 15, 503) }, ['served-after-crowd']],
+    ['callers of an entry who are served after a crowd has left', { faultsEndedAt: 100_000, disturbances: [crowd], calls: callsAfterFaults('safe', 15, 200) }, []],
+    ['callers of another entry who are not served after a crowd has left', { faultsEndedAt: 100_000, disturbances: [{ ...crowd, target: 'crowd-at-entry-2' }], calls: callsAfterFaults('safe', 15, 503) }, []],
+    ['callers who are not served shortly after a crowd has left', { faultsEndedAt: 100_000, disturbances: [{ ...crowd, to: 51_100 }], calls: callsAfterFaults('safe', 15, 503) }, []],
+    ['callers who are not served in another fault after a crowd has left', { faultsEndedAt: 100_000, disturbances: [crowd, { ...silence, from: 53_000, to: 56_000 }], calls: callsAfterFaults('safe', 15, 503) }, []],
+    ['callers who are not served beside a crowd at another entry', { faultsEndedAt: 100_000, disturbances: [crowd, { ...crowd, target: 'crowd-at-entry-2', from: 53_000, to: 56_000 }], calls: callsAfterFaults('safe', 15, 503) }, ['served-after-crowd']],
+    ['a call that is answered after its timeout beside a crowd', { calls: [call({ endedAt: 12_600 })], disturbances: [{ ...crowd, from: 9_000, to: 13_000 }] }, ['answered']],
+    ['a call that is interrupted beside a crowd', { calls: [interrupted], disturbances: [{ ...crowd, from: 9_000, to: 13_000 }] }, ['whole']],
     ['an entry that accepts no callers after the last fault', { unready: ['entry-1'] }, ['ready']]
   ]
   for (const [name, part, expected] of cases) {
