Soak: sets of faults can be combined

Cause: the faults around versions could be drawn beside those of all parts of a deployment only together with crowds, which break promises until the entry is mended. Tests of the options and plans pass; the draws of the single sets are the same.

--- a/packages/soak/src/lib/crowd-plan.ts
+++ b/packages/soak/src/lib/crowd-plan.ts
@@ -21,7 +21,7 @@
  * Draws the crowds of one soak.
  *
  * @example
- * const faults = drawCrowds(seededRandom(7), { length: 60_000, pause: 1_500, faults: 'crowds' })
+ * const faults = drawCrowds(seededRandom(7), { length: 60_000, pause: 1_500, faults: ['crowds'] })
  */
 export function drawCrowds (random: () => number, { length, pause }: PlanOptions): PlannedFault[] {
   const mean = PAUSES_BETWEEN_CROWDS * pause
--- a/packages/soak/src/lib/fault-plan.ts
+++ b/packages/soak/src/lib/fault-plan.ts
@@ -63,7 +63,7 @@
   readonly length: number
   /** Mean time between two faults, in milliseconds. */
   readonly pause: number
-  readonly faults: FaultSet
+  readonly faults: readonly FaultSet[]
 }
 
 /** Draws some faults, in any order. */
@@ -72,8 +72,7 @@
 const partsBySet: Record<FaultSet, readonly PlanPart[]> = {
   usual: [drawSingles, drawOverlaps],
   versions: [drawVersionFaults],
-  crowds: [drawCrowds],
-  all: [drawSingles, drawOverlaps, drawVersionFaults, drawCrowds]
+  crowds: [drawCrowds]
 }
 
 const MIN_FAULT_MILLISECONDS = 200
@@ -92,10 +91,10 @@
  * Draws the faults of one soak.
  *
  * @example
- * const faults = drawPlan(seededRandom(7), { length: 60_000, pause: 1_500, faults: 'usual' })
+ * const faults = drawPlan(seededRandom(7), { length: 60_000, pause: 1_500, faults: ['usual'] })
  */
 export function drawPlan (random: () => number, options: PlanOptions): PlannedFault[] {
-  const faults = partsBySet[options.faults].flatMap(draw => draw(random, options))
+  const faults = options.faults.flatMap(set => partsBySet[set]).flatMap(draw => draw(random, options))
   return faults.filter(({ at }) => at < options.length).sort((left, right) => left.at - right.at)
 }
 
--- a/packages/soak/src/lib/overlap-plan.ts
+++ b/packages/soak/src/lib/overlap-plan.ts
@@ -40,7 +40,7 @@
  * Draws the overlaps of one soak.
  *
  * @example
- * const faults = drawOverlaps(seededRandom(7), { length: 60_000, pause: 1_500, faults: 'usual' })
+ * const faults = drawOverlaps(seededRandom(7), { length: 60_000, pause: 1_500, faults: ['usual'] })
  */
 export function drawOverlaps (random: () => number, { length, pause }: PlanOptions): PlannedFault[] {
   const mean = PAUSES_BETWEEN_OVERLAPS * pause
--- a/packages/soak/src/lib/soak-options.ts
+++ b/packages/soak/src/lib/soak-options.ts
@@ -6,10 +6,10 @@
 /** Validation of the options of a soak. */
 import { DrumdriftError } from '@drumdrift/core'
 
-/** Sets of faults to draw from: those of all parts of a deployment, those around versions of weights, crowds of clients outside all limits, or all of these. */
-export type FaultSet = 'usual' | 'versions' | 'crowds' | 'all'
+/** Sets of faults: those of all parts of a deployment, those around versions of weights, and crowds of clients outside all limits. */
+export type FaultSet = 'usual' | 'versions' | 'crowds'
 
-const faultSets: readonly FaultSet[] = ['usual', 'versions', 'crowds', 'all']
+const faultSets: readonly FaultSet[] = ['usual', 'versions', 'crowds']
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -21,7 +21,8 @@
   readonly rate: number
   /** Mean time between two faults, in milliseconds. */
   readonly pause: number
-  readonly faults: FaultSet
+  /** Sets to draw from. Their faults overlap. */
+  readonly faults: readonly FaultSet[]
 }
 
 type NumberKey = Exclude<keyof SoakOptions, 'faults'>
@@ -45,7 +46,7 @@
  *
  * @throws DrumdriftError with a settings failure that names the first invalid option.
  * @example
- * const options = checkOptions({ seed: '7', minutes: '1', processes: '6', rate: '60', pause: '1500', faults: 'usual' })
+ * const options = checkOptions({ seed: '7', minutes: '1', processes: '6', rate: '60', pause: '1500', faults: 'usual,versions' })
  */
 export function checkOptions (given: Readonly<Record<keyof SoakOptions, string>>): SoakOptions {
   const checked = Object.entries(ranges).map(([key, range]) => [key, checkNumber(key, given[key as NumberKey], range)] as const)
@@ -59,12 +60,14 @@
   throw failureOf(key, expected)
 }
 
-function checkFaults (text: string): FaultSet {
-  const found = faultSets.find(name => name === text)
-  if (found === undefined) throw failureOf('faults', `one of ${faultSets.join(', ')}`)
-  return found
+function checkFaults (text: string): FaultSet[] {
+  const given = text.split(',').map(name => name.trim())
+  if (!given.every(isFaultSet)) throw failureOf('faults', `some of ${faultSets.join(', ')}`)
+  return given
 }
 
+function isFaultSet (name: string): name is FaultSet { return (faultSets as readonly string[]).includes(name) }
+
 function failureOf (key: string, expected: string): DrumdriftError {
   return new DrumdriftError({ type: 'settings-failure', file: 'the command line', section: 'soak', key, expected })
 }
--- a/packages/soak/src/lib/soak-run.ts
+++ b/packages/soak/src/lib/soak-run.ts
@@ -154,7 +154,7 @@
   print({
     event: 'soak',
     seed: options.seed,
-    set: options.faults,
+    sets: options.faults.join(','),
     minutes: options.minutes,
     processes: options.processes,
     faults: disturbances.length,
--- a/packages/soak/src/lib/version-plan.ts
+++ b/packages/soak/src/lib/version-plan.ts
@@ -57,7 +57,7 @@
  * Draws the versions of one soak and the faults around them. Series do not overlap.
  *
  * @example
- * const faults = drawVersionFaults(seededRandom(7), { length: 60_000, pause: 1_500, faults: 'versions' })
+ * const faults = drawVersionFaults(seededRandom(7), { length: 60_000, pause: 1_500, faults: ['versions'] })
  */
 export function drawVersionFaults (random: () => number, { length, pause }: PlanOptions): PlannedFault[] {
   const faults: PlannedFault[] = []
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -19,7 +19,7 @@
   .option('--processes <number>', 'number of entry processes', '6')
   .option('--rate <number>', 'calls per second', '60')
   .option('--pause <milliseconds>', 'mean time between two faults', '1500')
-  .option('--faults <set>', 'set of faults: usual, versions, crowds or all', 'usual')
+  .option('--faults <sets>', 'sets of faults, comma-separated: usual, versions, crowds', 'usual')
   .action(async (given: Record<keyof SoakOptions, string>) => {
     const options = orExit(() => checkOptions(given))
     for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(EXIT_INTERRUPTED))
--- a/packages/soak/src/test/lib/fault-plan_test.ts
+++ b/packages/soak/src/test/lib/fault-plan_test.ts
@@ -9,7 +9,7 @@
 import { drawPlan, type PlanOptions } from '../../lib/fault-plan.js'
 import type { FaultSet } from '../../lib/soak-options.js'
 
-const options: PlanOptions = { length: 600_000, pause: 500, faults: 'usual' }
+const options: PlanOptions = { length: 600_000, pause: 500, faults: ['usual'] }
 
 describe('drawPlan', () => {
   it('draws equal plans for equal seeds, and different plans for different seeds', () => {
@@ -25,9 +25,9 @@
     assert.equal(new Set(plan.map(({ kind }) => kind)).size, 38)
   })
 
-  const sets: [faults: FaultSet, kinds: number][] = [['versions', 8], ['crowds', 5], ['all', 48]]
+  const sets: [faults: FaultSet[], kinds: number][] = [[['versions'], 8], [['crowds'], 5], [['usual', 'versions', 'crowds'], 48]]
   for (const [faults, kinds] of sets) {
-    it(`draws faults of every kind of the set ${faults}`, () => {
+    it(`draws faults of every kind of ${faults.join(' and ')}`, () => {
       assert.equal(new Set(drawPlan(seededRandom(7), { ...options, faults }).map(({ kind }) => kind)).size, kinds)
     })
   }
--- a/packages/soak/src/test/lib/soak-run_test.ts
+++ b/packages/soak/src/test/lib/soak-run_test.ts
@@ -10,7 +10,7 @@
 describe('runSoak', () => {
   it('keeps all promises while entries stop, pause and crash, engines are silent, links fail, endpoints leave, and the store is restored', async () => {
     const lines: string[] = []
-    const kept = await runSoak({ seed: 9377, minutes: 0.3, processes: 3, rate: 30, pause: 800, faults: 'usual' }, fields => { lines.push(JSON.stringify(fields)) })
+    const kept = await runSoak({ seed: 9377, minutes: 0.3, processes: 3, rate: 30, pause: 800, faults: ['usual'] }, fields => { lines.push(JSON.stringify(fields)) })
     assert.ok(kept, lines.join('\n'))
     for (const kind of ['entry-stops', 'entry-killed', 'endpoint-drains', 'key-revoked', 'route-moves', 'store-way-cut', 'store-restored', 'version-named', 'peers-way-silent', 'engines-silent', 'engine-silent', 'entry-paused']) assert.ok(lines.some(line => line.includes(`"${kind}"`)), kind)
   })
--- a/packages/soak/src/test/lib/version-plan_test.ts
+++ b/packages/soak/src/test/lib/version-plan_test.ts
@@ -9,7 +9,7 @@
 import type { PlannedFault } from '../../lib/fault-plan.js'
 import { drawVersionFaults } from '../../lib/version-plan.js'
 
-const plan = drawVersionFaults(seededRandom(7), { length: 600_000, pause: 500, faults: 'versions' })
+const plan = drawVersionFaults(seededRandom(7), { length: 600_000, pause: 500, faults: ['versions'] })
 
 function ofKind (kind: string): PlannedFault[] { return plan.filter(fault => fault.kind === kind) }
 
--- a/packages/soak/src/test/lib/versions-named-on-full-links_test.ts
+++ b/packages/soak/src/test/lib/versions-named-on-full-links_test.ts
@@ -11,7 +11,7 @@
   // A watch that is sent again after a failure reports a version that was named while the answers were delayed.
   it('keeps the promise on versions while the links to the store and between the processes are full', async () => {
     const broken: unknown[] = []
-    await runSoak({ seed: 822, minutes: 0.2, processes: 4, rate: 40, pause: 500, faults: 'usual' }, ({ event, promise, detail }) => { if (event === 'broken' && promise === 'version') broken.push(detail) })
+    await runSoak({ seed: 822, minutes: 0.2, processes: 4, rate: 40, pause: 500, faults: ['usual'] }, ({ event, promise, detail }) => { if (event === 'broken' && promise === 'version') broken.push(detail) })
     assert.deepEqual(broken, [])
   })
 })
