An engine that is not followed any more is covered by the store's list again

Cause: an entry that stops following an engine receives no reports of it, and would have refused each later version of it, since its last report covers none. Change: the last report is forgotten with the following; a doubt holds for the version that it is about.

--- a/packages/core/src/lib/routing/choice/endpoint-chooser.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-chooser.ts
@@ -111,6 +111,7 @@
     this._evacuated = evacuatedZones.size === 0 ? [] : records.filter(({ availabilityZone }) => evacuatedZones.has(availabilityZone))
     this._followed = this._records.filter(isFollowed)
     this._others = this._records.filter(record => !isFollowed(record))
+    for (const record of [...this._others, ...this._evacuated]) this._states.get(startKeyOf(record))?.load.forgetReport()
     this._listed = new Set(records.map(startKeyOf))
     this._ejection.retain(this._listed)
     for (const [start, { load }] of this._states) if (!this._listed.has(start) && load.outstanding === 0) this._states.delete(start)
@@ -480,7 +481,7 @@
     if (service.pool === undefined || need.model === '') return undefined
     const version = this.versionOf(record, need.model, now)
     if (version === 0 || version < need.leastVersion) return 'old-version'
-    return known.load.doubted || known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
+    return known.load.doubts(version) || known.load.report(now)?.accepting === false ? 'not-accepting' : undefined
   }
 
   private _candidateOf (record: EndpointRecord, service: ServiceDescription, need: EndpointRequirements, now: number, candidates: number): EndpointCandidate {
--- a/packages/core/src/lib/routing/choice/endpoint-load.ts
+++ b/packages/core/src/lib/routing/choice/endpoint-load.ts
@@ -142,12 +142,15 @@
     return now - this._reportedAt <= REPORT_LIFETIME ? this._report : undefined
   }
 
-  /** Whether an agent doubted that the engine loaded its version completely. Only a check ends the doubt, or another version. */
-  get doubted (): boolean { return this._doubtedVersion !== undefined }
+  /** Whether an agent doubted that the engine loaded a version completely. Only a check ends the doubt, or another version. */
+  doubts (version: number): boolean { return version !== 0 && version === this._doubtedVersion }
 
   /** Whether the last report, however old, covers a version. A newer one may have been loaded without the agent. */
   covers (version: number): boolean { return this._report === undefined || version <= this._report.version }
 
+  /** Forgets the last report, since no more are received. */
+  forgetReport (): void { this._report = undefined }
+
   /** When the engine stops accepting requests; `undefined` if no switch is planned. */
   closesAt (now: number): number | undefined {
     const closesIn = this.report(now)?.closesIn
