What one connection sends is parsed in slices, and bodies in small chunks take turns between other connections

Cause: Node parses up to 64 KiB at once, some hundred pipelined requests or ten thousand chunks, although the first of them closed or paused the connection; what it created for all connections that had bytes at that time was in memory at once. A body whose turn came was parsed on before other connections were read. The crowds of the soak take the head of their requests from the stand-ins, which alone know names of the platform.

--- a/packages/node/src/lib/bounded-server.ts
+++ b/packages/node/src/lib/bounded-server.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { descriptorLimit } from './descriptor-limit.js'
+import { sliceReads } from './sliced-reads.js'
 
 /** The largest number of open connections, and their share of the file descriptors. Beyond it, the one with the oldest request is closed. */
 const MAX_CONNECTIONS = 64
@@ -40,6 +41,7 @@
     unanswered.delete(socket)
     socket.destroy()
   }
+  sliceReads(server)
   server.on('connection', socket => {
     const [oldest] = unanswered.keys()
     if (unanswered.size >= largest && oldest !== undefined) close(oldest)
--- a/packages/node/src/lib/entry/http-server.ts
+++ b/packages/node/src/lib/entry/http-server.ts
@@ -110,6 +110,7 @@
   }
 
   private async _begin (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.socket.destroyed) return
     if (!this._connections.begin(response, () => {})) return dropRest(request, this._options.limits.restPieces)
     if (this._connections.isFirst(response) || await this._connections.untilFirst(response)) await this._route(request, response)
   }
--- a/packages/node/src/lib/http-connections.ts
+++ b/packages/node/src/lib/http-connections.ts
@@ -12,6 +12,7 @@
 import { Server as NetServer, type Socket } from 'node:net'
 import { IoTimeout } from './io-timeout.js'
 import type { Counters } from './observe/metrics.js'
+import { sliceReads } from './sliced-reads.js'
 
 /** How long a connection is read after its last byte was sent, until the other side closes it, in milliseconds. */
 const LINGER_TIMEOUT = 1_000
@@ -64,6 +65,7 @@
    * @param _server Its requests have to be passed to {@link begin}.
    */
   constructor (private readonly _server: Server, private readonly _limits: ConnectionLimits) {
+    sliceReads(_server)
     _server.on('connection', socket => this._onConnection(socket))
   }
 
--- a/packages/node/src/lib/read-body.ts
+++ b/packages/node/src/lib/read-body.ts
@@ -88,9 +88,12 @@
       socket.pause()
       socket.resume = () => socket
     },
+    // Not at once: bytes that were read already would be parsed before the process turns to other connections.
     resume: () => {
-      delete (socket as Partial<Pick<Socket, 'resume'>>).resume
-      socket.resume()
+      setImmediate(() => {
+        delete (socket as Partial<Pick<Socket, 'resume'>>).resume
+        socket.resume()
+      })
     }
   }
 }
--- a/packages/node/src/lib/routing/route-front.ts
+++ b/packages/node/src/lib/routing/route-front.ts
@@ -176,6 +176,8 @@
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // Requests that were read together with one that closed the connection are parsed all the same.
+    if (request.socket.destroyed) return
     const receivedAt = performance.now()
     response.on('close', () => { if (answer.reclaimed) this._options.counters.add('answers_reclaimed') })
     const closesConnection = (): boolean => (this._leaving || !request.complete) && this._connections.announceClose(response)
@@ -238,7 +240,7 @@
   /** Drops a request on a connection that is about to be closed. Its caller sees the close before an answer. */
   private _drop (request: IncomingMessage): void {
     this._options.counters.add('requests_dropped_at_close')
-    dropRest(request, this._options.limits.restPieces)
+    if (!request.socket.destroyed) dropRest(request, this._options.limits.restPieces)
   }
 
   /** Refuses a request once the bytes that arrived with its head are read: only an incomplete request ends its connection. */
--- a/packages/soak/src/lib/crowds.ts
+++ b/packages/soak/src/lib/crowds.ts
@@ -5,6 +5,8 @@
  */
 /** What crowds of clients outside all limits send on their connections, which stay open. */
 
+import { rawRequestHead } from '@drumdrift/stand-ins'
+
 /** Kinds of crowds. */
 export type CrowdKind = 'crowd-of-open-bodies' | 'crowd-of-large-open-bodies' | 'crowd-of-unknown-keys' | 'crowd-of-unknown-routes' | 'crowd-of-pipelines'
 
@@ -29,19 +31,15 @@
   'crowd-of-large-open-bodies': (id, key) => openBody(id, key, LARGE_CHUNK_BYTES, MAX_BODY_BYTES / LARGE_CHUNK_BYTES - 1),
   'crowd-of-unknown-keys': id => openBody(id, UNKNOWN_KEY, 1, ENDLESS_BYTES / chunkOf(1).length),
   'crowd-of-unknown-routes': (id, key) => openBody(id, key, LARGE_CHUNK_BYTES, ENDLESS_BYTES / LARGE_CHUNK_BYTES, '/nowhere/'),
-  'crowd-of-pipelines': (id, key) => repeat(`${headOf(id, key, '/safe/')}Content-Length: 1\r\n\r\na`, PIPELINED_REQUESTS)
+  'crowd-of-pipelines': (id, key) => repeat(`${rawRequestHead(id, key, '/safe/')}Content-Length: 1\r\n\r\na`, PIPELINED_REQUESTS)
 }
 
 /** Yields a request with a body in chunks, without its end. */
 function * openBody (id: string, key: string, chunkBytes: number, chunks: number, path = '/safe/'): Iterable<Buffer> {
-  yield Buffer.from(`${headOf(id, key, path)}Transfer-Encoding: chunked\r\n\r\n`)
+  yield Buffer.from(`${rawRequestHead(id, key, path)}Transfer-Encoding: chunked\r\n\r\n`)
   yield * repeat(chunkOf(chunkBytes), chunks)
 }
 
-function headOf (id: string, key: string, path: string): string {
-  return `POST ${path}${id} HTTP/1.1\r\nHost: halls.example\r\nX-Attempt-Id: ${id}\r\nX-Credential: ${key}\r\nX-Deadline-Ms: 2000\r\n`
-}
-
 function chunkOf (bytes: number): string { return `${bytes.toString(16)}\r\n${'a'.repeat(bytes)}\r\n` }
 
 /** Yields a text a number of times, in blocks. */
--- a/packages/stand-ins/src/lib/users-platform/raw-clients.ts
+++ b/packages/stand-ins/src/lib/users-platform/raw-clients.ts
@@ -91,3 +91,16 @@
     return client.socket.write(value as Buffer)
   }
 }
+
+/** How long the callers of raw requests wait, in milliseconds. */
+const PATIENCE_MILLISECONDS = 2_000
+
+/**
+ * Returns the head of a request, without the fields that describe its body and the line that ends it.
+ *
+ * @example
+ * `${rawRequestHead('attempt-1', 'key-1', '/safe/')}Content-Length: 0\r\n\r\n`
+ */
+export function rawRequestHead (id: string, key: string, path: string): string {
+  return `POST ${path}${id} HTTP/1.1\r\nHost: halls.example\r\nX-Attempt-Id: ${id}\r\nX-Credential: ${key}\r\nX-Deadline-Ms: ${PATIENCE_MILLISECONDS}\r\n`
+}
