--- a/packages/core/src/lib/routing/attempts/read-turns.ts
+++ b/packages/core/src/lib/routing/attempts/read-turns.ts
@@ -44,9 +44,6 @@
    */
   constructor (private readonly _concurrent: number) {}
 
-  /** The number of bodies that wait for their turn. */
-  get waiting (): number { return this._paused.size }
-
   /**
    * Registers a body that is read from now on.
    *
--- a/packages/core/src/lib/routing/weights/load-orders.ts
+++ b/packages/core/src/lib/routing/weights/load-orders.ts
@@ -191,6 +191,7 @@
     this._pending = undefined
     this._load = undefined
     this._loadTrust = 'verified'
+    this._wasCleared = false
   }
 
   /** Records that an order was taken whose call failed, or that an earlier agent sent. */
