Tests: crowds of clients run one file at a time, beside no others

Cause: the test runner starts several files at once; tests that load an entry up to its limits then compete with tests of timing, and with each other. Change: run-tests.js runs the two files by themselves before the others.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -1,6 +1,7 @@
 // Runs every compiled test file with node's test runner and exits with its verdict. Files that KNOWN-RED.txt names run by themselves before:
 // failures of the listed cases are printed and tolerated, those of other cases are not, and a file that always fails has to be taken off
-// the list once it passes. Entries about plays that cannot be run here are printed.
+// the list once it passes. Entries about plays that cannot be run here are printed. Files that load a process up to its limits run one at a
+// time, beside no others.
 import { spawnSync } from 'node:child_process'
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -16,6 +17,8 @@
 const builtFileOf = source => source.trim().replace('/src/', '/build/').replace(/\.ts$/, '.js')
 const isFlaky = line => line.startsWith('flaky:')
 const redFiles = new Set(knownRed.filter(line => !line.startsWith('play:') && !isFlaky(line)).map(line => builtFileOf(line.split(':')[0])))
+/** Tests with crowds of clients, which take all that one processor can do. */
+const CROWD_TEST = /\/clients-(outside-their-limits|at-other-ports)_test\.js$/
 /** The cases of each file that may fail. */
 const flakyCases = new Map(knownRed.filter(isFlaky).map(parseFlaky))
 const built = ['packages', 'platform'].flatMap(folder => readdirSync(join(root, folder), { recursive: true }).map(name => join(folder, String(name))))
@@ -62,5 +65,7 @@
 }
 
 const red = await runKnownRed()
-const others = run(files.filter(name => !redFiles.has(name) && !flakyCases.has(name)))
-process.exit(others || red)
+const unlisted = files.filter(name => !redFiles.has(name) && !flakyCases.has(name))
+const crowds = unlisted.filter(name => CROWD_TEST.test(name)).map(name => run([name]))
+const others = run(unlisted.filter(name => !CROWD_TEST.test(name)))
+process.exit(others || red || Math.max(0, ...crowds))
