Errors after the answer to an upload are handled on kept connections

Seen: an agent logs `event=fault detail="write ECONNRESET"` when its engine answers a piece before reading it and then closes or resets the connection. Without the daemon's handler for uncaught exceptions, the process ends.

Cause: if the write of a request's body fails after its answer was complete, Node's HTTP client counts the request as sent and removes its listener for errors before the socket emits that error. Only connections of an agent that keeps them are concerned.

Change: `openConnection` opens the connections of the HTTP client, with a listener for errors of its own. They still reach the request.

Measured: the new cases of http-client_test.ts (upload of 6 MB, the answer has a length; reset, closed, ended and closed) failed 3 of 3 with kept connections on the code before, by an uncaught exception, and pass now; without kept connections they passed before and pass now.

--- a/packages/node/src/lib/platform/http-client.ts
+++ b/packages/node/src/lib/platform/http-client.ts
@@ -7,11 +7,12 @@
  * Sends requests to the platform and to endpoints with Node's `http`, with bounds on silence, on the whole duration and on
  * the size of the answer. Every failure is typed.
  */
-import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
+import { request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { DrumdriftError } from '@drumdrift/core'
 import { headFault } from '../answer-head.js'
 import { limitInformationalResponses } from '../informational-responses.js'
+import { ConnectionAgent } from '../outgoing-connection.js'
 import type { ReadPacer } from '../peer/connection.js'
 import { parseAddress } from '../settings/address.js'
 import { ExchangeDuration } from './exchange-duration.js'
@@ -50,7 +51,8 @@
 const DEFAULT_TIMEOUT = 2_000
 /** The default of the whole duration, as a multiple of the timeout. */
 const DURATION_FACTOR = 2
-const connections = new Agent({ keepAlive: true, maxFreeSockets: 16 })
+const keptConnections = new ConnectionAgent({ keepAlive: true, maxFreeSockets: 16 })
+const singleConnections = new ConnectionAgent()
 
 /**
  * Sends a request and reads the complete answer.
@@ -88,7 +90,7 @@
 function send (address: string, options: HttpRequestOptions, onResponse: (response: IncomingMessage) => void, onError: (error: Error) => void): ClientRequest {
   const { host, port } = parseAddress(address)
   const { method = 'GET', path, headers = {}, body, timeout = DEFAULT_TIMEOUT, signal, keepAlive: keepConnection = true } = options
-  const outgoing = request({ host, port, method, path, headers, agent: keepConnection ? connections : false, signal })
+  const outgoing = request({ host, port, method, path, headers, agent: keepConnection ? keptConnections : singleConnections, signal })
   onSilence(outgoing, timeout, () => outgoing.destroy(httpError('timed-out', `${method} ${path}: no answer within ${timeout} ms`)))
   limitInformationalResponses(outgoing, detail => outgoing.destroy(httpError('oversized', detail)))
   outgoing.on('error', onError)
--- a/packages/node/src/test/lib/platform/http-client_test.ts
+++ b/packages/node/src/test/lib/platform/http-client_test.ts
@@ -12,6 +12,8 @@
 const TIMEOUT = 200
 const DURATION = 400
 const INTERVAL = 50
+/** More than the buffers of a connection hold, in bytes. */
+const UPLOAD_BYTES = 6_000_000
 const HEAD = 'HTTP/1.1 200 OK\r\n'
 
 /** Sends parts of an answer at intervals. */
@@ -64,6 +66,32 @@
     })
   }
 
+  // Guards against an error that nobody handles, after the answer to a request of which the other side reads no more.
+  const closings: [name: string, close: (socket: Socket, answer: string) => void][] = [
+    ['resets', (socket, answer) => { socket.write(answer); socket.resetAndDestroy() }],
+    ['closes', (socket, answer) => { socket.write(answer); socket.destroy() }],
+    ['ends and closes', (socket, answer) => { socket.end(answer, () => socket.destroy()) }]
+  ]
+  for (const keepAlive of [true, false]) {
+    for (const [name, close] of closings) {
+      it(`handles all errors if the other side answers an upload and ${name} its connection, with keepAlive: ${keepAlive}`, { timeout: 5_000 }, async () => {
+        const server = createServer({ allowHalfOpen: true }, socket => {
+          socket.on('error', () => {})
+          socket.once('data', () => {
+            socket.pause()
+            close(socket, `${HEAD}content-length: 6\r\n\r\nanswer`)
+          })
+        })
+        await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+        const { port } = server.address() as AddressInfo
+        const { body } = await requestHttp(`127.0.0.1:${port}`, { method: 'PUT', path: '/', body: Buffer.alloc(UPLOAD_BYTES), keepAlive })
+        await new Promise(resolve => setTimeout(resolve, INTERVAL))
+        server.close()
+        assert.equal(body.toString('latin1'), 'answer')
+      })
+    }
+  }
+
   it('rejects a path that cannot be sent, and starts no timeout', async () => {
     await assert.rejects(requestHttp('127.0.0.1:1', { path: '/a b', duration: 1 }), { code: 'ERR_UNESCAPED_CHARACTERS' })
     await new Promise(resolve => setTimeout(resolve, INTERVAL))
