An answer whose connection is reset directly after its last bytes is not complete

Seen: a worker answered a long upload at once with 200 and no length, sent a part of the body and reset the connection. The caller got the part as a complete answer. The same after short requests, and with failures without a length.

Cause: when bytes and the reset after them are received in one turn of the event loop, libuv reads the bytes, finds that the connection is hung up and reports its end without reading again. The error stays with the socket, where only a write finds it. Node's HTTP client takes the end for that of the answer. All readers of answers trust it: calls to endpoints, the client of store, origin, engine and operator commands, and the agent's runner of requests.

Change: connections of HTTP requests are opened with a socket that, before it passes on the end of a connection, writes no bytes. That sends nothing, and fails with ECONNRESET after a reset. If a request is still being sent, its own write fails in the same turn, so that the end is passed on in the next one. An end before a reset (EPIPE) remains an end. Answers with a length or chunks end before their connection does, and wait for nothing new.

--- a/packages/node/src/lib/routing/connection-reserve.ts
+++ b/packages/node/src/lib/routing/connection-reserve.ts
@@ -7,7 +7,8 @@
  * Keeps one open, unused connection to each endpoint that receives requests, so that a request does not wait for a connection to
  * open over a busy link. Like connections that are opened on demand, each carries only one request.
  */
-import { createConnection, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
+import { openConnection } from '../outgoing-connection.js'
 import { parseAddress } from '../settings/address.js'
 
 /**
@@ -67,7 +68,7 @@
   private _open (address: string, start: string): void {
     if (this._connections.size >= MAX_CONNECTIONS) return
     const { host, port } = parseAddress(address)
-    const socket = createConnection({ host, port, noDelay: true })
+    const socket = openConnection({ host, port, noDelay: true })
     const held: ReservedConnection = { start, socket, timer: setTimeout(() => this._drop(address, held), MAX_IDLE_TIME) }
     this._connections.set(address, held)
     for (const event of invalidatingEvents) socket.on(event, () => this._drop(address, held))
--- a/packages/node/src/lib/routing/endpoint-call.ts
+++ b/packages/node/src/lib/routing/endpoint-call.ts
@@ -8,12 +8,13 @@
  * earlier request, and its loss affects no other request; opening one is cheap (dev-docs/platform.md).
  */
 import { request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http'
-import { createConnection, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { ConnectionFailure, NotRunReason } from '@drumdrift/core'
 import { isFramed } from '../answer-framing.js'
 import { headFault } from '../answer-head.js'
 import { limitInformationalResponses } from '../informational-responses.js'
 import { IoTimeout } from '../io-timeout.js'
+import { openConnection } from '../outgoing-connection.js'
 import { parseAddress } from '../settings/address.js'
 import type { AnswerHead, EndpointHead } from './ports.js'
 
@@ -35,7 +36,7 @@
   /** Alternating names and values. */
   readonly headers: readonly string[]
   readonly body: Buffer
-  /** An open, unused connection; if `undefined`, one is opened. */
+  /** An open, unused connection, from `openConnection`; if `undefined`, one is opened. */
   readonly socket?: Socket | undefined
   /** How long the connection may take to open, in milliseconds. */
   readonly connectTimeout: number
@@ -107,7 +108,7 @@
   constructor ({ address, method, path, headers, body, socket: reserved, connectTimeout: timeout }: EndpointRequest, private readonly _listener: EndpointCallListener) {
     const { host, port } = parseAddress(address)
     try {
-      this._request = openRequest({ host, port, method, path, headers: headers as unknown as string[], setHost: false, createConnection: () => reserved ?? createConnection({ host, port, noDelay: true }) })
+      this._request = openRequest({ host, port, method, path, headers: headers as unknown as string[], setHost: false, createConnection: () => reserved ?? openConnection({ host, port, noDelay: true }) })
     } catch {
       // Node rejects bytes in the path or in a header that HTTP does not allow there.
       reserved?.destroy()
--- a/packages/node/src/lib/routing/plain-connections.ts
+++ b/packages/node/src/lib/routing/plain-connections.ts
@@ -7,9 +7,10 @@
  * Opens the connection of a request to a plain service: see `ConnectionRace`. The request is written only after one has opened and all
  * others are closed, so it is sent at most once.
  */
-import { createConnection, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { ConnectionRace, startKeyOf, type ChosenEndpoint, type ConnectionAttempts, type ConnectionFailure, type ConnectionRaceActions, type RacingConnection } from '@drumdrift/core'
 import { IoTimeout } from '../io-timeout.js'
+import { openConnection } from '../outgoing-connection.js'
 import { runningTime } from '../periodic-tasks.js'
 import { parseAddress } from '../settings/address.js'
 import { recordOpened, recordUnopened, type EvidenceSinks } from './connection-evidence.js'
@@ -81,7 +82,7 @@
   private _connect (connection: RacingConnection): void {
     const { record } = connection.choice
     const begunAt = runningTime()
-    const socket = createConnection({ ...parseAddress(record.address), noDelay: true })
+    const socket = openConnection({ ...parseAddress(record.address), noDelay: true })
     this._sockets.set(connection, socket)
     this._terms.tried.add(startKeyOf(record))
     socket.once('connect', () => this._onOpened(connection, { socket, openedAfter: Math.max(0, runningTime() - begunAt) }))
