--- a/packages/node/src/test/lib/routing/route-front_test.ts
+++ b/packages/node/src/test/lib/routing/route-front_test.ts
@@ -119,8 +119,9 @@
     })
   }
 
-  for (const path of ['/\t', '/\f', '/a\fb?c']) {
-    it(`rejects a path that cannot be sent: ${JSON.stringify(path)}`, async () => {
+  const unsendablePaths: [name: string, path: string][] = [['a tab', '/\t'], ['a form feed', '/\f'], ['a form feed before a query', '/a\fb?c']]
+  for (const [name, path] of unsendablePaths) {
+    it(`rejects a path that cannot be sent: ${name}`, async () => {
       const caller = await open()
       front.leave()
       caller.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`)
