An answer that is cut does not look complete to callers of HTTP/1.0

Seen while looking for other places with this symptom: a caller that sends its request with HTTP/1.0 gets a stream without chunks, which ends with its connection. When the stream was cut, its connection was ended like that of a complete one.

Cause: an answer is cut by destroying its connection. That resets it only if bytes of the caller are unread; otherwise it sends an orderly end, which tells nothing where there are no chunks.

Change: `cutAnswer` resets the connection if the request came with HTTP/1.0. Both entries use it, and a stop that breaks off what is unsent. Callers of HTTP/1.1 see what they saw: the last chunk is missing.

By hand through an entry, an engine that resets a stream after its first event: the caller saw an orderly end before, and ECONNRESET now.

--- a/packages/node/src/lib/entry/answer-sink.ts
+++ b/packages/node/src/lib/entry/answer-sink.ts
@@ -9,6 +9,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { AnswerHead, RequestFailure } from '@drumdrift/core'
+import { cutAnswer } from '../cut-answer.js'
 
 /** Bytes that a slow caller may leave unread before its answer is cut off. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024
@@ -97,7 +98,7 @@
     if (this._gone || this._response.writableEnded) return false
     this._response.write(bytes)
     if (this._response.writableLength <= MAX_BACKLOG_BYTES) return true
-    this._response.destroy()
+    cutAnswer(this._response)
     return false
   }
 
@@ -110,7 +111,7 @@
     if (this._gone || this._response.writableEnded) return
     this._ended = true
     if (this.begun) {
-      this._response.destroy()
+      cutAnswer(this._response)
       return
     }
     this._response.setHeader('x-request-id', this._id)
--- a/packages/node/src/lib/http-connections.ts
+++ b/packages/node/src/lib/http-connections.ts
@@ -10,6 +10,7 @@
  */
 import type { Server, ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
+import { cutAnswer } from './cut-answer.js'
 import { IoTimeout } from './io-timeout.js'
 import type { Counters } from './observe/metrics.js'
 import { sliceReads } from './sliced-reads.js'
@@ -129,6 +130,7 @@
   /** Closes all connections at once. */
   destroy (): void {
     this._server.close()
+    for (const response of this.unsent) cutAnswer(response)
     this._server.closeAllConnections()
   }
 
--- a/packages/node/src/lib/routing/caller-answer.ts
+++ b/packages/node/src/lib/routing/caller-answer.ts
@@ -9,6 +9,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import { BufferBudget, type AttemptAccount, type BufferAccount } from '@drumdrift/core'
+import { cutAnswer } from '../cut-answer.js'
 import type { AnswerHead, LocalAnswer } from './ports.js'
 
 /** The bytes of a request that count as progress of its caller. */
@@ -44,7 +45,7 @@
       this._disconnected = true
       this._onDisconnect()
     })
-    _response.on('error', () => { _response.destroy() })
+    _response.on('error', () => this.cut())
   }
 
   /** Whether any part of an answer has been passed on. */
@@ -121,7 +122,7 @@
   /** Writes a failure that the system itself reports. If an answer has begun, closes its connection instead. */
   fail ({ status, headers, body }: LocalAnswer): void {
     if (this._isOver()) return
-    if (this._begun) this._response.destroy()
+    if (this._begun) this.cut()
     else {
       this._orCut(() => {
         this._writeHead(status, [...headers, 'Content-Length', String(Buffer.byteLength(body))])
@@ -149,7 +150,7 @@
   }
 
   /** Closes the connection, so that an answer that has begun does not look complete. */
-  cut (): void { this._response.destroy() }
+  cut (): void { cutAnswer(this._response) }
 
   /** Cuts the answer because its caller made no progress for too long while buffers were full. */
   private _reclaim (): void {
