--- a/packages/node/src/lib/outgoing-connection.ts
+++ b/packages/node/src/lib/outgoing-connection.ts
@@ -26,7 +26,7 @@
     this._endReceived = true
     const isSending = this.writableLength > 0
     this.write(NOTHING)
-    // What is being sent fails in this turn.
+    // After a reset, the write in progress fails in this turn.
     if (isSending) setImmediate(() => this._pushEnd())
     else this._pushEnd()
     return false
@@ -40,7 +40,7 @@
     super._writev?.(chunks, error => this._written(error, callback))
   }
 
-  /** The other side may end its answer without reading the rest of the request. */
+  /** The other side may end its answer, and then the connection, without reading the rest of the request. */
   private _written (error: NodeJS.ErrnoException | null | undefined, callback: WriteCallback): void {
     callback(this._endReceived && error?.code === RESET_AFTER_END ? null : error)
   }
