Stand-ins: services that write raw bytes share a base class

The service that answers early repeated the connections, the address and the signature of the service whose answers never end. bytes-without-end_test.ts (35 cases) and answers-reset-after-their-last-bytes_test.ts (25 cases) pass.

--- a/packages/stand-ins/src/lib/users-platform/early-answer-service.ts
+++ b/packages/stand-ins/src/lib/users-platform/early-answer-service.ts
@@ -4,7 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Stand-in for a service that answers a request after its first bytes, and reads no more of it. */
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
+import { fieldOf, RawService } from './raw-service.js'
 
 /** A request, as far as it was read. */
 export interface BegunRequest {
@@ -18,49 +19,16 @@
 export type EarlyAnswer = (socket: Socket, request: BegunRequest) => void
 
 /** A service on loopback that answers early. */
-export class EarlyAnswerService {
+export class EarlyAnswerService extends RawService {
   /** Number of requests that were answered. */
   requests = 0
-  private readonly _server: Server
-  private readonly _sockets = new Set<Socket>()
 
-  /**
-   * @param answer Answers each request.
-   * @param id Identifies the service in its signature.
-   */
-  constructor (public answer: EarlyAnswer, readonly id: string) {
-    this._server = createServer({ allowHalfOpen: true }, socket => this._accept(socket))
-  }
-
-  /** The address that it listens on. Available after `listen` has resolved. */
-  get address (): string { return `127.0.0.1:${(this._server.address() as AddressInfo).port}` }
-
-  async listen (): Promise<void> { await new Promise<void>(resolve => this._server.listen(0, '127.0.0.1', resolve)) }
-
-  close (): void {
-    this._server.close()
-    for (const socket of this._sockets) socket.destroy()
-  }
+  /** @param _answer Answers each request. */
+  constructor (private readonly _answer: EarlyAnswer, id: string) { super(id) }
 
-  private _accept (socket: Socket): void {
-    this._sockets.add(socket)
-    socket.on('close', () => this._sockets.delete(socket))
-    socket.on('error', () => {})
-    // A connection that is closed without a request checks whether the service is alive.
-    socket.on('end', () => socket.end())
-    socket.once('data', bytes => {
-      socket.pause()
-      this.requests += 1
-      this.answer(socket, this._begunRequest(bytes.toString('latin1')))
-    })
+  protected override handle (socket: Socket, request: string): void {
+    socket.pause()
+    this.requests += 1
+    this._answer(socket, { signature: this.signatureFor(request), lastEvent: Number(fieldOf(request, 'last-event-id') ?? 0) })
   }
-
-  private _begunRequest (head: string): BegunRequest {
-    const id = fieldOf(head, 'x-attempt-id') ?? ''
-    return { signature: `x-attempt-id: ${id}\r\nx-server-seal: seal-of-${this.id}\r\n`, lastEvent: Number(fieldOf(head, 'last-event-id') ?? 0) }
-  }
-}
-
-function fieldOf (head: string, name: string): string | undefined {
-  return new RegExp(`^${name}: *(.*?)\r$`, 'im').exec(head)?.[1]
 }
--- a/packages/stand-ins/src/lib/users-platform/endless-service.ts
+++ b/packages/stand-ins/src/lib/users-platform/endless-service.ts
@@ -4,7 +4,8 @@
  * SPDX-License-Identifier: BSD-3-Clause
  */
 /** Stand-in for a service whose answers never end, until their connection closes. */
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
+import { RawService } from './raw-service.js'
 
 /** What the service sends without end. */
 export type EndlessPart =
@@ -71,46 +72,24 @@
 }
 
 /** A service on loopback whose answers never end. */
-export class EndlessService {
+export class EndlessService extends RawService {
   pace: EndlessPace = 'fast'
-  private readonly _server: Server
-  private readonly _sockets = new Set<Socket>()
   private _sentOnClosed = 0
 
   /**
    * @param part What it sends without end.
    * @param id Identifies it in its signature.
    */
-  constructor (public part: EndlessPart, readonly id = 'endless') {
-    this._server = createServer(socket => this._accept(socket))
-  }
+  constructor (public part: EndlessPart, id = 'endless') { super(id) }
 
   /** Number of open connections. */
-  get connections (): number { return this._sockets.size }
+  get connections (): number { return this.sockets.size }
   /** Number of bytes sent on all connections. */
-  get sent (): number { return [...this._sockets].reduce((sum, { bytesWritten }) => sum + bytesWritten, this._sentOnClosed) }
-  /** The address that it listens on. Available after `listen` has resolved. */
-  get address (): string { return `127.0.0.1:${(this._server.address() as AddressInfo).port}` }
-
-  async listen (): Promise<void> { await new Promise<void>(resolve => this._server.listen(0, '127.0.0.1', resolve)) }
-
-  close (): void {
-    this._server.close()
-    for (const socket of this._sockets) socket.destroy()
-  }
+  get sent (): number { return [...this.sockets].reduce((sum, { bytesWritten }) => sum + bytesWritten, this._sentOnClosed) }
 
-  private _accept (socket: Socket): void {
-    this._sockets.add(socket)
-    socket.on('close', () => {
-      this._sockets.delete(socket)
-      this._sentOnClosed += socket.bytesWritten
-    })
-    socket.on('error', () => {})
-    socket.once('data', (request: Buffer) => {
-      const [, id] = /^x-attempt-id: *(.*?)\r$/im.exec(request.toString('latin1')) ?? []
-      const signature = id === undefined ? '' : `x-attempt-id: ${id}\r\nx-server-seal: seal-of-${this.id}\r\n`
-      writers[this.pace](socket, answers[this.part](signature))
-      socket.resume()
-    })
+  protected override handle (socket: Socket, request: string): void {
+    socket.on('close', () => { this._sentOnClosed += socket.bytesWritten })
+    writers[this.pace](socket, answers[this.part](this.signatureFor(request)))
+    socket.resume()
   }
 }
